--- /dev/null
+++ b/features/quorum.feature
@@ -0,0 +1,31 @@
+Feature: Quorum
+  Every commit quorum meets every election quorum, and any two election quorums meet.
+
+  Scenario: static quorums of small fleets, exhaustively
+    Given every way to spread 1 to 6 accords over 1 to 4 areas
+    When every commit and election quorum in static mode is listed
+    Then each commit quorum meets each election quorum
+    And any two election quorums meet
+
+  Scenario: one area may go
+    Given the two deployments of the brief
+    Then in each the accords left without any one area commit and elect
+    And in each the accords left without any one accord commit and elect
+
+  Scenario: joint changes, exhaustively
+    Given every way to spread 1 to 4 accords over 1 to 3 areas
+    When one accord is added, removed or replaced by joint consensus
+    Then joint quorums meet the quorums of both the old and the new members
+
+  Scenario: a planted miscount is seen
+    Given every way to spread 1 to 5 accords over 1 to 4 areas
+    When the election quorum is derived one group too small
+    Then some quorums are found not to meet
+
+  Scenario: dynamic elections find every leader that may have been
+    When 1500 seeded histories of dynamic elections are run
+    Then no two leaders of one term are elected and each election meets the newest leader's commit quorum
+
+  Scenario: the walk as printed, without adding groups up, is seen to lose a leader
+    When 1500 seeded histories of dynamic elections are run with the printed walk
+    Then some election misses the newest leader's commit quorum
--- /dev/null
+++ b/features/steps/path.py
@@ -0,0 +1,55 @@
+"""Steps for Path: a fleet of processes."""
+
+import signal
+import tempfile
+import time
+
+import curio
+from behave import given, then, when
+
+from pinepitch.ground import http
+from pinepitch.proof.fleet import PLANS, Fleet, Traffic, check
+
+
+@given("a small fleet of processes with its setup in force")
+def step_fleet(context):
+    folder = tempfile.TemporaryDirectory(prefix="pinepitch-")
+    context.add_cleanup(folder.cleanup)
+    context.fleet = Fleet(PLANS["small"], folder.name)
+    context.add_cleanup(context.fleet.stop)
+    context.fleet.start_all()
+    curio.run(context.fleet.set_up)
+
+
+@when("its traffic runs for {seconds:d} seconds")
+def step_traffic(context, seconds):
+    context.traffic = Traffic(context.fleet, seed=1)
+    context.unfinished = curio.run(context.traffic.run, seconds)
+
+
+@then("every ticket becomes final and no history check finds a fault")
+def step_checked(context):
+    assert context.traffic.caller.accepted, "no ticket was accepted"
+    assert not context.unfinished, context.unfinished
+    assert not check(context.fleet, context.traffic), check(context.fleet, context.traffic)
+    finals = [one for one in context.traffic.caller.history if one[0] == "final"]
+    assert len(finals) == len(context.traffic.caller.accepted)
+
+
+@then("a ticket is read back at every verge")
+def step_read(context):
+    ticket = next(iter(context.traffic.caller.accepted))
+    for place in range(len(context.fleet.verges)):
+        answer = curio.run(context.fleet.call, "GET", f"/v1/tickets/{ticket}", None, (), place)
+        assert isinstance(answer, http.Response) and answer.status == 200, answer
+
+
+@then("each process ends within {seconds:d} seconds of its SIGTERM with exit code 0")
+def step_stop(context, seconds):
+    daemons = {name: one for name, one in context.fleet.processes.items() if not name.startswith("minions")}
+    for name, process in sorted(daemons.items(), reverse=True):
+        begun = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        code = process.wait(10)
+        assert code == 0, (name, code)
+        assert time.monotonic() - begun <= seconds, name
--- /dev/null
+++ b/features/steps/quorum.py
@@ -0,0 +1,228 @@
+"""Steps for Quorum: every quorum of small fleets, listed and crossed."""
+
+import itertools
+import random
+
+from behave import given, then, when
+
+from pinepitch.accord.quorum import Cohort, Quorum, Reply
+from pinepitch.proof.fleet import PLANS
+
+
+def spreads(accords, areas):
+    found = set()
+    for count in range(1, accords + 1):
+        for choice in itertools.product(range(areas), repeat=count):
+            found.add(tuple(sorted(choice)))
+    return [{f"m{place}": f"a{area}" for place, area in enumerate(spread)} for spread in sorted(found)]
+
+
+def subsets(members):
+    names = sorted(members)
+    for size in range(len(names) + 1):
+        yield from (frozenset(one) for one in itertools.combinations(names, size))
+
+
+def elected_by(quorum, names):
+    replies = {one: Reply(True, None, 0, {}) for one in names}
+    return quorum.elects(replies, 1, None, 0).satisfied
+
+
+def minimal(sets):
+    return [one for one in sets if not any(other < one for other in sets)]
+
+
+def commit_sets(quorum):
+    return minimal([one for one in subsets(quorum.members) if quorum.commits(one, sorted(quorum.members)[0])])
+
+
+def elect_sets(quorum):
+    return minimal([one for one in subsets(quorum.members) if elected_by(quorum, one)])
+
+
+@given("every way to spread 1 to {accords:d} accords over 1 to {areas:d} areas")
+def step_spreads(context, accords, areas):
+    context.spreads = spreads(accords, areas)
+
+
+@when("every commit and election quorum in static mode is listed")
+def step_list(context):
+    context.listed = []
+    for members in context.spreads:
+        quorum = Quorum(members, "static")
+        context.listed.append((members, commit_sets(quorum), elect_sets(quorum)))
+
+
+@then("each commit quorum meets each election quorum")
+def step_meet(context):
+    assert len(context.listed) > 50
+    for members, commits, elects in context.listed:
+        assert commits and elects, members
+        for one in commits:
+            for other in elects:
+                assert one & other, (members, one, other)
+
+
+@then("any two election quorums meet")
+def step_elections_meet(context):
+    for members, _, elects in context.listed:
+        for one, other in itertools.combinations(elects, 2):
+            assert one & other, (members, one, other)
+
+
+@given("the two deployments of the brief")
+def step_deployments(context):
+    context.quorums = []
+    for name in ("nkansah", "pinturas"):
+        members = {f"m{place}": area for place, area in enumerate(PLANS[name].accords)}
+        context.quorums.append(Quorum(members, "static"))
+
+
+@then("in each the accords left without any one area commit and elect")
+def step_area(context):
+    for quorum in context.quorums:
+        for area in set(quorum.members.values()):
+            left = [one for one, place in quorum.members.items() if place != area]
+            assert quorum.commits(left, left[0]) and elected_by(quorum, left), (quorum, area)
+
+
+@then("in each the accords left without any one accord commit and elect")
+def step_accord(context):
+    for quorum in context.quorums:
+        for lost in quorum.members:
+            left = [one for one in quorum.members if one != lost]
+            assert quorum.commits(left, left[0]) and elected_by(quorum, left), (quorum, lost)
+
+
+@when("one accord is added, removed or replaced by joint consensus")
+def step_joint(context):
+    context.joints = []
+    for members in context.spreads:
+        areas = sorted(set(members.values()))
+        changes = [{**members, "new": area} for area in (*areas, "elsewhere")]
+        for lost in members:
+            rest = {one: area for one, area in members.items() if one != lost}
+            if rest:
+                changes.append(rest)
+            changes.append({**rest, "new": members[lost]})
+        for change in changes:
+            context.joints.append(Cohort(Quorum(members, "static"), Quorum(change, "static")))
+
+
+@then("joint quorums meet the quorums of both the old and the new members")
+def step_joint_meet(context):
+    assert len(context.joints) > 100
+    for cohort in context.joints:
+        every = list(subsets(cohort.members()))
+        commits = minimal([one for one in every if cohort.commits(one, sorted(cohort.now.members)[0])])
+        elects = minimal([one for one in every if cohort.elects(
+            {name: Reply(True, None, 0, {}) for name in one}, 1, None, 0).satisfied])
+        for quorum in cohort.quorums():
+            for one in commits:
+                assert all(one & other for other in elect_sets(quorum)), cohort
+            for one in elects:
+                assert all(one & other for other in commit_sets(quorum)), cohort
+                assert all(one & other for other in elect_sets(quorum)), cohort
+
+
+@when("the election quorum is derived one group too small")
+def step_plant(context):
+    class Planted(Quorum):
+        def elect_count(self):
+            return max(1, super().elect_count() - 1)
+    context.planted = [Planted(members, "static") for members in context.spreads]
+
+
+@then("some quorums are found not to meet")
+def step_planted(context):
+    missed = 0
+    for quorum in context.planted:
+        elects = elect_sets(quorum)
+        missed += any(not one & other for one in commit_sets(quorum) for other in elects)
+    assert missed, "the planted fault went unseen"
+
+
+class PrintedWalk(Quorum):
+    """Algorithm 2's caller as printed: the groups of the next leaders replace the others."""
+
+    def _walk(self, replies, term, leader, leader_term):
+        every = self.groups()
+        possible = {self.group_of(leader)}
+        explored, terminal = set(possible), set(possible)
+        step = leader_term
+        while explored != set(every):
+            for group in possible:
+                if 2 * len(every[group] & set(replies)) <= len(every[group]):
+                    return self._counted(replies, every, len(every))._replace(satisfied=False, possible=True)
+            later = [one for reply in replies.values() for one in reply.history if step < one < term]
+            terminal |= possible
+            if not later:
+                return self._all(replies, terminal)
+            step = min(later)
+            winners = self._potential_winners(step, possible, replies)
+            if winners:
+                possible = {self.group_of(one) for one in winners}
+                explored |= possible
+        return self._counted(replies, every, len(every))
+
+
+def play(seed, kind):
+    """One history of elections on 9 members in 3 groups, each step of a real vote taken by
+    a random part of the members. Says what was broken, if anything."""
+    draw = random.Random(seed)
+    members = {f"m{place}": f"g{place // 3}" for place in range(9)}
+    quorum = kind(members, "dynamic")
+    term_of = dict.fromkeys(members, 0)
+    history = {one: {} for one in members}
+    known = {one: (None, 0) for one in members}
+    leaders = {}
+    for term in range(1, 9):
+        for candidate in draw.sample(sorted(members), draw.choice((1, 1, 2, 3))):
+            if term_of[candidate] >= term:
+                continue
+            term_of[candidate] = term
+            history[candidate][term] = candidate
+            replies = {candidate: Reply(True, *known[candidate], dict(history[candidate]))}
+            for voter in draw.sample(sorted(members), draw.randrange(3, 10)):
+                if voter == candidate or term_of[voter] > term:
+                    continue
+                granted = term not in history[voter] and known[voter][1] < term
+                term_of[voter] = term
+                if granted:
+                    history[voter][term] = candidate
+                replies[voter] = Reply(granted, *known[voter], dict(history[voter]))
+            if quorum.elects(replies, term, *known[candidate]).satisfied:
+                if term in leaders:
+                    return f"two leaders in term {term}"
+                granters = {one for one, reply in replies.items() if reply.granted}
+                if leaders:
+                    newest = leaders[max(leaders)]
+                    if quorum.group_of(newest) not in quorum.majorities(granters):
+                        return f"the leader of term {term} missed the quorum of {newest}"
+                leaders[term] = candidate
+                told = [one for one in members if draw.random() < 0.4 and term_of[one] <= term] + [candidate]
+                for one in told:
+                    term_of[one] = term
+                    known[one] = (candidate, term)
+                    history[one] = {past: choice for past, choice in history[one].items() if past > term}
+    return None
+
+
+@when("{count:d} seeded histories of dynamic elections are run")
+def step_dynamic(context, count):
+    context.broken = [(seed, broken) for seed in range(count) if (broken := play(seed, Quorum))]
+
+
+@when("{count:d} seeded histories of dynamic elections are run with the printed walk")
+def step_printed(context, count):
+    context.broken = [(seed, broken) for seed in range(count) if (broken := play(seed, PrintedWalk))]
+
+
+@then("no two leaders of one term are elected and each election meets the newest leader's commit quorum")
+def step_sound(context):
+    assert not context.broken, context.broken[:3]
+
+
+@then("some election misses the newest leader's commit quorum")
+def step_unsound(context):
+    assert context.broken, "no history showed the fault"
--- /dev/null
+++ b/src/pinepitch/accord/consensus.py
@@ -0,0 +1,698 @@
+"""FlexiRaft as a decider: (message, now) in, tuples of effects out, no I/O.
+
+Effects: ("save", sequence, change), ("send", identity, message), ("commit", first, entries),
+("lead", term), ("unlead", why), ("install", index, bytes), ("read", token, index),
+("event", number, fields). The caller makes a save durable and then says saved(sequence).
+"""
+
+import random
+
+from ..ground import constants
+from .quorum import Quorum, Cohort, Reply, cohort_from
+
+
+class Follower:
+    """What a leader knows of one cohort member or learner.
+
+    Invariants: match <= the leader's last index and is durable there; next > match."""
+
+    def __init__(self, last_index, now):
+        self.match = 0
+        self.next = last_index + 1
+        self.probing = True
+        self.window = 0
+        self.sent_at = now
+        self.heard_at = now
+        self.beat = 0
+        self.piece = None  # (snapshot index, offset) while a snapshot is sent
+
+
+class Consensus:
+    """One accord's part in the cohort.
+
+    Invariants: term never falls; at most one vote a term, in history[term], durable before
+    it is told; entries[i] has index first + i; commit <= last index; durable <= last
+    index and all up to it is on disk; history holds no term <= leader_term, since any
+    candidate starts Algorithm 1 at the newest leader told with the histories, and this
+    one's is told along; cohort is that of the newest members entry in the log or base."""
+
+    def __init__(self, identity, seed, members=None, mode="static"):
+        self.identity = identity
+        self.random = random.Random(f"{identity}-{seed}")
+        self.term = 0
+        self.history = {}
+        self.leader, self.leader_term = None, 0
+        self.first, self.entries = 1, []
+        self.base_index, self.base_term, self.base_image = 0, 0, None
+        self.base_cohort = Cohort(Quorum(dict(members or {}), mode))
+        self.cohort, self.cohort_index = self.base_cohort, 0
+        self.commit = 0
+        self.applied = 0
+        self.role = "follower"  # follower, prospect (pre-vote), candidate, leader
+        self.following = None  # the leader of this term as heard, for ways
+        self.followers = {}
+        self.learners = {}
+        self.replies = {}
+        self.sequence = self.saved_sequence = 0
+        self.hard_sequence = 0
+        self.durable = 0
+        self.saving = []  # [sequence, last index, begun]
+        self.held = []  # (sequence, effect) waiting for a save
+        self.hard_dirty, self.truncate, self.dirty_from = False, None, None
+        self.effects = []
+        self.heard_leader = -1e9
+        self.election_at = None
+        self.penance_until = -1e9
+        self.stranger = False
+        self.beat = 0
+        self.round = None  # the beat whose acknowledgement the reads under way need
+        self.reads_now, self.reads_next = [], []
+        self.beat_at = -1e9
+        self.incoming = None  # (index, bytearray) of a snapshot being received
+
+    # --- state from and to disk ------------------------------------------------------
+    def restore(self, base, changes):
+        """Takes what the store held."""
+        if base is not None:
+            hard, snapshot, first, entries = base
+            self._take_hard(hard)
+            self.base_index, self.base_term, image, self.base_image = snapshot
+            self.base_cohort = cohort_from(image)
+            self.first, self.entries = first, [tuple(one) for one in entries]
+        for hard, truncate, start, entries in changes:
+            if hard is not None:
+                self._take_hard(hard)
+            if truncate is not None:
+                del self.entries[max(0, truncate - self.first):]
+            if entries:
+                del self.entries[start - self.first:]
+                self.entries.extend(tuple(one) for one in entries)
+        self.commit = self.applied = self.base_index
+        self.durable = self.last_index()
+        self._find_cohort()
+
+    def _take_hard(self, hard):
+        self.term, self.leader, self.leader_term, history = hard
+        self.history = dict(history)
+
+    def _hard(self):
+        return [self.term, self.leader, self.leader_term, dict(self.history)]
+
+    def founding_base(self):
+        """The payload of the first base: no entries, the founding members."""
+        return [self._hard(), [0, 0, self.base_cohort.image(), None], 1, []]
+
+    def compact(self, index, image):
+        """Takes `image` as the record up to `index`; the payload of the new base."""
+        term = self.term_at(index)
+        cohort = self.base_cohort
+        for place in range(self.first, index + 1):
+            operation = self.entry(place)[2]
+            if operation[0] == "members":
+                cohort = cohort_from(operation[1])
+        self.base_cohort = cohort
+        self.base_index, self.base_term, self.base_image = index, term, image
+        keep = max(self.first, index - constants.SNAPSHOT_TAIL + 1)
+        if self.role == "leader":
+            behind = [one.match + 1 for one in self.followers.values() if one.match >= self.first]
+            keep = max(self.first, min([keep, *behind])) if behind else keep
+            keep = max(keep, index - 10 * constants.SNAPSHOT_TAIL)
+        # base_cohort must stay true for entries from `first` on: only a cohort older than
+        # the kept tail may differ, and _find_cohort reads newest first, so it never does.
+        del self.entries[: keep - self.first]
+        self.first = keep
+        return self.base_payload()
+
+    def base_payload(self):
+        """All that a base must hold."""
+        return [
+            self._hard(),
+            [self.base_index, self.base_term, self.base_cohort.image(), self.base_image],
+            self.first, list(self.entries),
+        ]
+
+    # --- the log ----------------------------------------------------------------------
+    def last_index(self):
+        return max(self.base_index, self.first + len(self.entries) - 1)
+
+    def entry(self, index):
+        return self.entries[index - self.first]
+
+    def term_at(self, index):
+        """The term of an entry, None where it is no longer or not yet held."""
+        if index == 0:
+            return 0
+        if self.first <= index < self.first + len(self.entries):
+            return self.entries[index - self.first][0]
+        if index == self.base_index:
+            return self.base_term
+        return None
+
+    def _find_cohort(self):
+        for place in range(len(self.entries) - 1, -1, -1):
+            operation = self.entries[place][2]
+            if operation[0] == "members":
+                self.cohort, self.cohort_index = cohort_from(operation[1]), self.first + place
+                return
+        self.cohort, self.cohort_index = self.base_cohort, self.base_index
+
+    def _append(self, entries, start):
+        if self.dirty_from is None or start < self.dirty_from:
+            self.dirty_from = start
+        self.entries.extend(entries)
+        for place, (_, _, operation) in enumerate(entries):
+            if operation[0] == "members":
+                self.cohort, self.cohort_index = cohort_from(operation[1]), start + place
+
+    def _cut(self, index):
+        """Drops entries from `index` on."""
+        del self.entries[index - self.first:]
+        self.truncate = index if self.truncate is None else min(self.truncate, index)
+        if self.dirty_from is not None and self.dirty_from >= index:
+            self.dirty_from = None
+        self.durable = min(self.durable, index - 1)
+        for saving in self.saving:
+            saving[1] = min(saving[1], index - 1)
+        self._find_cohort()
+
+    # --- effects ----------------------------------------------------------------------
+    def _send(self, identity, message, after=0):
+        effect = ("send", identity, message)
+        if after > self.saved_sequence:
+            self.held.append((after, effect))
+        else:
+            self.effects.append(effect)
+
+    def _after_flush(self):
+        """The sequence that the save of what is dirty now will get."""
+        dirty = self.hard_dirty or self.truncate is not None or self.dirty_from is not None
+        return self.sequence + 1 if dirty else self.sequence
+
+    def _flush(self, now):
+        if self.hard_dirty or self.truncate is not None or self.dirty_from is not None:
+            self.sequence += 1
+            start = self.dirty_from
+            fresh = [] if start is None else list(self.entries[start - self.first:])
+            change = [self._hard() if self.hard_dirty else None, self.truncate, start, fresh]
+            if self.hard_dirty:
+                self.hard_sequence = self.sequence
+            self.hard_dirty, self.truncate, self.dirty_from = False, None, None
+            self.saving.append([self.sequence, self.last_index(), now])
+            self.effects.append(("save", self.sequence, change))
+
+    def _done(self, now):
+        self._flush(now)
+        effects, self.effects = self.effects, []
+        return effects
+
+    def _event(self, number, **fields):
+        self.effects.append(("event", number, {"term": self.term, **fields}))
+
+    # --- time -------------------------------------------------------------------------
+    def tick(self, now):
+        """Lets time pass: beats, time-outs, stalled disks."""
+        if self.election_at is None:
+            self._reset_election(now)
+        stalled = bool(self.saving) and now - self.saving[0][2] > constants.DISK_STALL
+        if stalled:
+            self.penance_until = now + constants.DISK_PENANCE
+        if self.role == "leader":
+            heard = {one for one, follower in self.followers.items()
+                     if now - follower.heard_at <= constants.CHECK_QUORUM} | {self.identity}
+            if stalled:
+                self._event(125)
+                self._follow(self.term, now, "disk stalled")
+            elif not self.cohort.commits(heard, self.identity):
+                self._follow(self.term, now, "commit quorum not heard")
+            elif now - self.beat_at >= constants.HEARTBEAT:
+                self._broadcast(now)
+        elif now >= self.election_at:
+            if self.identity in self.cohort.members() and now >= self.penance_until and not self.stranger:
+                self._campaign("prospect", now)
+            else:
+                self._reset_election(now)
+        return self._done(now)
+
+    def _reset_election(self, now):
+        spread = 1 + self.random.random() * constants.ELECTION_JITTER
+        self.election_at = now + constants.ELECTION_TIMEOUT * spread
+
+    def _follow(self, term, now, why):
+        """Becomes a follower of `term`."""
+        if term > self.term:
+            self.term = term
+            self.hard_dirty = True
+            self.following = None
+        if self.role == "leader":
+            self._event(123, why=why)
+            self.effects.append(("unlead", why))
+            self.following = None
+            self.reads_now, self.reads_next, self.round = [], [], None
+        if self.role != "follower":
+            self._reset_election(now)
+        self.role = "follower"
+        self.followers, self.learners = {}, {}
+
+    # --- elections --------------------------------------------------------------------
+    def _campaign(self, role, now):
+        self.role, self.replies = role, {}
+        self._reset_election(now)
+        term = self.term + 1
+        self.following = None
+        if role == "candidate":
+            self.term = term
+            self.history[term] = self.identity
+            self.hard_dirty = True
+        self._event(121 if role == "candidate" else 120, campaign=term)
+        self.replies[self.identity] = self._reply(True)
+        kind = "vote" if role == "candidate" else "prevote"
+        message = (kind, term, self.last_index(), self.term_at(self.last_index()))
+        for identity in self.cohort.members():
+            if identity != self.identity:
+                self._send(identity, message, self._after_flush())
+        self._count_votes(now)
+
+    def _reply(self, granted):
+        return Reply(granted, self.leader, self.leader_term, dict(self.history))
+
+    def _count_votes(self, now):
+        term = self.term if self.role == "candidate" else self.term + 1
+        result = self.cohort.elects(self.replies, term, self.leader, self.leader_term)
+        if result.satisfied:
+            if self.role == "prospect":
+                self._campaign("candidate", now)
+            elif self.hard_sequence <= self.saved_sequence and not self.hard_dirty:
+                self._lead(now)
+
+    def _fresh(self, last_index, last_term):
+        own = self.term_at(self.last_index())
+        return (last_term, last_index) >= (own, self.last_index())
+
+    def _on_prevote(self, sender, term, last_index, last_term, now):
+        if sender not in self.cohort.members() and self.leader_near(now):
+            self._send(sender, ("stranger", self.term, self.commit))
+            return
+        granted = term > self.term and self._fresh(last_index, last_term) and not self.leader_near(now)
+        if granted or term > self.term:
+            reply = self._reply(granted)
+            self._send(sender, ("prevoted", term, *reply), self.hard_sequence)
+        else:
+            self._send(sender, ("behind", self.term), self.hard_sequence)
+
+    def leader_near(self, now):
+        """Whether a leader was heard within the time-out (then no pre-vote is granted)."""
+        return self.role == "leader" or now - self.heard_leader < constants.ELECTION_TIMEOUT
+
+    def _on_prevoted(self, sender, term, granted, leader, leader_term, history, now):
+        if self.role == "prospect" and term == self.term + 1:
+            self.replies[sender] = Reply(granted, leader, leader_term, dict(history))
+            self._count_votes(now)
+
+    def _on_behind(self, sender, term, now):
+        if term > self.term:
+            self._follow(term, now, "behind")
+
+    def _on_stranger(self, sender, term, commit, now):
+        """A member that serves under a leader says that this one was replaced."""
+        if sender in self.cohort.members() and self.role != "leader" and commit > self.cohort_index:
+            self.stranger = True
+            if self.role != "follower":
+                self._follow(self.term, now, "stranger")
+
+    def _on_vote(self, sender, term, last_index, last_term, now):
+        if term < self.term:
+            self._send(sender, ("behind", self.term), self.hard_sequence)
+            return
+        if term > self.term:
+            self._follow(term, now, "newer term")
+        choice = self.history.get(term)
+        granted = False
+        if self.leader_term < term and self._fresh(last_index, last_term) and choice in (None, sender):
+            granted = True
+            if choice is None:
+                self.history[term] = sender
+                self.hard_dirty = True
+                self._reset_election(now)
+                self._event(124, candidate=sender)
+        reply = self._reply(granted)
+        self._send(sender, ("voted", term, *reply), max(self._after_flush() if self.hard_dirty else 0,
+                                                         self.hard_sequence))
+
+    def _on_voted(self, sender, term, granted, leader, leader_term, history, now):
+        if self.role == "candidate" and term == self.term:
+            self.replies[sender] = Reply(granted, leader, leader_term, dict(history))
+            self._count_votes(now)
+
+    def _lead(self, now):
+        self.role = "leader"
+        self.following = self.identity
+        self.leader, self.leader_term = self.identity, self.term
+        self.history = {}
+        self.hard_dirty = True
+        self.followers = {
+            one: Follower(self.last_index(), now) for one in self.cohort.members() if one != self.identity
+        }
+        self.beat = 0
+        self.reads_now, self.reads_next, self.round = [], [], None
+        self._event(122, groups=len(self.cohort.now.groups()))
+        self.effects.append(("lead", self.term))
+        self._append([(self.term, 0.0, ("noop",))], self.last_index() + 1)
+        self._broadcast(now)
+
+    # --- leading ----------------------------------------------------------------------
+    def propose(self, operations, time, now):
+        """Appends operations; (first index, effects), or None when not leading."""
+        if self.role != "leader":
+            return None
+        start = self.last_index() + 1
+        self._append([(self.term, time, operation) for operation in operations], start)
+        self._replicate_all(now)
+        return start, self._done(now)
+
+    def change_members(self, members, time, now):
+        """Begins a joint change; None when one is under way or there is no own commit yet."""
+        if self.role != "leader" or self.cohort.coming is not None or not self.serving():
+            return None
+        if self.cohort_index > self.commit:
+            return None
+        coming = Quorum(dict(members), self.cohort.now.mode)
+        self._event(130, members=sorted(members))
+        result = self.propose([("members", Cohort(self.cohort.now, coming).image())], time, now)
+        return result
+
+    def learn(self, identity, area, now):
+        """Starts to replicate to one that is no member yet."""
+        if self.role == "leader" and identity not in self.followers:
+            self.learners[identity] = area
+            self.followers[identity] = Follower(self.last_index(), now)
+
+    def caught_up(self, identity):
+        """Whether a learner is close enough behind to become a voter."""
+        follower = self.followers.get(identity)
+        return (follower is not None and not follower.probing and follower.piece is None
+                and follower.match + constants.CAUGHT_UP >= self.last_index())
+
+    def serving(self):
+        """Whether an entry of the own term is committed, so that reads may be answered."""
+        return self.role == "leader" and self.term_at(self.commit) == self.term
+
+    def read(self, token, now):
+        """Asks that ("read", token, index) be told once leadership is confirmed."""
+        if self.role != "leader":
+            return None
+        self.reads_next.append(token)
+        self._start_round(now)
+        return self._done(now)
+
+    def _start_round(self, now):
+        if self.round is None and self.reads_next and self.serving():
+            self.reads_now, self.reads_next = self.reads_next, []
+            self.beat += 1
+            self.round = (self.beat, self.commit)
+            self._broadcast(now, advance=False)
+            self._check_round(now)
+
+    def _check_round(self, now):
+        if self.round is None:
+            return
+        beat, index = self.round
+        acked = {one for one, follower in self.followers.items() if follower.beat >= beat}
+        if self.cohort.commits(acked | {self.identity}, self.identity):
+            self.effects.extend(("read", token, index) for token in self.reads_now)
+            self.reads_now, self.round = [], None
+            self._start_round(now)
+
+    def _broadcast(self, now, advance=True):
+        if advance:
+            self.beat += 1
+        self.beat_at = now
+        for identity in self.followers:
+            self._replicate(identity, now, beat=True)
+
+    def _replicate_all(self, now):
+        for identity in self.followers:
+            self._replicate(identity, now)
+
+    def _replicate(self, identity, now, beat=False):
+        """Sends what a follower lacks, within its window; a bare beat when asked for."""
+        follower = self.followers[identity]
+        if follower.window and now - follower.sent_at > constants.APPEND_RESEND:
+            follower.window = 0
+            follower.next = follower.match + 1
+            follower.probing = True
+            if follower.piece:
+                follower.piece = (follower.piece[0], follower.piece[1], False)
+        if follower.next - 1 < self.first - 1 or self.term_at(follower.next - 1) is None:
+            self._send_piece(identity, follower, now)
+            if beat:
+                self._send(identity, ("append", self.term, 0, 0, (), 0, self.beat), self.hard_sequence)
+            return
+        sent = False
+        window = 1 if follower.probing else constants.APPEND_WINDOW
+        while follower.next <= self.last_index() and follower.window < window:
+            start = follower.next - self.first
+            entries = self.entries[start:start + constants.APPEND_ENTRIES]
+            self._send_append(identity, follower.next - 1, entries)
+            follower.next += len(entries)
+            follower.window += 1
+            follower.sent_at = now
+            sent = True
+        if beat and not sent:
+            self._send_append(identity, follower.next - 1, ())
+
+    def _send_append(self, identity, previous, entries):
+        self._send(identity, ("append", self.term, previous, self.term_at(previous), tuple(entries),
+                              self.commit, self.beat), self.hard_sequence)
+
+    def _send_piece(self, identity, follower, now):
+        if self.base_image is None:
+            return
+        if follower.piece is None or follower.piece[0] != self.base_index:
+            follower.piece = (self.base_index, 0, False)
+        index, offset, under_way = follower.piece
+        if not under_way:
+            piece = self.base_image[offset:offset + constants.SNAPSHOT_PIECE]
+            self._send(identity, ("piece", self.term, index, self.base_term, self.base_cohort.image(),
+                                  offset, len(self.base_image), piece, self.beat))
+            follower.piece = (index, offset, True)
+            follower.window, follower.sent_at = 1, now
+
+    def _on_pieced(self, sender, term, index, offset, beat, now):
+        follower = self.followers.get(sender)
+        if self.role != "leader" or term != self.term or follower is None:
+            return
+        follower.heard_at = now
+        follower.beat = max(follower.beat, beat)
+        if follower.piece and follower.piece[0] == index:
+            follower.window = 0
+            if offset >= len(self.base_image):
+                follower.piece = None
+                follower.match = max(follower.match, index)
+                follower.next = follower.match + 1
+                follower.probing = False
+            else:
+                follower.piece = (index, offset, False)
+            self._replicate(sender, now)
+
+    def _on_appended(self, sender, term, success, index, beat, now):
+        follower = self.followers.get(sender)
+        if self.role != "leader" or term != self.term or follower is None:
+            return
+        follower.heard_at = now
+        follower.beat = max(follower.beat, beat)
+        if index is None:  # a bare beat beside a snapshot
+            self._check_round(now)
+            return
+        follower.window = max(0, follower.window - 1)
+        if success:
+            if index > follower.match:
+                follower.match = index
+            follower.next = max(follower.next, follower.match + 1)
+            follower.probing = False
+        else:
+            follower.probing = True
+            follower.next = max(follower.match + 1, min(follower.next - 1, index + 1), 1)
+            follower.window = 0
+        self._advance(now)
+        self._check_round(now)
+        if self.role == "leader" and sender in self.followers and follower.next <= self.last_index():
+            self._replicate(sender, now)
+
+    def _advance(self, now):
+        """Moves commit to the newest own-term entry that a commit quorum holds."""
+        matches = {one: follower.match for one, follower in self.followers.items()
+                   if one not in self.learners}
+        matches[self.identity] = self.durable
+        for index in sorted(set(matches.values()), reverse=True):
+            if index <= self.commit or self.term_at(index) != self.term:
+                break
+            if self.cohort.commits({one for one, match in matches.items() if match >= index}, self.identity):
+                self._commit_to(index)
+                self._after_commit(now)
+                break
+
+    def _commit_to(self, index):
+        start = self.commit + 1
+        entries = self.entries[start - self.first:index + 1 - self.first]
+        self.commit = index
+        self.effects.append(("commit", start, entries))
+
+    def _after_commit(self, now):
+        self._start_round(now)
+        if self.commit < self.cohort_index:
+            return
+        if self.cohort.coming is not None:
+            coming = Cohort(self.cohort.coming)
+            self._event(131)
+            self._append([(self.term, 0.0, ("members", coming.image()))], self.last_index() + 1)
+            self._replicate_all(now)
+        else:
+            members = self.cohort.members()
+            gone = [one for one in self.followers if one not in members and one not in self.learners]
+            for identity in gone:
+                del self.followers[identity]
+            for identity in members:
+                self.learners.pop(identity, None)
+            if gone:
+                self._event(132, members=sorted(members))
+            if self.identity not in members:
+                self._follow(self.term, now, "no longer a member")
+
+    # --- following --------------------------------------------------------------------
+    def _hear_leader(self, sender, term, now):
+        if term > self.term or self.role != "follower":
+            self._follow(term, now, "leader heard")
+        self.following = sender
+        self.stranger = False
+        self.heard_leader = now
+        self._reset_election(now)
+        if self.leader_term < term:
+            self.leader, self.leader_term = sender, term
+            self.history = {past: choice for past, choice in self.history.items() if past > term}
+            self.hard_dirty = True
+
+    def _on_append(self, sender, term, previous, previous_term, entries, commit, beat, now):
+        if term < self.term:
+            self._send(sender, ("behind", self.term), self.hard_sequence)
+            return
+        self._hear_leader(sender, term, now)
+        if previous == 0 and previous_term == 0 and not entries and commit == 0:
+            self._send(sender, ("appended", term, True, None, beat), self._hard_wait())
+            return
+        last = previous + len(entries)
+        if last <= self.base_index:
+            self._send(sender, ("appended", term, True, min(last, self.durable), beat), self._hard_wait())
+            return
+        if previous < self.base_index:
+            entries = entries[self.base_index - previous:]
+            previous, previous_term = self.base_index, self.base_term
+        held = self.term_at(previous)
+        if held is None or held != previous_term:
+            hint = min(previous - 1, self.last_index())
+            if held is not None:
+                while hint > self.commit and self.term_at(hint) == held:
+                    hint -= 1
+            self._send(sender, ("appended", term, False, max(hint, self.commit), beat), self._hard_wait())
+            return
+        fresh = []
+        for place, entry in enumerate(entries):
+            index = previous + 1 + place
+            own = self.term_at(index)
+            if own is None or own != entry[0]:
+                if own is not None:
+                    if index <= self.commit:
+                        raise AssertionError(f"entry {index} is committed and conflicts")
+                    self._cut(index)
+                fresh = [(one[0], one[1], tuple(one[2])) for one in entries[place:]]
+                self._append(fresh, index)
+                break
+        if fresh:
+            self._send(sender, ("appended", term, True, last, beat), self._after_flush())
+        else:
+            self._send(sender, ("appended", term, True, min(last, self.durable), beat), self._hard_wait())
+        upto = min(commit, last)
+        if upto > self.commit:
+            self._commit_to(upto)
+
+    def _hard_wait(self):
+        return self._after_flush() if self.hard_dirty else self.hard_sequence
+
+    def _on_piece(self, sender, term, index, snapshot_term, image, offset, total, piece, beat, now):
+        if term < self.term:
+            self._send(sender, ("behind", self.term), self.hard_sequence)
+            return
+        self._hear_leader(sender, term, now)
+        if index <= self.commit:
+            self._send(sender, ("pieced", term, index, total, beat), self._hard_wait())
+            return
+        if offset == 0:
+            self.incoming = (index, bytearray())
+        if self.incoming is None or self.incoming[0] != index or len(self.incoming[1]) != offset:
+            have = len(self.incoming[1]) if self.incoming and self.incoming[0] == index else 0
+            self._send(sender, ("pieced", term, index, have, beat), self._hard_wait())
+            return
+        self.incoming[1].extend(piece)
+        if len(self.incoming[1]) < total:
+            self._send(sender, ("pieced", term, index, len(self.incoming[1]), beat), self._hard_wait())
+            return
+        whole = bytes(self.incoming[1])
+        self.incoming = None
+        self.base_index, self.base_term, self.base_image = index, snapshot_term, whole
+        self.base_cohort = cohort_from(image)
+        if self.term_at(index) == snapshot_term and self.first <= index:
+            del self.entries[:index + 1 - self.first]
+        else:
+            self.entries = []
+        self.first = index + 1
+        self.commit = index
+        self.truncate = self.dirty_from = None
+        self._find_cohort()
+        self.hard_dirty = False
+        self.sequence += 1
+        self.hard_sequence = self.sequence
+        for saving in self.saving:
+            saving[1] = min(saving[1], self.last_index())
+        self.saving.append([self.sequence, self.last_index(), now])
+        self.effects.append(("install", index, whole))
+        self.effects.append(("base", self.sequence, self.base_payload()))
+        self._event(127, index=index)
+        self._send(sender, ("pieced", term, index, total, beat), self.sequence)
+
+    # --- inputs -----------------------------------------------------------------------
+    def saved(self, sequence, now):
+        """Hears that saves up to `sequence` are durable."""
+        self.saved_sequence = max(self.saved_sequence, sequence)
+        while self.saving and self.saving[0][0] <= sequence:
+            self.durable = max(self.durable, self.saving.pop(0)[1])
+        ready = [effect for need, effect in self.held if need <= sequence]
+        self.held = [(need, effect) for need, effect in self.held if need > sequence]
+        self.effects.extend(ready)
+        if self.role == "leader":
+            self._advance(now)
+        elif self.role == "candidate":
+            self._count_votes(now)
+        return self._done(now)
+
+    def step(self, sender, message, now):
+        """Takes one message of a cohort member."""
+        kind, *rest = message
+        handler = HANDLERS.get(kind)
+        if handler is not None:
+            if kind in ("voted", "appended", "pieced") and rest[0] > self.term:
+                self._follow(rest[0], now, "newer term")
+            handler(self, sender, *rest, now)
+        return self._done(now)
+
+
+HANDLERS = {
+    "prevote": Consensus._on_prevote,
+    "prevoted": Consensus._on_prevoted,
+    "vote": Consensus._on_vote,
+    "voted": Consensus._on_voted,
+    "behind": Consensus._on_behind,
+    "stranger": Consensus._on_stranger,
+    "append": Consensus._on_append,
+    "appended": Consensus._on_appended,
+    "piece": Consensus._on_piece,
+    "pieced": Consensus._on_pieced,
+}
--- /dev/null
+++ b/src/pinepitch/accord/program.py
@@ -0,0 +1,64 @@
+"""The accord daemon: keeps the record with its cohort."""
+
+import secrets
+
+import fire
+
+from ..ground import events
+from ..ground.program import checked_env, serve
+from ..ground.store import Damaged, Store
+from .core import Accord
+
+
+def open_store(folder):
+    """(store, base, steps, why it was damaged or None); a damaged store counts as empty."""
+    store = Store(folder)
+    loaded = store.load()
+    if isinstance(loaded, Damaged):
+        store.wipe()
+        return store, None, [], loaded[0]
+    return store, *loaded, None
+
+
+def identity_of(store, base, steps):
+    """The store's identity; an empty store gets a new one, durable before it is used."""
+    if base is not None:
+        return base[0]
+    for step in steps:
+        for kind, payload in step:
+            if kind == "note" and payload[0] == "identity":
+                return payload[1]
+    identity = secrets.token_hex(6)
+    store.write_step([["note", ["identity", identity]]])
+    return identity
+
+
+def run(settings=None, address=None, area=None, seeds=None, data=None, level=None, founders=None, mode=None):
+    """Runs an accord.
+
+    Args:
+        settings: a TOML file with the fields below; flags win over it.
+        address: own IP:PORT.
+        area: the area this machine stands in.
+        seeds: three IP:PORT of other daemons, parted by commas.
+        data: the data folder.
+        level: log level: debug, info, warning, error, critical.
+        founders: how many empty accords may found a cohort (default 3; 1 for a try).
+        mode: quorum mode of a founding: static (default) or dynamic.
+    """
+    found = checked_env("accord", settings, {
+        "address": address, "area": None if area is None else str(area), "seeds": list(seeds) if isinstance(seeds, tuple) else seeds, "data": data, "level": level,
+        "founders": founders, "mode": mode})
+    store, base, steps, damage = open_store(found.data)
+    identity = identity_of(store, base, steps)
+    log = events.logger("accord", identity, found.level)
+    if damage:
+        events.emit(log, 103, why=damage)
+    core = Accord(identity, found.address, found.area, found.seeds, found.founders, found.mode,
+                  seed=secrets.token_hex(4))
+    core.restore(base, steps)
+    serve("accord", core, found, log, store)
+
+
+def main():
+    fire.Fire(run, name="accord")
--- /dev/null
+++ b/src/pinepitch/accord/quorum.py
@@ -0,0 +1,202 @@
+"""The quorum type: FlexiRaft's group majorities, its Algorithms 1 and 2, joint changes.
+
+Sections named in comments are of "FlexiRaft: Flexible Quorums with Raft" (CIDR 2023).
+"""
+
+from typing import NamedTuple
+
+
+class Reply(NamedTuple):
+    """A vote reply as the election sees it.
+
+    Invariants: history maps a term to the identity voted for in it, for every term after
+    leader_term in which this voter granted a vote; (leader, leader_term) is the newest
+    leader the voter has known, or (None, 0)."""
+
+    granted: bool
+    leader: str | None
+    leader_term: int
+    history: dict
+
+
+class Result(NamedTuple):
+    """Invariant: satisfied implies possible."""
+
+    satisfied: bool
+    possible: bool
+
+
+UNDECIDED = Result(False, True)
+
+
+class Quorum(NamedTuple):
+    """Who decides, for one list of members.
+
+    Invariants: members maps identity to area; groups are disjoint and cover members;
+    2 * elect > number of groups, and commit + elect > number of groups, so that in
+    static mode any two election quorums, and any commit and election quorum, meet in a
+    whole group's majority and hence in a member."""
+
+    members: dict
+    mode: str
+
+    def group_of(self, identity):
+        """The group a member is in: its area, or itself where fewer than 3 areas exist."""
+        area = self.members[identity]
+        if self.mode == "static" and len(set(self.members.values())) < 3:
+            return identity
+        return area
+
+    def groups(self):
+        """group -> identities in it."""
+        groups = {}
+        for identity in sorted(self.members):
+            groups.setdefault(self.group_of(identity), set()).add(identity)
+        return groups
+
+    def commit_count(self):
+        """c of 'majority in c of k groups': the largest that keeps both intersections."""
+        return (len(self.groups()) + 1) // 2
+
+    def elect_count(self):
+        """The derived k - c + 1 (section 4.1)."""
+        return len(self.groups()) - self.commit_count() + 1
+
+    def majorities(self, identities):
+        """The groups in which `identities` hold a majority."""
+        return {
+            group for group, inside in self.groups().items()
+            if 2 * len(inside & set(identities)) > len(inside)
+        }
+
+    def commits(self, identities, leader):
+        """Whether `identities` are a commit quorum under `leader`."""
+        held = self.majorities(identities)
+        if self.mode == "static":
+            return len(held) >= self.commit_count()
+        return leader in self.members and self.group_of(leader) in held
+
+    def elects(self, replies, term, leader, leader_term):
+        """Algorithm 1. `replies`: identity -> Reply; `leader`: the last one known."""
+        for reply in replies.values():
+            if reply.leader is not None and reply.leader_term > leader_term:
+                leader, leader_term = reply.leader, reply.leader_term
+        if leader_term >= term:
+            return Result(False, False)  # somebody leads this term, or a later one, already
+        if self.mode == "static":
+            return self._counted(replies, self.groups(), self.elect_count())
+        every = self.groups()
+        pessimistic = self._counted(replies, every, len(every))
+        if pessimistic.satisfied or leader is None or leader not in self.members:
+            return pessimistic
+        if term == leader_term + 1:
+            return self._all(replies, {self.group_of(leader)})
+        return self._walk(replies, term, leader, leader_term)
+
+    def _walk(self, replies, term, leader, leader_term):
+        """Lines 14 to 35 of Algorithm 1, with Algorithm 2 inside.
+
+        Changed from the print: the groups a leader may be in add up instead of being
+        replaced at each step. A candidate that merely *may* have won does not rule out
+        that it lost, so the next winner may have come through the older groups; with
+        the print's replacement its votes there would go unread (docs/flexiraft.md)."""
+        every = self.groups()
+        possible = {self.group_of(leader)}
+        step = leader_term
+        while possible != set(every):
+            for group in possible:
+                if 2 * len(every[group] & set(replies)) <= len(every[group]):
+                    return UNDECIDED  # WAITING_FOR_MORE_VOTES
+            later = [
+                voted for reply in replies.values() for voted in reply.history if step < voted < term
+            ]
+            if not later:  # ALL_INTERMEDIATE_TERMS_DEFUNCT
+                return self._all(replies, possible)
+            step = min(later)
+            for winner in self._potential_winners(step, possible, replies):
+                if winner not in self.members:  # of the other list of a joint change
+                    return self._counted(replies, every, len(every))
+                possible = possible | {self.group_of(winner)}
+        return self._counted(replies, every, len(every))
+
+    def _potential_winners(self, term, possible, replies):
+        """Whoever may have won `term`, counting each unheard member as its voter."""
+        every = self.groups()
+        winners = set()
+        for group in possible:
+            inside = every[group]
+            unheard = len(inside - set(replies))
+            votes = {}
+            for identity in inside & set(replies):
+                choice = replies[identity].history.get(term)
+                if choice is not None:
+                    votes[choice] = votes.get(choice, 0) + 1
+            for choice, count in votes.items():
+                if 2 * (count + unheard) > len(inside):
+                    winners.add(choice)
+        return winners
+
+    def _counted(self, replies, groups, wanted):
+        """Majority of grants in `wanted` of `groups`."""
+        satisfied = possible = 0
+        for inside in groups.values():
+            granted = sum(1 for one in inside if one in replies and replies[one].granted)
+            refused = sum(1 for one in inside if one in replies and not replies[one].granted)
+            satisfied += 2 * granted > len(inside)
+            possible += 2 * (len(inside) - refused) > len(inside)
+        return Result(satisfied >= wanted, possible >= wanted)
+
+    def _all(self, replies, groups):
+        every = self.groups()
+        return self._counted(replies, {group: every[group] for group in groups}, len(groups))
+
+
+class Cohort(NamedTuple):
+    """The members now and, during a joint change, the members to come.
+
+    Invariant: while `coming` is set every decision needs both quorums, so that a quorum
+    of either list alone never decides (joint consensus, section 8)."""
+
+    now: Quorum
+    coming: Quorum | None = None
+
+    def quorums(self):
+        """The quorums that must all agree."""
+        return (self.now,) if self.coming is None else (self.now, self.coming)
+
+    def members(self):
+        """identity -> area of every voter, of either list."""
+        return {**self.now.members, **(self.coming.members if self.coming else {})}
+
+    def commits(self, identities, leader):
+        """Whether `identities` commit under `leader` by every quorum in force.
+
+        In dynamic mode a leader that a list lacks can't have a group there: such a list
+        then asks for majorities in all its groups, which meets any of its quorums."""
+        for quorum in self.quorums():
+            if quorum.mode == "dynamic" and leader not in quorum.members:
+                if quorum.majorities(identities) != set(quorum.groups()):
+                    return False
+            elif not quorum.commits(identities, leader):
+                return False
+        return True
+
+    def elects(self, replies, term, leader, leader_term):
+        """Algorithm 1 over every quorum in force; replies of strangers don't count."""
+        results = []
+        for quorum in self.quorums():
+            own = {one: reply for one, reply in replies.items() if one in quorum.members}
+            results.append(quorum.elects(own, term, leader, leader_term))
+        return Result(all(one.satisfied for one in results), all(one.possible for one in results))
+
+    def image(self):
+        """What goes on the wire and on disk."""
+        return [
+            [dict(quorum.members), quorum.mode] for quorum in self.quorums()
+        ]
+
+
+def cohort_from(image):
+    """The Cohort of an image()."""
+    quorums = [Quorum(dict(members), mode) for members, mode in image]
+    return Cohort(quorums[0], quorums[1] if len(quorums) > 1 else None)
--- /dev/null
+++ b/src/pinepitch/accord/record.py
@@ -0,0 +1,562 @@
+"""The record: the deterministic state machine of the log.
+
+apply(time, operation) gives an outcome, a tuple whose first word says how it went. It
+reads no clock and draws no chance, so every accord comes to the same record.
+"""
+
+import cbor2
+import immutables
+
+from ..ground import constants
+from ..world import row as rows
+from ..world.task import FINAL, Standing, Task, reference
+from ..world.ticket import Ticket, tasks_from
+
+OK = ("ok",)
+
+
+class Record:
+    """Invariants, checked by audit(): a task's reservation on a minion stands exactly
+    while it is placed; outstanding[q] is the sum of credits lent by q to placed tasks;
+    used[q] is the sum of units of q's placed tasks; waiting[q] counts its waiting tasks;
+    ready[q] holds the waiting tasks whose forerunners are all done, and only those;
+    time never falls; epochs only grow; setup versions grow by one."""
+
+    def __init__(self):
+        self.time = 0.0
+        self.index = 0
+        self.tickets = immutables.Map()
+        self.keys = immutables.Map()
+        self.count = 0
+        self.finished = ()  # pairs (identity, ended_at) are kept in order of their end
+        self.version = 1
+        self.setup = rows.checked(rows.FIRST)[0]
+        self.setups = ((1, rows.FIRST, "founding", "the setup every cohort begins with", 0.0, 0),)
+        self.epochs = {}
+        self.drained = {}
+        self.emptied = {}
+        self.withdrawn = {}  # minion -> (due, gone)
+        self.drafts = immutables.Map()
+        self.draft_count = 0
+        self.marks = immutables.Map()  # mark of a change -> its outcome, so that it counts once
+        self._derive()
+
+    # --- image ------------------------------------------------------------------------
+    def image(self):
+        """A value that later changes leave alone; encode() turns it to bytes."""
+        return (
+            self.time, self.index, self.tickets, self.keys, self.count, tuple(self.finished), self.version,
+            self.setup, self.setups, dict(self.epochs), dict(self.drained), dict(self.emptied),
+            dict(self.withdrawn), self.drafts, self.draft_count,
+            self.marks,
+        )
+
+    @staticmethod
+    def encode(image):
+        return cbor2.dumps(image, default=_plain)
+
+    @classmethod
+    def decode(cls, data):
+        record = cls()
+        (record.time, record.index, tickets, keys, record.count, finished, record.version, record.setup,
+         setups, epochs, record.drained, record.emptied, withdrawn, drafts, record.draft_count,
+         marks) = cbor2.loads(data)
+        record.marks = immutables.Map({mark: tuple(outcome) for mark, outcome in marks.items()})
+        record.tickets = immutables.Map({one: _ticket(image) for one, image in tickets.items()})
+        record.keys = immutables.Map(keys)
+        record.finished = [tuple(one) for one in finished]
+        record.setups = tuple(tuple(one) for one in setups)
+        record.epochs = {duty: tuple(one) for duty, one in epochs.items()}
+        record.withdrawn = {minion: tuple(one) for minion, one in withdrawn.items()}
+        record.drafts = immutables.Map(drafts)
+        record._derive()
+        return record
+
+    def _derive(self):
+        """Builds what follows from the rest."""
+        self.finished = list(self.finished)
+        self.rows = {queue: rows.row_of(row) for queue, row in self.setup["queues"].items()}
+        self.reserved = {}  # minion -> {reference: units}
+        self.used, self.outstanding, self.waiting, self.ready = {}, {}, {}, {}
+        self.live = {}  # queue -> live tickets
+        self.fronts = {}  # ticket -> {task: forerunners not done}
+        self.behind = {}  # ticket -> {task: tasks that wait for it}
+        self.left = {}  # ticket -> tasks not final
+        self.yielding = {}  # reference -> attempt
+        for identity in sorted(self.tickets, key=lambda one: int(one[1:])):
+            ticket = self.tickets[identity]
+            if ticket.state in ("pending", "cancelling", "failing"):
+                self._index(ticket)
+
+    def _index(self, ticket):
+        self.live[ticket.queue] = self.live.get(ticket.queue, 0) + 1
+        behind, fronts, left = {}, {}, 0
+        for name, task in ticket.tasks.items():
+            standing = ticket.standings[name]
+            fronts[name] = sum(ticket.standings[one].state != "done" for one in task.after)
+            for one in task.after:
+                behind.setdefault(one, []).append(name)
+            left += standing.state not in FINAL
+            if standing.state == "waiting":
+                self.waiting[ticket.queue] = self.waiting.get(ticket.queue, 0) + 1
+                if not fronts[name]:
+                    self._ready_in(ticket, name)
+            elif standing.state == "placed":
+                self._hold(ticket, task, standing)
+                if standing.yields_to:
+                    self.yielding[reference(ticket.identity, name)] = standing.attempt
+        self.behind[ticket.identity], self.fronts[ticket.identity] = behind, fronts
+        self.left[ticket.identity] = left
+
+    def _ready_in(self, ticket, name):
+        levels = self.ready.setdefault(ticket.queue, {})
+        levels.setdefault(ticket.urgency, {})[(ticket.identity, name)] = None
+
+    def _ready_out(self, ticket, name):
+        levels = self.ready.get(ticket.queue, {})
+        level = levels.get(ticket.urgency, {})
+        level.pop((ticket.identity, name), None)
+        if not level:
+            levels.pop(ticket.urgency, None)
+
+    def _hold(self, ticket, task, standing):
+        self.reserved.setdefault(standing.minion, {})[reference(ticket.identity, task.name)] = task.units
+        self.used[ticket.queue] = self.used.get(ticket.queue, 0) + task.units
+        for queue, credits in standing.charges:
+            self.outstanding[queue] = self.outstanding.get(queue, 0) + credits
+
+    def _release(self, ticket, task, standing):
+        held = self.reserved[standing.minion]
+        del held[reference(ticket.identity, task.name)]
+        if not held:
+            del self.reserved[standing.minion]
+        self.used[ticket.queue] -= task.units
+        for queue, credits in standing.charges:
+            self.outstanding[queue] -= credits
+        self.yielding.pop(reference(ticket.identity, task.name), None)
+
+    # --- reading ----------------------------------------------------------------------
+    def balance(self, queue):
+        """Credits a queue holds now: its share less what is out, lent or used itself."""
+        row = self.rows.get(queue)
+        return (row.share if row else 0) - self.outstanding.get(queue, 0)
+
+    def find(self, ref):
+        """(ticket, task, standing) of a reference, or None."""
+        identity, _, name = ref.partition("/")
+        ticket = self.tickets.get(identity)
+        if ticket is None or name not in ticket.tasks:
+            return None
+        return ticket, ticket.tasks[name], ticket.standings[name]
+
+    def closed(self, minion, area):
+        """Why a minion may get no new work, or ''."""
+        if minion in self.withdrawn:
+            return "withdrawn"
+        if minion in self.drained:
+            return "draining"
+        return "area emptied" if area in self.emptied else ""
+
+    # --- applying ---------------------------------------------------------------------
+    def apply(self, index, time, operation):
+        """The outcome of one committed operation."""
+        self.index = index
+        self.time = max(self.time, time)
+        action = ACTIONS.get(operation[0])
+        return OK if action is None else action(self, *operation[1:])
+
+    def _put(self, ticket, name, standing):
+        self.tickets = self.tickets.set(
+            ticket.identity, ticket._replace(standings=ticket.standings.set(name, standing)))
+        return self.tickets[ticket.identity]
+
+    def ticket_refusal(self, plain):
+        """Why a checked document can't be taken now, or None; the leader asks it first."""
+        row = self.rows.get(plain["queue"])
+        if row is None:
+            return ("invalid", (("queue", f"no queue {plain['queue']!r}"),))
+        over = tuple(
+            (f"tasks.{place}.units", f"{task['units']} units, over the queue's limit of {row.limit}")
+            for place, task in enumerate(plain["tasks"]) if task["units"] > row.limit
+        )
+        gangs = {}
+        for task in plain["tasks"]:
+            if task["gang"]:
+                gangs[task["gang"]] = gangs.get(task["gang"], 0) + task["units"]
+        over += tuple((f"gang {gang}", f"{units} units together, over the queue's limit of {row.limit}")
+                      for gang, units in gangs.items() if units > row.limit)
+        if over:
+            return ("invalid", over)
+        if self.waiting.get(plain["queue"], 0) + len(plain["tasks"]) > row.pending:
+            return ("shed", "queue full")
+        if len(self.tickets) - len(self.finished) >= constants.TICKETS_MOST:
+            return ("shed", "record full")
+        return None
+
+    def known(self, key, digest):
+        """The outcome for a key seen before, or None."""
+        identity = self.keys.get(key)
+        if identity is None:
+            return None
+        same = self.tickets[identity].digest == digest
+        return ("known", identity) if same else ("mismatch", identity)
+
+    def _ticket(self, key, digest, plain):
+        before = self.known(key, digest)
+        if before is not None:
+            return before
+        refusal = self.ticket_refusal(plain)
+        if refusal is not None:
+            return refusal
+        self.count += 1
+        identity = f"t{self.count}"
+        row = self.rows[plain["queue"]]
+        tasks = tasks_from(plain, row.retries, plain["kind"] == "feed")
+        urgency = row.urgency if plain["urgency"] < 0 else plain["urgency"]
+        ticket = Ticket(
+            identity, key, digest, plain["queue"], plain["kind"], urgency, plain["due"], self.time, tasks,
+            immutables.Map({name: Standing(since=self.time) for name in tasks}),
+        )
+        self.tickets = self.tickets.set(identity, ticket)
+        self.keys = self.keys.set(key, identity)
+        self._index(ticket)
+        return ("accepted", identity)
+
+    def _cancel(self, identity):
+        ticket = self.tickets.get(identity)
+        if ticket is None:
+            return ("missing",)
+        if ticket.state == "cancelling":
+            return OK
+        if ticket.state != "pending":
+            return ("ended", ticket.state)
+        ticket = ticket._replace(state="cancelling", cancelled_at=self.time)
+        self.tickets = self.tickets.set(identity, ticket)
+        self._stop(ticket, "cancel")
+        return OK
+
+    def _stop(self, ticket, why):
+        """Nothing more of a ticket starts; what runs is to be killed."""
+        for name, standing in ticket.standings.items():
+            if standing.state == "waiting":
+                ticket = self._finish(ticket, name, standing, "cancelled")
+            elif standing.state == "placed" and standing.yields_to != why:
+                ticket = self._put(ticket, name, standing._replace(yields_to=why))
+                self.yielding[reference(ticket.identity, name)] = standing.attempt
+        self._settle(ticket.identity)
+
+    def _finish(self, ticket, name, standing, state):
+        """A task becomes final."""
+        if standing.state == "waiting":
+            self.waiting[ticket.queue] -= 1
+            self._ready_out(ticket, name)
+        ticket = self._put(ticket, name, standing._replace(state=state, yields_to="", charges=(), since=self.time))
+        self.left[ticket.identity] -= 1
+        if state == "done":
+            fronts = self.fronts[ticket.identity]
+            for other in self.behind[ticket.identity].get(name, ()):
+                fronts[other] -= 1
+                if not fronts[other] and ticket.standings[other].state == "waiting":
+                    self._ready_in(ticket, other)
+        return ticket
+
+    def _settle(self, identity):
+        """A ticket none of whose tasks is left becomes final."""
+        ticket = self.tickets[identity]
+        if self.left.get(identity, 1):
+            return
+        state = {"cancelling": "cancelled", "failing": "failed", "pending": "finished"}[ticket.state]
+        if state == "finished" and any(one.state != "done" for one in ticket.standings.values()):
+            raise AssertionError(f"{identity} would finish with a task that has not ended well")
+        self.tickets = self.tickets.set(identity, ticket._replace(state=state, ended_at=self.time))
+        self.live[ticket.queue] -= 1
+        for derived in (self.left, self.fronts, self.behind):
+            del derived[identity]
+        self.finished.append((identity, self.time))
+        while (len(self.finished) > constants.FINISHED_KEPT
+               and self.time - self.finished[0][1] > constants.KEYS_KEPT):
+            old = self.tickets[self.finished.pop(0)[0]]
+            self.tickets = self.tickets.delete(old.identity)
+            self.keys = self.keys.delete(old.key)
+
+    def _duty(self, duty, holder):
+        epoch = self.epochs.get(duty, (0, ""))[0] + 1
+        self.epochs[duty] = (epoch, holder)
+        return ("epoch", epoch)
+
+    def _place(self, epoch, version, items):
+        """Items: (reference, minion, area, room, incarnation, verge, charges)."""
+        if epoch != self.epochs.get("placing", (0, ""))[0]:
+            return ("refused", "epoch")
+        if version != self.version:
+            return ("refused", "setup version")
+        gangs = {}
+        for item in items:
+            found = self.find(item[0])
+            if found and found[1].gang:
+                gangs.setdefault((found[0].identity, found[1].gang), []).append(item)
+        outcomes, decided = {}, set()
+        for item in items:
+            if item[0] in decided:
+                continue
+            found = self.find(item[0])
+            group = [item]
+            if found and found[1].gang:
+                group = gangs[(found[0].identity, found[1].gang)]
+            decided.update(one[0] for one in group)
+            outcome = self._place_group(group)
+            for one in group:
+                outcomes[one[0]] = outcome
+        return ("placed", tuple((item[0], outcomes[item[0]]) for item in items))
+
+    def _place_group(self, group):
+        """One task, or a whole gang; all of it or nothing. '' when placed."""
+        room, charged, used, queue = {}, {}, 0, None
+        for ref, minion, area, size, incarnation, verge, charges in group:
+            found = self.find(ref)
+            if found is None:
+                return "unknown"
+            ticket, task, standing = found
+            queue = ticket.queue
+            row = self.rows.get(queue)
+            if ticket.state != "pending" or standing.state != "waiting":
+                return "not waiting"
+            if self.fronts[ticket.identity][task.name]:
+                return "forerunners"
+            if ticket.kind != "feed" and standing.failures >= task.attempts:
+                return "attempts"
+            if self.time < max(task.not_before, standing.earliest):
+                return "too early"
+            if self.closed(minion, area):
+                return self.closed(minion, area)
+            if task.gang:
+                waiting = {
+                    reference(ticket.identity, one) for one, other in ticket.tasks.items()
+                    if other.gang == task.gang and ticket.standings[one].state == "waiting"
+                }
+                if waiting != {one[0] for one in group}:
+                    return "gang not whole"
+            room[minion] = room.get(minion, sum(self.reserved.get(minion, {}).values())) + task.units
+            if room[minion] > size:
+                return "room"
+            used += task.units
+            if self.used.get(queue, 0) + used > row.limit:
+                return "limit"
+            if sum(credits for _, credits in charges) != task.units:
+                return "charges"
+            for lender, credits in charges:
+                charged[lender] = charged.get(lender, 0) + credits
+                if lender != queue and not (lender in self.rows and self.rows[lender].lends):
+                    return "lender"
+                if credits <= 0 or charged[lender] > self.balance(lender):
+                    return "credits"
+        for ref, minion, area, size, incarnation, verge, charges in group:
+            ticket, task, standing = self.find(ref)
+            standing = standing._replace(
+                state="placed", attempt=standing.attempt + 1, minion=minion, incarnation=incarnation,
+                verge=verge, send_by=self.time + constants.SEND_WITHIN, sent="", yields_to="",
+                charges=tuple(tuple(one) for one in charges), since=self.time,
+            )
+            self.waiting[queue] -= 1
+            self._ready_out(ticket, task.name)
+            ticket = self._put(ticket, task.name, standing)
+            self._hold(ticket, task, standing)
+        return ""
+
+    def _ended(self, items):
+        """Items: (reference, attempt, how). How: done, failed, killed, refused, never, lost."""
+        outcomes = []
+        for ref, attempt, how in items:
+            found = self.find(ref)
+            if found is None or found[2].state != "placed" or found[2].attempt != attempt:
+                outcomes.append("stale")
+                continue
+            ticket, task, standing = found
+            self._release(ticket, task, standing)
+            outcomes.append(self._end(ticket, task, standing, how))
+            self._settle(ticket.identity)
+        return ("ended", tuple(outcomes))
+
+    def _end(self, ticket, task, standing, how):
+        if how == "done":
+            self._finish(ticket, task.name, standing, "done")
+            return "done"
+        cost = how in ("failed", "lost") or (how == "killed" and standing.yields_to in ("", "limit"))
+        failures = standing.failures + cost
+        if ticket.state != "pending":
+            self._finish(ticket, task.name, standing._replace(failures=failures), "cancelled")
+            return "cancelled"
+        if cost and ticket.kind != "feed" and failures >= task.attempts:
+            ticket = self._finish(ticket, task.name, standing._replace(failures=failures), "failed")
+            ticket = ticket._replace(state="failing")
+            self.tickets = self.tickets.set(ticket.identity, ticket)
+            self._stop(ticket, "failing")
+            return "failed"
+        wait = 0.0
+        if cost:
+            wait = min(constants.RETRY_WAIT * 2 ** min(failures - 1, 10), constants.RETRY_WAIT_MOST)
+        elif how == "refused":
+            wait = constants.RETRY_WAIT
+        standing = standing._replace(
+            state="waiting", failures=failures, earliest=self.time + wait, yields_to="", charges=(), since=self.time)
+        ticket = self._put(ticket, task.name, standing)
+        self.waiting[ticket.queue] += 1
+        self._ready_in(ticket, task.name)
+        return "again"
+
+    def _yield(self, epoch, items):
+        """Items: (reference, attempt, for whom). Who yields to whom is decided here."""
+        if epoch != self.epochs.get("placing", (0, ""))[0]:
+            return ("refused", "epoch")
+        outcomes = []
+        for ref, attempt, whom in items:
+            found = self.find(ref)
+            if found is None or found[2].state != "placed" or found[2].attempt != attempt or found[2].yields_to:
+                outcomes.append("stale")
+                continue
+            ticket, task, standing = found
+            if whom not in ("move", "limit"):
+                other = self.find(whom)
+                if other is None or other[2].state != "waiting":
+                    outcomes.append("nobody waits")
+                    continue
+                if not (self.rows[other[0].queue].preempts and self.rows[ticket.queue].yields
+                        and other[0].urgency > ticket.urgency):
+                    outcomes.append("not allowed")
+                    continue
+            self._put(ticket, task.name, standing._replace(yields_to=whom))
+            self.yielding[ref] = attempt
+            outcomes.append("")
+        return ("yields", tuple(outcomes))
+
+    def _drain(self, minion, closed):
+        if closed:
+            self.drained[minion] = self.time
+        else:
+            self.drained.pop(minion, None)
+            self.withdrawn.pop(minion, None)
+        return OK
+
+    def _area(self, area, emptied):
+        if emptied:
+            self.emptied[area] = self.time
+        else:
+            self.emptied.pop(area, None)
+        return OK
+
+    def _withdraw(self, minion, due):
+        if minion not in self.withdrawn or not self.withdrawn[minion][1]:
+            self.withdrawn[minion] = (due, False)
+        return OK
+
+    def _gone(self, minion):
+        """The operator's word that a machine is withdrawn has come due."""
+        due, gone = self.withdrawn.get(minion, (0.0, True))
+        if gone or self.time < due:
+            return ("refused", "not due")
+        self.withdrawn[minion] = (due, True)
+        items = []
+        for ref in sorted(self.reserved.get(minion, {})):
+            items.append((ref, self.find(ref)[2].attempt, "never"))
+        return self._ended(items)
+
+    # --- setups -----------------------------------------------------------------------
+    def _setup(self, mark, base, manner, document, who, why):
+        """A change of the setup: `manner` is whole or merge; base None takes any."""
+        return self._once(mark, lambda: self._change(base, manner, document, who, why))
+
+    def _once(self, mark, change):
+        """The outcome of a change, the same one however often it is carried here."""
+        if mark in self.marks:
+            return self.marks[mark]
+        outcome = change()
+        if len(self.marks) >= constants.MARKS_KEPT:
+            oldest = min(self.marks.items(), key=lambda one: one[1][-1])[0]
+            self.marks = self.marks.delete(oldest)
+        self.marks = self.marks.set(mark, (*outcome, self.index))
+        return self.marks[mark]
+
+    def _change(self, base, manner, document, who, why):
+        if base is not None and base != self.version:
+            return ("conflict", self.version)
+        if manner == "merge":
+            document = rows.merged(self.setup, document)
+        return self._take_setup(document, who, why, self.version)
+
+    def setup_faults(self, document):
+        """(checked, ()) or (None, faults) of a whole setup against the live tickets."""
+        checked, faults = rows.checked(document)
+        if checked is not None:
+            faults = tuple((f"queues.{queue}", f"{count} live tickets, so it can't go")
+                           for queue, count in sorted(self.live.items())
+                           if count and queue not in checked["queues"])
+        return (None, faults) if faults else (checked, ())
+
+    def _take_setup(self, document, who, why, base):
+        checked, faults = self.setup_faults(document)
+        if faults:
+            return ("invalid", faults)
+        self.version += 1
+        self.setup = checked
+        self.setups = (*self.setups, (self.version, checked, who, why, self.time, base))[-constants.HISTORY_KEPT:]
+        self.rows = {queue: rows.row_of(row) for queue, row in checked["queues"].items()}
+        return ("setup", self.version)
+
+    # --- checking ---------------------------------------------------------------------
+    def audit(self):
+        """Raises unless what is derived step by step equals what follows from the rest."""
+        kept = (self.reserved, self.used, self.outstanding, self.waiting, self.ready, self.live, self.fronts,
+                self.left, self.yielding)
+        self._derive()
+        fresh = (self.reserved, self.used, self.outstanding, self.waiting, self.ready, self.live, self.fronts,
+                 self.left, self.yielding)
+        for name, one, other in zip(("reserved", "used", "outstanding", "waiting", "ready", "live", "fronts",
+                                     "left", "yielding"), kept, fresh):
+            if _bare(one) != _bare(other):
+                raise AssertionError(f"{name} has drifted: {_bare(one)!r} is not {_bare(other)!r}")
+
+
+def _bare(derived):
+    """A derived map without its empty entries."""
+    result = {}
+    for key, value in derived.items():
+        value = _bare(value) if isinstance(value, dict) else value
+        if value not in (0, {}) or value is None:
+            result[key] = value
+    return result
+
+
+def _plain(encoder, value):
+    if isinstance(value, immutables.Map):
+        encoder.encode(dict(value))
+    else:
+        raise TypeError(type(value).__name__)
+
+
+def _ticket(image):
+    ticket = Ticket(*image)
+    tasks = {}
+    for name, one in ticket.tasks.items():
+        task = Task(*one)
+        tasks[name] = task._replace(labels=tuple(task.labels), after=tuple(task.after))
+    standings = {}
+    for name, one in ticket.standings.items():
+        standing = Standing(*one)
+        standings[name] = standing._replace(charges=tuple(tuple(pair) for pair in standing.charges))
+    return ticket._replace(tasks=tasks, standings=immutables.Map(standings))
+
+
+# The registry of operations: a new one is an entry here.
+ACTIONS = {
+    "ticket": Record._ticket,
+    "cancel": Record._cancel,
+    "duty": Record._duty,
+    "place": Record._place,
+    "ended": Record._ended,
+    "yield": Record._yield,
+    "drain": Record._drain,
+    "area": Record._area,
+    "withdraw": Record._withdraw,
+    "gone": Record._gone,
+    "setup": Record._setup,
+}
--- /dev/null
+++ b/src/pinepitch/client/commands.py
@@ -0,0 +1,193 @@
+"""Each act of the HTTP API as a command. Exit codes: 0 done, 1 refused, 2 wrong use,
+3 no verge answered, 4 come back later."""
+
+import json
+import os
+import sys
+
+import curio
+
+from ..ground import env, http
+
+EXIT_REFUSED, EXIT_USE, EXIT_UNREACHED, EXIT_LATER = 1, 2, 3, 4
+
+
+def ask(verge, method, target, document=None, headers=()):
+    """The answer of a verge, or exit 3."""
+    async def one():
+        client = http.Client(*env.split(verge))
+        try:
+            return await curio.ignore_after(10, client.call(method, target, document, headers))
+        finally:
+            await client.close()
+    answer = curio.run(one)
+    if not isinstance(answer, http.Response):
+        print(f"pinepitch: no answer from {verge}", file=sys.stderr)
+        sys.exit(EXIT_UNREACHED)
+    return answer
+
+
+def table(rows, columns=None):
+    """Rows of a listing as aligned text."""
+    if not rows:
+        return "(none)"
+    columns = columns or list(rows[0])
+    cells = [[str(column) for column in columns]]
+    cells += [["" if row.get(column) is None else str(row.get(column)) for column in columns] for row in rows]
+    widths = [max(len(line[place]) for line in cells) for place in range(len(columns))]
+    return "\n".join("  ".join(cell.ljust(width) for cell, width in zip(line, widths)).rstrip() for line in cells)
+
+
+def finish(answer, as_json, show):
+    """Prints an answer and leaves with the code that fits it."""
+    if as_json or not 200 <= answer.status < 300:
+        print(json.dumps(answer.document, indent=2), file=sys.stdout if answer.status < 300 else sys.stderr)
+    else:
+        print(show(answer.document))
+    if 200 <= answer.status < 300:
+        return
+    sys.exit(EXIT_LATER if answer.status in (429, 503) else EXIT_REFUSED)
+
+
+def flat(document):
+    """A document's plain fields, a line each, and its lists as tables."""
+    lines = [f"{key}: {value}" for key, value in document.items() if not isinstance(value, list)]
+    for key, value in document.items():
+        if isinstance(value, list):
+            lines.append(f"{key}:")
+            lines.append(table(value) if value and isinstance(value[0], dict) else "  " + ", ".join(map(str, value)))
+    return "\n".join(lines)
+
+
+class Verged:
+    """Commands that speak to one verge: --verge IP:PORT or PINEPITCH_VERGE."""
+
+    def __init__(self, verge=None, json=False, operator=None):
+        self._verge = verge or os.environ.get("PINEPITCH_VERGE", "127.0.0.1:8080")
+        self._json = json
+        self._operator = operator or os.environ.get("USER", "unnamed")
+
+    def _get(self, target, show=flat):
+        finish(ask(self._verge, "GET", target), self._json, show)
+
+    def _do(self, method, target, document=None, headers=(), show=flat):
+        headers = (("X-Operator", self._operator), *headers)
+        finish(ask(self._verge, method, target, document, headers), self._json, show)
+
+
+class Ticket(Verged):
+    """submit, show, list, cancel."""
+
+    def submit(self, file, key=None):
+        """Hands in the ticket in a JSON file ('-' for standing input)."""
+        document = _read(file)
+        headers = (("Idempotency-Key", str(key)),) if key else ()
+        self._do("POST", "/v1/tickets", document, headers)
+
+    def show(self, ticket):
+        self._get(f"/v1/tickets/{ticket}")
+
+    def list(self, after=0, limit=50, state="", queue=""):
+        self._get(f"/v1/tickets?after={after}&limit={limit}&state={state}&queue={queue}",
+                  lambda document: table(document["tickets"], ["ticket", "state", "queue", "urgency", "tasks", "key"]))
+
+    def cancel(self, ticket):
+        self._do("POST", f"/v1/tickets/{ticket}/cancel")
+
+
+class Minion(Verged):
+    """list, drain, undrain, withdraw."""
+
+    def list(self):
+        self._get("/v1/minions", lambda document: table(document["minions"]))
+
+    def drain(self, minion):
+        self._do("POST", f"/v1/minions/{minion}/drain")
+
+    def undrain(self, minion):
+        self._do("POST", f"/v1/minions/{minion}/undrain")
+
+    def withdraw(self, minion, due=0.0):
+        """The machine is gone for good at `due` (seconds since 1970; 0 for now)."""
+        self._do("POST", f"/v1/minions/{minion}/withdraw", {"due": due})
+
+
+class Area(Verged):
+    """list, empty, take_back."""
+
+    def list(self):
+        self._get("/v1/areas", lambda document: table(document["areas"]))
+
+    def empty(self, area):
+        self._do("POST", f"/v1/areas/{area}/empty")
+
+    def take_back(self, area):
+        self._do("POST", f"/v1/areas/{area}/take-back")
+
+
+class Setup(Verged):
+    """show, put, patch, history, back."""
+
+    def show(self, version=None):
+        self._get("/v1/setup" if version is None else f"/v1/setup/versions/{version}",
+                  lambda document: json.dumps(document, indent=2))
+
+    def put(self, file, base, why=""):
+        """Puts the whole setup in a JSON file in force, built on version `base`."""
+        self._change("PUT", file, base, why)
+
+    def patch(self, file, base, why=""):
+        """Merges the JSON file into the setup, built on version `base`."""
+        self._change("PATCH", file, base, why)
+
+    def _change(self, method, file, base, why):
+        self._do(method, "/v1/setup", _read(file), (("If-Match", str(base)), ("X-Reason", why)))
+
+    def history(self):
+        self._get("/v1/setup/versions", lambda document: table(document["setups"]))
+
+    def back(self, version, base, why=""):
+        """Makes a new version out of an old one."""
+        self._do("POST", "/v1/setup/back", {"version": version}, (("If-Match", str(base)), ("X-Reason", why)))
+
+
+class Commands:
+    """pinepitch: drive the scheduler. Global flags of each group: --verge, --json, --operator."""
+
+    def __init__(self):
+        self.ticket = Ticket
+        self.minion = Minion
+        self.area = Area
+        self.setup = Setup
+
+    def pending(self, verge=None, json=False):
+        """Waiting tasks, credits and limits of every queue."""
+        Verged(verge, json)._get("/v1/pending", lambda document: table(document["queues"]))
+
+    def cohort(self, verge=None, json=False):
+        """The accords, their leader and every session."""
+        Verged(verge, json)._get("/v1/cohort")
+
+    def figures(self, verge=None, json=False):
+        """Counts of the record."""
+        Verged(verge, json)._get("/v1/figures")
+
+    def health(self, verge=None, json=False):
+        """What one verge knows of itself."""
+        Verged(verge, json)._get("/v1/health")
+
+    def fleet(self, plan="nkansah", seconds=20, rate=1.0, seed=0, folder=None, level="warning", disturb=""):
+        """Runs a whole deployment on this machine, checks its histories."""
+        from ..proof.fleet import fleet
+        fleet(plan, seconds, rate, seed, folder, level, disturb)
+
+
+def _read(file):
+    try:
+        if file == "-":
+            return json.load(sys.stdin)
+        with open(file) as opened:
+            return json.load(opened)
+    except (OSError, ValueError) as fault:
+        print(f"pinepitch: {file}: {fault}", file=sys.stderr)
+        sys.exit(EXIT_USE)
--- /dev/null
+++ b/src/pinepitch/ground/constants.py
@@ -0,0 +1,87 @@
+"""Every constant of the project, with its unit and the reason for its value."""
+
+# --- consensus -----------------------------------------------------------------------
+TICK = 0.025  # seconds; the finest delay any decider waits for, small beside a heartbeat
+HEARTBEAT = 0.15  # seconds; six fit in an election time-out, so a lost one changes nothing
+ELECTION_TIMEOUT = 1.0  # seconds; the design's figure ("ours")
+ELECTION_JITTER = 1.0  # times the time-out; a seeded spread that keeps candidates apart
+CHECK_QUORUM = 1.0  # seconds; a leader unheard by a commit quorum this long steps down
+DISK_STALL = 1.5  # seconds; a leader whose save takes longer gives leadership up
+DISK_PENANCE = 5.0  # seconds; how long such a machine stands for no election afterwards
+APPEND_ENTRIES = 256  # entries; most in one append, keeps a frame small and a beat prompt
+APPEND_WINDOW = 4  # messages; appends under way to one follower before an answer
+APPEND_RESEND = 0.5  # seconds; an unanswered window is sent anew after this
+SNAPSHOT_ENTRIES = 4000  # entries; applied between two snapshots of the record
+SNAPSHOT_TAIL = 1000  # entries; kept behind a snapshot for followers a little behind
+SNAPSHOT_PIECE = 262_144  # bytes; one piece of a snapshot on its way to a follower
+RETIRE_AFTER = 30.0  # seconds; out of session this long beside a live one of its area
+KILL_AGAIN = 0.5  # seconds; before an unproven kill is ordered again
+WATCH_EVERY = 0.25  # seconds; between looks for overruns, moves and dues
+COHORT_MOST = 9  # accords; the bound on voters that joining may reach
+JOIN_AGAIN = 1.0  # seconds; how often an accord outside the cohort asks to be let in
+REPLACE_AFTER = 3.0  # seconds; out of session this long before a newcomer takes the place
+CAUGHT_UP = 64  # entries; a newcomer this close behind may become a voter
+
+# --- founding and sessions -----------------------------------------------------------
+FOUNDERS = 3  # accords; the least that may found a cohort unless env says otherwise
+SETTLE = 1.0  # seconds; the same list must be seen this long before a founding
+SEEDS = 3  # addresses; what every daemon is given to find the others by
+GREET_EVERY = 0.25  # seconds; how often a daemon renews its session
+SESSION_LASTS = 1.5  # seconds; silence after which a session has fallen
+TELL_EVERY = 0.25  # seconds; how often accords tell each other their sessions
+ADDRESS_FORGET = 600.0  # seconds; an address nobody vouched for is dropped after this
+NEWS_HOLD = 0.5  # seconds; a news question is answered after this even if nothing is new
+STALE_AFTER = 2.0  # seconds; a verge without news this long says that it is stale
+
+# --- cohort time ---------------------------------------------------------------------
+SLEW = 0.02  # seconds per second; most the cohort's time is bent towards the median
+CLOCK_FRESH = 2.0  # seconds; a clock reading older than this has no say in the median
+
+# --- placing and orders --------------------------------------------------------------
+PLACE_EVERY = 0.05  # seconds; between two placing rounds, many tasks to an entry
+PLACE_MOST = 200  # tasks; in one placing entry
+PLACE_LOOK = 400  # tasks; looked at per queue in one round, bounds the cost of a backlog
+SEND_WITHIN = 1.5  # seconds; after commit an order may be sent this long, then never
+SEND_MARGIN = 1.0  # seconds; covers cohort-time skew and bytes under way past send-by
+ORDER_TIMEOUT = 1.5  # seconds; an order unanswered this long has an unknown outcome
+RETRY_WAIT = 0.5  # seconds; before a failed task is placed again
+RETRY_WAIT_MOST = 30.0  # seconds; the bound of the doubling wait of failing feeds
+REPORT_EVERY = 0.5  # seconds; what minions are asked to keep to
+MINION_SILENT = 2.0  # seconds; without a report this long a minion gets no work
+MINION_FORGET = 3600.0  # seconds; a silent minion with nothing reserved is dropped
+GATHER = 1.5  # seconds; a new leader waits this long for reports before it places
+LIVENESS_HALF = 8  # outcomes; half life of the failure rate of a minion
+LIVENESS_POOR = 0.6  # rate; above it a minion is on trial: one task at a time
+TRIAL_EVERY = 10.0  # seconds; between two trials of a minion that fails its work
+PREEMPT_WAIT = 0.5  # seconds; urgent work waits this long for room before others yield
+
+# --- bounds of what callers may send -------------------------------------------------
+BODY_MOST = 2_000_000  # bytes; a ticket of the largest allowed size fits twice
+HEAD_MOST = 16_384  # bytes; request line and headers
+CONNECTIONS_MOST = 2_000  # sockets; per verge
+IDLE_MOST = 30.0  # seconds; a connection without a request is closed
+TASKS_MOST = 5_000  # tasks; in one ticket
+NAME_MOST = 128  # characters; of names, keys and labels
+URGENCY_MOST = 9  # the highest urgency; 0 is the lowest
+ATTEMPTS_MOST = 100  # attempts; more is a mistake
+UNITS_MOST = 1_000_000  # units; of room one task may ask for
+PENDING_MOST = 20_000  # tasks; default bound of a queue's pending tasks
+TICKETS_MOST = 200_000  # tickets; the whole record, beyond it tickets are shed
+FINISHED_KEPT = 20_000  # tickets; finished ones stay readable at least this many deep
+KEYS_KEPT = 86_400.0  # seconds; an idempotency key is honoured at least this long
+MARKS_KEPT = 1_000  # changes; whose outcome is kept for a verge that asks again
+HISTORY_KEPT = 500  # setups; older versions are dropped from the history
+SETUP_MOST = 1_000_000  # bytes; a setup written as JSON
+QUEUES_MOST = 2_000  # rows; in one setup
+PAGE_MOST = 500  # rows; of one listing
+CARRY_TIMEOUT = 2.5  # seconds; a verge seeks an answer from the leader this long
+CARRY_AGAIN = 0.4  # seconds; before a carried call is sent again (calls are idempotent)
+COME_BACK = 1  # seconds; Retry-After when a queue is full or no leader is known
+LINK_QUEUE = 4_096  # frames; waiting for one destination, beyond it the oldest fall
+LINK_BACKOFF = 0.1  # seconds; between two attempts to connect
+FRAME_MOST = 16_000_000  # bytes; of one frame between our processes
+STOP_WITHIN = 2.0  # seconds; from SIGTERM to exit
+
+# --- versions of formats -------------------------------------------------------------
+WIRE_VERSION = 1  # of frames; a newer one is refused
+FILE_VERSION = 1  # of files on disk; a newer one is refused
--- /dev/null
+++ b/src/pinepitch/ground/env.py
@@ -0,0 +1,102 @@
+"""Env: what one daemon is told about its place, from a TOML file and flags (flags win)."""
+
+import ipaddress
+import tomllib
+from typing import NamedTuple
+
+import voluptuous
+
+from . import constants
+
+
+class Env(NamedTuple):
+    """Invariant: built by read() only, so every field has passed its check."""
+
+    address: str
+    area: str
+    seeds: tuple
+    data: str | None
+    level: str
+    founders: int
+    mode: str
+    http: str | None
+
+
+def address(text):
+    """An ip:port by number; names are refused since nothing here resolves them."""
+    if not isinstance(text, str) or ":" not in text:
+        raise voluptuous.Invalid("expected IP:PORT")
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise voluptuous.Invalid("expected an IP number before the port") from None
+    if not port.isdigit() or not 0 < int(port) < 65536:
+        raise voluptuous.Invalid("expected a port from 1 to 65535")
+    return text
+
+
+def split(text):
+    """(host, port) of a checked address."""
+    host, _, port = text.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def _seeds(value):
+    if isinstance(value, str):
+        value = [part.strip() for part in value.split(",") if part.strip()]
+    if not isinstance(value, (list, tuple)):
+        raise voluptuous.Invalid("expected a list of addresses")
+    if len(value) != constants.SEEDS:
+        raise voluptuous.Invalid(f"expected exactly {constants.SEEDS} addresses, got {len(value)}")
+    return tuple(address(one) for one in value)
+
+
+def _text(value):
+    if not isinstance(value, str) or not 0 < len(value) <= constants.NAME_MOST:
+        raise voluptuous.Invalid(f"expected a text of 1 to {constants.NAME_MOST} characters")
+    return value
+
+
+def _founders(value):
+    if isinstance(value, bool) or not isinstance(value, int) or not 1 <= value <= constants.COHORT_MOST:
+        raise voluptuous.Invalid(f"expected a whole number from 1 to {constants.COHORT_MOST}")
+    return value
+
+
+LEVELS = ("debug", "info", "warning", "error", "critical")
+COMMON = {
+    voluptuous.Required("address"): address,
+    voluptuous.Required("area"): _text,
+    voluptuous.Required("seeds"): _seeds,
+    voluptuous.Optional("level", default="info"): voluptuous.In(LEVELS),
+}
+SHAPES = {
+    "accord": voluptuous.Schema({
+        **COMMON,
+        voluptuous.Required("data"): _text,
+        voluptuous.Optional("founders", default=constants.FOUNDERS): _founders,
+        voluptuous.Optional("mode", default="static"): voluptuous.In(("static", "dynamic")),
+    }),
+    "verge": voluptuous.Schema({**COMMON, voluptuous.Required("http"): address}),
+}
+
+
+def read(program, path, flags):
+    """(Env, ()) or (None, faults): one line per fault, all of them at once."""
+    values = {}
+    if path:
+        try:
+            with open(path, "rb") as file:
+                values = tomllib.load(file)
+        except (OSError, tomllib.TOMLDecodeError) as fault:
+            return None, (f"{path}: {fault}",)
+    values.update({name: value for name, value in flags.items() if value is not None})
+    try:
+        checked = SHAPES[program](values)
+    except voluptuous.MultipleInvalid as several:
+        return None, tuple(f"{'.'.join(map(str, one.path))}: {one.msg}" for one in several.errors)
+    return Env(
+        checked["address"], checked["area"], checked["seeds"], checked.get("data"), checked["level"],
+        checked.get("founders", constants.FOUNDERS), checked.get("mode", "static"), checked.get("http"),
+    ), ()
--- /dev/null
+++ b/src/pinepitch/ground/events.py
@@ -0,0 +1,64 @@
+"""Numbered events: the catalogue, and the logger every program shares."""
+
+import logging
+import sys
+
+import structlog
+
+# Invariant: a number is never used again for another meaning; docs/events.md lists the same.
+CATALOGUE = {
+    100: ("daemon started", "info"),
+    101: ("daemon stopping", "info"),
+    102: ("env refused", "error"),
+    103: ("store damaged, counted as empty", "error"),
+    104: ("broken invariant, process stops", "critical"),
+    105: ("frame refused", "warning"),
+    110: ("cohort founded", "info"),
+    111: ("consent to found persisted", "info"),
+    112: ("founding held back: a cohort is known", "info"),
+    113: ("asked to join", "info"),
+    120: ("pre-vote begun", "info"),
+    121: ("candidate", "info"),
+    122: ("leader", "info"),
+    123: ("leadership given up", "warning"),
+    124: ("vote granted", "info"),
+    125: ("disk stalled", "warning"),
+    126: ("snapshot written", "info"),
+    127: ("snapshot installed", "info"),
+    130: ("member change proposed", "info"),
+    131: ("member change joint", "info"),
+    132: ("member change done", "info"),
+    140: ("session opened", "info"),
+    141: ("session fell", "info"),
+    150: ("placing duty claimed", "info"),
+    151: ("placement refused at apply", "warning"),
+    152: ("order sent", "debug"),
+    153: ("order outcome unknown", "warning"),
+    154: ("order too late, not sent", "warning"),
+    155: ("task ended", "debug"),
+    156: ("stray task killed", "warning"),
+    157: ("minion on trial", "warning"),
+    160: ("setup in force", "info"),
+    161: ("setup change without rehearsal", "warning"),
+    162: ("rehearsal done", "info"),
+    163: ("draft approved", "info"),
+    170: ("ticket shed", "info"),
+    171: ("news stale", "warning"),
+    172: ("news fresh again", "info"),
+}
+
+
+def logger(program, identity, level="info"):
+    """A logger that writes one JSON line an event to standard error."""
+    structlog.configure(
+        processors=[structlog.processors.TimeStamper(fmt="iso"), structlog.processors.JSONRenderer()],
+        wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+    return structlog.get_logger().bind(program=program, identity=identity)
+
+
+def emit(log, number, **fields):
+    """Writes event `number` at the level its catalogue entry gives it."""
+    text, level = CATALOGUE[number]
+    getattr(log, level)(text, number=number, **fields)
--- /dev/null
+++ b/src/pinepitch/ground/host.py
@@ -0,0 +1,254 @@
+"""The thin outside of a decider: curio tasks that own sockets, disk and clocks.
+
+Every task puts messages into one inbox; one loop steps the decider and hands its effects
+to the tasks that own the means.
+"""
+
+import collections
+import signal
+import time
+
+import curio
+import curio.socket
+
+from . import constants, events, http, wire
+from .env import split
+
+
+class Link:
+    """One way out to another daemon. Invariant: frames leave in the order they came; the
+    oldest falls when LINK_QUEUE are waiting; a broken socket loses what it held."""
+
+    def __init__(self, address):
+        self.address = address
+        self.frames = collections.deque(maxlen=constants.LINK_QUEUE)
+        self.filled = curio.Event()
+
+    async def put(self, frame):
+        self.frames.append(frame)
+        await self.filled.set()
+
+    async def run(self):
+        """Connects, sends, and begins anew when the socket breaks."""
+        host, port = split(self.address)
+        while True:
+            await self.filled.wait()
+            try:
+                socket = await curio.timeout_after(
+                    constants.ELECTION_TIMEOUT, curio.open_connection(host, port))
+            except (OSError, curio.TaskTimeout):
+                self.frames.clear()
+                self.filled.clear()
+                await curio.sleep(constants.LINK_BACKOFF)
+                continue
+            async with socket:
+                socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
+                try:
+                    while True:
+                        await self.filled.wait()
+                        batch = b"".join(self.frames)
+                        self.frames.clear()
+                        self.filled.clear()
+                        await curio.timeout_after(constants.ELECTION_TIMEOUT, socket.sendall(batch))
+                except (OSError, curio.TaskTimeout):
+                    pass
+
+
+class Host:
+    """Runs one decider. Invariants: only run() steps it; a note is on disk before any
+    later effect of the same step is carried out."""
+
+    def __init__(self, core, address, log, store=None, http_address=None):
+        self.core, self.address, self.log = core, address, log
+        self.store, self.http_address = store, http_address
+        self.inbox = curio.Queue()
+        self.links = {}
+        self.jobs = collections.deque()
+        self.jobs_filled = curio.Event()
+        self.requests = {}
+        self.request_count = 0
+        self.connections = 0
+        self.tasks = curio.TaskGroup(wait=None)
+        self.ticking = False
+
+    async def run(self):
+        """Serves until told to stop."""
+        async with self.tasks:
+            host, port = split(self.address)
+            await self.tasks.spawn(curio.tcp_server, host, port, self._serve_frames)
+            if self.http_address:
+                host, port = split(self.http_address)
+                await self.tasks.spawn(curio.tcp_server, host, port, self._serve_http)
+            if self.store is not None:
+                await self.tasks.spawn(self._disk)
+            await self.tasks.spawn(self._clock)
+            await self.tasks.spawn(self._signals)
+            events.emit(self.log, 100, address=self.address, http=self.http_address)
+            while True:
+                message = await self.inbox.get()
+                if message[0] == "halt":
+                    break
+                if message[0] == "tick":
+                    self.ticking = False
+                await self._step(message)
+            await self.tasks.cancel_remaining()
+
+    async def _step(self, message):
+        for effect in self.core.step(message, time.monotonic(), time.time()):
+            await EFFECTS[effect[0]](self, *effect[1:])
+
+    # --- effects ----------------------------------------------------------------------
+    async def _send(self, address, message):
+        link = self.links.get(address)
+        if link is None:
+            link = self.links[address] = Link(address)
+            await self.tasks.spawn(link.run)
+        await link.put(wire.encode(self.address, message))
+
+    async def _event(self, number, fields):
+        events.emit(self.log, number, **fields)
+
+    async def _job(self, *job):
+        self.jobs.append(job)
+        await self.jobs_filled.set()
+
+    async def _save(self, sequence, change):
+        await self._job("save", sequence, ["raft", change])
+
+    async def _base(self, sequence, payload):
+        await self._job("base", sequence, payload)
+
+    async def _snapshot(self, index, image):
+        await self._job("snapshot", index, image)
+
+    async def _note(self, payload):
+        done = curio.Event()
+        await self._job("note", done, ["note", payload])
+        await done.wait()
+
+    async def _reply(self, request, status, document, headers=()):
+        waiting = self.requests.pop(request, None)
+        if waiting is not None:
+            await waiting.put(http.Response(status, document, tuple(headers)))
+
+    async def _post(self, key, address, path, document):
+        await curio.spawn(self._post_one, key, address, path, document, daemon=True)
+
+    async def _post_one(self, key, address, path, document):
+        """One call to a minion; says how the order went."""
+        client = http.Client(*split(address))
+        outcome = "unknown"
+        try:
+            response = await curio.timeout_after(constants.ORDER_TIMEOUT, client.call("POST", path, document))
+            if isinstance(response, http.Fault):
+                outcome = "unknown" if client.reached else "unsent"
+            elif response.status < 300:
+                outcome = "sent"
+            elif response.status == 409:
+                outcome = "refused"
+        except curio.TaskTimeout:
+            outcome = "unknown" if client.reached else "unsent"
+        await client.close()
+        await self.inbox.put(("posted", key, outcome))
+
+    # --- tasks ------------------------------------------------------------------------
+    async def _clock(self):
+        while True:
+            await curio.sleep(constants.TICK)
+            if not self.ticking:
+                self.ticking = True
+                await self.inbox.put(("tick",))
+
+    async def _signals(self):
+        """Notices SIGTERM or SIGINT (curio 1.6 has no signals of its own: a flag is read)."""
+        asked = []
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: asked.append(True))
+        while not asked:
+            await curio.sleep(constants.TICK)
+        await self.inbox.put(("stop",))
+        until = time.monotonic() + constants.STOP_WITHIN * 0.6
+        while time.monotonic() < until and (self.requests or self.jobs):
+            await curio.sleep(constants.TICK)
+        await curio.sleep(constants.TICK * 4)  # lets the last answers and leaves go out
+        await self.inbox.put(("halt",))
+
+    async def _disk(self):
+        """Owns the store: one file for all saves that wait, in order."""
+        while True:
+            await self.jobs_filled.wait()
+            if not self.jobs:
+                self.jobs_filled.clear()
+                continue
+            kind, tag, payload = self.jobs.popleft()
+            if kind == "snapshot":
+                data = await curio.run_in_thread(type(self.core.record).encode, payload)
+                await self.inbox.put(("encoded", tag, data))
+            elif kind == "base":
+                await curio.run_in_thread(self.store.write_base, payload, self.store.version)
+                if tag is not None:
+                    await self.inbox.put(("saved", tag))
+            else:
+                batch, tags = [payload], [(kind, tag)]
+                while self.jobs and self.jobs[0][0] in ("save", "note"):
+                    kind, tag, payload = self.jobs.popleft()
+                    batch.append(payload)
+                    tags.append((kind, tag))
+                await curio.run_in_thread(self.store.write_step, batch)
+                sequences = [tag for kind, tag in tags if kind == "save"]
+                if sequences:
+                    await self.inbox.put(("saved", max(sequences)))
+                for kind, tag in tags:
+                    if kind == "note":
+                        await tag.set()
+
+    async def _serve_frames(self, socket, address):
+        socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
+        stream = socket.as_stream()
+        try:
+            while True:
+                body = await wire.read_frame(stream)
+                frame = body if isinstance(body, wire.Refused) else wire.decode(body)
+                if isinstance(frame, wire.Refused):
+                    events.emit(self.log, 105, why=frame[0], peer=str(address))
+                    return
+                await self.inbox.put(tuple(frame[1]))
+        except (OSError, EOFError, curio.CurioError):
+            return
+
+    async def _serve_http(self, socket, address):
+        if self.connections >= constants.CONNECTIONS_MOST:
+            return
+        self.connections += 1
+        socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
+        server = http.Server(socket)
+        answers = curio.Queue()
+        try:
+            while True:
+                request = await server.receive()
+                if isinstance(request, http.Fault):
+                    if request.status:
+                        await server.answer(http.refusal(request.status, request.code, "the request can't be read"))
+                    return
+                self.request_count += 1
+                number = self.request_count
+                self.requests[number] = answers
+                await self.inbox.put(("http", number, request.method, request.target, request.headers, request.body))
+                response = await answers.get()
+                if not await server.answer(response):
+                    return
+        finally:
+            self.connections -= 1
+
+
+# The registry of effects: kind -> who carries it out.
+EFFECTS = {
+    "send": Host._send,
+    "event": Host._event,
+    "save": Host._save,
+    "base": Host._base,
+    "note": Host._note,
+    "snapshot": Host._snapshot,
+    "reply": Host._reply,
+    "post": Host._post,
+}
--- /dev/null
+++ b/src/pinepitch/ground/program.py
@@ -0,0 +1,31 @@
+"""What the thin programs share: flags, env, logs, and the way out when something is wrong."""
+
+import sys
+
+import curio
+
+from . import env, events
+from .host import Host
+
+
+def checked_env(program, settings, flags):
+    """The Env, or exit 2 with one line per fault."""
+    found, faults = env.read(program, settings, flags)
+    if faults:
+        for fault in faults:
+            print(f"{program}: {fault}", file=sys.stderr)
+        sys.exit(2)
+    return found
+
+
+def serve(program, core, found, log, store=None):
+    """Runs a decider until it is told to stop; a broken invariant ends the process."""
+    host = Host(core, found.address, log, store, found.http)
+    try:
+        curio.run(host.run)
+    except AssertionError as broken:
+        events.emit(log, 104, why=str(broken))
+        sys.exit(70)
+    except OSError as fault:
+        print(f"{program}: {found.address}: {fault}", file=sys.stderr)
+        sys.exit(1)
--- /dev/null
+++ b/src/pinepitch/ground/store.py
@@ -0,0 +1,116 @@
+"""The data folder: one file per version, written aside, synced, renamed, folder synced."""
+
+import hashlib
+import os
+import re
+
+import cbor2
+
+from . import constants
+
+NAME = re.compile(r"^(base|step)-(\d{16})$")
+
+
+class Damaged(tuple):
+    """A store that can't be trusted; element 0 says which file and why."""
+
+
+class Store:
+    """Versions are numbered from 1 without a gap; a base holds all that came before it.
+
+    Invariants: a file in its final name was synced before it got it; nothing newer than
+    the last returned write_step is promised; the file of version N is never rewritten.
+    """
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.version = 0
+        self.syncs = 0
+
+    def load(self):
+        """(base payload or None, step payloads in order), or Damaged."""
+        os.makedirs(self.folder, exist_ok=True)
+        names = os.listdir(self.folder)
+        bases, steps = {}, {}
+        for name in names:
+            match = NAME.match(name)
+            if match:
+                (bases if match[1] == "base" else steps)[int(match[2])] = name
+            elif name.endswith(".aside"):
+                os.unlink(os.path.join(self.folder, name))
+        newest = max([0, *bases, *steps])
+        base, base_version = None, 0
+        for version in sorted(bases, reverse=True):
+            payload = self._read(bases[version])
+            if isinstance(payload, Damaged):
+                if version == newest and len(bases) + len(steps) > 1:
+                    os.unlink(os.path.join(self.folder, bases[version]))
+                    newest = max([0, *steps, *(other for other in bases if other < version)])
+                    continue
+                return payload
+            base, base_version = payload, version
+            break
+        payloads = []
+        wanted = sorted(version for version in steps if version > base_version)
+        for place, version in enumerate(wanted):
+            if version != base_version + place + 1:
+                return Damaged((f"version {base_version + place + 1} is missing",))
+            payload = self._read(steps[version])
+            if isinstance(payload, Damaged):
+                if version == wanted[-1] and payload[0].startswith("torn"):
+                    os.unlink(os.path.join(self.folder, steps[version]))
+                    break
+                return payload
+            payloads.append(payload)
+        self.version = base_version + len(payloads)
+        return base, payloads
+
+    def write_step(self, payload):
+        """Makes the next version durable; returns only once it is."""
+        self.version += 1
+        self._write(f"step-{self.version:016d}", payload)
+
+    def write_base(self, payload, version):
+        """Puts a base in the place of every file up to `version`."""
+        self._write(f"base-{version:016d}", payload)
+        for name in os.listdir(self.folder):
+            match = NAME.match(name)
+            if match and (int(match[2]) < version or (match[1] == "step" and int(match[2]) <= version)):
+                os.unlink(os.path.join(self.folder, name))
+
+    def wipe(self):
+        """Forgets everything: what is left of a damaged store is set aside by name."""
+        for name in os.listdir(self.folder):
+            if NAME.match(name):
+                os.replace(os.path.join(self.folder, name), os.path.join(self.folder, "damaged-" + name))
+        self.version = 0
+
+    def _write(self, name, payload):
+        body = cbor2.dumps((constants.FILE_VERSION, payload))
+        aside = os.path.join(self.folder, name + ".aside")
+        descriptor = os.open(aside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
+        try:
+            rest = memoryview(hashlib.sha256(body).digest() + body)
+            while rest:
+                rest = rest[os.write(descriptor, rest):]
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        os.replace(aside, os.path.join(self.folder, name))
+        folder = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+        self.syncs += 1
+
+    def _read(self, name):
+        with open(os.path.join(self.folder, name), "rb") as file:
+            whole = file.read()
+        digest, body = whole[:32], whole[32:]
+        if len(digest) < 32 or hashlib.sha256(body).digest() != digest:
+            return Damaged((f"torn file {name}",))
+        version, payload = cbor2.loads(body)
+        if version > constants.FILE_VERSION:
+            return Damaged((f"{name} has file version {version}, newer than {constants.FILE_VERSION}",))
+        return payload
--- /dev/null
+++ b/src/pinepitch/proof/caller.py
@@ -0,0 +1,120 @@
+"""A stand-in for callers: sends tickets at a rate and keeps a history of every answer.
+
+A decider. Effects: ("call", call, verge, method, target, document).
+"""
+
+import random
+
+from ..ground import constants
+
+# What each kind of caller sends, by the brief: rate a second and the shape of the ticket.
+NKANSAH = (
+    ("fault-check", 5.0, {"queue": "field", "urgency": 6, "count": 12, "shape": "fan", "units": 1, "seconds": 0.1}),
+    ("scan", 1.0, {"queue": "imaging", "urgency": 4, "count": 2, "shape": "chain", "units": 2,
+                   "labels": ["graphics"], "seconds": 0.4}),
+    ("inspection", 1.0, {"queue": "imaging", "urgency": 3, "count": 2, "shape": "gang", "units": 1,
+                         "labels": ["graphics"], "seconds": 0.3}),
+    ("plan", 0.2, {"queue": "planning", "urgency": 2, "count": 6, "shape": "waves", "units": 2, "seconds": 0.5}),
+    ("feed", 0.1, {"queue": "feeds", "urgency": 7, "count": 1, "shape": "feed", "units": 1, "seconds": 8.0}),
+)
+PINTURAS = (
+    ("match", 8.0, {"queue": "counter", "urgency": 7, "count": 2, "shape": "chain", "units": 1, "seconds": 0.2}),
+    ("recipe", 1.0, {"queue": "planning", "urgency": 2, "count": 4, "shape": "chain", "units": 2, "seconds": 0.3}),
+    ("card", 1.0, {"queue": "lab", "urgency": 3, "count": 4, "shape": "fan", "units": 1, "seconds": 0.3}),
+)
+
+
+def make(shape, now, fail):
+    """The document of one ticket."""
+    count, tasks = shape["count"], []
+    for place in range(count):
+        task = {"name": f"s{place}", "units": shape["units"], "labels": shape.get("labels", []),
+                "work": {"seconds": shape["seconds"], "fail": fail}}
+        if shape["shape"] == "chain" and place:
+            task["after"] = [f"s{place - 1}"]
+        elif shape["shape"] == "fan" and place == count - 1:
+            task["after"] = [f"s{one}" for one in range(count - 1)]
+        elif shape["shape"] == "gang":
+            task["gang"] = "g"
+        elif shape["shape"] == "waves" and place >= count // 2:
+            task["after"] = [f"s{one}" for one in range(count // 2)]
+            task["not_before"] = now + 2.0
+        tasks.append(task)
+    return {"queue": shape["queue"], "urgency": shape["urgency"],
+            "kind": "feed" if shape["shape"] == "feed" else "batch", "tasks": tasks}
+
+
+class StandInCaller:
+    """Invariants: a key is used for one body; accepted maps a ticket to (key, when,
+    document); history is only added to."""
+
+    def __init__(self, name, traffic, seed=0, rate=1.0, fail=0.03, poll=0.5):
+        self.name, self.traffic, self.rate, self.fail, self.poll = name, traffic, rate, fail, poll
+        self.random = random.Random(f"{name}-{seed}")
+        self.history = []
+        self.count = 0
+        self.under_way = {}  # call -> (kind, key or ticket, document, begun)
+        self.retry = []  # (when, key, document)
+        self.accepted = {}
+        self.open = {}  # ticket -> when to ask next
+        self.next_at = {}
+        self.stopped = False
+
+    def step(self, message, now):
+        return getattr(self, f"_on_{message[0]}")(*message[1:], now)
+
+    def _call(self, kind, subject, document, method, target, now):
+        self.count += 1
+        self.under_way[self.count] = (kind, subject, document, now)
+        return ("call", self.count, self.random.randrange(1_000_000), method, target, document)
+
+    def _on_tick(self, now):
+        calls = []
+        for kind, rate, shape in self.traffic:
+            if kind not in self.next_at:
+                self.next_at[kind] = now + self.random.expovariate(rate * self.rate)
+            while not self.stopped and self.next_at[kind] <= now:
+                self.next_at[kind] += self.random.expovariate(rate * self.rate)
+                key = f"{self.name}-{kind}-{self.count}"
+                document = {**make(shape, now, 0.0 if shape["shape"] == "feed" else self.fail), "key": key}
+                self.history.append(("sent", now, key))
+                calls.append(self._call("submit", key, document, "POST", "/v1/tickets", now))
+        for when, key, document in [one for one in self.retry if one[0] <= now]:
+            self.retry.remove((when, key, document))
+            calls.append(self._call("submit", key, document, "POST", "/v1/tickets", now))
+        for ticket, when in list(self.open.items()):
+            if when <= now:
+                self.open[ticket] = now + 1e9
+                calls.append(self._call("read", ticket, None, "GET", f"/v1/tickets/{ticket}", now))
+        return calls
+
+    def cancel(self, ticket, now):
+        return [self._call("cancel", ticket, None, "POST", f"/v1/tickets/{ticket}/cancel", now)]
+
+    def _on_answered(self, call, status, document, now):
+        """Status 0 means that no answer came."""
+        kind, subject, sent, begun = self.under_way.pop(call)
+        if kind == "submit":
+            if status in (200, 201):
+                ticket = document["ticket"]
+                self.accepted[ticket] = (subject, now, sent)
+                self.open[ticket] = now + self.poll
+                self.history.append(("accepted", now, subject, ticket, now - begun))
+            elif status in (0, 429, 503):
+                self.history.append(("shed" if status == 429 else "unanswered", now, subject))
+                if status != 429:
+                    self.retry.append((now + constants.COME_BACK, subject, sent))
+            else:
+                self.history.append(("refused", now, subject, status))
+        elif kind == "read":
+            self.open[subject] = now + self.poll
+            if status == 404:
+                self.history.append(("unknown", now, subject))
+            elif status == 200:
+                self.history.append(("seen", now, subject, document["state"]))
+                if document["state"] in ("finished", "failed", "cancelled"):
+                    del self.open[subject]
+                    self.history.append(("final", now, subject, document["state"], document["tasks"]))
+        elif kind == "cancel" and status == 200:
+            self.history.append(("cancelled", now, subject))
+        return []
--- /dev/null
+++ b/src/pinepitch/proof/checks.py
@@ -0,0 +1,163 @@
+"""History checks, written apart from the code that they check: they see only what
+callers were answered and what minions did. Each returns a list of faults in words."""
+
+
+def starts_and_ends(minion_history):
+    """(starts by task, ends by (task, attempt)) of the minions' histories."""
+    starts, ends = {}, {}
+    for event in sorted(minion_history, key=lambda one: one[1]):
+        if event[0] == "start":
+            _, when, minion, incarnation, ref, attempt, units = event
+            starts.setdefault(ref, []).append((when, minion, incarnation, attempt, units))
+        elif event[0] == "end":
+            _, when, minion, incarnation, ref, attempt, how = event
+            ends.setdefault((ref, attempt), []).append((when, how, incarnation))
+        elif event[0] == "gone":
+            _, when, minion, incarnation, ref, attempt = event
+            ends.setdefault((ref, attempt), []).append((when, "gone", incarnation))
+    return starts, ends
+
+
+def never_twice(minion_history):
+    """No task runs twice at once, none starts again after it has ended well."""
+    starts, ends = starts_and_ends(minion_history)
+    faults = []
+    for ref, runs in starts.items():
+        seen = set()
+        previous_end = None
+        for when, minion, incarnation, attempt, _ in runs:
+            if attempt in seen:
+                faults.append(f"{ref} attempt {attempt} started twice")
+            seen.add(attempt)
+            if previous_end is not None:
+                ended_at, how = previous_end
+                if ended_at is None or ended_at > when:
+                    faults.append(f"{ref} attempt {attempt} started at {when:.3f} while another ran")
+                elif how == "done":
+                    faults.append(f"{ref} attempt {attempt} started after it had ended well")
+            over = ends.get((ref, attempt))
+            previous_end = (over[0][0], over[0][1]) if over else (None, None)
+    return faults
+
+
+def in_order(minion_history, documents):
+    """No task starts before its forerunners ended well, nor a tenth of a second early."""
+    starts, ends = starts_and_ends(minion_history)
+    well = {}
+    for (ref, _), over in ends.items():
+        for when, how, _ in over:
+            if how == "done":
+                well[ref] = min(when, well.get(ref, when))
+    faults = []
+    for ticket, document in documents.items():
+        for task in document["tasks"]:
+            for when, *_ in starts.get(f"{ticket}/{task['name']}", ()):
+                for one in task.get("after", ()):
+                    if well.get(f"{ticket}/{one}", 1e18) > when:
+                        faults.append(f"{ticket}/{task['name']} started before {one} ended well")
+                if when < max(task.get("not_before", 0), document.get("not_before", 0)) - 0.1:
+                    faults.append(f"{ticket}/{task['name']} started early")
+    return faults
+
+
+def attempts_kept(minion_history, documents, retries):
+    """No task but a feed fails more often than allowed and starts again."""
+    starts, ends = starts_and_ends(minion_history)
+    faults = []
+    for ticket, document in documents.items():
+        if document.get("kind") == "feed":
+            continue
+        for task in document["tasks"]:
+            ref = f"{ticket}/{task['name']}"
+            allowed = retries.get(document["queue"], 0) + 1
+            if task.get("attempts"):
+                allowed = min(allowed, task["attempts"])
+            failed = 0
+            for when, _, _, attempt, _ in starts.get(ref, ()):
+                if failed >= allowed:
+                    faults.append(f"{ref} started after {failed} failures")
+                failed += any(how == "failed" for _, how, _ in ends.get((ref, attempt), ()))
+    return faults
+
+
+def room_kept(minion_history, rooms):
+    """No minion holds more than its room at any time."""
+    moments = []
+    _, ends = starts_and_ends(minion_history)
+    for event in minion_history:
+        if event[0] == "start":
+            _, when, minion, incarnation, ref, attempt, units = event
+            moments.append((when, 1, minion, units))
+            over = ends.get((ref, attempt))
+            if over:
+                moments.append((over[0][0], 0, minion, -units))
+    used, faults = {}, []
+    for when, _, minion, units in sorted(moments):
+        used[minion] = used.get(minion, 0) + units
+        if used[minion] > rooms[minion]:
+            faults.append(f"{minion} held {used[minion]} of {rooms[minion]} at {when:.3f}")
+    return faults
+
+
+def never_forgotten(caller_history, within=3.0):
+    """No accepted ticket is unknown to a read more than `within` after acceptance, and a
+    final state never changes."""
+    accepted, final, faults = {}, {}, []
+    for event in caller_history:
+        if event[0] == "accepted":
+            accepted.setdefault(event[3], event[1])
+        elif event[0] == "unknown" and event[1] > accepted.get(event[2], 1e18) + within:
+            faults.append(f"{event[2]} was unknown {event[1] - accepted[event[2]]:.1f} s after acceptance")
+        elif event[0] == "final":
+            if final.setdefault(event[2], event[3]) != event[3]:
+                faults.append(f"{event[2]} was {final[event[2]]}, then {event[3]}")
+    keys = {}
+    for event in caller_history:
+        if event[0] == "accepted" and keys.setdefault(event[2], event[3]) != event[3]:
+            faults.append(f"key {event[2]} became both {keys[event[2]]} and {event[3]}")
+    return faults
+
+
+def finished_truly(caller_history, minion_history):
+    """A ticket shown finished has every task ended well on a minion, before it was shown."""
+    _, ends = starts_and_ends(minion_history)
+    well = {}
+    for (ref, _), over in ends.items():
+        for when, how, _ in over:
+            if how == "done":
+                well[ref] = min(when, well.get(ref, when))
+    faults = []
+    for event in caller_history:
+        if event[0] == "final" and event[3] == "finished":
+            for task in event[4]:
+                if well.get(f"{event[2]}/{task['name']}", 1e18) > event[1]:
+                    faults.append(f"{event[2]} was shown finished, but {task['name']} had not ended well")
+    return faults
+
+
+def cancelled_truly(caller_history, minion_history, starts_within=3.0, runs_within=5.0):
+    """After a cancel nothing starts for long, and nothing keeps running for long."""
+    starts, ends = starts_and_ends(minion_history)
+    cancelled = {event[2]: event[1] for event in reversed(caller_history) if event[0] == "cancelled"}
+    faults = []
+    for ref, runs in starts.items():
+        since = cancelled.get(ref.partition("/")[0])
+        if since is None:
+            continue
+        for when, _, _, attempt, _ in runs:
+            over = ends.get((ref, attempt))
+            if when > since + starts_within:
+                faults.append(f"{ref} started {when - since:.1f} s after its cancel")
+            elif not over or over[0][0] > max(since, when) + runs_within:
+                faults.append(f"{ref} ran on after its cancel")
+    return faults
+
+
+def all_checks(caller_history, minion_history, documents, retries, rooms):
+    """Every check that needs no moment of its own."""
+    return [
+        *never_twice(minion_history), *in_order(minion_history, documents),
+        *attempts_kept(minion_history, documents, retries), *room_kept(minion_history, rooms),
+        *never_forgotten(caller_history), *finished_truly(caller_history, minion_history),
+        *cancelled_truly(caller_history, minion_history),
+    ]
--- /dev/null
+++ b/src/pinepitch/verge/core.py
@@ -0,0 +1,323 @@
+"""The verge as a decider: takes calls over HTTP, carries them to the leader, follows
+news, and says which orders go to which minion.
+
+Effects: ("reply", request, status, document, headers), ("send", address, message),
+("post", key, address, path, document), ("event", number, fields).
+"""
+
+from typing import NamedTuple
+
+from ..ground import constants
+from .filters import FILTERS
+
+
+class Carried(NamedTuple):
+    """A call on its way to the leader. Invariant: the same token every time it is sent."""
+
+    request: int
+    call: str
+    arguments: tuple
+    begun: float
+    sent: float
+    to: str
+
+
+class Verge:
+    """Invariants: an order in taken was posted at most once and never will be again;
+    outcomes holds what the leader has not yet acknowledged; version only grows within a
+    leader's term."""
+
+    def __init__(self, identity, address, area, seeds):
+        self.identity, self.address, self.area, self.seeds = identity, address, area, tuple(seeds)
+        self.cohort = None
+        self.accords = {}  # identity -> (area, address, heard)
+        self.leader = None
+        self.turn = 0
+        self.count = 0
+        self.carried = {}
+        self.taken = {}  # (reference, attempt) -> send-by
+        self.waiting_orders = {}
+        self.outcomes = []  # (reference, attempt, outcome)
+        self.outcomes_sent = 0
+        self.news_token = None
+        self.news_asked = -1e9
+        self.version = (0, 0)
+        self.body = None  # the newest news
+        self.news_at = None
+        self.stale = True
+        self.time_offset = None
+        self.greet_at = self.look_at = -1e9
+        self.effects = []
+        self.stopping = False
+        self.kills = {}
+        self.counts = {"calls": 0, "carried": 0, "answered": 0, "unanswered": 0, "orders": 0, "shed": 0}
+
+    def step(self, message, now, clock):
+        """Takes one message; returns the effects."""
+        handler = INPUTS.get(message[0])
+        if handler is not None:
+            handler(self, *message[1:], now)
+        effects, self.effects = self.effects, []
+        return effects
+
+    def _send(self, address, message):
+        if address is not None:
+            self.effects.append(("send", address, message))
+
+    def _event(self, number, **fields):
+        self.effects.append(("event", number, fields))
+
+    def now(self, now):
+        """Cohort time as last told; it lags the leader's by the way of a message."""
+        return None if self.time_offset is None else now + self.time_offset
+
+    # --- sessions ---------------------------------------------------------------------
+    def _greeting(self):
+        accords = tuple((one, area, address) for one, (area, address, _) in self.accords.items())
+        return (self.identity, "verge", self.area, self.address, self.cohort, (), 0.0, accords, ())
+
+    def _tick(self, now):
+        if not self.stopping and now - self.greet_at >= constants.GREET_EVERY:
+            self.greet_at = now
+            self._greet(now)
+        self._ask_news(now)
+        self._send_waiting(now)
+        for token, carried in list(self.carried.items()):
+            if now - carried.begun >= constants.CARRY_TIMEOUT:
+                del self.carried[token]
+                self.counts["unanswered"] += 1
+                self._reply(carried.request, 503, {"error": {
+                    "code": "no_leader", "message": "no leader answered in time; the call may have been taken"}},
+                    constants.COME_BACK)
+            elif now - carried.sent >= constants.CARRY_AGAIN:
+                self._carry(token, carried, self._way(carried.to), now)
+        stale = self.news_at is None or now - self.news_at > constants.STALE_AFTER
+        if stale != self.stale:
+            self.stale = stale
+            self._event(171 if stale else 172)
+
+    def _greet(self, now):
+        """Renews the session with one accord; looks round at another, or at a seed."""
+        message = ("greet", *self._greeting())
+        known = sorted(self.accords.values(), key=lambda one: one[1])
+        live = [one for one in known if now - one[2] <= constants.SESSION_LASTS]
+        targets = set()
+        if live:
+            home = next((one for one in live if one[1] == self.leader), live[0])
+            targets.add(home[1])
+        if not live or now - self.look_at >= 1.0:
+            self.look_at = now
+            others = sorted({one[1] for one in known} | set(self.seeds))
+            self.turn += 1
+            targets.update(others if not live else [others[self.turn % len(others)]])
+        for address in sorted(targets - {self.address}):
+            self._send(address, message)
+
+    def _hear(self, identity, kind, area, address, cohort, view, clock, accords, founders, now):
+        if cohort and self.cohort is None:
+            self.cohort = cohort
+        if kind == "accord":
+            self.accords[identity] = (area, address, now)
+        for one, its_area, its_address in accords:
+            if one not in self.accords:
+                self.accords[one] = (its_area, its_address, -1e9)
+        stale = [one for one, known in self.accords.items()
+                 if known[2] > 0 and now - known[2] > constants.ADDRESS_FORGET]
+        for one in stale:
+            del self.accords[one]
+
+    def _on_greet(self, *rest):
+        *fields, now = rest
+        self._hear(*fields, now)
+        self._send(fields[3], ("greeted", *self._greeting(), self.leader, None))
+
+    def _on_greeted(self, *rest):
+        *fields, leader, time, now = rest
+        self._hear(*fields, now)
+        if fields[1] == "accord" and leader:
+            self.leader = leader
+        if fields[1] == "accord" and time and self.time_offset is None:
+            self.time_offset = time - now
+
+    # --- carrying ---------------------------------------------------------------------
+    def _way(self, avoid):
+        """Where to carry a call: the leader if known, else accords in turn."""
+        if self.leader is not None and self.leader != avoid:
+            return self.leader
+        others = sorted(one[1] for one in self.accords.values() if one[1] != avoid)
+        if not others:
+            return self.leader
+        self.turn += 1
+        return others[self.turn % len(others)]
+
+    def carry(self, request, call, arguments, now):
+        """Begins to carry a call for the HTTP request `request`."""
+        self.count += 1
+        self.counts["carried"] += 1
+        token = f"{self.identity}-{self.count}"
+        self._carry(token, Carried(request, call, arguments, now, now, ""), self._way(""), now)
+
+    def _carry(self, token, carried, address, now):
+        self.carried[token] = carried._replace(sent=now, to=address or "")
+        if address is not None:
+            self._send(address, ("ask", self.address, token, carried.call, carried.arguments))
+
+    def _on_answer(self, token, answer, now):
+        carried = self.carried.pop(token, None)
+        if carried is not None:
+            status, document, retry = answer
+            self.counts["answered"] += 1
+            self.counts["shed"] += status == 429
+            headers = ()
+            if carried.call in ("setup", "change", "back") and status == 200:
+                headers = (("ETag", f'"{document["version"]}"'),)
+            self._reply(carried.request, status, document, retry, headers)
+
+    def _on_elsewhere(self, token, leader, now):
+        """An accord that doesn't lead says who does."""
+        if token == self.news_token:
+            self.news_token = None
+            if leader is None or leader != self.leader:
+                self.leader = leader
+            if leader is None:
+                self.news_asked = now  # asked again after a while, of another
+                self.news_token = token
+            return
+        carried = self.carried.get(token)
+        if carried is None:
+            return
+        if leader is not None and leader != carried.to:
+            self.leader = leader
+            self._carry(token, carried, leader, now)
+        elif leader is None and self.leader == carried.to:
+            self.leader = None
+
+    def _reply(self, request, status, document, retry=None, headers=()):
+        if retry is not None:
+            headers = (*headers, ("Retry-After", str(retry)))
+        self.effects.append(("reply", request, status, document, headers))
+
+    # --- HTTP -------------------------------------------------------------------------
+    def _on_http(self, request, method, target, headers, body, now):
+        """A request passes the chain of filters; the first answer counts."""
+        self.counts["calls"] += 1
+        ticket = {"request": request, "method": method, "target": target, "headers": headers, "body": body}
+        for one in FILTERS:
+            answer = one(self, ticket, now)
+            if answer is not None:
+                if answer != "carried":
+                    self._reply(request, *answer)
+                return
+
+    def health(self, now):
+        """What this verge knows of itself."""
+        return {
+            "identity": self.identity, "area": self.area, "cohort": self.cohort, "leader": self.leader,
+            "stale": self.stale, "setup_version": (self.body or {}).get("setup_version"),
+            "accords": sorted(one[1] for one in self.accords.values()),
+            "time": self.now(now), "orders_under_way": len(self.waiting_orders),
+        }
+
+    # --- news and orders --------------------------------------------------------------
+    def _ask_news(self, now):
+        patience = constants.NEWS_HOLD + constants.CARRY_AGAIN
+        waiting = self.news_token is not None
+        fresh = len(self.outcomes) > self.outcomes_sent
+        if waiting and now - self.news_asked < (constants.TICK if fresh else patience):
+            return
+        address = self.leader
+        if waiting and not fresh or address is None:
+            address = self._way(self.leader or "")
+        if address is None or self.stopping:
+            return
+        self.count += 1
+        self.news_token = f"{self.identity}-{self.count}"
+        self.news_asked = now
+        self.outcomes_sent = len(self.outcomes)
+        self._send(address, ("news", self.identity, self.address, self.news_token, self.version,
+                             tuple(self.outcomes)))
+
+    def _on_told(self, token, version, body, orders, kills, time, accords, cohort, now):
+        if token == self.news_token:
+            self.news_token = None
+            del self.outcomes[:self.outcomes_sent]
+            self.outcomes_sent = 0
+        version = tuple(version)
+        if version >= self.version:
+            if body is not None:
+                self.version, self.body = version, body
+            self.news_at = now
+            self.time_offset = time - now
+            self.cohort = self.cohort or cohort
+        for one, area, address in accords:
+            known = self.accords.get(one)
+            self.accords[one] = (area, address, known[2] if known else -1e9)
+        for ref, attempt, address in kills:
+            self.kills[(ref, attempt)] = now
+            if (ref, attempt) in self.waiting_orders:
+                del self.waiting_orders[(ref, attempt)]
+                self.outcomes.append((ref, attempt, "withheld"))
+            self.effects.append(("post", None, address, "/v1/kills", {"task": ref, "attempt": attempt}))
+        for order in orders:
+            key = (order["task"], order["attempt"])
+            if key not in self.taken:
+                self.taken[key] = order["send_by"]
+                self.waiting_orders[key] = order
+                self.outcomes.append((*key, "taken"))
+        self._send_waiting(now)
+        self._ask_news(now)
+
+    def _send_waiting(self, now):
+        """Sends each order whose time has come, once, unless news has overtaken it."""
+        time = self.now(now)
+        for key, order in list(self.waiting_orders.items()):
+            if time > order["send_by"]:
+                self._event(154, task=key[0], attempt=key[1])
+                outcome = "late"
+            elif self._closed(order):
+                outcome = "withheld"
+            elif time < order["not_before"]:
+                continue
+            else:
+                del self.waiting_orders[key]
+                self.counts["orders"] += 1
+                self._event(152, task=key[0], attempt=key[1], minion=order["minion"])
+                self.effects.append(("post", key, order["address"], "/v1/orders", order))
+                continue
+            del self.waiting_orders[key]
+            self.outcomes.append((*key, outcome))
+        if len(self.taken) > 10_000 and time is not None:
+            self.taken = {key: send_by for key, send_by in self.taken.items() if send_by > time - 60}
+
+    def _closed(self, order):
+        body = self.body or {}
+        return order["minion"] in body.get("drained", ()) or order["minion"] in body.get("withdrawn", ())
+
+    def _on_posted(self, key, outcome, now):
+        """How an order went: sent, refused, unsent or unknown."""
+        if key is not None:
+            if outcome == "unknown":
+                self._event(153, task=key[0], attempt=key[1])
+            self.outcomes.append((*key, outcome))
+            self._ask_news(now)
+
+    def _on_stop(self, now):
+        """SIGTERM: takes no more tickets, leaves its session."""
+        self.stopping = True
+        self._event(101)
+        for _, address, _ in self.accords.values():
+            self._send(address, ("leave", self.identity))
+
+
+# The registry of inputs: message kind -> handler.
+INPUTS = {
+    "tick": Verge._tick,
+    "greet": Verge._on_greet,
+    "greeted": Verge._on_greeted,
+    "answer": Verge._on_answer,
+    "elsewhere": Verge._on_elsewhere,
+    "told": Verge._on_told,
+    "http": Verge._on_http,
+    "posted": Verge._on_posted,
+    "stop": Verge._on_stop,
+}
--- /dev/null
+++ b/src/pinepitch/world/row.py
@@ -0,0 +1,90 @@
+"""A row of the operators' table: one queue, and the setup it stands in."""
+
+from typing import NamedTuple
+
+import voluptuous
+
+from ..ground import constants
+from .ticket import _number, _whole, faults_of, name
+
+
+class Row(NamedTuple):
+    """Invariants: 0 <= share <= limit; a running task holds its units in credits, lent
+    by its own queue first; units running never pass limit."""
+
+    share: int  # units of room the queue may count on
+    urgency: int  # of its tickets that name none
+    retries: int  # failures after which a task is tried again
+    limit: int  # units running at most
+    pending: int  # tasks waiting at most
+    lends: bool  # whether idle credits go to other queues
+    preempts: bool  # whether its urgent work may make others yield
+    yields: bool  # whether its work may be made to yield
+
+
+COLUMNS = {
+    "share": _whole(0, constants.UNITS_MOST),
+    "urgency": _whole(0, constants.URGENCY_MOST),
+    "retries": _whole(0, constants.ATTEMPTS_MOST - 1),
+    "limit": _whole(1, constants.UNITS_MOST),
+    "pending": _whole(1, 10 * constants.PENDING_MOST),
+    "lends": bool,
+    "preempts": bool,
+    "yields": bool,
+}
+DEFAULTS = {
+    "share": 0, "urgency": 4, "retries": 2, "limit": constants.UNITS_MOST,
+    "pending": constants.PENDING_MOST, "lends": True, "preempts": False, "yields": True,
+}
+OBJECTIVE = {
+    voluptuous.Optional("wait_99", default=1.0): _number(0, 1e6),
+    voluptuous.Optional("wait_median", default=1.0): _number(0, 1e6),
+    voluptuous.Optional("dues_missed", default=10.0): _number(0, 1e6),
+    voluptuous.Optional("shed", default=10.0): _number(0, 1e6),
+}
+SHAPE = voluptuous.Schema({
+    voluptuous.Required("queues"): voluptuous.All(
+        {name: {voluptuous.Optional(column, default=DEFAULTS[column]): check
+                for column, check in COLUMNS.items()}},
+        voluptuous.Length(1, constants.QUEUES_MOST)),
+    voluptuous.Optional("room", default=0): _whole(0, constants.UNITS_MOST),
+    voluptuous.Optional("silence", default=dict): {name: voluptuous.In(("hold",))},
+    voluptuous.Optional("objective", default=dict): OBJECTIVE,
+    voluptuous.Optional("notes", default=dict): dict,
+})
+FIRST = {"queues": {"default": dict(DEFAULTS, share=100)}, "room": 0, "silence": {}, "objective": {}, "notes": {}}
+
+
+def checked(document):
+    """(whole setup, ()) or (None, faults), every fault named by its path."""
+    try:
+        plain = SHAPE(document)
+    except voluptuous.MultipleInvalid as several:
+        return None, faults_of(several)
+    faults = []
+    total = 0
+    for queue, row in plain["queues"].items():
+        total += row["share"]
+        if row["share"] > row["limit"]:
+            faults.append((f"queues.{queue}.share", f"share {row['share']} is over the limit {row['limit']}"))
+    if plain["room"] and total > plain["room"]:
+        faults.append(("queues", f"shares add up to {total}, over the room of {plain['room']}"))
+    return (None, tuple(faults)) if faults else (plain, ())
+
+
+def row_of(document):
+    """The Row of a checked one."""
+    return Row(**document)
+
+
+def merged(document, patch):
+    """JSON merge patch (RFC 7396): null removes, objects merge, all else replaces."""
+    if not isinstance(patch, dict):
+        return patch
+    result = dict(document) if isinstance(document, dict) else {}
+    for member, value in patch.items():
+        if value is None:
+            result.pop(member, None)
+        else:
+            result[member] = merged(result.get(member), value)
+    return result
--- /dev/null
+++ b/src/pinepitch/world/task.py
@@ -0,0 +1,51 @@
+"""A task: one step of a ticket, and its standing in the record."""
+
+from typing import NamedTuple
+
+
+class Task(NamedTuple):
+    """What a caller asked for.
+
+    Invariants: units >= 1; after names tasks of the same ticket without a cycle; members
+    of one gang wait for no other member of it; attempts >= 1 (feeds: no bound)."""
+
+    name: str
+    units: int
+    labels: tuple
+    after: tuple
+    not_before: float
+    attempts: int
+    limit: float
+    gang: str
+    work: object
+
+
+class Standing(NamedTuple):
+    """Where a task stands.
+
+    Invariants: state is one of waiting, placed, done, failed, cancelled; while placed,
+    minion, incarnation, verge, send_by and charges are of the one attempt under way, and
+    its room and credits are reserved until its end is proven; attempt only grows;
+    failures <= the attempts allowed."""
+
+    state: str = "waiting"
+    attempt: int = 0
+    failures: int = 0
+    earliest: float = 0.0
+    minion: str = ""
+    incarnation: str = ""
+    verge: str = ""
+    send_by: float = 0.0
+    sent: str = ""  # "", "sent", "unknown"
+    yields_to: str = ""  # a task reference, "move" or "limit", while it is to stop
+    charges: tuple = ()  # ((queue, credits), ...) that lent for it
+    since: float = 0.0
+    running: bool = False
+
+
+FINAL = ("done", "failed", "cancelled")
+
+
+def reference(ticket, name):
+    """How a task is named outside its ticket."""
+    return f"{ticket}/{name}"
--- /dev/null
+++ b/src/pinepitch/world/ticket.py
@@ -0,0 +1,169 @@
+"""A ticket: a caller's request, a directed acyclic graph of tasks."""
+
+import hashlib
+import json
+from typing import NamedTuple
+
+import voluptuous
+
+from ..ground import constants
+from .task import Task
+
+
+class Ticket(NamedTuple):
+    """Invariants: identity is unique in the record; tasks and standings have the same
+    names; state is pending until every task is final, then finished only if all are
+    done, else failed or cancelled; cancelled_at is 0 until a cancel is in force."""
+
+    identity: str
+    key: str
+    digest: str
+    queue: str
+    kind: str
+    urgency: int
+    due: float
+    accepted: float
+    tasks: dict
+    standings: dict
+    state: str = "pending"
+    cancelled_at: float = 0.0
+    ended_at: float = 0.0
+
+
+def _number(low, high):
+    return voluptuous.All(voluptuous.Any(int, float), _not_bool, voluptuous.Range(low, high))
+
+
+def _not_bool(value):
+    if isinstance(value, bool) or value != value:
+        raise voluptuous.Invalid("expected a number")
+    return value
+
+
+def _whole(low, high):
+    return voluptuous.All(int, _not_bool, voluptuous.Range(low, high))
+
+
+def name(value):
+    """A name: printable, no slash (it parts a task's reference), bounded."""
+    if not isinstance(value, str) or not 0 < len(value) <= constants.NAME_MOST:
+        raise voluptuous.Invalid(f"expected a text of 1 to {constants.NAME_MOST} characters")
+    if "/" in value or not value.isprintable():
+        raise voluptuous.Invalid("expected a name without a slash or control characters")
+    return value
+
+
+TIME_MOST = 1e11
+TASK_SHAPE = {
+    voluptuous.Required("name"): name,
+    voluptuous.Optional("units", default=1): _whole(1, constants.UNITS_MOST),
+    voluptuous.Optional("labels", default=[]): [name],
+    voluptuous.Optional("after", default=[]): [name],
+    voluptuous.Optional("not_before", default=0): _number(0, TIME_MOST),
+    voluptuous.Optional("attempts", default=0): _whole(0, constants.ATTEMPTS_MOST),
+    voluptuous.Optional("limit", default=0): _number(0, TIME_MOST),
+    voluptuous.Optional("gang", default=""): voluptuous.Any("", name),
+    voluptuous.Optional("work", default=None): voluptuous.Any(None, dict, str, int, float),
+}
+SHAPE = voluptuous.Schema({
+    voluptuous.Required("queue"): name,
+    voluptuous.Optional("kind", default="batch"): voluptuous.In(("batch", "feed")),
+    voluptuous.Optional("urgency", default=-1): _whole(-1, constants.URGENCY_MOST),
+    voluptuous.Optional("not_before", default=0): _number(0, TIME_MOST),
+    voluptuous.Optional("due", default=0): _number(0, TIME_MOST),
+    voluptuous.Optional("key"): name,
+    voluptuous.Required("tasks"): voluptuous.All(
+        [TASK_SHAPE], voluptuous.Length(1, constants.TASKS_MOST)),
+})
+
+
+def faults_of(several):
+    """The (path, message) pairs of a voluptuous refusal."""
+    return tuple((".".join(map(str, one.path)), one.msg) for one in several.errors)
+
+
+def checked(document):
+    """(plain document, ()) or (None, faults), every fault named by its path."""
+    try:
+        plain = SHAPE(document)
+    except voluptuous.MultipleInvalid as several:
+        return None, faults_of(several)
+    faults = []
+    names = [task["name"] for task in plain["tasks"]]
+    known = {}
+    for place, one in enumerate(names):
+        if one in known:
+            faults.append((f"tasks.{place}.name", f"{one!r} is named twice"))
+        known.setdefault(one, place)
+    gangs = {}
+    for place, task in enumerate(plain["tasks"]):
+        if task["gang"]:
+            gangs.setdefault(task["gang"], set()).add(task["name"])
+        for position, one in enumerate(task["after"]):
+            if one not in known:
+                faults.append((f"tasks.{place}.after.{position}", f"no task {one!r}"))
+    if not faults:
+        cycle = _cycle(plain["tasks"])
+        if cycle:
+            faults.append(("tasks", "a cycle through " + ", ".join(cycle)))
+        else:
+            faults.extend(_gang_faults(plain["tasks"], gangs))
+    if plain["due"] and plain["due"] <= max([plain["not_before"], *(t["not_before"] for t in plain["tasks"])]):
+        faults.append(("due", "not after not_before"))
+    return (None, tuple(faults)) if faults else (plain, ())
+
+
+def _gang_faults(tasks, gangs):
+    """A gang starts whole, so no member may wait, however indirectly, for another."""
+    after = {task["name"]: task["after"] for task in tasks}
+    faults = []
+    for place, task in enumerate(tasks):
+        if not task["gang"]:
+            continue
+        seen, todo = set(), list(task["after"])
+        while todo:
+            one = todo.pop()
+            if one not in seen:
+                seen.add(one)
+                todo.extend(after[one])
+        if seen & gangs[task["gang"]]:
+            faults.append((f"tasks.{place}.gang", "waits for another member of its gang"))
+    return faults
+
+
+def _cycle(tasks):
+    """Names left once all that can run in order have run."""
+    waits = {task["name"]: set(task["after"]) for task in tasks}
+    followers = {}
+    for one, before in waits.items():
+        for other in before:
+            followers.setdefault(other, []).append(one)
+    ready = [one for one, before in waits.items() if not before]
+    while ready:
+        one = ready.pop()
+        del waits[one]
+        for other in followers.get(one, ()):
+            waits[other].discard(one)
+            if not waits[other]:
+                ready.append(other)
+    return sorted(waits)
+
+
+def tasks_from(plain, row_retries, feed):
+    """name -> Task of a checked document; attempts are bounded by the row."""
+    tasks = {}
+    for one in plain["tasks"]:
+        attempts = row_retries + 1
+        if one["attempts"]:
+            attempts = min(attempts, one["attempts"])
+        tasks[one["name"]] = Task(
+            one["name"], one["units"], tuple(one["labels"]), tuple(one["after"]),
+            max(one["not_before"], plain["not_before"]), 0 if feed else attempts,
+            one["limit"], one["gang"], one["work"],
+        )
+    return tasks
+
+
+def digest_of(document):
+    """What tells two bodies under one key apart."""
+    return hashlib.sha256(json.dumps(document, sort_keys=True).encode()).hexdigest()[:32]
