Simulate fleets under 22 weathers; verges bound cohort time from both sides

Cause found by seed 2 of weather storm: a thawed verge read old news, took the moment of reading for the moment of telling, so its clock ran 3 s behind and it sent an order whose absence had already been taken for proof; the task ran again after its end. Ruled out: the proof itself (heard was past send-by and margin), the leader (it had withdrawn the order).

Also found by seeds: a wiped accord let in beside its old self (same address now replaces; a newcomer to a served area stays a spare), a cancel asked twice was refused, a follower that forgot what it acknowledged was asked for ever.

--- /dev/null
+++ b/features/steps/trial.py
@@ -0,0 +1,51 @@
+"""Steps for Trial: seeded trials on all cores."""
+
+from behave import given, then, when
+
+from pinepitch.proof import trial
+
+
+@given("the planted fault {plant}")
+def step_plant(context, plant):
+    context.plant = plant
+
+
+@when("the weather {weather} is tried with seeds {first:d} to {last:d} on every fleet in turn")
+def step_try(context, weather, first, last):
+    fleets = list(trial.FLEETS)
+    plant = getattr(context, "plant", "")
+    context.work = [(weather, seed, fleets[seed % len(fleets)], "static", plant) for seed in range(first, last + 1)]
+
+
+@then("no check finds a fault")
+def step_clean(context):
+    tried, found = 0, []
+    for arguments, faults, _ in trial.many(context.work):
+        tried += 1
+        found.extend(f"{trial.replay(*arguments)}\n   {fault}" for fault in faults)
+    assert not found, "\n".join(found[:6])
+    assert tried == len(context.work)
+
+
+@then("some check finds {fault}")
+def step_found(context, fault):
+    found = []
+    for arguments, faults, _ in trial.many(context.work):
+        found.extend(faults)
+        if any(fault in one for one in faults):
+            return
+    raise AssertionError(f"the planted fault went unseen; found: {found[:6]}")
+
+
+@when("the weather {weather} is tried twice with seed {seed:d}")
+def step_twice(context, weather, seed):
+    context.histories = []
+    for _ in range(2):
+        _, simulator = trial.trial(weather, seed)
+        context.histories.append((simulator.minion_history, simulator.callers["caller"].history, simulator.trace))
+
+
+@then("both histories are the same to the last event")
+def step_same(context):
+    one, other = context.histories
+    assert one[0] and one == other
--- /dev/null
+++ b/features/trial.feature
@@ -0,0 +1,61 @@
+Feature: Trial
+  Simulated fleets under every weather of failures keep every promise; planted faults are found.
+
+  Scenario Outline: <weather> breaks no promise
+    When the weather <weather> is tried with seeds 1 to 4 on every fleet in turn
+    Then no check finds a fault
+
+    Examples:
+      | weather        |
+      | calm           |
+      | kills          |
+      | leaders-fall   |
+      | cuts           |
+      | areas-fall     |
+      | freezes        |
+      | clocks         |
+      | disks          |
+      | wiped          |
+      | replaced       |
+      | outage         |
+      | power          |
+      | forgotten      |
+      | failing        |
+      | minions-fail   |
+      | withdrawn      |
+      | crowds         |
+      | scattered      |
+      | operators      |
+      | verges-restart |
+      | foul           |
+      | storm          |
+
+  Scenario Outline: the planted fault <plant> is found
+    Given the planted fault <plant>
+    When the weather <weather> is tried with seeds 0 to 11 on every fleet in turn
+    Then some check finds <fault>
+
+    Examples:
+      | plant                 | weather      | fault                      |
+      | early-proof           | minions-fail | while another ran          |
+      | silence-is-an-end     | minions-fail | started after it had ended |
+      | sent-again            | foul         | started twice              |
+      | saved-too-soon        | power        | started                    |
+      | amnesia               | forgotten    | started after it had ended |
+      | forerunners-ignored   | calm         | started before             |
+      | not-before-ignored    | calm         | started early              |
+      | own-clock             | clocks       | started early              |
+      | attempts-unbounded    | failing      | failures                   |
+      | cancel-in-word        | operators    | after its cancel           |
+      | closed-ignored        | operators    | closed                     |
+      | room-doubled          | crowds       | held                       |
+      | base-ignored          | operators    | were accepted              |
+      | refused-takes-effect  | operators    | a change that was refused  |
+      | change-not-kept       | operators    | missing at day's end       |
+      | failed-counts-as-done | calm         | shown finished             |
+      | slow-elections        | outage       | service was back only      |
+      | votes-twice           | foul         | two leaders                |
+
+  Scenario: the same seed gives the same history
+    When the weather storm is tried twice with seed 3
+    Then both histories are the same to the last event
--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -25,6 +25,7 @@
         self.heard_at = now
         self.beat = 0
         self.piece = None  # (snapshot index, offset) while a snapshot is sent
+        self.forgot = False  # whether it lacks what it acknowledged in this leader's time
 
 
 class Consensus:
@@ -436,6 +437,8 @@
     def _replicate(self, identity, now, beat=False):
         """Sends what a follower lacks, within its window; a bare beat when asked for."""
         follower = self.followers[identity]
+        if follower.forgot:
+            return
         if follower.window and now - follower.sent_at > constants.APPEND_RESEND:
             follower.window = 0
             follower.next = follower.match + 1
@@ -503,6 +506,13 @@
         if index is None:  # a bare beat beside a snapshot
             self._check_round(now)
             return
+        if not success and index < follower.match:
+            if not follower.forgot:
+                self._event(128, follower=sender, acknowledged=follower.match, holds=index)
+            follower.forgot = True  # its disk went back on a promise: nothing it says counts
+            follower.match = 0
+        if follower.forgot:
+            return
         follower.window = max(0, follower.window - 1)
         if success:
             if index > follower.match:
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -268,18 +268,18 @@
                 return
 
     def _admission(self, identity, area, members, out):
-        """The members once a newcomer is in: in a lost one's place if there is one."""
+        """The members once a newcomer is in: in a lost one's place, or in an area without
+        any; else None, and it stays a spare that follows the log."""
         address = self.sessions.address(identity)
-        lost = [one for one in out if self.sessions.address(one) == address]
+        lost = [one for one in members if self.sessions.address(one) == address]
         if not lost:
             lost = [one for one, since in out.items()
                     if members[one] == area and since >= constants.REPLACE_AFTER]
         if lost:
-            leaves = max(lost, key=lambda one: (out[one], one))
+            leaves = max(lost, key=lambda one: (out.get(one, 0.0), one))
             return {**{one: place for one, place in members.items() if one != leaves}, identity: area}
-        recent = [one for one in out if members[one] == area]
-        if recent or len(members) >= constants.COHORT_MOST:
-            return None  # wait until it is clear whether the missing one is lost
+        if area in members.values() or len(members) >= constants.COHORT_MOST:
+            return None  # a spare: a group of two would need both, so it waits for a loss
         return {**members, identity: area}
 
     def _propose_members(self, members, now):
@@ -460,7 +460,7 @@
                 "drained": sorted(self.record.drained), "emptied": sorted(self.record.emptied),
                 "withdrawn": sorted(self.record.withdrawn),
             }
-        self._send(address, ("told", token, version, body, orders, kills, self._now(now),
+        self._send(address, ("told", token, version, body, orders, kills, self._now(now), now - asked,
                              self.sessions.known_accords(now), self.cohort))
 
     def _due_orders(self, verge, now):
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -226,8 +226,8 @@
         ticket = self.tickets.get(identity)
         if ticket is None:
             return ("missing",)
-        if ticket.state == "cancelling":
-            return OK
+        if ticket.state in ("cancelling", "cancelled"):
+            return OK  # asked again, or by two
         if ticket.state != "pending":
             return ("ended", ticket.state)
         ticket = ticket._replace(state="cancelling", cancelled_at=self.time)
--- a/src/pinepitch/client/commands.py
+++ b/src/pinepitch/client/commands.py
@@ -181,6 +181,11 @@
         from ..proof.fleet import fleet
         fleet(plan, seconds, rate, seed, folder, level, disturb)
 
+    def trials(self, weather="all", seeds=20, first=0, fleet="all", mode="static", plant=""):
+        """Runs simulated fleets under failures, over many seeds; prints how to replay a fault."""
+        from ..proof.trial import trials
+        trials(weather, seeds, first, fleet, mode, plant)
+
 
 def _read(file):
     try:
--- a/src/pinepitch/ground/cohorttime.py
+++ b/src/pinepitch/ground/cohorttime.py
@@ -35,7 +35,7 @@
             if self.offset is None:
                 self.offset = median
             elif self.moved is not None:
-                most = max(0.0, now - self.moved) * constants.SLEW
+                most = min(1.0, max(0.0, now - self.moved)) * constants.SLEW  # a freeze earns no leap
                 self.offset += max(-most, min(most, median - self.offset))
             self.moved = now
         if self.offset is None:
--- a/src/pinepitch/ground/events.py
+++ b/src/pinepitch/ground/events.py
@@ -25,6 +25,7 @@
     125: ("disk stalled", "warning"),
     126: ("snapshot written", "info"),
     127: ("snapshot installed", "info"),
+    128: ("a follower lacks what it acknowledged", "error"),
     130: ("member change proposed", "info"),
     131: ("member change joint", "info"),
     132: ("member change done", "info"),
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -148,7 +148,7 @@
                 outcome = "refused"
         except curio.TaskTimeout:
             outcome = "unknown" if client.reached else "unsent"
-        await client.close()
+        await client.abort()
         await self.inbox.put(("posted", key, outcome))
 
     # --- tasks ------------------------------------------------------------------------
--- a/src/pinepitch/ground/http.py
+++ b/src/pinepitch/ground/http.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 with JSON by h11, on both sides, over curio sockets."""
 
 import json
+import socket
+import struct
 from typing import NamedTuple
 
 import curio
@@ -135,7 +137,7 @@
             await self.close()
             return Fault(0, "broken")
         except BaseException:
-            await self.close()
+            await self.abort()
             raise
 
     async def _response(self):
@@ -166,8 +168,14 @@
                 return Fault(0, "malformed")
         return Response(head.status_code, text, headers)
 
+    async def abort(self):
+        """Drops the socket and what it has not yet delivered."""
+        if self.socket is not None:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        await self.close()
+
     async def close(self):
         """Drops the socket, if there is one."""
         if self.socket is not None:
-            socket, self.socket = self.socket, None
-            await socket.close()
+            opened, self.socket = self.socket, None
+            await opened.close()
--- a/src/pinepitch/proof/checks.py
+++ b/src/pinepitch/proof/checks.py
@@ -153,6 +153,23 @@
     return faults
 
 
+def gangs_together(minion_history, documents, within=1.0):
+    """While all is healthy, every member of a gang starts within a moment of the others."""
+    starts, _ = starts_and_ends(minion_history)
+    faults = []
+    for ticket, document in documents.items():
+        gangs = {}
+        for task in document["tasks"]:
+            if task.get("gang"):
+                runs = starts.get(f"{ticket}/{task['name']}")
+                gangs.setdefault(task["gang"], []).append(runs[0][0] if runs else None)
+        for gang, moments in gangs.items():
+            begun = [one for one in moments if one is not None]
+            if begun and (len(begun) < len(moments) or max(begun) - min(begun) > within):
+                faults.append(f"gang {gang} of {ticket} did not start together")
+    return faults
+
+
 def all_checks(caller_history, minion_history, documents, retries, rooms):
     """Every check that needs no moment of its own."""
     return [
--- /dev/null
+++ b/src/pinepitch/proof/simulator.py
@@ -0,0 +1,488 @@
+"""The simulator: the deciders themselves on a seeded virtual clock, network and disk.
+
+Everything drawn comes from one seed, so a run is replayed by its seed. Messages and disk
+contents pass through cbor2 as they do between processes.
+"""
+
+import collections
+import heapq
+import json
+import random
+
+import cbor2
+
+from ..accord.core import Accord
+from ..accord.record import Record
+from ..ground import constants, wire
+from ..verge.core import Verge
+from . import caller as callers
+from .minion import StandInMinion
+
+START = 1_000_000.0  # virtual seconds; any wall clock will do
+LOSS = 0.002  # of messages in calm weather; links are TCP but break
+ANSWER_TIMEOUT = 5.0  # seconds a stand-in caller waits
+
+
+class Disk:
+    """An accord's data folder. Invariants: base and steps are what survives; jobs are not
+    durable until done; one job (a batch of saves) is under way at a time."""
+
+    def __init__(self):
+        self.base, self.steps = None, []
+        self.jobs = collections.deque()
+        self.under_way = None
+        self.slow = 1.0
+        self.stalled = False
+        self.syncs = 0
+
+    def keep(self, job):
+        """Makes a job durable."""
+        self.syncs += 1
+        kind, content = job
+        if kind == "base":
+            self.base, self.steps = content, []
+        else:
+            self.steps.append(content)
+
+    def load(self):
+        base = None if self.base is None else cbor2.loads(self.base)
+        return base, [cbor2.loads(one) for one in self.steps]
+
+
+class Node:
+    """One simulated process. Invariants: a daemon's core is None while it is down, a
+    minion's stays (its history goes on) and down says so; held keeps what
+    came while it was frozen, in order; alive counts its lives, so that what was meant for
+    an earlier life is dropped."""
+
+    def __init__(self, name, kind, area, address):
+        self.name, self.kind, self.area, self.address = name, kind, area, address
+        self.core = None
+        self.life = 0
+        self.frozen = self.down = False
+        self.held = []
+        self.skew = 0.0
+        self.disk = Disk() if kind == "accord" else None
+
+
+class Simulator:
+    """Invariants: events are handled in order of (time, number); now never falls; every
+    draw is from self.draw."""
+
+    def __init__(self, seed, accords=("a", "b", "c"), verges=("a", "b", "c"), minions=(("m", 6, 8, (), True),),
+                 areas=("a", "b", "c"), setup=None, founders=3, mode="static", kinds=None):
+        self.draw = random.Random(f"simulator-{seed}")
+        self.seed = seed
+        self.now = 0.0
+        self.events, self.number = [], 0
+        self.nodes, self.by_address = {}, {}
+        self.cuts = set()  # (source, target) names
+        self.loss, self.delay, self.double = LOSS, 0.002, 0.0
+        self.founders, self.mode = founders, mode
+        self.kinds = {"accord": Accord, "verge": Verge, "minion": StandInMinion, **(kinds or {})}
+        self.minion_history, self.operator_history, self.trace = [], [], []
+        self.requests, self.request_count = {}, 0
+        self.callers = {}
+        self.counts = collections.Counter()
+        self.leaders = {}  # term -> identity, for the check that there is one
+        self.committed = {}  # index -> digest, for the check that all agree
+        self.setup = setup or {"queues": {
+            "default": {"share": 24, "limit": 48, "retries": 3, "urgency": 4},
+            "urgent": {"share": 12, "limit": 48, "retries": 3, "urgency": 8, "preempts": True, "yields": False},
+            "feeds": {"share": 12, "limit": 24, "retries": 3, "urgency": 6, "yields": False}}}
+        for place, area in enumerate(accords):
+            self.add(f"accord{place}", "accord", area)
+        for place, area in enumerate(verges):
+            self.add(f"verge{place}", "verge", area)
+        self.seeds = [one.address for one in list(self.nodes.values())[:constants.SEEDS]]
+        for prefix, count, room, labels, guards in minions:
+            for place in range(count):
+                node = self.add(f"{prefix}{place}", "minion", areas[place % len(areas)])
+                node.core = self.kinds["minion"](
+                    node.name, node.area, node.address, room, labels, guards, seed, self.minion_history)
+                self.at(self.draw.random() * 0.1, "tick", node.name, node.life)
+        self.rooms = {name: node.core.room for name, node in self.nodes.items() if node.kind == "minion"}
+        for node in list(self.nodes.values()):
+            if node.kind != "minion":
+                self.start(node.name)
+
+    # --- the world --------------------------------------------------------------------
+    def add(self, name, kind, area):
+        address = f"10.0.0.{len(self.nodes) + 1}:7000"
+        node = self.nodes[name] = Node(name, kind, area, address)
+        self.by_address[address] = node
+        return node
+
+    def at(self, delay, *event):
+        self.number += 1
+        heapq.heappush(self.events, (self.now + delay, self.number, event))
+
+    def clock(self, node):
+        return START + self.now + node.skew
+
+    def start(self, name):
+        """Starts a daemon with what its disk kept."""
+        node = self.nodes[name]
+        node.life += 1
+        node.frozen, node.down, node.held = False, False, []
+        if node.kind == "accord":
+            base, steps = node.disk.load()
+            identity = base[0] if base else next(
+                (payload[1] for step in steps for kind, payload in step
+                 if kind == "note" and payload[0] == "identity"), None)
+            if identity is None:
+                identity = f"{self.draw.randrange(16 ** 6):06x}.{name}"
+                node.disk.keep(("step", cbor2.dumps([["note", ["identity", identity]]])))
+            node.core = self.kinds["accord"](identity, node.address, node.area, self.seeds, self.founders,
+                                             self.mode, f"{self.seed}-{node.life}")
+            node.core.restore(base, steps)
+            node.disk.jobs.clear()
+            node.disk.under_way = None
+        elif node.kind == "verge":
+            node.core = self.kinds["verge"](f"v{self.draw.randrange(16 ** 6):06x}.{name}", node.address, node.area,
+                                            self.seeds)
+        else:
+            node.core.begin()
+        self.at(self.draw.random() * constants.TICK, "tick", name, node.life)
+
+    def kill(self, name):
+        """A hard kill or a power loss: what was not synced may or may not be there."""
+        node = self.nodes[name]
+        if node.kind == "minion":
+            node.core.crash(START + self.now)
+            node.life += 1
+            node.down = True
+            return
+        if node.disk is not None and node.disk.under_way is not None and self.draw.random() < 0.5:
+            node.disk.keep(node.disk.under_way[0])
+        node.core = None
+        node.life += 1
+        if node.disk is not None:
+            node.disk.jobs.clear()
+            node.disk.under_way = None
+
+    def wipe(self, name):
+        self.nodes[name].disk = Disk()
+
+    def freeze(self, name):
+        self.nodes[name].frozen = True
+
+    def thaw(self, name):
+        node = self.nodes[name]
+        node.frozen = False
+        held, node.held = node.held, []
+        for message in held:
+            self.at(0.0, "give", name, node.life, message)
+
+    def cut(self, sources, targets, both=True):
+        for one in sources:
+            for other in targets:
+                if one != other:
+                    self.cuts.add((one, other))
+                    if both:
+                        self.cuts.add((other, one))
+
+    def heal(self):
+        self.cuts.clear()
+
+    # --- running ----------------------------------------------------------------------
+    def run(self, seconds):
+        """Handles events for some virtual seconds."""
+        end = self.now + seconds
+        while self.events and self.events[0][0] <= end:
+            self.now, _, event = heapq.heappop(self.events)
+            self.counts["events"] += 1
+            HANDLERS[event[0]](self, *event[1:])
+        self.now = end
+
+    def until(self, wanted, seconds=60.0, step=0.1):
+        """Runs until wanted() is true; how long it took, or None."""
+        begun = self.now
+        while self.now - begun < seconds:
+            if wanted():
+                return self.now - begun
+            self.run(step)
+        return None
+
+    def _tick(self, name, life):
+        node = self.nodes[name]
+        if node.life != life:
+            return
+        if node.core is not None and not node.frozen and not node.down:
+            self.give(node, ("tick",))
+        self.at(constants.TICK * (2 if node.kind == "minion" else 1), "tick", name, life)
+
+    def _give(self, name, life, message):
+        node = self.nodes[name]
+        if node.life == life and node.core is not None:
+            self.give(node, message)
+
+    def give(self, node, message):
+        if node.down:
+            return
+        if node.frozen:
+            node.held.append(message)
+            return
+        if node.kind == "minion":
+            self._minion_effects(node, node.core.step(message, START + self.now), message)
+            return
+        for effect in node.core.step(message, self.now + 1000.0, self.clock(node)):
+            EFFECTS[effect[0]](self, node, *effect[1:])
+
+    def lost(self, source, target):
+        return (source, target) in self.cuts or self.draw.random() < self.loss
+
+    def latency(self):
+        return 0.0003 + self.draw.random() * self.delay
+
+    # --- effects of daemons -----------------------------------------------------------
+    def _send(self, node, address, message):
+        self.counts["messages"] += 1
+        target = self.by_address.get(address)
+        if target is None or self.lost(node.name, target.name):
+            return
+        source, plain = wire.decode(wire.encode(node.address, message)[4:])
+        self.at(self.latency(), "give", target.name, target.life, tuple(plain))
+        if self.double and self.draw.random() < self.double:
+            self.at(self.latency() * 5, "give", target.name, target.life, tuple(plain))
+
+    def _save(self, node, sequence, change):
+        node.disk.jobs.append(("save", sequence, ["raft", change]))
+        self._disk_next(node)
+
+    def _base(self, node, sequence, payload):
+        node.disk.jobs.append(("base", sequence, payload))
+        self._disk_next(node)
+
+    def _snapshot(self, node, index, image):
+        self.at(0.01, "give", node.name, node.life, ("encoded", index, Record.encode(image)))
+
+    def _note(self, node, payload):
+        node.disk.keep(("step", cbor2.dumps([["note", payload]])))
+
+    def _disk_next(self, node):
+        disk = node.disk
+        if disk.under_way is not None or not disk.jobs:
+            return
+        kind, tag, payload = disk.jobs.popleft()
+        if kind == "base":
+            job = ("base", cbor2.dumps(payload))
+        else:
+            batch = [payload]
+            while disk.jobs and disk.jobs[0][0] == "save":
+                _, tag, payload = disk.jobs.popleft()
+                batch.append(payload)
+            job = ("step", cbor2.dumps(batch))
+        disk.under_way = (job, tag)
+        self.at((0.001 + self.draw.random() * 0.004) * disk.slow, "synced", node.name, node.life)
+
+    def _synced(self, name, life):
+        node = self.nodes[name]
+        if node.life != life or node.disk.under_way is None:
+            return
+        if node.disk.stalled or node.frozen:
+            self.at(0.05, "synced", name, life)
+            return
+        job, tag = node.disk.under_way
+        node.disk.under_way = None
+        node.disk.keep(job)
+        if tag is not None:
+            self.give(node, ("saved", tag))
+        self._disk_next(node)
+
+    def _event(self, node, number, fields):
+        self.trace.append((round(self.now, 3), node.name, number, fields))
+        if number == 122:
+            term = fields["term"]
+            other = self.leaders.setdefault(term, node.name)
+            if other != node.name:
+                raise AssertionError(f"two leaders in term {term}: {other} and {node.name}")
+
+    def _reply(self, node, request, status, document, headers=()):
+        self.at(self.latency(), "answer", request, status, json.dumps(document))
+
+    def _post(self, node, key, address, path, document):
+        target = self.by_address.get(address)
+        if target is None or self.lost(node.name, target.name) or target.core is None or target.down:
+            if key is not None:
+                self.at(0.05, "give", node.name, node.life, ("posted", key, "unsent"))
+            return
+        plain = json.loads(json.dumps(document))
+        kind = "order" if path == "/v1/orders" else "kill"
+        self.request_count += 1
+        number = self.request_count
+        self.requests[number] = ("post", node.name, node.life, key, target.name)
+        self.at(self.latency(), "give", target.name, target.life, (kind, number, plain))
+        self.at(constants.ORDER_TIMEOUT, "expire", number)
+
+    # --- minions and callers ----------------------------------------------------------
+    def _minion_effects(self, node, effects, message):
+        for effect in effects:
+            if effect[0] == "answer":
+                _, request, status, _ = effect
+                waiting = self.requests.get(request)
+                if waiting and not self.lost(node.name, waiting[1]):
+                    self.at(self.latency(), "posted", request, "sent" if status < 300 else "refused")
+            else:
+                self.call(node.name, node.life, self.draw.randrange(100), "POST", "/v1/reports", effect[1],
+                          ("report", node.name), constants.CARRY_TIMEOUT + 0.5)
+
+    def _posted(self, request, outcome):
+        waiting = self.requests.pop(request, None)
+        if waiting and waiting[3] is not None:
+            _, verge, life, key, _ = waiting
+            self._give(verge, life, ("posted", key, outcome))
+
+    def call(self, source, life, draw, method, target, document, tag, timeout=ANSWER_TIMEOUT, headers=None):
+        """An HTTP call at some verge; its answer goes back by tag."""
+        verges = [node for node in self.nodes.values() if node.kind == "verge"]
+        node = verges[draw % len(verges)]
+        self.request_count += 1
+        number = self.request_count
+        self.requests[number] = ("call", source, life, tag, node.name)
+        if node.core is None or self.lost(source, node.name):
+            self.at(0.05, "answer", number, 0, "null")
+            return
+        body = b"" if document is None else json.dumps(document).encode()
+        self.at(self.latency(), "give", node.name, node.life,
+                ("http", number, method, target, headers or {}, body))
+        self.at(timeout, "answer", number, 0, "null")
+
+    def _answer(self, request, status, text):
+        waiting = self.requests.pop(request, None)
+        if waiting is None:
+            return
+        _, source, life, tag, verge = waiting
+        if status and (verge, source) in self.cuts:
+            status, text = 0, "null"
+        document = json.loads(text)
+        kind = tag[0]
+        if kind == "report":
+            node = self.nodes[source]
+            if node.life == life:
+                self.give(node, ("reported", status, document))
+        elif kind == "caller":
+            _, name, call = tag
+            self._caller_calls(name, self.callers[name].step(("answered", call, status, document), START + self.now))
+        else:
+            tag[1].append((START + self.now, status, document))
+
+    def _expire(self, request):
+        if request in self.requests:
+            self._posted(request, "unknown")
+
+    def caller(self, name, traffic, rate=1.0, fail=0.03):
+        """Adds a stand-in caller that begins now."""
+        self.callers[name] = callers.StandInCaller(name, traffic, self.seed, rate, fail)
+        self.at(0.0, "caller", name)
+
+    def _caller(self, name):
+        one = self.callers[name]
+        self._caller_calls(name, one.step(("tick",), START + self.now))
+        self.at(0.05, "caller", name)
+
+    def _caller_calls(self, name, effects):
+        for _, call, draw, method, target, document in effects:
+            self.call(name, 0, draw, method, target, document, ("caller", name, call))
+
+    def ask(self, method, target, document=None, headers=None, verge=0, seconds=8.0):
+        """An operator's call, run to its answer: (status, document)."""
+        got = []
+        self.call("operator", 0, verge, method, target, document, ("plain", got), headers=headers)
+        self.until(lambda: got, seconds, 0.02)
+        return got[0][1:] if got else (0, None)
+
+    def persist(self, method, target, document=None, headers=None, seconds=30.0):
+        """An operator who tries again, at other verges, until answered other than 0 or 503."""
+        begun, verge = self.now, 0
+        while self.now - begun < seconds:
+            status, answer = self.ask(method, target, document, headers, verge)
+            if status not in (0, 429, 503):
+                return status, answer
+            verge += 1
+            self.run(0.2)
+        return 0, None
+
+    # --- what is true now -------------------------------------------------------------
+    def leader(self):
+        """The accord that leads the newest term, or None."""
+        leading = [node for node in self.nodes.values() if node.kind == "accord" and node.core is not None
+                   and node.core.consensus is not None and node.core.consensus.role == "leader"]
+        return max(leading, key=lambda node: node.core.consensus.term, default=None)
+
+    def begin(self):
+        """Waits for service and puts the setup in force."""
+        if self.until(lambda: self.leader() is not None and self.leader().core.consensus.serving(), 30) is None:
+            raise AssertionError("no leader within 30 s")
+        status, answer = self.persist("PUT", "/v1/setup", self.setup, {"if-match": "*"})
+        if status != 200:
+            raise AssertionError(f"the setup was not taken: {status} {answer}")
+
+    def quiet(self):
+        """Whether every caller has seen the end of every ticket."""
+        return all(not one.open and not one.retry and not any(call[0] == "submit" for call in one.under_way.values())
+                   for one in self.callers.values())
+
+    def finish(self, seconds=120.0):
+        """Heals all, stops the callers, and waits until all is final; False if it never is."""
+        self.heal()
+        self.loss, self.double, self.delay = LOSS, 0.0, 0.002
+        for node in self.nodes.values():
+            node.skew = 0.0
+            if node.disk is not None:
+                node.disk.slow, node.disk.stalled = 1.0, False
+            if node.frozen:
+                self.thaw(node.name)
+            if (node.core is None or node.down) and node.kind != "retired":
+                self.start(node.name)
+            if node.kind == "minion":
+                node.core.fail_rate, node.core.slow = 0.0, 1.0
+        for one in self.callers.values():
+            one.stopped = True
+        return self.until(self.quiet, seconds, 0.5) is not None
+
+    def agreement(self):
+        """Faults in what the accords hold: logs that differ where committed, records that
+        differ at one index, derived state that drifted."""
+        faults, entries = [], {}
+        records = {}
+        for node in self.nodes.values():
+            if node.kind != "accord" or node.core is None or node.core.consensus is None:
+                continue
+            consensus = node.core.consensus
+            for index in range(consensus.first, consensus.commit + 1):
+                entry = consensus.entry(index)
+                text = cbor2.dumps((entry[0], entry[2]))
+                if entries.setdefault(index, text) != text:
+                    faults.append(f"entry {index} differs at {node.name}")
+            try:
+                node.core.record.audit()
+            except AssertionError as broken:
+                faults.append(f"{node.name}: {broken}")
+            record = node.core.record
+            image = (record.time, record.tickets, record.keys, record.version, record.epochs)
+            other = records.setdefault(record.index, (node.name, image))
+            if other[1] != image:
+                faults.append(f"{node.name} and {other[0]} differ at {record.index}")
+        return faults
+
+
+HANDLERS = {
+    "tick": Simulator._tick,
+    "give": Simulator._give,
+    "synced": Simulator._synced,
+    "answer": Simulator._answer,
+    "posted": Simulator._posted,
+    "expire": Simulator._expire,
+    "caller": Simulator._caller,
+}
+EFFECTS = {
+    "send": Simulator._send,
+    "save": Simulator._save,
+    "base": Simulator._base,
+    "note": Simulator._note,
+    "snapshot": Simulator._snapshot,
+    "event": Simulator._event,
+    "reply": Simulator._reply,
+    "post": Simulator._post,
+}
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -45,7 +45,8 @@
         self.body = None  # the newest news
         self.news_at = None
         self.stale = True
-        self.time_offset = None
+        self.asked = {}  # token of a question for news -> when it was asked
+        self.bounds = None  # (earliest, latest) cohort time less own time, and when learnt
         self.greet_at = self.look_at = -1e9
         self.effects = []
         self.stopping = False
@@ -67,9 +68,26 @@
     def _event(self, number, **fields):
         self.effects.append(("event", number, fields))
 
-    def now(self, now):
-        """Cohort time as last told; it lags the leader's by the way of a message."""
-        return None if self.time_offset is None else now + self.time_offset
+    def earliest(self, now):
+        """The least that cohort time can be now: what may start only later is held."""
+        return None if self.bounds is None else now + self.bounds[0]
+
+    def latest(self, now):
+        """The most that cohort time can be now: what is late by it is not sent."""
+        return None if self.bounds is None else now + self.bounds[1]
+
+    def _learn_time(self, token, time, held, now):
+        """An answer told `time` after holding the question for `held`: that moment lies
+        between question and answer on the own clock, however long either lay unread."""
+        asked = self.asked.pop(token, None)
+        if asked is None:
+            return
+        bounds = (time - now, time - asked - held)
+        if self.bounds is not None:
+            width, age = self.bounds[1] - self.bounds[0], now - self.bounds[2]
+            if bounds[1] - bounds[0] > width + 2 * constants.SLEW * age:
+                return
+        self.bounds = (*bounds, now)
 
     # --- sessions ---------------------------------------------------------------------
     def _greeting(self):
@@ -132,12 +150,10 @@
         self._send(fields[3], ("greeted", *self._greeting(), self.leader, None))
 
     def _on_greeted(self, *rest):
-        *fields, leader, time, now = rest
+        *fields, leader, _, now = rest
         self._hear(*fields, now)
         if fields[1] == "accord" and leader:
             self.leader = leader
-        if fields[1] == "accord" and time and self.time_offset is None:
-            self.time_offset = time - now
 
     # --- carrying ---------------------------------------------------------------------
     def _way(self, avoid):
@@ -215,7 +231,7 @@
             "identity": self.identity, "area": self.area, "cohort": self.cohort, "leader": self.leader,
             "stale": self.stale, "setup_version": (self.body or {}).get("setup_version"),
             "accords": sorted(one[1] for one in self.accords.values()),
-            "time": self.now(now), "orders_under_way": len(self.waiting_orders),
+            "time": self.earliest(now), "orders_under_way": len(self.waiting_orders),
         }
 
     # --- news and orders --------------------------------------------------------------
@@ -232,12 +248,14 @@
             return
         self.count += 1
         self.news_token = f"{self.identity}-{self.count}"
-        self.news_asked = now
+        self.news_asked = self.asked[self.news_token] = now
+        for old in list(self.asked)[:-constants.ASKED_KEPT]:
+            del self.asked[old]
         self.outcomes_sent = len(self.outcomes)
         self._send(address, ("news", self.identity, self.address, self.news_token, self.version,
                              tuple(self.outcomes)))
 
-    def _on_told(self, token, version, body, orders, kills, time, accords, cohort, now):
+    def _on_told(self, token, version, body, orders, kills, time, held, accords, cohort, now):
         if token == self.news_token:
             self.news_token = None
             del self.outcomes[:self.outcomes_sent]
@@ -247,7 +265,7 @@
             if body is not None:
                 self.version, self.body = version, body
             self.news_at = now
-            self.time_offset = time - now
+            self._learn_time(token, time, held, now)
             self.cohort = self.cohort or cohort
         for one, area, address in accords:
             known = self.accords.get(one)
@@ -269,14 +287,16 @@
 
     def _send_waiting(self, now):
         """Sends each order whose time has come, once, unless news has overtaken it."""
-        time = self.now(now)
+        earliest, latest = self.earliest(now), self.latest(now)
+        if latest is None:
+            return
         for key, order in list(self.waiting_orders.items()):
-            if time > order["send_by"]:
+            if latest > order["send_by"]:
                 self._event(154, task=key[0], attempt=key[1])
                 outcome = "late"
             elif self._closed(order):
                 outcome = "withheld"
-            elif time < order["not_before"]:
+            elif earliest < order["not_before"]:
                 continue
             else:
                 del self.waiting_orders[key]
@@ -286,8 +306,9 @@
                 continue
             del self.waiting_orders[key]
             self.outcomes.append((*key, outcome))
-        if len(self.taken) > 10_000 and time is not None:
-            self.taken = {key: send_by for key, send_by in self.taken.items() if send_by > time - 60}
+        if len(self.taken) > constants.TAKEN_KEPT:
+            self.taken = {key: send_by for key, send_by in self.taken.items()
+                          if send_by + constants.TAKEN_LASTS > earliest}
 
     def _closed(self, order):
         body = self.body or {}
