Placing skips shapes that found no room in the same round

Cause: with all room taken and a backlog, each round tried every one of the first 400 tasks of a queue against every minion, though room and credits only shrink within a round. Ruled out: building seats (28 sums) and sorting heads, together under a tenth of the time. Now the first refusal of a shape (queue, units, labels) answers for the rest of the round; gangs are still tried each, since their need depends on their members.

--- a/src/pinepitch/accord/placing.py
+++ b/src/pinepitch/accord/placing.py
@@ -43,11 +43,18 @@
             for lender, credits in charges:
                 borrowed[lender] = borrowed.get(lender, 0) + credits
         items, wanting = [], []
+        hopeless = {}  # shape of a task -> why none of it fits: within a round room only shrinks
         for ticket, names in self._candidates(record, time):
             if len(items) >= constants.PLACE_MOST:
                 break
-            group = self._fit(record, ticket, names, seats, free, borrowed, used, verges)
+            task = ticket.tasks[names[0]]
+            shape = (ticket.queue, task.units, task.labels) if not task.gang else None
+            group = hopeless.get(shape)
+            if group is None:
+                group = self._fit(record, ticket, names, seats, free, borrowed, used, verges)
             if isinstance(group, str):
+                if shape is not None:
+                    hopeless[shape] = group
                 for name in names:
                     self.why[(ticket.identity, name)] = group
                 if group == "no room":
@@ -94,7 +101,7 @@
         heads.sort(key=lambda one: one[:3])
         for _, _, queue, level in heads:
             looked, gangs = 0, set()
-            for identity, name in list(level):
+            for identity, name in level:
                 looked += 1
                 if looked > constants.PLACE_LOOK:
                     break
