The table: drafts, rehearsal on recent traffic, approval only of better ones

A draft is a merge patch on a named version. The first live accord that does not lead replays the newest 200 tickets (arrivals, shapes, durations as seen) through the same record and placing code, eight pairs under equal seeds, and proposes the figures under its epoch. The record lets a draft through only if its base is in force and 7 of 8 pairs find it better by the objective in force; below 30 tickets it says "not measured".

Seen: an unchanged draft gives no difference, a starved queue is found worse, a widened one better, and the wait that follows lies within 0.5 s of the forecast (virtual time).

--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -222,6 +222,69 @@
     return ("answer", problem(404, "unknown_version", f"no setup {wanted} in the history"))
 
 
+# --- the table -----------------------------------------------------------------------
+def _table(core, token, arguments, now):
+    return ("answer", (200, {"version": core.record.version, "rows": rows.cells(core.record.setup)}, None))
+
+
+def _draft(core, token, arguments, now):
+    base, patch, who, why = arguments
+    return ("agree", ("draft", token, base, patch, who, why), "draft", None)
+
+
+def _draft_answer(core, outcome, extra=None, now=None):
+    if outcome[0] == "missing":
+        return problem(404, "unknown_draft", "no such draft")
+    if outcome[0] == "ended":
+        return problem(409, "ended", f"the draft is already {outcome[1]}")
+    if outcome[0] == "unmeasured":
+        return problem(409, "not_measured", "rehearse the draft on the version in force first")
+    if outcome[0] == "worse":
+        return problem(409, "not_better", f"the rehearsal's verdict: {outcome[1]}", verdict=outcome[1])
+    if outcome[0] == "draft":
+        return (200, draft_view(core.record, outcome[1]), None)
+    return _setup_answer(core, outcome)
+
+
+def draft_view(record, identity):
+    """A draft as operators see it."""
+    draft = record.drafts[identity]
+    return {**{name: draft[name] for name in ("draft", "base", "patch", "who", "why", "time", "state", "measure")},
+            "stale": draft["base"] != record.version and draft["state"] != "approved"}
+
+
+def _drafts(core, token, arguments, now):
+    return ("answer", (200, {"drafts": [
+        draft_view(core.record, one) for one in sorted(core.record.drafts, key=lambda one: int(one[1:]))]}, None))
+
+
+def _one_draft(core, token, arguments, now):
+    if arguments[0] not in core.record.drafts:
+        return ("answer", _draft_answer(core, ("missing",)))
+    return ("answer", (200, draft_view(core.record, arguments[0]), None))
+
+
+def _rehearse(core, token, arguments, now):
+    rooms = [[name, minion.report.area, minion.report.room, list(minion.report.labels)]
+             for name, minion in sorted(core.minions.items())
+             if now - minion.heard_at <= constants.MINION_SILENT
+             and not core.record.closed(name, minion.report.area)]
+    return ("agree", ("rehearse", arguments[0], rooms), "draft", None)
+
+
+def _approve(core, token, arguments, now):
+    identity, who, why = arguments
+    return ("agree", ("approve", token, identity, who, why), "draft", None)
+
+
+def _drop(core, token, arguments, now):
+    return ("agree", ("drop", arguments[0]), "dropped", arguments[0])
+
+
+def _dropped_answer(core, outcome, identity, now):
+    return _draft_answer(core, outcome) if outcome[0] == "missing" else (200, {"dropped": identity}, None)
+
+
 # --- state ---------------------------------------------------------------------------
 def _pending(core, token, arguments, now):
     record = core.record
@@ -357,6 +420,13 @@
     "setups": Call(True, _setups),
     "change": Call(False, _change),
     "back": Call(False, _go_back),
+    "table": Call(True, _table),
+    "draft": Call(False, _draft),
+    "drafts": Call(True, _drafts),
+    "one-draft": Call(True, _one_draft),
+    "rehearse": Call(False, _rehearse),
+    "approve": Call(False, _approve),
+    "drop": Call(False, _drop),
     "pending": Call(True, _pending),
     "cohort": Call(True, _cohort),
     "figures": Call(True, _figures),
@@ -379,4 +449,6 @@
     "report": _report_answer,
     "done": _done_answer,
     "setup": _setup_answer,
+    "draft": _draft_answer,
+    "dropped": _dropped_answer,
 }
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -2,12 +2,13 @@
 
 Inputs go through step(message, now, clock); effects come back:
 ("send", address, message), ("save", sequence, change), ("base", sequence, payload),
-("note", payload), ("snapshot", index, image), ("event", number, fields).
+("note", payload), ("snapshot", index, image), ("rehearse", work), ("event", number, fields).
 """
 
 from ..ground import constants
 from ..ground.cohorttime import CohortTime
 from ..world.minion import Minion
+from . import rehearsal
 from .calls import CALLS, SHAPES
 from .consensus import Consensus
 from .founding import Founding
@@ -36,6 +37,8 @@
         self.stopping = False
         self.greet_at = self.join_at = -1e9
         self.snapshotting = False
+        self.rehearsing = None  # (draft, asked) that this accord measures now
+        self.claim_at = -1e9
         self.out_since = {}  # member -> when its session was first missed
         self.applied_outcomes = {}
         self.counts = {"applied": 0, "sent": 0}
@@ -123,6 +126,55 @@
             self._ask_to_join(now)
         if self.consensus.role == "leader":
             self._lead_tick(now)
+        self._tend_rehearsal(now)
+
+    # --- the rehearsal duty -----------------------------------------------------------
+    def _tend_rehearsal(self, now):
+        """The first live accord in the agreed order that does not lead measures drafts;
+        the leader itself only when alone."""
+        asked = [draft for draft in self.record.drafts.values() if draft["state"] == "rehearsing"]
+        if not asked or self.rehearsing is not None or self.stopping:
+            return
+        leader = self.consensus.following
+        live = sorted({session.identity for session in self.sessions.live("accord")} | {self.identity})
+        order = [one for one in live if one in self.consensus.cohort.members() and one != leader] or [leader]
+        if order[0] != self.identity:
+            return
+        epoch, holder = self.record.epochs.get("rehearsal", (0, ""))
+        if holder != self.identity:
+            if now - self.claim_at >= constants.JOIN_AGAIN:
+                self.claim_at = now
+                self._to_leader(("claim", "rehearsal", self.identity), now)
+            return
+        draft = min(asked, key=lambda one: one["time"])
+        self.rehearsing = (draft["draft"], draft["asked"])
+        self.effects.append(("rehearse", (epoch, draft["draft"], draft["asked"], rehearsal.traffic(self.record),
+                                          self.record.setup, draft["setup"], draft["rooms"])))
+
+    def _to_leader(self, message, now):
+        """Hands a message to whoever leads, perhaps this accord."""
+        if self.consensus.role == "leader":
+            INPUTS[message[0]](self, *message[1:], now)
+        else:
+            self._send(self._leader_address(), message)
+
+    def _on_claim(self, duty, identity, now):
+        if self.consensus is not None and self.consensus.role == "leader" and self.consensus.serving():
+            if self.record.epochs.get(duty, (0, ""))[1] != identity:
+                self.propose(("duty", duty, identity), None, now)
+
+    measure = staticmethod(rehearsal.measure)
+
+    def _on_rehearsed(self, epoch, draft, asked, measure, now):
+        """The measuring is done; its result is agreed on under the epoch it was begun in."""
+        self.rehearsing = None
+        self._event(162, draft=draft, verdict=measure["verdict"])
+        if self.consensus is not None:
+            self._to_leader(("measured", epoch, draft, asked, measure), now)
+
+    def _on_measured(self, epoch, draft, asked, measure, now):
+        if self.consensus is not None and self.consensus.role == "leader" and self.consensus.serving():
+            self.propose(("measure", epoch, draft, asked, measure), None, now)
 
     # --- sessions ---------------------------------------------------------------------
     def _greeting(self, now):
@@ -630,6 +682,10 @@
             self.news_serial += 1
             if outcome[0] == "setup":
                 self._event(160, version=outcome[1])
+                if kind == "approve":
+                    self._event(163, draft=operation[2], version=outcome[1], who=operation[3])
+                else:
+                    self._event(161, version=outcome[1], who=operation[5], why=operation[6] or "unstated")
             for verge in list(self.asks):
                 self._tell_news(verge, now)
         elif kind in ("yield", "cancel"):
@@ -686,6 +742,9 @@
     "raft": Accord._on_raft,
     "saved": Accord._on_saved,
     "encoded": Accord._on_encoded,
+    "claim": Accord._on_claim,
+    "rehearsed": Accord._on_rehearsed,
+    "measured": Accord._on_measured,
     "ask": Accord._on_ask,
     "news": Accord._on_news,
     "stop": Accord._on_stop,
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -373,6 +373,7 @@
                 continue
             ticket, task, standing = found
             self._release(ticket, task, standing)
+            standing = standing._replace(took=self.time - standing.since)
             outcomes.append(self._end(ticket, task, standing, how))
             self._settle(ticket.identity)
         return ("ended", tuple(outcomes))
@@ -502,6 +503,78 @@
         self.rows = {queue: rows.row_of(row) for queue, row in checked["queues"].items()}
         return ("setup", self.version)
 
+    # --- drafts -----------------------------------------------------------------------
+    def _draft(self, mark, base, patch, who, why):
+        """A change to be measured before it is made."""
+        return self._once(mark, lambda: self._new_draft(base, patch, who, why))
+
+    def _new_draft(self, base, patch, who, why):
+        if base != self.version:
+            return ("conflict", self.version)
+        checked, faults = self.setup_faults(rows.merged(self.setup, patch))
+        if faults:
+            return ("invalid", faults)
+        self.draft_count += 1
+        identity = f"d{self.draft_count}"
+        while len(self.drafts) >= constants.DRAFTS_MOST:
+            self.drafts = self.drafts.delete(min(self.drafts, key=lambda one: int(one[1:])))
+        self.drafts = self.drafts.set(identity, {
+            "draft": identity, "base": base, "setup": checked, "patch": patch, "who": who, "why": why,
+            "time": self.time, "state": "open", "measure": None, "rooms": [], "asked": 0})
+        return ("draft", identity)
+
+    def _change_draft(self, identity, **changed):
+        self.drafts = self.drafts.set(identity, {**self.drafts[identity], **changed})
+
+    def _rehearse(self, identity, rooms):
+        """Asks the holder of the rehearsal duty to measure a draft on these rooms."""
+        draft = self.drafts.get(identity)
+        if draft is None:
+            return ("missing",)
+        if draft["state"] == "approved":
+            return ("ended", "approved")
+        if draft["base"] != self.version:
+            return ("conflict", self.version)
+        self._change_draft(identity, state="rehearsing", measure=None, rooms=rooms, asked=draft["asked"] + 1)
+        return ("draft", identity)
+
+    def _measure(self, epoch, identity, asked, measure):
+        """The result of a rehearsal, from whoever holds the duty."""
+        draft = self.drafts.get(identity)
+        if epoch != self.epochs.get("rehearsal", (0, ""))[0]:
+            return ("refused", "epoch")
+        if draft is None or draft["state"] != "rehearsing" or draft["asked"] != asked:
+            return ("refused", "not asked")
+        self._change_draft(identity, state="measured", measure=measure)
+        return ("draft", identity)
+
+    def _approve(self, mark, identity, who, why):
+        """Puts a draft in force if it was found better on the version in force."""
+        return self._once(mark, lambda: self._approve_once(identity, who, why))
+
+    def _approve_once(self, identity, who, why):
+        draft = self.drafts.get(identity)
+        if draft is None:
+            return ("missing",)
+        if draft["state"] == "approved":
+            return ("ended", "approved")
+        if draft["base"] != self.version:
+            return ("conflict", self.version)
+        if draft["state"] != "measured" or draft["measure"]["verdict"] == "not measured":
+            return ("unmeasured",)
+        if draft["measure"]["verdict"] != "better":
+            return ("worse", draft["measure"]["verdict"])
+        outcome = self._take_setup(draft["setup"], who, why or f"draft {identity}: {draft['why']}", self.version)
+        if outcome[0] == "setup":
+            self._change_draft(identity, state="approved")
+        return outcome
+
+    def _drop(self, identity):
+        if identity not in self.drafts:
+            return ("missing",)
+        self.drafts = self.drafts.delete(identity)
+        return OK
+
     # --- checking ---------------------------------------------------------------------
     def audit(self):
         """Raises unless what is derived step by step equals what follows from the rest."""
@@ -559,4 +632,9 @@
     "withdraw": Record._withdraw,
     "gone": Record._gone,
     "setup": Record._setup,
+    "draft": Record._draft,
+    "rehearse": Record._rehearse,
+    "measure": Record._measure,
+    "approve": Record._approve,
+    "drop": Record._drop,
 }
--- a/src/pinepitch/client/commands.py
+++ b/src/pinepitch/client/commands.py
@@ -1,9 +1,12 @@
 """Each act of the HTTP API as a command. Exit codes: 0 done, 1 refused, 2 wrong use,
 3 no verge answered, 4 come back later."""
 
+import csv
+import difflib
 import json
 import os
 import sys
+import time
 
 import curio
 
@@ -126,7 +129,16 @@
 
 
 class Setup(Verged):
-    """show, put, patch, history, back."""
+    """show, put, patch, history, diff, back. put and patch skip rehearsal: for emergencies."""
+
+    def diff(self, earlier, later):
+        """What differs between two versions."""
+        sides = [ask(self._verge, "GET", f"/v1/setup/versions/{one}") for one in (earlier, later)]
+        for answer in sides:
+            if answer.status != 200:
+                finish(answer, True, flat)
+        lines = [json.dumps(answer.document["setup"], indent=2, sort_keys=True).splitlines() for answer in sides]
+        print("\n".join(difflib.unified_diff(*lines, f"version {earlier}", f"version {later}", lineterm="")))
 
     def show(self, version=None):
         self._get("/v1/setup" if version is None else f"/v1/setup/versions/{version}",
@@ -151,6 +163,98 @@
         self._do("POST", "/v1/setup/back", {"version": version}, (("If-Match", str(base)), ("X-Reason", why)))
 
 
+class Table(Verged):
+    """show, csv, edit, read, drafts, draft, rehearse, approve, drop."""
+
+    def show(self):
+        self._get("/v1/table", lambda document: f"version {document['version']}\n" + table(document["rows"]))
+
+    def csv(self):
+        """The table as CSV, to be edited and read back in."""
+        answer = ask(self._verge, "GET", "/v1/table")
+        if answer.status != 200:
+            finish(answer, True, flat)
+        writer = csv.DictWriter(sys.stdout, list(answer.document["rows"][0]))
+        writer.writeheader()
+        writer.writerows(answer.document["rows"])
+
+    def edit(self, *cells, base=None, why=""):
+        """Makes a draft of cells, each QUEUE.COLUMN=VALUE, on version `base` (the one in
+        force when left out)."""
+        changes = {}
+        for cell in cells:
+            name, equals, value = str(cell).partition("=")
+            if not equals:
+                print(f"pinepitch: {cell}: expected QUEUE.COLUMN=VALUE", file=sys.stderr)
+                sys.exit(EXIT_USE)
+            changes[name] = _value(value)
+        self._draft({"base": self._base(base), "cells": changes}, why)
+
+    def read(self, file, base=None, why=""):
+        """Makes a draft of the cells of a CSV file that differ from the table in force."""
+        held = ask(self._verge, "GET", "/v1/table").document
+        before = {row["queue"]: row for row in held["rows"]}
+        changes = {}
+        with open(file, newline="") as opened:
+            for row in csv.DictReader(opened):
+                for column, text in row.items():
+                    if column != "queue" and before.get(row["queue"], {}).get(column) != _value(text):
+                        changes[f"{row['queue']}.{column}"] = _value(text)
+        self._draft({"base": base or held["version"], "cells": changes}, why)
+
+    def _base(self, base):
+        return base if base is not None else ask(self._verge, "GET", "/v1/table").document["version"]
+
+    def _draft(self, document, why):
+        self._do("POST", "/v1/drafts", document, (("X-Reason", why),), self._show)
+
+    def drafts(self):
+        self._get("/v1/drafts", lambda document: table(
+            [{**one, "verdict": (one["measure"] or {}).get("verdict")} for one in document["drafts"]],
+            ["draft", "base", "state", "verdict", "stale", "who", "why"]))
+
+    def draft(self, draft):
+        self._get(f"/v1/drafts/{draft}", self._show)
+
+    def rehearse(self, draft, wait=60):
+        """Has a draft measured against recent traffic; waits for the verdict."""
+        answer = ask(self._verge, "POST", f"/v1/drafts/{draft}/rehearse")
+        until = time.monotonic() + wait
+        while answer.status == 200 and answer.document["state"] == "rehearsing" and time.monotonic() < until:
+            curio.run(curio.sleep, 0.3)
+            answer = ask(self._verge, "GET", f"/v1/drafts/{draft}")
+        finish(answer, self._json, self._show)
+
+    def approve(self, draft, why=""):
+        """Puts a draft in force if its rehearsal found it better."""
+        self._do("POST", f"/v1/drafts/{draft}/approve", None, (("X-Reason", why),))
+
+    def drop(self, draft):
+        self._do("DELETE", f"/v1/drafts/{draft}")
+
+    @staticmethod
+    def _show(document):
+        lines = [f"{name}: {document[name]}" for name in ("draft", "base", "state", "stale", "patch")]
+        measure = document["measure"]
+        if measure:
+            lines += [f"{name}: {value}" for name, value in measure.items() if name != "queues"]
+            shown = []
+            for one in measure.get("queues", ()):
+                for name in ("wait_median", "wait_99", "dues_missed", "room_used", "shed", "preemptions"):
+                    before, after = one[name], one[f"draft_{name}"]
+                    shown.append({"queue": one["queue"], "figure": name, "in_force": before, "draft": after,
+                                  "difference": round(after - before, 4)})
+            lines.append(table(shown))
+        return "\n".join(lines)
+
+
+def _value(text):
+    try:
+        return json.loads(text.lower() if text in ("True", "False") else text)
+    except ValueError:
+        return text
+
+
 class Commands:
     """pinepitch: drive the scheduler. Global flags of each group: --verge, --json, --operator."""
 
@@ -159,6 +263,7 @@
         self.minion = Minion
         self.area = Area
         self.setup = Setup
+        self.table = Table
 
     def pending(self, verge=None, json=False):
         """Waiting tasks, credits and limits of every queue."""
--- /dev/null
+++ b/src/pinepitch/client/whence.py
@@ -0,0 +1,31 @@
+"""whence: why each task of a ticket went where it went, or why it waits."""
+
+import fire
+
+from .commands import Verged, table
+
+
+def told(document):
+    """The explanation in words."""
+    lines = [f"{document['ticket']} in {document['queue']}, urgency {document['urgency']}: {document['state']}",
+             f"placing epoch {document['placing'][0]}, setup version {document['setup_version']}, queue: "
+             f"{document['credits']} credits, {document['running_units']} units running of {document['limit']}"]
+    for task in document["tasks"]:
+        attempts = task["attempts"] or "any"
+        lines.append(f"\n{task['task']}: {task['state']} (attempt {task['attempt']}, {task['failures']} of "
+                     f"{attempts} attempts failed)")
+        lines.append(f"  {task['why']}")
+        if task.get("yields_to"):
+            lines.append(f"  asked to yield to {task['yields_to']}")
+        if task.get("candidates"):
+            lines.append("  " + table(task["candidates"]).replace("\n", "\n  "))
+    return "\n".join(lines)
+
+
+def run(ticket, verge=None, json=False):
+    """Explains a ticket from the record: candidates, what ruled each out, credits, epoch."""
+    Verged(verge, json)._get(f"/v1/tickets/{ticket}/whence", told)
+
+
+def main():
+    fire.Fire(run, name="whence")
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -85,6 +85,16 @@
 FRAME_MOST = 16_000_000  # bytes; of one frame between our processes
 STOP_WITHIN = 2.0  # seconds; from SIGTERM to exit
 
+# --- rehearsal -----------------------------------------------------------------------
+TRAFFIC_MOST = 200  # tickets; the newest, replayed in one rehearsal: some seconds of work
+TRAFFIC_LEAST = 30  # tickets; below it a rehearsal says "not measured"
+TRAFFIC_WINDOW = 3_600.0  # seconds; older traffic is not recent
+REHEARSAL_PAIRS = 8  # replays of each table; 7 of 8 agreeing is chance in 1 of 28
+REHEARSAL_AGREE = 7  # pairs; that must point the same way
+REHEARSAL_LEAST = 0.01  # part of the cost; a smaller difference counts as none
+REHEARSAL_LONGEST = 600.0  # seconds; of virtual time after the last arrival
+DRAFTS_MOST = 100  # drafts; older ones are dropped
+
 # --- versions of formats -------------------------------------------------------------
 WIRE_VERSION = 1  # of frames; a newer one is refused
 FILE_VERSION = 1  # of files on disk; a newer one is refused
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -121,6 +121,15 @@
     async def _snapshot(self, index, image):
         await self._job("snapshot", index, image)
 
+    async def _rehearse(self, work):
+        await curio.spawn(self._rehearse_apart, work, daemon=True)
+
+    async def _rehearse_apart(self, work):
+        """Measures in a thread of its own, so that nothing here waits for it."""
+        epoch, draft, asked, *rest = work
+        measure = await curio.run_in_thread(self.core.measure, *rest)
+        await self.inbox.put(("rehearsed", epoch, draft, asked, measure))
+
     async def _note(self, payload):
         done = curio.Event()
         await self._job("note", done, ["note", payload])
@@ -249,6 +258,7 @@
     "base": Host._base,
     "note": Host._note,
     "snapshot": Host._snapshot,
+    "rehearse": Host._rehearse,
     "reply": Host._reply,
     "post": Host._post,
 }
--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -257,6 +257,10 @@
     def _snapshot(self, node, index, image):
         self.at(0.01, "give", node.name, node.life, ("encoded", index, Record.encode(image)))
 
+    def _rehearse(self, node, work):
+        epoch, draft, asked, *rest = work
+        self.at(0.5, "give", node.name, node.life, ("rehearsed", epoch, draft, asked, node.core.measure(*rest)))
+
     def _note(self, node, payload):
         node.disk.keep(("step", cbor2.dumps([["note", payload]])))
 
@@ -482,6 +486,7 @@
     "base": Simulator._base,
     "note": Simulator._note,
     "snapshot": Simulator._snapshot,
+    "rehearse": Simulator._rehearse,
     "event": Simulator._event,
     "reply": Simulator._reply,
     "post": Simulator._post,
--- a/src/pinepitch/verge/filters.py
+++ b/src/pinepitch/verge/filters.py
@@ -7,6 +7,7 @@
 
 from ..ground import constants
 from ..world import minion as minions
+from ..world import row as rows
 from ..world import ticket as tickets
 
 
@@ -182,6 +183,29 @@
     return "carried"
 
 
+def _draft(verge, ticket, now):
+    body = ticket["document"]
+    if not isinstance(body, dict) or type(body.get("base")) is not int:
+        return _faulty((("base", "expected the version the draft builds on"),))
+    if len(ticket["body"]) > constants.SETUP_MOST:
+        return no(413, "too_large", f"a draft has at most {constants.SETUP_MOST} bytes")
+    patch, faults = body.get("patch"), ()
+    if patch is None:
+        found = body.get("cells")
+        patch, faults = rows.patch_of(found) if isinstance(found, dict) else (None, (("cells", "expected an object"),))
+    elif not isinstance(patch, dict):
+        faults = (("patch", "expected an object"),)
+    if faults:
+        return _faulty(faults)
+    verge.carry(ticket["request"], "draft", (body["base"], patch, *_who(ticket)), now)
+    return "carried"
+
+
+def _approve(verge, ticket, now):
+    verge.carry(ticket["request"], "approve", (ticket["names"][0], *_who(ticket)), now)
+    return "carried"
+
+
 def _health(verge, ticket, now):
     ready = verge.cohort is not None and not verge.stale
     return (200 if ready else 503, verge.health(now), None if ready else constants.COME_BACK)
@@ -217,6 +241,13 @@
     ("PUT", "/v1/setup", _change("whole")),
     ("PATCH", "/v1/setup", _change("merge")),
     ("POST", "/v1/setup/back", _back),
+    ("GET", "/v1/table", _named("table")),
+    ("POST", "/v1/drafts", _draft),
+    ("GET", "/v1/drafts", _named("drafts")),
+    ("GET", "/v1/drafts/{draft}", _named("one-draft")),
+    ("POST", "/v1/drafts/{draft}/rehearse", _named("rehearse")),
+    ("POST", "/v1/drafts/{draft}/approve", _approve),
+    ("DELETE", "/v1/drafts/{draft}", _named("drop")),
     ("GET", "/v1/pending", _named("pending")),
     ("GET", "/v1/cohort", _named("cohort")),
     ("GET", "/v1/figures", _named("figures")),
--- a/src/pinepitch/world/row.py
+++ b/src/pinepitch/world/row.py
@@ -88,3 +88,23 @@
         else:
             result[member] = merged(result.get(member), value)
     return result
+
+
+def cells(document):
+    """The table of a setup: a dict a row, in the order of the columns."""
+    return [{"queue": queue, **{column: row[column] for column in COLUMNS}}
+            for queue, row in sorted(document["queues"].items())]
+
+
+def patch_of(changes):
+    """(merge patch, ()) of {"QUEUE.COLUMN": value}, or (None, faults)."""
+    patch, faults = {}, []
+    for cell, value in changes.items():
+        queue, _, column = str(cell).rpartition(".")
+        if not queue or column not in COLUMNS:
+            faults.append((f"cells.{cell}", f"expected QUEUE.COLUMN with a column of {', '.join(COLUMNS)}"))
+        else:
+            patch.setdefault("queues", {}).setdefault(queue, {})[column] = value
+    if not changes:
+        faults.append(("cells", "no cell is named"))
+    return (None, tuple(faults)) if faults else (patch, ())
--- a/src/pinepitch/world/task.py
+++ b/src/pinepitch/world/task.py
@@ -40,7 +40,7 @@
     yields_to: str = ""  # a task reference, "move" or "limit", while it is to stop
     charges: tuple = ()  # ((queue, credits), ...) that lent for it
     since: float = 0.0
-    running: bool = False
+    took: float = 0.0  # seconds from placing to proven end of the newest attempt
 
 
 FINAL = ("done", "failed", "cancelled")
