Messages keep contracts: a frame of the wrong shape is refused, not stepped

Cause: any frame that cbor2 could read went to the decider, and a greeting with one field ended the daemon with a TypeError (found by garbage sent to running daemons). Ruled out: catching errors around the step, since a message half taken may leave state half changed. Now each message kind has a contract (world/contract.py) that the host checks before the step; the simulator checks that our own messages keep theirs.

Also tests for the store on real files (torn, bent, missing, newer, full) and for bad settings, tickets, setups and bytes.

--- /dev/null
+++ b/features/input.feature
@@ -0,0 +1,54 @@
+Feature: Input
+  Bad input is refused whole, every fault named by its path, and stops nothing.
+
+  Scenario Outline: settings with <fault>
+    When <program> is started with <fault>
+    Then it ends with 2 and names <path>
+
+    Examples:
+      | program | fault             | path                          |
+      | accord  | two seeds         | seeds: expected exactly 3     |
+      | accord  | a host name       | address: expected an IP       |
+      | accord  | no data folder    | data: required                |
+      | verge   | an unknown level  | level:                        |
+      | verge   | a stray setting   | founders: extra keys          |
+
+  Scenario Outline: a ticket with <fault>
+    When a ticket with <fault> is checked
+    Then the fault at <path> is named
+
+    Examples:
+      | fault              | path             |
+      | a cycle            | tasks            |
+      | an unknown step    | tasks.1.after.0  |
+      | a name twice       | tasks.1.name     |
+      | a gang in sequence | tasks.1.gang     |
+      | negative units     | tasks.0.units    |
+      | due before start   | due              |
+      | a stray field      | colour           |
+
+  Scenario Outline: a setup with <fault>
+    When a setup with <fault> is offered to the record
+    Then the fault at <path> is named and the setup in force is unchanged
+
+    Examples:
+      | fault                       | path                    |
+      | a share over its limit      | queues.default.share    |
+      | a negative limit            | queues.default.limit    |
+      | an unknown column           | queues.default.colour   |
+      | shares over the room        | queues                  |
+      | no queue                    | queues                  |
+      | a queue with live tickets gone | queues.default       |
+
+  Scenario: any bytes at the wire decoder
+    When 20000 seeded frames, whole, cut and bent, are decoded
+    Then each is a message or refused, and a newer version is refused
+
+  Scenario: any document at the setup, ticket and report readers
+    When 4000 seeded documents, good ones bent at random, are read
+    Then each is taken or refused with paths, and what is taken the record applies
+
+  Scenario: any bytes at the HTTP and wire ports of running daemons
+    Given a verge and an accord of a founded cohort
+    When seeded garbage is sent to each of their ports
+    Then both still serve, and oversized or malformed calls get their status
--- /dev/null
+++ b/features/steps/input.py
@@ -0,0 +1,245 @@
+"""Steps for Input: bad settings, tickets, setups, bytes."""
+
+import copy
+import json
+import random
+import socket
+import subprocess
+import sys
+import tempfile
+
+import cbor2
+import curio
+from behave import given, then, when
+
+from pinepitch.accord.record import Record
+from pinepitch.ground import constants, http, wire
+from pinepitch.ground.env import split
+from pinepitch.proof.fleet import PLANS, Fleet
+from pinepitch.world import contract, minion, row, ticket
+
+GOOD = {
+    "accord": {"address": "127.0.0.1:7000", "area": "a", "data": "unused",
+               "seeds": "127.0.0.1:1,127.0.0.1:2,127.0.0.1:3"},
+    "verge": {"address": "127.0.0.1:7000", "http": "127.0.0.1:7001", "area": "a",
+              "seeds": "127.0.0.1:1,127.0.0.1:2,127.0.0.1:3"},
+}
+BENT = {
+    "two seeds": {"seeds": "127.0.0.1:1,127.0.0.1:2"},
+    "a host name": {"address": "somewhere:7000"},
+    "no data folder": {"data": None},
+    "an unknown level": {"level": "loud"},
+    "a stray setting": {"founders": 3},
+}
+
+
+@when("{program} is started with {fault}")
+def step_start(context, program, fault):
+    settings = {**GOOD[program], **BENT[fault]}
+    with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+        for name, value in settings.items():
+            if value is not None:
+                file.write(f"{name} = {json.dumps(value)}\n")
+        file.flush()
+        context.ended = subprocess.run(
+            [sys.executable, "-c", f"from pinepitch.{program}.program import main; main()",
+             f"--settings={file.name}"], capture_output=True, text=True, timeout=30)
+
+
+@then("it ends with 2 and names {path}")
+def step_ended(context, path):
+    assert context.ended.returncode == 2, context.ended
+    assert path in context.ended.stderr, context.ended.stderr
+
+
+def one_ticket():
+    return {"queue": "default", "tasks": [{"name": "a"}, {"name": "b", "after": ["a"]}]}
+
+
+@when("a ticket with {fault} is checked")
+def step_ticket(context, fault):
+    document = one_ticket()
+    first, second = document["tasks"]
+    if fault == "a cycle":
+        first["after"] = ["b"]
+    elif fault == "an unknown step":
+        second["after"] = ["z"]
+    elif fault == "a name twice":
+        second["name"], second["after"] = "a", []
+    elif fault == "a gang in sequence":
+        first["gang"] = second["gang"] = "g"
+    elif fault == "negative units":
+        first["units"] = -1
+    elif fault == "due before start":
+        document.update(due=5, not_before=6)
+    elif fault == "a stray field":
+        document["colour"] = "salmon"
+    context.taken, context.faults = ticket.checked(document)
+
+
+@then("the fault at {path} is named")
+def step_named(context, path):
+    assert context.taken is None and path in [one[0] for one in context.faults], context.faults
+
+
+@when("a setup with {fault} is offered to the record")
+def step_setup(context, fault):
+    context.record = Record()
+    plain, _ = ticket.checked({**one_ticket(), "key": "k"})
+    context.record.apply(1, 1.0, ("ticket", "k", "", plain))
+    context.before = copy.deepcopy((context.record.version, context.record.setup, context.record.setups))
+    bent = {"a share over its limit": {"queues": {"default": {"share": 9, "limit": 8}}},
+            "a negative limit": {"queues": {"default": {"limit": -8}}},
+            "an unknown column": {"queues": {"default": {"colour": 1}}},
+            "shares over the room": {"room": 10, "queues": {"default": {"share": 11}}},
+            "no queue": {"queues": {}},
+            "a queue with live tickets gone": {"queues": {"other": {}}}}[fault]
+    context.outcome = context.record.apply(2, 2.0, ("setup", "mark", None, "whole", bent, "operator", ""))
+
+
+@then("the fault at {path} is named and the setup in force is unchanged")
+def step_unchanged(context, path):
+    assert context.outcome[0] == "invalid", context.outcome
+    assert path in [one[0] for one in context.outcome[1]], context.outcome
+    assert context.before == (context.record.version, context.record.setup, context.record.setups)
+
+
+@when("{count:d} seeded frames, whole, cut and bent, are decoded")
+def step_frames(context, count):
+    draw = random.Random(1)
+    context.decoded = []
+    for _ in range(count):
+        body = bytearray(wire.encode("127.0.0.1:1", ("greet", [1, {"a": b"x"}], None, 2.5))[4:])
+        for _ in range(draw.randrange(4)):
+            body[draw.randrange(len(body))] = draw.randrange(256)
+        if draw.random() < 0.3:
+            del body[draw.randrange(len(body)):]
+        if draw.random() < 0.1:
+            body = bytearray(draw.randbytes(draw.randrange(60)))
+        context.decoded.append(wire.decode(bytes(body)))
+
+
+@then("each is a message or refused, and a newer version is refused")
+def step_decoded(context):
+    refused = [one for one in context.decoded if isinstance(one, wire.Refused)]
+    assert 0 < len(refused) < len(context.decoded)
+    for one in context.decoded:
+        assert isinstance(one, wire.Refused) or (isinstance(one[0], str) and one[1]), one
+    newer = wire.decode(cbor2.dumps((constants.WIRE_VERSION + 1, "x", ("greet",))))
+    assert isinstance(newer, wire.Refused) and "version" in newer[0]
+
+
+def bend(document, draw):
+    """The document with some places replaced, removed or added, anywhere in it."""
+    odd = (None, -1, 0, 10 ** 30, 1.5, float("nan"), True, "", "x" * 400, "a/b", [], {}, [[]], {"": 1}, "default")
+    if draw.random() < 0.08:
+        return draw.choice(odd)
+    if isinstance(document, dict):
+        result = {name: bend(value, draw) for name, value in document.items() if draw.random() > 0.05}
+        if draw.random() < 0.05:
+            result[draw.choice(("queues", "tasks", "x", ""))] = draw.choice(odd)
+        return result
+    if isinstance(document, list):
+        return [bend(one, draw) for one in document]
+    return document
+
+
+@when("{count:d} seeded documents, good ones bent at random, are read")
+def step_documents(context, count):
+    draw = random.Random(2)
+    goods = {
+        ticket.checked: {**one_ticket(), "key": "k", "due": 9, "not_before": 1, "urgency": 3},
+        row.checked: {"queues": {"default": {"share": 3, "limit": 9}, "b": {"lends": False}}, "room": 50,
+                      "objective": {"shed": 2}},
+        minion.checked: {"minion": "m", "area": "a", "address": "127.0.0.1:9", "room": 4, "incarnation": "i",
+                         "counter": 1, "running": [["t1/a", 1]], "ended": [["t1/b", 1, "done"]]},
+    }
+    context.read = []
+    for number in range(count):
+        reader = draw.choice(list(goods))
+        context.read.append((number, reader, *reader(bend(goods[reader], draw))))
+
+
+@then("each is taken or refused with paths, and what is taken the record applies")
+def step_read(context):
+    record, taken = Record(), 0
+    for number, reader, plain, faults in context.read:
+        assert (plain is None) == bool(faults), (reader, plain, faults)
+        assert all(isinstance(path, str) and message for path, message in faults)
+        if plain is None:
+            continue
+        taken += 1
+        if reader is ticket.checked:
+            outcome = record.apply(number, 1.0, ("ticket", f"k{number}", "", plain))
+            assert outcome[0] in ("accepted", "invalid", "shed"), outcome
+        elif reader is row.checked:
+            assert record.apply(number, 1.0, ("setup", f"m{number}", None, "whole", plain, "", ""))[0] in (
+                "setup", "invalid")
+    record.audit()
+    assert 100 < taken < len(context.read) - 100, taken
+
+
+@given("a verge and an accord of a founded cohort")
+def step_daemons(context):
+    folder = tempfile.TemporaryDirectory(prefix="pinepitch-")
+    context.add_cleanup(folder.cleanup)
+    plan = PLANS["small"]._replace(accords=("a",), verges=("a", "a"), founders=1)
+    context.fleet = Fleet(plan, folder.name, "error")
+    context.add_cleanup(context.fleet.stop)
+    context.fleet.start_accord(0)
+    context.fleet.start_verge(0)
+    context.fleet.start_verge(1)
+    curio.run(context.fleet.until, context.fleet.served, 30, "service")
+
+
+def throw(address, data):
+    with socket.create_connection(split(address), 5) as one:
+        one.settimeout(5)
+        try:
+            one.sendall(data)
+            one.shutdown(socket.SHUT_WR)
+            return one.recv(65536)
+        except OSError:
+            return b""
+
+
+@when("seeded garbage is sent to each of their ports")
+def step_garbage(context):
+    draw = random.Random(3)
+    fleet = context.fleet
+    for address in (fleet.accords[0][1], fleet.verges[0][1], fleet.verges[0][2]):
+        for _ in range(40):
+            throw(address, draw.randbytes(draw.randrange(1, 300)))
+        throw(address, (2 ** 31).to_bytes(4, "big") + b"x" * 100)
+        throw(address, wire.encode("127.0.0.1:1", ("greet", 1))[:-1])
+        throw(address, wire.encode("127.0.0.1:1", ("greet", 1)))
+        throw(address, wire.encode("127.0.0.1:1", ("raft", [], {}, None, 3)))
+        for kind, pattern in contract.CONTRACTS.items():
+            for _ in range(10):
+                odd = [draw.choice((None, -1, "x", b"x", [], {}, [[1]], 1.5, True)) for _ in pattern]
+                throw(address, wire.encode("127.0.0.1:1", (kind, *odd)))
+        throw(address, wire.encode("127.0.0.1:1", ("ask", "127.0.0.1:1", "t", "submit", (1,))))
+
+
+@then("both still serve, and oversized or malformed calls get their status")
+def step_serve(context):
+    fleet = context.fleet
+    assert curio.run(fleet.until, fleet.served, 10, "service")
+    for name in ("accord0", "verge0"):
+        assert fleet.processes[name].poll() is None, f"{name} ended"
+
+    def status(method, target, document=None, headers=()):
+        answer = curio.run(fleet.call, method, target, document, headers)
+        assert isinstance(answer, http.Response), answer
+        return answer.status
+    assert status("POST", "/v1/tickets", [1]) == 400
+    assert status("POST", "/v1/tickets", {"queue": "none", "tasks": [{"name": "a"}]}) == 422
+    assert status("POST", "/v1/tickets", {"pad": "x" * constants.BODY_MOST}) == 413
+    assert status("GET", "/v1/tickets/t999") == 404
+    assert status("GET", "/v2/anything") == 404
+    assert status("PUT", "/v1/tickets") == 405
+    assert status("PUT", "/v1/setup", {"queues": {}}) == 428
+    assert status("PUT", "/v1/setup", {"queues": {}}, (("If-Match", '"1"'),)) == 422
+    assert status("PATCH", "/v1/setup", {}, (("If-Match", '"99"'),)) == 409
+    head = throw(fleet.verges[0][2], b"POST /v1/tickets HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n{bad}")
+    assert b" 400 " in head.split(b"\r\n")[0], head
--- /dev/null
+++ b/features/steps/store.py
@@ -0,0 +1,129 @@
+"""Steps for Store: real files in a folder of their own."""
+
+import errno
+import hashlib
+import os
+import tempfile
+from unittest import mock
+
+import cbor2
+from behave import given, then, when
+
+from pinepitch.accord.program import identity_of, open_store
+from pinepitch.ground import constants
+from pinepitch.ground.store import Damaged, Store
+
+
+def folder_of(context):
+    folder = tempfile.TemporaryDirectory(prefix="pinepitch-")
+    context.add_cleanup(folder.cleanup)
+    context.folder = folder.name
+    store = Store(folder.name)
+    store.load()
+    return store
+
+
+def path(context, version):
+    return os.path.join(context.folder, f"step-{version:016d}")
+
+
+@given("a store with {count:d} steps")
+def step_store(context, count):
+    store = folder_of(context)
+    for number in range(1, count + 1):
+        store.write_step([["note", ["identity", "old"]]] if number == 1 else [["raft", number]])
+    assert store.syncs == count
+
+
+@given("a store with 5 steps and a base after the third")
+def step_based(context):
+    store = folder_of(context)
+    for number in range(1, 6):
+        store.write_step(number)
+        if number == 3:
+            store.write_base("base", store.version)
+
+
+@given("a store whose writes fail for lack of space")
+def step_full(context):
+    context.store = folder_of(context)
+    context.store.write_step("first")
+
+
+@when("the newest file is cut short")
+def step_cut(context):
+    with open(path(context, 5), "r+b") as file:
+        file.truncate(40)
+
+
+@when("a bit of an older file is flipped")
+def step_flip(context):
+    with open(path(context, 2), "r+b") as file:
+        file.seek(33)
+        byte = file.read(1)
+        file.seek(33)
+        file.write(bytes([byte[0] ^ 1]))
+
+
+@when("a file between is gone")
+def step_gone(context):
+    os.unlink(path(context, 3))
+
+
+@when("a file has a newer version than known")
+def step_newer(context):
+    body = cbor2.dumps((constants.FILE_VERSION + 1, "from the future"))
+    with open(path(context, 5), "wb") as file:
+        file.write(hashlib.sha256(body).digest() + body)
+
+
+@when("a file written aside is left over")
+def step_aside(context):
+    with open(path(context, 6) + ".aside", "wb") as file:
+        file.write(b"half")
+
+
+@then("loading it again gives all 5 in order")
+def step_all(context):
+    base, steps = Store(context.folder).load()
+    assert base is None and len(steps) == 5 and [one[0][1] for one in steps[1:]] == [2, 3, 4, 5], steps
+    assert not [name for name in os.listdir(context.folder) if name.endswith(".aside")]
+
+
+@then("loading it again gives the base and the 2 later steps")
+def step_base(context):
+    assert Store(context.folder).load() == ("base", [4, 5])
+
+
+@then("loading it again gives the first 4")
+def step_four(context):
+    base, steps = Store(context.folder).load()
+    assert len(steps) == 4, steps
+    assert len(Store(context.folder).load()[1]) == 4
+
+
+@then("loading it again says that it is damaged")
+def step_damaged(context):
+    assert isinstance(Store(context.folder).load(), Damaged)
+
+
+@then("an accord on it starts with a new identity and keeps the old files aside")
+def step_new(context):
+    store, base, steps, why = open_store(context.folder)
+    assert why and base is None and not steps
+    assert identity_of(store, base, steps) != "old"
+    assert [name for name in os.listdir(context.folder) if name.startswith("damaged-")]
+    again = open_store(context.folder)
+    assert again[3] is None and identity_of(*again[:3]) == identity_of(*open_store(context.folder)[:3])
+
+
+@then("writing a step raises and the step is not there afterwards")
+def step_raises(context):
+    with mock.patch("os.write", side_effect=OSError(errno.ENOSPC, "no space")):
+        try:
+            context.store.write_step("second")
+        except OSError:
+            pass
+        else:
+            raise AssertionError("a full disk went unnoticed")
+    assert Store(context.folder).load() == (None, ["first"])
--- /dev/null
+++ b/features/store.feature
@@ -0,0 +1,36 @@
+Feature: Store
+  What was promised survives; what can't be trusted counts as empty.
+
+  Scenario: versions come back in order
+    Given a store with 5 steps
+    Then loading it again gives all 5 in order
+
+  Scenario: a base takes the place of what came before
+    Given a store with 5 steps and a base after the third
+    Then loading it again gives the base and the 2 later steps
+
+  Scenario: a torn newest file is dropped
+    Given a store with 5 steps
+    When the newest file is cut short
+    Then loading it again gives the first 4
+
+  Scenario Outline: <damage> means that the machine counts as empty
+    Given a store with 5 steps
+    When <damage>
+    Then loading it again says that it is damaged
+    And an accord on it starts with a new identity and keeps the old files aside
+
+    Examples:
+      | damage                                  |
+      | a bit of an older file is flipped       |
+      | a file between is gone                  |
+      | a file has a newer version than known   |
+
+  Scenario: a full disk promises nothing
+    Given a store whose writes fail for lack of space
+    Then writing a step raises and the step is not there afterwards
+
+  Scenario: files written aside and never renamed are forgotten
+    Given a store with 5 steps
+    When a file written aside is left over
+    Then loading it again gives all 5 in order
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -11,6 +11,7 @@
 import curio
 import curio.socket
 
+from ..world import contract
 from . import constants, events, http, wire
 from .env import split
 
@@ -218,6 +219,8 @@
             while True:
                 body = await wire.read_frame(stream)
                 frame = body if isinstance(body, wire.Refused) else wire.decode(body)
+                if not isinstance(frame, wire.Refused) and not contract.kept(frame[1]):
+                    frame = wire.Refused((f"a message that keeps no contract: {str(frame[1][0])[:40]}",))
                 if isinstance(frame, wire.Refused):
                     events.emit(self.log, 105, why=frame[0], peer=str(address))
                     return
--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -15,6 +15,7 @@
 from ..accord.record import Record
 from ..ground import constants, wire
 from ..verge.core import Verge
+from ..world import contract
 from . import caller as callers
 from .minion import StandInMinion
 
@@ -242,6 +243,8 @@
         if target is None or self.lost(node.name, target.name):
             return
         source, plain = wire.decode(wire.encode(node.address, message)[4:])
+        if not contract.kept(plain):
+            raise AssertionError(f"{node.name} breaks a contract: {message!r}")
         self.at(self.latency(), "give", target.name, target.life, tuple(plain))
         if self.double and self.draw.random() < self.double:
             self.at(self.latency() * 5, "give", target.name, target.life, tuple(plain))
--- /dev/null
+++ b/src/pinepitch/world/contract.py
@@ -0,0 +1,117 @@
+"""Contracts: what each message between our processes must look like.
+
+A pattern is a type, a tuple of patterns (an array of just these), a one-element list
+(an array of any length), MAYBE(pattern), PAIRS(key, value) for a map, or ANY.
+"""
+
+from typing import NamedTuple
+
+
+class Maybe(NamedTuple):
+    """None, or what the pattern says."""
+
+    pattern: object
+
+
+class Pairs(NamedTuple):
+    """A map. Invariant: every key and every value fits."""
+
+    key: object
+    value: object
+
+
+ANY = object()
+
+
+class Number:
+    """A float or whole number, no bool."""
+
+
+def fits(value, pattern):
+    """Whether a decoded value is what a contract says."""
+    if pattern is ANY:
+        return True
+    if pattern is Number:
+        return isinstance(value, (int, float)) and not isinstance(value, bool) and value == value
+    if isinstance(pattern, Maybe):
+        return value is None or fits(value, pattern.pattern)
+    if isinstance(pattern, Pairs):
+        return isinstance(value, dict) and all(
+            fits(key, pattern.key) and fits(one, pattern.value) for key, one in value.items())
+    if isinstance(pattern, list):
+        return isinstance(value, (list, tuple)) and all(fits(one, pattern[0]) for one in value)
+    if isinstance(pattern, tuple):
+        return (isinstance(value, (list, tuple)) and len(value) == len(pattern)
+                and all(map(fits, value, pattern)))
+    return isinstance(value, pattern) and not (pattern is int and isinstance(value, bool))
+
+
+ACCORD = (str, str, str)  # identity, area, address
+HISTORY = Pairs(int, str)
+COHORT = [(Pairs(str, str), str)]
+ENTRY = (int, Number, list)
+OUTCOME = (str, int, str)
+GREETING = (str, str, str, str, Maybe(str), [str], Number, [ACCORD], [str])
+
+RAFT = {
+    "prevote": (int, int, int),
+    "prevoted": (int, bool, Maybe(str), int, HISTORY),
+    "vote": (int, int, int),
+    "voted": (int, bool, Maybe(str), int, HISTORY),
+    "behind": (int,),
+    "stranger": (int, int),
+    "append": (int, int, int, [ENTRY], int, int),
+    "appended": (int, bool, Maybe(int), int),
+    "piece": (int, int, int, COHORT, int, int, bytes, int),
+    "pieced": (int, int, int, int),
+}
+# The registry of contracts: message kind -> pattern of what follows it.
+CONTRACTS = {
+    "greet": GREETING,
+    "greeted": (*GREETING, Maybe(str), Maybe(Number)),
+    "tell": (str, [(str, str, str, str)]),
+    "leave": (str,),
+    "join": (str, str, str),
+    "admit": (str, str, str),
+    "raft": (str, str, str, list),
+    "claim": (str, str),
+    "measured": (int, str, int, dict),
+    "ask": (str, str, str, list),
+    "news": (str, str, str, (int, int), [OUTCOME]),
+    "answer": (str, (int, ANY, Maybe(int))),
+    "elsewhere": (str, Maybe(str)),
+    "told": (str, (int, int), Maybe(dict), [dict], [(str, int, str)], Number, Number, [ACCORD], Maybe(str)),
+}
+# What a carried call's arguments must look like, by call.
+ARGUMENTS = {
+    "submit": (str, str, dict),
+    "ticket": (str,),
+    "tickets": (int, int, str, str, str),
+    "cancel": (str,),
+    "report": (str, str, str, int, [str], bool, str, int, Number, [(str, int)], [(str, int, str)]),
+    "drain": (str, bool),
+    "withdraw": (str, Number),
+    "area": (str, bool),
+    "setup": (int,),
+    "change": (Maybe(int), str, dict, str, str),
+    "back": (Maybe(int), int, str, str),
+    "draft": (int, dict, str, str),
+    "one-draft": (str,),
+    "rehearse": (str,),
+    "approve": (str, str, str),
+    "drop": (str,),
+    "whence": (str,),
+}
+
+
+def kept(message):
+    """Whether a message from another process keeps its contract."""
+    kind, *rest = message
+    if not isinstance(kind, str) or kind not in CONTRACTS or not fits(rest, CONTRACTS[kind]):
+        return False
+    if kind == "raft":
+        inner = rest[3]
+        return bool(inner) and isinstance(inner[0], str) and inner[0] in RAFT and fits(inner[1:], RAFT[inner[0]])
+    if kind == "ask":
+        return fits(rest[3], ARGUMENTS.get(rest[2], ()))
+    return True
