--- a/features/quorum.feature
+++ b/features/quorum.feature
@@ -29,3 +29,10 @@
   Scenario: the walk as printed, without adding groups up, is seen to lose a leader
     When 1500 seeded histories of dynamic elections are run with the printed walk
     Then some election misses the newest leader's commit quorum
+
+  Scenario: the sequence of Figure 2, in both modes
+    Given nine accords in three groups and the votes of Figure 2 in term 6
+    When S8 campaigns in term 7 while S1 and group 2 are away
+    Then in dynamic mode the election stays undecided, and in static mode it is won
+    And in dynamic mode it is won once S1 tells that it voted for neither
+    And in dynamic mode it stays open once S1 tells that it voted for S4, until group 2 agrees
--- a/features/steps/quorum.py
+++ b/features/steps/quorum.py
@@ -226,3 +226,37 @@
 @then("some election misses the newest leader's commit quorum")
 def step_unsound(context):
     assert context.broken, "no history showed the fault"
+
+
+@given("nine accords in three groups and the votes of Figure 2 in term 6")
+def step_figure(context):
+    members = {f"S{number}": f"group{(number + 2) // 3}" for number in range(1, 10)}
+    context.modes = {mode: Quorum(members, mode) for mode in ("static", "dynamic")}
+    voted = {"S2": {6: "S4"}, "S3": {6: "S7"}, "S7": {6: "S7"}, "S8": {}, "S9": {}}
+    context.replies = {one: Reply(True, "S1", 5, history) for one, history in voted.items()}
+
+
+@when("S8 campaigns in term 7 while S1 and group 2 are away")
+def step_campaign(context):
+    context.results = {mode: quorum.elects(context.replies, 7, "S1", 5) for mode, quorum in context.modes.items()}
+
+
+@then("in dynamic mode the election stays undecided, and in static mode it is won")
+def step_modes(context):
+    assert context.results["dynamic"] == (False, True), context.results
+    assert context.results["static"] == (True, True), context.results
+
+
+@then("in dynamic mode it is won once S1 tells that it voted for neither")
+def step_neither(context):
+    replies = {**context.replies, "S1": Reply(True, "S1", 5, {})}
+    assert context.modes["dynamic"].elects(replies, 7, "S1", 5).satisfied
+
+
+@then("in dynamic mode it stays open once S1 tells that it voted for S4, until group 2 agrees")
+def step_four(context):
+    replies = {**context.replies, "S1": Reply(True, "S1", 5, {6: "S4"})}
+    dynamic = context.modes["dynamic"]
+    assert not dynamic.elects(replies, 7, "S1", 5).satisfied
+    replies.update({one: Reply(True, "S1", 5, {6: "S4"}) for one in ("S4", "S5")})
+    assert dynamic.elects(replies, 7, "S1", 5).satisfied
--- a/features/trial.feature
+++ b/features/trial.feature
@@ -30,6 +30,17 @@
       | foul           |
       | storm          |
 
+  Scenario Outline: <weather> breaks no promise in dynamic mode
+    When the weather <weather> is tried in dynamic mode with seeds 1 to 3 on nine accords
+    Then no check finds a fault
+
+    Examples:
+      | weather      |
+      | kills        |
+      | leaders-fall |
+      | cuts         |
+      | power        |
+
   Scenario Outline: the planted fault <plant> is found
     Given the planted fault <plant>
     When the weather <weather> is tried with seeds 0 to 11 on every fleet in turn
@@ -52,6 +63,8 @@
       | base-ignored          | operators    | were accepted              |
       | refused-takes-effect  | operators    | a change that was refused  |
       | change-not-kept       | operators    | missing at day's end       |
+      | news-kept-back        | operators    | not in force at every      |
+      | gangs-apart           | scattered    | did not start together     |
       | failed-counts-as-done | calm         | shown finished             |
       | slow-elections        | outage       | service was back only      |
       | votes-twice           | foul         | two leaders                |
--- a/src/pinepitch/proof/plants.py
+++ b/src/pinepitch/proof/plants.py
@@ -143,6 +143,7 @@
     "base-ignored": [(Record, "_change", _no_base)],
     "refused-takes-effect": [(Record, "_change", _takes_refused)],
     "change-not-kept": [(Record, "_take_setup", _forgetful)],
+    "news-kept-back": [(core.Accord, "_news_version", lambda self: (self.consensus.term, 0))],
     "failed-counts-as-done": [(Record, "_end", _as_if_done)],
     "slow-elections": [(constants, "ELECTION_TIMEOUT", 15.0), (constants, "CHECK_QUORUM", 15.0)],
     "amnesia": [(simulator.Simulator, "wipe", _keep_identity)],
