--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -319,7 +319,7 @@
     return ("answer", (200, {
         "tickets": states, "waiting": dict(record.waiting), "running": dict(record.used),
         "entries": consensus.last_index(), "commit": consensus.commit, "term": consensus.term,
-        "saves": consensus.saved_sequence, "messages": core.counts["sent"], "minions": len(core.minions),
+        "syncs": core.counts["syncs"], "rounds": core.rounds, "messages": core.counts["sent"], "minions": len(core.minions),
         "setup_version": record.version, "on_trial": sum(one.poor() for one in core.minions.values()),
     }, None))
 
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -41,7 +41,7 @@
         self.claim_at = -1e9
         self.out_since = {}  # member -> when its session was first missed
         self.applied_outcomes = {}
-        self.counts = {"applied": 0, "sent": 0}
+        self.counts = {"applied": 0, "sent": 0, "syncs": 0}
         self._clear_lead()
 
     def _clear_lead(self):
@@ -58,6 +58,7 @@
         self.lead_since = None
         self.place_at = self.watch_at = -1e9
         self.placing_busy = 0
+        self.rounds = 0
         self.proposed_ends = set()
         self.moving = set()
         self.news_serial = 0
@@ -346,6 +347,7 @@
         self._run(self.consensus.step(sender, message, now), now)
 
     def _on_saved(self, sequence, now):
+        self.counts["syncs"] += 1
         self._run(self.consensus.saved(sequence, now), now)
 
     def _on_encoded(self, index, data, now):
@@ -602,6 +604,7 @@
         self.place_at = now
         if self.placing_busy:
             return
+        self.rounds += 1
         verges = [(one.identity, one.area) for one in self.sessions.live("verge")]
         items, yields = self.placer.round(self.record, self.minions, verges, now, self._now(now))
         if items:
