Place as soon as something applied may let a task be placed

Cause: a ticket accepted in 10 ms waited for the next 50 ms round, on the 25 ms tick: two thirds of its start latency. Ruled out: commit (accept median 9 to 17 ms both sides), the verge's news question (answered at once when orders are there). A round now follows the step that applied something, at most one in 10 ms, and every 100 ms for what time brings. It is never begun within applying, since its save would overtake the one under way.

--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -59,6 +59,7 @@
         self.place_at = self.watch_at = -1e9
         self.placing_busy = 0
         self.rounds = 0
+        self.place_due = False  # whether what was applied may let a task be placed
         self.proposed_ends = set()
         self.moving = set()
         self.news_serial = 0
@@ -99,6 +100,8 @@
         handler = INPUTS.get(kind)
         if handler is not None:
             handler(self, *rest, now)
+        if self.place_due and now - self.place_at >= constants.PLACE_EVERY:
+            self._place(now)
         effects, self.effects = self.effects, []
         return effects
 
@@ -593,17 +596,20 @@
         for verge in list(self.asks):
             if verge in self.asks:
                 self._tell_news(verge, now)
-        gathered = now - self.lead_since >= constants.GATHER
-        if self.epoch > 0 and gathered and now - self.place_at >= constants.PLACE_EVERY:
+        if now - self.place_at >= constants.PLACE_IDLE:
             self._place(now)
         if now - self.watch_at >= constants.WATCH_EVERY:
             self.watch_at = now
             self._watch(now)
 
     def _place(self, now):
-        self.place_at = now
-        if self.placing_busy:
+        """One round: at once when something was applied that may let a task be placed, and
+        now and then for what only time brings. Never from within applying, whose own
+        save must go first."""
+        if (self.placing_busy or self.epoch <= 0 or not self.consensus.serving()
+                or now - self.lead_since < constants.GATHER):
             return
+        self.place_at, self.place_due = now, False
         self.rounds += 1
         verges = [(one.identity, one.area) for one in self.sessions.live("verge")]
         items, yields = self.placer.round(self.record, self.minions, verges, now, self._now(now))
@@ -652,6 +658,7 @@
     def _heed(self, operation, outcome, now):
         """What the leader does about an entry that was applied just now."""
         kind = operation[0]
+        self.place_due = True
         if kind == "duty" and operation[2] == self.identity and operation[1] == "placing":
             if self.epoch == -1:
                 self.epoch = outcome[1]
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -39,7 +39,8 @@
 CLOCK_FRESH = 2.0  # seconds; a clock reading older than this has no say in the median
 
 # --- placing and orders --------------------------------------------------------------
-PLACE_EVERY = 0.05  # seconds; between two placing rounds, many tasks to an entry
+PLACE_EVERY = 0.01  # seconds; between two placing rounds, many tasks to an entry
+PLACE_IDLE = 0.1  # seconds; a round for what only time brings: not-before, retries, minions
 PLACE_MOST = 200  # tasks; in one placing entry
 PLACE_LOOK = 400  # tasks; looked at per queue in one round, bounds the cost of a backlog
 SEND_WITHIN = 1.5  # seconds; after commit an order may be sent this long, then never
