One piece for what stood twice; events that were catalogued but never told are told

Checks share one reading of what ended well, drafts one refusal, voluptuous shapes one reader, disturbances one way to kill an accord. Events 110, 112 and 156 are now emitted where their meaning says.

--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -9,7 +9,7 @@
 from ..ground import constants
 from ..world import row as rows
 from ..world.minion import Report
-from ..world.task import FINAL, reference
+from ..world.task import reference
 
 
 class Call(NamedTuple):
@@ -124,9 +124,12 @@
     fields[4] = tuple(fields[4])
     fields[9] = tuple(map(tuple, fields[9]))
     fields[10] = tuple(map(tuple, fields[10]))
-    ends, acknowledged, strays = core.take_report(Report(*fields), now)
+    report = Report(*fields)
+    ends, acknowledged, strays = core.take_report(report, now)
     for ref, attempt in strays:
         core.kills.setdefault(ref, now)
+        if core.record.find(ref) is None:
+            core._event(156, task=ref, attempt=attempt, minion=report.minion)
     fresh = [one for one in ends if one[:2] not in core.proposed_ends]
     told = [one[:2] for one in fresh if one[2] not in ("never", "lost")]
     if fresh:
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -185,7 +185,7 @@
         view = () if self.cohort else self.founding.view(now)
         clock = self.time.readings[self.identity][0] + now
         return (self.identity, "accord", self.area, self.address, self.cohort, view, clock,
-                self.sessions.known_accords(now), self.founders)
+                self.sessions.known_accords(), self.founders)
 
     def _greet(self, now):
         message = ("greet", *self._greeting(now))
@@ -277,6 +277,8 @@
         if now - self.join_at < constants.JOIN_AGAIN or self.stopping:
             return
         self.join_at = now
+        if self.cohort is None:
+            self._event(112, cohort=self.founding.veto(now))
         for session in self.sessions.live("accord"):
             self._send(session.address, ("join", self.identity, self.area, self.address))
 
@@ -518,7 +520,7 @@
                 "withdrawn": sorted(self.record.withdrawn),
             }
         self._send(address, ("told", token, version, body, orders, kills, self._now(now), now - asked,
-                             self.sessions.known_accords(now), self.cohort))
+                             self.sessions.known_accords(), self.cohort))
 
     def _due_orders(self, verge, now):
         """Orders a verge has not yet taken; what was called off meanwhile is dropped."""
@@ -662,6 +664,8 @@
         if kind == "duty" and operation[2] == self.identity and operation[1] == "placing":
             if self.epoch == -1:
                 self.epoch = outcome[1]
+                if self.epoch == 1:
+                    self._event(110, cohort=self.cohort)
                 self._event(150, epoch=self.epoch)
                 self._resend_orders(now)
         elif kind == "place":
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -354,7 +354,7 @@
             ticket, task, standing = self.find(ref)
             standing = standing._replace(
                 state="placed", attempt=standing.attempt + 1, minion=minion, incarnation=incarnation,
-                verge=verge, send_by=self.time + constants.SEND_WITHIN, sent="", yields_to="",
+                verge=verge, send_by=self.time + constants.SEND_WITHIN, yields_to="",
                 charges=tuple(tuple(one) for one in charges), since=self.time,
             )
             self.waiting[queue] -= 1
@@ -528,15 +528,21 @@
     def _change_draft(self, identity, **changed):
         self.drafts = self.drafts.set(identity, {**self.drafts[identity], **changed})
 
-    def _rehearse(self, identity, rooms):
-        """Asks the holder of the rehearsal duty to measure a draft on these rooms."""
+    def _draft_refusal(self, identity):
+        """Why a draft can't be gone on with, or None."""
         draft = self.drafts.get(identity)
         if draft is None:
             return ("missing",)
         if draft["state"] == "approved":
             return ("ended", "approved")
-        if draft["base"] != self.version:
-            return ("conflict", self.version)
+        return ("conflict", self.version) if draft["base"] != self.version else None
+
+    def _rehearse(self, identity, rooms):
+        """Asks the holder of the rehearsal duty to measure a draft on these rooms."""
+        refusal = self._draft_refusal(identity)
+        if refusal is not None:
+            return refusal
+        draft = self.drafts[identity]
         self._change_draft(identity, state="rehearsing", measure=None, rooms=rooms, asked=draft["asked"] + 1)
         return ("draft", identity)
 
@@ -555,13 +561,10 @@
         return self._once(mark, lambda: self._approve_once(identity, who, why))
 
     def _approve_once(self, identity, who, why):
-        draft = self.drafts.get(identity)
-        if draft is None:
-            return ("missing",)
-        if draft["state"] == "approved":
-            return ("ended", "approved")
-        if draft["base"] != self.version:
-            return ("conflict", self.version)
+        refusal = self._draft_refusal(identity)
+        if refusal is not None:
+            return refusal
+        draft = self.drafts[identity]
         if draft["state"] != "measured" or draft["measure"]["verdict"] == "not measured":
             return ("unmeasured",)
         if draft["measure"]["verdict"] != "better":
--- a/src/pinepitch/accord/sessions.py
+++ b/src/pinepitch/accord/sessions.py
@@ -67,6 +67,6 @@
         known = self.accords.get(identity)
         return known[1] if known else None
 
-    def known_accords(self, now):
+    def known_accords(self):
         """(identity, area, address) of accords live now, for those who ask."""
         return tuple((one.identity, one.area, one.address) for one in self.live("accord"))
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -29,7 +29,6 @@
 SEEDS = 3  # addresses; what every daemon is given to find the others by
 GREET_EVERY = 0.25  # seconds; how often a daemon renews its session
 SESSION_LASTS = 1.5  # seconds; silence after which a session has fallen
-TELL_EVERY = 0.25  # seconds; how often accords tell each other their sessions
 ADDRESS_FORGET = 600.0  # seconds; an address nobody vouched for is dropped after this
 NEWS_HOLD = 0.5  # seconds; a news question is answered after this even if nothing is new
 STALE_AFTER = 2.0  # seconds; a verge without news this long says that it is stale
--- a/src/pinepitch/proof/checks.py
+++ b/src/pinepitch/proof/checks.py
@@ -18,6 +18,16 @@
     return starts, ends
 
 
+def ended_well(ends):
+    """task -> when it first ended well."""
+    well = {}
+    for (ref, _), over in ends.items():
+        for when, how, _ in over:
+            if how == "done":
+                well[ref] = min(when, well.get(ref, when))
+    return well
+
+
 def never_twice(minion_history, repeating=()):
     """No task runs twice at once, none starts again after it has ended well. An end that
     its minion took along when it died is excused for the tickets in `repeating` alone."""
@@ -47,12 +57,7 @@
 def in_order(minion_history, documents):
     """No task starts before its forerunners ended well, nor a tenth of a second early."""
     starts, ends = starts_and_ends(minion_history)
-    well = {}
-    for (ref, _), over in ends.items():
-        for when, how, _ in over:
-            if how == "done":
-                well[ref] = min(when, well.get(ref, when))
-    faults = []
+    well, faults = ended_well(ends), []
     for ticket, document in documents.items():
         for task in document["tasks"]:
             for when, *_ in starts.get(f"{ticket}/{task['name']}", ()):
@@ -125,12 +130,7 @@
 def finished_truly(caller_history, minion_history):
     """A ticket shown finished has every task ended well on a minion, before it was shown."""
     _, ends = starts_and_ends(minion_history)
-    well = {}
-    for (ref, _), over in ends.items():
-        for when, how, _ in over:
-            if how == "done":
-                well[ref] = min(when, well.get(ref, when))
-    faults = []
+    well, faults = ended_well(ends), []
     for event in caller_history:
         if event[0] == "final" and event[3] == "finished":
             for task in event[4]:
--- a/src/pinepitch/proof/disturb.py
+++ b/src/pinepitch/proof/disturb.py
@@ -9,11 +9,6 @@
 from ..ground import http
 
 
-async def _leader(fleet):
-    answer = await fleet.until(lambda: fleet.call("GET", "/v1/cohort"), 20, "the cohort")
-    return answer.document
-
-
 async def _leader_place(fleet):
     async def found():
         answer = await fleet.call("GET", "/v1/cohort", verge=time.time_ns())
@@ -32,17 +27,16 @@
 
 
 async def kill_leader(fleet):
-    place = await _leader_place(fleet)
-    fleet.kill(f"accord{place}")
-    back = await _back_within(fleet)
-    await curio.sleep(2)
-    fleet.start_accord(place)
-    return {"killed": place, "served_again_after": back}
+    return await _kill_beside_leader(fleet, 0)
 
 
 async def kill_accord(fleet):
-    leader = await _leader_place(fleet)
-    place = (leader + 1) % len(fleet.accords)
+    return await _kill_beside_leader(fleet, 1)
+
+
+async def _kill_beside_leader(fleet, step):
+    """An accord dies hard, `step` places after the leader, and comes back."""
+    place = (await _leader_place(fleet) + step) % len(fleet.accords)
     fleet.kill(f"accord{place}")
     back = await _back_within(fleet)
     await curio.sleep(2)
--- a/src/pinepitch/world/minion.py
+++ b/src/pinepitch/world/minion.py
@@ -5,7 +5,7 @@
 import voluptuous
 
 from ..ground import constants, env
-from .ticket import _number, _whole, faults_of, name
+from .ticket import _number, _whole, name, shaped
 
 
 class Report(NamedTuple):
@@ -48,10 +48,9 @@
 
 def checked(document):
     """(Report, ()) or (None, faults)."""
-    try:
-        plain = SHAPE(document)
-    except voluptuous.MultipleInvalid as several:
-        return None, faults_of(several)
+    plain, faults = shaped(SHAPE, document)
+    if faults:
+        return None, faults
     for field in ("running", "ended"):
         for place, one in enumerate(plain[field]):
             if not isinstance(one[0], str) or type(one[1]) is not int:
--- a/src/pinepitch/world/row.py
+++ b/src/pinepitch/world/row.py
@@ -5,7 +5,7 @@
 import voluptuous
 
 from ..ground import constants
-from .ticket import _number, _whole, faults_of, name
+from .ticket import _number, _whole, name, shaped
 
 
 class Row(NamedTuple):
@@ -59,10 +59,9 @@
 
 def checked(document):
     """(whole setup, ()) or (None, faults), every fault named by its path."""
-    try:
-        plain = SHAPE(document)
-    except voluptuous.MultipleInvalid as several:
-        return None, faults_of(several)
+    plain, faults = shaped(SHAPE, document)
+    if faults:
+        return None, faults
     faults = []
     total = 0
     for queue, row in plain["queues"].items():
--- a/src/pinepitch/world/task.py
+++ b/src/pinepitch/world/task.py
@@ -36,7 +36,6 @@
     incarnation: str = ""
     verge: str = ""
     send_by: float = 0.0
-    sent: str = ""  # "", "sent", "unknown"
     yields_to: str = ""  # a task reference, "move" or "limit", while it is to stop
     charges: tuple = ()  # ((queue, credits), ...) that lent for it
     since: float = 0.0
--- a/src/pinepitch/world/ticket.py
+++ b/src/pinepitch/world/ticket.py
@@ -77,17 +77,19 @@
 })
 
 
-def faults_of(several):
-    """The (path, message) pairs of a voluptuous refusal."""
-    return tuple((".".join(map(str, one.path)), one.msg) for one in several.errors)
+def shaped(shape, document):
+    """(plain, ()) or (None, the (path, message) pairs of voluptuous's refusal)."""
+    try:
+        return shape(document), ()
+    except voluptuous.MultipleInvalid as several:
+        return None, tuple((".".join(map(str, one.path)), one.msg) for one in several.errors)
 
 
 def checked(document):
     """(plain document, ()) or (None, faults), every fault named by its path."""
-    try:
-        plain = SHAPE(document)
-    except voluptuous.MultipleInvalid as several:
-        return None, faults_of(several)
+    plain, faults = shaped(SHAPE, document)
+    if faults:
+        return None, faults
     faults = []
     names = [task["name"] for task in plain["tasks"]]
     known = {}
