Ends proven within one tick become one entry

Cause: each report with an end was an entry and, with the disk idle, a sync of its own: 9 entries a ticket, most of them ends. Ruled out: the saves' own coalescing (it only helps while a sync is under way) and placements (already one entry a round). Ends are gathered and proposed on the 25 ms tick; every report still waits for the commit of its own.

--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -1,7 +1,7 @@
 """Calls: what verges may carry to the leader. The registry at the end names them all.
 
 A reading call answers from the record once leadership is confirmed; a deciding one
-answers at once or names an operation to agree on. An answer is (status, document, retry).
+answers at once, or names an operation to agree on, or ends to agree on with others'. An answer is (status, document, retry).
 """
 
 from typing import Callable, NamedTuple
@@ -133,8 +133,7 @@
     fresh = [one for one in ends if one[:2] not in core.proposed_ends]
     told = [one[:2] for one in fresh if one[2] not in ("never", "lost")]
     if fresh:
-        core.proposed_ends.update(one[:2] for one in fresh)
-        return ("agree", ("ended", tuple(fresh)), "report", (acknowledged, strays, told))
+        return ("ends", fresh, (acknowledged, strays, told))
     return ("answer", (200, {"acknowledged": [list(one) for one in acknowledged],
                              "kill": [list(one) for one in strays], "time": core._now(now)}, None))
 
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -61,6 +61,7 @@
         self.rounds = 0
         self.place_due = False  # whether what was applied may let a task be placed
         self.proposed_ends = set()
+        self.ends, self.ends_waiting = [], []
         self.moving = set()
         self.news_serial = 0
         self.retire_at = -1e9
@@ -386,7 +387,7 @@
                 self._answer_read(effect[1], now)
 
     def _unlead(self):
-        for waiting in self.awaiting.values():
+        for waiting in (*self.awaiting.values(), self.ends_waiting):
             for address, token, _, _ in waiting:
                 if token is not None:
                     self._send(address, ("elsewhere", token, None))
@@ -444,7 +445,9 @@
     def _decide(self, address, token, handler, arguments, now):
         """Asks a handler for an answer at once or an operation to agree on."""
         made = handler.make(self, token, arguments, now)
-        if made[0] == "answer":
+        if made[0] == "ends":
+            self._propose_ends(made[1], (address, token, "report", made[2]), now)
+        elif made[0] == "answer":
             self.in_hand.discard(token)
             self._send(address, ("answer", token, made[1]))
         else:
@@ -494,11 +497,21 @@
         self._tell_news(verge, now)
 
     def _propose_ends(self, items, waiting, now):
-        fresh = tuple(one for one in items if one[:2] not in self.proposed_ends)
-        if fresh:
-            self.proposed_ends.update(one[:2] for one in fresh)
-            self.propose(("ended", fresh), waiting, now)
-        return bool(fresh)
+        """Gathers proven ends; those of one tick become one entry and so one sync."""
+        fresh = [one for one in items if one[:2] not in self.proposed_ends]
+        self.proposed_ends.update(one[:2] for one in fresh)
+        self.ends.extend(fresh)
+        if waiting is not None and fresh:
+            self.ends_waiting.append(waiting)
+        return fresh
+
+    def _propose_gathered(self, now):
+        """One entry for all ends gathered, its outcome told to all who wait."""
+        if self.ends:
+            ends, waiting = tuple(self.ends), self.ends_waiting
+            self.ends, self.ends_waiting = [], []
+            self.awaiting.setdefault(self.consensus.last_index() + 1, []).extend(waiting)
+            self.propose(("ended", ends), None, now)
 
     def _news_version(self):
         return (self.consensus.term, self.news_serial)
@@ -591,6 +604,7 @@
     def _lead_tick(self, now):
         if not self.consensus.serving():
             return
+        self._propose_gathered(now)
         self._tend_members(now)
         if not self.epoch:
             self.epoch = -1
