--- a/src/pinepitch/proof/trial.py
+++ b/src/pinepitch/proof/trial.py
@@ -460,9 +460,21 @@
     operator.faults.extend(checks.gangs_together(simulator.minion_history, documents))
 
 
+def _cancel_running(simulator, operator):
+    """Cancels a ticket whose first task has long to run."""
+    caller, key = simulator.callers["caller"], f"long-{simulator.now:.3f}"
+    caller.retry.append((operator.now(), key, {"queue": "default", "urgency": 5, "key": key, "tasks": [
+        {"name": "s0", "work": {"seconds": 10.0}}, {"name": "s1", "after": ["s0"]}]}))
+    simulator.run(1.5)
+    for ticket, one in caller.accepted.items():
+        if one[0] == key:
+            simulator._caller_calls("caller", caller.cancel(ticket, operator.now()))
+
+
 def operators(simulator, operator):
     """Operators race: changes on one version, drains against placing, cancels."""
     draw = simulator.draw
+    _cancel_running(simulator, operator)
     for turn in range(8):
         manner = draw.choice(("race", "change", "drain", "empty", "cancel", "cancel"))
         row = draw.choice(("default", "urgent", "feeds"))
