--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -134,8 +134,7 @@
     told = [one[:2] for one in fresh if one[2] not in ("never", "lost")]
     if fresh:
         return ("ends", fresh, (acknowledged, strays, told))
-    return ("answer", (200, {"acknowledged": [list(one) for one in acknowledged],
-                             "kill": [list(one) for one in strays], "time": core._now(now)}, None))
+    return ("answer", _report_answer(core, None, (acknowledged, strays, ()), now))
 
 
 def _minions(core, token, arguments, now):
