--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -38,12 +38,32 @@
 def _submit(core, token, arguments, now):
     key, digest, plain = arguments
     record = core.record
-    refusal = record.known(key, digest) or record.ticket_refusal(plain)
+    parked = _impossible(core, plain, now)
+    refusal = record.known(key, digest) or record.ticket_refusal(plain, parked)
     if refusal is not None:
         if refusal[0] == "shed":
             core._event(170, queue=plain["queue"], why=refusal[1])
         return ("answer", _submit_answer(core, refusal))
-    return ("agree", ("ticket", key, digest, plain), "submit", None)
+    return ("agree", ("ticket", key, digest, plain, parked), "submit", None)
+
+
+def _impossible(core, plain, now):
+    """Why no known minion, heard of late or not, could take some task, or ''. A leader that
+    has not yet gathered its minions rules nothing out."""
+    if not core.minions or now - core.lead_since < constants.GATHER:
+        return ""
+    seen = set()
+    for task in plain["tasks"]:
+        shape = (task["units"], frozenset(task["labels"]))
+        if shape in seen:
+            continue
+        seen.add(shape)
+        rooms = [one.report.room for one in core.minions.values() if shape[1] <= set(one.report.labels)]
+        if not rooms:
+            return f"task {task['name']} asks for {', '.join(sorted(shape[1]))}, which no known minion has"
+        if max(rooms) < shape[0]:
+            return f"task {task['name']} asks for {shape[0]} units, over the {max(rooms)} of any fitting minion"
+    return ""
 
 
 def _submit_answer(core, outcome, extra=None, now=None):
@@ -62,7 +82,7 @@
     """A ticket without its tasks."""
     return {"ticket": ticket.identity, "key": ticket.key, "queue": ticket.queue, "kind": ticket.kind,
             "urgency": ticket.urgency, "due": ticket.due, "accepted": ticket.accepted, "state": ticket.state,
-            "ended": ticket.ended_at, "tasks": len(ticket.tasks)}
+            "ended": ticket.ended_at, "tasks": len(ticket.tasks), "parked": ticket.parked}
 
 
 def whole(ticket):
@@ -290,7 +310,8 @@
 def _pending(core, token, arguments, now):
     record = core.record
     return ("answer", (200, {"queues": [
-        {"queue": queue, "waiting": record.waiting.get(queue, 0), "running_units": record.used.get(queue, 0),
+        {"queue": queue, "waiting": record.waiting.get(queue, 0),
+         "parked": record.parked.get(queue, 0), "running_units": record.used.get(queue, 0),
          "credits": record.balance(queue), "share": row.share, "limit": row.limit, "bound": row.pending}
         for queue, row in sorted(record.rows.items())]}, None))
 
@@ -367,7 +388,7 @@
         return f"not before {begins:.3f}"
     if reference(ticket.identity, task.name) in core.placer.proposed:
         return "proposed, not yet agreed"
-    return core.placer.why.get((ticket.identity, task.name), "not yet looked at")
+    return core.placer.reason(core.record, ticket, task.name)
 
 
 def _candidates(core, task, now):
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -153,7 +153,7 @@
             return
         draft = min(asked, key=lambda one: one["time"])
         self.rehearsing = (draft["draft"], draft["asked"])
-        self.effects.append(("rehearse", (epoch, draft["draft"], draft["asked"], rehearsal.traffic(self.record),
+        self.effects.append(("rehearse", (epoch, draft["draft"], draft["asked"], self.record.sample.traffic(self.record.tickets),
                                           self.record.setup, draft["setup"], draft["rooms"])))
 
     def _to_leader(self, message, now):
--- a/src/pinepitch/accord/placing.py
+++ b/src/pinepitch/accord/placing.py
@@ -4,10 +4,14 @@
 checks each again when it is applied.
 """
 
+import heapq
+import itertools
 from typing import NamedTuple
 
 from ..ground import constants
-from ..world.task import reference
+from ..world.task import reference, unit_of
+
+SHORT = ("no room", "no credits", "the queue's limit")  # what ends in room being held back
 
 
 class Seat(NamedTuple):
@@ -22,50 +26,120 @@
     poor: bool
 
 
+class Wanted(NamedTuple):
+    """A unit of a ticket that could start now. Invariant: names are its waiting tasks."""
+
+    ticket: object
+    unit: str
+    names: tuple
+    shape: tuple  # (queue, units and labels of each): what none fits of, none fits
+
+
+class Round:
+    """What one round knows. Invariants: free counts every reservation in the record, every
+    one proposed, and those of this round; what is held back is for the unit named alone."""
+
+    def __init__(self, seats, free):
+        self.seats, self.free = seats, free
+        self.borrowed, self.used = {}, {}
+        self.held = {}  # minion -> (units, (ticket, unit)) held back there
+        self.queues = {}  # queue -> (units, (ticket, unit)) of its credits and limit held back
+
+    def kept(self, held, key, wanted):
+        """Units that are held back from `wanted`."""
+        units, owner = held.get(key, (0, None))
+        return 0 if owner == (wanted.ticket.identity, wanted.unit) else units
+
+
 class Placer:
     """Invariants: proposed holds each reference proposed and not yet applied, so that no
-    round proposes one twice; why holds the newest reason that a waiting task waits."""
+    round proposes one twice; why holds, for a shape of which the newest round placed not
+    all, the reason; short holds when each unit that now lacks room, credits or a place
+    under its limit was first seen to."""
 
     def __init__(self):
         self.proposed = {}
         self.why = {}
+        self.short = {}
         self._minion_of = {}
         self.turn = 0
 
     def round(self, record, minions, verges, now, time):
         """(place items, yield items) of one round."""
-        seats, free = self._seats(record, minions, now)
+        record.ripen(time)
+        this = Round(*self._seats(record, minions, now))
         if not verges:
             return (), ()
-        borrowed, used = {}, {}
         for charges, queue, units in self.proposed.values():
-            used[queue] = used.get(queue, 0) + units
+            this.used[queue] = this.used.get(queue, 0) + units
             for lender, credits in charges:
-                borrowed[lender] = borrowed.get(lender, 0) + credits
-        items, wanting = [], []
-        hopeless = {}  # shape of a task -> why none of it fits: within a round room only shrinks
-        for ticket, names in self._candidates(record, time):
+                this.borrowed[lender] = this.borrowed.get(lender, 0) + credits
+        items, wanting, self.why = [], [], {}
+        oldest = self._hold_back(record, this, now)
+        for wanted in itertools.chain(oldest, self._candidates(record)):
             if len(items) >= constants.PLACE_MOST:
                 break
-            task = ticket.tasks[names[0]]
-            shape = (ticket.queue, task.units, task.labels) if not task.gang else None
-            group = hopeless.get(shape)
-            if group is None:
-                group = self._fit(record, ticket, names, seats, free, borrowed, used, verges)
+            ticket = wanted.ticket
+            group = self._fit(record, wanted, this, verges)
+            key = (ticket.identity, wanted.unit)
             if isinstance(group, str):
-                if shape is not None:
-                    hopeless[shape] = group
-                for name in names:
-                    self.why[(ticket.identity, name)] = group
+                self.why[wanted.shape] = group
+                if group in SHORT:
+                    self.short.setdefault(key, now)
+                else:
+                    self.short.pop(key, None)
                 if group == "no room":
-                    wanting.append((ticket, names))
+                    wanting.append((ticket, wanted.names))
                 continue
+            self.short.pop(key, None)
             for item in group:
                 name = item[0].partition("/")[2]
-                self.why.pop((ticket.identity, name), None)
                 self.proposed[item[0]] = (item[6], ticket.queue, ticket.tasks[name].units)
             items.extend(group)
-        return tuple(items), tuple(self._yields(record, wanting, seats, free, time))
+        return tuple(items), tuple(self._yields(record, wanting, this.seats, this.free, time))
+
+    def reason(self, record, ticket, name):
+        """Why a task that could start was not placed by the newest round."""
+        spot = record.spots.get((ticket.identity, unit_of(ticket.tasks[name])))
+        return self.why.get((spot[1], spot[3]), "not yet looked at") if spot else "its gang is not ready"
+
+    def _hold_back(self, record, this, now):
+        """For the unit of each queue that has been short the longest, and long enough:
+        room on the minions where it will fit first, and its queue's credits and limit.
+        Others still get what is left beside that, which delays it by nothing."""
+        self.short = {key: since for key, since in self.short.items() if key in record.spots}
+        oldest = []
+        for key, since in sorted(self.short.items(), key=lambda one: (one[1], one[0])):
+            identity, unit = key
+            begins, queue, _, shape, _ = record.spots[key]
+            ticket, row = record.tickets[identity], record.rows[queue]
+            names = record.members(ticket, unit)
+            if (queue in this.queues or begins > record.ripe_at
+                    or reference(identity, names[0]) in self.proposed):
+                continue
+            apart = unit[0] == "/" and len(names) < sum(task.gang == unit[1:] for task in ticket.tasks.values())
+            if now - since < (constants.PREEMPT_WAIT if row.preempts or apart else constants.HOLD_WAIT):
+                continue
+            held = self._hold_room(ticket, names, this)
+            if held is not None:
+                this.queues[queue] = (sum(ticket.tasks[name].units for name in names), key)
+                this.held.update({minion: (units, key) for minion, units in held.items()})
+                oldest.append(Wanted(ticket, unit, names, (queue, shape)))
+        return oldest
+
+    def _hold_room(self, ticket, names, this):
+        """minion -> units to hold back for a unit, where most is free; None if it fits nowhere."""
+        taken = {}
+        for name in sorted(names, key=lambda one: (-ticket.tasks[one].units, one)):
+            task = ticket.tasks[name]
+            fitting = [seat for seat in this.seats if frozenset(task.labels) <= seat.labels and not seat.poor
+                       and seat.minion not in this.held and seat.room - taken.get(seat.minion, 0) >= task.units]
+            if not fitting:
+                return None
+            best = max(fitting, key=lambda seat: (
+                this.free[seat.minion] - taken.get(seat.minion, 0), -len(seat.labels), seat.minion))
+            taken[best.minion] = taken.get(best.minion, 0) + task.units
+        return taken
 
     def _seats(self, record, minions, now):
         """Minions that may get work, and the units free on each."""
@@ -87,62 +161,53 @@
             seats.append(Seat(name, report.area, report.room, frozenset(report.labels), report.incarnation, poor))
         return seats, free
 
-    def _candidates(self, record, time):
-        """Tickets with their startable tasks (a gang together), most urgent first, queues
-        in turn by how little of their share they use."""
+    def _candidates(self, record):
+        """What could start now: most urgent first, queues in turn by how little of their
+        share they use, within a queue by due. A shape of which one did not fit is left."""
         heads = []
-        for queue in record.ready:
+        for queue, levels in record.ready.items():
             row = record.rows.get(queue)
             if row is None:
                 continue
             load = record.used.get(queue, 0) / max(1, row.share)
-            for urgency, level in record.ready[queue].items():
-                heads.append((-urgency, load, queue, level))
+            heads.extend((-urgency, load, queue, shapes) for urgency, shapes in levels.items())
         heads.sort(key=lambda one: one[:3])
-        for _, _, queue, level in heads:
-            looked, gangs = 0, set()
-            for identity, name in level:
-                looked += 1
-                if looked > constants.PLACE_LOOK:
-                    break
-                ticket = record.tickets[identity]
-                task, standing = ticket.tasks[name], ticket.standings[name]
-                if reference(identity, name) in self.proposed:
-                    continue
-                if time < max(task.not_before, standing.earliest):
-                    self.why[(identity, name)] = "not before its time"
-                    continue
-                if not task.gang:
-                    yield ticket, (name,)
+        for _, _, queue, shapes in heads:
+            cursors = [(entries[0], shape, 0) for shape, entries in shapes.items()]
+            heapq.heapify(cursors)
+            while cursors:
+                entry, shape, place = cursors[0]
+                if (queue, shape) in self.why:
+                    heapq.heappop(cursors)
                     continue
-                if (identity, task.gang) in gangs:
-                    continue
-                gangs.add((identity, task.gang))
-                members = [one for one, other in ticket.tasks.items()
-                           if other.gang == task.gang and ticket.standings[one].state == "waiting"]
-                early = any(time < max(ticket.tasks[one].not_before, ticket.standings[one].earliest)
-                            for one in members)
-                blocked = any(record.fronts[identity][one] for one in members)
-                if early or blocked:
-                    self.why[(identity, name)] = "its gang is not ready"
-                    continue
-                yield ticket, tuple(members)
+                if place + 1 < len(shapes[shape]):
+                    heapq.heapreplace(cursors, (shapes[shape][place + 1], shape, place + 1))
+                else:
+                    heapq.heappop(cursors)
+                _, number, unit = entry
+                ticket = record.tickets[f"t{number}"]
+                names = record.members(ticket, unit)
+                if reference(ticket.identity, names[0]) not in self.proposed:
+                    yield Wanted(ticket, unit, names, (queue, shape))
 
-    def _fit(self, record, ticket, names, seats, free, borrowed, used, verges):
-        """Items for all of `names`, or the reason why not."""
-        row = record.rows[ticket.queue]
+    def _fit(self, record, wanted, this, verges):
+        """Items for all tasks of a unit, or the reason why not."""
+        ticket, names = wanted.ticket, wanted.names
+        queue = ticket.queue
+        row = record.rows[queue]
         units = sum(ticket.tasks[name].units for name in names)
-        if record.used.get(ticket.queue, 0) + used.get(ticket.queue, 0) + units > row.limit:
-            return "the queue's limit"
+        kept = this.kept(this.queues, queue, wanted)
+        if record.used.get(queue, 0) + this.used.get(queue, 0) + units > row.limit - kept:
+            return "held back for older work of its queue" if kept else "the queue's limit"
         taken, lent, group = {}, {}, []
         for name in sorted(names, key=lambda one: (-ticket.tasks[one].units, one)):
             task = ticket.tasks[name]
-            seat = self._draw(task, seats, free, taken)
+            charges = self._charges(record, ticket, task.units, this.borrowed, lent, kept)
+            if charges is None:
+                return "held back for older work of its queue" if kept else "no credits"
+            seat = self._draw(task, wanted, this, taken)
             if isinstance(seat, str):
                 return seat
-            charges = self._charges(record, ticket.queue, task.units, borrowed, lent)
-            if charges is None:
-                return "no credits"
             taken[seat.minion] = taken.get(seat.minion, 0) + task.units
             self.turn += 1
             near = [one for one, area in verges if area == seat.area] or [one for one, _ in verges]
@@ -150,42 +215,46 @@
             group.append((reference(ticket.identity, name), seat.minion, seat.area, seat.room,
                           seat.incarnation, verge, charges))
         for minion, units_taken in taken.items():
-            free[minion] -= units_taken
+            this.free[minion] -= units_taken
         for lender, credits in lent.items():
-            borrowed[lender] = borrowed.get(lender, 0) + credits
-        used[ticket.queue] = used.get(ticket.queue, 0) + units
+            this.borrowed[lender] = this.borrowed.get(lender, 0) + credits
+        this.used[queue] = this.used.get(queue, 0) + units
         for item in group:
             self._minion_of[item[0]] = item[1]
         return group
 
-    def _draw(self, task, seats, free, taken):
+    def _draw(self, task, wanted, this, taken):
         """The seat for a task: the one with most room left, so that load spreads; seats
         with labels that the task does not ask for come last, so that they stay free."""
         best, best_rank, fits = None, None, False
-        wanted = frozenset(task.labels)
-        for seat in seats:
-            if not wanted <= seat.labels or task.units > seat.room:
+        labels = frozenset(task.labels)
+        for seat in this.seats:
+            if not labels <= seat.labels or task.units > seat.room:
                 continue
             fits = True
-            left = free[seat.minion] - taken.get(seat.minion, 0) - task.units
+            left = this.free[seat.minion] - taken.get(seat.minion, 0) - task.units
+            left -= this.kept(this.held, seat.minion, wanted)
             if left < 0 or (seat.poor and taken.get(seat.minion)):
                 continue
-            rank = (seat.poor, len(seat.labels - wanted), -left / max(1, seat.room), seat.minion)
+            rank = (seat.poor, len(seat.labels - labels), -left / max(1, seat.room), seat.minion)
             if best is None or rank < best_rank:
                 best, best_rank = seat, rank
         if best is None:
             return "no room" if fits else "no minion fits"
         return best
 
-    def _charges(self, record, queue, units, borrowed, lent):
-        """Who lends the credits: the queue itself, then the queues with most idle."""
+    def _charges(self, record, ticket, units, borrowed, lent, kept):
+        """Who lends the credits: the queue itself but for what it keeps, then the queues
+        with most idle. A feed has no end, so it never borrows."""
+        queue = ticket.queue
+
         def balance(one):
             return record.balance(one) - borrowed.get(one, 0) - lent.get(one, 0)
 
-        own = min(units, max(0, balance(queue)))
+        own = min(units, max(0, balance(queue) - kept))
         charges = [(queue, own)] if own else []
         rest = units - own
-        if rest:
+        if rest and ticket.kind != "feed":
             lenders = sorted(
                 (one for one, row in record.rows.items()
                  if one != queue and row.lends and not record.ready.get(one)),
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -4,13 +4,17 @@
 reads no clock and draws no chance, so every accord comes to the same record.
 """
 
+import bisect
+import heapq
+
 import cbor2
 import immutables
 
 from ..ground import constants
 from ..world import row as rows
-from ..world.task import FINAL, Standing, Task, reference
+from ..world.task import FINAL, Standing, Task, reference, unit_of
 from ..world.ticket import Ticket, tasks_from
+from .sample import Sample
 
 OK = ("ok",)
 
@@ -18,8 +22,12 @@
 class Record:
     """Invariants, checked by audit(): a task's reservation on a minion stands exactly
     while it is placed; outstanding[q] is the sum of credits lent by q to placed tasks;
-    used[q] is the sum of units of q's placed tasks; waiting[q] counts its waiting tasks;
-    ready[q] holds the waiting tasks whose forerunners are all done, and only those;
+    used[q] is the sum of units of q's placed tasks; waiting[q] counts its waiting tasks
+    but those of parked tickets, which parked[q] counts.
+    A unit is what starts together: a task, or the waiting members of a gang, named by "/"
+    and the gang. spots holds every unit whose forerunners are all done; one whose time had
+    come by ripe_at is in ready[queue][urgency][shape], a list in order of (due, ticket,
+    unit), the others are in early, a heap by time that may also hold what has gone.
     time never falls; epochs only grow; setup versions grow by one."""
 
     def __init__(self):
@@ -38,7 +46,9 @@
         self.withdrawn = {}  # minion -> (due, gone)
         self.drafts = immutables.Map()
         self.draft_count = 0
+        self.sample = Sample()
         self.marks = immutables.Map()  # mark of a change -> its outcome, so that it counts once
+        self.ripe_at = 0.0  # not part of the image: it moves with who asks
         self._derive()
 
     # --- image ------------------------------------------------------------------------
@@ -48,7 +58,7 @@
             self.time, self.index, self.tickets, self.keys, self.count, tuple(self.finished), self.version,
             self.setup, self.setups, dict(self.epochs), dict(self.drained), dict(self.emptied),
             dict(self.withdrawn), self.drafts, self.draft_count,
-            self.marks,
+            self.marks, self.sample.image(),
         )
 
     @staticmethod
@@ -60,7 +70,8 @@
         record = cls()
         (record.time, record.index, tickets, keys, record.count, finished, record.version, record.setup,
          setups, epochs, record.drained, record.emptied, withdrawn, drafts, record.draft_count,
-         marks) = cbor2.loads(data)
+         marks, sample) = cbor2.loads(data)
+        record.sample = Sample(sample)
         record.marks = immutables.Map({mark: tuple(outcome) for mark, outcome in marks.items()})
         record.tickets = immutables.Map({one: _ticket(image) for one, image in tickets.items()})
         record.keys = immutables.Map(keys)
@@ -77,7 +88,8 @@
         self.finished = list(self.finished)
         self.rows = {queue: rows.row_of(row) for queue, row in self.setup["queues"].items()}
         self.reserved = {}  # minion -> {reference: units}
-        self.used, self.outstanding, self.waiting, self.ready = {}, {}, {}, {}
+        self.used, self.outstanding, self.waiting, self.parked = {}, {}, {}, {}
+        self.ready, self.early, self.spots = {}, [], {}
         self.live = {}  # queue -> live tickets
         self.fronts = {}  # ticket -> {task: forerunners not done}
         self.behind = {}  # ticket -> {task: tasks that wait for it}
@@ -90,7 +102,8 @@
 
     def _index(self, ticket):
         self.live[ticket.queue] = self.live.get(ticket.queue, 0) + 1
-        behind, fronts, left = {}, {}, 0
+        behind, fronts, left, units = {}, {}, 0, {}
+        self.behind[ticket.identity], self.fronts[ticket.identity] = behind, fronts
         for name, task in ticket.tasks.items():
             standing = ticket.standings[name]
             fronts[name] = sum(ticket.standings[one].state != "done" for one in task.after)
@@ -98,26 +111,78 @@
                 behind.setdefault(one, []).append(name)
             left += standing.state not in FINAL
             if standing.state == "waiting":
-                self.waiting[ticket.queue] = self.waiting.get(ticket.queue, 0) + 1
-                if not fronts[name]:
-                    self._ready_in(ticket, name)
+                self._count(ticket, 1)
+                units[unit_of(task)] = name
             elif standing.state == "placed":
                 self._hold(ticket, task, standing)
                 if standing.yields_to:
                     self.yielding[reference(ticket.identity, name)] = standing.attempt
-        self.behind[ticket.identity], self.fronts[ticket.identity] = behind, fronts
         self.left[ticket.identity] = left
+        for name in units.values():
+            self._ready_in(ticket, name)
+
+    def _count(self, ticket, step):
+        """Counts a waiting task of a ticket in or out."""
+        counted = self.parked if ticket.parked else self.waiting
+        counted[ticket.queue] = counted.get(ticket.queue, 0) + step
+
+    def members(self, ticket, unit):
+        """The waiting tasks of a unit, in the ticket's order."""
+        if unit[0] != "/":
+            return (unit,) if ticket.standings[unit].state == "waiting" else ()
+        return tuple(name for name, task in ticket.tasks.items()
+                     if task.gang == unit[1:] and ticket.standings[name].state == "waiting")
 
     def _ready_in(self, ticket, name):
-        levels = self.ready.setdefault(ticket.queue, {})
-        levels.setdefault(ticket.urgency, {})[(ticket.identity, name)] = None
+        """Puts the unit of a task where it belongs now: ready, early, or nowhere."""
+        unit = unit_of(ticket.tasks[name])
+        self._ready_out(ticket, unit)
+        members, fronts = self.members(ticket, unit), self.fronts[ticket.identity]
+        if not members or any(fronts[one] for one in members):
+            return
+        begins = max(max(ticket.tasks[one].not_before, ticket.standings[one].earliest) for one in members)
+        shape = (ticket.kind, *sorted((ticket.tasks[one].units, ticket.tasks[one].labels) for one in members))
+        number = int(ticket.identity[1:])
+        patience = ticket.accepted + constants.DUE_UNNAMED
+        entry = (min(ticket.due or patience, patience), number, unit)
+        self.spots[(ticket.identity, unit)] = (begins, ticket.queue, ticket.urgency, shape, entry)
+        if begins <= self.ripe_at:
+            self._ripe(ticket.queue, ticket.urgency, shape, entry)
+        else:
+            heapq.heappush(self.early, (begins, number, unit))
 
-    def _ready_out(self, ticket, name):
-        levels = self.ready.get(ticket.queue, {})
-        level = levels.get(ticket.urgency, {})
-        level.pop((ticket.identity, name), None)
-        if not level:
-            levels.pop(ticket.urgency, None)
+    def _ripe(self, queue, urgency, shape, entry):
+        shapes = self.ready.setdefault(queue, {}).setdefault(urgency, {})
+        bisect.insort(shapes.setdefault(shape, []), entry)
+
+    def _ready_out(self, ticket, unit):
+        spot = self.spots.pop((ticket.identity, unit), None)
+        if spot is None or spot[0] > self.ripe_at:
+            return
+        _, queue, urgency, shape, entry = spot
+        shapes = self.ready[queue][urgency]
+        del shapes[shape][bisect.bisect_left(shapes[shape], entry)]
+        if not shapes[shape]:
+            del shapes[shape]
+            if not shapes:
+                del self.ready[queue][urgency]
+                if not self.ready[queue]:
+                    del self.ready[queue]
+
+    def ripen(self, time):
+        """Moves the units whose time has come by `time` from the early to the ready; when
+        the next one's comes, or None."""
+        self.ripe_at = max(self.ripe_at, time)
+        last = None
+        while self.early:
+            begins, number, unit = self.early[0]
+            spot = self.spots.get((f"t{number}", unit))
+            if spot is not None and spot[0] == begins and self.early[0] != last:
+                if begins > self.ripe_at:
+                    return begins
+                self._ripe(*spot[1:])
+            last = heapq.heappop(self.early)
+        return None
 
     def _hold(self, ticket, task, standing):
         self.reserved.setdefault(standing.minion, {})[reference(ticket.identity, task.name)] = task.units
@@ -170,8 +235,9 @@
             ticket.identity, ticket._replace(standings=ticket.standings.set(name, standing)))
         return self.tickets[ticket.identity]
 
-    def ticket_refusal(self, plain):
-        """Why a checked document can't be taken now, or None; the leader asks it first."""
+    def ticket_refusal(self, plain, parked=""):
+        """Why a checked document can't be taken now, or None; the leader asks it first.
+        `parked` says why no minion known to the leader could take it, or nothing."""
         row = self.rows.get(plain["queue"])
         if row is None:
             return ("invalid", (("queue", f"no queue {plain['queue']!r}"),))
@@ -187,7 +253,11 @@
                       for gang, units in gangs.items() if units > row.limit)
         if over:
             return ("invalid", over)
-        if self.waiting.get(plain["queue"], 0) + len(plain["tasks"]) > row.pending:
+        if parked:
+            most = row.pending // constants.PARKED_PART
+            if self.parked.get(plain["queue"], 0) + len(plain["tasks"]) > most:
+                return ("shed", f"{parked}; the {most} waiting tasks that a queue keeps for such tickets are taken")
+        elif self.waiting.get(plain["queue"], 0) + len(plain["tasks"]) > row.pending:
             return ("shed", "queue full")
         if len(self.tickets) - len(self.finished) >= constants.TICKETS_MOST:
             return ("shed", "record full")
@@ -201,11 +271,11 @@
         same = self.tickets[identity].digest == digest
         return ("known", identity) if same else ("mismatch", identity)
 
-    def _ticket(self, key, digest, plain):
+    def _ticket(self, key, digest, plain, parked=""):
         before = self.known(key, digest)
         if before is not None:
             return before
-        refusal = self.ticket_refusal(plain)
+        refusal = self.ticket_refusal(plain, parked)
         if refusal is not None:
             return refusal
         self.count += 1
@@ -215,13 +285,25 @@
         urgency = row.urgency if plain["urgency"] < 0 else plain["urgency"]
         ticket = Ticket(
             identity, key, digest, plain["queue"], plain["kind"], urgency, plain["due"], self.time, tasks,
-            immutables.Map({name: Standing(since=self.time) for name in tasks}),
+            immutables.Map({name: Standing(since=self.time) for name in tasks}), named=plain["urgency"] >= 0,
+            parked=parked,
         )
         self.tickets = self.tickets.set(identity, ticket)
         self.keys = self.keys.set(key, identity)
         self._index(ticket)
+        self.sample.accepted(ticket, self._running)
         return ("accepted", identity)
 
+    def _running(self):
+        """What runs now, counted by (queue, kind, units, labels)."""
+        counts = {}
+        for held in self.reserved.values():
+            for ref in held:
+                ticket, task, _ = self.find(ref)
+                kind = (ticket.queue, ticket.kind, task.units, task.labels)
+                counts[kind] = counts.get(kind, 0) + 1
+        return tuple((*kind, count) for kind, count in sorted(counts.items()))
+
     def _cancel(self, identity):
         ticket = self.tickets.get(identity)
         if ticket is None:
@@ -248,8 +330,8 @@
     def _finish(self, ticket, name, standing, state):
         """A task becomes final."""
         if standing.state == "waiting":
-            self.waiting[ticket.queue] -= 1
-            self._ready_out(ticket, name)
+            self._count(ticket, -1)
+            self._ready_out(ticket, unit_of(ticket.tasks[name]))
         ticket = self._put(ticket, name, standing._replace(state=state, yields_to="", charges=(), since=self.time))
         self.left[ticket.identity] -= 1
         if state == "done":
@@ -272,6 +354,7 @@
         self.live[ticket.queue] -= 1
         for derived in (self.left, self.fronts, self.behind):
             del derived[identity]
+        self.sample.final(self.tickets[identity])
         self.finished.append((identity, self.time))
         while (len(self.finished) > constants.FINISHED_KEPT
                and self.time - self.finished[0][1] > constants.KEYS_KEPT):
@@ -330,10 +413,7 @@
             if self.closed(minion, area):
                 return self.closed(minion, area)
             if task.gang:
-                waiting = {
-                    reference(ticket.identity, one) for one, other in ticket.tasks.items()
-                    if other.gang == task.gang and ticket.standings[one].state == "waiting"
-                }
+                waiting = {reference(ticket.identity, one) for one in self.members(ticket, unit_of(task))}
                 if waiting != {one[0] for one in group}:
                     return "gang not whole"
             room[minion] = room.get(minion, sum(self.reserved.get(minion, {}).values())) + task.units
@@ -346,8 +426,9 @@
                 return "charges"
             for lender, credits in charges:
                 charged[lender] = charged.get(lender, 0) + credits
-                if lender != queue and not (lender in self.rows and self.rows[lender].lends):
-                    return "lender"
+                if lender != queue and (ticket.kind == "feed"
+                                        or not (lender in self.rows and self.rows[lender].lends)):
+                    return "lender"  # a feed has no end that would bring the credits back
                 if credits <= 0 or charged[lender] > self.balance(lender):
                     return "credits"
         for ref, minion, area, size, incarnation, verge, charges in group:
@@ -357,8 +438,8 @@
                 verge=verge, send_by=self.time + constants.SEND_WITHIN, yields_to="",
                 charges=tuple(tuple(one) for one in charges), since=self.time,
             )
-            self.waiting[queue] -= 1
-            self._ready_out(ticket, task.name)
+            self._count(ticket, -1)
+            self._ready_out(ticket, unit_of(task))
             ticket = self._put(ticket, task.name, standing)
             self._hold(ticket, task, standing)
         return ""
@@ -384,6 +465,7 @@
             return "done"
         cost = how in ("failed", "lost") or (how == "killed" and standing.yields_to in ("", "limit"))
         failures = standing.failures + cost
+        standing = standing._replace(lost=standing.lost + cost * standing.took)
         if how == "lost" and ticket.kind != "feed" and not self.rows[ticket.queue].repeats:
             failures = max(failures, task.attempts)  # it may have finished: no second time
         if ticket.state != "pending":
@@ -403,10 +485,20 @@
         standing = standing._replace(
             state="waiting", failures=failures, earliest=self.time + wait, yields_to="", charges=(), since=self.time)
         ticket = self._put(ticket, task.name, standing)
-        self.waiting[ticket.queue] = self.waiting.get(ticket.queue, 0) + 1
+        self._count(ticket, 1)
+        if task.gang and how in ("never", "refused"):
+            self._regather(ticket, task)
         self._ready_in(ticket, task.name)
         return "again"
 
+    def _regather(self, ticket, task):
+        """A member of a gang did not start: the others stop, so that all start together."""
+        for name, other in ticket.tasks.items():
+            standing = ticket.standings[name]
+            if other.gang == task.gang and standing.state == "placed" and not standing.yields_to:
+                ticket = self._put(ticket, name, standing._replace(yields_to="gang"))
+                self.yielding[reference(ticket.identity, name)] = standing.attempt
+
     def _yield(self, epoch, items):
         """Items: (reference, attempt, for whom). Who yields to whom is decided here."""
         if epoch != self.epochs.get("placing", (0, ""))[0]:
@@ -583,13 +675,12 @@
     # --- checking ---------------------------------------------------------------------
     def audit(self):
         """Raises unless what is derived step by step equals what follows from the rest."""
-        kept = (self.reserved, self.used, self.outstanding, self.waiting, self.ready, self.live, self.fronts,
-                self.left, self.yielding)
+        names = ("reserved", "used", "outstanding", "waiting", "parked", "ready", "spots", "live", "fronts", "left",
+                 "yielding")
+        kept = [getattr(self, name) for name in names]
         self._derive()
-        fresh = (self.reserved, self.used, self.outstanding, self.waiting, self.ready, self.live, self.fronts,
-                 self.left, self.yielding)
-        for name, one, other in zip(("reserved", "used", "outstanding", "waiting", "ready", "live", "fronts",
-                                     "left", "yielding"), kept, fresh):
+        for name, one in zip(names, kept):
+            other = getattr(self, name)
             if _bare(one) != _bare(other):
                 raise AssertionError(f"{name} has drifted: {_bare(one)!r} is not {_bare(other)!r}")
 
--- a/src/pinepitch/accord/rehearsal.py
+++ b/src/pinepitch/accord/rehearsal.py
@@ -7,166 +7,275 @@
 
 from ..ground import constants
 from ..world.minion import Minion, Report
+from ..world.row import objective_of
 from .placing import Placer
 from .record import Record
 
-OBJECTIVE = {"wait_99": 1.0, "wait_median": 1.0, "dues_missed": 10.0, "shed": 10.0}
-FIGURES = ("wait_median", "wait_99", "dues_missed", "room_used", "shed", "preemptions")
-
-
-def traffic(record):
-    """The recent tickets with the durations seen, oldest first: all a replay needs."""
-    found, number = [], record.count
-    while number > 0 and len(found) < constants.TRAFFIC_MOST:
-        ticket = record.tickets.get(f"t{number}")
-        number -= 1
-        if ticket is None or ticket.kind == "feed":
-            continue
-        if record.time - ticket.accepted > constants.TRAFFIC_WINDOW:
-            break
-        tasks = [(task.name, task.units, task.labels, task.after, max(0.0, task.not_before - ticket.accepted),
-                  task.gang, ticket.standings[task.name].took if ticket.standings[task.name].state == "done" else None)
-                 for task in ticket.tasks.values()]
-        found.append((ticket.accepted, ticket.queue, ticket.urgency,
-                      max(0.0, ticket.due - ticket.accepted) if ticket.due else 0.0, tasks))
-    return found[::-1]
-
-
-def resampled(arrivals, seed):
-    """The same tickets with the gaps between them drawn anew from the gaps seen."""
+FIGURES = ("wait_median", "wait_99", "dues_missed", "failed", "shed", "room_used", "preemptions")
+SHARES = ("dues_missed", "failed", "shed", "preemptions")  # told as parts of a queue's tickets
+
+
+class Work:
+    """What the sample tells of each kind of work (queue, units, labels): how long it takes,
+    how often it fails and after what time. Invariant: the same draw for the same seed,
+    task and attempt, whatever the table."""
+
+    def __init__(self, blocks):
+        self.lengths, self.lost, self.tries, self.failures = {}, {}, {}, {}
+        for _, _, arrivals in blocks:
+            for _, queue, kind, _, _, tasks in arrivals:
+                for _, units, labels, _, _, _, _, _, took, failures, lost in tasks:
+                    known = (queue, kind, units, tuple(labels))
+                    if took is not None:
+                        self.lengths.setdefault(known, []).append(took)
+                        self.tries[known] = self.tries.get(known, 0) + 1
+                    if failures:
+                        self.lost.setdefault(known, []).append(lost / failures)
+                        self.tries[known] = self.tries.get(known, 0) + failures
+                        self.failures[known] = self.failures.get(known, 0) + failures
+
+    def outcome(self, known, took, seed):
+        """(seconds, how) of one attempt; a feed that was not seen to end never does."""
+        draw = random.Random(seed)
+        if draw.random() * self.tries.get(known, 1) < self.failures.get(known, 0):
+            return draw.choice(self.lost[known]), "failed"
+        if took is None:
+            if known[1] == "feed":
+                return None, "done"
+            took = draw.choice(self.lengths.get(known, (1.0,)))
+        return took, "done"
+
+
+def resampled(blocks, seed):
+    """(running at the start, arrivals) of whole blocks drawn anew and put one after another
+    until they last REPLAY_LASTS or hold REPLAY_TICKETS."""
     draw = random.Random(f"rehearsal-{seed}")
-    gaps = [max(0.0, later[0] - earlier[0]) for earlier, later in zip(arrivals, arrivals[1:])]
-    lengths = {}
-    for _, queue, _, _, tasks in arrivals:
-        lengths.setdefault(queue, []).extend(one[6] for one in tasks if one[6] is not None)
-    result, moment = [], 0.0
-    for place, (_, queue, urgency, due, tasks) in enumerate(arrivals):
-        moment += draw.choice(gaps) if place and gaps else 0.0
-        known = lengths.get(queue) or [1.0]
-        result.append((moment, queue, urgency, due, [
-            (*one[:6], one[6] if one[6] is not None else draw.choice(known)) for one in tasks]))
-    return result
-
-
-def replay(arrivals, setup, rooms):
-    """queue -> figures of one replay of `arrivals` under `setup` on `rooms`."""
-    record, placer = Record(), Placer()
-    # A queue the table lacks sheds all its tickets; rows take effect as they would.
-    record.apply(1, 0.0, ("setup", "rehearsal", None, "whole", setup, "rehearsal", ""))
-    record.apply(2, 0.0, ("duty", "placing", "rehearsal"))
-    minions = {name: Minion(Report(name, area, "", room, tuple(labels), False, "one", 1, 0.0, (), ()), 0.0)
-               for name, area, room, labels in rooms}
-    moments = [(arrival[0], place, "arrive", arrival) for place, arrival in enumerate(arrivals)]
-    heapq.heapify(moments)
-    number, index = len(moments), 2
-    lengths, waits, figures = {}, {}, {}
-    for _, queue, *_ in arrivals:
-        figures.setdefault(queue, dict.fromkeys(FIGURES, 0))
-        waits.setdefault(queue, [])
-    last = arrivals[-1][0]
-    dues, round_at = {}, None
-    while moments and moments[0][0] <= last + constants.REHEARSAL_LONGEST:
-        now, _, kind, what = heapq.heappop(moments)
-        index += 1
+    moment, arrivals, running = 0.0, [], None
+    blocks = [block for block in blocks if block[2]]
+    while moment < constants.REPLAY_LASTS and len(arrivals) < constants.REPLAY_TICKETS:
+        length, then, some = draw.choice(blocks)
+        running = then if running is None else running
+        arrivals.extend((moment + one[0], *one[1:]) for one in some)
+        moment += length
+    return running, arrivals
+
+
+class Replay:
+    """One table on some rooms in virtual time. Invariants: moments are handled in order of
+    (time, number); a round is due while something is ready and nothing else comes first."""
+
+    def __init__(self, setup, rooms, work, seed=0):
+        self.record, self.placer = Record(), Placer()
+        self.record.apply(1, 0.0, ("setup", "rehearsal", None, "whole", setup, "rehearsal", ""))
+        self.record.apply(2, 0.0, ("duty", "placing", "rehearsal"))
+        self.minions = {name: Minion(Report(name, area, "", room, tuple(labels), False, "one", 1, 0.0, (), ()), 0.0)
+                        for name, area, room, labels in rooms}
+        self.work, self.seed = work, seed
+        self.index, self.number = 2, 0
+        self.moments = []
+        self.took = {}  # reference -> seconds it took where seen
+        self.names = {}  # ticket -> what tells its draws from others'
+        self.dues = {}
+        self.starts = []  # (when, reference, attempt, minion)
+        self.waits, self.figures, self.counts = {}, {}, {}
+        self.round_at = None
+
+    def at(self, when, *moment):
+        self.number += 1
+        heapq.heappush(self.moments, (when, self.number, *moment))
+
+    def run(self, arrivals, running=(), lasting=constants.REHEARSAL_LONGEST, pause=None):
+        """queue -> figures of a replay of `arrivals`, with `running` under way at its start."""
+        for queue, kind, units, labels, count in running:
+            task = ("s", units, labels, (), 0.0, "", 0, 0.0, None, 0, 0.0)
+            for place in range(count):
+                self.arrive(0.0, (0.0, queue, kind, -1, 0.0, (task,)), f"running-{queue}-{units}-{place}", False)
+        self.look(0.0)
+        for place, one in enumerate(arrivals):
+            self.at(one[0], "arrive", one, place)
+        last = arrivals[-1][0] if arrivals else 0.0
+        steps = 0
+        while self.moments and self.moments[0][0] <= last + lasting:
+            now, _, *moment = heapq.heappop(self.moments)
+            self.step(now, *moment)
+            steps += 1
+            if pause is not None and steps % constants.REPLAY_SLICE == 0:
+                pause()
+        return self.finish(last + lasting)
+
+    def step(self, now, kind, *what):
+        moved = True
         if kind == "arrive":
-            _, queue, urgency, due, tasks = what
-            plain = {"queue": queue, "kind": "batch", "urgency": urgency, "not_before": 0,
-                     "due": now + due if due else 0, "tasks": [
-                         {"name": name, "units": units, "labels": labels, "after": after, "gang": gang,
-                          "not_before": now + wait, "attempts": 1, "limit": 0, "work": None}
-                         for name, units, labels, after, wait, gang, _ in tasks]}
-            outcome = record.apply(index, now, ("ticket", f"r{index}", "", plain))
-            if outcome[0] != "accepted":
-                figures[queue]["shed"] += 1
-                continue
-            for name, *_, took in tasks:
-                lengths[f"{outcome[1]}/{name}"] = took
-            if due:
-                dues[outcome[1]] = now + due
+            self.arrive(now, *what)
         elif kind == "end":
-            ref, attempt, how = what
-            record.apply(index, now, ("ended", ((ref, attempt, how),)))
+            self.apply(now, ("ended", (what,)))
         elif kind == "round":
-            round_at = None
-            for minion in minions.values():
-                minion.heard_at = now
-            items, yields = placer.round(record, minions, [("verge", "")], now, now)
-            if items:
-                outcome = record.apply(index, now, ("place", 1, record.version, items))
-                placer.settled([item[0] for item in items])
-                for ref, refusal in outcome[1] if outcome[0] == "placed" else ():
-                    if refusal:
-                        continue
-                    ticket, task, standing = record.find(ref)
-                    number += 1
-                    heapq.heappush(moments, (now + lengths[ref], number, "end", (ref, standing.attempt, "done")))
-                    if standing.attempt == 1:
-                        ready = max([ticket.accepted, task.not_before,
-                                     *(ticket.standings[one].since for one in task.after)])
-                        waits[ticket.queue].append(max(0.0, now - ready))
-                    figures[ticket.queue]["room_used"] += task.units * lengths[ref]
-            if yields:
-                record.apply(index, now, ("yield", 1, yields))
-                for ref, attempt, _ in yields:
-                    if ref in record.yielding:
-                        figures[record.find(ref)[0].queue]["preemptions"] += 1
-                        number += 1
-                        heapq.heappush(moments, (now + 0.1, number, "end", (ref, attempt, "killed")))
-        waiting = any(record.ready.values())
-        if waiting and round_at is None and (kind != "round" or moments or items):
-            round_at = now + constants.PLACE_EVERY
-            if kind == "round" and not items and not yields and moments:
-                round_at = max(round_at, min(moments[0][0], now + 0.5))
-            number += 1
-            heapq.heappush(moments, (round_at, number, "round", None))
-    for ticket in record.tickets.values():
-        due = dues.get(ticket.identity)
-        if due is not None and (ticket.state == "pending" or ticket.ended_at > due):
-            figures[ticket.queue]["dues_missed"] += 1
-        if ticket.state == "pending":
-            for task in ticket.tasks.values():
-                if ticket.standings[task.name].attempt == 0:
-                    waits[ticket.queue].append(last + constants.REHEARSAL_LONGEST - ticket.accepted)
-    for queue, found in waits.items():
-        found.sort()
-        figures[queue]["wait_median"] = found[len(found) // 2] if found else 0.0
-        figures[queue]["wait_99"] = found[min(len(found) - 1, len(found) * 99 // 100)] if found else 0.0
-    return figures
+            if now != self.round_at:
+                return  # one that was overtaken
+            self.round_at = None
+            moved = self.round(now)
+        ripe = self.record.ripen(now)
+        if self.round_at is None:
+            when = None
+            if self.record.ready and (moved or self.moments):
+                when = now + constants.PLACE_EVERY if moved else max(
+                    now + constants.PLACE_EVERY, min(self.moments[0][0], now + 0.5))
+            elif ripe is not None:
+                when = ripe
+            if when is not None:
+                self.look(when)
+
+    def look(self, when):
+        """Has a round at `when`, in the place of any that was due."""
+        self.round_at = when
+        self.at(when, "round")
+
+    def apply(self, now, operation):
+        self.index += 1
+        return self.record.apply(self.index, now, operation)
+
+    def arrive(self, now, one, place, counted=True):
+        _, queue, kind, urgency, due, tasks = one
+        plain = {"queue": queue, "kind": kind, "urgency": urgency, "not_before": 0,
+                 "due": now + due if due else 0, "tasks": [
+                     {"name": name, "units": units, "labels": labels, "after": after, "gang": gang,
+                      "not_before": now + wait if wait else 0, "attempts": asked, "limit": limit, "work": None}
+                     for name, units, labels, after, wait, gang, asked, limit, _, _, _ in tasks]}
+        outcome = self.apply(now, ("ticket", f"r{self.number}-{self.index}", "", plain))
+        if counted:
+            self.counts[queue] = self.counts.get(queue, 0) + 1
+            self.figures.setdefault(queue, dict.fromkeys(FIGURES, 0.0))
+            self.waits.setdefault(queue, [])
+            if outcome[0] != "accepted":
+                self.figures[queue]["shed"] += 1
+        if outcome[0] == "accepted":
+            self.names[outcome[1]] = (place, counted)
+            for name, *_, took, _, _ in tasks:
+                self.took[f"{outcome[1]}/{name}"] = took
+            if due and counted:
+                self.dues[outcome[1]] = now + due
+
+    def round(self, now):
+        """One placing round; whether it did anything."""
+        for minion in self.minions.values():
+            minion.heard_at = now
+        items, yields = self.placer.round(self.record, self.minions, [("verge", "")], now, now)
+        if items:
+            outcome = self.apply(now, ("place", 1, self.record.version, items))
+            self.placer.settled([item[0] for item in items])
+            for ref, refusal in outcome[1]:
+                if not refusal:
+                    self.placed(now, ref)
+        if yields:
+            self.apply(now, ("yield", 1, yields))
+            for ref, attempt, _ in yields:
+                found = self.record.find(ref)
+                if ref in self.record.yielding and found[0].queue in self.figures:
+                    self.figures[found[0].queue]["preemptions"] += 1
+        for ref, attempt in self.record.yielding.items():  # a stale end changes nothing
+            self.at(now + 0.1, "end", ref, attempt, "killed")
+        return bool(items or yields)
+
+    def placed(self, now, ref):
+        ticket, task, standing = self.record.find(ref)
+        place, counted = self.names[ticket.identity]
+        seconds, how = self.work.outcome((ticket.queue, ticket.kind, task.units, task.labels), self.took[ref],
+                                         f"{self.seed}-{place}-{task.name}-{standing.attempt}")
+        self.starts.append((now, ref, standing.attempt, standing.minion))
+        if not counted and seconds is not None:
+            seconds *= random.Random(f"{self.seed}-{place}").random()  # it ran for a part of that already
+        if seconds is not None:
+            if task.limit and seconds > task.limit:
+                seconds, how = task.limit, "failed"
+            self.at(now + seconds, "end", ref, standing.attempt, how)
+        if counted:
+            if standing.attempt == 1:
+                ready = max([ticket.accepted, task.not_before, *(ticket.standings[one].since for one in task.after)])
+                self.waits[ticket.queue].append(max(0.0, now - ready))
+            self.figures[ticket.queue]["room_used"] += task.units * (seconds or 0.0)
+
+    def finish(self, end):
+        """The figures: waits in seconds, room in unit seconds, the rest as parts of the
+        queue's tickets."""
+        for ticket in self.record.tickets.values():
+            figures = self.figures.get(ticket.queue)
+            if figures is None or not self.names[ticket.identity][1]:
+                continue
+            due = self.dues.get(ticket.identity)
+            figures["dues_missed"] += due is not None and (ticket.state != "finished" or ticket.ended_at > due)
+            figures["failed"] += ticket.state in ("failed", "failing")
+            if ticket.state == "pending":
+                self.waits[ticket.queue].extend(
+                    max(0.0, end - max(ticket.accepted, ticket.tasks[name].not_before))
+                    for name, standing in ticket.standings.items() if standing.attempt == 0)
+        for queue, figures in self.figures.items():
+            found = sorted(self.waits[queue])
+            figures["wait_median"] = found[len(found) // 2] if found else 0.0
+            figures["wait_99"] = found[min(len(found) - 1, len(found) * 99 // 100)] if found else 0.0
+            for name in SHARES:
+                figures[name] /= self.counts[queue]
+        return self.figures
 
 
 def cost(figures, objective):
-    """What the objective makes of a replay: less is better."""
-    weights = {**OBJECTIVE, **objective}
-    return sum(weights[name] * one[name] for one in figures.values() for name in weights)
+    """What the objective makes of a replay: less is better. Each queue counts alike but
+    for its weight, however many tickets it has."""
+    weights = objective["queues"]
+    return sum(weights.get(queue, 1.0) * sum(objective[name] * one[name] for name in FIGURES)
+               for queue, one in figures.items())
+
+
+def harm(queue, pairs, needed, guard):
+    """What a draft does to one queue beyond the bounds of the guard, in words, or None."""
+    for name in ("wait_median", "wait_99", "dues_missed", "failed", "shed"):
+        before = [one[name] for one, _ in pairs]
+        after = [other[name] for _, other in pairs]
+        bound = (guard["factor"], guard["seconds"]) if name.startswith("wait") else (1.0, guard["part"])
+        worse = sum(b > a * bound[0] + bound[1] for a, b in zip(before, after))
+        if worse >= needed:
+            return (f"{queue}: {name} goes from {sum(before) / len(pairs):.3f} to {sum(after) / len(pairs):.3f}, "
+                    f"beyond the guard in {worse} of {len(pairs)} replays")
+    return None
 
 
-def measure(arrivals, in_force, draft, rooms, pairs=constants.REHEARSAL_PAIRS):
+def measure(blocks, in_force, draft, rooms, pairs=constants.REHEARSAL_PAIRS, pause=None):
     """Replays both tables in pairs under the same seeds and says which is better by the
     objective in force, or that there was too little traffic to tell."""
-    if len(arrivals) < constants.TRAFFIC_LEAST or not rooms:
-        return {"verdict": "not measured", "tickets": len(arrivals),
-                "why": f"{len(arrivals)} recent tickets, {constants.TRAFFIC_LEAST} needed"
-                if rooms else "no minion is known"}
-    objective = in_force.get("objective", {})
-    costs, sums = [], ({}, {})
+    count = sum(len(one[2]) for one in blocks)
+    told = sum(1 for one in blocks if one[2])
+    if count < constants.TRAFFIC_LEAST or told < constants.TRAFFIC_BLOCKS or not rooms:
+        why = "no minion is known" if not rooms else (
+            f"{count} recent tickets in {told} blocks of {constants.SAMPLE_BLOCK:.0f} s, "
+            f"{constants.TRAFFIC_LEAST} in {constants.TRAFFIC_BLOCKS} needed")
+        return {"verdict": "not measured", "tickets": count, "why": why, "queues": []}
+    objective = objective_of(in_force)
+    work = Work(blocks)
+    replays = []
     for seed in range(pairs):
-        sample = resampled(arrivals, seed)
-        both = (replay(sample, in_force, rooms), replay(sample, draft, rooms))
-        costs.append((cost(both[0], objective), cost(both[1], objective)))
-        for held, figures in zip(sums, both):
-            for queue, one in figures.items():
-                line = held.setdefault(queue, dict.fromkeys(FIGURES, 0.0))
-                for name in FIGURES:
-                    line[name] += one[name] / pairs
-    least = constants.REHEARSAL_LEAST * max(1e-9, sum(one for one, _ in costs) / pairs)
+        running, arrivals = resampled(blocks, seed)
+        replays.append(tuple(Replay(table, rooms, work, seed).run(arrivals, running, pause=pause)
+                             for table in (in_force, draft)))
+    costs = [(cost(before, objective), cost(after, objective)) for before, after in replays]
+    means = [sum(one) / pairs for one in zip(*costs)]
+    least = max(constants.REHEARSAL_LEAST * means[0], 1e-9)
     better = sum(after < before - least for before, after in costs)
     worse = sum(after > before + least for before, after in costs)
     needed = max(1, pairs * constants.REHEARSAL_AGREE // constants.REHEARSAL_PAIRS)
     verdict = "better" if better >= needed else "worse" if worse >= needed else "no difference"
-    return {
-        "verdict": verdict, "tickets": len(arrivals), "pairs": pairs, "better_in": better, "worse_in": worse,
-        "cost_in_force": sum(one for one, _ in costs) / pairs, "cost_draft": sum(one for _, one in costs) / pairs,
-        "queues": [{"queue": queue, **{name: round(sums[0][queue][name], 4) for name in FIGURES},
-                    **{f"draft_{name}": round(sums[1][queue][name], 4) for name in FIGURES}}
-                   for queue in sorted(sums[0])],
-    }
+    queues, harms = [], []
+    for queue in sorted({queue for both in replays for queue in both[0]}):
+        seen = [(before[queue], after[queue]) for before, after in replays if queue in before]
+        line = {"queue": queue}
+        for name in FIGURES:
+            line[name] = round(sum(before[name] for before, _ in seen) / len(seen), 4)
+            line[f"draft_{name}"] = round(sum(after[name] for _, after in seen) / len(seen), 4)
+        queues.append(line)
+        harmed = harm(queue, seen, max(1, len(seen) * needed // pairs), objective["guard"])
+        if harmed:
+            harms.append(harmed)
+    why = f"cost {means[0]:.3f} in force, {means[1]:.3f} draft; lower in {better}, higher in {worse} of {pairs} replays"
+    if harms and verdict != "worse":
+        verdict = "worse"
+        why = "the guard: " + "; ".join(harms)
+    return {"verdict": verdict, "why": why, "tickets": count, "blocks": told, "pairs": pairs, "better_in": better,
+            "worse_in": worse, "cost_in_force": means[0], "cost_draft": means[1], "harms": harms, "queues": queues}
--- /dev/null
+++ b/src/pinepitch/accord/sample.py
@@ -0,0 +1,110 @@
+"""The sample: a bounded part of the traffic of a day, kept in the record for rehearsals.
+
+Traffic is kept in whole blocks of time, so that waves and crowds stay as they were. All
+accords keep the same: which block stays is drawn by a hash of its number.
+"""
+
+import hashlib
+from typing import NamedTuple
+
+import immutables
+
+from ..ground import constants
+
+
+class Block(NamedTuple):
+    """Invariants: arrivals maps the numbers of the tickets that came from start to end, to
+    what a replay needs of each once it is final, and to None before; end is the
+    block's length unless more tickets came than are kept: then it was cut when full;
+    running counts what ran at its start, as (queue, kind, units, labels, count)."""
+
+    start: float
+    end: float
+    running: tuple
+    arrivals: object
+
+
+class Sample:
+    """Invariants: blocks lie within the window; the newest SAMPLE_NEWEST are all kept, of
+    older ones SAMPLE_EACH a stratum, those of the lowest rank."""
+
+    def __init__(self, blocks=()):
+        self.blocks = immutables.Map({number: Block(*block[:3], immutables.Map(block[3]))
+                                      for number, block in blocks})
+
+    def image(self):
+        return tuple(sorted(self.blocks.items()))
+
+    def accepted(self, ticket, running):
+        """A ticket came; `running` tells what runs now, asked when a block begins."""
+        number = int(ticket.accepted // constants.SAMPLE_BLOCK)
+        block = self.blocks.get(number)
+        if block is None:
+            start = number * constants.SAMPLE_BLOCK
+            block = Block(start, start + constants.SAMPLE_BLOCK, running(), immutables.Map())
+            self._prune(number)
+        if ticket.accepted >= block.end:
+            return
+        if len(block.arrivals) >= constants.SAMPLE_TICKETS:
+            block = block._replace(end=ticket.accepted)
+        else:
+            block = block._replace(arrivals=block.arrivals.set(int(ticket.identity[1:]), None))
+        self.blocks = self.blocks.set(number, block)
+
+    def final(self, ticket):
+        """A ticket became final: what a replay needs of it stays."""
+        number, block = self._block(ticket)
+        if block is not None:
+            block = block._replace(arrivals=block.arrivals.set(int(ticket.identity[1:]), arrival(ticket)))
+            self.blocks = self.blocks.set(number, block)
+
+    def _block(self, ticket):
+        number = int(ticket.accepted // constants.SAMPLE_BLOCK)
+        block = self.blocks.get(number)
+        return number, block if block is not None and int(ticket.identity[1:]) in block.arrivals else None
+
+    def _prune(self, newest):
+        """Drops what the bound leaves no place for."""
+        strata = {}
+        for number in self.blocks:
+            if number <= newest - constants.SAMPLE_NEWEST:
+                stratum = int(number * constants.SAMPLE_BLOCK // constants.SAMPLE_STRATUM)
+                strata.setdefault(stratum, []).append(number)
+        oldest = (newest * constants.SAMPLE_BLOCK - constants.SAMPLE_WINDOW) / constants.SAMPLE_STRATUM
+        for stratum, numbers in strata.items():
+            numbers.sort(key=_rank)
+            for number in numbers if stratum < oldest else numbers[constants.SAMPLE_EACH:]:
+                self.blocks = self.blocks.delete(number)
+
+    def traffic(self, tickets):
+        """The blocks as a rehearsal takes them: (length, running, arrivals), oldest first."""
+        told = []
+        for _, block in sorted(self.blocks.items()):
+            arrivals = []
+            for number, one in sorted(block.arrivals.items()):
+                ticket = tickets.get(f"t{number}")
+                if one is None and ticket is not None:
+                    one = arrival(ticket)
+                if one is not None:
+                    arrivals.append((max(0.0, one[0] - block.start), *one[1:]))
+            told.append((block.end - block.start, block.running, tuple(arrivals)))
+        return tuple(told)
+
+
+def _rank(number):
+    return hashlib.sha256(str(number).encode()).digest()
+
+
+def arrival(ticket):
+    """(accepted, queue, kind, urgency or -1, seconds to due or 0, tasks) of a ticket; a task
+    is (name, units, labels, after, seconds to its time, gang, attempts asked, limit,
+    seconds it took or None, failures, seconds lost by them)."""
+    tasks = []
+    for name, task in ticket.tasks.items():
+        standing = ticket.standings[name]
+        tasks.append((
+            name, task.units, task.labels, task.after, max(0.0, task.not_before - ticket.accepted), task.gang,
+            task.asked, task.limit, round(standing.took, 4) if standing.state == "done" else None,
+            standing.failures, round(standing.lost, 4)))
+    return (ticket.accepted, ticket.queue, ticket.kind, ticket.urgency if ticket.named else -1,
+            max(0.0, ticket.due - ticket.accepted) if ticket.due else 0.0, tuple(tasks))
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -41,7 +41,8 @@
 PLACE_EVERY = 0.01  # seconds; between two placing rounds, many tasks to an entry
 PLACE_IDLE = 0.1  # seconds; a round for what only time brings: not-before, retries, minions
 PLACE_MOST = 200  # tasks; in one placing entry
-PLACE_LOOK = 400  # tasks; looked at per queue in one round, bounds the cost of a backlog
+HOLD_WAIT = 5.0  # seconds; a unit that found no room this long has room held back for it
+DUE_UNNAMED = 3600.0  # seconds; work that names no due, or a later one, is ranked as due this long after acceptance
 SEND_WITHIN = 1.5  # seconds; after commit an order may be sent this long, then never
 ORDER_TIMEOUT = 1.5  # seconds; an order unanswered this long has an unknown outcome
 SEND_MARGIN = ORDER_TIMEOUT + 1.0  # seconds; an order's bytes may arrive this long past send-by
@@ -70,6 +71,7 @@
 ATTEMPTS_MOST = 100  # attempts; more is a mistake
 UNITS_MOST = 1_000_000  # units; of room one task may ask for
 PENDING_MOST = 20_000  # tasks; default bound of a queue's pending tasks
+PARKED_PART = 10  # of a queue's pending bound one part in so many is kept for tickets no known minion could take
 TICKETS_MOST = 200_000  # tickets; the whole record, beyond it tickets are shed
 FINISHED_KEPT = 20_000  # tickets; finished ones stay readable at least this many deep
 KEYS_KEPT = 86_400.0  # seconds; an idempotency key is honoured at least this long
@@ -87,13 +89,21 @@
 STOP_WITHIN = 2.0  # seconds; from SIGTERM to exit
 
 # --- rehearsal -----------------------------------------------------------------------
-TRAFFIC_MOST = 200  # tickets; the newest, replayed in one rehearsal: some seconds of work
+SAMPLE_BLOCK = 10.0  # seconds; traffic is kept and drawn in blocks this long, so that a crowd stays one
+SAMPLE_TICKETS = 200  # tickets; a block that gets more ends there
+SAMPLE_NEWEST = 24  # blocks; the newest are all kept
+SAMPLE_WINDOW = 86_400.0  # seconds; a day, so that every wave of it is in the sample
+SAMPLE_STRATUM = 3_600.0  # seconds; of older blocks so many are kept from each hour
+SAMPLE_EACH = 2  # blocks; from each older stratum: at most 72 blocks of 200 tickets in all
 TRAFFIC_LEAST = 30  # tickets; below it a rehearsal says "not measured"
-TRAFFIC_WINDOW = 3_600.0  # seconds; older traffic is not recent
+TRAFFIC_BLOCKS = 2  # blocks; below it nothing tells chance from traffic
+REPLAY_LASTS = 60.0  # seconds; of traffic in one replay, long enough for a backlog to build
+REPLAY_TICKETS = 400  # tickets; in one replay, some seconds of work
+REPLAY_SLICE = 20  # moments; between two pauses of a rehearsal, so that beats get the interpreter
 REHEARSAL_PAIRS = 8  # replays of each table; 7 of 8 agreeing is chance in 1 of 28
 REHEARSAL_AGREE = 7  # pairs; that must point the same way
 REHEARSAL_LEAST = 0.01  # part of the cost; a smaller difference counts as none
-REHEARSAL_LONGEST = 600.0  # seconds; of virtual time after the last arrival
+REHEARSAL_LONGEST = 120.0  # seconds; of virtual time after the last arrival
 DRAFTS_MOST = 100  # drafts; older ones are dropped
 
 # --- versions of formats -------------------------------------------------------------
--- a/src/pinepitch/proof/checks.py
+++ b/src/pinepitch/proof/checks.py
@@ -177,7 +177,7 @@
 def all_checks(caller_history, minion_history, documents, rows, rooms):
     """Every check that needs no moment of its own; `rows` are those of the table."""
     repeating = {ticket for ticket, document in documents.items()
-                 if rows[document["queue"]].get("repeats", True)}
+                 if rows[document["queue"]].get("repeats", False)}
     return [
         *never_twice(minion_history, repeating), *in_order(minion_history, documents),
         *attempts_kept(minion_history, documents, rows), *room_kept(minion_history, rooms),
--- a/src/pinepitch/proof/fleet.py
+++ b/src/pinepitch/proof/fleet.py
@@ -42,14 +42,14 @@
         ("z1", "z1", "z2", "z3", "z4"), ("z1", "z1", "z2", "z2", "z3", "z3", "z4"),
         (("lamp", 20, 8, (), True), ("image", 8, 4, ("graphics",), True)), ("z1", "z2", "z3", "z4"),
         caller.NKANSAH, {"queues": {
-            "field": _row(80, 160, urgency=6, retries=5, preempts=True, yields=False, repeats=False),
+            "field": _row(80, 160, urgency=6, retries=5, preempts=True, yields=False),
             "planning": _row(30, 100, urgency=2, retries=5),
             "feeds": _row(50, 120, urgency=7, retries=5, yields=False),
             "imaging": _row(32, 32, urgency=4, retries=5)}}, 5),
     "pinturas": Plan(
         ("p1", "p2", "p3"), ("p1", "p1", "p2", "p2", "p3", "p3"), (("mix", 33, 4, (), False),),
         ("p1", "p2", "p3"), caller.PINTURAS, {"queues": {
-            "counter": _row(66, 132, urgency=7, retries=5, preempts=True, yields=False, repeats=False),
+            "counter": _row(66, 132, urgency=7, retries=5, preempts=True, yields=False),
             "planning": _row(33, 100, urgency=2, retries=5),
             "lab": _row(33, 100, urgency=3, retries=5)}}, 3),
 }
--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -89,8 +89,7 @@
         self.committed = {}  # index -> digest, for the check that all agree
         self.setup = setup or {"queues": {
             "default": {"share": 24, "limit": 48, "retries": 3, "urgency": 4},
-            "urgent": {"share": 12, "limit": 48, "retries": 3, "urgency": 8, "preempts": True, "yields": False,
-                       "repeats": False},
+            "urgent": {"share": 12, "limit": 48, "retries": 3, "urgency": 8, "preempts": True, "yields": False},
             "feeds": {"share": 12, "limit": 24, "retries": 3, "urgency": 6, "yields": False}}}
         for place, area in enumerate(accords):
             self.add(f"accord{place}", "accord", area)
--- a/src/pinepitch/world/row.py
+++ b/src/pinepitch/world/row.py
@@ -20,7 +20,7 @@
     lends: bool  # whether idle credits go to other queues
     preempts: bool  # whether its urgent work may make others yield
     yields: bool  # whether its work may be made to yield
-    repeats: bool  # whether a task is tried again whose minion died without a last word
+    repeats: bool  # whether finishing twice is harmless, so that what died with its minion is tried again
 
 
 COLUMNS = {
@@ -36,13 +36,20 @@
 }
 DEFAULTS = {
     "share": 0, "urgency": 4, "retries": 2, "limit": constants.UNITS_MOST,
-    "pending": constants.PENDING_MOST, "lends": True, "preempts": False, "yields": True, "repeats": True,
+    "pending": constants.PENDING_MOST, "lends": True, "preempts": False, "yields": True, "repeats": False,
 }
+WEIGHTS = {  # of one second's wait, of one unit second, of all of a queue's tickets
+    "wait_median": 1.0, "wait_99": 1.0, "dues_missed": 100.0, "failed": 100.0, "shed": 100.0, "room_used": 0.0,
+    "preemptions": 1.0,
+}
+GUARD = {"factor": 1.25, "seconds": 0.25, "part": 0.01}  # a wait may grow by; a part of tickets by
 OBJECTIVE = {
-    voluptuous.Optional("wait_99", default=1.0): _number(0, 1e6),
-    voluptuous.Optional("wait_median", default=1.0): _number(0, 1e6),
-    voluptuous.Optional("dues_missed", default=10.0): _number(0, 1e6),
-    voluptuous.Optional("shed", default=10.0): _number(0, 1e6),
+    **{voluptuous.Optional(figure, default=weight): _number(0, 1e6) for figure, weight in WEIGHTS.items()},
+    voluptuous.Optional("queues", default=dict): {name: _number(0, 1e6)},
+    voluptuous.Optional("guard", default=dict): {
+        voluptuous.Optional("factor", default=GUARD["factor"]): _number(1, 1e6),
+        voluptuous.Optional("seconds", default=GUARD["seconds"]): _number(0, 1e6),
+        voluptuous.Optional("part", default=GUARD["part"]): _number(0, 1)},
 }
 SHAPE = voluptuous.Schema({
     voluptuous.Required("queues"): voluptuous.All(
@@ -73,6 +80,12 @@
     return (None, tuple(faults)) if faults else (plain, ())
 
 
+def objective_of(document):
+    """The whole objective of a setup, with what it leaves out."""
+    given = document.get("objective", {})
+    return {**WEIGHTS, "queues": {}, **given, "guard": {**GUARD, **given.get("guard", {})}}
+
+
 def row_of(document):
     """The Row of a checked one."""
     return Row(**document)
--- a/src/pinepitch/world/task.py
+++ b/src/pinepitch/world/task.py
@@ -18,6 +18,7 @@
     limit: float
     gang: str
     work: object
+    asked: int = 0  # attempts the caller asked for; 0 leaves it to the row
 
 
 class Standing(NamedTuple):
@@ -36,10 +37,11 @@
     incarnation: str = ""
     verge: str = ""
     send_by: float = 0.0
-    yields_to: str = ""  # a task reference, "move" or "limit", while it is to stop
+    yields_to: str = ""  # a task reference, "move", "limit", "gang", "cancel" or "failing", while it is to stop
     charges: tuple = ()  # ((queue, credits), ...) that lent for it
     since: float = 0.0
     took: float = 0.0  # seconds from placing to proven end of the newest attempt
+    lost: float = 0.0  # seconds of all attempts that failed
 
 
 FINAL = ("done", "failed", "cancelled")
@@ -48,3 +50,8 @@
 def reference(ticket, name):
     """How a task is named outside its ticket."""
     return f"{ticket}/{name}"
+
+
+def unit_of(task):
+    """What a task starts with: itself, or its whole gang."""
+    return "/" + task.gang if task.gang else task.name
--- a/src/pinepitch/world/ticket.py
+++ b/src/pinepitch/world/ticket.py
@@ -28,6 +28,8 @@
     state: str = "pending"
     cancelled_at: float = 0.0
     ended_at: float = 0.0
+    named: bool = False  # whether it named its own urgency
+    parked: str = ""  # why no minion then known could take it, if that was so when it came
 
 
 def _number(low, high):
@@ -161,7 +163,7 @@
         tasks[one["name"]] = Task(
             one["name"], one["units"], tuple(one["labels"]), tuple(one["after"]),
             max(one["not_before"], plain["not_before"]), 0 if feed else attempts,
-            one["limit"], one["gang"], one["work"],
+            one["limit"], one["gang"], one["work"], one["attempts"],
         )
     return tasks
 
