Every setup version stays readable, kept as patches between some whole ones

Change: a History of lines; a version is kept as a merge patch of the one before unless 256 patches or a whole setup's bytes have gathered, or a null stands in the way. Rows that did not change are not checked again. News no longer carries queue names (nobody read them); an order carries its area, so that a verge holds back what is for an emptied one.

--- a/features/steps/input.py
+++ b/features/steps/input.py
@@ -87,7 +87,7 @@
     context.record = Record()
     plain, _ = ticket.checked({**one_ticket(), "key": "k"})
     context.record.apply(1, 1.0, ("ticket", "k", "", plain))
-    context.before = copy.deepcopy((context.record.version, context.record.setup, context.record.setups))
+    context.before = copy.deepcopy((context.record.version, context.record.setup, context.record.setups.image()))
     bent = {"a share over its limit": {"queues": {"default": {"share": 9, "limit": 8}}},
             "a negative limit": {"queues": {"default": {"limit": -8}}},
             "an unknown column": {"queues": {"default": {"colour": 1}}},
@@ -101,7 +101,7 @@
 def step_unchanged(context, path):
     assert context.outcome[0] == "invalid", context.outcome
     assert path in [one[0] for one in context.outcome[1]], context.outcome
-    assert context.before == (context.record.version, context.record.setup, context.record.setups)
+    assert context.before == (context.record.version, context.record.setup, context.record.setups.image())
 
 
 @when("{count:d} seeded frames, whole, cut and bent, are decoded")
--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -206,18 +206,22 @@
 
 # --- setups --------------------------------------------------------------------------
 def _setup(core, token, arguments, now):
-    wanted = arguments[0]
-    for version, document, who, why, time, base in core.record.setups:
-        if wanted in (0, version) and (wanted or version == core.record.version):
-            return ("answer", (200, {"version": version, "setup": document, "who": who, "why": why,
-                                     "time": time, "base": base}, None))
-    return ("answer", problem(404, "unknown_version", f"no setup {wanted} in the history"))
+    record = core.record
+    version = arguments[0] or record.version
+    line = record.setups.line(version)
+    if line is None:
+        return ("answer", problem(404, "unknown_version", f"no setup {arguments[0]!r} in the history"))
+    document = record.setup if version == record.version else record.setups.read(version)
+    return ("answer", (200, {**_line(line), "setup": document}, None))
+
+
+def _line(line):
+    return dict(zip(("version", "who", "why", "time", "base"), line))
 
 
 def _setups(core, token, arguments, now):
-    return ("answer", (200, {"version": core.record.version, "setups": [
-        {"version": version, "who": who, "why": why, "time": time, "base": base}
-        for version, _, who, why, time, base in core.record.setups]}, None))
+    return ("answer", (200, {"version": core.record.version,
+                             "setups": [_line(line) for line in core.record.setups.lines]}, None))
 
 
 def _change(core, token, arguments, now):
@@ -237,10 +241,10 @@
 
 def _go_back(core, token, arguments, now):
     base, wanted, who, why = arguments
-    for version, document, *_ in core.record.setups:
-        if version == wanted:
-            return _change(core, token, (base, "whole", document, who, why or f"back to version {wanted}"), now)
-    return ("answer", problem(404, "unknown_version", f"no setup {wanted} in the history"))
+    document = core.record.setups.read(wanted)
+    if document is None:
+        return ("answer", problem(404, "unknown_version", f"no setup {wanted} in the history"))
+    return _change(core, token, (base, "whole", document, who, why or f"back to version {wanted}"), now)
 
 
 # --- the table -----------------------------------------------------------------------
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -528,7 +528,7 @@
         body = None
         if seen != version:
             body = {
-                "setup_version": self.record.version, "queues": sorted(self.record.rows),
+                "setup_version": self.record.version,
                 "drained": sorted(self.record.drained), "emptied": sorted(self.record.emptied),
                 "withdrawn": sorted(self.record.withdrawn),
             }
@@ -729,7 +729,7 @@
         if minion.poor():
             minion.trial_at = now
         order = {
-            "task": ref, "attempt": standing.attempt, "minion": standing.minion,
+            "task": ref, "attempt": standing.attempt, "minion": standing.minion, "area": minion.report.area,
             "incarnation": standing.incarnation, "address": minion.report.address, "units": task.units,
             "work": task.work, "kind": ticket.kind, "queue": ticket.queue, "urgency": ticket.urgency,
             "gang": task.gang, "not_before": task.not_before, "send_by": standing.send_by,
--- /dev/null
+++ b/src/pinepitch/accord/history.py
@@ -0,0 +1,91 @@
+"""The history of setups: every version ever in force, most kept as what they changed."""
+
+import cbor2
+
+from ..ground import constants
+from ..world.row import merged
+
+
+def difference(before, after):
+    """The merge patch that makes `after` of `before`, or None where a null stands in the
+    way, which no patch can say."""
+    patch = {member: None for member in before if member not in after}
+    for member, value in after.items():
+        old = before.get(member)
+        if value is old and value is not None:
+            continue
+        if isinstance(value, dict) and isinstance(old, dict):
+            inner = difference(old, value)
+            if inner is None:
+                return None
+            if inner:
+                patch[member] = inner
+        elif member not in before or type(old) is not type(value) or old != value:
+            if not _sayable(value):
+                return None
+            patch[member] = value
+    return patch
+
+
+def _sayable(value):
+    if isinstance(value, dict):
+        return all(map(_sayable, value.values()))
+    return value is not None
+
+
+class History:
+    """Invariants: lines has one line a version, from 1 on without a gap, each (version, who,
+    why, time, base, kind, content); a "whole" one holds the checked setup, a "patch" what
+    it changed in the version before; since the last whole one there are fewer than
+    SETUPS_WHOLE patches, and they hold fewer bytes than a whole one. Lines are only added."""
+
+    def __init__(self, lines=()):
+        self.lines = [tuple(one) for one in lines]
+        self.patched = 0  # bytes of patches since the last whole line
+        self.size = 0  # bytes of that whole line
+        self._newest = None  # (version, setup) of the newest line
+        self._read = None  # (version, setup) that was read last, to go on from
+        for line in self.lines:
+            self._measure(line)
+
+    def image(self):
+        return tuple(self.lines)
+
+    def _measure(self, line):
+        size = len(cbor2.dumps(line[6]))
+        if line[5] == "whole":
+            self.size, self.patched = size, 0
+        else:
+            self.patched += size
+
+    def add(self, version, setup, who, why, time, base):
+        """The next version is in force."""
+        line = (version, who, why, time, base, "whole", setup)
+        if self.lines:
+            before = self._newest[1] if self._newest else self.read(version - 1)
+            patch = difference(before, setup)
+            near = any(one[5] == "whole" for one in self.lines[-constants.SETUPS_WHOLE:])
+            if patch is not None and near and (
+                    len(cbor2.dumps(patch)) + self.patched < max(self.size, constants.SETUP_SMALL)):
+                line = (version, who, why, time, base, "patch", patch)
+        self.lines.append(line)
+        self._measure(line)
+        self._newest = (version, setup)
+
+    def line(self, version):
+        """(version, who, why, time, base, ...) of a version, or None."""
+        return self.lines[version - 1] if 0 < version <= len(self.lines) else None
+
+    def read(self, version):
+        """The whole setup of a version, or None."""
+        if self.line(version) is None:
+            return None
+        place = version
+        while self.lines[place - 1][5] != "whole" and not (self._read and self._read[0] == place):
+            place -= 1
+        setup = self._read[1] if self._read and self._read[0] == place else self.lines[place - 1][6]
+        for one in range(place + 1, version + 1):
+            setup = merged(setup, self.lines[one - 1][6])
+        self._read = (version, setup)
+        return setup
+
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -14,6 +14,7 @@
 from ..world import row as rows
 from ..world.task import FINAL, Standing, Task, reference, unit_of
 from ..world.ticket import Ticket, tasks_from
+from .history import History
 from .sample import Sample
 
 OK = ("ok",)
@@ -39,7 +40,8 @@
         self.finished = ()  # pairs (identity, ended_at) are kept in order of their end
         self.version = 1
         self.setup = rows.checked(rows.FIRST)[0]
-        self.setups = ((1, rows.FIRST, "founding", "the setup every cohort begins with", 0.0, 0),)
+        self.setups = History()
+        self.setups.add(1, self.setup, "founding", "the setup every cohort begins with", 0.0, 0)
         self.epochs = {}
         self.drained = {}
         self.emptied = {}
@@ -56,7 +58,7 @@
         """A value that later changes leave alone; encode() turns it to bytes."""
         return (
             self.time, self.index, self.tickets, self.keys, self.count, tuple(self.finished), self.version,
-            self.setup, self.setups, dict(self.epochs), dict(self.drained), dict(self.emptied),
+            self.setup, self.setups.image(), dict(self.epochs), dict(self.drained), dict(self.emptied),
             dict(self.withdrawn), self.drafts, self.draft_count,
             self.marks, self.sample.image(),
         )
@@ -76,7 +78,7 @@
         record.tickets = immutables.Map({one: _ticket(image) for one, image in tickets.items()})
         record.keys = immutables.Map(keys)
         record.finished = [tuple(one) for one in finished]
-        record.setups = tuple(tuple(one) for one in setups)
+        record.setups = History(setups)
         record.epochs = {duty: tuple(one) for duty, one in epochs.items()}
         record.withdrawn = {minion: tuple(one) for minion, one in withdrawn.items()}
         record.drafts = immutables.Map(drafts)
@@ -580,7 +582,7 @@
 
     def setup_faults(self, document):
         """(checked, ()) or (None, faults) of a whole setup against the live tickets."""
-        checked, faults = rows.checked(document)
+        checked, faults = rows.checked(document, self.setup)
         if checked is not None:
             faults = tuple((f"queues.{queue}", f"{count} live tickets, so it can't go")
                            for queue, count in sorted(self.live.items())
@@ -592,9 +594,11 @@
         if faults:
             return ("invalid", faults)
         self.version += 1
-        self.setup = checked
-        self.setups = (*self.setups, (self.version, checked, who, why, self.time, base))[-constants.HISTORY_KEPT:]
-        self.rows = {queue: rows.row_of(row) for queue, row in checked["queues"].items()}
+        before, self.setup = self.setup, checked
+        self.setups.add(self.version, checked, who, why, self.time, base)
+        kept = self.rows
+        self.rows = {queue: kept[queue] if queue in kept and before["queues"].get(queue) is row else rows.row_of(row)
+                     for queue, row in checked["queues"].items()}
         return ("setup", self.version)
 
     # --- drafts -----------------------------------------------------------------------
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -312,7 +312,8 @@
 
     def _closed(self, order):
         body = self.body or {}
-        return order["minion"] in body.get("drained", ()) or order["minion"] in body.get("withdrawn", ())
+        return (order["minion"] in body.get("drained", ()) or order["minion"] in body.get("withdrawn", ())
+                or order["area"] in body.get("emptied", ()))
 
     def _on_posted(self, key, outcome, now):
         """How an order went: sent, refused, unsent or unknown."""
--- a/src/pinepitch/world/row.py
+++ b/src/pinepitch/world/row.py
@@ -54,8 +54,7 @@
 SHAPE = voluptuous.Schema({
     voluptuous.Required("queues"): voluptuous.All(
         {name: {voluptuous.Optional(column, default=DEFAULTS[column]): check
-                for column, check in COLUMNS.items()}},
-        voluptuous.Length(1, constants.QUEUES_MOST)),
+                for column, check in COLUMNS.items()}}),
     voluptuous.Optional("room", default=0): _whole(0, constants.UNITS_MOST),
     voluptuous.Optional("silence", default=dict): {name: voluptuous.In(("hold",))},
     voluptuous.Optional("objective", default=dict): OBJECTIVE,
@@ -64,11 +63,22 @@
 FIRST = {"queues": {"default": dict(DEFAULTS, share=100)}, "room": 0, "silence": {}, "objective": {}, "notes": {}}
 
 
-def checked(document):
-    """(whole setup, ()) or (None, faults), every fault named by its path."""
-    plain, faults = shaped(SHAPE, document)
+def checked(document, known=None):
+    """(whole setup, ()) or (None, faults), every fault named by its path. Rows that are
+    those of the setup `known`, checked before, are not checked again."""
+    same = {}
+    if known is not None and isinstance(document, dict) and isinstance(document.get("queues"), dict):
+        same = {queue: row for queue, row in document["queues"].items() if known["queues"].get(queue) is row}
+    part = {**document, "queues": {queue: row for queue, row in document["queues"].items() if queue not in same}
+            } if same else document
+    plain, faults = shaped(SHAPE, part)
     if faults:
         return None, faults
+    if same:
+        plain["queues"] = {queue: same[queue] if queue in same else plain["queues"][queue]
+                           for queue in document["queues"]}
+    if not 0 < len(plain["queues"]) <= constants.QUEUES_MOST:
+        return None, (("queues", f"expected 1 to {constants.QUEUES_MOST} queues"),)
     faults = []
     total = 0
     for queue, row in plain["queues"].items():
