Cohort time starts from what was agreed, and only a majority of clocks may move it

Cause: after a restart the first clock read, an accord's own, became the cohort's time, and from there it was bent by 2 % at most.

Change: until a majority of the members' clocks is heard, time is carried on from the newest in the record at the monotonic rate, which is never ahead; the first median of a majority ahead of it takes its place. A time over a second behind what was agreed is carried again.

Ruled out: taking the lowest clock not behind the record (one clock ahead among two behind would win); a faster bend (starts tasks early when a majority jumps). Limit: a majority of core clocks ahead of the truth at a total restart can't be told.

--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -242,8 +242,8 @@
 
     def _now(self, now):
         """Cohort time: the clocks' median, never behind the record."""
-        read = self.time.read(now)
-        return max(read or 0.0, self.record.time)
+        members = self.consensus.cohort.members() if self.consensus is not None else ()
+        return self.time.read(now, self.record.time, len(members) // 2 + 1)
 
     # --- founding and joining ---------------------------------------------------------
     def _found(self, now):
@@ -356,6 +356,15 @@
         self.counts["syncs"] += 1
         self._run(self.consensus.saved(sequence, now), now)
 
+    def _on_disk(self, why, now):
+        """The disk refused to write, or (why is None) writes again."""
+        if why is None:
+            self._event(107)
+            return
+        self._event(106, why=why)
+        if self.consensus is not None:
+            self._run(self.consensus.disk_failed(now), now)
+
     def _on_encoded(self, index, data, now):
         self.snapshotting = False
         if index > self.consensus.base_index and self.consensus.term_at(index) is not None:
@@ -770,6 +779,7 @@
     "raft": Accord._on_raft,
     "saved": Accord._on_saved,
     "encoded": Accord._on_encoded,
+    "disk": Accord._on_disk,
     "claim": Accord._on_claim,
     "rehearsed": Accord._on_rehearsed,
     "measured": Accord._on_measured,
--- a/src/pinepitch/ground/cohorttime.py
+++ b/src/pinepitch/ground/cohorttime.py
@@ -5,10 +5,14 @@
 
 class CohortTime:
     """Invariants: read() never goes back; between two reads it moves with the monotonic
-    clock, bent by at most SLEW; a reading too old has no say in the median."""
+    clock, bent by at most SLEW; a reading too old has no say in the median, and fewer
+    readings than a majority of the members have none at all. While carried, the time goes
+    on from the newest that was agreed, which is never ahead of the truth, and the first
+    median ahead of it takes its place."""
 
     def __init__(self):
         self.offset = None  # cohort time less monotonic time
+        self.carried = True  # whether offset comes from the record, not from clocks
         self.readings = {}  # member -> (its clock less our monotonic time, when heard)
         self.last = 0.0
         self.moved = None
@@ -17,28 +21,25 @@
         """A member's wall clock, heard at monotonic `now`."""
         self.readings[member] = (clock - now, now)
 
-    def adopt(self, cohort, now):
-        """Takes a time already agreed (a leader's) if none is known yet."""
-        if self.offset is None:
-            self.offset, self.moved = cohort - now, now
-
-    def read(self, now):
-        """The cohort's time at monotonic `now`, or None before any clock was heard."""
+    def read(self, now, agreed=0.0, needed=1):
+        """The cohort's time at monotonic `now`; `agreed` is the newest in the record and
+        `needed` a majority of the members."""
         fresh = sorted(
             offset for offset, heard in self.readings.values() if now - heard <= constants.CLOCK_FRESH
         )
-        if fresh:
+        if self.offset is None or now + self.offset < agreed:
+            self.carried = self.carried or now + self.offset < agreed - constants.TIME_BEHIND
+            self.offset = agreed - now
+        if len(fresh) >= needed:
             lower, upper = fresh[(len(fresh) - 1) // 2], fresh[len(fresh) // 2]
-            median = lower
-            if self.offset is not None and abs(upper - self.offset) < abs(lower - self.offset):
-                median = upper  # of two middle clocks the one that has not jumped
-            if self.offset is None:
-                self.offset = median
-            elif self.moved is not None:
+            if self.carried:
+                if lower >= self.offset:
+                    self.offset, self.carried = lower, False
+            else:
+                # of two middle clocks the one that has not jumped
+                median = upper if abs(upper - self.offset) < abs(lower - self.offset) else lower
                 most = min(1.0, max(0.0, now - self.moved)) * constants.SLEW  # a freeze earns no leap
                 self.offset += max(-most, min(most, median - self.offset))
-            self.moved = now
-        if self.offset is None:
-            return None
+        self.moved = now
         self.last = max(self.last, now + self.offset)
         return self.last
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -7,6 +7,7 @@
 ELECTION_JITTER = 1.0  # times the time-out; a seeded spread that keeps candidates apart
 CHECK_QUORUM = 1.0  # seconds; a leader unheard by a commit quorum this long steps down
 DISK_STALL = 1.5  # seconds; a leader whose save takes longer gives leadership up
+DISK_AGAIN = 0.5  # seconds; before what a disk refused is written again
 DISK_PENANCE = 5.0  # seconds; how long such a machine stands for no election afterwards
 APPEND_ENTRIES = 256  # entries; most in one append, keeps a frame small and a beat prompt
 APPEND_WINDOW = 4  # messages; appends under way to one follower before an answer
@@ -35,6 +36,7 @@
 
 # --- cohort time ---------------------------------------------------------------------
 SLEW = 0.02  # seconds per second; most the cohort's time is bent towards the median
+TIME_BEHIND = 1.0  # seconds; a cohort time this far behind what was agreed came from wrong clocks
 CLOCK_FRESH = 2.0  # seconds; a clock reading older than this has no say in the median
 
 # --- placing and orders --------------------------------------------------------------
