A disk that refuses to write promises nothing and ends no daemon; bases go beside saves

Cause: an OSError in the disk task ended it, having moved the store's version on, so that the next file left a gap that reads as damage. A log line that could not be written to the same full disk would have stopped the daemon. A bad file with its final name was dropped as torn if newest, though a file is synced before it gets its name, so it may hold a promise.

Any bad file under its final name means damage.

Ruled out: stopping after a failed sync: what that file holds can't be trusted, but nothing of it was promised, and the next try syncs another file and its folder from the start.

Before and after: features/store.feature fails writing at each of five steps; before, each left a store that read as damaged after the next save, now none.

--- a/features/store.feature
+++ b/features/store.feature
@@ -9,11 +9,6 @@
     Given a store with 5 steps and a base after the third
     Then loading it again gives the base and the 2 later steps
 
-  Scenario: a torn newest file is dropped
-    Given a store with 5 steps
-    When the newest file is cut short
-    Then loading it again gives the first 4
-
   Scenario Outline: <damage> means that the machine counts as empty
     Given a store with 5 steps
     When <damage>
@@ -23,6 +18,7 @@
     Examples:
       | damage                                  |
       | a bit of an older file is flipped       |
+      | the newest file is cut short            |
       | a file between is gone                  |
       | a file has a newer version than known   |
 
@@ -30,6 +26,24 @@
     Given a store whose writes fail for lack of space
     Then writing a step raises and the step is not there afterwards
 
+  Scenario Outline: a disk that fails at <step> promises nothing and goes on once it works
+    Given a store with 5 steps
+    When writing fails at <step> and is tried again with more in it
+    Then the 5 steps and the one tried again are there, and nothing else
+
+    Examples:
+      | step            |
+      | opening         |
+      | writing         |
+      | syncing         |
+      | renaming        |
+      | folder syncing  |
+
+  Scenario: saves go on while a base is written
+    Given a store with 5 steps
+    When a base is written beside two more steps
+    Then loading it again gives the base and the 2 later steps
+
   Scenario: files written aside and never renamed are forgotten
     Given a store with 5 steps
     When a file written aside is left over
--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -235,6 +235,13 @@
                 self._reset_election(now)
         return self._done(now)
 
+    def disk_failed(self, now):
+        """A disk that refuses to write is no leader's."""
+        self.penance_until = now + constants.DISK_PENANCE
+        if self.role != "follower":
+            self._follow(self.term, now, "disk refuses to write")
+        return self._done(now)
+
     def _reset_election(self, now):
         spread = 1 + self.random.random() * constants.ELECTION_JITTER
         self.election_at = now + constants.ELECTION_TIMEOUT * spread
--- a/src/pinepitch/accord/program.py
+++ b/src/pinepitch/accord/program.py
@@ -1,6 +1,7 @@
 """The accord daemon: keeps the record with its cohort."""
 
 import secrets
+import sys
 
 import fire
 
@@ -49,8 +50,12 @@
     found = checked_env("accord", settings, {
         "address": address, "area": None if area is None else str(area), "seeds": list(seeds) if isinstance(seeds, tuple) else seeds, "data": data, "level": level,
         "founders": founders, "mode": mode})
-    store, base, steps, damage = open_store(found.data)
-    identity = identity_of(store, base, steps)
+    try:
+        store, base, steps, damage = open_store(found.data)
+        identity = identity_of(store, base, steps)
+    except OSError as fault:
+        print(f"accord: data {found.data}: {fault}", file=sys.stderr)
+        sys.exit(2)
     log = events.logger("accord", identity, found.level)
     if damage:
         events.emit(log, 103, why=damage)
--- a/src/pinepitch/ground/events.py
+++ b/src/pinepitch/ground/events.py
@@ -13,6 +13,8 @@
     103: ("store damaged, counted as empty", "error"),
     104: ("broken invariant, process stops", "critical"),
     105: ("frame refused", "warning"),
+    106: ("disk refuses to write", "error"),
+    107: ("disk writes again", "warning"),
     110: ("cohort founded", "info"),
     111: ("consent to found persisted", "info"),
     112: ("founding held back: a cohort is known", "info"),
@@ -62,4 +64,7 @@
 def emit(log, number, **fields):
     """Writes event `number` at the level its catalogue entry gives it."""
     text, level = CATALOGUE[number]
-    getattr(log, level)(text, number=number, **fields)
+    try:
+        getattr(log, level)(text, number=number, **fields)
+    except OSError:
+        pass  # a log that can't be written, on a full disk say, must not stop a daemon
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -184,7 +184,9 @@
         await self.inbox.put(("halt",))
 
     async def _disk(self):
-        """Owns the store: one file for all saves that wait, in order."""
+        """Owns the store: one file for all saves that wait, in order. A base that follows
+        none of them is written beside them."""
+        beside = None
         while True:
             await self.jobs_filled.wait()
             if not self.jobs:
@@ -192,11 +194,13 @@
                 continue
             kind, tag, payload = self.jobs.popleft()
             if kind == "snapshot":
-                data = await curio.run_in_thread(type(self.core.record).encode, payload)
-                await self.inbox.put(("encoded", tag, data))
+                await curio.spawn(self._encode, tag, payload, daemon=True)
             elif kind == "base":
-                await curio.run_in_thread(self.store.write_base, payload, self.store.version)
+                if beside is not None:
+                    await beside.join()
+                beside = await curio.spawn(self._durable, self.store.write_base, payload, self.store.version)
                 if tag is not None:
+                    await beside.join()
                     await self.inbox.put(("saved", tag))
             else:
                 batch, tags = [payload], [(kind, tag)]
@@ -204,7 +208,7 @@
                     kind, tag, payload = self.jobs.popleft()
                     batch.append(payload)
                     tags.append((kind, tag))
-                await curio.run_in_thread(self.store.write_step, batch)
+                await self._durable(self.store.write_step, batch)
                 sequences = [tag for kind, tag in tags if kind == "save"]
                 if sequences:
                     await self.inbox.put(("saved", max(sequences)))
@@ -212,6 +216,25 @@
                     if kind == "note":
                         await tag.set()
 
+    async def _encode(self, index, image):
+        data = await curio.run_in_thread(type(self.core.record).encode, image)
+        await self.inbox.put(("encoded", index, data))
+
+    async def _durable(self, write, *arguments):
+        """Writes until it is done; the decider hears when the disk fails and works again."""
+        failed = False
+        while True:
+            try:
+                await curio.run_in_thread(write, *arguments)
+                break
+            except OSError as fault:
+                if not failed:
+                    await self.inbox.put(("disk", str(fault)))
+                failed = True
+                await curio.sleep(constants.DISK_AGAIN)
+        if failed:
+            await self.inbox.put(("disk", None))
+
     async def _serve_frames(self, socket, address):
         socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
         stream = socket.as_stream()
--- a/src/pinepitch/ground/store.py
+++ b/src/pinepitch/ground/store.py
@@ -18,8 +18,9 @@
 class Store:
     """Versions are numbered from 1 without a gap; a base holds all that came before it.
 
-    Invariants: a file in its final name was synced before it got it; nothing newer than
-    the last returned write_step is promised; the file of version N is never rewritten.
+    Invariants: a file in its final name was synced before it got it, so a power cut tears
+    none, and one that is not whole says that the disk lost something; nothing newer than
+    the last returned write_step is promised; a promised version is never rewritten.
     """
 
     def __init__(self, folder):
@@ -38,37 +39,27 @@
                 (bases if match[1] == "base" else steps)[int(match[2])] = name
             elif name.endswith(".aside"):
                 os.unlink(os.path.join(self.folder, name))
-        newest = max([0, *bases, *steps])
-        base, base_version = None, 0
-        for version in sorted(bases, reverse=True):
-            payload = self._read(bases[version])
-            if isinstance(payload, Damaged):
-                if version == newest and len(bases) + len(steps) > 1:
-                    os.unlink(os.path.join(self.folder, bases[version]))
-                    newest = max([0, *steps, *(other for other in bases if other < version)])
-                    continue
-                return payload
-            base, base_version = payload, version
-            break
+        base, base_version = None, max(bases, default=0)
+        if bases:
+            base = self._read(bases[base_version])
+            if isinstance(base, Damaged):
+                return base
         payloads = []
-        wanted = sorted(version for version in steps if version > base_version)
-        for place, version in enumerate(wanted):
+        for place, version in enumerate(sorted(version for version in steps if version > base_version)):
             if version != base_version + place + 1:
                 return Damaged((f"version {base_version + place + 1} is missing",))
             payload = self._read(steps[version])
             if isinstance(payload, Damaged):
-                if version == wanted[-1] and payload[0].startswith("torn"):
-                    os.unlink(os.path.join(self.folder, steps[version]))
-                    break
                 return payload
             payloads.append(payload)
         self.version = base_version + len(payloads)
         return base, payloads
 
     def write_step(self, payload):
-        """Makes the next version durable; returns only once it is."""
+        """Makes the next version durable; returns only once it is. After an OSError the
+        version is the same as before, and may be written again, with more in it or not."""
+        self._write(f"step-{self.version + 1:016d}", payload)
         self.version += 1
-        self._write(f"step-{self.version:016d}", payload)
 
     def write_base(self, payload, version):
         """Puts a base in the place of every file up to `version`."""
@@ -88,6 +79,8 @@
     def _write(self, name, payload):
         body = cbor2.dumps((constants.FILE_VERSION, payload))
         aside = os.path.join(self.folder, name + ".aside")
+        if os.path.exists(aside):
+            os.unlink(aside)  # after a failed sync what a file holds can't be trusted: never the same one again
         descriptor = os.open(aside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
         try:
             rest = memoryview(hashlib.sha256(body).digest() + body)
@@ -109,7 +102,7 @@
             whole = file.read()
         digest, body = whole[:32], whole[32:]
         if len(digest) < 32 or hashlib.sha256(body).digest() != digest:
-            return Damaged((f"torn file {name}",))
+            return Damaged((f"{name} is not what was written",))
         version, payload = cbor2.loads(body)
         if version > constants.FILE_VERSION:
             return Damaged((f"{name} has file version {version}, newer than {constants.FILE_VERSION}",))
