Eight more weathers, stricter checks, and a proof table made from their registry

Cause: the table was kept by hand and said little of pairs; cancels, drains and races were at stake in two weathers only; lost attempts were not counted; a change in force was judged by what verges tell; callers dropped what was shed; tickets were read half a second late.

Eight plants more, each seen found.

--- a/features/trial.feature
+++ b/features/trial.feature
@@ -30,6 +30,17 @@
       | verges-restart |
       | foul           |
       | storm          |
+      | full           |
+      | clock-outage   |
+      | impossible     |
+      | setup-storm    |
+      | large-setup    |
+      | crowds-ten     |
+      | cancel-cut     |
+
+  Scenario: a day's end breaks no promise, whatever fault ends it
+    When the weather final is tried with seeds 1 to 7 on every fleet in turn
+    Then no check finds a fault
 
   Scenario Outline: <weather> breaks no promise in dynamic mode
     When the weather <weather> is tried in dynamic mode with seeds 1 to 2 on nine accords
@@ -82,6 +93,14 @@
       | failed-counts-as-done | calm         | shown finished             |
       | slow-elections        | outage       | service was back only      |
       | votes-twice           | leaders-fall | two leaders                |
+      | promises-when-full    | full         | differs at                 |
+      | any-clock             | clock-outage | cohort time is off         |
+      | impossible-unseen     | impossible   | without a word             |
+      | bound-ignored         | crowds-ten   | shed nothing               |
+      | limit-ignored         | setup-storm  | units of                   |
+      | killed-once           | cancel-cut   | ran on after its cancel    |
+      | history-cut           | final        | missing at day's end       |
+      | lost-not-counted      | crashes      | failures                   |
 
   Scenario Outline: <weather> with seed <seed> on <fleet>, once broken: <cause>
     When the weather <weather> is tried with seed <seed> on the fleet <fleet>
@@ -94,6 +113,8 @@
       | replaced | 11   | bare  | a newcomer was let in beside one not yet known as lost  |
       | wiped    | 0    | three | an empty machine was let in beside its former self      |
       | crowds   | 11   | bare  | a cancel asked twice was refused                        |
+      | clock-outage | 6 | three | one clock heard alone at a restart became the cohort's  |
+      | final    | 5    | bare  | time stood still after clocks had been behind           |
 
   Scenario: the same seed gives the same history
     When the weather storm is tried twice with seed 3
--- a/src/pinepitch/client/commands.py
+++ b/src/pinepitch/client/commands.py
@@ -291,6 +291,14 @@
         from ..proof.trial import trials
         trials(weather, seeds, first, fleet, mode, plant)
 
+    def proof(self, page="docs/proof.md"):
+        """Writes the tables of promises, failures, weathers and plants into a page."""
+        from ..proof.promises import written
+        with open(page) as file:
+            text = file.read()
+        with open(page, "w") as file:
+            file.write(written(text))
+
 
 def _read(file):
     try:
--- a/src/pinepitch/proof/caller.py
+++ b/src/pinepitch/proof/caller.py
@@ -22,6 +22,8 @@
     ("recipe", 1.0, {"queue": "planning", "urgency": 2, "count": 4, "shape": "chain", "units": 2, "seconds": 0.3}),
     ("card", 1.0, {"queue": "lab", "urgency": 3, "count": 4, "shape": "fan", "units": 1, "seconds": 0.3}),
 )
+SOON = 0.02  # seconds; the first read of a ticket comes this soon after its acceptance
+TRIES = 5  # times a caller that is told to come back does so
 
 
 def make(shape, now, fail):
@@ -48,14 +50,17 @@
     """Invariants: a key is used for one body; accepted maps a ticket to (key, when,
     document); history is only added to."""
 
-    def __init__(self, name, traffic, seed=0, rate=1.0, fail=0.03, poll=0.5):
+    def __init__(self, name, traffic, seed=0, rate=1.0, fail=0.03, poll=0.5, cancels=0.0):
         self.name, self.traffic, self.rate, self.fail, self.poll = name, traffic, rate, fail, poll
+        self.cancels = cancels  # part of the accepted tickets that are cancelled soon after
         self.random = random.Random(f"{name}-{seed}")
         self.history = []
         self.count = 0
         self.under_way = {}  # call -> (kind, key or ticket, document, begun)
         self.retry = []  # (when, key, document)
         self.accepted = {}
+        self.regrets = {}  # ticket -> when it is to be cancelled
+        self.tries = {}  # key -> how often it was shed
         self.open = {}  # ticket -> when to ask next
         self.next_at = {}
         self.stopped = False
@@ -82,6 +87,10 @@
         for when, key, document in [one for one in self.retry if one[0] <= now]:
             self.retry.remove((when, key, document))
             calls.append(self._call("submit", key, document, "POST", "/v1/tickets", now))
+        for ticket, when in list(self.regrets.items()):
+            if when <= now:
+                del self.regrets[ticket]
+                calls.extend(self.cancel(ticket, now))
         for ticket, when in list(self.open.items()):
             if when <= now:
                 self.open[ticket] = now + 1e9
@@ -98,12 +107,17 @@
             if status in (200, 201):
                 ticket = document["ticket"]
                 self.accepted[ticket] = (subject, now, sent)
-                self.open[ticket] = now + self.poll
+                self.open[ticket] = now + SOON
+                if self.cancels and self.random.random() < self.cancels:
+                    self.regrets[ticket] = now + self.random.uniform(0.0, 1.0)
                 self.history.append(("accepted", now, subject, ticket, now - begun))
             elif status in (0, 429, 503):
-                self.history.append(("shed" if status == 429 else "unanswered", now, subject))
-                if status != 429:
+                self.history.append(("shed" if status == 429 else "unanswered", now, subject, now - begun))
+                self.tries[subject] = self.tries.get(subject, 0) + (status == 429)
+                if self.tries[subject] < TRIES:
                     self.retry.append((now + constants.COME_BACK, subject, sent))
+                else:
+                    self.history.append(("given-up", now, subject))
             else:
                 self.history.append(("refused", now, subject, status))
         elif kind == "read":
--- a/src/pinepitch/proof/checks.py
+++ b/src/pinepitch/proof/checks.py
@@ -69,8 +69,10 @@
     return faults
 
 
-def attempts_kept(minion_history, documents, rows):
-    """No task but a feed fails more often than allowed and starts again."""
+def attempts_kept(minion_history, documents, rows, withdrawn=()):
+    """No task but a feed starts again after as many failures as it may have: an end that
+    failed, a run over its time limit, or one lost with its minion, unless an operator gave
+    his word that the machine is withdrawn."""
     starts, ends = starts_and_ends(minion_history)
     faults = []
     for ticket, document in documents.items():
@@ -82,10 +84,42 @@
             if task.get("attempts"):
                 allowed = min(allowed, task["attempts"])
             failed = 0
-            for when, _, _, attempt, _ in starts.get(ref, ()):
+            for when, minion, _, attempt, _ in starts.get(ref, ()):
                 if failed >= allowed:
                     faults.append(f"{ref} started after {failed} failures")
-                failed += any(how == "failed" for _, how, _ in ends.get((ref, attempt), ()))
+                for ended, how, _ in ends.get((ref, attempt), ()):
+                    over = how == "killed" and task.get("limit") and ended - when > task["limit"]
+                    failed += how == "failed" or bool(over) or (how == "gone" and minion not in withdrawn)
+    return faults
+
+
+def limits_kept(minion_history, documents, changes, within=2.0):
+    """No queue starts work beyond its limit later than `within` after the change that set
+    it was acknowledged. Changes, in order of version: (asked, acknowledged or None, {queue:
+    limit})."""
+    queue_of = {ticket: document["queue"] for ticket, document in documents.items()}
+    _, ends = starts_and_ends(minion_history)
+    moments = []
+    for event in minion_history:
+        if event[0] == "start" and event[4].partition("/")[0] in queue_of:
+            queue = queue_of[event[4].partition("/")[0]]
+            moments.append((event[1], 1, queue, event[6], event[4]))
+            over = ends.get((event[4], event[5]))
+            if over:
+                moments.append((over[0][0], 0, queue, -event[6], event[4]))
+    used, faults = {}, []
+    for when, starts, queue, units, ref in sorted(moments):
+        used[queue] = used.get(queue, 0) + units
+        if not starts:
+            continue
+        allowed = []
+        for asked, acknowledged, limits in reversed(changes):
+            if queue in limits and asked <= when:
+                allowed.append(limits[queue])
+                if acknowledged is not None and acknowledged <= when - within:
+                    break
+        if allowed and used[queue] > max(allowed):
+            faults.append(f"{ref} started at {when:.3f} with {used[queue]} units of {queue}, over {max(allowed)}")
     return faults
 
 
@@ -139,8 +173,9 @@
     return faults
 
 
-def cancelled_truly(caller_history, minion_history, starts_within=3.0, runs_within=5.0):
-    """After a cancel nothing starts for long, and nothing keeps running for long."""
+def cancelled_truly(caller_history, minion_history, away=(), starts_within=3.0, runs_within=5.0):
+    """After a cancel nothing starts for long, and nothing keeps running for long. Nothing
+    is owed of a minion while it was away, as (minion, from, to): cut off, frozen or down."""
     starts, ends = starts_and_ends(minion_history)
     cancelled = {event[2]: event[1] for event in reversed(caller_history) if event[0] == "cancelled"}
     faults = []
@@ -148,11 +183,15 @@
         since = cancelled.get(ref.partition("/")[0])
         if since is None:
             continue
-        for when, _, _, attempt, _ in runs:
+        for when, minion, _, attempt, _ in runs:
             over = ends.get((ref, attempt))
-            if when > since + starts_within:
+            owed = since
+            for name, begun, ended in sorted(away, key=lambda one: one[1]):
+                if name == minion and begun <= owed + runs_within and ended > owed:
+                    owed = ended
+            if when > owed + starts_within:
                 faults.append(f"{ref} started {when - since:.1f} s after its cancel")
-            elif not over or over[0][0] > max(since, when) + runs_within:
+            elif not over or over[0][0] > max(owed, when) + runs_within:
                 faults.append(f"{ref} ran on after its cancel")
     return faults
 
@@ -174,13 +213,13 @@
     return faults
 
 
-def all_checks(caller_history, minion_history, documents, rows, rooms):
+def all_checks(caller_history, minion_history, documents, rows, rooms, away=(), withdrawn=()):
     """Every check that needs no moment of its own; `rows` are those of the table."""
     repeating = {ticket for ticket, document in documents.items()
                  if rows[document["queue"]].get("repeats", False)}
     return [
         *never_twice(minion_history, repeating), *in_order(minion_history, documents),
-        *attempts_kept(minion_history, documents, rows), *room_kept(minion_history, rooms),
+        *attempts_kept(minion_history, documents, rows, withdrawn), *room_kept(minion_history, rooms),
         *never_forgotten(caller_history), *finished_truly(caller_history, minion_history),
-        *cancelled_truly(caller_history, minion_history),
+        *cancelled_truly(caller_history, minion_history, away),
     ]
--- a/src/pinepitch/proof/plants.py
+++ b/src/pinepitch/proof/plants.py
@@ -6,13 +6,15 @@
 
 import cbor2
 
-from ..accord import consensus, core, record
+from ..accord import calls, consensus, core, history, record
 from ..accord.consensus import Consensus
 from ..accord.record import Record
 from ..ground import cohorttime, constants
 from ..verge import core as verge_core
 from ..verge.core import Verge
 from ..world import minion, ticket
+from ..world import row as rows
+from ..world.row import Row
 from . import simulator
 
 
@@ -58,7 +60,7 @@
     node.disk.steps = [cbor2.dumps(step) for step in kept]
 
 
-def _own_clock(self, now):
+def _own_clock(self, now, agreed, needed):
     offset, _ = next(iter(self.readings.values()))
     return now + offset
 
@@ -131,7 +133,54 @@
     return tuple(told)
 
 
+def _promises_when_full(self, node, what, job, life):
+    """Tells a save durable though the disk refused it."""
+    return node.disk.full or original_durable(self, node, what, job, life)
+
+
+original_durable = simulator.Simulator._durable
+
+
+def _any_clock(self, now, agreed, needed):
+    """Takes the time from whatever clock is heard first."""
+    return original_read(self, now, agreed, 1)
+
+
+original_read = cohorttime.CohortTime.read
+
+
+def _no_strays(self, report, now):
+    ends, acknowledged, _ = original_report(self, report, now)
+    return ends, acknowledged, []
+
+
+original_report = core.Accord.take_report
+
+
+def _short_history(self, *line):
+    """Forgets all but the newest versions."""
+    original_add(self, *line)
+    if len(self.lines) > 4:
+        self.lines[2] = (*self.lines[2][:2], "forgotten", *self.lines[2][3:])
+
+
+original_add = history.History.add
+
+
+def _free_tries(self, ticket, task, standing, how):
+    """Does not count what was lost with its minion."""
+    return original_end(self, ticket, task, standing, "never" if how == "lost" else how)
+
+
 PLANTS = {
+    "promises-when-full": [(simulator.Simulator, "_durable", _promises_when_full)],
+    "any-clock": [(cohorttime.CohortTime, "read", _any_clock)],
+    "impossible-unseen": [(calls, "_impossible", lambda core, plain, now: "")],
+    "bound-ignored": [(Record, "ticket_refusal", lambda self, plain, parked="": None)],
+    "limit-ignored": [(rows, "row_of", lambda document: Row(**{**document, "limit": 1000}))],
+    "killed-once": [(constants, "KILL_AGAIN", 1e9), (core.Accord, "take_report", _no_strays)],
+    "history-cut": [(history.History, "add", _short_history)],
+    "lost-not-counted": [(Record, "_end", _free_tries)],
     "early-proof": [(core.Accord, "_absent", _silence)],
     "silence-is-an-end": [(core.Accord, "_watch", _silent_minions)],
     "sent-again": [(Verge, "_on_told", _late_told), (core.Accord, "_due_orders", _all_orders)],
