Fleets of processes suffer freezes, lost minions, replacement, restarts, races, a full disk

Cause: fleet runs had six disturbances, all of daemons killed; what the simulator does to minions, operators and disks was never done to processes, and an operator's acts in a fleet went unchecked.

Change: eleven disturbances more; the first minion has a process of its own; the checks of closed minions and of setups are functions that simulator and fleet share, and a fleet's operator keeps what was acknowledged. A disk is filled by the process's own file size limit, so that every write fails, its log's too.

--- a/features/steps/path.py
+++ b/features/steps/path.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from pinepitch.ground import http
-from pinepitch.proof.fleet import PLANS, Fleet, Traffic, check
+from pinepitch.proof.fleet import PLANS, Fleet, Traffic, check, run
 
 
 @given("a small fleet of processes with its setup in force")
@@ -53,3 +53,15 @@
         code = process.wait(10)
         assert code == 0, (name, code)
         assert time.monotonic() - begun <= seconds, name
+
+
+@when("a small fleet suffers {disturbance} under its traffic")
+def step_suffers(context, disturbance):
+    with tempfile.TemporaryDirectory(prefix="pinepitch-") as folder:
+        context.result = curio.run(run, Fleet(PLANS["small"], folder), 4, 1.0, 0, disturbance)
+
+
+@then("no check of the run finds a fault and every ticket became final")
+def step_run_checked(context):
+    assert context.result["summary"]["accepted"] > 0 and context.result["disturbed"] is not None, context.result
+    assert not context.result["faults"] and not context.result["unfinished"], context.result
--- a/src/pinepitch/client/commands.py
+++ b/src/pinepitch/client/commands.py
@@ -286,6 +286,11 @@
         from ..proof.fleet import fleet
         fleet(plan, seconds, rate, seed, folder, level, disturb)
 
+    def disturbances(self, plans="nkansah,pinturas", only="", seconds=12):
+        """Runs fleets of processes under every disturbance in turn; prints a table."""
+        from ..proof.fleet import disturbances
+        disturbances(plans, only, seconds)
+
     def trials(self, weather="all", seeds=20, first=0, fleet="all", mode="static", plant=""):
         """Runs simulated fleets under failures, over many seeds; prints how to replay a fault."""
         from ..proof.trial import trials
--- a/src/pinepitch/proof/checks.py
+++ b/src/pinepitch/proof/checks.py
@@ -1,6 +1,8 @@
 """History checks, written apart from the code that they check: they see only what
 callers were answered and what minions did. Each returns a list of faults in words."""
 
+from ..world.row import merged
+
 
 def starts_and_ends(minion_history):
     """(starts by task, ends by (task, attempt)) of the minions' histories."""
@@ -213,6 +215,48 @@
     return faults
 
 
+def closed_kept(minion_history, spans, areas):
+    """No closed minion gets new work 2 s after it was closed, no emptied area 5 s after.
+    Spans: (kind, subject, from, to or None); areas: minion -> area."""
+    faults = []
+    for kind, subject, begun, ended in spans:
+        grace = 2.0 if kind == "minion" else 5.0
+        for event in minion_history:
+            if event[0] != "start" or not begun + grace < event[1] < (ended or 1e18):
+                continue
+            if subject == (event[2] if kind == "minion" else areas[event[2]]):
+                faults.append(f"{event[4]} started on {event[2]} {event[1] - begun:.1f} s after {subject} closed")
+    return faults
+
+
+def setups_kept(histories, documents, changes, refused):
+    """Every acknowledged change is in the history that each verge tells, holds just its own
+    change, and nothing of a refused one is there. Documents: version -> setup; changes:
+    (asked, acknowledged, version, manner, document, base or None, reason)."""
+    faults = []
+    if any(one != histories[0] for one in histories):
+        faults.append("verges tell different histories")
+    held = {one["version"]: one for one in histories[0]["setups"]}
+    for version, one in held.items():
+        if one["why"] in refused:
+            faults.append(f"version {version} is a change that was refused")
+    seen = set()
+    for _, _, version, manner, document, base, reason in changes:
+        if (version not in held or held[version]["why"] != reason
+                or base is not None and held[version]["base"] != base):
+            faults.append(f"acknowledged version {version} is missing at day's end")
+            continue
+        if version in seen:
+            faults.append(f"version {version} was acknowledged twice")
+        seen.add(version)
+        wanted = merged(documents[version - 1], document) if manner == "merge" else document
+        found = documents[version]["queues"]
+        if found.keys() != wanted["queues"].keys() or any(
+                found[queue][column] != value for queue, row in wanted["queues"].items() for column, value in row.items()):
+            faults.append(f"version {version} does not hold just its own change")
+    return faults
+
+
 def all_checks(caller_history, minion_history, documents, rows, rooms, away=(), withdrawn=()):
     """Every check that needs no moment of its own; `rows` are those of the table."""
     repeating = {ticket for ticket, document in documents.items()
--- a/src/pinepitch/proof/disturb.py
+++ b/src/pinepitch/proof/disturb.py
@@ -1,12 +1,14 @@
 """What a fleet run may suffer half way. Each returns what it saw, for the record."""
 
 import os
+import resource
 import shutil
+import signal
 import time
 
 import curio
 
-from ..ground import http
+from ..ground import constants, http
 
 
 async def _leader_place(fleet):
@@ -84,6 +86,143 @@
     return {"killed": len(names), "served_again_after": await _back_within(fleet)}
 
 
+async def _freeze(fleet, name, seconds):
+    fleet.kill(name, signal.SIGSTOP)
+    await curio.sleep(seconds)
+    fleet.kill(name, signal.SIGCONT)
+
+
+FROZEN = constants.SEND_WITHIN + constants.SEND_MARGIN + 1.5  # seconds; longer than any order may be under way
+
+
+async def freeze_leader(fleet):
+    """The leader stops and goes on later, none the wiser."""
+    name = f"accord{await _leader_place(fleet)}"
+    await _freeze(fleet, name, FROZEN)
+    return {"frozen": name, "served_again_after": await _back_within(fleet)}
+
+
+async def freeze_verge(fleet):
+    await _freeze(fleet, "verge0", FROZEN)
+    return {"frozen": "verge0", "served_again_after": await _back_within(fleet)}
+
+
+async def freeze_minion(fleet):
+    begun = time.time()
+    await _freeze(fleet, "minions-alone", FROZEN)
+    fleet.away.append([fleet.minions[0][0], begun, time.time()])
+    return {"frozen": fleet.minions[0][0]}
+
+
+async def kill_minion(fleet):
+    """A minion dies with all that it ran and starts anew."""
+    fleet.lose_minion()
+    await curio.sleep(2)
+    fleet.again("minions-alone")
+    fleet.away[-1][2] = time.time()
+    return {"killed": fleet.minions[0][0]}
+
+
+async def lose_minion(fleet):
+    """A minion dies and never comes back; an operator says so some seconds later."""
+    fleet.lose_minion()
+    await curio.sleep(4)
+    await fleet.operator.withdraw(fleet.minions[0][0], time.time())
+    return {"lost": fleet.minions[0][0]}
+
+
+async def withdraw_minion(fleet):
+    """A machine is withdrawn at two seconds' notice."""
+    await fleet.operator.withdraw(fleet.minions[0][0], time.time() + 2)
+    await curio.sleep(1.9)
+    fleet.lose_minion()
+    return {"withdrawn": fleet.minions[0][0]}
+
+
+async def empty_area(fleet):
+    """An area is emptied and taken back, a minion elsewhere drained and let in again."""
+    area = fleet.plan.areas[1]
+    await fleet.operator.close("area", area)
+    await fleet.operator.close("minion", fleet.minions[0][0])
+    await curio.sleep(8)
+    await fleet.operator.open("minion", fleet.minions[0][0])
+    await fleet.operator.open("area", area)
+    return {"emptied": area, "drained": fleet.minions[0][0]}
+
+
+async def replace_accord(fleet):
+    """An accord is gone for good; an empty one at a new address takes its place, with other
+    seeds; then the verges start anew with seeds that name the new one."""
+    place = (await _leader_place(fleet) + 1) % len(fleet.accords)
+    area = fleet.accords[place][0]
+    fleet.kill(f"accord{place}")
+    live = [one[1] for other, one in enumerate(fleet.accords) if other != place]
+    fresh = fleet.more_accord(area, [live[0], fleet.verges[0][1], fleet.verges[-1][1]])
+    address = fleet.accords[fresh][1]
+
+    async def member():
+        cohort = await fleet.call("GET", "/v1/cohort", verge=time.time_ns())
+        return isinstance(cohort, http.Response) and cohort.status == 200 and not cohort.document["changing"] and any(
+            one["address"] == address for one in cohort.document["members"])
+    begun = time.monotonic()
+    await fleet.until(member, 40, "the new accord as a member")
+    took = round(time.monotonic() - begun, 2)
+    fleet.seeds = ",".join([address, *live[:2]])
+    for verge in range(len(fleet.verges)):
+        fleet.kill(f"verge{verge}")
+        fleet.start_verge(verge)
+    return {"gone": place, "member_after": took, "served_again_after": await _back_within(fleet)}
+
+
+async def rolling_restart(fleet):
+    """Every daemon is asked to stop, killed some seconds later if it has not, started anew."""
+    killed = 0
+    for name in [one for one in fleet.processes if not one.startswith("minions")]:
+        process = fleet.processes[name]
+        fleet.kill(name, signal.SIGTERM)
+        end = time.monotonic() + 3
+        while process.poll() is None and time.monotonic() < end:
+            await curio.sleep(0.05)
+        killed += process.poll() is None
+        fleet.kill(name)
+        fleet.again(name)
+        await curio.sleep(0.5)
+    return {"killed_after_warning": killed, "served_again_after": await _back_within(fleet)}
+
+
+async def race_operators(fleet):
+    """Two changes on one version at once, again and again, whole and partial, then a burst."""
+    operator, won = fleet.operator, []
+    queue = sorted(fleet.plan.setup["queues"])[0]
+    limit = fleet.plan.setup["queues"][queue]["limit"]
+    for turn in range(10):
+        base = (await operator.persist("GET", "/v1/setup")).document["version"]
+        group = [await curio.spawn(operator.change, {"queues": {queue: {"limit": limit + 2 * turn + one}}}, base)
+                 for one in range(2)]
+        won.append([await one.join() for one in group].count(200))
+    if max(won) > 1:
+        raise AssertionError(f"two changes on one version were accepted: {won}")
+    burst = [await curio.spawn(operator.change, {"queues": {queue: {"limit": limit + one}}}) for one in range(50)]
+    return {"races": len(won), "won": sum(won), "burst": [await one.join() for one in burst].count(200)}
+
+
+async def fill_disk(fleet):
+    """The leader's process may write no byte to any file for some seconds: as on a full disk."""
+    place = await _leader_place(fleet)
+    process = fleet.processes[f"accord{place}"]
+    before = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
+    resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, before[1]))
+    await curio.sleep(0.5)
+    back = await _back_within(fleet)
+    await curio.sleep(4)
+    other = await _leader_place(fleet)
+    resource.prlimit(process.pid, resource.RLIMIT_FSIZE, before)
+    await curio.sleep(2)
+    if process.poll() is not None:
+        raise AssertionError(f"the accord with the full disk ended with {process.poll()}")
+    return {"full": place, "served_again_after": back, "leader_meanwhile": other}
+
+
 # The registry of disturbances.
 DISTURBANCES = {
     "kill-accord": kill_accord,
@@ -92,4 +231,15 @@
     "wipe": wipe,
     "outage": outage,
     "restart-verges": restart_verges,
+    "freeze-leader": freeze_leader,
+    "freeze-verge": freeze_verge,
+    "freeze-minion": freeze_minion,
+    "kill-minion": kill_minion,
+    "lose-minion": lose_minion,
+    "withdraw-minion": withdraw_minion,
+    "empty-area": empty_area,
+    "replace-accord": replace_accord,
+    "rolling-restart": rolling_restart,
+    "race-operators": race_operators,
+    "fill-disk": fill_disk,
 }
--- a/src/pinepitch/proof/fleet.py
+++ b/src/pinepitch/proof/fleet.py
@@ -77,6 +77,8 @@
         self.data = data or folder
         self.processes = {}
         self.commands = {}
+        self.away = []  # [minion, from, to] of being frozen or gone
+        self.operator = FleetOperator(self)
         ports = iter(free_ports(len(plan.accords) + 2 * len(plan.verges) + sum(one[1] for one in plan.minions)))
         self.accords = [(area, f"127.0.0.1:{next(ports)}") for area in plan.accords]
         self.verges = [(area, f"127.0.0.1:{next(ports)}", f"127.0.0.1:{next(ports)}") for area in plan.verges]
@@ -119,16 +121,39 @@
         self.start_minions()
 
     def start_minions(self, groups=4):
-        verges = ",".join(one[2] for one in self.verges)
+        """The first minion has a process of its own, so that it can be frozen or killed alone."""
+        self._start_minions("minions-alone", self.minions[:1])
         for place in range(groups):
-            own = self.minions[place::groups]
-            if own:
-                path = os.path.join(self.folder, f"minions{place}.json")
-                with open(path, "w") as file:
-                    json.dump(own, file)
-                self.start(f"minions{place}", "from pinepitch.proof.minion_program import main; main()",
-                           f"--minions={path}", f"--verges={verges}",
-                           f"--history={os.path.join(self.folder, f'minions{place}.history')}")
+            self._start_minions(f"minions{place}", self.minions[1 + place::groups])
+
+    def _start_minions(self, name, own):
+        if own:
+            path = os.path.join(self.folder, f"{name}.json")
+            with open(path, "w") as file:
+                json.dump(own, file)
+            self.start(name, "from pinepitch.proof.minion_program import main; main()",
+                       f"--minions={path}", f"--verges={','.join(one[2] for one in self.verges)}",
+                       f"--history={os.path.join(self.folder, f'{name}.history')}")
+
+    def lose_minion(self):
+        """Kills the minion that is alone; what it ran is noted as gone for the checks."""
+        name, moment = self.minions[0][0], time.time()
+        self.kill("minions-alone")
+        events = [one for one in self.minion_history() if one[2] == name]
+        over = {(one[4], one[5]) for one in events if one[0] in ("end", "gone")}
+        with open(os.path.join(self.folder, "lost.history"), "a") as file:
+            for one in events:
+                if one[0] == "start" and (one[4], one[5]) not in over:
+                    file.write(json.dumps(["gone", moment, name, one[3], one[4], one[5]]) + "\n")
+        self.away.append([name, moment, 1e18])
+
+    def more_accord(self, area, seeds):
+        """A further accord with an empty folder at a new address; its place."""
+        place = len(self.accords)
+        self.accords.append((area, f"127.0.0.1:{free_ports(1)[0]}"))
+        self.seeds = ",".join(seeds)
+        self.start_accord(place)
+        return place
 
     def kill(self, name, number=signal.SIGKILL):
         """Signals one process by its number; a killed one is reaped."""
@@ -191,12 +216,79 @@
         await self.until(put, 20, "the setup")
 
 
+class FleetOperator:
+    """A stand-in operator of a fleet. Invariants: as of Operator: what is acknowledged is
+    kept, with when it was, for the checks that both share."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.changes, self.refused, self.maybe, self.spans = [], [], [], []
+        self.withdrawn = set()
+        self.count = 0
+
+    async def persist(self, method, target, document=None, headers=(), seconds=30):
+        """Asks at one verge after another until answered other than 429 or 503."""
+        async def answered():
+            self.count += 1
+            answer = await self.fleet.call(method, target, document, headers, verge=self.count)
+            return isinstance(answer, http.Response) and answer.status not in (429, 503) and answer
+        return await self.fleet.until(answered, seconds, f"an answer to {method} {target}")
+
+    async def change(self, document, base=None, manner="merge"):
+        """One change, sent once; its status."""
+        self.count += 1
+        reason, asked = f"change {self.count}", time.time()
+        answer = await self.fleet.call(
+            "PATCH" if manner == "merge" else "PUT", "/v1/setup", document,
+            (("If-Match", "*" if base is None else f'"{base}"'), ("X-Reason", reason)), verge=self.count)
+        status = answer.status if isinstance(answer, http.Response) else 0
+        if status == 200:
+            self.changes.append((asked, time.time(), answer.document["version"], manner, document, base, reason))
+        elif status in (409, 422):
+            self.refused.append(reason)
+        else:
+            self.maybe.append((asked, document))
+        return status
+
+    async def close(self, kind, subject):
+        act = f"/v1/minions/{subject}/drain" if kind == "minion" else f"/v1/areas/{subject}/empty"
+        if (await self.persist("POST", act)).status == 200:
+            self.spans.append([kind, subject, time.time(), None])
+
+    async def open(self, kind, subject):
+        act = f"/v1/minions/{subject}/undrain" if kind == "minion" else f"/v1/areas/{subject}/take-back"
+        begun = time.time()
+        await self.persist("POST", act)
+        for span in self.spans:
+            if span[:2] == [kind, subject]:
+                span[3] = begun
+
+    async def withdraw(self, minion, due):
+        await self.persist("POST", f"/v1/minions/{minion}/withdraw", {"due": due})
+        self.spans.append(["minion", minion, time.time(), None])
+        self.withdrawn.add(minion)
+
+    async def check(self):
+        """Faults in what was acknowledged, as read at every verge."""
+        histories, documents = [], {}
+        for place in range(len(self.fleet.verges)):
+            answer = await self.fleet.call("GET", "/v1/setup/versions", verge=place)
+            if not isinstance(answer, http.Response) or answer.status != 200:
+                answer = await self.persist("GET", "/v1/setup/versions")
+            histories.append(answer.document)
+        for version in {one for change in self.changes for one in (change[2], change[2] - 1)}:
+            documents[version] = (await self.persist("GET", f"/v1/setup/versions/{version}")).document["setup"]
+        areas = {one[0]: one[1] for one in self.fleet.minions}
+        return [*checks.setups_kept(histories, documents, self.changes, self.refused),
+                *checks.closed_kept(self.fleet.minion_history(), self.spans, areas)]
+
+
 class Traffic:
     """A caller stand-in with real sockets. Invariant: at most one answer a call."""
 
-    def __init__(self, fleet, seed=0, rate=1.0, fail=0.02, name="caller"):
+    def __init__(self, fleet, seed=0, rate=1.0, fail=0.02, name="caller", cancels=0.02):
         self.fleet = fleet
-        self.caller = caller.StandInCaller(name, fleet.plan.traffic, seed, rate, fail)
+        self.caller = caller.StandInCaller(name, fleet.plan.traffic, seed, rate, fail, cancels=cancels)
         self.idle = {}
 
     async def run(self, seconds):
@@ -265,7 +357,8 @@
     """Faults that the history checks find in a fleet run."""
     documents = {ticket: one[2] for ticket, one in traffic.caller.accepted.items()}
     rooms = {one[0]: one[3] for one in fleet.minions}
-    return checks.all_checks(traffic.caller.history, fleet.minion_history(), documents, fleet.plan.setup["queues"], rooms)
+    return checks.all_checks(traffic.caller.history, fleet.minion_history(), documents, fleet.plan.setup["queues"], rooms,
+                             fleet.away, fleet.operator.withdrawn)
 
 
 def fleet(plan="nkansah", seconds=20, rate=1.0, seed=0, folder=None, level="warning", disturb=""):
@@ -275,18 +368,18 @@
         plan: small, nkansah or pinturas.
         seconds: how long tickets come.
         rate: times the brief's traffic.
-        disturb: what to do half way: kill-accord, kill-leader, kill-area, wipe, outage, restart-verges.
+        disturb: what to do half way; `pinepitch disturbances` lists all.
     """
     folder = folder or tempfile.mkdtemp(prefix="pinepitch-")
     os.makedirs(folder, exist_ok=True)
-    one = Fleet(PLANS[plan], folder, level)
-    result = curio.run(_fleet, one, seconds, rate, seed, disturb)
+    result = curio.run(run, Fleet(PLANS[plan], folder, level), seconds, rate, seed, disturb)
     print(json.dumps(result, indent=2))
     if result["faults"] or result["unfinished"]:
         sys.exit(1)
 
 
-async def _fleet(one, seconds, rate, seed, disturb):
+async def run(one, seconds, rate=1.0, seed=0, disturb=""):
+    """One fleet from its start to its checks; what was seen."""
     from .disturb import DISTURBANCES
     begun = time.monotonic()
     one.start_all()
@@ -297,13 +390,43 @@
         running = await curio.spawn(traffic.run, seconds)
         told = None
         if disturb:
-            await curio.sleep(seconds / 2)
+            await curio.sleep(min(5.0, seconds / 2))
             told = await DISTURBANCES[disturb](one)
         unfinished = await running.join()
         figures = await one.call("GET", "/v1/figures")
         history = one.minion_history()
         return {"served_after": round(up, 2), "disturbed": told, "figures": getattr(figures, "document", None),
                 "summary": summary(traffic.caller.history, history), "unfinished": unfinished[:20],
-                "faults": check(one, traffic)[:20], "folder": one.folder}
+                "faults": (check(one, traffic) + await one.operator.check())[:20], "folder": one.folder}
     finally:
         one.stop()
+
+
+def disturbances(plans="nkansah,pinturas", only="", seconds=12):
+    """Runs every disturbance on the plans, one after another, and prints a table.
+
+    Args:
+        plans: names of plans, parted by commas.
+        only: names of disturbances, parted by commas; all when empty.
+        seconds: how long tickets come in each run.
+    """
+    from .disturb import DISTURBANCES
+    names = [one for one in (only.split(",") if isinstance(only, str) else only) if one] or list(DISTURBANCES)
+    failed = 0
+    print(f"{'plan':10}{'disturbance':20}{'accepted':>9}{'shed':>6}{'faults':>7}  seen")
+    for plan in plans.split(",") if isinstance(plans, str) else plans:
+        for name in names:
+            with tempfile.TemporaryDirectory(prefix="pinepitch-") as folder:
+                try:
+                    result = curio.run(run, Fleet(PLANS[plan], folder), seconds, 1.0, 0, name)
+                except TimeoutError as late:
+                    result = {"summary": {"accepted": 0, "shed": 0}, "faults": [str(late)], "unfinished": [], "disturbed": None}
+            faults = result["faults"] + [f"unfinished: {one}" for one in result["unfinished"]]
+            failed += bool(faults)
+            seen = result["summary"]
+            print(f"{plan:10}{name:20}{seen['accepted']:9}{seen['shed']:6}{len(faults):7}  {json.dumps(result['disturbed'])}", flush=True)
+            for one in faults[:4]:
+                print(f"    {one}", flush=True)
+    print(f"{failed} runs with faults")
+    if failed:
+        sys.exit(1)
--- a/src/pinepitch/proof/operator.py
+++ b/src/pinepitch/proof/operator.py
@@ -1,6 +1,6 @@
 """A stand-in operator, whose acknowledged acts are checked after the fact."""
 
-from ..world.row import merged
+from . import checks
 from .simulator import START
 
 
@@ -122,16 +122,9 @@
 
     def check(self):
         """Faults in what was acknowledged: closed minions and areas, and setups."""
-        faults = list(self.faults)
         areas = {name: node.area for name, node in self.simulator.nodes.items()}
-        for kind, subject, begun, ended in self.spans:
-            grace = 2.0 if kind == "minion" else 5.0
-            for event in self.simulator.minion_history:
-                if event[0] != "start" or not begun + grace < event[1] < (ended or 1e18):
-                    continue
-                if subject == (event[2] if kind == "minion" else areas[event[2]]):
-                    faults.append(f"{event[4]} started on {event[2]} {event[1] - begun:.1f} s after {subject} closed")
-        return faults + self.check_setups()
+        return [*self.faults, *checks.closed_kept(self.simulator.minion_history, self.spans, areas),
+                *self.check_setups()]
 
     def limits(self):
         """The changes as the check of limits takes them."""
@@ -147,39 +140,17 @@
     def check_setups(self):
         """Faults in what is read at day's end: every acknowledged change, its content, and
         nothing of a refused one, the same at every verge."""
-        faults, histories = [], []
-        verges = [node for node in self.simulator.nodes.values() if node.kind == "verge"]
-        for place in range(len(verges)):
+        histories = []
+        for place in range(sum(node.kind == "verge" for node in self.simulator.nodes.values())):
             status, history = self.simulator.ask("GET", "/v1/setup/versions", verge=place)
             if status != 200:
                 status, history = self.simulator.persist("GET", "/v1/setup/versions")
             if status != 200:
                 return ["the setup history could not be read at day's end"]
             histories.append(history)
-        if any(one != histories[0] for one in histories):
-            faults.append("verges tell different histories")
-        held = {one["version"]: one for one in histories[0]["setups"]}
-        for version, one in held.items():
-            if one["why"] in self.refused:
-                faults.append(f"version {version} is a change that was refused")
         documents = {}
-        changes = {}
-        for _, _, version, manner, document, base, reason in self.changes:
-            if (version not in held or held[version]["why"] != reason
-                    or base is not None and held[version]["base"] != base):
-                faults.append(f"acknowledged version {version} is missing at day's end")
-            elif version in changes:
-                faults.append(f"version {version} was acknowledged twice")
-            else:
-                changes[version] = (manner, document)
-        for version in sorted({one for version in changes for one in (version, version - 1)}):
-            documents[version] = self.simulator.persist("GET", f"/v1/setup/versions/{version}")[1]["setup"]
-        for version, (manner, document) in changes.items():
-            wanted = merged(documents[version - 1], document) if manner == "merge" else document
-            found = documents[version]
-            same = found["queues"].keys() == wanted["queues"].keys() and all(
-                found["queues"][queue][column] == value
-                for queue, row in wanted["queues"].items() for column, value in row.items())
-            if not same:
-                faults.append(f"version {version} does not hold just its own change")
-        return faults
+        for version in sorted({one for change in self.changes for one in (change[2], change[2] - 1)}):
+            status, document = self.simulator.persist("GET", f"/v1/setup/versions/{version}")
+            if status == 200:
+                documents[version] = document["setup"]
+        return checks.setups_kept(histories, documents, self.changes, self.refused)
