--- a/features/steps/store.py
+++ b/features/steps/store.py
@@ -41,7 +41,7 @@
     for number in range(1, 6):
         store.write_step(number)
         if number == 3:
-            store.write_base("base", store.version)
+            store.write_base(["base", (1, 0)], store.version)
 
 
 @given("a store whose writes fail for lack of space")
@@ -85,14 +85,14 @@
 
 @then("loading it again gives all 5 in order")
 def step_all(context):
-    base, steps = Store(context.folder).load()
+    base, steps, _ = Store(context.folder).load()
     assert base is None and len(steps) == 5 and [one[0][1] for one in steps[1:]] == [2, 3, 4, 5], steps
     assert not [name for name in os.listdir(context.folder) if name.endswith(".aside")]
 
 
 @then("loading it again gives the base and the 2 later steps")
 def step_base(context):
-    assert Store(context.folder).load() == ("base", [4, 5])
+    assert Store(context.folder).load() == (["base", [1, 0]], [4, 5], {})
 
 
 @then("loading it again says that it is damaged")
@@ -102,12 +102,12 @@
 
 @then("an accord on it starts with a new identity and keeps the old files aside")
 def step_new(context):
-    store, base, steps, why = open_store(context.folder)
+    store, base, steps, _, why = open_store(context.folder)
     assert why and base is None and not steps
     assert identity_of(store, base, steps) != "old"
     assert [name for name in os.listdir(context.folder) if name.startswith("damaged-")]
     again = open_store(context.folder)
-    assert again[3] is None and identity_of(*again[:3]) == identity_of(*open_store(context.folder)[:3])
+    assert again[4] is None and identity_of(*again[:3]) == identity_of(*open_store(context.folder)[:3])
 
 
 FAILING = {"opening": ("open", 0), "writing": ("write", 0), "syncing": ("fsync", 0), "renaming": ("replace", 0),
@@ -139,7 +139,7 @@
 
 @then("the 5 steps and the one tried again are there, and nothing else")
 def step_again(context):
-    base, steps = Store(context.folder).load()
+    base, steps, _ = Store(context.folder).load()
     assert base is None and len(steps) == 6 and steps[5] == "half and more", steps
     assert sorted(os.listdir(context.folder)) == [f"step-{one:016d}" for one in range(1, 7)]
 
@@ -157,7 +157,7 @@
                 store.write_step(5)
         return real(source, target)
     with mock.patch("os.replace", slowly):
-        store.write_base("base", version)
+        store.write_base(["base", (1, 0)], version)
 
 
 @then("writing a step raises and the step is not there afterwards")
@@ -169,4 +169,4 @@
             pass
         else:
             raise AssertionError("a full disk went unnoticed")
-    assert Store(context.folder).load() == (None, ["first"])
+    assert Store(context.folder).load() == (None, ["first"], {})
--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -70,7 +70,7 @@
     kind = outcome[0]
     if kind in ("accepted", "known"):
         status = 201 if kind == "accepted" else 200
-        return (status, brief(core.record.tickets[outcome[1]]), None)
+        return (status, brief(core.record.ticket(outcome[1])), None)
     if kind == "mismatch":
         return problem(409, "key_reused", "this key came with another body before", ticket=outcome[1])
     if kind == "shed":
@@ -100,7 +100,7 @@
 
 
 def _ticket(core, token, arguments, now):
-    ticket = core.record.tickets.get(arguments[0])
+    ticket = core.record.ticket(arguments[0])
     if ticket is None:
         return ("answer", problem(404, "unknown_ticket", f"no ticket {arguments[0]!r}"))
     return ("answer", (200, whole(ticket), None))
@@ -110,13 +110,13 @@
     after, most, state, queue, key = arguments
     record, listed = core.record, []
     if key:
-        identity = record.keys.get(key)
-        listed = [brief(record.tickets[identity])] if identity else []
+        known = record.known(key, "")
+        listed = [brief(record.ticket(known[1]))] if known else []
         return ("answer", (200, {"tickets": listed, "next": None}, None))
     number, following = after, None
     while number < record.count:
         number += 1
-        ticket = record.tickets.get(f"t{number}")
+        ticket = record.ticket(f"t{number}")
         if ticket is None or (state and ticket.state != state) or (queue and ticket.queue != queue):
             continue
         listed.append(brief(ticket))
@@ -135,7 +135,7 @@
         return problem(404, "unknown_ticket", f"no ticket {identity!r}")
     if outcome[0] == "ended":
         return problem(409, "ended", f"the ticket is already {outcome[1]}", state=outcome[1])
-    return (200, brief(core.record.tickets[identity]), None)
+    return (200, brief(core.record.ticket(identity)), None)
 
 
 # --- minions and areas ---------------------------------------------------------------
@@ -339,7 +339,7 @@
 
 def _figures(core, token, arguments, now):
     record, consensus = core.record, core.consensus
-    states = {}
+    states = dict(record.archive.states)
     for ticket in record.tickets.values():
         states[ticket.state] = states.get(ticket.state, 0) + 1
     return ("answer", (200, {
@@ -352,7 +352,7 @@
 
 def _whence(core, token, arguments, now):
     """Why each task of a ticket is where it is, from the record and the last round."""
-    ticket = core.record.tickets.get(arguments[0])
+    ticket = core.record.ticket(arguments[0])
     if ticket is None:
         return ("answer", problem(404, "unknown_ticket", f"no ticket {arguments[0]!r}"))
     record, told = core.record, []
--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -7,9 +7,13 @@
 
 import random
 
+import cbor2
+
 from ..ground import constants
 from .quorum import Quorum, Cohort, Reply, cohort_from
 
+BEYOND = 1 << 40  # the offset that a follower tells which needs nothing of a snapshot
+
 
 class Follower:
     """What a leader knows of one cohort member or learner.
@@ -24,7 +28,8 @@
         self.sent_at = now
         self.heard_at = now
         self.beat = 0
-        self.piece = None  # (snapshot index, offset) while a snapshot is sent
+        self.piece = None  # (snapshot index, offset, whether a piece is under way) while one is sent
+        self.whole = None  # what is sent: the snapshot and the segments it lacks
         self.denials = 0  # answers in a row that lack what was acknowledged
         self.forgot = False  # whether it lacks what it acknowledged in this leader's time
 
@@ -70,6 +75,8 @@
         self.round = None  # the beat whose acknowledgement the reads under way need
         self.reads_now, self.reads_next = [], []
         self.beat_at = -1e9
+        self.base_segments = (1, 0)  # (first, last) of the archive that the base stands on
+        self.archive = None  # the record's, to send and to say what of it is held
         self.incoming = None  # (index, bytearray) of a snapshot being received
 
     # --- state from and to disk ------------------------------------------------------
@@ -78,7 +85,8 @@
         if base is not None:
             hard, snapshot, first, entries = base
             self._take_hard(hard)
-            self.base_index, self.base_term, image, self.base_image = snapshot
+            self.base_index, self.base_term, image, self.base_image, segments = snapshot
+            self.base_segments = tuple(segments)
             self.base_cohort = cohort_from(image)
             self.first, self.entries = first, [tuple(one) for one in entries]
         for hard, truncate, start, entries in changes:
@@ -102,10 +110,12 @@
 
     def founding_base(self):
         """The payload of the first base: no entries, the founding members."""
-        return [self._hard(), [0, 0, self.base_cohort.image(), None], 1, []]
+        return [self._hard(), [0, 0, self.base_cohort.image(), None, (1, 0)], 1, []]
 
-    def compact(self, index, image):
-        """Takes `image` as the record up to `index`; the payload of the new base."""
+    def compact(self, index, image, segments=(1, 0)):
+        """Takes `image`, which stands on `segments`, as the record up to `index`; the payload
+        of the new base."""
+        self.base_segments = segments
         term = self.term_at(index)
         cohort = self.base_cohort
         for place in range(self.first, index + 1):
@@ -129,7 +139,7 @@
         """All that a base must hold."""
         return [
             self._hard(),
-            [self.base_index, self.base_term, self.base_cohort.image(), self.base_image],
+            [self.base_index, self.base_term, self.base_cohort.image(), self.base_image, self.base_segments],
             self.first, list(self.entries),
         ]
 
@@ -479,16 +489,25 @@
         if self.base_image is None:
             return
         if follower.piece is None or follower.piece[0] != self.base_index:
-            follower.piece = (self.base_index, 0, False)
+            follower.piece, follower.whole = (self.base_index, -1, False), None
         index, offset, under_way = follower.piece
         if not under_way:
-            piece = self.base_image[offset:offset + constants.SNAPSHOT_PIECE]
+            # offset -1 asks what is held; whole is what was answered to it
+            piece = b"" if offset < 0 else follower.whole[offset:offset + constants.SNAPSHOT_PIECE]
             self._send(identity, ("piece", self.term, index, self.base_term, self.base_cohort.image(),
-                                  offset, len(self.base_image), piece, self.beat))
+                                  offset, len(follower.whole or b""), piece, self.beat))
             follower.piece = (index, offset, True)
             follower.window, follower.sent_at = 1, now
 
-    def _on_pieced(self, sender, term, index, offset, beat, now):
+    def _whole(self, held):
+        """The base's image with the segments from `held` + 1 on that it stands on."""
+        first, last = self.base_segments
+        segments = {}
+        for number in range(max(first, held + 1), last + 1):
+            segments[number] = self.archive.segment(number)
+        return cbor2.dumps([self.base_image, [first, last], segments])
+
+    def _on_pieced(self, sender, term, index, offset, held, beat, now):
         follower = self.followers.get(sender)
         if self.role != "leader" or term != self.term or follower is None:
             return
@@ -496,13 +515,16 @@
         follower.beat = max(follower.beat, beat)
         if follower.piece and follower.piece[0] == index:
             follower.window = 0
-            if offset >= len(self.base_image):
-                follower.piece = None
+            if offset < 0:
+                follower.whole = self._whole(held)
+                follower.piece = (index, 0, False)
+            elif offset == BEYOND or follower.whole is not None and offset >= len(follower.whole):
+                follower.piece = follower.whole = None
                 follower.match = max(follower.match, index)
                 follower.next = follower.match + 1
                 follower.probing = False
             else:
-                follower.piece = (index, offset, False)
+                follower.piece = (index, offset if follower.whole is not None else -1, False)
             self._replicate(sender, now)
 
     def _on_appended(self, sender, term, success, index, beat, now):
@@ -643,22 +665,27 @@
             self._send(sender, ("behind", self.term), self.hard_sequence)
             return
         self._hear_leader(sender, term, now)
+        held = self.archive.sealed if self.archive is not None else 0
         if index <= self.commit:
-            self._send(sender, ("pieced", term, index, total, beat), self._hard_wait())
+            self._send(sender, ("pieced", term, index, BEYOND, held, beat), self._hard_wait())
             return
-        if offset == 0:
+        if offset <= 0:
             self.incoming = (index, bytearray())
+        if offset < 0:
+            self._send(sender, ("pieced", term, index, -1, held, beat), self._hard_wait())
+            return
         if self.incoming is None or self.incoming[0] != index or len(self.incoming[1]) != offset:
             have = len(self.incoming[1]) if self.incoming and self.incoming[0] == index else 0
-            self._send(sender, ("pieced", term, index, have, beat), self._hard_wait())
+            self._send(sender, ("pieced", term, index, have, held, beat), self._hard_wait())
             return
         self.incoming[1].extend(piece)
         if len(self.incoming[1]) < total:
-            self._send(sender, ("pieced", term, index, len(self.incoming[1]), beat), self._hard_wait())
+            self._send(sender, ("pieced", term, index, len(self.incoming[1]), held, beat), self._hard_wait())
             return
-        whole = bytes(self.incoming[1])
+        self.base_image, span, segments = cbor2.loads(bytes(self.incoming[1]))
         self.incoming = None
-        self.base_index, self.base_term, self.base_image = index, snapshot_term, whole
+        self.base_segments = tuple(span)
+        self.base_index, self.base_term = index, snapshot_term
         self.base_cohort = cohort_from(image)
         if self.term_at(index) == snapshot_term and self.first <= index:
             del self.entries[:index + 1 - self.first]
@@ -674,10 +701,10 @@
         for saving in self.saving:
             saving[1] = min(saving[1], self.last_index())
         self.saving.append([self.sequence, self.last_index(), now])
-        self.effects.append(("install", index, whole))
+        self.effects.append(("install", index, self.base_image, segments))
         self.effects.append(("base", self.sequence, self.base_payload()))
         self._event(127, index=index)
-        self._send(sender, ("pieced", term, index, total, beat), self.sequence)
+        self._send(sender, ("pieced", term, index, total, held, beat), self.sequence)
 
     # --- inputs -----------------------------------------------------------------------
     def saved(self, sequence, now):
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -1,7 +1,7 @@
 """The accord as a decider: sessions, founding, consensus, the record and the leader's work.
 
 Inputs go through step(message, now, clock); effects come back:
-("send", address, message), ("save", sequence, change), ("base", sequence, payload),
+("send", address, message), ("save", sequence, change), ("base", sequence, payload), ("segment", number, bytes),
 ("note", payload), ("snapshot", index, image), ("rehearse", work), ("event", number, fields).
 """
 
@@ -37,6 +37,7 @@
         self.stopping = False
         self.greet_at = self.join_at = -1e9
         self.snapshotting = False
+        self.snapshot_segments = (1, 0)  # of the archive, that the snapshot under way stands on
         self.rehearsing = None  # (draft, asked) that this accord measures now
         self.claim_at = -1e9
         self.out_since = {}  # member -> when its session was first missed
@@ -67,11 +68,11 @@
         self.retire_at = -1e9
 
     # --- durable state ----------------------------------------------------------------
-    def restore(self, base, steps):
+    def restore(self, base, steps, segments=None):
         """Takes what the store held; the identity was read from it already."""
         changes, raft_base = [], None
         if base is not None:
-            _, self.cohort, raft_base = base
+            _, self.cohort, raft_base, _ = base
         members = None
         for step in steps:
             for kind, payload in step:
@@ -84,14 +85,22 @@
                     _, self.cohort, self.mode = payload
         if self.cohort is None:
             return
-        self.consensus = Consensus(self.identity, self.seed, members, self.mode)
+        self._begin_consensus(members)
         self.consensus.restore(raft_base, changes)
         if self.consensus.base_image:
-            self.record = Record.decode(self.consensus.base_image)
+            self._take_record(self.consensus.base_image, segments)
+
+    def _begin_consensus(self, members):
+        self.consensus = Consensus(self.identity, self.seed, members, self.mode)
+        self.consensus.archive = self.record.archive
+
+    def _take_record(self, image, segments):
+        self.record = Record.decode(image, segments)
+        self.consensus.archive = self.record.archive
 
     def base(self, raft_base):
-        """The payload of a base file."""
-        return [self.identity, self.cohort, raft_base]
+        """The payload of a base file; the store keeps the segments that its last part names."""
+        return [self.identity, self.cohort, raft_base, list(self.consensus.base_segments)]
 
     # --- inputs -----------------------------------------------------------------------
     def step(self, message, now, clock):
@@ -266,7 +275,7 @@
             return
         self.cohort = cohort
         self.founders = tuple(sorted(members))
-        self.consensus = Consensus(self.identity, self.seed, members, self.mode)
+        self._begin_consensus(members)
         self.effects.append(("note", ["consent", cohort, dict(members), self.mode]))
         self._event(111, cohort=cohort, members=sorted(members))
 
@@ -297,7 +306,7 @@
     def _on_admit(self, cohort, mode, leader, now):
         if self.cohort is None:
             self.cohort, self.mode = cohort, mode
-            self.consensus = Consensus(self.identity, self.seed, {}, mode)
+            self._begin_consensus({})
             self.effects.append(("note", ["joined", cohort, mode]))
             self._event(113, cohort=cohort)
 
@@ -368,7 +377,8 @@
     def _on_encoded(self, index, data, now):
         self.snapshotting = False
         if index > self.consensus.base_index and self.consensus.term_at(index) is not None:
-            payload = self.consensus.compact(index, data)
+            payload = self.consensus.compact(index, data, self.snapshot_segments)
+            self.record.archive.retired.clear()
             self.effects.append(("base", None, self.base(payload)))
             self._event(126, index=index, bytes=len(data))
 
@@ -386,7 +396,10 @@
             elif kind == "commit":
                 self._apply(effect[1], effect[2], now)
             elif kind == "install":
-                self.record = Record.decode(effect[2])
+                archive = self.record.archive
+                self._take_record(effect[2], {**archive.retired, **archive.held, **effect[3]})
+                for number, data in sorted(effect[3].items()):
+                    self.effects.append(("segment", number, data))
             elif kind == "lead":
                 self._clear_lead()
                 self.lead_since = now
@@ -414,9 +427,13 @@
                 self._heed(operation, outcome, now)
                 for address, token, shape, extra in self.awaiting.pop(index, ()):
                     self._tell(address, token, shape, extra, outcome, now)
+        for number, data in self.record.sealed:
+            self.effects.append(("segment", number, data))
+        self.record.sealed.clear()
         due = self.record.index - consensus.base_index >= constants.SNAPSHOT_ENTRIES
         if due and not self.snapshotting:
             self.snapshotting = True
+            self.snapshot_segments = self.record.archive.range()
             self.effects.append(("snapshot", self.record.index, self.record.image()))
 
     def _tell(self, address, token, shape, extra, outcome, now):
--- a/src/pinepitch/accord/program.py
+++ b/src/pinepitch/accord/program.py
@@ -12,12 +12,12 @@
 
 
 def open_store(folder):
-    """(store, base, steps, why it was damaged or None); a damaged store counts as empty."""
+    """(store, base, steps, segments, why it was damaged or None); a damaged store counts as empty."""
     store = Store(folder)
     loaded = store.load()
     if isinstance(loaded, Damaged):
         store.wipe()
-        return store, None, [], loaded[0]
+        return store, None, [], {}, loaded[0]
     return store, *loaded, None
 
 
@@ -51,7 +51,7 @@
         "address": address, "area": None if area is None else str(area), "seeds": list(seeds) if isinstance(seeds, tuple) else seeds, "data": data, "level": level,
         "founders": founders, "mode": mode})
     try:
-        store, base, steps, damage = open_store(found.data)
+        store, base, steps, segments, damage = open_store(found.data)
         identity = identity_of(store, base, steps)
     except OSError as fault:
         print(f"accord: data {found.data}: {fault}", file=sys.stderr)
@@ -61,7 +61,7 @@
         events.emit(log, 103, why=damage)
     core = Accord(identity, found.address, found.area, found.seeds, found.founders, found.mode,
                   seed=secrets.token_hex(4))
-    core.restore(base, steps)
+    core.restore(base, steps, segments)
     serve("accord", core, found, log, store)
 
 
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -14,6 +14,7 @@
 from ..world import row as rows
 from ..world.task import FINAL, Standing, Task, reference, unit_of
 from ..world.ticket import Ticket, tasks_from
+from .archive import Archive
 from .history import History
 from .sample import Sample
 
@@ -48,6 +49,8 @@
         self.withdrawn = {}  # minion -> (due, gone)
         self.drafts = immutables.Map()
         self.draft_count = 0
+        self.archive = Archive()
+        self.sealed = []  # (number, bytes) of segments sealed since the decider took them
         self.sample = Sample()
         self.marks = immutables.Map()  # mark of a change -> its outcome, so that it counts once
         self.ripe_at = 0.0  # not part of the image: it moves with who asks
@@ -60,7 +63,7 @@
             self.time, self.index, self.tickets, self.keys, self.count, tuple(self.finished), self.version,
             self.setup, self.setups.image(), dict(self.epochs), dict(self.drained), dict(self.emptied),
             dict(self.withdrawn), self.drafts, self.draft_count,
-            self.marks, self.sample.image(),
+            self.marks, self.sample.image(), self.archive.image(),
         )
 
     @staticmethod
@@ -68,11 +71,13 @@
         return cbor2.dumps(image, default=_plain)
 
     @classmethod
-    def decode(cls, data):
+    def decode(cls, data, segments=None):
+        """The record of an image and the segments that it stands on."""
         record = cls()
         (record.time, record.index, tickets, keys, record.count, finished, record.version, record.setup,
          setups, epochs, record.drained, record.emptied, withdrawn, drafts, record.draft_count,
-         marks, sample) = cbor2.loads(data)
+         marks, sample, lines) = cbor2.loads(data)
+        record.archive = Archive(lines, segments)
         record.sample = Sample(sample)
         record.marks = immutables.Map({mark: tuple(outcome) for mark, outcome in marks.items()})
         record.tickets = immutables.Map({one: _ticket(image) for one, image in tickets.items()})
@@ -209,13 +214,21 @@
         return (row.share if row else 0) - self.outstanding.get(queue, 0)
 
     def find(self, ref):
-        """(ticket, task, standing) of a reference, or None."""
+        """(ticket, task, standing) of a reference to a ticket not yet archived, or None."""
         identity, _, name = ref.partition("/")
         ticket = self.tickets.get(identity)
         if ticket is None or name not in ticket.tasks:
             return None
         return ticket, ticket.tasks[name], ticket.standings[name]
 
+    def ticket(self, identity):
+        """A ticket, live, finished or archived, or None."""
+        found = self.tickets.get(identity)
+        if found is None:
+            image = self.archive.read(identity)
+            found = _ticket(image) if image is not None else None
+        return found
+
     def closed(self, minion, area):
         """Why a minion may get no new work, or ''."""
         if minion in self.withdrawn:
@@ -268,10 +281,14 @@
     def known(self, key, digest):
         """The outcome for a key seen before, or None."""
         identity = self.keys.get(key)
-        if identity is None:
-            return None
-        same = self.tickets[identity].digest == digest
-        return ("known", identity) if same else ("mismatch", identity)
+        if identity is not None:
+            held = self.tickets[identity].digest
+        else:
+            image = self.archive.known(key)
+            if image is None:
+                return None
+            identity, held = image[0], image[2]
+        return ("known", identity) if held == digest else ("mismatch", identity)
 
     def _ticket(self, key, digest, plain, parked=""):
         before = self.known(key, digest)
@@ -307,7 +324,7 @@
         return tuple((*kind, count) for kind, count in sorted(counts.items()))
 
     def _cancel(self, identity):
-        ticket = self.tickets.get(identity)
+        ticket = self.ticket(identity)
         if ticket is None:
             return ("missing",)
         if ticket.state in ("cancelling", "cancelled"):
@@ -358,11 +375,19 @@
             del derived[identity]
         self.sample.final(self.tickets[identity])
         self.finished.append((identity, self.time))
-        while (len(self.finished) > constants.FINISHED_KEPT
-               and self.time - self.finished[0][1] > constants.KEYS_KEPT):
-            old = self.tickets[self.finished.pop(0)[0]]
-            self.tickets = self.tickets.delete(old.identity)
-            self.keys = self.keys.delete(old.key)
+        if len(self.finished) >= constants.FINISHED_LIVE + constants.SEGMENT_TICKETS:
+            self._seal()
+
+    def _seal(self):
+        """Moves the oldest finished tickets into a segment of the archive."""
+        old = [self.tickets[identity] for identity, _ in self.finished[:constants.SEGMENT_TICKETS]]
+        ended = self.finished[constants.SEGMENT_TICKETS - 1][1]
+        del self.finished[:constants.SEGMENT_TICKETS]
+        self.sealed.append(self.archive.seal(old, ended))
+        for ticket in old:
+            self.tickets = self.tickets.delete(ticket.identity)
+            self.keys = self.keys.delete(ticket.key)
+        self.archive.prune(self.time - constants.KEYS_KEPT)
 
     def _duty(self, duty, holder):
         epoch = self.epochs.get(duty, (0, ""))[0] + 1
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -66,6 +66,7 @@
         self.links = {}
         self.jobs = collections.deque()
         self.jobs_filled = curio.Event()
+        self.beside = curio.Queue()
         self.requests = {}
         self.request_count = 0
         self.connections = 0
@@ -119,6 +120,9 @@
     async def _base(self, sequence, payload):
         await self._job("base", sequence, payload)
 
+    async def _segment(self, number, data):
+        await self._job("segment", number, data)
+
     async def _snapshot(self, index, image):
         await self._job("snapshot", index, image)
 
@@ -178,15 +182,15 @@
             await curio.sleep(constants.TICK)
         await self.inbox.put(("stop",))
         until = time.monotonic() + constants.STOP_WITHIN * 0.6
-        while time.monotonic() < until and (self.requests or self.jobs):
+        while time.monotonic() < until and (self.requests or self.jobs or not self.beside.empty()):
             await curio.sleep(constants.TICK)
         await curio.sleep(constants.TICK * 4)  # lets the last answers and leaves go out
         await self.inbox.put(("halt",))
 
     async def _disk(self):
-        """Owns the store: one file for all saves that wait, in order. A base that follows
-        none of them is written beside them."""
-        beside = None
+        """Owns the store: one file for all saves that wait, in order. Segments, and bases
+        that nothing waits for, go beside the saves, in an order of their own."""
+        await self.tasks.spawn(self._disk_beside)
         while True:
             await self.jobs_filled.wait()
             if not self.jobs:
@@ -195,12 +199,12 @@
             kind, tag, payload = self.jobs.popleft()
             if kind == "snapshot":
                 await curio.spawn(self._encode, tag, payload, daemon=True)
+            elif kind == "segment":
+                await self.beside.put((self.store.write_segment, tag, payload))
             elif kind == "base":
-                if beside is not None:
-                    await beside.join()
-                beside = await curio.spawn(self._durable, self.store.write_base, payload, self.store.version)
+                await self.beside.put((self.store.write_base, payload, self.store.version))
                 if tag is not None:
-                    await beside.join()
+                    await self.beside.join()
                     await self.inbox.put(("saved", tag))
             else:
                 batch, tags = [payload], [(kind, tag)]
@@ -216,6 +220,12 @@
                     if kind == "note":
                         await tag.set()
 
+    async def _disk_beside(self):
+        while True:
+            write, *arguments = await self.beside.get()
+            await self._durable(write, *arguments)
+            await self.beside.task_done()
+
     async def _encode(self, index, image):
         data = await curio.run_in_thread(type(self.core.record).encode, image)
         await self.inbox.put(("encoded", index, data))
@@ -282,6 +292,7 @@
     "event": Host._event,
     "save": Host._save,
     "base": Host._base,
+    "segment": Host._segment,
     "note": Host._note,
     "snapshot": Host._snapshot,
     "rehearse": Host._rehearse,
--- a/src/pinepitch/ground/store.py
+++ b/src/pinepitch/ground/store.py
@@ -8,7 +8,7 @@
 
 from . import constants
 
-NAME = re.compile(r"^(base|step)-(\d{16})$")
+NAME = re.compile(r"^(base|step|segment)-(\d{16})$")
 
 
 class Damaged(tuple):
@@ -29,21 +29,30 @@
         self.syncs = 0
 
     def load(self):
-        """(base payload or None, step payloads in order), or Damaged."""
+        """(base payload or None, step payloads in order, segments by number that the base
+        stands on), or Damaged."""
         os.makedirs(self.folder, exist_ok=True)
         names = os.listdir(self.folder)
-        bases, steps = {}, {}
+        found = {"base": {}, "step": {}, "segment": {}}
         for name in names:
             match = NAME.match(name)
             if match:
-                (bases if match[1] == "base" else steps)[int(match[2])] = name
+                found[match[1]][int(match[2])] = name
             elif name.endswith(".aside"):
                 os.unlink(os.path.join(self.folder, name))
-        base, base_version = None, max(bases, default=0)
+        bases, steps = found["base"], found["step"]
+        base, base_version, segments = None, max(bases, default=0), {}
         if bases:
             base = self._read(bases[base_version])
             if isinstance(base, Damaged):
                 return base
+            first, last = base[-1]
+            for number in range(first, last + 1):
+                if number not in found["segment"]:
+                    return Damaged((f"segment {number} is missing",))
+                segments[number] = self._read(found["segment"][number])
+                if isinstance(segments[number], Damaged):
+                    return segments[number]
         payloads = []
         for place, version in enumerate(sorted(version for version in steps if version > base_version)):
             if version != base_version + place + 1:
@@ -53,7 +62,7 @@
                 return payload
             payloads.append(payload)
         self.version = base_version + len(payloads)
-        return base, payloads
+        return base, payloads, segments
 
     def write_step(self, payload):
         """Makes the next version durable; returns only once it is. After an OSError the
@@ -61,12 +70,22 @@
         self._write(f"step-{self.version + 1:016d}", payload)
         self.version += 1
 
+    def write_segment(self, number, data):
+        """Makes a segment durable; the same number always holds the same."""
+        self._write(f"segment-{number:016d}", data)
+
     def write_base(self, payload, version):
-        """Puts a base in the place of every file up to `version`."""
+        """Puts a base in the place of every file up to `version`, and of every segment older
+        than those it stands on; the payload's last part is (first, last) of them."""
         self._write(f"base-{version:016d}", payload)
+        first, _ = payload[-1]
         for name in os.listdir(self.folder):
             match = NAME.match(name)
-            if match and (int(match[2]) < version or (match[1] == "step" and int(match[2]) <= version)):
+            if not match:
+                continue
+            number = int(match[2])
+            if (number < first if match[1] == "segment"
+                    else number < version or (match[1] == "step" and number <= version)):
                 os.unlink(os.path.join(self.folder, name))
 
     def wipe(self):
--- a/src/pinepitch/proof/plants.py
+++ b/src/pinepitch/proof/plants.py
@@ -54,7 +54,7 @@
 def _keep_identity(self, name):
     """A lost disk that comes back with its old name: the amnesia that a new identity prevents."""
     node = self.nodes[name]
-    base, steps = node.disk.load()
+    _, steps, _ = node.disk.load()
     kept = [step for step in steps if any(kind == "note" for kind, _ in step)]
     node.disk = simulator.Disk()
     node.disk.steps = [cbor2.dumps(step) for step in kept]
@@ -203,6 +203,7 @@
     "amnesia": [(simulator.Simulator, "wipe", _keep_identity)],
     # No fault but a condition under which nothing may break: the log is compacted all the time.
     "frequent-snapshots": [(constants, "SNAPSHOT_ENTRIES", 50), (constants, "SNAPSHOT_TAIL", 10),
+                           (constants, "FINISHED_LIVE", 5), (constants, "SEGMENT_TICKETS", 4),
                            (constants, "SNAPSHOT_PIECE", 20_000)],
     "votes-twice": [(Consensus, "_on_vote", _votes_again), (constants, "ELECTION_JITTER", 0.01)],
 }
--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -31,7 +31,7 @@
     becomes durable, but for what a folder's failed sync leaves to chance."""
 
     def __init__(self):
-        self.base, self.steps = None, []
+        self.base, self.steps, self.segments = None, [], {}
         self.jobs = collections.deque()
         self.under_way = self.beside = None
         self.covers = 0
@@ -50,7 +50,9 @@
 
     def load(self):
         base = None if self.base is None else cbor2.loads(self.base)
-        return base, [cbor2.loads(one) for one in self.steps]
+        first, last = base[-1] if base else (1, 0)
+        segments = {number: self.segments[number] for number in range(first, last + 1)}
+        return base, [cbor2.loads(one) for one in self.steps], segments
 
 
 class Node:
@@ -131,7 +133,7 @@
         node.life += 1
         node.frozen, node.down, node.held = False, False, []
         if node.kind == "accord":
-            base, steps = node.disk.load()
+            base, steps, segments = node.disk.load()
             identity = base[0] if base else next(
                 (payload[1] for step in steps for kind, payload in step
                  if kind == "note" and payload[0] == "identity"), None)
@@ -140,7 +142,7 @@
                 node.disk.keep(("step", cbor2.dumps([["note", ["identity", identity]]])))
             node.core = self.kinds["accord"](identity, node.address, node.area, self.seeds, self.founders,
                                              self.mode, f"{self.seed}-{node.life}")
-            node.core.restore(base, steps)
+            node.core.restore(base, steps, segments)
             node.disk.jobs.clear()
             node.disk.under_way = node.disk.beside = None
             node.disk.failed = False
@@ -279,6 +281,12 @@
         node.disk.jobs.append(("base", sequence, payload))
         self._disk_next(node)
 
+    def _segment(self, node, number, data):
+        """Segments become durable before any base that names them, whatever else does."""
+        node.disk.syncs += 1
+        if node.disk.segments.setdefault(number, data) != data:
+            raise AssertionError(f"{node.name} seals segment {number} anew, with other content")
+
     def _snapshot(self, node, index, image):
         self.at(0.01, "give", node.name, node.life, ("encoded", index, Record.encode(image)))
 
@@ -521,7 +529,8 @@
             except AssertionError as broken:
                 faults.append(f"{node.name}: {broken}")
             record = node.core.record
-            image = (record.time, record.tickets, record.keys, record.version, record.epochs)
+            image = (record.time, record.tickets, record.keys, record.version, record.epochs, record.archive.image(),
+                     record.archive.held)
             other = records.setdefault(record.index, (node.name, image))
             if other[1] != image:
                 faults.append(f"{node.name} and {other[0]} differ at {record.index}")
@@ -542,6 +551,7 @@
     "send": Simulator._send,
     "save": Simulator._save,
     "base": Simulator._base,
+    "segment": Simulator._segment,
     "note": Simulator._note,
     "snapshot": Simulator._snapshot,
     "rehearse": Simulator._rehearse,
--- a/src/pinepitch/world/contract.py
+++ b/src/pinepitch/world/contract.py
@@ -63,7 +63,7 @@
     "append": (int, int, int, [ENTRY], int, int),
     "appended": (int, bool, Maybe(int), int),
     "piece": (int, int, int, COHORT, int, int, bytes, int),
-    "pieced": (int, int, int, int),
+    "pieced": (int, int, int, int, int),
 }
 # The registry of contracts: message kind -> pattern of what follows it.
 CONTRACTS = {
