Bodies and targets no daemon can hand on are refused; a name's other address proves nothing

Cause, found by trying it: a target like `//[` or half a character in a body raised inside the verge and ended it; a body nested 900 deep passed, and the accord refused the frame and dropped the link with all that was on it; 1e400 became infinity in an order; a member named twice was read as its last. A minion cut off and running on, replaced under its name at another address, would have had its tasks taken for lost by the new one's report.

Change: a filter refuses such bodies and targets with 400 and the reason. A placement keeps the minion's address; a new start elsewhere ends nothing and is not believed while the other is heard (event 158).

--- a/features/input.feature
+++ b/features/input.feature
@@ -52,3 +52,29 @@
     Given a verge and an accord of a founded cohort
     When seeded garbage is sent to each of their ports
     Then both still serve, and oversized or malformed calls get their status
+
+  Scenario Outline: a call with <fault>
+    When a verge gets a call with <fault>
+    Then it is answered with 400 at once and carries nothing
+
+    Examples:
+      | fault                        |
+      | a body nested 900 deep       |
+      | a list nested 100000 deep    |
+      | half a character in its work |
+      | half a character in a name   |
+      | a number beyond floats       |
+      | a number of 4000 digits      |
+      | a member named twice         |
+      | a target that is no path     |
+
+  Scenario Outline: a report that contradicts an earlier one: <how>
+    Given a simulated fleet with work on a minion
+    When a report of that minion comes with <how>
+    Then nothing it ran is taken for ended and the record audits clean
+
+    Examples:
+      | how                                        |
+      | a new start at another address             |
+      | a counter that goes back and an empty list |
+      | less room than is reserved                 |
--- a/features/steps/archive.py
+++ b/features/steps/archive.py
@@ -24,7 +24,7 @@
         moment, place = context.begun + context.index * 0.01, record.count
         identity = record.apply(context.index, moment, ("ticket", f"key-{place}", f"digest-{place}", PLAIN))[1]
         for part in (("s0",), ("s1", "s2")):
-            items = tuple((f"{identity}/{name}", f"m{place % 7}", "a", 8, "one", "v", (("default", 1),)) for name in part)
+            items = tuple((f"{identity}/{name}", f"m{place % 7}", "a", 8, "one", "v", (("default", 1),), "") for name in part)
             record.apply(context.index, moment, ("place", 1, record.version, items))
             record.apply(context.index, moment + 0.005, ("ended", tuple((one[0], 1, "done") for one in items)))
         ticket = record.tickets[identity]
--- a/features/steps/input.py
+++ b/features/steps/input.py
@@ -16,6 +16,8 @@
 from pinepitch.ground import constants, http, wire
 from pinepitch.ground.env import split
 from pinepitch.proof.fleet import PLANS, Fleet
+from pinepitch.proof.simulator import Simulator
+from pinepitch.verge.core import Verge
 from pinepitch.world import contract, minion, row, ticket
 
 GOOD = {
@@ -243,3 +245,71 @@
     assert status("PATCH", "/v1/setup", {}, (("If-Match", '"99"'),)) == 409
     head = throw(fleet.verges[0][2], b"POST /v1/tickets HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n{bad}")
     assert b" 400 " in head.split(b"\r\n")[0], head
+
+
+def work_of(text):
+    return ("POST", "/v1/tickets", '{"queue":"default","tasks":[{"name":"a","work":%s}]}' % text)
+
+
+CALLS = {
+    "a body nested 900 deep": work_of('{"a":' * 900 + "1" + "}" * 900),
+    "a list nested 100000 deep": ("POST", "/v1/tickets", "[" * 100_000),
+    "half a character in its work": work_of('"\\ud800"'),
+    "half a character in a name": ("PATCH", "/v1/setup", '{"notes":{"\\ud800":1}}'),
+    "a number beyond floats": work_of('{"a":1e400}'),
+    "a number of 4000 digits": work_of("9" * 4000),
+    "a member named twice": ("POST", "/v1/tickets", '{"queue":"a","queue":"default","tasks":[{"name":"a"}]}'),
+    "a target that is no path": ("GET", "//[", ""),
+}
+
+
+@when("a verge gets a call with {fault}")
+def step_call(context, fault):
+    method, target, body = CALLS[fault]
+    verge = Verge("v", "127.0.0.1:1", "a", ("127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"))
+    verge.leader = "127.0.0.1:2"
+    context.effects = verge.step(("http", 1, method, target, {"if-match": "*"}, body.encode()), 1.0, 1.0)
+
+
+@then("it is answered with 400 at once and carries nothing")
+def step_refused_call(context):
+    assert [effect[:3] for effect in context.effects] == [("reply", 1, 400)], context.effects
+    assert not any(effect[0] == "send" for effect in context.effects)
+
+
+@given("a simulated fleet with work on a minion")
+def step_work(context):
+    context.simulator = Simulator(4)
+    context.simulator.begin()
+    status, _ = context.simulator.persist("POST", "/v1/tickets", {"queue": "default", "tasks": [
+        {"name": f"s{one}", "units": 2, "work": {"seconds": 60.0}} for one in range(12)]})
+    assert status == 201
+    context.simulator.run(6)
+    context.core = context.simulator.leader().core
+    context.minion = max(context.core.record.reserved, key=lambda one: len(context.core.record.reserved[one]))
+
+
+@when("a report of that minion comes with {how}")
+def step_contradicts(context, how):
+    core, now = context.core, context.simulator.now + 1000.0
+    known = core.minions[context.minion].report
+    context.held = dict(core.record.reserved[context.minion])
+    context.room = known.room
+    if how == "a new start at another address":
+        changed = known._replace(incarnation="other", address="10.9.9.9:1", running=(), ended=(), counter=1,
+                                 heard=core._now(now))
+        core.minions[context.minion].heard_at = now - 60.0  # the first one fell silent meanwhile
+    elif how == "less room than is reserved":
+        changed = known._replace(counter=known.counter + 1, room=1, heard=core._now(now))
+        context.room = 1
+    else:
+        changed = known._replace(counter=known.counter - 1, running=(), ended=(), heard=core._now(now))
+    context.ends, _, _ = core.take_report(changed, now)
+
+
+@then("nothing it ran is taken for ended and the record audits clean")
+def step_unbelieved(context):
+    assert len(context.held) >= 1 and not context.ends, context.ends
+    context.core.record.audit()
+    seats, free = context.core.placer._seats(context.core.record, context.core.minions, context.simulator.now + 1000.0)
+    assert context.room > 1 or free[context.minion] < 0, free
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -591,6 +591,9 @@
             self.minions[report.minion] = known = Minion(report, now)
         elif report.incarnation == known.report.incarnation:
             newest = report.counter > known.report.counter
+        elif report.address != known.report.address and now - known.heard_at <= constants.MINION_SILENT:
+            newest = False  # another machine under a name that is taken
+            self._event(158, minion=report.minion, address=report.address, known=known.report.address)
         else:
             newest = report.heard >= known.report.heard or now - known.heard_at > constants.MINION_SILENT
             if newest:
@@ -617,13 +620,16 @@
 
     def _absent(self, report, listed):
         """Proof by absence: a report begun after send-by and a margin lists all that
-        runs, so what it lacks has ended or never begun."""
+        runs, so what it lacks has ended or never begun. A new start at another address
+        may be another machine: it proves nothing of what the name's last one runs."""
         for ref in sorted(self.record.reserved.get(report.minion, {})):
             standing = self.record.find(ref)[2]
             if (ref, standing.attempt) in listed:
                 continue
             if report.heard >= standing.send_by + constants.SEND_MARGIN:
                 same = standing.incarnation == report.incarnation
+                if not same and standing.address != report.address:
+                    continue
                 yield (ref, standing.attempt, "never" if same else "lost")
 
     # --- leading: placing and watching ------------------------------------------------
--- a/src/pinepitch/accord/placing.py
+++ b/src/pinepitch/accord/placing.py
@@ -24,6 +24,7 @@
     labels: frozenset
     incarnation: str
     poor: bool
+    address: str
 
 
 class Wanted(NamedTuple):
@@ -158,7 +159,8 @@
             if poor and (taken or now - minion.trial_at < constants.TRIAL_EVERY):
                 continue
             free[name] = report.room - taken
-            seats.append(Seat(name, report.area, report.room, frozenset(report.labels), report.incarnation, poor))
+            seats.append(Seat(name, report.area, report.room, frozenset(report.labels), report.incarnation, poor,
+                              report.address))
         return seats, free
 
     def _candidates(self, record):
@@ -213,7 +215,7 @@
             near = [one for one, area in verges if area == seat.area] or [one for one, _ in verges]
             verge = near[self.turn % len(near)]
             group.append((reference(ticket.identity, name), seat.minion, seat.area, seat.room,
-                          seat.incarnation, verge, charges))
+                          seat.incarnation, verge, charges, seat.address))
         for minion, units_taken in taken.items():
             this.free[minion] -= units_taken
         for lender, credits in lent.items():
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -395,7 +395,7 @@
         return ("epoch", epoch)
 
     def _place(self, epoch, version, items):
-        """Items: (reference, minion, area, room, incarnation, verge, charges)."""
+        """Items: (reference, minion, area, room, incarnation, verge, charges, address)."""
         if epoch != self.epochs.get("placing", (0, ""))[0]:
             return ("refused", "epoch")
         if version != self.version:
@@ -422,7 +422,7 @@
     def _place_group(self, group):
         """One task, or a whole gang; all of it or nothing. '' when placed."""
         room, charged, used, queue = {}, {}, 0, None
-        for ref, minion, area, size, incarnation, verge, charges in group:
+        for ref, minion, area, size, incarnation, verge, charges, address in group:
             found = self.find(ref)
             if found is None:
                 return "unknown"
@@ -458,11 +458,11 @@
                     return "lender"  # a feed has no end that would bring the credits back
                 if credits <= 0 or charged[lender] > self.balance(lender):
                     return "credits"
-        for ref, minion, area, size, incarnation, verge, charges in group:
+        for ref, minion, area, size, incarnation, verge, charges, address in group:
             ticket, task, standing = self.find(ref)
             standing = standing._replace(
                 state="placed", attempt=standing.attempt + 1, minion=minion, incarnation=incarnation,
-                verge=verge, send_by=self.time + constants.SEND_WITHIN, yields_to="",
+                address=address, verge=verge, send_by=self.time + constants.SEND_WITHIN, yields_to="",
                 charges=tuple(tuple(one) for one in charges), since=self.time,
             )
             self._count(ticket, -1)
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -64,6 +64,8 @@
 
 # --- bounds of what callers may send -------------------------------------------------
 BODY_MOST = 2_000_000  # bytes; a ticket of the largest allowed size fits twice
+DEPTH_MOST = 32  # levels; of a JSON body, far below what any of our readers can nest
+NUMBER_MOST = 2 ** 53  # the largest whole number that every JSON reader keeps exact
 HEAD_MOST = 16_384  # bytes; request line and headers
 CONNECTIONS_MOST = 2_000  # sockets; per verge
 IDLE_MOST = 30.0  # seconds; a connection without a request is closed
--- a/src/pinepitch/ground/events.py
+++ b/src/pinepitch/ground/events.py
@@ -41,6 +41,7 @@
     155: ("task ended", "debug"),
     156: ("stray task killed", "warning"),
     157: ("minion on trial", "warning"),
+    158: ("two machines under one minion's name", "error"),
     160: ("setup in force", "info"),
     161: ("setup change without rehearsal", "warning"),
     162: ("rehearsal done", "info"),
--- a/src/pinepitch/verge/filters.py
+++ b/src/pinepitch/verge/filters.py
@@ -2,6 +2,7 @@
 headers) or "carried"; None hands it on."""
 
 import json
+import math
 import secrets
 from urllib.parse import parse_qsl, unquote, urlsplit
 
@@ -35,7 +36,10 @@
 
 def target(verge, ticket, now):
     """Finds the way that fits the method and path."""
-    parts = urlsplit(ticket["target"])
+    try:
+        parts = urlsplit(ticket["target"])
+    except ValueError:
+        return no(400, "malformed", "the target can't be read")
     path = [unquote(one) for one in parts.path.split("/") if one]
     ticket["query"] = dict(parse_qsl(parts.query))
     allowed = []
@@ -61,9 +65,49 @@
     ticket["document"] = None
     if ticket["body"]:
         try:
-            ticket["document"] = json.loads(ticket["body"], parse_constant=_no_constant)
-        except (ValueError, RecursionError):
-            return no(400, "malformed", "the body is not JSON")
+            ticket["document"] = json.loads(
+                ticket["body"], parse_constant=_no_constant, object_pairs_hook=_no_member_twice)
+        except (ValueError, RecursionError) as fault:
+            return no(400, "malformed", "the body is not JSON" + (f": {fault}" if isinstance(fault, Unsound) else ""))
+        fault = unsound(ticket["document"])
+        if fault:
+            return no(400, "malformed", fault)
+
+
+class Unsound(ValueError):
+    """JSON that says two things at once."""
+
+
+def _no_member_twice(pairs):
+    members = dict(pairs)
+    if len(members) < len(pairs):
+        raise Unsound("a member is named twice")
+    return members
+
+
+def unsound(value):
+    """Why a document can't be carried and handed on as it is, or None: numbers JSON or our
+    frames can't say, text that is no text, deeper nesting than DEPTH_MOST."""
+    todo = [(value, 1)]
+    while todo:
+        one, depth = todo.pop()
+        if depth > constants.DEPTH_MOST:
+            return f"nested deeper than {constants.DEPTH_MOST}"
+        if isinstance(one, dict):
+            todo.extend((member, depth) for member in one)
+            todo.extend((inner, depth + 1) for inner in one.values())
+        elif isinstance(one, list):
+            todo.extend((inner, depth + 1) for inner in one)
+        elif isinstance(one, str):
+            try:
+                one.encode()
+            except UnicodeEncodeError:
+                return "text with half a character"
+        elif isinstance(one, float) and not math.isfinite(one):
+            return "a number out of range"
+        elif isinstance(one, int) and abs(one) > constants.NUMBER_MOST:
+            return "a number out of range"
+    return None
 
 
 def _no_constant(text):
--- a/src/pinepitch/world/task.py
+++ b/src/pinepitch/world/task.py
@@ -42,6 +42,7 @@
     since: float = 0.0
     took: float = 0.0  # seconds from placing to proven end of the newest attempt
     lost: float = 0.0  # seconds of all attempts that failed
+    address: str = ""  # of the minion as it was known when placed
 
 
 FINAL = ("done", "failed", "cancelled")
