Every daemon tells metrics by the library; an unknown operation stops, rehearsals rest

Cause: only verges had metrics, three hand-written lines without type or help; an accord could be watched through its leader's figures alone. An operation that a version does not know was answered "ok" and skipped, which makes another record than the cohort's. A rehearsal's thread took half of the interpreter in turns of its own length.

Change: `/v1/metrics` by prometheus-client at verges and, with the setting `http`, at accords: waits by queue and syncs as histograms, credits, pending, parked, refusals and ends by reason, sessions, and each numbered event counted. A rehearsal sleeps after each 20 moments as long as they took. `pinepitch forecasts` sets forecasts beside what fleets then do.

--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -5,10 +5,10 @@
 ("note", payload), ("snapshot", index, image), ("rehearse", work), ("event", number, fields).
 """
 
-from ..ground import constants
+from ..ground import constants, metrics
 from ..ground.cohorttime import CohortTime
 from ..world.minion import Minion
-from . import rehearsal
+from . import figures, rehearsal
 from .calls import CALLS, SHAPES
 from .consensus import Consensus
 from .founding import Founding
@@ -43,6 +43,8 @@
         self.out_since = {}  # member -> when its session was first missed
         self.applied_outcomes = {}
         self.counts = {"applied": 0, "sent": 0, "syncs": 0}
+        self.event_counts, self.refusals, self.end_counts = {}, {}, {}
+        self.sync_spread, self.wait_spreads = metrics.Spread(), {}
         self._clear_lead()
 
     def _clear_lead(self):
@@ -121,6 +123,7 @@
             self.effects.append(("send", address, message))
 
     def _event(self, number, **fields):
+        self.event_counts[number] = self.event_counts.get(number, 0) + 1
         self.effects.append(("event", number, fields))
 
     def _tick(self, now):
@@ -363,6 +366,8 @@
 
     def _on_saved(self, sequence, now):
         self.counts["syncs"] += 1
+        if self.consensus.saving:
+            self.sync_spread.add(now - self.consensus.saving[0][2])
         self._run(self.consensus.saved(sequence, now), now)
 
     def _on_disk(self, why, now):
@@ -389,8 +394,10 @@
             if kind == "send":
                 self._send(self.sessions.address(effect[1]),
                            ("raft", self.cohort, self.identity, effect[1], effect[2]))
-            elif kind in ("save", "event"):
+            elif kind == "save":
                 self.effects.append(effect)
+            elif kind == "event":
+                self._event(effect[1], **effect[2])
             elif kind == "base":
                 self.effects.append(("base", effect[1], self.base(effect[2])))
             elif kind == "commit":
@@ -720,17 +727,19 @@
             if outcome[0] == "placed":
                 for ref, refusal in outcome[1]:
                     if refusal:
-                        self._event(151, task=ref, why=refusal)
+                        self._refused(refusal, task=ref)
                     else:
+                        self._waited(ref)
                         self._order(ref, now)
             else:
-                self._event(151, why=outcome[1])
+                self._refused(outcome[1])
             for verge in list(self.asks):
                 self._tell_news(verge, now)
         elif kind == "ended":
             for (ref, attempt, how), result in zip(operation[1], outcome[1]):
                 self.proposed_ends.discard((ref, attempt))
                 self.kills.pop(ref, None)
+                self.end_counts[how] = self.end_counts.get(how, 0) + 1
                 self._event(155, task=ref, attempt=attempt, how=how, result=result)
                 found = self.record.find(ref)
                 minion = self.minions.get(found[2].minion) if found else None
@@ -752,6 +761,26 @@
             for verge in list(self.asks):
                 self._tell_news(verge, now)
 
+    def _refused(self, why, **fields):
+        self.refusals[why] = self.refusals.get(why, 0) + 1
+        self._event(151, why=why, **fields)
+
+    def _waited(self, ref):
+        """Notes how long a task just placed was ready."""
+        ticket, task, standing = self.record.find(ref)
+        if standing.attempt == 1:
+            ready = max([ticket.accepted, task.not_before, *(ticket.standings[one].since for one in task.after)])
+            self.wait_spreads.setdefault(ticket.queue, metrics.Spread()).add(max(0.0, standing.since - ready))
+
+    def _on_http(self, request, method, target, headers, body, now):
+        """The accord's own small port: its health and metrics, nothing that is carried."""
+        answer = {"/v1/health": figures.health, "/v1/metrics": figures.text}.get(target)
+        if method != "GET" or answer is None:
+            told = {"error": {"code": "no_such_way", "message": "an accord answers GET /v1/health and /v1/metrics"}}
+            self.effects.append(("reply", request, 404, told))
+        else:
+            self.effects.append(("reply", request, 200, answer(self, now)))
+
     def _order(self, ref, now):
         """Puts a committed placement into the outbox of the verge that is to send it."""
         ticket, task, standing = self.record.find(ref)
@@ -803,6 +832,7 @@
     "saved": Accord._on_saved,
     "encoded": Accord._on_encoded,
     "disk": Accord._on_disk,
+    "http": Accord._on_http,
     "claim": Accord._on_claim,
     "rehearsed": Accord._on_rehearsed,
     "measured": Accord._on_measured,
--- /dev/null
+++ b/src/pinepitch/accord/figures.py
@@ -0,0 +1,56 @@
+"""What an accord tells of itself: health and metrics."""
+
+from ..ground import metrics
+
+
+def health(core, now):
+    """What this accord knows of itself."""
+    consensus = core.consensus
+    return {
+        "identity": core.identity, "area": core.area, "cohort": core.cohort, "address": core.address,
+        "role": consensus.role if consensus else "outside", "term": consensus.term if consensus else 0,
+        "leader": core._leader_address(), "commit": consensus.commit if consensus else 0,
+        "applied": core.record.index, "setup_version": core.record.version,
+        "disk_waiting": len(consensus.saving) if consensus else 0, "time": core._now(now),
+    }
+
+
+def text(core, now):
+    """Metrics in the Prometheus manner. What only a leader gathers is told by it alone."""
+    record, consensus = core.record, core.consensus
+    leading = consensus is not None and consensus.role == "leader"
+    figures = [
+        ("gauge", "leading", "1 while this accord leads.", (), [((), int(leading))]),
+        ("gauge", "term", "The newest term known.", (), [((), consensus.term if consensus else 0)]),
+        ("gauge", "commit_index", "Entries known to be committed.", (), [((), consensus.commit if consensus else 0)]),
+        ("gauge", "disk_waiting", "Saves not yet durable.", (), [((), len(consensus.saving) if consensus else 0)]),
+        ("counter", "syncs", "Saves made durable.", (), [((), core.counts["syncs"])]),
+        ("counter", "messages_sent", "Messages sent to other daemons.", (), [((), core.counts["sent"])]),
+        ("counter", "entries_applied", "Entries applied to the record.", (), [((), core.counts["applied"])]),
+        ("histogram", "sync_seconds", "From a save's begin to its being durable.", (), [((), core.sync_spread)]),
+        ("gauge", "sessions", "Sessions held, by kind of daemon.", ("kind",), [
+            ((kind,), len(core.sessions.live(kind))) for kind in ("accord", "verge")]),
+        ("gauge", "setup_version", "Version of the setup in force here.", (), [((), record.version)]),
+        ("gauge", "tickets_live", "Tickets not yet final, by queue.", ("queue",), [
+            ((queue,), count) for queue, count in sorted(record.live.items())]),
+        ("gauge", "tickets_archived", "Finished tickets in segments.", (), [((), record.archive.count)]),
+        ("gauge", "tasks_waiting", "Waiting tasks, by queue.", ("queue",), [
+            ((queue,), record.waiting.get(queue, 0)) for queue in sorted(record.rows)]),
+        ("gauge", "tasks_parked", "Waiting tasks no minion known at their coming could take.", ("queue",), [
+            ((queue,), record.parked.get(queue, 0)) for queue in sorted(record.rows)]),
+        ("gauge", "units_running", "Units of room reserved, by queue.", ("queue",), [
+            ((queue,), record.used.get(queue, 0)) for queue in sorted(record.rows)]),
+        ("gauge", "credits_out", "Credits that back running work, by the queue that lent them.", ("queue",), [
+            ((queue,), record.outstanding.get(queue, 0)) for queue in sorted(record.rows)]),
+        ("gauge", "minions", "Minions heard by this leader, by state.", ("state",), [
+            (("open",), sum(not one.poor() for one in core.minions.values())),
+            (("on trial",), sum(one.poor() for one in core.minions.values()))]),
+        ("counter", "placements_refused", "Placements the record refused, by reason.", ("why",), [
+            ((why,), count) for why, count in sorted(core.refusals.items())]),
+        ("counter", "task_ends", "Ends proven while leading, by how.", ("how",), [
+            ((how,), count) for how, count in sorted(core.end_counts.items())]),
+        ("histogram", "wait_seconds", "From a task's being ready to its placement, while leading.", ("queue",), [
+            ((queue,), spread) for queue, spread in sorted(core.wait_spreads.items())]),
+        metrics.event_figures(core.event_counts),
+    ]
+    return metrics.text(figures)
--- a/src/pinepitch/accord/program.py
+++ b/src/pinepitch/accord/program.py
@@ -34,7 +34,7 @@
     return identity
 
 
-def run(settings=None, address=None, area=None, seeds=None, data=None, level=None, founders=None, mode=None):
+def run(settings=None, address=None, area=None, seeds=None, data=None, level=None, founders=None, mode=None, http=None):
     """Runs an accord.
 
     Args:
@@ -46,10 +46,11 @@
         level: log level: debug, info, warning, error, critical.
         founders: how many empty accords may found a cohort (default 3; 1 for a try).
         mode: quorum mode of a founding: static (default) or dynamic.
+        http: own IP:PORT for health and metrics; none when left out.
     """
     found = checked_env("accord", settings, {
         "address": address, "area": None if area is None else str(area), "seeds": list(seeds) if isinstance(seeds, tuple) else seeds, "data": data, "level": level,
-        "founders": founders, "mode": mode})
+        "founders": founders, "mode": mode, "http": http})
     try:
         store, base, steps, segments, damage = open_store(found.data)
         identity = identity_of(store, base, steps)
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -243,7 +243,10 @@
         self.index = index
         self.time = max(self.time, time)
         action = ACTIONS.get(operation[0])
-        return OK if action is None else action(self, *operation[1:])
+        if action is None:
+            raise AssertionError(f"entry {index} holds {operation[0]!r}, which this version does not know: "
+                                 "to go on without it would make another record than the cohort's")
+        return action(self, *operation[1:])
 
     def _put(self, ticket, name, standing):
         self.tickets = self.tickets.set(
@@ -744,8 +747,15 @@
     return ticket._replace(tasks=tasks, standings=immutables.Map(standings))
 
 
+def _nothing(record, *rest):
+    """An entry that is of consensus alone."""
+    return OK
+
+
 # The registry of operations: a new one is an entry here.
 ACTIONS = {
+    "noop": _nothing,
+    "members": _nothing,
     "ticket": Record._ticket,
     "cancel": Record._cancel,
     "duty": Record._duty,
--- a/src/pinepitch/accord/rehearsal.py
+++ b/src/pinepitch/accord/rehearsal.py
@@ -239,7 +239,7 @@
     return None
 
 
-def measure(blocks, in_force, draft, rooms, pairs=constants.REHEARSAL_PAIRS, pause=None):
+def measure(blocks, in_force, draft, rooms, pause=None, pairs=constants.REHEARSAL_PAIRS):
     """Replays both tables in pairs under the same seeds and says which is better by the
     objective in force, or that there was too little traffic to tell."""
     count = sum(len(one[2]) for one in blocks)
--- a/src/pinepitch/client/commands.py
+++ b/src/pinepitch/client/commands.py
@@ -296,6 +296,11 @@
         from ..proof.trial import trials
         trials(weather, seeds, first, fleet, mode, plant)
 
+    def forecasts(self, seconds=20):
+        """Compares rehearsals' forecasts with what fleets of processes then do."""
+        from ..proof.fleet import forecasts
+        forecasts(seconds)
+
     def rates(self, idle=200, known=25):
         """Measures how often rehearsals err, over idle drafts and drafts with a known effect."""
         from ..proof.rates import rates
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -110,12 +110,16 @@
 REPLAY_LASTS = 60.0  # seconds; of traffic in one replay, long enough for a backlog to build
 REPLAY_TICKETS = 400  # tickets; in one replay, some seconds of work
 REPLAY_SLICE = 20  # moments; between two pauses of a rehearsal, so that beats get the interpreter
+BREATH_MOST = 0.02  # seconds; a rehearsal rests after each slice as long as the slice took, and at most this
 REHEARSAL_PAIRS = 8  # replays of each table; 7 of 8 agreeing is chance in 1 of 28
 REHEARSAL_AGREE = 7  # pairs; that must point the same way
 REHEARSAL_LEAST = 0.01  # part of the cost; a smaller difference counts as none
 REHEARSAL_LONGEST = 120.0  # seconds; of virtual time after the last arrival
 DRAFTS_MOST = 100  # drafts; older ones are dropped
 
+# --- metrics -------------------------------------------------------------------------
+BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0)  # seconds; syncs to long waits
+
 # --- versions of formats -------------------------------------------------------------
 WIRE_VERSION = 1  # of frames; a newer one is refused
 FILE_VERSION = 1  # of files on disk; a newer one is refused
--- a/src/pinepitch/ground/env.py
+++ b/src/pinepitch/ground/env.py
@@ -77,6 +77,7 @@
         voluptuous.Required("data"): _text,
         voluptuous.Optional("founders", default=constants.FOUNDERS): _founders,
         voluptuous.Optional("mode", default="static"): voluptuous.In(("static", "dynamic")),
+        voluptuous.Optional("http"): address,
     }),
     "verge": voluptuous.Schema({**COMMON, voluptuous.Required("http"): address}),
 }
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -55,6 +55,18 @@
                     pass
 
 
+class Breath:
+    """Called between slices of a long work in a thread: sleeps as long as the slice took, so
+    that the decider's own thread has the interpreter for at least half of the time."""
+
+    def __init__(self):
+        self.since = time.monotonic()
+
+    def __call__(self):
+        time.sleep(min(constants.BREATH_MOST, time.monotonic() - self.since))
+        self.since = time.monotonic()
+
+
 class Host:
     """Runs one decider. Invariants: only run() steps it; a note is on disk before any
     later effect of the same step is carried out."""
@@ -132,7 +144,7 @@
     async def _rehearse_apart(self, work):
         """Measures in a thread of its own, so that nothing here waits for it."""
         epoch, draft, asked, *rest = work
-        measure = await curio.run_in_thread(self.core.measure, *rest)
+        measure = await curio.run_in_thread(self.core.measure, *rest, Breath())
         await self.inbox.put(("rehearsed", epoch, draft, asked, measure))
 
     async def _note(self, payload):
--- /dev/null
+++ b/src/pinepitch/ground/metrics.py
@@ -0,0 +1,62 @@
+"""Metrics: plain figures as text in the Prometheus manner, by the library."""
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily
+
+from . import constants, events
+
+KINDS = {"counter": CounterMetricFamily, "gauge": GaugeMetricFamily, "histogram": HistogramMetricFamily}
+
+
+class Spread:
+    """How a figure is spread. Invariants: counts has one more element than the bounds;
+    total is the sum of what was added."""
+
+    def __init__(self):
+        self.counts = [0] * (len(constants.BUCKETS) + 1)
+        self.total = 0.0
+
+    def add(self, value):
+        place = next((one for one, bound in enumerate(constants.BUCKETS) if value <= bound), -1)
+        self.counts[place] += 1
+        self.total += value
+
+    def buckets(self):
+        told, count = [], 0
+        for bound, one in zip((*constants.BUCKETS, "+Inf"), self.counts):
+            count += one
+            told.append((str(bound), count))
+        return told
+
+
+class _Told:
+    """What the library asks for families."""
+
+    def __init__(self, families):
+        self.families = families
+
+    def collect(self):
+        return self.families
+
+
+def text(figures):
+    """The text of figures (kind, name, help, label names, [(label values, value)])."""
+    families = []
+    for kind, name, told, labels, values in figures:
+        family = KINDS[kind](f"pinepitch_{name}", told, labels=labels)
+        for label_values, value in values:
+            label_values = [str(one) for one in label_values]
+            if kind == "histogram":
+                family.add_metric(label_values, value.buckets(), value.total)
+            else:
+                family.add_metric(label_values, value)
+        families.append(family)
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(_Told(families))
+    return generate_latest(registry).decode()
+
+
+def event_figures(counts):
+    """How often each numbered event was told, for every daemon alike."""
+    return ("counter", "events", "Numbered events told; docs/events.md lists them.", ("number", "event"),
+            [((number, events.CATALOGUE[number][0]), count) for number, count in sorted(counts.items())])
--- a/src/pinepitch/proof/fleet.py
+++ b/src/pinepitch/proof/fleet.py
@@ -1,5 +1,6 @@
 """A whole fleet on one machine: the only part of the project that starts processes."""
 
+import copy
 import json
 import os
 import signal
@@ -79,8 +80,9 @@
         self.commands = {}
         self.away = []  # [minion, from, to] of being frozen or gone
         self.operator = FleetOperator(self)
-        ports = iter(free_ports(len(plan.accords) + 2 * len(plan.verges) + sum(one[1] for one in plan.minions)))
+        ports = iter(free_ports(2 * len(plan.accords) + 2 * len(plan.verges) + sum(one[1] for one in plan.minions)))
         self.accords = [(area, f"127.0.0.1:{next(ports)}") for area in plan.accords]
+        self.own = [f"127.0.0.1:{next(ports)}" for _ in plan.accords]  # the accords' ports for metrics
         self.verges = [(area, f"127.0.0.1:{next(ports)}", f"127.0.0.1:{next(ports)}") for area in plan.verges]
         self.minions = []
         for prefix, count, room, labels, guards in plan.minions:
@@ -106,7 +108,7 @@
         self.start(f"accord{place}", "from pinepitch.accord.program import main; main()",
                    f"--address={address}", f"--area={area}", f"--seeds={self.seeds}",
                    f"--data={os.path.join(self.data, f'accord{place}')}", f"--founders={self.plan.founders}",
-                   f"--level={self.level}")
+                   f"--level={self.level}", *([f"--http={self.own[place]}"] if place < len(self.own) else []))
 
     def start_verge(self, place):
         area, address, web = self.verges[place]
@@ -430,3 +432,58 @@
     print(f"{failed} runs with faults")
     if failed:
         sys.exit(1)
+
+
+# What a forecast is tried on: (plan, queue, a narrow and a wide limit for it).
+FORECASTS = (("nkansah", "imaging", 2, 16), ("pinturas", "lab", 1, 16))
+
+
+async def forecast(one, queue, before, after, seconds):
+    """A draft from one limit to another is rehearsed and put in force by the emergency way;
+    its forecast beside the waits that callers and minions then saw."""
+    one.plan.setup["queues"][queue].update(share=before, limit=before)
+    one.start_all()
+    try:
+        await one.set_up()
+        traffic = Traffic(one, 0, 1.0, 0.0, cancels=0.0)
+        running = await curio.spawn(traffic.run, 2 * seconds + 120)
+        await curio.sleep(seconds)
+        version = (await one.operator.persist("GET", "/v1/setup")).document["version"]
+        patch = {"queues": {queue: {"share": after, "limit": after}}}
+        draft = (await one.operator.persist("POST", "/v1/drafts", {"base": version, "patch": patch})).document["draft"]
+        await one.operator.persist("POST", f"/v1/drafts/{draft}/rehearse")
+
+        async def measured():
+            answer = await one.operator.persist("GET", f"/v1/drafts/{draft}")
+            return answer.document["state"] == "measured" and answer.document["measure"]
+        measure = await one.until(measured, 90, "the measurement")
+        await one.operator.change(patch, version)
+        changed = time.time()
+        await curio.sleep(seconds)
+        await running.cancel()
+        first = {}
+        for event in one.minion_history():
+            if event[0] == "start":
+                ticket = event[4].partition("/")[0]
+                first[ticket] = min(first.get(ticket, 1e18), event[1])
+        waits = {"before": [], "after": []}
+        for ticket, (_, accepted, document) in traffic.caller.accepted.items():
+            if document["queue"] == queue:
+                waits["before" if accepted < changed else "after"].append(first.get(ticket, time.time()) - accepted)
+        line = next(line for line in measure["queues"] if line["queue"] == queue)
+        seen = {name: round(sorted(found)[len(found) // 2], 3) if found else None for name, found in waits.items()}
+        return {"verdict": measure["verdict"], "why": measure["why"], "forecast_median": [line["wait_median"], line["draft_wait_median"]],
+                "seen_median_first_start": [seen["before"], seen["after"]],
+                "tickets": [len(waits["before"]), len(waits["after"])]}
+    finally:
+        one.stop()
+
+
+def forecasts(seconds=20):
+    """Prints, for each deployment, what rehearsal forecast of a good and of a bad draft and
+    what was then seen."""
+    for plan, queue, narrow, wide in FORECASTS:
+        for before, after in ((narrow, wide), (wide, narrow)):
+            with tempfile.TemporaryDirectory(prefix="pinepitch-") as folder:
+                told = curio.run(forecast, Fleet(copy.deepcopy(PLANS[plan]), folder), queue, before, after, seconds)
+            print(f"{plan} {queue}.limit {before} -> {after}: {json.dumps(told)}", flush=True)
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -51,6 +51,7 @@
         self.effects = []
         self.stopping = False
         self.kills = {}
+        self.event_counts = {}
         self.counts = {"calls": 0, "carried": 0, "answered": 0, "unanswered": 0, "orders": 0, "shed": 0}
 
     def step(self, message, now, clock):
@@ -66,6 +67,7 @@
             self.effects.append(("send", address, message))
 
     def _event(self, number, **fields):
+        self.event_counts[number] = self.event_counts.get(number, 0) + 1
         self.effects.append(("event", number, fields))
 
     def earliest(self, now):
--- a/src/pinepitch/verge/filters.py
+++ b/src/pinepitch/verge/filters.py
@@ -6,7 +6,7 @@
 import secrets
 from urllib.parse import parse_qsl, unquote, urlsplit
 
-from ..ground import constants
+from ..ground import constants, metrics
 from ..world import minion as minions
 from ..world import row as rows
 from ..world import ticket as tickets
@@ -256,10 +256,22 @@
 
 
 def _metrics(verge, ticket, now):
-    lines = [f"pinepitch_verge_{name}_total {count}" for name, count in sorted(verge.counts.items())]
-    lines.append(f"pinepitch_verge_stale {int(verge.stale)}")
-    lines.append(f"pinepitch_verge_setup_version {(verge.body or {}).get('setup_version') or 0}")
-    return (200, "\n".join(lines) + "\n", None)
+    return (200, metrics.text([
+        *(("counter", f"verge_{name}", told, (), [((), verge.counts[name])]) for name, told in COUNTED),
+        ("gauge", "verge_stale", "1 while this verge can't learn news.", (), [((), int(verge.stale))]),
+        ("gauge", "verge_news_age_seconds", "Since the newest news; -1 before any.", (), [
+            ((), now - verge.news_at if verge.news_at is not None else -1)]),
+        ("gauge", "verge_setup_version", "Version of the setup in force here.", (), [
+            ((), (verge.body or {}).get("setup_version") or 0)]),
+        ("gauge", "verge_calls_carried_now", "Calls on their way to the leader.", (), [((), len(verge.carried))]),
+        ("gauge", "verge_orders_waiting", "Orders whose time has not come.", (), [((), len(verge.waiting_orders))]),
+        metrics.event_figures(verge.event_counts),
+    ]), None)
+
+
+COUNTED = (("calls", "Calls taken."), ("carried", "Calls carried to the leader."), ("answered", "Carried calls answered."),
+           ("unanswered", "Carried calls given up on."), ("orders", "Orders sent to minions."),
+           ("shed", "Tickets answered with 429."))
 
 
 # The registry of ways: method, path, handler.
