--- a/features/steps/table.py
+++ b/features/steps/table.py
@@ -2,6 +2,7 @@
 
 from behave import given, then, when
 
+from pinepitch.proof import rates
 from pinepitch.proof.simulator import Simulator
 
 CROWD = (
@@ -217,3 +218,24 @@
 @then("the median start is no more than a tenth later")
 def step_unslowed(context):
     assert context.during <= context.without * 1.1 + 0.01, (context.without, context.during)
+
+
+@when("{idle:d} idle drafts and one of each known effect are rehearsed on made traffic")
+def step_rates(context, idle):
+    context.counts = rates.measured(idle, 1)
+    context.idle = idle
+
+
+@then('no idle draft has another verdict than "{verdict}"')
+def step_idle(context, verdict):
+    assert dict(context.counts.pop("idle")[verdict]) == {verdict: context.idle}
+
+
+@then("at most one known effect is missed, and none is found to be its opposite")
+def step_known(context):
+    missed = 0
+    for column, known in context.counts.items():
+        for right, found in known.items():
+            assert not set(found) & ({"better", "worse"} - {right}), (column, right, found)
+            missed += found[right] == 0
+    assert len(context.counts) == 4 and missed <= 1, context.counts
--- a/features/table.feature
+++ b/features/table.feature
@@ -43,3 +43,8 @@
   Scenario: placing is not slowed by rehearsing
     When placing is timed in virtual time with and without a rehearsal under way
     Then the median start is no more than a tenth later
+
+  Scenario: idle drafts are not called better, drafts with a known effect are found
+    When 16 idle drafts and one of each known effect are rehearsed on made traffic
+    Then no idle draft has another verdict than "no difference"
+    And at most one known effect is missed, and none is found to be its opposite
--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -274,7 +274,12 @@
 def draft_view(record, identity):
     """A draft as operators see it."""
     draft = record.drafts[identity]
-    return {**{name: draft[name] for name in ("draft", "base", "patch", "who", "why", "time", "state", "measure")},
+    base = record.setups.read(draft["base"])["queues"]
+    cells = [[f"{queue}.{column}", base.get(queue, {}).get(column), value]
+             for queue, row in sorted(draft["setup"]["queues"].items()) for column, value in row.items()
+             if base.get(queue, {}).get(column) != value]
+    cells += [[queue, "a row", None] for queue in sorted(base) if queue not in draft["setup"]["queues"]]
+    return {"cells": cells, **{name: draft[name] for name in ("draft", "base", "patch", "who", "why", "time", "state", "measure")},
             "stale": draft["base"] != record.version and draft["state"] != "approved"}
 
 
--- a/src/pinepitch/client/commands.py
+++ b/src/pinepitch/client/commands.py
@@ -163,6 +163,9 @@
         self._do("POST", "/v1/setup/back", {"version": version}, (("If-Match", str(base)), ("X-Reason", why)))
 
 
+FIGURES = ("wait_median", "wait_99", "dues_missed", "failed", "shed", "room_used", "preemptions")
+
+
 class Table(Verged):
     """show, csv, edit, read, drafts, draft, rehearse, approve, drop."""
 
@@ -192,14 +195,26 @@
 
     def read(self, file, base=None, why=""):
         """Makes a draft of the cells of a CSV file that differ from the table in force."""
-        held = ask(self._verge, "GET", "/v1/table").document
+        answer = ask(self._verge, "GET", "/v1/table")
+        if answer.status != 200:
+            finish(answer, True, flat)
+        held = answer.document
         before = {row["queue"]: row for row in held["rows"]}
-        changes = {}
-        with open(file, newline="") as opened:
-            for row in csv.DictReader(opened):
-                for column, text in row.items():
-                    if column != "queue" and before.get(row["queue"], {}).get(column) != _value(text):
-                        changes[f"{row['queue']}.{column}"] = _value(text)
+        changes, faults = {}, []
+        try:
+            with open(file, newline="") as opened:
+                for number, row in enumerate(csv.DictReader(opened), 2):
+                    if not row.get("queue") or None in row or None in row.values():
+                        faults.append(f"{file}: line {number}: expected a cell for each column, the first named queue")
+                        continue
+                    for column, text in row.items():
+                        if column != "queue" and before.get(row["queue"], {}).get(column) != _value(text):
+                            changes[f"{row['queue']}.{column}"] = _value(text)
+        except (OSError, UnicodeDecodeError, csv.Error) as fault:
+            faults.append(f"{file}: {fault}")
+        if faults:
+            print("\n".join(f"pinepitch: {one}" for one in faults), file=sys.stderr)
+            sys.exit(EXIT_USE)
         self._draft({"base": base or held["version"], "cells": changes}, why)
 
     def _base(self, base):
@@ -234,17 +249,22 @@
 
     @staticmethod
     def _show(document):
-        lines = [f"{name}: {document[name]}" for name in ("draft", "base", "state", "stale", "patch")]
+        lines = [f"draft {document['draft']} on version {document['base']}: {document['state']}"
+                 + (", stale: another change came first" if document["stale"] else ""),
+                 table([dict(zip(("cell", "in force", "draft"), cell)) for cell in document["cells"]],
+                       ["cell", "in force", "draft"])]
         measure = document["measure"]
         if measure:
-            lines += [f"{name}: {value}" for name, value in measure.items() if name != "queues"]
             shown = []
-            for one in measure.get("queues", ()):
-                for name in ("wait_median", "wait_99", "dues_missed", "room_used", "shed", "preemptions"):
+            for one in measure["queues"]:
+                for name in FIGURES:
                     before, after = one[name], one[f"draft_{name}"]
-                    shown.append({"queue": one["queue"], "figure": name, "in_force": before, "draft": after,
-                                  "difference": round(after - before, 4)})
-            lines.append(table(shown))
+                    if before or after:
+                        shown.append({"queue": one["queue"], "figure": name, "in force": before, "draft": after,
+                                      "difference": round(after - before, 4)})
+            lines += [table(shown, ["queue", "figure", "in force", "draft", "difference"]),
+                      f"measured on {measure['tickets']} recent tickets: {measure['why']}",
+                      f"verdict: {measure['verdict']}"]
         return "\n".join(lines)
 
 
