--- a/src/pinepitch/client/commands.py
+++ b/src/pinepitch/client/commands.py
@@ -306,6 +306,11 @@
         from ..proof.fleet import fleet
         fleet(plan, seconds, rate, seed, folder, level, disturb)
 
+    def traffic(self, verge=None, seconds=30, rate=1.0):
+        """Sends stand-in tickets to the queue `default`, for a try."""
+        from ..proof.fleet import traffic
+        traffic(verge or os.environ.get("PINEPITCH_VERGE", "127.0.0.1:8080"), seconds, rate)
+
     def disturbances(self, plans="nkansah,pinturas", only="", seconds=12):
         """Runs fleets of processes under every disturbance in turn; prints a table."""
         from ..proof.fleet import disturbances
--- a/src/pinepitch/proof/fleet.py
+++ b/src/pinepitch/proof/fleet.py
@@ -434,6 +434,20 @@
         sys.exit(1)
 
 
+def traffic(verge="127.0.0.1:8080", seconds=30, rate=1.0):
+    """Sends stand-in tickets to one verge's queue `default` for some seconds."""
+    class Running(NamedTuple):
+        """What Traffic needs of a fleet that runs already."""
+
+        plan: Plan
+        verges: tuple
+    shape = {"queue": "default", "urgency": 4, "count": 3, "shape": "fan", "units": 1, "seconds": 0.6}
+    plan = PLANS["small"]._replace(traffic=(("job", 2.0, shape),))
+    one = Traffic(Running(plan, (("", "", verge),)), time.time_ns(), rate, 0.0, f"try-{time.time_ns()}", cancels=0.0)
+    unfinished = curio.run(one.run, seconds)
+    print(f"{len(one.caller.accepted)} tickets accepted, {len(unfinished)} not finished")
+
+
 # What a forecast is tried on: (plan, queue, a narrow and a wide limit for it).
 FORECASTS = (("nkansah", "imaging", 2, 16), ("pinturas", "lab", 1, 16))
 
