Versions side by side: a cohort acts at the lowest level told; foreign folders are left alone

Cause: nothing told what operations a daemon knows, so a newer leader could have agreed on what older members skip; a folder of a newer file version counted as damaged, so setting back a cohort would have emptied its machines one by one.

Change: greetings tell a level; an operation above the lowest of the members is held back (event 133). A folder of another file version ends the accord with 2, untouched; a frame of another wire version is refused. Both versions are 2 now, as frames and bases changed.

Ruled out: a switch for operators (one more step to forget); skipping (records drift).

Seen with a made-up next version in the simulator: forward accord by accord, forward and back, and one set back too late, which stops; 3 scenarios, clean histories.

--- a/features/steps/store.py
+++ b/features/steps/store.py
@@ -3,6 +3,8 @@
 import errno
 import hashlib
 import os
+import subprocess
+import sys
 import tempfile
 from unittest import mock
 
@@ -70,11 +72,23 @@
     os.unlink(path(context, 3))
 
 
-@when("a file has a newer version than known")
-def step_newer(context):
-    body = cbor2.dumps((constants.FILE_VERSION + 1, "from the future"))
+@when("a file has {version} version")
+def step_other(context, version):
+    body = cbor2.dumps((constants.FILE_VERSION + (1 if version == "a newer" else -1), "from elsewhere"))
     with open(path(context, 5), "wb") as file:
         file.write(hashlib.sha256(body).digest() + body)
+    context.files = {name: open(os.path.join(context.folder, name), "rb").read() for name in os.listdir(context.folder)}
+
+
+@then("an accord on it does not start, says which version it reads, and touches nothing")
+def step_foreign(context):
+    ended = subprocess.run([sys.executable, "-c", "from pinepitch.accord.program import main; main()",
+                            "--address=127.0.0.1:1", "--area=a", f"--data={context.folder}",
+                            "--seeds=127.0.0.1:1,127.0.0.1:2,127.0.0.1:3"], capture_output=True, text=True, timeout=20)
+    assert ended.returncode == 2 and f"reads {constants.FILE_VERSION}" in ended.stderr, ended
+    assert "Traceback" not in ended.stderr and len(ended.stderr.strip().splitlines()) == 1, ended.stderr
+    assert context.files == {name: open(os.path.join(context.folder, name), "rb").read()
+                             for name in os.listdir(context.folder)}
 
 
 @when("a file written aside is left over")
--- /dev/null
+++ b/features/steps/versions.py
@@ -0,0 +1,138 @@
+"""Steps for Versions: a made-up next version of the accord in a simulated fleet."""
+
+from behave import given, then, when
+
+from pinepitch.accord.core import Accord
+from pinepitch.accord.record import ACTIONS, OK, Record
+from pinepitch.proof import checks, trial
+from pinepitch.proof.simulator import Simulator
+
+
+def _remark(record, text):
+    record.remarks = (*getattr(record, "remarks", ()), (record.index, text))
+    return OK
+
+
+class NextRecord(Record):
+    """A record that knows one operation more."""
+
+    actions = {**ACTIONS, "remark": _remark}
+    levels = {"remark": 2}
+
+
+class NextAccord(Accord):
+    """An accord of a next version: as leader it would remark every second."""
+
+    level = 2
+    record_kind = NextRecord
+    remarked = -1e9
+
+    def step(self, message, now, clock):
+        effects = super().step(message, now, clock)
+        if (message[0] == "tick" and self.consensus is not None and self.consensus.role == "leader"
+                and self.consensus.serving() and now - self.remarked >= 1.0):
+            self.remarked = now
+            self.propose(("remark", "new"), None, now)
+            more, self.effects = self.effects, []
+            effects = [*effects, *more]
+        return effects
+
+
+def accords(context):
+    return [node for node in context.simulator.nodes.values() if node.kind == "accord"]
+
+
+def become(context, node, kind):
+    context.simulator.kill(node.name)
+    node.make = kind
+    context.simulator.run(0.5)
+    context.simulator.start(node.name)
+    context.simulator.run(4.0)
+
+
+def remarks(context):
+    """Every remark that any accord holds in its log."""
+    return {index for node in accords(context) if node.core is not None
+            for index, entry in enumerate(node.core.consensus.entries, node.core.consensus.first)
+            if entry[2][0] == "remark"}
+
+
+def clean(context):
+    assert context.simulator.finish()
+    caller = context.simulator.callers["caller"]
+    documents = {ticket: one[2] for ticket, one in caller.accepted.items()}
+    assert len(documents) > 20
+    faults = checks.all_checks(caller.history, context.simulator.minion_history, documents,
+                               context.simulator.setup["queues"], context.simulator.rooms)
+    faults += context.simulator.agreement()
+    assert not faults, faults[:5]
+
+
+@given("a simulated fleet under traffic")
+def step_fleet(context):
+    context.simulator = Simulator(8)
+    context.simulator.begin()
+    context.simulator.caller("caller", trial.TRAFFIC)
+    context.simulator.run(3)
+
+
+@when("its accords are restarted one by one as a made-up next version")
+def step_rolling(context):
+    context.early = []
+    for node in accords(context):
+        context.early.append(remarks(context))
+        if node is accords(context)[-1] and context.simulator.leader() is node:
+            become(context, node, Accord)  # so that one of the next version leads beside an old one
+            context.early.append(remarks(context))
+        become(context, node, NextAccord)
+
+
+@then("nothing of the next version is agreed before the last one has told its level")
+def step_none_early(context):
+    assert len(context.early) >= 3 and not any(context.early), context.early
+    held = [event for event in context.simulator.trace if event[2] == 133]
+    assert held and held[0][3]["operation"] == "remark"
+
+
+@then("then it is, every accord holds it, and the histories check clean")
+def step_agreed(context):
+    assert remarks(context)
+    clean(context)
+    context.simulator.run(2)
+    told = [getattr(node.core.record, "remarks", ()) for node in accords(context)]
+    assert all(one[:1] == told[0][:1] and len(one) > 2 for one in told), told
+
+
+@when("two accords are restarted as a made-up next version and then back")
+def step_back(context):
+    for kind in (NextAccord, Accord):
+        for node in accords(context)[:2]:
+            become(context, node, kind)
+
+
+@then("nothing of the next version is agreed, and the histories check clean")
+def step_nothing(context):
+    assert remarks(context) == set()
+    clean(context)
+
+
+@when("all accords have the next version, something new is agreed, and one is set back")
+def step_set_back(context):
+    for node in accords(context):
+        become(context, node, NextAccord)
+    assert remarks(context)
+    leader = context.simulator.leader()
+    node = next(node for node in accords(context) if node is not leader)
+    try:
+        become(context, node, Accord)
+    except AssertionError as fault:
+        context.fault = str(fault)
+    context.simulator.kill(node.name)
+    node.make = NextAccord
+
+
+@then("it stops with a broken invariant that names the operation, and the others serve on")
+def step_stopped(context):
+    assert "'remark'" in context.fault
+    assert context.simulator.persist("GET", "/v1/setup")[0] == 200
+    clean(context)
--- a/features/store.feature
+++ b/features/store.feature
@@ -20,7 +20,16 @@
       | a bit of an older file is flipped       |
       | the newest file is cut short            |
       | a file between is gone                  |
-      | a file has a newer version than known   |
+
+  Scenario Outline: a store of <version> version is left as it is
+    Given a store with 5 steps
+    When a file has <version> version
+    Then an accord on it does not start, says which version it reads, and touches nothing
+
+    Examples:
+      | version  |
+      | a newer  |
+      | an older |
 
   Scenario: a full disk promises nothing
     Given a store whose writes fail for lack of space
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -20,7 +20,11 @@
 class Accord:
     """Invariants: with no cohort there is no consensus, and the other way round; record
     holds just the entries up to applied; what the leader gathers (minions, awaiting,
-    outbox) is empty unless this accord leads."""
+    outbox) is empty unless this accord leads; no operation is proposed that a member,
+    by the level it told last, does not know."""
+
+    level = constants.RECORD_LEVEL
+    record_kind = Record
 
     def __init__(self, identity, address, area, seeds, founders=constants.FOUNDERS, mode="static", seed=0):
         self.identity, self.address, self.area = identity, address, area
@@ -32,7 +36,7 @@
         self.founders = ()  # identities whose consent a founding needs
         self.consented = set()
         self.consensus = None
-        self.record = Record()
+        self.record = self.record_kind()
         self.effects = []
         self.stopping = False
         self.greet_at = self.join_at = -1e9
@@ -44,6 +48,7 @@
         self.applied_outcomes = {}
         self.counts = {"applied": 0, "sent": 0, "syncs": 0}
         self.event_counts, self.refusals, self.end_counts = {}, {}, {}
+        self.told_levels = {identity: self.level}  # accord -> the level it told last
         self.sync_spread, self.wait_spreads = metrics.Spread(), {}
         self._clear_lead()
 
@@ -97,7 +102,7 @@
         self.consensus.archive = self.record.archive
 
     def _take_record(self, image, segments):
-        self.record = Record.decode(image, segments)
+        self.record = self.record_kind.decode(image, segments)
         self.consensus.archive = self.record.archive
 
     def base(self, raft_base):
@@ -198,7 +203,7 @@
         view = () if self.cohort else self.founding.view(now)
         clock = self.time.readings[self.identity][0] + now
         return (self.identity, "accord", self.area, self.address, self.cohort, view, clock,
-                self.sessions.known_accords(), self.founders)
+                self.sessions.known_accords(), self.founders, self.level)
 
     def _greet(self, now):
         message = ("greet", *self._greeting(now))
@@ -210,7 +215,7 @@
             if session.identity != self.identity:
                 self._send(session.address, told)
 
-    def _hear(self, identity, kind, area, address, cohort, view, clock, accords, founders, now):
+    def _hear(self, identity, kind, area, address, cohort, view, clock, accords, founders, level, now):
         """What a greeting and its answer have in common."""
         if identity == self.identity:
             return
@@ -218,6 +223,7 @@
             self._event(140, daemon=identity, kind=kind, address=address)
         self.sessions.vouched(accords)
         if kind == "accord":
+            self.told_levels[identity] = level
             if self.consensus is None or identity in self.consensus.cohort.members():
                 self.time.hear(identity, clock, now)
         if self.cohort is None:
@@ -493,8 +499,18 @@
             self.in_hand.discard(token)
             self._send(address, ("answer", token, handler.make(self, token, arguments, now)[1]))
 
+    def common_level(self):
+        """The lowest level of the members, 1 for one that has not told its own."""
+        return min((self.told_levels.get(one, 1) for one in self.consensus.cohort.members()), default=1)
+
     def propose(self, operation, waiting, now):
-        """Puts one operation into the log; `waiting` is told the outcome."""
+        """Puts one operation into the log; `waiting` is told the outcome. One that a member
+        does not know yet is held back."""
+        if self.record.levels.get(operation[0], 1) > self.common_level():
+            self._event(133, operation=operation[0], level=self.common_level())
+            if waiting is not None:
+                self._send(waiting[0], ("elsewhere", waiting[1], None))
+            return
         start = self.consensus.last_index() + 1
         if waiting is not None:
             self.awaiting.setdefault(start, []).append(waiting)
--- a/src/pinepitch/accord/program.py
+++ b/src/pinepitch/accord/program.py
@@ -7,14 +7,17 @@
 
 from ..ground import events
 from ..ground.program import checked_env, serve
-from ..ground.store import Damaged, Store
+from ..ground.store import Damaged, Foreign, Store
 from .core import Accord
 
 
 def open_store(folder):
-    """(store, base, steps, segments, why it was damaged or None); a damaged store counts as empty."""
+    """(store, base, steps, segments, why it was damaged or None); a damaged store counts as
+    empty, one of another version is left as it is: OSError says so."""
     store = Store(folder)
     loaded = store.load()
+    if isinstance(loaded, Foreign):
+        raise OSError(f"{loaded[0]}; run the version that wrote it, or give an empty folder to start as a newcomer")
     if isinstance(loaded, Damaged):
         store.wipe()
         return store, None, [], {}, loaded[0]
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -32,6 +32,9 @@
     unit), the others are in early, a heap by time that may also hold what has gone.
     time never falls; epochs only grow; setup versions grow by one."""
 
+    actions = {}  # the registry of operations, filled at the end of this file
+    levels = {}  # operation -> the level that knows it, for those above level 1
+
     def __init__(self):
         self.time = 0.0
         self.index = 0
@@ -242,7 +245,7 @@
         """The outcome of one committed operation."""
         self.index = index
         self.time = max(self.time, time)
-        action = ACTIONS.get(operation[0])
+        action = self.actions.get(operation[0])
         if action is None:
             raise AssertionError(f"entry {index} holds {operation[0]!r}, which this version does not know: "
                                  "to go on without it would make another record than the cohort's")
@@ -773,3 +776,4 @@
     "approve": Record._approve,
     "drop": Record._drop,
 }
+Record.actions = ACTIONS
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -120,6 +120,7 @@
 # --- metrics -------------------------------------------------------------------------
 BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0)  # seconds; syncs to long waits
 
-# --- versions of formats -------------------------------------------------------------
-WIRE_VERSION = 1  # of frames; a newer one is refused
-FILE_VERSION = 1  # of files on disk; a newer one is refused
+# --- versions ------------------------------------------------------------------------
+WIRE_VERSION = 2  # of frames; another one is refused. 2: greetings tell the level, pieces what is held
+FILE_VERSION = 2  # of files on disk; another one is left alone. 2: bases name segments
+RECORD_LEVEL = 1  # of operations; a cohort proposes only what the lowest level told of a member knows
--- a/src/pinepitch/ground/events.py
+++ b/src/pinepitch/ground/events.py
@@ -31,6 +31,7 @@
     130: ("member change proposed", "info"),
     131: ("member change joint", "info"),
     132: ("member change done", "info"),
+    133: ("operation held back: a member does not know it", "warning"),
     140: ("session opened", "info"),
     141: ("session fell", "info"),
     150: ("placing duty claimed", "info"),
--- a/src/pinepitch/ground/store.py
+++ b/src/pinepitch/ground/store.py
@@ -15,6 +15,10 @@
     """A store that can't be trusted; element 0 says which file and why."""
 
 
+class Foreign(Damaged):
+    """A store of another file version: nothing in it may be touched."""
+
+
 class Store:
     """Versions are numbered from 1 without a gap; a base holds all that came before it.
 
@@ -123,6 +127,6 @@
         if len(digest) < 32 or hashlib.sha256(body).digest() != digest:
             return Damaged((f"{name} is not what was written",))
         version, payload = cbor2.loads(body)
-        if version > constants.FILE_VERSION:
-            return Damaged((f"{name} has file version {version}, newer than {constants.FILE_VERSION}",))
+        if version != constants.FILE_VERSION:
+            return Foreign((f"{name} has file version {version}, this program reads {constants.FILE_VERSION}",))
         return payload
--- a/src/pinepitch/ground/wire.py
+++ b/src/pinepitch/ground/wire.py
@@ -28,7 +28,7 @@
     if not isinstance(frame, (list, tuple)) or len(frame) != 3:
         return Refused(("not a frame",))
     version, source, message = frame
-    if not isinstance(version, int) or version > constants.WIRE_VERSION:
+    if type(version) is not int or version != constants.WIRE_VERSION:
         return Refused((f"wire version {version!r}, this process knows {constants.WIRE_VERSION}",))
     if not isinstance(source, str) or not isinstance(message, (list, tuple)) or not message:
         return Refused(("not a message",))
--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -12,7 +12,6 @@
 import cbor2
 
 from ..accord.core import Accord
-from ..accord.record import Record
 from ..ground import constants, wire
 from ..verge.core import Verge
 from ..world import contract
@@ -64,6 +63,7 @@
     def __init__(self, name, kind, area, address):
         self.name, self.kind, self.area, self.address = name, kind, area, address
         self.core = None
+        self.make = None  # the kind of daemon, where it is not the fleet's
         self.life = 0
         self.frozen = self.down = False
         self.held = []
@@ -140,7 +140,7 @@
             if identity is None:
                 identity = f"{self.draw.randrange(16 ** 6):06x}.{name}"
                 node.disk.keep(("step", cbor2.dumps([["note", ["identity", identity]]])))
-            node.core = self.kinds["accord"](identity, node.address, node.area, self.seeds, self.founders,
+            node.core = (node.make or self.kinds["accord"])(identity, node.address, node.area, self.seeds, self.founders,
                                              self.mode, f"{self.seed}-{node.life}")
             node.core.restore(base, steps, segments)
             node.disk.jobs.clear()
@@ -288,7 +288,7 @@
             raise AssertionError(f"{node.name} seals segment {number} anew, with other content")
 
     def _snapshot(self, node, index, image):
-        self.at(0.01, "give", node.name, node.life, ("encoded", index, Record.encode(image)))
+        self.at(0.01, "give", node.name, node.life, ("encoded", index, node.core.record.encode(image)))
 
     def _rehearse(self, node, work):
         epoch, draft, asked, *rest = work
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -94,7 +94,7 @@
     # --- sessions ---------------------------------------------------------------------
     def _greeting(self):
         accords = tuple((one, area, address) for one, (area, address, _) in self.accords.items())
-        return (self.identity, "verge", self.area, self.address, self.cohort, (), 0.0, accords, ())
+        return (self.identity, "verge", self.area, self.address, self.cohort, (), 0.0, accords, (), 0)
 
     def _tick(self, now):
         if not self.stopping and now - self.greet_at >= constants.GREET_EVERY:
@@ -133,7 +133,7 @@
         for address in sorted(targets - {self.address}):
             self._send(address, message)
 
-    def _hear(self, identity, kind, area, address, cohort, view, clock, accords, founders, now):
+    def _hear(self, identity, kind, area, address, cohort, view, clock, accords, founders, level, now):
         if cohort and self.cohort is None:
             self.cohort = cohort
         if kind == "accord":
--- a/src/pinepitch/world/contract.py
+++ b/src/pinepitch/world/contract.py
@@ -51,7 +51,7 @@
 COHORT = [(Pairs(str, str), str)]
 ENTRY = (int, Number, list)
 OUTCOME = (str, int, str)
-GREETING = (str, str, str, str, Maybe(str), [str], Number, [ACCORD], [str])
+GREETING = (str, str, str, str, Maybe(str), [str], Number, [ACCORD], [str], int)
 
 RAFT = {
     "prevote": (int, int, int),
