Slow senders are cut off, endless answers given up; nonsense from minions is tried

Cause: only the silence between two bytes of a request was bounded, so a sender that drips held a connection for ever; an answer's size was not bounded at all.

Seen: features/input.feature: one sender drips beside a prompt one; six kinds of nonsense in answer to an order all leave its outcome unknown, as before.

--- a/features/input.feature
+++ b/features/input.feature
@@ -78,3 +78,21 @@
       | a new start at another address             |
       | a counter that goes back and an empty list |
       | less room than is reserved                 |
+
+  Scenario: a sender that drips is cut off, a prompt one beside it is served
+    Given a server whose requests may take 0.3 seconds
+    When one sender drips a byte at a time and another asks at once
+    Then the prompt one is read whole and the dripping one gets 408
+
+  Scenario Outline: an order answered with <nonsense>
+    When a minion answers an order with <nonsense>
+    Then the order's outcome is "unknown" and nothing raises
+
+    Examples:
+      | nonsense                   |
+      | bytes that are no HTTP     |
+      | a head without end         |
+      | JSON that is none          |
+      | a status of 500            |
+      | a redirection              |
+      | a connection closed at once |
--- a/features/steps/input.py
+++ b/features/steps/input.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import tempfile
+from unittest import mock
 
 import cbor2
 import curio
@@ -15,6 +16,7 @@
 from pinepitch.accord.record import Record
 from pinepitch.ground import constants, http, wire
 from pinepitch.ground.env import split
+from pinepitch.ground.host import Host
 from pinepitch.proof.fleet import PLANS, Fleet
 from pinepitch.proof.simulator import Simulator
 from pinepitch.verge.core import Verge
@@ -313,3 +315,72 @@
     context.core.record.audit()
     seats, free = context.core.placer._seats(context.core.record, context.core.minions, context.simulator.now + 1000.0)
     assert context.room > 1 or free[context.minion] < 0, free
+
+
+@given("a server whose requests may take {seconds:g} seconds")
+def step_patience(context, seconds):
+    patched = mock.patch.object(constants, "REQUEST_MOST", seconds)
+    patched.start()
+    context.add_cleanup(patched.stop)
+
+
+@when("one sender drips a byte at a time and another asks at once")
+def step_drips(context):
+    async def both():
+        ours, theirs = curio.socket.socketpair()
+        prompt, asker = curio.socket.socketpair()
+        await asker.sendall(b"GET /v1/health HTTP/1.1\r\nHost: x\r\n\r\n")
+        dripping = await curio.spawn(http.Server(ours).receive)
+        context.prompt = await http.Server(prompt).receive()
+        for byte in b"GET / HTTP/1.1\r\n" + b"X: " + b"y" * 10_000:
+            if dripping.terminated:
+                break
+            await theirs.sendall(bytes([byte]))
+            await curio.sleep(constants.TICK)  # the drip itself
+        context.dripping = await dripping.join()
+    curio.run(both)
+
+
+@then("the prompt one is read whole and the dripping one gets 408")
+def step_cut_off(context):
+    assert isinstance(context.prompt, http.Request) and context.prompt.target == "/v1/health", context.prompt
+    assert context.dripping == http.Fault(408, "slow"), context.dripping
+
+
+NONSENSE = {
+    "bytes that are no HTTP": b"\x00\xff" * 50,
+    "a head without end": b"HTTP/1.1 200 OK\r\n" + b"X: y\r\n" * 20_000,
+    "JSON that is none": b"HTTP/1.1 500 No\r\nContent-Type: application/json\r\nContent-Length: 3\r\n\r\n{{{",
+    "a status of 500": b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+    "a redirection": b"HTTP/1.1 302 There\r\nLocation: /\r\nContent-Length: 0\r\n\r\n",
+    "a connection closed at once": b"",
+}
+
+
+@when("a minion answers an order with {nonsense}")
+def step_nonsense(context, nonsense):
+    async def answered():
+        listener = curio.socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(1)
+
+        async def minion_side():
+            connection, _ = await listener.accept()
+            async with connection:
+                await connection.recv(65536)
+                try:
+                    await connection.sendall(NONSENSE[nonsense])
+                except OSError:
+                    pass
+        side = await curio.spawn(minion_side)
+        host = Host(None, "127.0.0.1:1", None)
+        address = "127.0.0.1:%d" % listener.getsockname()[1]
+        await host._post_one(("t1/s", 1), address, "/v1/orders", {"task": "t1/s"})
+        await side.cancel()
+        return await host.inbox.get()
+    context.posted = curio.run(answered)
+
+
+@then('the order\'s outcome is "{outcome}" and nothing raises')
+def step_outcome(context, outcome):
+    assert context.posted == ("posted", ("t1/s", 1), outcome), context.posted
--- a/src/pinepitch/ground/http.py
+++ b/src/pinepitch/ground/http.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import struct
+import time
 from typing import NamedTuple
 
 import curio
@@ -50,17 +51,24 @@
 
     async def receive(self):
         """The next Request, or a Fault."""
-        head, body, size = None, [], 0
+        head, body, size, begun = None, [], 0, None
         while True:
+            if begun is not None and time.monotonic() - begun > constants.REQUEST_MOST:
+                return Fault(408, "slow")
             try:
                 event = self.connection.next_event()
                 if event is h11.NEED_DATA:
                     if self.connection.they_are_waiting_for_100_continue:
                         await self.socket.sendall(self.connection.send(
                             h11.InformationalResponse(status_code=100, headers=[])))
-                    data = await curio.ignore_after(constants.IDLE_MOST, self.socket.recv(65536))
-                    if data is None:
+                    patience = constants.IDLE_MOST if begun is None else (
+                        begun + constants.REQUEST_MOST - time.monotonic())
+                    data = await curio.ignore_after(max(0.0, patience), self.socket.recv(65536))
+                    if data is None and begun is None:
                         return Fault(0, "idle")
+                    if data is None:
+                        return Fault(408, "slow")
+                    begun = begun or time.monotonic()
                     self.connection.receive_data(data)
                     continue
             except h11.RemoteProtocolError as fault:
@@ -141,7 +149,7 @@
             raise
 
     async def _response(self):
-        head, parts = None, []
+        head, parts, size = None, [], 0
         while True:
             event = self.connection.next_event()
             if event is h11.NEED_DATA:
@@ -150,6 +158,10 @@
                 head = event
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > constants.ANSWER_MOST:
+                    await self.abort()
+                    return Fault(0, "too_large")
             elif isinstance(event, h11.EndOfMessage):
                 break
             elif isinstance(event, h11.ConnectionClosed):
