Alert rules in the Prometheus manner may hold approvals back

Change: an accord's setting `rules` names a file of rules; the leader judges them under its epoch by its own metrics; a firing rule labelled `hold: approvals` becomes an entry, so that failover keeps it, and approvals are answered 409 `held` until it clears. Emergency changes pass.

Ruled out: a parser of whole expressions (not ours to build); rules in the setup (a bad rule could hold its own repair).

--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -266,6 +266,9 @@
         return problem(409, "not_measured", "rehearse the draft on the version in force first")
     if outcome[0] == "worse":
         return problem(409, "not_better", f"the rehearsal's verdict: {outcome[1]}", verdict=outcome[1])
+    if outcome[0] == "held":
+        return problem(409, "held", "approvals are held by firing alerts; an emergency change is not",
+                       retry=constants.HELD_COME_BACK, alerts=[{"alert": alert, "why": why} for alert, why in outcome[1]])
     if outcome[0] == "draft":
         return (200, draft_view(core.record, outcome[1]), None)
     return _setup_answer(core, outcome)
@@ -342,6 +345,11 @@
     }, None))
 
 
+def _holds(core, token, arguments, now):
+    return ("answer", (200, {"holds": [{"alert": alert, "since": since, "why": why}
+                                       for alert, (since, why) in sorted(core.record.holds.items())]}, None))
+
+
 def _figures(core, token, arguments, now):
     record, consensus = core.record, core.consensus
     states = dict(record.archive.states)
@@ -461,6 +469,7 @@
     "pending": Call(True, _pending),
     "cohort": Call(True, _cohort),
     "figures": Call(True, _figures),
+    "holds": Call(True, _holds),
     "whence": Call(True, _whence),
     "live": Call(True, _live_tasks),
 }
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -8,7 +8,7 @@
 from ..ground import constants, metrics
 from ..ground.cohorttime import CohortTime
 from ..world.minion import Minion
-from . import figures, rehearsal
+from . import figures, rehearsal, rules
 from .calls import CALLS, SHAPES
 from .consensus import Consensus
 from .founding import Founding
@@ -48,6 +48,7 @@
         self.applied_outcomes = {}
         self.counts = {"applied": 0, "sent": 0, "syncs": 0}
         self.event_counts, self.refusals, self.end_counts = {}, {}, {}
+        self.rules = ()  # alert rules of this machine's file
         self.told_levels = {identity: self.level}  # accord -> the level it told last
         self.sync_spread, self.wait_spreads = metrics.Spread(), {}
         self._clear_lead()
@@ -73,6 +74,8 @@
         self.moving = set()
         self.news_serial = 0
         self.retire_at = -1e9
+        self.alerts = rules.Watch(self.rules)
+        self.alert_at = -1e9
 
     # --- durable state ----------------------------------------------------------------
     def restore(self, base, steps, segments=None):
@@ -672,6 +675,9 @@
         if now - self.watch_at >= constants.WATCH_EVERY:
             self.watch_at = now
             self._watch(now)
+        if ((self.rules or self.record.holds) and self.epoch > 0 and now - self.alert_at >= constants.ALERT_EVERY
+                and now - self.lead_since >= constants.GATHER):
+            self._tend_alerts(now)
 
     def _place(self, now):
         """One round: at once when something was applied that may let a task be placed, and
@@ -716,6 +722,21 @@
                      if now - minion.heard_at > constants.MINION_FORGET and one not in record.reserved]:
             del self.minions[name]
 
+    def _tend_alerts(self, now):
+        """The leader, under its epoch, judges the rules by its own metrics; what holds
+        approvals is an entry, so that it outlives the leader."""
+        self.alert_at = now
+        firing = self.alerts.firing(figures.text(self, now), now)
+        holding = {rule.alert: firing[rule.alert] for rule in self.rules if rule.holds and rule.alert in firing}
+        for alert, why in holding.items():
+            if alert not in self.record.holds:
+                self._event(164, alert=alert, why=why)
+                self.propose(("hold", self.epoch, alert, why), None, now)
+        for alert in self.record.holds:
+            if alert not in holding:
+                self._event(165, alert=alert)
+                self.propose(("hold", self.epoch, alert, None), None, now)
+
     def _elsewhere(self, task):
         """Whether some open minion has room for a task that is to move."""
         for name, minion in self.minions.items():
--- a/src/pinepitch/accord/program.py
+++ b/src/pinepitch/accord/program.py
@@ -9,6 +9,7 @@
 from ..ground.program import checked_env, serve
 from ..ground.store import Damaged, Foreign, Store
 from .core import Accord
+from .rules import read as rules_of
 
 
 def open_store(folder):
@@ -37,7 +38,24 @@
     return identity
 
 
-def run(settings=None, address=None, area=None, seeds=None, data=None, level=None, founders=None, mode=None, http=None):
+def read_rules(path):
+    """The alert rules of a file, or exit 2 with one line per fault."""
+    if path is None:
+        return ()
+    try:
+        with open(path, encoding="utf-8") as file:
+            found, faults = rules_of(file.read())
+    except (OSError, UnicodeDecodeError) as fault:
+        found, faults = None, (("", str(fault)),)
+    if found is None:
+        for place, message in faults:
+            print(f"accord: rules {path}: {place}: {message}", file=sys.stderr)
+        sys.exit(2)
+    return found
+
+
+def run(settings=None, address=None, area=None, seeds=None, data=None, level=None, founders=None, mode=None, http=None,
+        rules=None):
     """Runs an accord.
 
     Args:
@@ -50,10 +68,12 @@
         founders: how many empty accords may found a cohort (default 3; 1 for a try).
         mode: quorum mode of a founding: static (default) or dynamic.
         http: own IP:PORT for health and metrics; none when left out.
+        rules: a YAML file of alert rules; the same one at every accord.
     """
     found = checked_env("accord", settings, {
         "address": address, "area": None if area is None else str(area), "seeds": list(seeds) if isinstance(seeds, tuple) else seeds, "data": data, "level": level,
-        "founders": founders, "mode": mode, "http": http})
+        "founders": founders, "mode": mode, "http": http, "rules": rules})
+    judged = read_rules(found.rules)
     try:
         store, base, steps, segments, damage = open_store(found.data)
         identity = identity_of(store, base, steps)
@@ -65,6 +85,7 @@
         events.emit(log, 103, why=damage)
     core = Accord(identity, found.address, found.area, found.seeds, found.founders, found.mode,
                   seed=secrets.token_hex(4))
+    core.rules = judged
     core.restore(base, steps, segments)
     serve("accord", core, found, log, store)
 
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -50,6 +50,7 @@
         self.drained = {}
         self.emptied = {}
         self.withdrawn = {}  # minion -> (due, gone)
+        self.holds = {}  # alert -> (since, why), while it holds approvals back
         self.drafts = immutables.Map()
         self.draft_count = 0
         self.archive = Archive()
@@ -66,7 +67,7 @@
             self.time, self.index, self.tickets, self.keys, self.count, tuple(self.finished), self.version,
             self.setup, self.setups.image(), dict(self.epochs), dict(self.drained), dict(self.emptied),
             dict(self.withdrawn), self.drafts, self.draft_count,
-            self.marks, self.sample.image(), self.archive.image(),
+            self.marks, self.sample.image(), self.archive.image(), dict(self.holds),
         )
 
     @staticmethod
@@ -79,7 +80,8 @@
         record = cls()
         (record.time, record.index, tickets, keys, record.count, finished, record.version, record.setup,
          setups, epochs, record.drained, record.emptied, withdrawn, drafts, record.draft_count,
-         marks, sample, lines) = cbor2.loads(data)
+         marks, sample, lines, holds) = cbor2.loads(data)
+        record.holds = {alert: tuple(one) for alert, one in holds.items()}
         record.archive = Archive(lines, segments)
         record.sample = Sample(sample)
         record.marks = immutables.Map({mark: tuple(outcome) for mark, outcome in marks.items()})
@@ -696,11 +698,23 @@
             return ("unmeasured",)
         if draft["measure"]["verdict"] != "better":
             return ("worse", draft["measure"]["verdict"])
+        if self.holds:
+            return ("held", tuple((alert, why) for alert, (_, why) in sorted(self.holds.items())))
         outcome = self._take_setup(draft["setup"], who, why or f"draft {identity}: {draft['why']}", self.version)
         if outcome[0] == "setup":
             self._change_draft(identity, state="approved")
         return outcome
 
+    def _hold_approvals(self, epoch, alert, why):
+        """An alert begins to hold approvals back, or (why is None) no longer does."""
+        if epoch != self.epochs.get("placing", (0, ""))[0]:
+            return ("refused", "epoch")
+        if why is None:
+            self.holds.pop(alert, None)
+        else:
+            self.holds[alert] = (self.time, why)
+        return OK
+
     def _drop(self, identity):
         if identity not in self.drafts:
             return ("missing",)
@@ -775,5 +789,6 @@
     "measure": Record._measure,
     "approve": Record._approve,
     "drop": Record._drop,
+    "hold": Record._hold_approvals,
 }
 Record.actions = ACTIONS
--- a/src/pinepitch/client/commands.py
+++ b/src/pinepitch/client/commands.py
@@ -297,6 +297,10 @@
         """Counts of the record."""
         Verged(verge, json)._get("/v1/figures")
 
+    def holds(self, verge=None, json=False):
+        """The alerts that hold approvals back now."""
+        Verged(verge, json)._get("/v1/holds", lambda document: table(document["holds"]))
+
     def health(self, verge=None, json=False):
         """What one verge knows of itself."""
         Verged(verge, json)._get("/v1/health")
--- a/src/pinepitch/ground/env.py
+++ b/src/pinepitch/ground/env.py
@@ -20,6 +20,7 @@
     founders: int
     mode: str
     http: str | None
+    rules: str | None
 
 
 def address(text):
@@ -78,6 +79,7 @@
         voluptuous.Optional("founders", default=constants.FOUNDERS): _founders,
         voluptuous.Optional("mode", default="static"): voluptuous.In(("static", "dynamic")),
         voluptuous.Optional("http"): address,
+        voluptuous.Optional("rules"): _text,
     }),
     "verge": voluptuous.Schema({**COMMON, voluptuous.Required("http"): address}),
 }
@@ -100,4 +102,5 @@
     return Env(
         checked["address"], checked["area"], checked["seeds"], checked.get("data"), checked["level"],
         checked.get("founders", constants.FOUNDERS), checked.get("mode", "static"), checked.get("http"),
+        checked.get("rules"),
     ), ()
--- a/src/pinepitch/ground/events.py
+++ b/src/pinepitch/ground/events.py
@@ -47,6 +47,8 @@
     161: ("setup change without rehearsal", "warning"),
     162: ("rehearsal done", "info"),
     163: ("draft approved", "info"),
+    164: ("alert holds approvals", "warning"),
+    165: ("alert no longer holds approvals", "info"),
     170: ("ticket shed", "info"),
     171: ("news stale", "warning"),
     172: ("news fresh again", "info"),
--- a/src/pinepitch/verge/filters.py
+++ b/src/pinepitch/verge/filters.py
@@ -307,6 +307,7 @@
     ("GET", "/v1/pending", _named("pending")),
     ("GET", "/v1/cohort", _named("cohort")),
     ("GET", "/v1/figures", _named("figures")),
+    ("GET", "/v1/holds", _named("holds")),
     ("GET", "/v1/health", _health),
     ("GET", "/v1/metrics", _metrics),
 )
