--- /dev/null
+++ b/features/steps/moves.py
@@ -0,0 +1,151 @@
+"""Steps for Moves: drains, yields and limits in a simulated fleet."""
+
+from behave import given, then, when
+
+from pinepitch.proof import checks
+from pinepitch.proof.simulator import START, Simulator
+
+
+@given("a quiet simulated fleet")
+def step_fleet(context):
+    context.simulator = Simulator(12)
+    context.simulator.begin()
+    context.simulator.run(3)
+
+
+def submit(context, document):
+    status, answer = context.simulator.persist("POST", "/v1/tickets", document)
+    assert status == 201, answer
+    return answer["ticket"]
+
+
+def runs(context, ticket):
+    """(start, end or None, minion) of each run of a ticket's tasks, in order."""
+    starts, ends = checks.starts_and_ends(context.simulator.minion_history)
+    told = []
+    for ref, found in starts.items():
+        if ref.partition("/")[0] == ticket:
+            for moment, minion, _, attempt, _ in found:
+                over = ends.get((ref, attempt))
+                told.append((moment, over[0][0] if over else None, minion))
+    return sorted(told)
+
+
+def until_runs(context, ticket, count, seconds):
+    took = context.simulator.until(lambda: len(runs(context, ticket)) >= count, seconds, 0.05)
+    assert took is not None, runs(context, ticket)
+    return took
+
+
+def feed(context):
+    context.ticket = submit(context, {"queue": "feeds", "kind": "feed", "tasks": [{"name": "f", "work": {}}]})
+    until_runs(context, context.ticket, 1, 5)
+    context.minion = runs(context, context.ticket)[0][2]
+
+
+@when("a feed runs and its minion is drained")
+def step_drained(context):
+    feed(context)
+    assert context.simulator.persist("POST", f"/v1/minions/{context.minion}/drain")[0] == 200
+
+
+@when("a feed runs and its area is emptied and taken back")
+def step_emptied(context):
+    feed(context)
+    context.area = context.simulator.nodes[context.minion].area
+    assert context.simulator.persist("POST", f"/v1/areas/{context.area}/empty")[0] == 200
+    until_runs(context, context.ticket, 2, 5)
+    assert context.simulator.persist("POST", f"/v1/areas/{context.area}/take-back")[0] == 200
+    context.simulator.run(3)
+
+
+@then("it runs on another minion within {seconds:d} seconds, its first run over before the second began")
+@then("it runs in another area within {seconds:d} seconds, its first run over before the second began")
+def step_moved(context, seconds):
+    until_runs(context, context.ticket, 2, seconds)
+    first, second = runs(context, context.ticket)[:2]
+    assert first[1] is not None and first[1] <= second[0], (first, second)
+    assert second[2] != context.minion and second[1] is None
+    area = getattr(context, "area", None)
+    assert area is None or context.simulator.nodes[second[2]].area != area
+    assert len(runs(context, context.ticket)) == 2
+
+
+@when("a feed runs, all other room is taken, and its minion is drained")
+def step_full(context):
+    feed(context)
+    simulator = context.simulator
+    status, _ = simulator.persist("PATCH", "/v1/setup", {"queues": {"default": {"share": 60, "limit": 200, "yields": False}}},
+                                  {"if-match": "*"})
+    assert status == 200
+    context.filler = submit(context, {"queue": "default", "tasks": [
+        {"name": f"s{one}", "work": {"seconds": 12.0}} for one in range(47)]})
+    until_runs(context, context.filler, 47, 10)
+    context.since = simulator.now
+    assert simulator.persist("POST", f"/v1/minions/{context.minion}/drain")[0] == 200
+
+
+@then("it runs on there after {seconds:d} seconds, and moves once room is free")
+def step_stays(context, seconds):
+    context.simulator.run(seconds)
+    assert [one[1:] for one in runs(context, context.ticket)] == [(None, context.minion)]
+    until_runs(context, context.ticket, 2, 15)
+    first, second = runs(context, context.ticket)
+    assert first[1] <= second[0] and second[2] != context.minion
+
+
+@when("a feed runs and its minion is cut off for {seconds:d} seconds")
+def step_cut(context, seconds):
+    feed(context)
+    context.simulator.cut([context.minion], list(context.simulator.nodes))
+    context.simulator.run(seconds)
+    context.simulator.heal()
+    context.simulator.run(5)
+
+
+@then("it was started once, and runs on")
+def step_once(context):
+    assert [one[1:] for one in runs(context, context.ticket)] == [(None, context.minion)]
+
+
+@when("all room is taken by work that yields and an urgent ticket comes")
+def step_urgent(context):
+    simulator = context.simulator
+    assert simulator.persist("PATCH", "/v1/setup", {"queues": {"default": {"share": 24, "limit": 200}}}, {"if-match": "*"})[0] == 200
+    context.filler = submit(context, {"queue": "default", "tasks": [
+        {"name": f"s{one}", "work": {"seconds": 8.0}} for one in range(48)]})
+    until_runs(context, context.filler, 36, 10)
+    filled = len(runs(context, context.filler))
+    context.filled = filled
+    context.since = START + simulator.now
+    context.ticket = submit(context, {"queue": "urgent", "tasks": [
+        {"name": f"u{one}", "units": 2, "work": {"seconds": 1.0}} for one in range(6)]})
+
+
+@then("the urgent ticket starts within {seconds:d} seconds, and what yielded runs again with no failure counted")
+def step_yielded(context, seconds):
+    until_runs(context, context.ticket, 6, seconds)
+    simulator = context.simulator
+    status, document = simulator.persist("GET", f"/v1/tickets/{context.filler}")
+    assert simulator.until(lambda: simulator.persist("GET", f"/v1/tickets/{context.filler}")[1]["state"] != "pending", 60)
+    status, document = simulator.persist("GET", f"/v1/tickets/{context.filler}")
+    assert document["state"] == "finished", document["state"]
+    again = [one for one in document["tasks"] if one["attempt"] > 1]
+    killed = [event for event in simulator.minion_history if event[0] == "end" and event[6] == "killed"]
+    assert len(killed) == len(again) and all(one["failures"] == 0 for one in again), (killed, again)
+    assert killed, "nothing had to yield: the room was not taken"
+
+
+@when("a task with a limit of {limit:d} second and {attempts:d} attempts would run for {length:d}")
+def step_limit(context, limit, attempts, length):
+    context.ticket = submit(context, {"queue": "default", "tasks": [
+        {"name": "s", "limit": limit, "attempts": attempts, "work": {"seconds": length}}]})
+
+
+@then("it is killed twice, the ticket fails, and no attempt ran over {most:d} seconds")
+def step_killed(context, most):
+    simulator = context.simulator
+    assert simulator.until(lambda: simulator.persist("GET", f"/v1/tickets/{context.ticket}")[1]["state"] == "failed", 20) is not None
+    found = runs(context, context.ticket)
+    assert len(found) == 2 and all(one[1] - one[0] < most for one in found), found
+    assert [event[6] for event in simulator.minion_history if event[0] == "end"] == ["killed", "killed"]
--- a/src/pinepitch/accord/placing.py
+++ b/src/pinepitch/accord/placing.py
@@ -75,7 +75,7 @@
             this.used[queue] = this.used.get(queue, 0) + units
             for lender, credits in charges:
                 this.borrowed[lender] = this.borrowed.get(lender, 0) + credits
-        items, wanting, self.why = [], [], {}
+        items, self.why = [], {}
         oldest = self._hold_back(record, this, now)
         for wanted in itertools.chain(oldest, self._candidates(record)):
             if len(items) >= constants.PLACE_MOST:
@@ -89,15 +89,13 @@
                     self.short.setdefault(key, now)
                 else:
                     self.short.pop(key, None)
-                if group == "no room":
-                    wanting.append((ticket, wanted.names))
                 continue
             self.short.pop(key, None)
             for item in group:
                 name = item[0].partition("/")[2]
                 self.proposed[item[0]] = (item[6], ticket.queue, ticket.tasks[name].units)
             items.extend(group)
-        return tuple(items), tuple(self._yields(record, wanting, this.seats, this.free, time))
+        return tuple(items), tuple(self._yields(record, this, time))
 
     def reason(self, record, ticket, name):
         """Why a task that could start was not placed by the newest round."""
@@ -275,41 +273,69 @@
             lent[lender] = lent.get(lender, 0) + credits
         return tuple(charges)
 
-    def _yields(self, record, wanting, seats, free, time):
-        """Which running tasks should yield to urgent ones that found no room."""
-        named = set(record.yielding)
-        by_name = {seat.minion: seat for seat in seats}
-        for ticket, names in wanting:
-            row = record.rows[ticket.queue]
-            if not row.preempts or len(names) != 1:
+    def _wanting(self, record):
+        """(ticket, task name, why) of the oldest single tasks of rows that preempt which found
+        no room, or whose credits are lent out."""
+        for (queue, shape), why in self.why.items():
+            if why not in ("no room", "no credits") or not record.rows[queue].preempts or len(shape) != 2:
                 continue
-            name = names[0]
+            for urgency in sorted(record.ready[queue], reverse=True):
+                for _, number, unit in record.ready[queue][urgency].get(shape, ())[:constants.PREEMPT_MOST]:
+                    ticket = record.tickets[f"t{number}"]
+                    if unit in ticket.tasks and reference(ticket.identity, unit) not in self.proposed:
+                        yield ticket, unit, why
+
+    def _yields(self, record, this, time):
+        """Which running tasks should yield to urgent ones that found no room or whose own
+        credits were lent."""
+        named = set(record.yielding)
+        served = {found[2].yields_to for found in map(record.find, named) if found}
+        for ticket, name, why in self._wanting(record):
             task, standing = ticket.tasks[name], ticket.standings[name]
-            if time - standing.since < constants.PREEMPT_WAIT:
-                continue
             whom = reference(ticket.identity, name)
-            if any(found and found[2].yields_to == whom for found in map(record.find, named)):
+            if time - standing.since < constants.PREEMPT_WAIT or whom in served:
                 continue
-            best = None
-            for minion, seat in by_name.items():
-                if not frozenset(task.labels) <= seat.labels or task.units > seat.room:
-                    continue
-                victims, gained = [], free[minion]
-                for ref in sorted(record.reserved.get(minion, {}),
-                                  key=lambda one: (record.find(one)[0].urgency, -record.find(one)[2].since)):
-                    if gained >= task.units:
-                        break
-                    other, other_task, other_standing = record.find(ref)
-                    if (ref in named or other.urgency >= ticket.urgency
-                            or not record.rows[other.queue].yields or other_task.gang):
+            if why == "no credits":
+                best = self._recalled(record, ticket, task, named)
+            else:
+                best = None
+                for seat in this.seats:
+                    if not frozenset(task.labels) <= seat.labels or task.units > seat.room:
                         continue
-                    victims.append((ref, other_standing.attempt, whom))
-                    gained += other_task.units
-                if gained >= task.units and victims and (best is None or len(victims) < len(best)):
-                    best = victims
-            if best:
-                named.update(one[0] for one in best)
-                yield from best
+                    victims = self._victims(record, ticket, record.reserved.get(seat.minion, {}), named,
+                                            task.units - this.free[seat.minion])
+                    if victims and (best is None or len(victims) < len(best)):
+                        best = victims
+            for ref in best or ():
+                named.add(ref)
+                yield (ref, record.find(ref)[2].attempt, whom)
+
+    def _recalled(self, record, ticket, task, named):
+        """Borrowers of a queue's own credits whose end would bring enough of them back."""
+        gains = {}
+        for held in record.reserved.values():
+            for ref in held:
+                other, _, standing = record.find(ref)
+                back = sum(credits for lender, credits in standing.charges if lender == ticket.queue)
+                if back and other.queue != ticket.queue:
+                    gains[ref] = back
+        return self._victims(record, ticket, gains, named, task.units - max(0, record.balance(ticket.queue)))
+
+    def _victims(self, record, ticket, gains, named, missing):
+        """The least urgent, newest of the tasks in `gains` (reference -> what its end gives)
+        that may be made to yield to a ticket and together give what is missing; None when
+        they don't, or nothing is missing."""
+        victims = []
+        for ref in sorted(gains, key=lambda one: (record.find(one)[0].urgency, -record.find(one)[2].since, one)):
+            if missing <= 0:
+                break
+            other, other_task, _ = record.find(ref)
+            if (ref in named or other.urgency >= ticket.urgency
+                    or not record.rows[other.queue].yields or other_task.gang):
+                continue
+            victims.append(ref)
+            missing -= gains[ref]
+        return victims if victims and missing <= 0 else None
 
     def settled(self, items):
         """Hears that proposed items were applied or lost with their leader."""
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -61,6 +61,7 @@
 LIVENESS_HALF = 8  # outcomes; half life of the failure rate of a minion
 LIVENESS_POOR = 0.6  # rate; above it a minion is on trial: one task at a time
 TRIAL_EVERY = 10.0  # seconds; between two trials of a minion that fails its work
+PREEMPT_MOST = 20  # tasks; of one shape that make others yield in one round
 PREEMPT_WAIT = 0.5  # seconds; urgent work waits this long for room before others yield
 
 # --- bounds of what callers may send -------------------------------------------------
