--- a/features/steps/placing.py
+++ b/features/steps/placing.py
@@ -5,7 +5,6 @@
 from behave import given, then, when
 
 from pinepitch.accord import rehearsal
-from pinepitch.ground import constants
 from pinepitch.world import row as rows
 
 QUEUES = {
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -17,11 +17,10 @@
 from .archive import Archive
 from .history import History
 from .sample import Sample
+from .table import OK, Table
 
-OK = ("ok",)
 
-
-class Record:
+class Record(Table):
     """Invariants, checked by audit(): a task's reservation on a minion stands exactly
     while it is placed; outstanding[q] is the sum of credits lent by q to placed tasks;
     used[q] is the sum of units of q's placed tasks; waiting[q] counts its waiting tasks
@@ -590,137 +589,6 @@
             items.append((ref, self.find(ref)[2].attempt, "never"))
         return self._ended(items)
 
-    # --- setups -----------------------------------------------------------------------
-    def _setup(self, mark, base, manner, document, who, why):
-        """A change of the setup: `manner` is whole or merge; base None takes any."""
-        return self._once(mark, lambda: self._change(base, manner, document, who, why))
-
-    def _once(self, mark, change):
-        """The outcome of a change, the same one however often it is carried here."""
-        if mark in self.marks:
-            return self.marks[mark]
-        outcome = change()
-        if len(self.marks) >= constants.MARKS_KEPT:
-            oldest = min(self.marks.items(), key=lambda one: one[1][-1])[0]
-            self.marks = self.marks.delete(oldest)
-        self.marks = self.marks.set(mark, (*outcome, self.index))
-        return self.marks[mark]
-
-    def _change(self, base, manner, document, who, why):
-        if base is not None and base != self.version:
-            return ("conflict", self.version)
-        if manner == "merge":
-            document = rows.merged(self.setup, document)
-        return self._take_setup(document, who, why, self.version)
-
-    def setup_faults(self, document):
-        """(checked, ()) or (None, faults) of a whole setup against the live tickets."""
-        checked, faults = rows.checked(document, self.setup)
-        if checked is not None:
-            faults = tuple((f"queues.{queue}", f"{count} live tickets, so it can't go")
-                           for queue, count in sorted(self.live.items())
-                           if count and queue not in checked["queues"])
-        return (None, faults) if faults else (checked, ())
-
-    def _take_setup(self, document, who, why, base):
-        checked, faults = self.setup_faults(document)
-        if faults:
-            return ("invalid", faults)
-        self.version += 1
-        before, self.setup = self.setup, checked
-        self.setups.add(self.version, checked, who, why, self.time, base)
-        kept = self.rows
-        self.rows = {queue: kept[queue] if queue in kept and before["queues"].get(queue) is row else rows.row_of(row)
-                     for queue, row in checked["queues"].items()}
-        return ("setup", self.version)
-
-    # --- drafts -----------------------------------------------------------------------
-    def _draft(self, mark, base, patch, who, why):
-        """A change to be measured before it is made."""
-        return self._once(mark, lambda: self._new_draft(base, patch, who, why))
-
-    def _new_draft(self, base, patch, who, why):
-        if base != self.version:
-            return ("conflict", self.version)
-        checked, faults = self.setup_faults(rows.merged(self.setup, patch))
-        if faults:
-            return ("invalid", faults)
-        self.draft_count += 1
-        identity = f"d{self.draft_count}"
-        while len(self.drafts) >= constants.DRAFTS_MOST:
-            self.drafts = self.drafts.delete(min(self.drafts, key=lambda one: int(one[1:])))
-        self.drafts = self.drafts.set(identity, {
-            "draft": identity, "base": base, "setup": checked, "patch": patch, "who": who, "why": why,
-            "time": self.time, "state": "open", "measure": None, "rooms": [], "asked": 0})
-        return ("draft", identity)
-
-    def _change_draft(self, identity, **changed):
-        self.drafts = self.drafts.set(identity, {**self.drafts[identity], **changed})
-
-    def _draft_refusal(self, identity):
-        """Why a draft can't be gone on with, or None."""
-        draft = self.drafts.get(identity)
-        if draft is None:
-            return ("missing",)
-        if draft["state"] == "approved":
-            return ("ended", "approved")
-        return ("conflict", self.version) if draft["base"] != self.version else None
-
-    def _rehearse(self, identity, rooms):
-        """Asks the holder of the rehearsal duty to measure a draft on these rooms."""
-        refusal = self._draft_refusal(identity)
-        if refusal is not None:
-            return refusal
-        draft = self.drafts[identity]
-        self._change_draft(identity, state="rehearsing", measure=None, rooms=rooms, asked=draft["asked"] + 1)
-        return ("draft", identity)
-
-    def _measure(self, epoch, identity, asked, measure):
-        """The result of a rehearsal, from whoever holds the duty."""
-        draft = self.drafts.get(identity)
-        if epoch != self.epochs.get("rehearsal", (0, ""))[0]:
-            return ("refused", "epoch")
-        if draft is None or draft["state"] != "rehearsing" or draft["asked"] != asked:
-            return ("refused", "not asked")
-        self._change_draft(identity, state="measured", measure=measure)
-        return ("draft", identity)
-
-    def _approve(self, mark, identity, who, why):
-        """Puts a draft in force if it was found better on the version in force."""
-        return self._once(mark, lambda: self._approve_once(identity, who, why))
-
-    def _approve_once(self, identity, who, why):
-        refusal = self._draft_refusal(identity)
-        if refusal is not None:
-            return refusal
-        draft = self.drafts[identity]
-        if draft["state"] != "measured" or draft["measure"]["verdict"] == "not measured":
-            return ("unmeasured",)
-        if draft["measure"]["verdict"] != "better":
-            return ("worse", draft["measure"]["verdict"])
-        if self.holds:
-            return ("held", tuple((alert, why) for alert, (_, why) in sorted(self.holds.items())))
-        outcome = self._take_setup(draft["setup"], who, why or f"draft {identity}: {draft['why']}", self.version)
-        if outcome[0] == "setup":
-            self._change_draft(identity, state="approved")
-        return outcome
-
-    def _hold_approvals(self, epoch, alert, why):
-        """An alert begins to hold approvals back, or (why is None) no longer does."""
-        if epoch != self.epochs.get("placing", (0, ""))[0]:
-            return ("refused", "epoch")
-        if why is None:
-            self.holds.pop(alert, None)
-        else:
-            self.holds[alert] = (self.time, why)
-        return OK
-
-    def _drop(self, identity):
-        if identity not in self.drafts:
-            return ("missing",)
-        self.drafts = self.drafts.delete(identity)
-        return OK
-
     # --- checking ---------------------------------------------------------------------
     def audit(self):
         """Raises unless what is derived step by step equals what follows from the rest."""
--- a/src/pinepitch/accord/rules.py
+++ b/src/pinepitch/accord/rules.py
@@ -13,7 +13,6 @@
 import yaml
 from prometheus_client.parser import text_string_to_metric_families
 
-from ..ground import constants
 from ..world.ticket import name, shaped
 
 COMPARISONS = {">": operator.gt, "<": operator.lt, ">=": operator.ge, "<=": operator.le, "==": operator.eq,
