A trial's seed gives the same history in every process

Cause: a cancel stopped a ticket's tasks in the order of a hashed map, which differs from process to process, so two kills in one moment changed places and a failing seed might not have been replayed by the command it printed. Seen when digests of one seed were compared between processes; the test until then compared two runs in one process.

Change: a cancel goes through the tasks in the document's order.

Ruled out: fixing the hash seed of trials (the daemons would keep the hidden order).

A scenario holds it.

--- a/features/steps/trial.py
+++ b/features/steps/trial.py
@@ -1,5 +1,9 @@
 """Steps for Trial: seeded trials on all cores."""
 
+import os
+import subprocess
+import sys
+
 from behave import given, then, when
 
 from pinepitch.proof import trial
@@ -60,3 +64,24 @@
 def step_same(context):
     one, other = context.histories
     assert one[0] and one == other
+
+
+TELL = """
+import hashlib, sys
+from pinepitch.proof import trial
+_, simulator = trial.trial(sys.argv[1], int(sys.argv[2]))
+print(hashlib.sha256(repr((simulator.minion_history, simulator.callers["caller"].history,
+                           simulator.trace)).encode()).hexdigest())
+"""
+
+
+@when("the weather {weather} is tried with seed {seed:d} in two processes that hash otherwise")
+def step_processes(context, weather, seed):
+    context.told = [subprocess.run([sys.executable, "-c", TELL, weather, str(seed)], capture_output=True, text=True,
+                                   check=True, env={**os.environ, "PYTHONHASHSEED": hashing}).stdout
+                    for hashing in ("1", "2")]
+
+
+@then("both processes tell the same history")
+def step_told(context):
+    assert len(context.told[0]) > 60 and context.told[0] == context.told[1], context.told
--- a/features/trial.feature
+++ b/features/trial.feature
@@ -119,3 +119,7 @@
   Scenario: the same seed gives the same history
     When the weather storm is tried twice with seed 3
     Then both histories are the same to the last event
+
+  Scenario: the same seed gives the same history in another process
+    When the weather operators is tried with seed 4 in two processes that hash otherwise
+    Then both processes tell the same history
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -345,7 +345,8 @@
 
     def _stop(self, ticket, why):
         """Nothing more of a ticket starts; what runs is to be killed."""
-        for name, standing in ticket.standings.items():
+        for name in ticket.tasks:  # in the document's order: a Map's differs from process to process
+            standing = ticket.standings[name]
             if standing.state == "waiting":
                 ticket = self._finish(ticket, name, standing, "cancelled")
             elif standing.state == "placed" and standing.yields_to != why:
