whence names each attempt: minion, verge, how, epoch, setup, lenders; archived tickets too

Cause: of an ended task whence said only that it ended; who ran it, who lent for it and under which epoch and setup was gone, and a parked ticket did not say why.

Change: a task keeps its newest 4 attempts, through the archive.

--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -380,7 +380,12 @@
             line["why"] = _waits(core, ticket, task, standing, now)
             line["candidates"] = _candidates(core, task, now)
         else:
-            line.update(minion=standing.minion, why=f"ended {standing.state} after attempt {standing.attempt}")
+            line.update(minion=standing.minion, why=f"ended {standing.state}"
+                        + ("" if standing.attempt else " before it was placed"))
+        line["attempts_made"] = [
+            {"attempt": attempt, "minion": minion, "verge": verge, "how": how, "placed": placed, "ended": ended,
+             "epoch": ground[0], "setup_version": ground[1], "lenders": [list(one) for one in charges]}
+            for attempt, minion, verge, how, placed, ended, ground, charges in standing.past]
         told.append(line)
     row = record.rows.get(ticket.queue)
     return ("answer", (200, {
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -470,7 +470,7 @@
             ticket, task, standing = self.find(ref)
             standing = standing._replace(
                 state="placed", attempt=standing.attempt + 1, minion=minion, incarnation=incarnation,
-                address=address, verge=verge, send_by=self.time + constants.SEND_WITHIN, yields_to="",
+                address=address, ground=(self.epochs["placing"][0], self.version), verge=verge, send_by=self.time + constants.SEND_WITHIN, yields_to="",
                 charges=tuple(tuple(one) for one in charges), since=self.time,
             )
             self._count(ticket, -1)
@@ -489,7 +489,10 @@
                 continue
             ticket, task, standing = found
             self._release(ticket, task, standing)
-            standing = standing._replace(took=self.time - standing.since)
+            run = (attempt, standing.minion, standing.verge, how, standing.since, self.time, standing.ground,
+                   standing.charges)
+            standing = standing._replace(
+                took=self.time - standing.since, past=(*standing.past, run)[-constants.ATTEMPTS_TOLD:])
             outcomes.append(self._end(ticket, task, standing, how))
             self._settle(ticket.identity)
         return ("ended", tuple(outcomes))
@@ -620,6 +623,10 @@
         raise TypeError(type(value).__name__)
 
 
+def _pairs(lists):
+    return tuple(tuple(one) for one in lists)
+
+
 def _ticket(image):
     ticket = Ticket(*image)
     tasks = {}
@@ -629,7 +636,9 @@
     standings = {}
     for name, one in ticket.standings.items():
         standing = Standing(*one)
-        standings[name] = standing._replace(charges=tuple(tuple(pair) for pair in standing.charges))
+        standings[name] = standing._replace(
+            charges=_pairs(standing.charges), ground=tuple(standing.ground),
+            past=tuple((*run[:6], tuple(run[6]), _pairs(run[7])) for run in standing.past))
     return ticket._replace(tasks=tasks, standings=immutables.Map(standings))
 
 
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -76,6 +76,7 @@
 TASKS_MOST = 5_000  # tasks; in one ticket
 NAME_MOST = 128  # characters; of names, keys and labels
 URGENCY_MOST = 9  # the highest urgency; 0 is the lowest
+ATTEMPTS_TOLD = 4  # attempts; the newest of a task that are kept to be explained
 ATTEMPTS_MOST = 100  # attempts; more is a mistake
 UNITS_MOST = 1_000_000  # units; of room one task may ask for
 PENDING_MOST = 20_000  # tasks; default bound of a queue's pending tasks
--- a/src/pinepitch/world/task.py
+++ b/src/pinepitch/world/task.py
@@ -43,6 +43,8 @@
     took: float = 0.0  # seconds from placing to proven end of the newest attempt
     lost: float = 0.0  # seconds of all attempts that failed
     address: str = ""  # of the minion as it was known when placed
+    ground: tuple = ()  # (epoch, setup version) under which it was placed
+    past: tuple = ()  # the newest attempts: (attempt, minion, verge, how, placed, ended, ground, charges)
 
 
 FINAL = ("done", "failed", "cancelled")
