Events: page, catalogue and code are held together by a test; 102 retired

Cause: event 102 was catalogued but never told (faults of settings are printed, one line each), and nothing kept docs/events.md and the catalogue the same.

Change: 102 is retired; a feature compares page, catalogue and code, and tells an event to a log on a full disk.

--- /dev/null
+++ b/features/steps/events.py
@@ -0,0 +1,43 @@
+"""Steps for Events: the catalogue against the page and the code."""
+
+import errno
+import glob
+import os
+import re
+
+from behave import then
+
+from pinepitch.ground import events
+
+ROOT = os.path.join(os.path.dirname(__file__), "..", "..")
+
+
+@then("docs/events.md has one row for each event, with its level and text")
+def step_page(context):
+    with open(os.path.join(ROOT, "docs", "events.md")) as file:
+        rows = re.findall(r"^\| (\d+) \| (\w+) \| ([^|]+?) \| [^|]+ \|$", file.read(), re.M)
+    assert [int(number) for number, _, _ in rows] == sorted(events.CATALOGUE), rows
+    for number, level, text in rows:
+        assert events.CATALOGUE[int(number)] == (text, level), (number, level, text)
+
+
+@then("each event of the catalogue is told in the code")
+def step_told(context):
+    told = set()
+    for path in glob.glob(os.path.join(ROOT, "src", "pinepitch", "**", "*.py"), recursive=True):
+        with open(path) as file:
+            for call in re.findall(r"(?:_event|emit)\(([^\n]*)", file.read()):
+                told.update(map(int, re.findall(r"\b1\d\d\b", call)))
+    assert not set(events.CATALOGUE) - told, set(events.CATALOGUE) - told
+
+
+class FullLog:
+    """A log on a full disk."""
+
+    def __getattr__(self, level):
+        raise OSError(errno.ENOSPC, "no space")
+
+
+@then("telling an event to a log on a full disk returns")
+def step_full(context):
+    assert events.emit(FullLog(), 106, why="no space") is None
--- a/src/pinepitch/ground/events.py
+++ b/src/pinepitch/ground/events.py
@@ -5,11 +5,11 @@
 
 import structlog
 
-# Invariant: a number is never used again for another meaning; docs/events.md lists the same.
+# Invariant: a number is never used again for another meaning (102 was one); docs/events.md
+# lists the same.
 CATALOGUE = {
     100: ("daemon started", "info"),
     101: ("daemon stopping", "info"),
-    102: ("env refused", "error"),
     103: ("store damaged, counted as empty", "error"),
     104: ("broken invariant, process stops", "critical"),
     105: ("frame refused", "warning"),
