The archive's index lets go of what was pruned

Found by reading it again.

Change: what stands before the oldest archived ticket goes with its segment.

--- a/features/steps/archive.py
+++ b/features/steps/archive.py
@@ -103,6 +103,9 @@
     assert record.ticket("t1") is None and record.known("key-0", "digest-0") is None
     kept = [identity for identity in context.was if record.ticket(identity) is not None]
     assert 1000 <= len(kept) < len(context.was) and record.archive.retired
+    archive = record.archive
+    assert len(archive.place) <= record.count - archive.place_from + 1 and archive.place[0], archive.place_from
+    assert len(archive.keys) == archive.count == len(kept) - len(record.tickets), (len(archive.keys), archive.count)
     for identity in kept:
         assert record.known(context.was[identity][1], f"digest-{int(identity[1:]) - 1}") == ("known", identity)
 
--- a/src/pinepitch/accord/archive.py
+++ b/src/pinepitch/accord/archive.py
@@ -105,6 +105,9 @@
                 found = int.from_bytes(hashes[8 * place:8 * place + 8], "big")
                 if self.keys.get(found) == number:
                     del self.keys[found]
+        first = next((at for at, number in enumerate(self.place) if number), len(self.place))
+        del self.place[:first]
+        self.place_from += first
 
     def segment(self, number):
         """The bytes of a segment held or retired, or None."""
