Accords emptied beside verges that remember a cohort found no second one

Cause: a verge greets its home accord and one other a second, and what it said of a cohort counted for 1.5 s only, so a list of empty accords could settle between two greetings; an accord that had heard the veto still consented when another named it. Found by the first test of the founding rules: all accords emptied, all verges running, a cohort was founded within seconds.

Change: a verge without news greets every accord it knows; a veto lasts 30 s; no consent on another's word while a cohort is known.

Ruled out: a longer settle time alone (greetings in turn outlast any that users would bear).

--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -283,8 +283,8 @@
             if None in areas.values():
                 return
             members = areas
-        if self.cohort is not None:
-            return
+        if self.cohort is not None or self.founding.veto(now, cohort):
+            return  # a cohort is known: no word of another's makes this accord found one
         self.cohort = cohort
         self.founders = tuple(sorted(members))
         self._begin_consensus(members)
--- a/src/pinepitch/accord/founding.py
+++ b/src/pinepitch/accord/founding.py
@@ -35,10 +35,11 @@
                         if now - seen[2] <= constants.SESSION_LASTS}
         return tuple(sorted(self.empties))
 
-    def veto(self, now):
-        """The cohort some daemon knows, or None."""
+    def veto(self, now, but=None):
+        """The cohort, other than `but`, that some daemon knows, or None. What a daemon was
+        heard to know counts for long: it may greet this accord only now and then."""
         for cohort, heard in self.knowing.values():
-            if now - heard <= constants.SESSION_LASTS:
+            if now - heard <= constants.VETO_LASTS and cohort != but:
                 return cohort
         return None
 
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -28,6 +28,7 @@
 # --- founding and sessions -----------------------------------------------------------
 FOUNDERS = 3  # accords; the least that may found a cohort unless env says otherwise
 SETTLE = 1.0  # seconds; the same list must be seen this long before a founding
+VETO_LASTS = 30.0  # seconds; who was heard to know a cohort holds a founding back this long
 SEEDS = 3  # addresses; what every daemon is given to find the others by
 GREET_EVERY = 0.25  # seconds; how often a daemon renews its session
 SESSION_LASTS = 1.5  # seconds; silence after which a session has fallen
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -125,11 +125,12 @@
         if live:
             home = next((one for one in live if one[1] == self.leader), live[0])
             targets.add(home[1])
-        if not live or now - self.look_at >= 1.0:
+        if not live or self.stale or now - self.look_at >= 1.0:
             self.look_at = now
             others = sorted({one[1] for one in known} | set(self.seeds))
             self.turn += 1
-            targets.update(others if not live else [others[self.turn % len(others)]])
+            # without news everybody is told, so that what this verge remembers is heard in time
+            targets.update(others if not live or self.stale else [others[self.turn % len(others)]])
         for address in sorted(targets - {self.address}):
             self._send(address, message)
 
