--- a/features/metrics.feature
+++ b/features/metrics.feature
@@ -7,6 +7,11 @@
     And a follower tells that it does not lead
     And each line parses, and every family has its help and type
 
+  Scenario: a silent minion and what is held there are told
+    Given a simulated fleet that has worked for a while
+    When a minion with long work falls silent
+    Then its leader tells one silent minion and the tasks held there
+
   Scenario: a verge tells what it took, carried and sent
     Given a simulated fleet that has worked for a while
     Then each verge's figures add up to the orders that minions started or refused
--- a/features/steps/metrics.py
+++ b/features/steps/metrics.py
@@ -101,3 +101,25 @@
 def step_raises(context):
     assert "from-the-future" in context.fault
     assert context.record.tickets == Record().tickets and context.record.version == 1
+
+
+@when("a minion with long work falls silent")
+def step_silent(context):
+    simulator = context.simulator
+    status, _ = simulator.persist("POST", "/v1/tickets", {"queue": "default", "tasks": [
+        {"name": f"s{one}", "work": {"seconds": 60.0}} for one in range(12)]})
+    assert status == 201
+    simulator.run(2)
+    reserved = simulator.leader().core.record.reserved
+    context.silent = max(reserved, key=lambda one: len(reserved[one]))
+    simulator.freeze(context.silent)
+    simulator.run(4)
+
+
+@then("its leader tells one silent minion and the tasks held there")
+def step_told_silent(context):
+    leader = context.simulator.leader()
+    found, _, _ = figures(context.simulator, leader)
+    assert found["pinepitch_minions"][(("state", "silent"),)] == 1, found["pinepitch_minions"]
+    held = len(leader.core.record.reserved[context.silent])
+    assert found["pinepitch_tasks_held"][()] == held > 0
--- a/src/pinepitch/accord/figures.py
+++ b/src/pinepitch/accord/figures.py
@@ -1,6 +1,6 @@
 """What an accord tells of itself: health and metrics."""
 
-from ..ground import metrics
+from ..ground import constants, metrics
 
 
 def health(core, now):
@@ -15,6 +15,14 @@
     }
 
 
+def _minions(core, now):
+    states = {"open": 0, "silent": 0, "on trial": 0}
+    for one in core.minions.values():
+        silent = now - one.heard_at > constants.MINION_SILENT
+        states["silent" if silent else "on trial" if one.poor() else "open"] += 1
+    return states
+
+
 def text(core, now):
     """Metrics in the Prometheus manner. What only a leader gathers is told by it alone."""
     record, consensus = core.record, core.consensus
@@ -42,9 +50,11 @@
             ((queue,), record.used.get(queue, 0)) for queue in sorted(record.rows)]),
         ("gauge", "credits_out", "Credits that back running work, by the queue that lent them.", ("queue",), [
             ((queue,), record.outstanding.get(queue, 0)) for queue in sorted(record.rows)]),
-        ("gauge", "minions", "Minions heard by this leader, by state.", ("state",), [
-            (("open",), sum(not one.poor() for one in core.minions.values())),
-            (("on trial",), sum(one.poor() for one in core.minions.values()))]),
+        ("gauge", "minions", "Minions this leader knows, by state.", ("state",), [
+            ((state,), count) for state, count in sorted(_minions(core, now).items())]),
+        ("gauge", "tasks_held", "Tasks placed on silent minions, held until their end is proven.", (), [
+            ((), sum(len(record.reserved.get(name, ())) for name, one in core.minions.items()
+                     if now - one.heard_at > constants.MINION_SILENT))]),
         ("counter", "placements_refused", "Placements the record refused, by reason.", ("why",), [
             ((why,), count) for why, count in sorted(core.refusals.items())]),
         ("counter", "task_ends", "Ends proven while leading, by how.", ("how",), [
