--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -163,7 +163,7 @@
         minion = core.minions.get(name)
         report = minion.report if minion else None
         held = record.reserved.get(name, {})
-        silent = minion is None or now - minion.heard_at > constants.MINION_SILENT
+        silent = minion is None or minion.silent(now)
         state = record.closed(name, report.area if report else "") or ("silent" if silent else "open")
         listed.append({
             "minion": name, "area": report.area if report else None, "state": state,
@@ -300,7 +300,7 @@
 def _rehearse(core, token, arguments, now):
     rooms = [[name, minion.report.area, minion.report.room, list(minion.report.labels)]
              for name, minion in sorted(core.minions.items())
-             if now - minion.heard_at <= constants.MINION_SILENT
+             if not minion.silent(now)
              and not core.record.closed(name, minion.report.area)]
     return ("agree", ("rehearse", arguments[0], rooms), "draft", None)
 
@@ -423,7 +423,7 @@
         closed = core.record.closed(name, report.area)
         if closed:
             why = closed
-        elif now - minion.heard_at > constants.MINION_SILENT:
+        elif minion.silent(now):
             why = "silent"
         elif not set(task.labels) <= set(report.labels):
             why = "lacks " + ", ".join(sorted(set(task.labels) - set(report.labels)))
--- a/src/pinepitch/accord/figures.py
+++ b/src/pinepitch/accord/figures.py
@@ -1,6 +1,6 @@
 """What an accord tells of itself: health and metrics."""
 
-from ..ground import constants, metrics
+from ..ground import metrics
 
 
 def health(core, now):
@@ -18,8 +18,7 @@
 def _minions(core, now):
     states = {"open": 0, "silent": 0, "on trial": 0}
     for one in core.minions.values():
-        silent = now - one.heard_at > constants.MINION_SILENT
-        states["silent" if silent else "on trial" if one.poor() else "open"] += 1
+        states["silent" if one.silent(now) else "on trial" if one.poor() else "open"] += 1
     return states
 
 
@@ -54,7 +53,7 @@
             ((state,), count) for state, count in sorted(_minions(core, now).items())]),
         ("gauge", "tasks_held", "Tasks placed on silent minions, held until their end is proven.", (), [
             ((), sum(len(record.reserved.get(name, ())) for name, one in core.minions.items()
-                     if now - one.heard_at > constants.MINION_SILENT))]),
+                     if one.silent(now)))]),
         ("counter", "placements_refused", "Placements the record refused, by reason.", ("why",), [
             ((why,), count) for why, count in sorted(core.refusals.items())]),
         ("counter", "task_ends", "Ends proven while leading, by how.", ("how",), [
--- a/src/pinepitch/accord/lead.py
+++ b/src/pinepitch/accord/lead.py
@@ -168,11 +168,11 @@
             self.minions[report.minion] = known = Minion(report, now)
         elif report.incarnation == known.report.incarnation:
             newest = report.counter > known.report.counter
-        elif report.address != known.report.address and now - known.heard_at <= constants.MINION_SILENT:
+        elif report.address != known.report.address and not known.silent(now):
             newest = False  # another machine under a name that is taken
             self._event(158, minion=report.minion, address=report.address, known=known.report.address)
         else:
-            newest = report.heard >= known.report.heard or now - known.heard_at > constants.MINION_SILENT
+            newest = report.heard >= known.report.heard or known.silent(now)
             if newest:
                 known.failing = 0.0
         if newest:
@@ -357,8 +357,8 @@
         """Notes how long a task just placed was ready."""
         ticket, task, standing = self.record.find(ref)
         if standing.attempt == 1:
-            ready = max([ticket.accepted, task.not_before, *(ticket.standings[one].since for one in task.after)])
-            self.wait_spreads.setdefault(ticket.queue, metrics.Spread()).add(max(0.0, standing.since - ready))
+            spread = self.wait_spreads.setdefault(ticket.queue, metrics.Spread())
+            spread.add(max(0.0, standing.since - ticket.ready_since(task)))
 
     def _on_http(self, request, method, target, headers, body, now):
         """The accord's own small port: its health and metrics, nothing that is carried."""
--- a/src/pinepitch/accord/placing.py
+++ b/src/pinepitch/accord/placing.py
@@ -149,7 +149,7 @@
         for name in sorted(minions):
             minion = minions[name]
             report = minion.report
-            if now - minion.heard_at > constants.MINION_SILENT or record.closed(name, report.area):
+            if minion.silent(now) or record.closed(name, report.area):
                 continue
             held = record.reserved.get(name, {})
             taken = sum(held.values()) + pending.get(name, 0)
--- a/src/pinepitch/accord/rehearsal.py
+++ b/src/pinepitch/accord/rehearsal.py
@@ -191,8 +191,7 @@
             self.at(now + seconds, "end", ref, standing.attempt, how)
         if counted:
             if standing.attempt == 1:
-                ready = max([ticket.accepted, task.not_before, *(ticket.standings[one].since for one in task.after)])
-                self.waits[ticket.queue].append(max(0.0, now - ready))
+                self.waits[ticket.queue].append(max(0.0, now - ticket.ready_since(task)))
             self.figures[ticket.queue]["room_used"] += task.units * (seconds or 0.0)
 
     def finish(self, end):
--- a/src/pinepitch/world/minion.py
+++ b/src/pinepitch/world/minion.py
@@ -81,5 +81,9 @@
         weight = 1.0 / constants.LIVENESS_HALF
         self.failing += weight * ((0.0 if well else 1.0) - self.failing)
 
+    def silent(self, now):
+        """Whether no report came for so long that it gets no work."""
+        return now - self.heard_at > constants.MINION_SILENT
+
     def poor(self):
         return self.failing > constants.LIVENESS_POOR
--- a/src/pinepitch/world/ticket.py
+++ b/src/pinepitch/world/ticket.py
@@ -31,6 +31,10 @@
     named: bool = False  # whether it named its own urgency
     parked: str = ""  # why no minion then known could take it, if that was so when it came
 
+    def ready_since(self, task):
+        """When a task of it, its forerunners all done, could first start."""
+        return max([self.accepted, task.not_before, *(self.standings[one].since for one in task.after)])
+
 
 def _number(low, high):
     return voluptuous.All(voluptuous.Any(int, float), _not_bool, voluptuous.Range(low, high))
