--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -7,6 +7,7 @@
 from typing import Callable, NamedTuple
 
 from ..ground import constants
+from ..tenure import calls as tenure
 from ..world import row as rows
 from ..world.minion import Report
 from ..world.task import reference
@@ -477,6 +478,7 @@
     "holds": Call(True, _holds),
     "whence": Call(True, _whence),
     "live": Call(True, _live_tasks),
+    **{name: Call(False, make) for name, make in tenure.CALLS.items()},
 }
 
 
@@ -496,4 +498,5 @@
     "setup": _setup_answer,
     "draft": _draft_answer,
     "dropped": _dropped_answer,
+    **tenure.SHAPES,
 }
--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -75,6 +75,7 @@
         self.round = None  # the beat whose acknowledgement the reads under way need
         self.reads_now, self.reads_next = [], []
         self.beat_at = -1e9
+        self.beats = {}  # number of a beat -> when it was sent, of the newest BEATS_KEPT
         self.base_segments = (1, 0)  # (first, last) of the archive that the base stands on
         self.archive = None  # the record's, to send and to say what of it is held
         self.incoming = None  # (index, bytearray) of a snapshot being received
@@ -270,7 +271,7 @@
         if self.role != "follower":
             self._reset_election(now)
         self.role = "follower"
-        self.followers, self.learners = {}, {}
+        self.followers, self.learners, self.beats = {}, {}, {}
 
     # --- elections --------------------------------------------------------------------
     def _campaign(self, role, now):
@@ -415,6 +416,14 @@
         """Whether an entry of the own term is committed, so that reads may be answered."""
         return self.role == "leader" and self.term_at(self.commit) == self.term
 
+    def leased(self, now):
+        """Whether a commit quorum answered a beat sent so lately that no other leader can have
+        been elected since and have served: such a quorum grants no pre-vote before its time-out."""
+        since = now - constants.LEAD_LEASE
+        heard = {one for one, follower in self.followers.items()
+                 if one not in self.learners and self.beats.get(follower.beat, -1e9) >= since}
+        return self.serving() and self.cohort.commits(heard | {self.identity}, self.identity)
+
     def read(self, token, now):
         """Asks that ("read", token, index) be told once leadership is confirmed."""
         if self.role != "leader":
@@ -445,6 +454,8 @@
         if advance:
             self.beat += 1
         self.beat_at = now
+        self.beats[self.beat] = now
+        self.beats.pop(self.beat - constants.BEATS_KEPT, None)
         for identity in self.followers:
             self._replicate(identity, now, beat=True)
 
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -9,6 +9,8 @@
 from ..ground.cohorttime import CohortTime
 from . import rehearsal, rules
 from .calls import SHAPES
+from ..ground.carrier import Carrier
+from ..tenure.keeper import Keeper
 from .consensus import Consensus
 from .founding import Founding
 from .lead import Lead
@@ -31,6 +33,8 @@
         self.seeds, self.mode, self.seed = tuple(seeds), mode, seed
         self.sessions = Sessions()
         self.founding = Founding(identity, area, founders)
+        self.found_among = None  # addresses; only accords there may found, None for any
+        self.may_found = True  # an accord that has lost its disk joins, it never founds
         self.time = CohortTime()
         self.cohort = None
         self.founders = ()  # identities whose consent a founding needs
@@ -51,9 +55,14 @@
         self.rules = ()  # alert rules of this machine's file
         self.told_levels = {identity: self.level}  # accord -> the level it told last
         self.sync_spread, self.wait_spreads = metrics.Spread(), {}
-        self._clear_lead()
-
-    def _clear_lead(self):
+        self.hold = constants.HOLD
+        self.carrier = Carrier(identity, address)
+        self.hinted = {}  # minion -> when it was last told where the leader is
+        self.step_at = 0.0
+        self._clear_lead(0.0)
+
+    def _clear_lead(self, now):
+        self.keeper = Keeper(self, now)
         self.minions = {}
         self.awaiting = {}  # index -> [(kind, ...)] to be told the outcome
         self.reading = {}  # token -> (address, call, arguments)
@@ -116,12 +125,17 @@
     def step(self, message, now, clock):
         """Takes one message; returns the effects."""
         self.time.hear(self.identity, clock, now)
+        self.step_at = now
         kind, *rest = message
         handler = INPUTS.get(kind)
         if handler is not None:
             handler(self, *rest, now)
         if self.place_due and now - self.place_at >= constants.PLACE_EVERY:
             self._place(now)
+        if self.epoch > 0 and self.consensus.serving():
+            if now - self.keeper.flushed >= constants.GATHER_BEATS:
+                self.keeper.tick(now)
+            self.keeper.flush(now)
         effects, self.effects = self.effects, []
         return effects
 
@@ -135,6 +149,7 @@
         self.effects.append(("event", number, fields))
 
     def _tick(self, now):
+        self._carry_again(now)
         for identity in self.sessions.expire(now):
             self._event(141, daemon=identity)
         if now - self.greet_at >= constants.GREET_EVERY and not self.stopping:
@@ -203,7 +218,7 @@
 
     # --- sessions ---------------------------------------------------------------------
     def _greeting(self, now):
-        view = () if self.cohort else self.founding.view(now)
+        view = () if self.cohort or not self.may_found else self.founding.view(now)
         clock = self.time.readings[self.identity][0] + now
         return (self.identity, "accord", self.area, self.address, self.cohort, view, clock,
                 self.sessions.known_accords(), self.founders, self.level)
@@ -230,7 +245,8 @@
             if self.consensus is None or identity in self.consensus.cohort.members():
                 self.time.hear(identity, clock, now)
         if self.cohort is None:
-            self.founding.heard(identity, kind, area, cohort, view, now)
+            if cohort or kind != "accord" or self.found_among is None or address in self.found_among:
+                self.founding.heard(identity, kind, area, cohort, view, now)
             if cohort and self.identity in founders:
                 self._consent(cohort, {one: None for one in founders}, now, identity)
         elif cohort == self.cohort and kind == "accord":
@@ -268,7 +284,8 @@
 
     # --- founding and joining ---------------------------------------------------------
     def _found(self, now):
-        ready = self.founding.ready(now)
+        mine = self.may_found and (self.found_among is None or self.address in self.found_among)
+        ready = self.founding.ready(now) if mine else None
         if ready is not None:
             cohort, members = ready
             self._consent(cohort, members, now, None)
@@ -283,7 +300,7 @@
             if None in areas.values():
                 return
             members = areas
-        if self.cohort is not None or self.founding.veto(now, cohort):
+        if self.cohort is not None or self.founding.veto(now, cohort) or not self.may_found:
             return  # a cohort is known: no word of another's makes this accord found one
         self.cohort = cohort
         self.founders = tuple(sorted(members))
@@ -417,21 +434,23 @@
                 for number, data in sorted(effect[3].items()):
                     self.effects.append(("segment", number, data))
             elif kind == "lead":
-                self._clear_lead()
+                self._clear_lead(now)
                 self.lead_since = now
             elif kind == "unlead":
-                self._unlead()
+                self._unlead(now)
             elif kind == "read":
                 self._answer_read(effect[1], now)
 
-    def _unlead(self):
+    def _unlead(self, now):
         for waiting in (*self.awaiting.values(), self.ends_waiting):
             for address, token, _, _ in waiting:
                 if token is not None:
-                    self._send(address, ("elsewhere", token, None))
+                    self.unsure(address, token)
         for address, token, _, _ in self.reading.values():
-            self._send(address, ("elsewhere", token, None))
-        self._clear_lead()
+            self.elsewhere(address, token, None)
+        for address, token, _ in self.keeper.parked.values():
+            self.elsewhere(address, token, None)
+        self._clear_lead(now)
 
     def _apply(self, start, entries, now):
         consensus = self.consensus
@@ -455,9 +474,50 @@
     def _tell(self, address, token, shape, extra, outcome, now):
         if token is None:
             return
-        self.in_hand.discard(token)
-        answer = SHAPES[shape](self, outcome, extra, now)
-        self._send(address, ("answer", token, answer))
+        self.answer(address, token, SHAPES[shape](self, outcome, extra, now))
+
+    # --- calls that come here from outside --------------------------------------------
+    def _on_call(self, request, call, arguments, patience, now):
+        """A call at this accord's own ports: decided here, or carried to the leader."""
+        if call == "ready":
+            self.effects.append(("reply", request, 200 if self.consensus is not None else 503, {}, ()))
+            return
+        token = self.carrier.begin(request, call, arguments, now, patience)
+        self._carry(token, now)
+
+    def _carry(self, token, now):
+        call = self.carrier.calls[token]
+        if self.consensus is not None and self.consensus.role == "leader":
+            self.carrier.sent(token, self.address, now)
+            self._on_ask(self.address, token, call.call, call.arguments, now)
+        else:
+            address = self._leader_address()
+            self.carrier.sent(token, address, now)
+            self._send(address, ("ask", self.address, token, call.call, call.arguments))
+
+    def _carry_again(self, now):
+        due, effects = self.carrier.due(now)
+        self.effects.extend(effects)
+        for token in due:
+            if token in self.carrier.calls:
+                self._carry(token, now)
+
+    def _on_answer(self, token, answer, now):
+        call = self.carrier.calls.get(token)
+        if call is not None and call.call == "beat" and "home" in answer[1]:
+            # where the leader is, is told now and then only: a minion that can't reach it beats here again
+            minion = call.arguments[0]
+            if now - self.hinted.get(minion, -1e9) < constants.HINT_EVERY:
+                del answer[1]["home"]
+            else:
+                self.hinted[minion] = now
+        self.effects.extend(self.carrier.answered(token, answer))
+
+    def _on_elsewhere(self, token, leader, now):
+        self.carrier.refused(token)
+
+    def _on_unsure(self, token, now):
+        self.carrier.unsure(token)
 
     # --- stopping ---------------------------------------------------------------------
     def _on_stop(self, now):
@@ -490,5 +550,9 @@
     "measured": Accord._on_measured,
     "ask": Accord._on_ask,
     "news": Accord._on_news,
+    "call": Accord._on_call,
+    "answer": Accord._on_answer,
+    "elsewhere": Accord._on_elsewhere,
+    "unsure": Accord._on_unsure,
     "stop": Accord._on_stop,
 }
--- a/src/pinepitch/accord/lead.py
+++ b/src/pinepitch/accord/lead.py
@@ -1,10 +1,13 @@
 """What an accord does while it leads: calls, news, reports, placing, watching."""
 
 from ..ground import constants, metrics
+from ..tenure import calls as tenure
 from ..world.minion import Minion
 from . import figures
 from .calls import CALLS
 
+KEPT = tuple(tenure.CALLS)  # calls that only a leader with its lease and epoch may answer
+
 
 class Lead:
     """The leader's part of Accord. Invariant: what it gathers (minions, awaiting, outbox) is
@@ -15,19 +18,19 @@
         """A verge carries a call; every call is safe to be asked again."""
         consensus = self.consensus
         if consensus is None or consensus.role != "leader" or self.stopping:
-            self._send(address, ("elsewhere", token, self._leader_address()))
+            self.elsewhere(address, token, self._leader_address())
             return
         if token in self.in_hand:
             return
         handler = CALLS.get(call)
         if handler is None:
-            self._send(address, ("answer", token, (400, {"code": "unknown_call"}, None)))
+            self.answer(address, token, (400, {"code": "unknown_call"}, None))
             return
         self.in_hand.add(token)
         if not handler.reads:
-            if not consensus.serving():
+            if not consensus.serving() or call in KEPT and (self.epoch <= 0 or not consensus.leased(now)):
                 self.in_hand.discard(token)
-                self._send(address, ("elsewhere", token, None))
+                self.elsewhere(address, token, None)
                 return
             self._decide(address, token, handler, arguments, now)
             return
@@ -40,9 +43,10 @@
         made = handler.make(self, token, arguments, now)
         if made[0] == "ends":
             self._propose_ends(made[1], (address, token, "report", made[2]), now)
+        elif made[0] == "beat":
+            self.keeper.beat(made[1], made[2], address, token, now)
         elif made[0] == "answer":
-            self.in_hand.discard(token)
-            self._send(address, ("answer", token, made[1]))
+            self.answer(address, token, made[1])
         else:
             _, operation, shape, extra = made
             self.propose(operation, (address, token, shape, extra), now)
@@ -51,7 +55,43 @@
         address, token, handler, arguments = self.reading.pop(read, (None, None, None, None))
         if handler is not None:
             self.in_hand.discard(token)
-            self._send(address, ("answer", token, handler.make(self, token, arguments, now)[1]))
+            self.answer(address, token, handler.make(self, token, arguments, now)[1])
+
+    def answer(self, address, token, answer):
+        """The answer to a carried call, perhaps to one that this accord carried itself."""
+        self.in_hand.discard(token)
+        if address == self.address:
+            self.effects.extend(self.carrier.answered(token, answer))
+        else:
+            self._send(address, ("answer", token, answer))
+
+    def elsewhere(self, address, token, leader):
+        """A call that this accord did not take."""
+        self.in_hand.discard(token)
+        if address == self.address:
+            self.carrier.refused(token)
+        else:
+            self._send(address, ("elsewhere", token, leader))
+
+    def unsure(self, address, token):
+        """A call that may have been taken, though this accord can't say."""
+        self.in_hand.discard(token)
+        if address == self.address:
+            self.carrier.unsure(token)
+        else:
+            self._send(address, ("unsure", token))
+
+    def leased(self, now):
+        """Whether what this accord says as a leader can be relied on now."""
+        return self.consensus is not None and self.consensus.leased(now)
+
+    def propose_at(self, operation, now):
+        """Proposes, and says at which index; None when it is held back."""
+        if self.record.levels.get(operation[0], 1) > self.common_level():
+            return None
+        index = self.consensus.last_index() + 1
+        self.propose(operation, None, now)
+        return index
 
     def common_level(self):
         """The lowest level of the members, 1 for one that has not told its own."""
@@ -63,7 +103,7 @@
         if self.record.levels.get(operation[0], 1) > self.common_level():
             self._event(133, operation=operation[0], level=self.common_level())
             if waiting is not None:
-                self._send(waiting[0], ("elsewhere", waiting[1], None))
+                self.elsewhere(waiting[0], waiting[1], None)
             return
         start = self.consensus.last_index() + 1
         if waiting is not None:
@@ -76,7 +116,7 @@
         """A verge asks for news and says how its orders went."""
         consensus = self.consensus
         if consensus is None or consensus.role != "leader" or not consensus.serving():
-            self._send(address, ("elsewhere", token, self._leader_address()))
+            self.elsewhere(address, token, self._leader_address())
             return
         session = self.sessions.held.get(verge)
         self.sessions.greeted(verge, "verge", session.area if session else "", address, now)
@@ -132,6 +172,7 @@
         if seen != version:
             body = {
                 "setup_version": self.record.version,
+                "configuration": self.record.board.configuration.version,
                 "drained": sorted(self.record.drained), "emptied": sorted(self.record.emptied),
                 "withdrawn": sorted(self.record.withdrawn),
             }
@@ -213,6 +254,8 @@
     def _lead_tick(self, now):
         if not self.consensus.serving():
             return
+        if self.epoch > 0:
+            self.keeper.tick(now)
         self._propose_gathered(now)
         self._tend_members(now)
         if not self.epoch:
@@ -335,6 +378,19 @@
                     minion.judge(how == "done")
                     if minion.poor():
                         self._event(157, minion=found[2].minion)
+        elif kind == "job-assign":
+            self.keeper.applied_assign(operation[2])
+            if outcome[0] == "refused":
+                self._refused(outcome[1])
+        elif kind == "job-ended":
+            self.keeper.ended(self.record.index, operation[1], outcome[1])
+        elif kind in ("job", "job-cancel", "evacuate", "configure", "amend"):
+            self.keeper.due = True
+            if outcome[0] == "configured":
+                self._event(181, version=outcome[1])
+                self.news_serial += 1
+                for verge in list(self.asks):
+                    self._tell_news(verge, now)
         elif kind in ("setup", "drain", "area", "withdraw", "gone", "approve"):
             self.news_serial += 1
             if outcome[0] == "setup":
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -14,6 +14,7 @@
 from ..world import row as rows
 from ..world.task import FINAL, Standing, Task, reference, unit_of
 from ..world.ticket import Ticket, tasks_from
+from ..tenure.board import Board
 from .archive import Archive
 from .history import History
 from .sample import Sample
@@ -53,6 +54,7 @@
         self.drafts = immutables.Map()
         self.draft_count = 0
         self.archive = Archive()
+        self.board = Board()
         self.sealed = []  # (number, bytes) of segments sealed since the decider took them
         self.sample = Sample()
         self.marks = immutables.Map()  # mark of a change -> its outcome, so that it counts once
@@ -66,7 +68,7 @@
             self.time, self.index, self.tickets, self.keys, self.count, tuple(self.finished), self.version,
             self.setup, self.setups.image(), dict(self.epochs), dict(self.drained), dict(self.emptied),
             dict(self.withdrawn), self.drafts, self.draft_count,
-            self.marks, self.sample.image(), self.archive.image(), dict(self.holds),
+            self.marks, self.sample.image(), self.archive.image(), dict(self.holds), self.board.image(),
         )
 
     @staticmethod
@@ -79,7 +81,8 @@
         record = cls()
         (record.time, record.index, tickets, keys, record.count, finished, record.version, record.setup,
          setups, epochs, record.drained, record.emptied, withdrawn, drafts, record.draft_count,
-         marks, sample, lines, holds) = cbor2.loads(data)
+         marks, sample, lines, holds, board) = cbor2.loads(data)
+        record.board = Board.from_image(board)
         record.holds = {alert: tuple(one) for alert, one in holds.items()}
         record.archive = Archive(lines, segments)
         record.sample = Sample(sample)
@@ -647,6 +650,26 @@
     return OK
 
 
+def _on_board(name):
+    """An operation of the board, told the agreed time."""
+    def act(record, *arguments):
+        return getattr(record.board, name)(record.time, *arguments)
+    return act
+
+
+def _assign(record, epoch, items):
+    """Placements of the board, under the placing epoch."""
+    if epoch != record.epochs.get("placing", (0, ""))[0]:
+        return ("refused", "epoch")
+    return ("assigned", record.board.assign(record.time, epoch, items))
+
+
+def _stop_runs(record, epoch, items):
+    if epoch != record.epochs.get("placing", (0, ""))[0]:
+        return ("refused", "epoch")
+    return record.board.stop(record.time, items)
+
+
 # The registry of operations: a new one is an entry here.
 ACTIONS = {
     "noop": _nothing,
@@ -668,5 +691,15 @@
     "approve": Record._approve,
     "drop": Record._drop,
     "hold": Record._hold_approvals,
+    "job": _on_board("accept"),
+    "job-cancel": _on_board("cancel"),
+    "job-assign": _assign,
+    "job-stop": _stop_runs,
+    "job-ended": _on_board("end"),
+    "configure": _on_board("configure"),
+    "amend": _on_board("amend"),
+    "evacuate": _on_board("evacuate"),
 }
 Record.actions = ACTIONS
+Record.levels = {name: 2 for name in ("job", "job-cancel", "job-assign", "job-stop", "job-ended", "configure", "amend",
+                                      "evacuate")}
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -128,6 +128,40 @@
 BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0)  # seconds; syncs to long waits
 
 # --- versions ------------------------------------------------------------------------
-WIRE_VERSION = 2  # of frames; another one is refused. 2: greetings tell the level, pieces what is held
-FILE_VERSION = 2  # of files on disk; another one is left alone. 2: bases name segments
-RECORD_LEVEL = 1  # of operations; a cohort proposes only what the lowest level told of a member knows
+WIRE_VERSION = 3  # of frames; another one is refused. 2: greetings tell the level, pieces what is held. 3: jobs
+FILE_VERSION = 3  # of files on disk; another one is left alone. 2: bases name segments. 3: images hold a board
+RECORD_LEVEL = 2  # of operations; a cohort proposes only what the lowest level told of a member knows
+
+# --- jobs under holds ----------------------------------------------------------------
+SPEC_MOST = 4_000  # characters; of what a job hands to its tasks
+STEPS_MOST = 64  # steps; of one job
+STEP_TASKS_MOST = 5_000  # tasks; of one step
+TIMES_MOST = 1_000  # times; one job may fall due
+JOB_TASKS_MOST = 10_000  # tasks; of one job over all its times
+JOBS_MOST = 20_000  # jobs; not yet final, beyond it new ones are refused
+FINAL_LASTS = 240.0  # seconds; the state of a final job stays readable, twice what callers are promised
+FINAL_MOST = 60_000  # jobs; final ones kept readable at most
+FINAL_SWEEP = 20  # jobs; looked at for dropping whenever one becomes final
+PREFIX_MOST = 512  # characters; of a route's prefix
+CONFIGURATIONS_KEPT = 1_000  # versions; whose call is remembered, so that sent again it is answered alike
+HOLD = 5.0  # seconds; what runs is held this long beyond a beat, unless env allows less
+CLOCK_DRIFT = 0.025  # seconds per second; a minion's clock may run slower by 2 %
+LAPSE_MARGIN = 0.4  # seconds; added to a hold before what ran under it counts as ended
+BEAT_AGAIN = 0.1  # seconds; before a minion with room beats again
+BEAT_FULL = 1.0  # seconds; before one without room does, as an end makes it beat at once
+BEAT_STALE = 0.9  # seconds; a beat older than this proves nothing and gets no starts
+BEAT_SILENT = 1.2  # seconds; a minion unheard this long gets no new work
+BEAT_HOLD = 0.06  # seconds; a beat is answered at the latest after this, while what it told is agreed on
+BEATS_KEPT = 64  # beats; whose sending time a leader keeps, some ten seconds of them
+LEAD_LEASE = 0.6  # seconds; a leader whose commit quorum answered within this may give starts: below ELECTION_TIMEOUT
+MINION_FORGOTTEN = 30.0  # seconds; a silent minion with nothing placed is dropped
+ASSIGN_MOST = 200  # tasks; in one assigning entry
+CALL_PATIENCE = 2.5  # seconds; a call without a time of its own is carried this long
+LEAVE_MARGIN = 0.5  # seconds; after a worker said that it ends before what it ran counts as ended
+WARY = 0.5  # seconds; a worker that refused a start gets no other this long
+NEAR_WAIT = 0.4  # seconds; a task waits for the rack of its data at most this long
+RACK_WAIT = 1.0  # seconds; a gang waits for one rack with room for all at most this long
+CARRY_SEEK = 0.1  # seconds; before a call that nobody took is sent to whoever leads by then
+GATHER_BEATS = 0.005  # seconds; what beats tell is gathered this long into one entry
+HINT_EVERY = 10.0  # seconds; between two hints to a minion where the leader is
+PROBE_AFTER = 1_500  # milliseconds; a peer that acknowledges no byte this long is given up
--- a/src/pinepitch/ground/events.py
+++ b/src/pinepitch/ground/events.py
@@ -52,6 +52,8 @@
     170: ("ticket shed", "info"),
     171: ("news stale", "warning"),
     172: ("news fresh again", "info"),
+    180: ("minion's life over, what it ran counts as ended", "info"),
+    181: ("configuration in force", "info"),
 }
 
 
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -44,6 +44,7 @@
                 continue
             async with socket:
                 socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
+                socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_USER_TIMEOUT, constants.PROBE_AFTER)
                 try:
                     while True:
                         await self.filled.wait()
@@ -71,9 +72,11 @@
     """Runs one decider. Invariants: only run() steps it; a note is on disk before any
     later effect of the same step is carried out."""
 
-    def __init__(self, core, address, log, store=None, http_address=None):
+    def __init__(self, core, address, log, store=None, http_address=None, doors=(), stop_within=constants.STOP_WITHIN):
         self.core, self.address, self.log = core, address, log
         self.store, self.http_address = store, http_address
+        self.doors, self.stop_within = doors, stop_within  # (address, translator) of ports that speak another way
+        self.stopping = False
         self.inbox = curio.Queue()
         self.links = {}
         self.jobs = collections.deque()
@@ -93,6 +96,8 @@
             if self.http_address:
                 host, port = split(self.http_address)
                 await self.tasks.spawn(curio.tcp_server, host, port, self._serve_http)
+            for address, door in self.doors:
+                await self.tasks.spawn(curio.tcp_server, *split(address), Entrance(self, door).serve)
             if self.store is not None:
                 await self.tasks.spawn(self._disk)
             await self.tasks.spawn(self._clock)
@@ -192,8 +197,11 @@
             signal.signal(number, lambda *_: asked.append(True))
         while not asked:
             await curio.sleep(constants.TICK)
+        self.stopping = True
         await self.inbox.put(("stop",))
-        until = time.monotonic() + constants.STOP_WITHIN * 0.6
+        until = time.monotonic() + self.stop_within * 0.6
+        if self.doors:  # callers are sent elsewhere only after a while: they are served until then
+            await curio.sleep(max(0.0, self.stop_within * 0.6 - constants.CALL_PATIENCE))
         while time.monotonic() < until and (self.requests or self.jobs or not self.beside.empty()):
             await curio.sleep(constants.TICK)
         await curio.sleep(constants.TICK * 4)  # lets the last answers and leaves go out
@@ -298,6 +306,44 @@
             self.connections -= 1
 
 
+class Entrance:
+    """A port whose callers speak another way: the door translates both ways, and decides nothing."""
+
+    def __init__(self, host, door):
+        self.host, self.door = host, door
+
+    async def serve(self, socket, address):
+        """One connection."""
+        host = self.host
+        if host.connections >= constants.CONNECTIONS_MOST:
+            return
+        host.connections += 1
+        socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
+        server = http.Server(socket)
+        answers = curio.Queue()
+        try:
+            while True:
+                request = await server.receive()
+                if isinstance(request, http.Fault):
+                    if request.status:
+                        await server.answer(http.refusal(request.status, request.code, "the request can't be read"))
+                    return
+                made = self.door.read(request)
+                if isinstance(made, http.Response):
+                    response = made
+                else:
+                    host.request_count += 1
+                    host.requests[host.request_count] = answers
+                    await host.inbox.put(("call", host.request_count, *made))
+                    response = self.door.write(made[0], await answers.get())
+                if host.stopping:
+                    response = response._replace(headers=(*response.headers, ("Connection", "close")))
+                if not await server.answer(response):
+                    return
+        finally:
+            host.connections -= 1
+
+
 # The registry of effects: kind -> who carries it out.
 EFFECTS = {
     "send": Host._send,
--- a/src/pinepitch/ground/program.py
+++ b/src/pinepitch/ground/program.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from . import env, events
+from . import constants, env, events
 from .host import Host
 
 
@@ -18,9 +18,9 @@
     return found
 
 
-def serve(program, core, found, log, store=None):
+def serve(program, core, found, log, store=None, doors=(), stop_within=constants.STOP_WITHIN):
     """Runs a decider until it is told to stop; a broken invariant ends the process."""
-    host = Host(core, found.address, log, store, found.http)
+    host = Host(core, found.address, log, store, found.http, doors, stop_within)
     try:
         curio.run(host.run)
     except AssertionError as broken:
--- /dev/null
+++ b/src/pinepitch/tenure/assigner.py
@@ -0,0 +1,145 @@
+"""Where the waiting waves go: one round over what is ready and who has room."""
+
+from ..ground import constants
+
+
+class Seat:
+    """A worker that may get work in this round. Invariant: free is what it told less what is
+    placed there and not yet running."""
+
+    __slots__ = ("worker", "identity", "service", "labels", "rack", "free", "steps", "poor")
+
+    def __init__(self, worker, free, steps, poor):
+        self.worker, self.identity, self.service = worker, worker.identity, worker.service
+        self.labels, self.rack = worker.labels, worker.rack
+        self.free, self.steps, self.poor = free, steps, poor
+
+    def fits(self, room):
+        free = self.free
+        return room[0] <= free[0] and room[1] <= free[1] and room[2] <= free[2]
+
+
+def less(one, other):
+    return (one[0] - other[0], one[1] - other[1], one[2] - other[2])
+
+
+class Assigner:
+    """Invariant: a round gives no seat more than its free room, and a gang all its seats or none."""
+
+    def __init__(self):
+        self.short = {}  # key of a wave -> since when it found no room
+        self.why = {}  # key of a wave -> why the newest round left some of it
+
+    def round(self, board, workers, keeper, now, time):
+        """(assign items, stop items)."""
+        seats = self._seats(board, workers, keeper, now)
+        items, count = [], 0
+        self.why = {}
+        waves = [wave for wave in board.ready.values() if wave.due <= time]
+        waves.sort(key=lambda wave: self._rank(wave, time))
+        for wave in waves:
+            if count >= constants.ASSIGN_MOST:
+                break
+            mine = seats.get(wave.job.service, ())
+            group = self._gang(wave, mine, now, time) if wave.step.gang else self._single(wave, mine, now, time)
+            if group:
+                count += len(group)
+                items.append((wave.job.identity, wave.time, wave.number, tuple(group)))
+            if len(group) < len(wave.waiting):
+                self.short.setdefault(wave.key(), now)
+                self.why.setdefault(wave.key(), "no room")
+            else:
+                self.short.pop(wave.key(), None)
+        for key in [key for key in self.short if key not in board.ready]:
+            del self.short[key]
+        return tuple(items), ()
+
+    def _rank(self, wave, time):
+        job = wave.job
+        begun = wave.due if job.times else job.accepted
+        return (job.priority, begun + job.aim_ms / 1000 + job.stretch * wave.step.est_ms / 1000, job.identity)
+
+    def _seats(self, board, workers, keeper, now):
+        """Seats by service."""
+        seats = {}
+        for worker in workers.values():
+            if (worker.state != "ready" or worker.silent(now) or worker.stale or worker.zone in board.evacuated
+                    or now < worker.wary_until):
+                continue
+            free, steps = worker.free, {}
+            for key, placement in board.placements.get(worker.identity, {}).items():
+                place = (placement.job, placement.number)
+                steps[place] = steps.get(place, 0) + 1
+                if key not in worker.running and key not in worker.listed:
+                    free = less(free, placement.room)
+            poor = worker.failing > constants.LIVENESS_POOR
+            if poor and board.placements.get(worker.identity):
+                continue
+            seats.setdefault(worker.service, []).append(Seat(worker, free, steps, poor))
+        return seats
+
+    def _allowed(self, wave, seat):
+        step = wave.step
+        return (seat.fits(step.room) and (not step.needs or seat.labels.issuperset(step.needs))
+                and (not step.apart or seat.steps.get((wave.job.identity, wave.number), 0) < step.apart))
+
+    def _take(self, wave, seat):
+        seat.free = less(seat.free, wave.step.room)
+        key = (wave.job.identity, wave.number)
+        seat.steps[key] = seat.steps.get(key, 0) + 1
+
+    def _score(self, wave, seat):
+        """The better the lower: near its data, then where it leaves least room over."""
+        step = wave.step
+        far = bool(step.near) and step.near not in seat.labels
+        left = less(seat.free, step.room)
+        return (seat.poor, far, left[2], left[0], seat.identity)
+
+    def _single(self, wave, seats, now, time):
+        step, group = wave.step, []
+        patient = step.near and time - wave.since < min(constants.NEAR_WAIT, step.est_ms / 1000)
+        for index in sorted(wave.waiting):
+            best = None
+            for seat in seats:
+                if not self._allowed(wave, seat) or (patient and step.near not in seat.labels):
+                    continue
+                score = self._score(wave, seat)
+                if best is None or score < best[0]:
+                    best = (score, seat)
+            if best is None:
+                break
+            self._take(wave, best[1])
+            group.append((index, best[1].identity))
+        return group
+
+    def _gang(self, wave, seats, now, time):
+        """Seats for all members, in one rack where the step asks for that and it may be had."""
+        step = wave.step
+        racks = {}
+        for seat in seats:
+            racks.setdefault(seat.rack, []).append(seat)
+        tries = []
+        if step.tight:
+            tries = sorted(racks.values(), key=lambda one: sum(seat.free[0] for seat in one))
+        if not step.tight or time - wave.since >= constants.RACK_WAIT:
+            tries.append(seats)
+        for some in tries:
+            group = self._fill(wave, some)
+            if group is not None:
+                return group
+        return []
+
+    def _fill(self, wave, seats):
+        """One seat for each member among `seats`, or None with all as it was."""
+        before = [(seat, seat.free, dict(seat.steps)) for seat in seats]
+        group = []
+        for index in sorted(wave.waiting):
+            fitting = [seat for seat in seats if self._allowed(wave, seat)]
+            if not fitting:
+                for seat, free, steps in before:
+                    seat.free, seat.steps = free, steps
+                return None
+            best = min(fitting, key=lambda seat: self._score(wave, seat))
+            self._take(wave, best)
+            group.append((index, best.identity))
+        return group
--- /dev/null
+++ b/src/pinepitch/tenure/board.py
@@ -0,0 +1,250 @@
+"""The board: jobs, placements and the configuration, as a deterministic part of the record.
+
+Every operation is an entry of the log; what it decides is the same at every accord.
+"""
+
+from ..ground import constants
+from .configuration import Configuration
+from .job import Job
+from .placement import Placement
+
+
+class Board:
+    """Invariants: jobs holds those not final, final the state of those that are, oldest end
+    first; ready holds every wave with waiting tasks whose earlier steps are all done and that
+    is not breaking; placements[minion] holds each run given to it whose end is not proven."""
+
+    def __init__(self):
+        self.jobs = {}
+        self.final = {}  # identity -> (state, ended, queue, digest)
+        self.placements = {}  # minion -> {(reference, run): Placement}
+        self.configuration = Configuration()
+        self.evacuated = {}  # zone -> since
+        self.ready = {}  # key of a wave -> Wave
+        self.counts = {}  # queue -> jobs not yet begun
+
+    # --- image ------------------------------------------------------------------------
+    def image(self):
+        return (
+            tuple(job.image() for job in self.jobs.values()),
+            tuple((identity, *rest) for identity, rest in self.final.items()),
+            tuple(one.image() for held in self.placements.values() for one in held.values()),
+            self.configuration.image(), tuple(self.evacuated.items()),
+        )
+
+    @classmethod
+    def from_image(cls, image):
+        board = cls()
+        jobs, final, placements, configuration, evacuated = image
+        board.configuration = Configuration(*configuration)
+        board.evacuated = dict(evacuated)
+        board.final = {identity: tuple(rest) for identity, *rest in final}
+        for one in placements:
+            placement = Placement(*one)
+            held = board.placements.setdefault(placement.minion, {})
+            held[(placement.reference(), placement.run)] = placement
+        for one in jobs:
+            job = Job.from_image(one)
+            board.jobs[job.identity] = job
+            if not job.begun:
+                board.counts[job.queue] = board.counts.get(job.queue, 0) + 1
+            for wave in job.waves.values():
+                board._index(wave)
+        return board
+
+    def _index(self, wave):
+        """Puts a wave among the ready, or takes it out."""
+        if wave.waiting and not wave.blocked and not wave.breaking():
+            self.ready[wave.key()] = wave
+        else:
+            self.ready.pop(wave.key(), None)
+
+    # --- reading ----------------------------------------------------------------------
+    def state(self, identity):
+        """The state of a job, or None when there is none."""
+        job = self.jobs.get(identity)
+        if job is not None:
+            return "running" if job.begun else "queued"
+        final = self.final.get(identity)
+        return final[0] if final else None
+
+    def task(self, placement):
+        """(wave, task) that a placement still stands for, or None."""
+        job = self.jobs.get(placement.job)
+        wave = job.waves.get((placement.time, placement.number)) if job else None
+        if wave is None:
+            return None
+        task = wave.tasks[placement.index]
+        if task.state == "placed" and task.run == placement.run and task.minion == placement.minion:
+            return wave, task
+        return None
+
+    def wanted(self, placement):
+        """Whether a placed run should start, or go on."""
+        if placement.stop:
+            return False
+        found = self.task(placement)
+        return found is not None and not found[0].breaking()
+
+    # --- operations -------------------------------------------------------------------
+    def accept(self, now, identity, queue, plain):
+        """A job is handed in at a queue."""
+        job = self.jobs.get(identity)
+        if job is not None or identity in self.final:
+            return ("known", identity)
+        route = self.configuration.routes.get(queue)
+        if route is None:
+            return ("missing", queue)
+        if len(self.jobs) >= constants.JOBS_MOST:
+            return ("full", queue)
+        terms = (route["service"], max(1, route.get("attempts", 1)), route.get("priority", 0),
+                 route.get("aim_ms", 0), route.get("stretch", 1))
+        job = self.jobs[identity] = Job(identity, queue, terms, plain, now)
+        self.counts[queue] = self.counts.get(queue, 0) + 1
+        for wave in job.waves.values():
+            wave.since = max(wave.due, now)
+            self._index(wave)
+        return ("accepted", identity)
+
+    def cancel(self, now, identity):
+        """Nothing more of a job starts; what runs is stopped."""
+        job = self.jobs.get(identity)
+        if job is None:
+            final = self.final.get(identity)
+            return ("final", final[0]) if final else ("missing", identity)
+        self._finish(now, job, "cancelled")
+        return ("cancelled", identity)
+
+    def _finish(self, now, job, state):
+        del self.jobs[job.identity]
+        if not job.begun:
+            self.counts[job.queue] -= 1
+        for wave in job.waves.values():
+            self.ready.pop(wave.key(), None)
+        self.final[job.identity] = (state, now, job.queue, job.digest)
+        for identity, (_, ended, *_) in list(self.final.items())[:constants.FINAL_SWEEP]:
+            if ended + constants.FINAL_LASTS > now and len(self.final) <= constants.FINAL_MOST:
+                break
+            del self.final[identity]
+
+    def assign(self, now, epoch, items):
+        """Places runs. Items: (job, time, number, ((index, minion), ...)); of a gang all or none."""
+        placed = []
+        for identity, time, number, group in items:
+            job = self.jobs.get(identity)
+            wave = job.waves.get((time, number)) if job else None
+            if wave is None or wave.blocked or wave.breaking() or now < wave.due:
+                continue
+            group = [(index, minion) for index, minion in group if index in wave.waiting]
+            if wave.step.gang and len(group) != wave.left:
+                continue
+            gang_run = max(task.run for task in wave.tasks) + 1
+            for index, minion in group:
+                task = wave.tasks[index]
+                if not wave.step.lasts and not wave.step.gang and task.failures >= job.attempts:
+                    continue
+                task.run = gang_run if wave.step.gang else task.run + 1
+                task.state, task.minion = "placed", minion
+                wave.waiting.discard(index)
+                placement = Placement(identity, time, number, index, task.run, minion, wave.step.room, job.service,
+                                      now, epoch)
+                self.placements.setdefault(minion, {})[(placement.reference(), task.run)] = placement
+                placed.append(placement)
+            if not job.begun and group:
+                job.begun = True
+                self.counts[job.queue] -= 1
+            self._index(wave)
+        return tuple(placed)
+
+    def stop(self, now, items):
+        """Runs that are to end. Items: (minion, reference, run, why)."""
+        for minion, reference, run, why in items:
+            placement = self.placements.get(minion, {}).get((reference, run))
+            if placement is not None and not placement.stop:
+                placement.stop = why
+        return ("ok",)
+
+    def end(self, now, items):
+        """Proven ends. Items: (minion, reference, run, how, saved, heard): heard says that the
+        minion itself told it, so that it can't come again; what follows is told by item."""
+        outcomes = []
+        for minion, reference, run, how, saved, heard in items:
+            held = self.placements.get(minion, {})
+            placement = held.pop((reference, run), None)
+            if not held:
+                self.placements.pop(minion, None)
+            outcomes.append(self._ended(now, placement, reference, run, how, saved, heard))
+        return ("ended", tuple(outcomes))
+
+    def _ended(self, now, placement, reference, run, how, saved, heard):
+        identity, *rest = reference.split(".")
+        job = self.jobs.get(identity)
+        if job is None:
+            return "late"
+        time, number, index = map(int, rest)
+        wave = job.waves.get((time, number))
+        if wave is None or index >= len(wave.tasks):
+            return "unknown"
+        task = wave.tasks[index]
+        current = placement is not None and task.state == "placed" and task.run == run
+        if not current:
+            if run not in task.open_runs or not heard:
+                return "stale"
+            task.open_runs.discard(run)
+        elif not heard and how != "unsent":
+            task.open_runs.add(run)
+        if saved and task.state != "done" and run + 1 >= task.run:
+            for one in wave.tasks if wave.step.gang else (task,):
+                one.saved = saved
+        if task.state == "done":
+            return "stale"
+        if how == "done" and not wave.step.lasts:
+            return self._done(now, job, wave, index)
+        if how == "failed" and not wave.step.lasts:
+            if not wave.step.gang:
+                task.failures += 1
+            elif wave.failed_run != run:
+                wave.failed_run = run
+                wave.failures += 1
+            if (wave.failures if wave.step.gang else task.failures) >= job.attempts:
+                self._finish(now, job, "failed")
+                return "failed"
+        if current:
+            task.state, task.minion = "waiting", ""
+            wave.waiting.add(index)
+            wave.since = now
+            self._index(wave)
+        return "again"
+
+    def _done(self, now, job, wave, index):
+        """A task, or with one member the whole gang, has ended well."""
+        for place in range(len(wave.tasks)) if wave.step.gang else (index,):
+            if wave.tasks[place].state != "done":
+                wave.tasks[place].state = "done"
+                wave.waiting.discard(place)
+                wave.left -= 1
+        self._index(wave)
+        if not wave.left:
+            job.left -= 1
+            for other in job.waves.values():
+                if other.time == wave.time and wave.number in other.step.after:
+                    other.blocked -= 1
+                    other.since = max(other.due, now)
+                    self._index(other)
+            if not job.left:
+                self._finish(now, job, "completed")
+                return "completed"
+        return "done"
+
+    def configure(self, now, base, document, digest):
+        return self.configuration.take(base, document, digest)
+
+    def amend(self, now, base, version, upserts, removes, digest):
+        return self.configuration.amend(base, version, upserts, removes, digest)
+
+    def evacuate(self, now, zone, begun):
+        if begun:
+            self.evacuated.setdefault(zone, now)
+        else:
+            self.evacuated.pop(zone, None)
+        return ("ok",)
--- /dev/null
+++ b/src/pinepitch/tenure/calls.py
@@ -0,0 +1,150 @@
+"""Calls about jobs, beats and the configuration, for the registry of accord/calls.py.
+
+Each is answered by a leader whose lease stands, so that what it reads is the newest.
+"""
+
+from ..ground import constants
+from . import configuration, job as jobs, worker as workers
+
+
+def problem(status, code, message, retry=None, **more):
+    """An answer that says no."""
+    return (status, {"error": {"code": code, "message": message, **more}}, retry)
+
+
+def _answer(*rest):
+    return ("answer", rest)
+
+
+def _unready(core):
+    if not core.record.board.configuration.version:
+        return ("answer", problem(503, "unconfigured", "no configuration is in force yet", constants.COME_BACK))
+    return None
+
+
+def _route(core, host, path):
+    """(route, rest of the path), or the answer that there is none."""
+    return core.record.board.configuration.find(host, path)
+
+
+def submit(core, token, arguments, now):
+    host, path, document = arguments
+    found = _route(core, host, path)
+    if found is None:
+        return _unready(core) or ("answer", problem(404, "no_queue", "no route fits"))
+    route, identity = found
+    if not jobs_name(identity):
+        return ("answer", problem(400, "name", "a job is named by 16 hex digits"))
+    plain, faults = jobs.checked(document)
+    if faults:
+        return ("answer", problem(422, "invalid", "the job has faults",
+                                  faults=[{"path": path, "message": message} for path, message in faults]))
+    board = core.record.board
+    state = board.state(identity)
+    if state is not None:
+        return _answer(200, {"state": state}, None)
+    return ("agree", ("job", identity, route["name"], plain), "job", None)
+
+
+def jobs_name(identity):
+    """Whether a text may name a job."""
+    return len(identity) == 16 and all(one in "0123456789abcdefABCDEF" for one in identity)
+
+
+def submitted(core, outcome, extra, now):
+    if outcome[0] in ("accepted", "known"):
+        return (200, {"state": core.record.board.state(outcome[1]) or "completed"}, None)
+    if outcome[0] == "missing":
+        return problem(404, "no_queue", "the route is gone")
+    return problem(429, "full", "too many jobs are open", constants.COME_BACK)
+
+
+def read(core, token, arguments, now):
+    """The state of a job, or with an empty name how many wait at the queue."""
+    host, path = arguments
+    found = _route(core, host, path)
+    if found is None:
+        return _unready(core) or ("answer", problem(404, "no_queue", "no route fits"))
+    route, identity = found
+    board = core.record.board
+    if not identity:
+        return _answer(200, {"waiting": board.counts.get(route["name"], 0)}, None)
+    state = board.state(identity)
+    if state is None:
+        return ("answer", problem(410, "no_job", "no such job"))
+    return _answer(200, {"state": state}, None)
+
+
+def cancel(core, token, arguments, now):
+    host, path = arguments
+    found = _route(core, host, path)
+    if found is None:
+        return _unready(core) or ("answer", problem(404, "no_queue", "no route fits"))
+    identity = found[1]
+    state = core.record.board.state(identity)
+    if state is None:
+        return ("answer", problem(410, "no_job", "no such job"))
+    if state not in ("queued", "running"):
+        return _answer(200, {"state": state}, None)
+    return ("agree", ("job-cancel", identity), "job-cancel", None)
+
+
+def cancelled(core, outcome, extra, now):
+    if outcome[0] == "missing":
+        return problem(410, "no_job", "no such job")
+    return (200, {"state": "cancelled" if outcome[0] == "cancelled" else outcome[1]}, None)
+
+
+def beat(core, token, arguments, now):
+    identity, document = arguments
+    if not workers.checked(document):
+        return ("answer", problem(400, "beat", "the beat can't be read"))
+    return ("beat", identity, document)
+
+
+def leave(core, token, arguments, now):
+    core.keeper.leave(arguments[0], now)
+    return _answer(200, {}, None)
+
+
+def configure(core, token, arguments, now):
+    base, document = arguments
+    if not isinstance(document, dict):
+        return ("answer", problem(400, "invalid", "expected an object"))
+    return ("agree", ("configure", base, document, configuration.digest_of([base, document])), "configured", None)
+
+
+def amend(core, token, arguments, now):
+    base, version, upserts, removes = arguments
+    digest = configuration.digest_of([base, version, upserts, removes])
+    return ("agree", ("amend", base, version, upserts, removes, digest), "configured", None)
+
+
+def configured(core, outcome, extra, now):
+    if outcome[0] == "configured":
+        return (200, {"version": outcome[1]}, None)
+    if outcome[0] == "stale":
+        return problem(412, "stale", f"version {outcome[1]} is in force", version=outcome[1])
+    return problem(400, "invalid", "the configuration has faults",
+                   faults=[{"path": path, "message": message} for path, message in outcome[1]])
+
+
+def configuration_read(core, token, arguments, now):
+    return _unready(core) or _answer(200, core.record.board.configuration.document, None)
+
+
+def evacuate(core, token, arguments, now):
+    zone, begun = arguments
+    return ("agree", ("evacuate", zone, begun), "evacuated", None)
+
+
+def evacuated(core, outcome, extra, now):
+    return (200, {}, None)
+
+
+# name -> how it is made; each is read by accord/calls.py
+CALLS = {
+    "job": submit, "job-read": read, "job-cancel": cancel, "beat": beat, "beat-leave": leave,
+    "configure": configure, "amend": amend, "configuration": configuration_read, "evacuate": evacuate,
+}
+SHAPES = {"job": submitted, "job-cancel": cancelled, "configured": configured, "evacuated": evacuated}
--- /dev/null
+++ b/src/pinepitch/tenure/configuration.py
@@ -0,0 +1,144 @@
+"""The routes and services in force: checked, replaced whole or by named items, looked up."""
+
+import hashlib
+import json
+
+import voluptuous
+
+from ..ground import constants
+from ..world.ticket import _number, _whole, shaped
+
+_NAME = voluptuous.All(str, voluptuous.Length(min=1, max=constants.NAME_MOST))
+_PREFIX = voluptuous.All(str, voluptuous.Length(min=1, max=constants.PREFIX_MOST), voluptuous.Match(r"^/"))
+ROUTE = {
+    voluptuous.Required("name"): _NAME,
+    voluptuous.Required("host"): _NAME,
+    voluptuous.Required("prefix"): _PREFIX,
+    voluptuous.Required("service"): _NAME,
+    voluptuous.Optional("timeout_ms"): _number(0, constants.NUMBER_MOST),
+    voluptuous.Optional("aim_ms"): _number(0, constants.NUMBER_MOST),
+    voluptuous.Optional("priority"): _whole(0, constants.NUMBER_MOST),
+    voluptuous.Optional("attempts"): _whole(0, constants.NUMBER_MOST),
+    voluptuous.Optional("stretch"): _number(0, constants.NUMBER_MOST),
+    voluptuous.Extra: object,
+}
+SERVICE = {
+    voluptuous.Required("name"): _NAME,
+    voluptuous.Optional("guards"): bool,
+    voluptuous.Extra: object,
+}
+SHAPE = voluptuous.Schema({
+    voluptuous.Required("version"): _whole(1, constants.NUMBER_MOST),
+    voluptuous.Required("routes"): [ROUTE],
+    voluptuous.Required("services"): [SERVICE],
+    voluptuous.Extra: object,
+})
+LISTS = ("routes", "services")
+
+
+def checked(document):
+    """Faults of a whole configuration, () when it may come into force."""
+    _, faults = shaped(SHAPE, document)
+    if faults:
+        return faults
+    faults, places = [], {}
+    services = {service["name"] for service in document["services"]}
+    for kind in LISTS:
+        names = [item["name"] for item in document[kind]]
+        faults.extend((f"{kind}.{name}", "named twice") for name in sorted({one for one in names if names.count(one) > 1}))
+    for route in document["routes"]:
+        place = (route["host"], route["prefix"])
+        if route["service"] not in services:
+            faults.append((f"routes.{route['name']}.service", f"no service {route['service']!r}"))
+        if place in places:
+            faults.append((f"routes.{route['name']}", f"{route['host']}{route['prefix']} is that of {places[place]}"))
+        places[place] = route["name"]
+        if route.get("timeout_ms", 1) == 0:
+            faults.append((f"routes.{route['name']}.timeout_ms", "0 leaves no time"))
+    return tuple(faults)
+
+
+def amended(document, version, upserts, removes):
+    """(the document with named items put in and taken out, faults)."""
+    changed, faults = {**document, "version": version}, []
+    for part, items in upserts.items():
+        if not isinstance(items, list) or not all(isinstance(one, dict) and isinstance(one.get("name"), str) for one in items):
+            return None, ((f"upserts.{part}", "expected a list of named items"),)
+        fresh = {item["name"]: item for item in items}
+        if len(fresh) < len(items):
+            return None, ((f"upserts.{part}", "an item is named twice"),)
+        before = changed.get(part, [])
+        if not isinstance(before, list):
+            return None, ((f"upserts.{part}", "not a list of named items"),)
+        changed[part] = [fresh.pop(one["name"], one) for one in before] + list(fresh.values())
+    for part, names in removes.items():
+        if not isinstance(names, list) or not isinstance(changed.get(part), list):
+            return None, ((f"removes.{part}", "expected a list of names"),)
+        changed[part] = [one for one in changed[part] if one.get("name") not in names]
+    return changed, tuple(faults)
+
+
+def digest_of(value):
+    """What tells two calls with one version apart."""
+    return hashlib.sha256(json.dumps(value, sort_keys=True).encode()).hexdigest()[:16]
+
+
+class Configuration:
+    """What is in force, and which calls brought earlier versions. Invariants: version is that
+    of document, 0 while there is none; taken holds the digest of the call behind each of the
+    newest CONFIGURATIONS_KEPT versions; places lists each host's routes, longest prefix first."""
+
+    def __init__(self, document=None, taken=()):
+        self.taken = dict(taken)
+        self._put(document)
+
+    def _put(self, document):
+        self.document = document
+        self.version = document["version"] if document else 0
+        self.places, self.routes, self.services = {}, {}, {}
+        if document:
+            for route in document["routes"]:
+                self.places.setdefault(route["host"].lower(), []).append((route["prefix"], route))
+                self.routes[route["name"]] = route
+            for places in self.places.values():
+                places.sort(key=lambda one: -len(one[0]))
+            self.services = {service["name"]: service for service in document["services"]}
+
+    def image(self):
+        return (self.document, tuple(self.taken.items()))
+
+    def find(self, host, path):
+        """(route, the rest of the path) of the longest prefix that fits, or None."""
+        for prefix, route in self.places.get(host.lower(), ()):
+            if path.startswith(prefix):
+                return route, path[len(prefix):]
+        return None
+
+    def take(self, base, document, digest):
+        """Brings a whole configuration into force, or says why not."""
+        version = document.get("version")
+        if type(version) is int and self.taken.get(version) == digest:
+            return ("configured", version)
+        if base != self.version:
+            return ("stale", self.version)
+        faults = checked(document)
+        if not faults and version <= self.version:
+            faults = (("version", f"{version} is not above {self.version}"),)
+        if faults:
+            return ("invalid", faults)
+        self._put(document)
+        self.taken[version] = digest
+        while len(self.taken) > constants.CONFIGURATIONS_KEPT:
+            del self.taken[next(iter(self.taken))]
+        return ("configured", version)
+
+    def amend(self, base, version, upserts, removes, digest):
+        """The same for named items."""
+        if type(version) is int and self.taken.get(version) == digest:
+            return ("configured", version)
+        if base != self.version:
+            return ("stale", self.version)
+        if self.document is None:
+            return ("invalid", (("version", "there is no configuration to change yet"),))
+        document, faults = amended(self.document, version, upserts, removes)
+        return ("invalid", faults) if faults else self.take(base, document, digest)
--- /dev/null
+++ b/src/pinepitch/tenure/keeper.py
@@ -0,0 +1,239 @@
+"""What the leader does for the board: beats, ends, starts in answers to beats, lapsed holds.
+
+It keeps no promise in memory alone: what it decides goes through the log first.
+"""
+
+from ..ground import constants
+from .assigner import Assigner
+from .placement import parsed
+from .worker import Worker
+
+REST = ("stopped", "lapsed", "broken", "alone", "refused")
+
+
+class Keeper:
+    """Invariants: empty unless its accord leads; a start is answered only while the lease
+    stands, to a beat that is fresh, for a committed placement that is still wanted and whose
+    end is not being proposed; an absence proves that a run never started only in a fresh
+    beat, of a placement of this leader's own epoch or once older leaders' answers are dead."""
+
+    def __init__(self, core, now):
+        self.core, self.since = core, now
+        self.workers = {}
+        self.addresses = {}  # address -> the identity that last beat from there
+        self.parked = {}  # identity -> (reply address, token, taken at) of beats to be answered
+        self.ends, self.ending = [], set()  # gathered, and proposed or gathered: (minion, reference, run)
+        self.waiting = []  # (minion, number) of the ends gathered
+        self.under_way = {}  # index of an entry of ends -> [(minion, number)]
+        self.assigner = Assigner()
+        self.assigning = 0  # entries that assign and are not yet applied
+        self.assigned = {}  # minion -> runs proposed for it
+        self.stopping = set()  # (reference, run) whose stop is proposed
+        self.gone_at = {}  # minion -> when it said that it ends
+        self.flushed = self.looked = self.placed_at = -1e9
+        self.due = True
+        self.counts = {"beats": 0, "starts": 0, "stops": 0, "ends": 0}
+
+    @property
+    def board(self):
+        return self.core.record.board
+
+    # --- beats ------------------------------------------------------------------------
+    def beat(self, identity, beat, address, token, now):
+        """A worker's beat; it is answered by flush()."""
+        self.counts["beats"] += 1
+        worker = self.workers.get(identity)
+        if worker is None:
+            worker = self.workers[identity] = Worker(identity, now)
+        if not worker.beat(beat, now):
+            self.core.answer(address, token, (200, {}, None))
+            return
+        before = self.addresses.get(worker.address)
+        self.addresses[worker.address] = identity
+        if before is not None and before != identity:
+            self._gone(before, "replaced")
+        older = self.parked.pop(identity, None)
+        if older is not None:
+            self.core.answer(older[0], older[1], (200, {}, None))
+        self._take_ends(worker, beat["ended"])
+        self._take_absences(worker, now)
+        self.parked[identity] = (address, token, now)
+        self.due = True
+
+    def leave(self, identity, now):
+        """A worker says that it ends now."""
+        self.gone_at.setdefault(identity, now)
+
+    def _take_ends(self, worker, ended):
+        held = self.board.placements.get(worker.identity, {})
+        for number, reference, run, how, saved in ended:
+            if number <= worker.seen and number not in worker.pending:
+                continue
+            worker.seen = max(worker.seen, number)
+            if number in worker.pending:
+                continue
+            if (reference, run) in held or self._open(reference, run):
+                if self._propose_end(worker.identity, reference, run, how, saved, True):
+                    worker.pending.add(number)
+                    self.waiting.append((worker.identity, number))
+
+    def _open(self, reference, run):
+        """Whether a run was let go without its end being heard."""
+        found = parsed(reference)
+        job = self.board.jobs.get(found[0]) if found else None
+        wave = job.waves.get(found[1:3]) if job else None
+        return wave is not None and found[3] < len(wave.tasks) and run in wave.tasks[found[3]].open_runs
+
+    def _propose_end(self, minion, reference, run, how, saved, heard):
+        key = (minion, reference, run)
+        if key in self.ending:
+            return False
+        self.ending.add(key)
+        self.ends.append((minion, reference, run, how, saved, heard))
+        return True
+
+    def _take_absences(self, worker, now):
+        """A run neither running nor ended in a fresh beat never started from an earlier answer."""
+        if worker.stale:
+            return
+        for (reference, run), placement in self.board.placements.get(worker.identity, {}).items():
+            if (reference, run) in worker.running or (reference, run) in worker.listed:
+                continue
+            if placement.epoch != self.core.epoch and now - self.since < constants.GATHER:
+                continue
+            if not self.board.wanted(placement) or not self._open_for(worker):
+                self._propose_end(worker.identity, reference, run, "unsent", "", False)
+
+    def _open_for(self, worker):
+        """Whether a worker may be told to start anything."""
+        return worker.state == "ready" and worker.zone not in self.board.evacuated
+
+    def _gone(self, identity, why):
+        """A worker's life is over: what it ran has ended."""
+        worker = self.workers.pop(identity, None)
+        parked = self.parked.pop(identity, None)
+        if parked is not None:
+            self.core.answer(parked[0], parked[1], (200, {}, None))
+        for (reference, run), placement in self.board.placements.get(identity, {}).items():
+            saved = worker.running.get((reference, run), ("", 0))[0] if worker else ""
+            self._propose_end(identity, reference, run, "lapsed", saved, False)
+        self.core._event(180, minion=identity, why=why)
+
+    # --- answers ----------------------------------------------------------------------
+    def flush(self, now):
+        """Answers the beats whose ends are agreed on, or that have waited long enough."""
+        if not self.parked or not self.core.leased(now):
+            return
+        for identity in list(self.parked):
+            worker = self.workers[identity]
+            address, token, taken = self.parked[identity]
+            if now - taken < constants.BEAT_HOLD and (worker.pending or self.assigned.get(identity)):
+                continue
+            del self.parked[identity]
+            self.core.answer(address, token, (200, self._orders(worker, taken, now), None))
+
+    def _orders(self, worker, taken, now):
+        """What a worker is told in answer to its newest beat, taken at `taken`."""
+        start, stop = [], []
+        held = self.board.placements.get(worker.identity, {})
+        for (reference, run), placement in held.items():
+            wanted = self.board.wanted(placement)
+            if (reference, run) in worker.running:
+                if not wanted:
+                    stop.append((reference, run))
+            elif ((reference, run) not in worker.listed and wanted and self._open_for(worker) and not worker.stale
+                  and (worker.identity, reference, run) not in self.ending):
+                wave, task = self.board.task(placement)
+                start.append((reference, run, wave.job.spec, task.saved))
+        for key in worker.running:
+            if key not in held:
+                stop.append(key)
+                self.core._event(156, minion=worker.identity, task=key[0], run=key[1])
+        worker.held_from = taken
+        self.counts["starts"] += len(start)
+        self.counts["stops"] += len(stop)
+        room = worker.state == "ready" and worker.free[0] > 0
+        return {
+            "hold_ms": int(self.core.hold * 1000), "seen": worker.acknowledged(), "fence": self.core.epoch,
+            "start": tuple(start), "stop": tuple(stop), "home": self.core.address,
+            "again_ms": int(1000 * (constants.BEAT_AGAIN if room or start else constants.BEAT_FULL)),
+        }
+
+    # --- time -------------------------------------------------------------------------
+    def tick(self, now):
+        """Proposes what was gathered, places, and lets go of what has lapsed."""
+        self.flushed = now
+        if self.ends:
+            ends, waiting = tuple(self.ends), self.waiting
+            self.ends, self.waiting = [], []
+            index = self.core.propose_at(("job-ended", ends), now)
+            if index is not None:
+                self.under_way[index] = waiting
+        if now - self.looked >= constants.WATCH_EVERY:
+            self.looked = now
+            self._watch(now)
+        if self.due and not self.assigning or now - self.placed_at >= constants.PLACE_IDLE:
+            self._assign(now)
+
+    def _assign(self, now):
+        if self.assigning:
+            return
+        self.due, self.placed_at = False, now
+        items, stops = self.assigner.round(self.board, self.workers, self, now, self.core._now(now))
+        if items:
+            self.assigning += 1
+            for _, _, _, group in items:
+                for _, minion in group:
+                    self.assigned[minion] = self.assigned.get(minion, 0) + 1
+            self.core.propose(("job-assign", self.core.epoch, items), None, now)
+        if stops:
+            self.core.propose(("job-stop", self.core.epoch, stops), None, now)
+
+    def _watch(self, now):
+        """Holds that have lapsed, workers that said they end, and those long silent."""
+        for identity, at in list(self.gone_at.items()):
+            if now - at >= constants.LEAVE_MARGIN:
+                del self.gone_at[identity]
+                self._gone(identity, "left")
+        span = self.core.hold * (1 + constants.CLOCK_DRIFT) + constants.LAPSE_MARGIN
+        for identity in list(self.board.placements):
+            worker = self.workers.get(identity)
+            begun = worker.held_from if worker and worker.held_from is not None else self.since + constants.ELECTION_TIMEOUT
+            if now - begun > span:
+                self._gone(identity, "hold lapsed")
+        for identity in [one for one, worker in self.workers.items()
+                         if now - worker.heard_at > constants.MINION_FORGOTTEN
+                         and one not in self.board.placements]:
+            worker = self.workers.pop(identity)
+            if self.addresses.get(worker.address) == identity:
+                del self.addresses[worker.address]
+
+    # --- what was agreed --------------------------------------------------------------
+    def ended(self, index, items, outcomes):
+        """An entry of ends was applied."""
+        self.due = True
+        self.counts["ends"] += len(items)
+        for (minion, reference, run, how, _, heard), result in zip(items, outcomes):
+            self.ending.discard((minion, reference, run))
+            self.stopping.discard((reference, run))
+            worker = self.workers.get(minion)
+            if worker is not None and heard:
+                if how in ("done", "failed"):
+                    worker.judge(how == "done")
+                elif how == "refused":
+                    worker.wary_until = self.core.step_at + constants.WARY
+            self.core._event(155, task=reference, attempt=run, how=how, result=result)
+        for minion, number in self.under_way.pop(index, ()):
+            if minion in self.workers:
+                self.workers[minion].pending.discard(number)
+
+    def applied_assign(self, items):
+        self.due = True
+        self.assigning = max(0, self.assigning - 1)
+        for _, _, _, group in items:
+            for _, minion in group:
+                left = self.assigned.get(minion, 0) - 1
+                if left > 0:
+                    self.assigned[minion] = left
+                else:
+                    self.assigned.pop(minion, None)
--- /dev/null
+++ b/src/pinepitch/tenure/placement.py
@@ -0,0 +1,28 @@
+"""A placement: one run of a task on one minion, from its record to its proven end."""
+
+
+class Placement:
+    """Invariants: it stands until an end of the run is proven, whatever becomes of the job
+    meanwhile, so that its room stays counted; stop is why the run is to end, or ""."""
+
+    __slots__ = ("job", "time", "number", "index", "run", "minion", "room", "service", "stop", "since", "epoch")
+
+    def __init__(self, job, time, number, index, run, minion, room, service, since, epoch, stop=""):
+        self.job, self.time, self.number, self.index = job, time, number, index
+        self.run, self.minion, self.room, self.service = run, minion, tuple(room), service
+        self.since, self.epoch, self.stop = since, epoch, stop
+
+    def reference(self):
+        return f"{self.job}.{self.time}.{self.number}.{self.index}"
+
+    def image(self):
+        return (self.job, self.time, self.number, self.index, self.run, self.minion, self.room, self.service,
+                self.since, self.epoch, self.stop)
+
+
+def parsed(reference):
+    """(job, time, number, index) of a task's reference, or None."""
+    parts = reference.split(".")
+    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+        return None
+    return parts[0], int(parts[1]), int(parts[2]), int(parts[3])
--- /dev/null
+++ b/src/pinepitch/tenure/worker.py
@@ -0,0 +1,96 @@
+"""A minion as the leader has gathered it from its beats. Not stored: rebuilt from them."""
+
+from ..ground import constants
+
+
+class Worker:
+    """One life of a minion: after a crash it has another identity, and nothing of the old one runs.
+
+    Invariants: sequence is that of the newest beat taken; held_from is when the newest beat
+    arrived that was answered with a hold, so that nothing it runs outlives held_from and the
+    hold; pending holds the numbers of its ends that are proposed and not yet agreed on."""
+
+    def __init__(self, identity, now):
+        self.identity = identity
+        self.sequence = -1
+        self.heard_at = now
+        self.held_from = None
+        self.offset = None  # least of own time less the worker's clock, milliseconds, slackened with time
+        self.offset_at = now
+        self.stale = False
+        self.service = self.address = self.zone = self.state = ""
+        self.labels, self.rack = frozenset(), ""
+        self.free = (0, 0, 0)
+        self.whole = (0, 0, 0)  # the most room it was ever seen to have
+        self.leaves_at = None
+        self.running = {}  # (reference, run) -> (saved, percent)
+        self.listed = set()  # (reference, run) of all it listed as ended
+        self.pending = set()
+        self.seen = 0  # the highest number of an end it has told
+        self.progress = {}  # (reference, run) -> (percent, since when, first seen)
+        self.wary_until = -1e9  # no new work before: it refused, stalled or failed some
+        self.failing = 0.0  # failure rate of late, of ends that say something about it
+        self.speed = 1.0  # of its own work beside that of others, 1 is usual
+
+    def beat(self, beat, now):
+        """Takes a beat; False when it is older than one taken."""
+        if beat["sequence"] <= self.sequence:
+            return False
+        self.sequence, self.heard_at = beat["sequence"], now
+        offset = now * 1000 - beat["clock_ms"]
+        if self.offset is None:
+            self.offset = offset
+        slack = (now - self.offset_at) * constants.CLOCK_DRIFT * 1000
+        self.offset, self.offset_at = min(self.offset + slack, offset), now
+        self.stale = offset - self.offset > constants.BEAT_STALE * 1000
+        self.service, self.address, self.zone = beat["service"], beat["address"], beat["zone"]
+        self.state = beat["state"]
+        self.labels = frozenset(beat["labels"])
+        self.rack = beat["labels"][-1] if beat["labels"] else ""
+        self.free = tuple(beat["free"])
+        leaves = beat["leaves_ms"]
+        self.leaves_at = now + leaves / 1000 if leaves is not None and self.state != "ready" else None
+        self.running = {(ref, run): (saved, percent) for ref, run, saved, percent in beat["running"]}
+        self.listed = {(ref, run) for _, ref, run, _, _ in beat["ended"]}
+        for key, (_, percent) in self.running.items():
+            known = self.progress.get(key)
+            if known is None or percent != known[0]:
+                self.progress[key] = (percent, now, known[2] if known else now)
+        for key in [key for key in self.progress if key not in self.running]:
+            del self.progress[key]
+        return True
+
+    def acknowledged(self):
+        """The number up to which all its ends are agreed on."""
+        return min(self.pending) - 1 if self.pending else self.seen
+
+    def silent(self, now):
+        return now - self.heard_at > constants.BEAT_SILENT
+
+    def judge(self, well):
+        """One more end that says something about the worker itself."""
+        self.failing += ((0.0 if well else 1.0) - self.failing) / constants.LIVENESS_HALF
+
+
+def checked(beat):
+    """Whether a beat from outside has the form that Worker.beat takes."""
+    try:
+        return (all(isinstance(beat[field], str) for field in ("service", "address", "zone", "state"))
+                and _whole(beat["sequence"]) and _number(beat["clock_ms"])
+                and (beat["leaves_ms"] is None or _number(beat["leaves_ms"]))
+                and all(isinstance(one, str) for one in beat["labels"])
+                and len(beat["free"]) == 3 and all(map(_number, beat["free"]))
+                and all(isinstance(ref, str) and _whole(run) and isinstance(saved, str) and _number(percent)
+                        for ref, run, saved, percent in beat["running"])
+                and all(_whole(number) and isinstance(ref, str) and _whole(run) and isinstance(how, str)
+                        and isinstance(saved, str) for number, ref, run, how, saved in beat["ended"]))
+    except (KeyError, TypeError, ValueError):
+        return False
+
+
+def _whole(value):
+    return type(value) is int
+
+
+def _number(value):
+    return type(value) in (int, float) and value == value
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from ..ground import constants
+from ..ground.carrier import Carrier
 from .filters import FILTERS
 
 
@@ -51,6 +52,8 @@
         self.effects = []
         self.stopping = False
         self.kills = {}
+        self.carrier = Carrier(identity, address)  # calls about jobs
+        self.configured = False  # whether a configuration was ever heard to be in force
         self.event_counts = {}
         self.counts = {"calls": 0, "carried": 0, "answered": 0, "unanswered": 0, "orders": 0, "shed": 0}
 
@@ -102,6 +105,10 @@
             self._greet(now)
         self._ask_news(now)
         self._send_waiting(now)
+        due, effects = self.carrier.due(now)
+        self.effects.extend(effects)
+        for token in due:
+            self._carry_call(token, now)
         for token, carried in list(self.carried.items()):
             if now - carried.begun >= constants.CARRY_TIMEOUT:
                 del self.carried[token]
@@ -181,7 +188,29 @@
         if address is not None:
             self._send(address, ("ask", self.address, token, carried.call, carried.arguments))
 
+    def _on_call(self, request, call, arguments, patience, now):
+        """A call about jobs, carried to whoever leads; or whether this verge is ready."""
+        self.counts["calls"] += 1
+        if call == "ready":
+            ready = self.configured and not self.stopping
+            self.effects.append(("reply", request, 200 if ready else 503, {}, ()))
+            return
+        token = self.carrier.begin(request, call, arguments, now, patience)
+        self._carry_call(token, now)
+
+    def _carry_call(self, token, now):
+        call = self.carrier.calls[token]
+        address = self._way(call.to or "") if call.to == self.leader and call.open else self._way("")
+        self.carrier.sent(token, address, now)
+        self._send(address, ("ask", self.address, token, call.call, call.arguments))
+
+    def _on_unsure(self, token, now):
+        self.carrier.unsure(token)
+
     def _on_answer(self, token, answer, now):
+        if token in self.carrier.calls:
+            self.effects.extend(self.carrier.answered(token, answer))
+            return
         carried = self.carried.pop(token, None)
         if carried is not None:
             status, document, retry = answer
@@ -202,6 +231,15 @@
                 self.news_asked = now  # asked again after a while, of another
                 self.news_token = token
             return
+        call = self.carrier.calls.get(token)
+        if call is not None:
+            self.carrier.refused(token)
+            if leader is not None and leader != call.to:
+                self.leader = leader
+                self._carry_call(token, now)
+            elif self.leader == call.to:
+                self.leader = None
+            return
         carried = self.carried.get(token)
         if carried is None:
             return
@@ -267,6 +305,7 @@
         if version >= self.version:
             if body is not None:
                 self.version, self.body = version, body
+                self.configured = self.configured or bool(body["configuration"])
             self.news_at = now
             self._learn_time(token, time, held, now)
             self.cohort = self.cohort or cohort
@@ -343,6 +382,8 @@
     "elsewhere": Verge._on_elsewhere,
     "told": Verge._on_told,
     "http": Verge._on_http,
+    "call": Verge._on_call,
+    "unsure": Verge._on_unsure,
     "posted": Verge._on_posted,
     "stop": Verge._on_stop,
 }
--- a/src/pinepitch/world/contract.py
+++ b/src/pinepitch/world/contract.py
@@ -80,6 +80,7 @@
     "news": (str, str, str, (int, int), [OUTCOME]),
     "answer": (str, (int, ANY, Maybe(int))),
     "elsewhere": (str, Maybe(str)),
+    "unsure": (str,),
     "told": (str, (int, int), Maybe(dict), [dict], [(str, int, str)], Number, Number, [ACCORD], Maybe(str)),
 }
 # What a carried call's arguments must look like, by call.
@@ -101,6 +102,15 @@
     "approve": (str, str, str),
     "drop": (str,),
     "whence": (str,),
+    "job": (str, str, dict),
+    "job-read": (str, str),
+    "job-cancel": (str, str),
+    "beat": (str, dict),
+    "beat-leave": (str,),
+    "configure": (int, dict),
+    "amend": (int, int, dict, dict),
+    "configuration": (),
+    "evacuate": (str, bool),
 }
 
 
