--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -73,6 +73,7 @@
         self.kills = {}  # reference -> when last ordered
         self.placer = Placer()
         self.epoch = 0
+        self.level_asked = 0  # the level that is proposed to be agreed on
         self.lead_since = None
         self.place_at = self.watch_at = -1e9
         self.placing_busy = 0
@@ -502,6 +503,11 @@
             if token in self.carrier.calls:
                 self._carry(token, now)
 
+    def _on_seeds(self, seeds, now):
+        """The settings name other seeds."""
+        self.seeds = tuple(seeds)
+        self._event(182, seeds=list(seeds))
+
     def _on_answer(self, token, answer, now):
         call = self.carrier.calls.get(token)
         if call is not None and call.call == "beat" and "home" in answer[1]:
@@ -554,5 +560,6 @@
     "answer": Accord._on_answer,
     "elsewhere": Accord._on_elsewhere,
     "unsure": Accord._on_unsure,
+    "seeds": Accord._on_seeds,
     "stop": Accord._on_stop,
 }
--- a/src/pinepitch/accord/lead.py
+++ b/src/pinepitch/accord/lead.py
@@ -94,8 +94,10 @@
         return index
 
     def common_level(self):
-        """The lowest level of the members, 1 for one that has not told its own."""
-        return min((self.told_levels.get(one, 1) for one in self.consensus.cohort.members()), default=1)
+        """The level agreed on, or the lowest of the members if it is higher by now; one that has not
+        told its own counts as 1. What was agreed stays: a member that is away knew it then."""
+        told = min((self.told_levels.get(one, 1) for one in self.consensus.cohort.members()), default=1)
+        return max(self.record.level, told)
 
     def propose(self, operation, waiting, now):
         """Puts one operation into the log; `waiting` is told the outcome. One that a member
@@ -254,6 +256,9 @@
     def _lead_tick(self, now):
         if not self.consensus.serving():
             return
+        if self.common_level() > max(self.record.level, self.level_asked):
+            self.level_asked = self.common_level()
+            self.propose(("level", self.level_asked), None, now)
         if self.epoch > 0:
             self.keeper.tick(now)
         self._propose_gathered(now)
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -55,6 +55,7 @@
         self.draft_count = 0
         self.archive = Archive()
         self.board = Board()
+        self.level = 1  # of operations; agreed once all members knew it, never falls
         self.sealed = []  # (number, bytes) of segments sealed since the decider took them
         self.sample = Sample()
         self.marks = immutables.Map()  # mark of a change -> its outcome, so that it counts once
@@ -68,7 +69,7 @@
             self.time, self.index, self.tickets, self.keys, self.count, tuple(self.finished), self.version,
             self.setup, self.setups.image(), dict(self.epochs), dict(self.drained), dict(self.emptied),
             dict(self.withdrawn), self.drafts, self.draft_count,
-            self.marks, self.sample.image(), self.archive.image(), dict(self.holds), self.board.image(),
+            self.marks, self.sample.image(), self.archive.image(), dict(self.holds), self.board.image(), self.level,
         )
 
     @staticmethod
@@ -81,7 +82,7 @@
         record = cls()
         (record.time, record.index, tickets, keys, record.count, finished, record.version, record.setup,
          setups, epochs, record.drained, record.emptied, withdrawn, drafts, record.draft_count,
-         marks, sample, lines, holds, board) = cbor2.loads(data)
+         marks, sample, lines, holds, board, record.level) = cbor2.loads(data)
         record.board = Board.from_image(board)
         record.holds = {alert: tuple(one) for alert, one in holds.items()}
         record.archive = Archive(lines, segments)
@@ -650,6 +651,12 @@
     return OK
 
 
+def _level(record, level):
+    """All members know the operations up to `level`."""
+    record.level = max(record.level, level)
+    return OK
+
+
 def _on_board(name):
     """An operation of the board, told the agreed time."""
     def act(record, *arguments):
@@ -691,6 +698,7 @@
     "approve": Record._approve,
     "drop": Record._drop,
     "hold": Record._hold_approvals,
+    "level": _level,
     "job": _on_board("accept"),
     "job-cancel": _on_board("cancel"),
     "job-assign": _assign,
@@ -701,5 +709,5 @@
     "evacuate": _on_board("evacuate"),
 }
 Record.actions = ACTIONS
-Record.levels = {name: 2 for name in ("job", "job-cancel", "job-assign", "job-stop", "job-ended", "configure", "amend",
+Record.levels = {name: 2 for name in ("level", "job", "job-cancel", "job-assign", "job-stop", "job-ended", "configure", "amend",
                                       "evacuate")}
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -104,6 +104,7 @@
 LINK_BACKOFF = 0.1  # seconds; between two attempts to connect
 FRAME_MOST = 16_000_000  # bytes; of one frame between our processes
 STOP_WITHIN = 2.0  # seconds; from SIGTERM to exit
+SETTINGS_EVERY = 1.0  # seconds; between two looks whether the settings changed
 
 # --- rehearsal -----------------------------------------------------------------------
 SAMPLE_BLOCK = 10.0  # seconds; traffic is kept and drawn in blocks this long, so that a crowd stays one
--- a/src/pinepitch/ground/events.py
+++ b/src/pinepitch/ground/events.py
@@ -54,6 +54,7 @@
     172: ("news fresh again", "info"),
     180: ("minion's life over, what it ran counts as ended", "info"),
     181: ("configuration in force", "info"),
+    182: ("settings read again", "info"),
 }
 
 
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -72,11 +72,13 @@
     """Runs one decider. Invariants: only run() steps it; a note is on disk before any
     later effect of the same step is carried out."""
 
-    def __init__(self, core, address, log, store=None, http_address=None, doors=(), stop_within=constants.STOP_WITHIN):
+    def __init__(self, core, address, log, store=None, http_address=None, doors=(), stop_within=constants.STOP_WITHIN,
+                 watch=None):
         self.core, self.address, self.log = core, address, log
         self.store, self.http_address = store, http_address
         self.doors, self.stop_within = doors, stop_within  # (address, translator) of ports that speak another way
         self.stopping = False
+        self.watch = watch  # says by changed() which seeds the settings name now, or None if nothing changed
         self.inbox = curio.Queue()
         self.links = {}
         self.jobs = collections.deque()
@@ -192,11 +194,16 @@
 
     async def _signals(self):
         """Notices SIGTERM or SIGINT (curio 1.6 has no signals of its own: a flag is read)."""
-        asked = []
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: asked.append(True))
-        while not asked:
+        asked, looked = [], time.monotonic()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, lambda number, _: asked.append(number))
+        while not {signal.SIGTERM, signal.SIGINT} & set(asked):
             await curio.sleep(constants.TICK)
+            if self.watch is not None and (asked or time.monotonic() - looked >= constants.SETTINGS_EVERY):
+                asked, looked = [one for one in asked if one != signal.SIGHUP], time.monotonic()
+                seeds = self.watch.changed()
+                if seeds is not None:
+                    await self.inbox.put(("seeds", seeds))
         self.stopping = True
         await self.inbox.put(("stop",))
         until = time.monotonic() + self.stop_within * 0.6
--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -4,8 +4,8 @@
 
 
 class Seat:
-    """A worker that may get work in this round. Invariant: free is what it told less what is
-    placed there and not yet running."""
+    """A worker that may get work in this round. Invariant: free is its room less that of every
+    placement there whose end is not proven, started or not."""
 
     __slots__ = ("worker", "identity", "service", "labels", "rack", "free", "steps", "poor")
 
@@ -63,17 +63,17 @@
         """Seats by service."""
         seats = {}
         for worker in workers.values():
+            held = board.placements.get(worker.identity, {})
             if (worker.state != "ready" or worker.silent(now) or worker.stale or worker.zone in board.evacuated
-                    or now < worker.wary_until):
+                    or now < worker.wary_until or any(key not in held for key in worker.running)):
                 continue
-            free, steps = worker.free, {}
-            for key, placement in board.placements.get(worker.identity, {}).items():
+            free, steps = worker.room, {}
+            for placement in held.values():
                 place = (placement.job, placement.number)
                 steps[place] = steps.get(place, 0) + 1
-                if key not in worker.running and key not in worker.listed:
-                    free = less(free, placement.room)
+                free = less(free, placement.room)
             poor = worker.failing > constants.LIVENESS_POOR
-            if poor and board.placements.get(worker.identity):
+            if poor and held:
                 continue
             seats.setdefault(worker.service, []).append(Seat(worker, free, steps, poor))
         return seats
--- a/src/pinepitch/tenure/keeper.py
+++ b/src/pinepitch/tenure/keeper.py
@@ -152,7 +152,8 @@
         worker.held_from = taken
         self.counts["starts"] += len(start)
         self.counts["stops"] += len(stop)
-        room = worker.state == "ready" and worker.free[0] > 0
+        taken_up = sum(one.room[0] for one in held.values())
+        room = worker.state == "ready" and taken_up < worker.room[0]
         return {
             "hold_ms": int(self.core.hold * 1000), "seen": worker.acknowledged(), "fence": self.core.epoch,
             "start": tuple(start), "stop": tuple(stop), "home": self.core.address,
--- a/src/pinepitch/tenure/worker.py
+++ b/src/pinepitch/tenure/worker.py
@@ -20,8 +20,7 @@
         self.stale = False
         self.service = self.address = self.zone = self.state = ""
         self.labels, self.rack = frozenset(), ""
-        self.free = (0, 0, 0)
-        self.whole = (0, 0, 0)  # the most room it was ever seen to have
+        self.room = (0, 0, 0)  # all it has, whatever runs: thousandths of a core, megabytes, accelerators
         self.leaves_at = None
         self.running = {}  # (reference, run) -> (saved, percent)
         self.listed = set()  # (reference, run) of all it listed as ended
@@ -47,7 +46,7 @@
         self.state = beat["state"]
         self.labels = frozenset(beat["labels"])
         self.rack = beat["labels"][-1] if beat["labels"] else ""
-        self.free = tuple(beat["free"])
+        self.room = tuple(beat["room"])
         leaves = beat["leaves_ms"]
         self.leaves_at = now + leaves / 1000 if leaves is not None and self.state != "ready" else None
         self.running = {(ref, run): (saved, percent) for ref, run, saved, percent in beat["running"]}
@@ -79,7 +78,7 @@
                 and _whole(beat["sequence"]) and _number(beat["clock_ms"])
                 and (beat["leaves_ms"] is None or _number(beat["leaves_ms"]))
                 and all(isinstance(one, str) for one in beat["labels"])
-                and len(beat["free"]) == 3 and all(map(_number, beat["free"]))
+                and len(beat["room"]) == 3 and all(map(_number, beat["room"]))
                 and all(isinstance(ref, str) and _whole(run) and isinstance(saved, str) and _number(percent)
                         for ref, run, saved, percent in beat["running"])
                 and all(_whole(number) and isinstance(ref, str) and _whole(run) and isinstance(how, str)
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -204,6 +204,11 @@
         self.carrier.sent(token, address, now)
         self._send(address, ("ask", self.address, token, call.call, call.arguments))
 
+    def _on_seeds(self, seeds, now):
+        """The settings name other seeds."""
+        self.seeds = tuple(seeds)
+        self._event(182, seeds=list(seeds))
+
     def _on_unsure(self, token, now):
         self.carrier.unsure(token)
 
@@ -384,6 +389,7 @@
     "http": Verge._on_http,
     "call": Verge._on_call,
     "unsure": Verge._on_unsure,
+    "seeds": Verge._on_seeds,
     "posted": Verge._on_posted,
     "stop": Verge._on_stop,
 }
