--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -7,12 +7,13 @@
     """A worker that may get work in this round. Invariant: free is its room less that of every
     placement there whose end is not proven, started or not."""
 
-    __slots__ = ("worker", "identity", "service", "labels", "rack", "free", "steps", "poor")
+    __slots__ = ("worker", "identity", "service", "labels", "rack", "free", "steps", "poor", "kept")
 
     def __init__(self, worker, free, steps, poor):
         self.worker, self.identity, self.service = worker, worker.identity, worker.service
         self.labels, self.rack = worker.labels, worker.rack
         self.free, self.steps, self.poor = free, steps, poor
+        self.kept = None  # the wave that its room is kept for
 
     def fits(self, room):
         free = self.free
@@ -39,6 +40,7 @@
         self.why = {}
         waves = [wave for wave in board.ready.values() if wave.due <= time]
         waves.sort(key=lambda wave: self._rank(wave, time))
+        stops = self._reserve(board, waves, seats, keeper, now)
         for wave in waves:
             if count >= constants.ASSIGN_MOST:
                 break
@@ -54,13 +56,88 @@
                 self.short.pop(wave.key(), None)
         for key in [key for key in self.short if key not in board.ready]:
             del self.short[key]
-        return tuple(items), ()
+        return tuple(items), tuple(stops)
 
     def _rank(self, wave, time):
         job = wave.job
         begun = wave.due if job.times else job.accepted
         return (job.priority, begun + job.aim_ms / 1000 + job.stretch * wave.step.est_ms / 1000, job.identity)
 
+    def _reserve(self, board, waves, seats, keeper, now):
+        """Keeps seats for the first waves that have been short for long, and says which less urgent
+        runs that save their progress had better yield to them: those lose nothing but a restart."""
+        stops, count, taken = [], {}, {}
+        for wave in waves:
+            service = wave.job.service
+            if (now - self.short.get(wave.key(), now) < constants.RESERVE_AFTER
+                    or count.get(service, 0) >= constants.RESERVE_MOST):
+                continue
+            mine = seats.get(service, ())
+            wanted = len(wave.waiting) if wave.step.gang else 1
+            chosen = self._choose(wave, mine, wanted)
+            if not chosen or taken.get(service, 0) + len(chosen) > max(1, len(mine) * constants.RESERVE_PART):
+                continue
+            count[service] = count.get(service, 0) + 1
+            taken[service] = taken.get(service, 0) + len(chosen)
+            victims, enough = [], True
+            for seat, members in chosen:
+                seat.kept = wave
+                found = self._victims(board, keeper, wave, seat, members)
+                enough = enough and found is not None
+                victims.extend(found or ())
+            if enough:
+                stops.extend(victims)
+        return stops
+
+    def _choose(self, wave, seats, wanted):
+        """[(seat, members)] for all members of a wave by the whole room of workers, those with most
+        of it free first; of a gang that wants one rack in one, if any rack is large enough."""
+        step = wave.step
+        able = []
+        for seat in seats:
+            if seat.kept is not None or seat.poor or (step.needs and not seat.labels.issuperset(step.needs)):
+                continue
+            members = min((seat.worker.room[kind] // step.room[kind] for kind in range(3) if step.room[kind]), default=1)
+            if members >= 1:
+                share = min((seat.free[kind] / seat.worker.room[kind] for kind in range(3) if step.room[kind]), default=1)
+                able.append((-share, seat.identity, seat, int(min(members, step.apart) if step.apart else members)))
+        able.sort(key=lambda one: one[:2])
+        racks = {}
+        for one in able:
+            racks.setdefault(one[2].rack, []).append(one)
+        tries = [able]
+        if step.gang and step.tight:
+            whole = [rack for rack in racks.values() if sum(one[3] for one in rack) >= wanted]
+            tries = sorted(whole, key=lambda rack: sum(one[0] for one in rack) / len(rack)) or tries
+        chosen, left = [], wanted
+        for _, _, seat, members in tries[0]:
+            if left <= 0:
+                break
+            chosen.append((seat, min(members, left)))
+            left -= members
+        return chosen if left <= 0 else None
+
+    def _victims(self, board, keeper, wave, seat, members):
+        """Stops that make room for so many members on a seat; None when there is no such way."""
+        missing = [members * room - free for room, free in zip(wave.step.room, seat.free)]
+        stops = []
+        if max(missing) <= 0:
+            return stops
+        held = board.placements.get(seat.identity, {})
+        for key, placement in sorted(held.items(), key=lambda one: -one[1].since):
+            if max(missing) <= 0:
+                break
+            if placement.stop or key in keeper.stopping:
+                missing = [left - room for left, room in zip(missing, placement.room)]
+                continue
+            found = board.task(placement)
+            if (found is None or key not in seat.worker.running or found[0].step.gang or not found[0].step.saves
+                    or found[0].job.priority <= wave.job.priority):
+                continue
+            missing = [left - room for left, room in zip(missing, placement.room)]
+            stops.append((seat.identity, *key, "yields"))
+        return stops if max(missing) <= 0 else None
+
     def _seats(self, board, workers, keeper, now):
         """Seats by service."""
         seats = {}
@@ -81,7 +158,9 @@
         return seats
 
     def _allowed(self, wave, seat):
-        step = wave.step
+        step, kept = wave.step, seat.kept
+        if kept is not None and kept is not wave and kept.job.priority <= wave.job.priority:
+            return False
         return (seat.fits(step.room) and (not step.needs or seat.labels.issuperset(step.needs))
                 and (not step.apart or seat.steps.get((wave.job.identity, wave.number), 0) < step.apart))
 
@@ -95,7 +174,7 @@
         step = wave.step
         far = bool(step.near) and step.near not in seat.labels
         left = less(seat.free, step.room)
-        return (seat.poor, far, round(seat.worker.speed * constants.SPEED_STEPS), left[2], left[0], seat.identity)
+        return (seat.poor, seat.kept is not None and seat.kept is not wave, far, round(seat.worker.speed * constants.SPEED_STEPS), left[2], left[0], seat.identity)
 
     def _single(self, wave, seats, now, time):
         step, group = wave.step, []
--- a/src/pinepitch/tenure/board.py
+++ b/src/pinepitch/tenure/board.py
@@ -18,6 +18,7 @@
 
     def __init__(self):
         self.jobs = {}
+        self.trace = False
         self.final = {}  # identity -> (state, ended, queue, digest)
         self.placements = {}  # minion -> {(reference, run): Placement}
         self.configuration = Configuration()
@@ -118,6 +119,14 @@
         return ("cancelled", identity)
 
     def _finish(self, now, job, state):
+        import sys
+        if getattr(self, "trace", False):
+            lines = []
+            for wave in job.waves.values():
+                lines.append(f"  wave {wave.time}.{wave.number} n={wave.step.count} room={wave.step.room} est={wave.step.est_ms:.0f} near={wave.step.near!r} gang={wave.step.gang} tight={wave.step.tight} apart={wave.step.apart} needs={wave.step.needs} saves={wave.step.saves} due={wave.due and wave.due-job.accepted:.2f}")
+                for index, task in enumerate(wave.tasks):
+                    lines.append("    " + str(index) + " " + " ".join(getattr(task, "log", [])))
+            print(f"JOB {job.identity} prio={job.priority} {state} took={now-job.accepted:.2f} times={job.times} aim={job.aim_ms} stretch={job.stretch}\n" + "\n".join(lines), file=sys.stderr)
         del self.jobs[job.identity]
         if not job.begun:
             self.counts[job.queue] -= 1
@@ -147,6 +156,7 @@
                     continue
                 task.run = gang_run if wave.step.gang else task.run + 1
                 task.state, task.minion = "placed", minion
+                task.log = getattr(task, "log", []) + [f"[{now-job.accepted:.2f} on {minion[-4:]}"]
                 wave.waiting.discard(index)
                 placement = Placement(identity, time, number, index, task.run, minion, wave.step.room, job.service,
                                       now, epoch)
@@ -188,6 +198,7 @@
         if wave is None or index >= len(wave.tasks):
             return "unknown"
         task = wave.tasks[index]
+        task.log = getattr(task, "log", []) + [f"{how}@{now-job.accepted:.2f}]"]
         current = placement is not None and task.state == "placed" and task.run == run
         if not current:
             if run not in task.open_runs or not heard:
--- a/src/pinepitch/tenure/keeper.py
+++ b/src/pinepitch/tenure/keeper.py
@@ -191,6 +191,7 @@
     def tick(self, now):
         """Proposes what was gathered, places, and lets go of what has lapsed."""
         self.flushed = now
+        self.board.trace = True
         if self.ends:
             ends, waiting = tuple(self.ends), self.waiting
             self.ends, self.waiting = [], []
