--- a/src/pinepitch/client/commands.py
+++ b/src/pinepitch/client/commands.py
@@ -369,6 +369,11 @@
         from ..proof.fleet import fleet
         fleet(plan, seconds, rate, seed, folder, level, disturb)
 
+    def scale(self, sweep="workers", seconds=8, seed=0, most=None, out=None):
+        """Runs real daemons beside hollow workers at rising sizes; prints what each spends."""
+        from ..proof.scale import scale
+        scale(sweep, seconds, seed, most, out)
+
     def traffic(self, verge=None, seconds=30, rate=1.0):
         """Sends stand-in tickets to the queue `default`, for a try."""
         from ..proof.fleet import traffic
--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -31,6 +31,7 @@
         self.pace = pace
         self.short = {}  # key of a wave -> since when it found no room
         self.near = {}  # rack -> tasks of this round that want to be there
+        self.waste = 0.0  # core-seconds that may still be thrown away for the wave looked at
         self.peaks = {}  # (service, priority) -> the most room it used of late
         self.peaks_at = None
         self.budgets = {}  # (service, priority) -> room that waves of it and less urgent ones may still take
@@ -46,7 +47,7 @@
         self.why = {}
         waves = [wave for wave in board.ready.values() if wave.due <= time]
         waves.sort(key=lambda wave: self._rank(wave, time))
-        stops = self._reserve(board, waves, seats, keeper, now)
+        stops = self._reserve(board, waves, seats, keeper, now, time)
         for wave in waves:
             if count >= constants.ASSIGN_MOST:
                 break
@@ -108,35 +109,36 @@
                     other[kind] -= count * room[kind]
         return count
 
-    def _reserve(self, board, waves, seats, keeper, now):
+    def _reserve(self, board, waves, seats, keeper, now, time):
         """Keeps seats for the first waves that have been short for long, and says which less urgent
-        runs that save their progress had better yield to them: those lose nothing but a restart."""
+        runs had better yield to them: those that save their progress lose nothing but a restart, of
+        others no more work is thrown away for a wave than YIELD_WASTE."""
         stops, count, taken = [], {}, {}
         for wave in waves:
             service = wave.job.service
-            if (now - self.short.get(wave.key(), now) < constants.RESERVE_AFTER
+            if (now - self.short.get(wave.key(), now) < constants.RESERVE_AFTER * (0.5 if not wave.job.priority else 1)
                     or count.get(service, 0) >= constants.RESERVE_MOST):
                 continue
             mine = seats.get(service, ())
-            wanted = len(wave.waiting) if wave.step.gang else 1
-            chosen = self._choose(wave, mine, wanted)
+            chosen = self._choose(wave, mine, len(wave.waiting))
             if not chosen or taken.get(service, 0) + len(chosen) > max(1, len(mine) * constants.RESERVE_PART):
                 continue
             count[service] = count.get(service, 0) + 1
             taken[service] = taken.get(service, 0) + len(chosen)
-            victims, enough = [], True
+            victims, enough, self.waste = [], True, constants.YIELD_WASTE
             for seat, members in chosen:
                 seat.kept = wave
-                found = self._victims(board, keeper, wave, seat, members)
+                found = self._victims(board, keeper, wave, seat, members, time)
                 enough = enough and found is not None
                 victims.extend(found or ())
-            if enough:
+            if enough or not wave.step.gang:
                 stops.extend(victims)
         return stops
 
     def _choose(self, wave, seats, wanted):
         """[(seat, members)] for all members of a wave by the whole room of workers, those with most
-        of it free first; of a gang that wants one rack in one, if any rack is large enough."""
+        of it free first: near its data if any stands there, of a gang that wants one rack in one, if
+        any rack is large enough. What is no gang may get fewer."""
         step = wave.step
         able = []
         for seat in seats:
@@ -147,6 +149,7 @@
                 share = min((seat.free[kind] / seat.worker.room[kind] for kind in range(3) if step.room[kind]), default=1)
                 able.append((-share, seat.identity, seat, int(min(members, step.apart) if step.apart else members)))
         able.sort(key=lambda one: one[:2])
+        able = [one for one in able if step.near in one[2].labels] or able if step.near else able
         racks = {}
         for one in able:
             racks.setdefault(one[2].rack, []).append(one)
@@ -160,9 +163,9 @@
                 break
             chosen.append((seat, min(members, left)))
             left -= members
-        return chosen if left <= 0 else None
+        return chosen if left <= 0 or not step.gang else None
 
-    def _victims(self, board, keeper, wave, seat, members):
+    def _victims(self, board, keeper, wave, seat, members, time):
         """Stops that make room for so many members on a seat; None when there is no such way."""
         missing = [members * room - free for room, free in zip(wave.step.room, seat.free)]
         stops = []
@@ -176,9 +179,14 @@
                 missing = [left - room for left, room in zip(missing, placement.room)]
                 continue
             found = board.task(placement)
-            if (found is None or key not in seat.worker.running or found[0].step.gang or not found[0].step.saves
+            if (found is None or key not in seat.worker.running or found[0].step.gang or found[0].step.lasts
                     or found[0].job.priority <= wave.job.priority):
                 continue
+            if not found[0].step.saves:
+                lost = (time - placement.since) * (placement.room[0] / 1000 + constants.GPU_CORES * placement.room[2])
+                if lost > self.waste:
+                    continue
+                self.waste -= lost
             missing = [left - room for left, room in zip(missing, placement.room)]
             stops.append((seat.identity, *key, "yields"))
         return stops if max(missing) <= 0 else None
