--- a/src/pinepitch/proof/scale.py
+++ b/src/pinepitch/proof/scale.py
@@ -42,7 +42,7 @@
 RACK = 24  # workers; in one rack
 TEAMS = 39  # teams; a route for each stands in the configuration
 CORE, MEMORY, BYTES = 0.028, 128e6, 23e3  # one daemon's part: of a core, bytes, bytes a second
-IN_MEMORY = "/dev/shm"  # a file system in memory
+IN_MEMORY = os.environ.get("TMPDIR", "/tmp")  # where the data folders lie: say a file system in memory to leave the disk out
 TICKS = os.sysconf("SC_CLK_TCK")
 
 # A daemon's own program, with its frames counted by kind into a file.
