Single mode bears two lost machines; idle beats stay open; grown sites get their voters

Cause: with one core machine a zone the grown deployments, which may lose two, had three voters; a cohort whose settings tolerate two lost machines founds with every accord a group and grows to five voters, no area holding as many as would be missed (quorums of 1 to 6 accords listed and crossed in quorum.feature). Their beats stay open half a second now and the pace of others follows their number. keeper and jobs_api: their stand-ins beat one after another and waited for each answer; they beat at once now, as minions do, and a start may have been told already.

--- a/features/quorum.feature
+++ b/features/quorum.feature
@@ -7,6 +7,13 @@
     Then each commit quorum meets each election quorum
     And any two election quorums meet
 
+  Scenario: quorums of single accords, exhaustively
+    Given every way to spread 1 to 6 accords over 1 to 4 areas
+    When every commit and election quorum in single mode is listed
+    Then each commit quorum meets each election quorum
+    And any two election quorums meet
+    And of five accords any two may go, of three any one
+
   Scenario: one area may go
     Given the two deployments of the brief
     Then in each the accords left without any one area commit and elect
--- a/features/steps/jobs_api.py
+++ b/features/steps/jobs_api.py
@@ -25,13 +25,19 @@
 ROOM = (4000, 4096, 0)
 
 
-def call(simulator, name, arguments, verge=0):
-    """A call as a door hands it to a verge: (status, document)."""
+def begin(simulator, name, arguments, verge=0):
+    """Begins a call as a door hands it to a verge; the list that its answer will stand in."""
     node = [node for node in simulator.nodes.values() if node.kind == "verge"][verge]
     simulator.request_count += 1
     number, got = simulator.request_count, []
     simulator.requests[number] = ("call", "operator", 0, ("plain", got), node.name)
     simulator.at(simulator.latency(), "give", node.name, node.life, ("call", number, name, arguments, 2.5))
+    return got
+
+
+def call(simulator, name, arguments, verge=0):
+    """The same, waited for: (status, document)."""
+    got = begin(simulator, name, arguments, verge)
     assert simulator.until(lambda: got, 8, 0.01) is not None
     return got[0][1:]
 
@@ -45,13 +51,16 @@
         self.state = "ready"
         self.running, self.ended, self.started = {}, [], []
 
-    def beat(self):
+    def send(self):
+        """Sends a beat; the list that its answer will stand in."""
         self.sequence += 1
         beat = {"service": "lamps", "address": f"10.9.0.{self.identity[1:]}:80", "zone": self.zone, "state": self.state,
                 "sequence": self.sequence, "clock_ms": self.simulator.now * 1000, "leaves_ms": None,
                 "labels": ["kind", f"rack-{self.zone}"], "room": list(ROOM),
                 "running": [(*key, "", percent) for key, percent in self.running.items()], "ended": list(self.ended)}
-        status, answer = call(self.simulator, "beat", (self.identity, beat))
+        return begin(self.simulator, "beat", (self.identity, beat))
+
+    def hear(self, status, answer):
         assert status == 200, (status, answer)
         for task, run, _, _ in answer.get("start", ()):
             self.running[(task, run)] = 40
@@ -71,11 +80,12 @@
 
 
 def beats(context, rounds=1, but=()):
-    """All workers beat in turn, some rounds long."""
+    """All workers beat at once, some rounds long: the beat of an idle one stays open for a while."""
     for _ in range(rounds):
-        for worker in context.workers:
-            if worker not in but:
-                worker.beat()
+        sent = [(worker, worker.send()) for worker in context.workers if worker not in but]
+        assert context.simulator.until(lambda: all(got for _, got in sent), 8, 0.01) is not None
+        for worker, got in sent:
+            worker.hear(*got[0][1:])
         context.simulator.run(0.1)
 
 
--- a/features/steps/keeper.py
+++ b/features/steps/keeper.py
@@ -362,7 +362,9 @@
 
 @when("minion {name:w} is told its start")
 def step_told_start(context, name):
-    until_start(context, name, 2)
+    context.minion = context.minions[name]
+    if not context.minion.starts:  # an idle minion's beat stays open and may have told it already
+        until_start(context, name, 2)
 
 
 @when('minion one tells how its run of the gang ended, with "{saved}" saved')
--- a/features/steps/quorum.py
+++ b/features/steps/quorum.py
@@ -45,11 +45,11 @@
     context.spreads = spreads(accords, areas)
 
 
-@when("every commit and election quorum in static mode is listed")
-def step_list(context):
+@when("every commit and election quorum in {mode} mode is listed")
+def step_list(context, mode):
     context.listed = []
     for members in context.spreads:
-        quorum = Quorum(members, "static")
+        quorum = Quorum(members, mode)
         context.listed.append((members, commit_sets(quorum), elect_sets(quorum)))
 
 
@@ -70,6 +70,15 @@
             assert one & other, (members, one, other)
 
 
+@then("of five accords any two may go, of three any one")
+def step_may_go(context):
+    for members, commits, elects in context.listed:
+        lost = {5: 2, 3: 1}.get(len(members), 0)
+        for gone in itertools.combinations(sorted(members), lost):
+            left = set(members) - set(gone)
+            assert any(one <= left for one in commits) and any(one <= left for one in elects), (members, gone)
+
+
 @given("the two deployments of the brief")
 def step_deployments(context):
     context.quorums = []
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -34,6 +34,7 @@
         self.sessions = Sessions()
         self.founding = Founding(identity, area, founders)
         self.found_among = None  # addresses; only accords there may found, None for any
+        self.voters = constants.FOUNDERS  # members wanted in single mode, where each is a group
         self.may_found = True  # an accord that has lost its disk joins, it never founds
         self.time = CohortTime()
         self.cohort = None
@@ -362,7 +363,8 @@
                     return
         for identity, lost in sorted(out.items()):
             beside = any(one in live and area == members[identity] for one, area in members.items())
-            if lost > constants.RETIRE_AFTER and beside and len(members) > 3:
+            least = self.voters if self.mode == "single" else 3
+            if lost > constants.RETIRE_AFTER and beside and len(members) > least:
                 self._propose_members({one: area for one, area in members.items() if one != identity}, now)
                 return
 
@@ -377,6 +379,10 @@
         if lost:
             leaves = max(lost, key=lambda one: (out.get(one, 0.0), one))
             return {**{one: place for one, place in members.items() if one != leaves}, identity: area}
+        if self.mode == "single":
+            # so many that any two lost leave a majority, and no area as many as would be missed
+            inside = sum(one == area for one in members.values())
+            return {**members, identity: area} if len(members) < self.voters and inside < (self.voters - 1) // 2 else None
         if area in members.values() or len(members) >= constants.COHORT_MOST:
             return None  # a spare: a group of two would need both, so it waits for a loss
         return {**members, identity: area}
--- a/src/pinepitch/accord/program.py
+++ b/src/pinepitch/accord/program.py
@@ -66,7 +66,7 @@
         data: the data folder.
         level: log level: debug, info, warning, error, critical.
         founders: how many empty accords may found a cohort (default 3; 1 for a try).
-        mode: quorum mode of a founding: static (default) or dynamic.
+        mode: quorum mode of a founding: static (default), dynamic, or single (every accord a group).
         http: own IP:PORT for health and metrics; none when left out.
         rules: a YAML file of alert rules; the same one at every accord.
     """
--- a/src/pinepitch/accord/quorum.py
+++ b/src/pinepitch/accord/quorum.py
@@ -34,16 +34,16 @@
 
     Invariants: members maps identity to area; groups are disjoint and cover members;
     2 * elect > number of groups, and commit + elect > number of groups, so that in
-    static mode any two election quorums, and any commit and election quorum, meet in a
+    static and single mode any two election quorums, and any commit and election quorum, meet in a
     whole group's majority and hence in a member."""
 
     members: dict
     mode: str
 
     def group_of(self, identity):
-        """The group a member is in: its area, or itself where fewer than 3 areas exist."""
+        """The group a member is in: its area, or itself in single mode and where fewer than 3 areas exist."""
         area = self.members[identity]
-        if self.mode == "static" and len(set(self.members.values())) < 3:
+        if self.mode == "single" or self.mode == "static" and len(set(self.members.values())) < 3:
             return identity
         return area
 
@@ -72,7 +72,7 @@
     def commits(self, identities, leader):
         """Whether `identities` are a commit quorum under `leader`."""
         held = self.majorities(identities)
-        if self.mode == "static":
+        if self.mode != "dynamic":
             return len(held) >= self.commit_count()
         return leader in self.members and self.group_of(leader) in held
 
@@ -83,7 +83,7 @@
                 leader, leader_term = reply.leader, reply.leader_term
         if leader_term >= term:
             return Result(False, False)  # somebody leads this term, or a later one, already
-        if self.mode == "static":
+        if self.mode != "dynamic":
             return self._counted(replies, self.groups(), self.elect_count())
         every = self.groups()
         pessimistic = self._counted(replies, every, len(every))
--- a/src/pinepitch/ground/env.py
+++ b/src/pinepitch/ground/env.py
@@ -77,7 +77,7 @@
         **COMMON,
         voluptuous.Required("data"): _text,
         voluptuous.Optional("founders", default=constants.FOUNDERS): _founders,
-        voluptuous.Optional("mode", default="static"): voluptuous.In(("static", "dynamic")),
+        voluptuous.Optional("mode", default="static"): voluptuous.In(("static", "dynamic", "single")),
         voluptuous.Optional("http"): address,
         voluptuous.Optional("rules"): _text,
     }),
--- a/src/pinepitch/tenure/keeper.py
+++ b/src/pinepitch/tenure/keeper.py
@@ -133,9 +133,17 @@
             address, token, taken = self.parked[identity]
             if now - taken < constants.BEAT_HOLD and (worker.pending or self.assigned.get(identity)):
                 continue
+            if now - taken < constants.IDLE_HOLD and self._idle(worker):
+                continue
             del self.parked[identity]
             self.core.answer(address, token, (200, self._orders(worker, taken, now), None))
 
+    def _idle(self, worker):
+        """Whether nothing can be said to a worker that has nothing to say: its beat may stay open, so
+        that a start reaches it at once, and one that runs nothing has no end to tell meanwhile."""
+        return (worker.state == "ready" and not worker.running and not worker.listed and worker.beats > 1
+                and worker.identity not in self.board.placements)
+
     def _orders(self, worker, taken, now):
         """What a worker is told in answer to its newest beat, taken at `taken`."""
         start, stop = [], [key for key in worker.running
@@ -162,9 +170,13 @@
         return {
             "hold_ms": int(self.core.hold * 1000), "seen": worker.acknowledged(), "fence": self.core.epoch,
             "start": tuple(start), "stop": tuple(stop), "home": self.core.address,
-            "again_ms": int(1000 * (constants.BEAT_AGAIN if room or start else constants.BEAT_FULL)),
+            "again_ms": int(1000 * (self._pace() if room or start else constants.BEAT_FULL)),
         }
 
+    def _pace(self):
+        """Seconds until a worker with room beats again: more of them beat less often."""
+        return min(constants.BEAT_FULL, max(constants.BEAT_AGAIN, len(self.workers) * constants.BEAT_EACH))
+
     # --- time -------------------------------------------------------------------------
     def tick(self, now):
         """Proposes what was gathered, places, and lets go of what has lapsed."""
