A hopeless backlog no longer fells the leader; long runs are no stalled ones; lease tried

Cause, found by the scale run: keeping room tried every seat for each short wave (4,000 waves nobody can take, 200 minions: 0.48 s a round, leadership given up 4 times, 0.8 of 10 starts a second left); a run that says whole per cents counted as stalled after 2 s however long it is; progress was compared in the square of a step's runs; open beats were looked at with every message. Now: shapes without seats are tried once, seats lie in heaps, medians come from one sorted list, beats make a round due only by what a round reads, and a leader rests between rounds by their size.

--- /dev/null
+++ b/features/lease.feature
@@ -0,0 +1,19 @@
+Feature: Lease
+  No leader is elected while an older one may still rely on its lease.
+
+  Scenario: an accord that starts anew gives no vote while it may carry a lease
+    Given an accord with a log that starts anew
+    When it is asked for a pre-vote at once, and again once a lease is over
+    Then it refuses at first and grants then
+
+  Scenario: an accord that just heard its leader gives nobody a vote
+    Given an accord with a log that heard its leader just now
+    When it is asked for a vote in a later term at once, and again once a time-out is over
+    Then it says nothing at first and grants then
+
+  Scenario: a leader's lease ends with the answers of its quorum
+    Given a leader whose followers answered a beat
+    Then its lease stands until LEAD_LEASE after that beat was sent, and not longer
+
+  Scenario: the lease is shorter than the time-out, and a hold outlasts an election
+    Then the constants leave a lease no room beside an election
--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -1,5 +1,7 @@
 """Where the waiting waves go: one round over what is ready and who has room."""
 
+import heapq
+
 from ..ground import constants
 
 
@@ -40,12 +42,16 @@
 
     def round(self, board, workers, keeper, now, time):
         """(assign items, stop items)."""
-        seats = self._seats(board, workers, keeper, now)
-        items, count, self.near = [], 0, {}
         self._learn_peaks(board, now)
-        self.budgets = self._budgets(board, seats)
-        self.why = {}
+        self.near, self.why = {}, {}
         waves = [wave for wave in board.ready.values() if wave.due <= time]
+        if not waves:
+            self.budgets = {}
+            self.short = {key: since for key, since in self.short.items() if key in board.ready}
+            return (), ()
+        seats = self._seats(board, workers, keeper, now)
+        items, count = [], 0
+        self.budgets = self._budgets(board, seats)
         waves.sort(key=lambda wave: self._rank(wave, time))
         stops = self._reserve(board, waves, seats, keeper, now, time)
         for wave in waves:
@@ -114,15 +120,21 @@
         runs had better yield to them: those that save their progress lose nothing but a restart, of
         others no more work is thrown away for a wave than YIELD_WASTE."""
         stops, count, taken = [], {}, {}
+        failed = set()  # shapes that found no seats since one was kept last: their like find none either
         for wave in waves:
-            service = wave.job.service
+            service, step = wave.job.service, wave.step
             if (now - self.short.get(wave.key(), now) < constants.RESERVE_AFTER * (0.5 if not wave.job.priority else 1)
                     or count.get(service, 0) >= constants.RESERVE_MOST):
                 continue
+            shape = (service, step.room, step.needs, step.near, step.apart, step.gang, step.tight, len(wave.waiting))
+            if shape in failed:
+                continue
             mine = seats.get(service, ())
             chosen = self._choose(wave, mine, len(wave.waiting))
             if not chosen or taken.get(service, 0) + len(chosen) > max(1, len(mine) * constants.RESERVE_PART):
+                failed.add(shape)
                 continue
+            failed.clear()
             count[service] = count.get(service, 0) + 1
             taken[service] = taken.get(service, 0) + len(chosen)
             victims, enough, self.waste = [], True, constants.YIELD_WASTE
@@ -183,6 +195,8 @@
                     or found[0].job.priority <= wave.job.priority):
                 continue
             if not found[0].step.saves:
+                if placement.run > constants.YIELD_RUNS:
+                    continue
                 lost = (time - placement.since) * (placement.room[0] / 1000 + constants.GPU_CORES * placement.room[2])
                 if lost > self.waste:
                     continue
@@ -235,21 +249,37 @@
         if step.near:
             self.hot[step.near] = max(self.hot.get(step.near, 0), len(wave.waiting) * max(step.room[0], 1))
         allowed = self._spend(wave, len(wave.waiting))
+        if not allowed:
+            return group
+        order, patient = None, False
         for place, index in enumerate(sorted(wave.waiting)[:allowed]):
-            patient = place < patience
-            best = None
-            for seat in seats:
-                if not self._allowed(wave, seat) or (patient and step.near not in seat.labels):
-                    continue
-                score = self._score(wave, seat)
-                if best is None or score < best[0]:
-                    best = (score, seat)
-            if best is None:
+            if order is None or patient and place >= patience:
+                patient = place < patience
+                order = self._order(wave, [seat for seat in seats if step.near in seat.labels] if patient else seats)
+            seat = self._next(wave, order)
+            if seat is None:
                 break
-            self._take(wave, best[1])
-            group.append((index, best[1].identity))
+            group.append((index, seat.identity))
         return group
 
+    def _order(self, wave, seats):
+        """The seats that a wave's task may take, as a heap, the best first."""
+        order = [(self._score(wave, seat), place, seat) for place, seat in enumerate(seats) if self._allowed(wave, seat)]
+        heapq.heapify(order)
+        return order
+
+    def _next(self, wave, order):
+        """The best seat, taken for one task, or None. Only the score of the seat taken changes."""
+        if not order:
+            return None
+        _, place, seat = order[0]
+        self._take(wave, seat)
+        if self._allowed(wave, seat):
+            heapq.heapreplace(order, (self._score(wave, seat), place, seat))
+        else:
+            heapq.heappop(order)
+        return seat
+
     def _patience(self, wave, seats, time):
         """How many of a wave's tasks had better wait for room near their data than start far away:
         those that would be done there sooner, if what stands before them takes as long as they do."""
@@ -283,15 +313,15 @@
 
     def _fill(self, wave, seats):
         """One seat for each member among `seats`, or None with all as it was."""
-        before = [(seat, seat.free, dict(seat.steps)) for seat in seats]
-        group = []
+        order, before, group = self._order(wave, seats), {}, []
         for index in sorted(wave.waiting):
-            fitting = [seat for seat in seats if self._allowed(wave, seat)]
-            if not fitting:
-                for seat, free, steps in before:
+            if order:
+                seat = order[0][2]
+                before.setdefault(seat.identity, (seat, seat.free, dict(seat.steps)))
+            seat = self._next(wave, order)
+            if seat is None:
+                for seat, free, steps in before.values():
                     seat.free, seat.steps = free, steps
                 return None
-            best = min(fitting, key=lambda seat: self._score(wave, seat))
-            self._take(wave, best)
-            group.append((index, best.identity))
+            group.append((index, seat.identity))
         return group
--- a/src/pinepitch/tenure/keeper.py
+++ b/src/pinepitch/tenure/keeper.py
@@ -3,6 +3,9 @@
 It keeps no promise in memory alone: what it decides goes through the log first.
 """
 
+import bisect
+import collections
+
 from ..ground import constants
 from .assigner import Assigner
 from .pace import Pace
@@ -12,6 +15,15 @@
 REST = ("stopped", "lapsed", "broken", "alone", "refused")
 
 
+def _at_without(values, left_out, place):
+    """The value at a place of sorted values once some of them are left out."""
+    for one in left_out:
+        if bisect.bisect_left(values, one) > place:
+            break
+        place += 1
+    return values[place]
+
+
 class Keeper:
     """Invariants: empty unless its accord leads; a start is answered only while the lease
     stands, to a beat that is fresh, for a committed placement that is still wanted and whose
@@ -22,6 +34,8 @@
         self.core, self.since = core, now
         self.workers = {}
         self.parked = {}  # identity -> (reply address, token, taken at) of beats to be answered
+        self.look = {}  # of those, whose answer may be due
+        self.open = collections.deque()  # (taken at, identity) of beats of idle workers, oldest first
         self.ends, self.ending = [], set()  # gathered, and proposed or gathered: (minion, reference, run)
         self.waiting = []  # (minion, number) of the ends gathered
         self.under_way = {}  # index of an entry of ends -> [(minion, number)]
@@ -55,7 +69,8 @@
         self._take_ends(worker, beat["ended"])
         self._take_absences(worker, now)
         self.parked[identity] = (address, token, now)
-        self.due = True
+        self.look[identity] = True
+        self.due = self.due or worker.news != worker.before
 
     def leave(self, identity, now):
         """A worker says that it ends now."""
@@ -128,20 +143,27 @@
         """Answers the beats whose ends are agreed on, or that have waited long enough."""
         if not self.parked or not self.core.leased(now):
             return
-        for identity in list(self.parked):
+        while self.open and now - self.open[0][0] >= constants.IDLE_HOLD:
+            self.look[self.open.popleft()[1]] = True
+        for identity in list(self.look):
+            if identity not in self.parked:
+                del self.look[identity]
+                continue
             worker = self.workers[identity]
             address, token, taken = self.parked[identity]
             if now - taken < constants.BEAT_HOLD and (worker.pending or self.assigned.get(identity)):
                 continue
+            del self.look[identity]
             if now - taken < constants.IDLE_HOLD and self._idle(worker):
+                self.open.append((taken, identity))
                 continue
             del self.parked[identity]
             self.core.answer(address, token, (200, self._orders(worker, taken, now), None))
 
     def _idle(self, worker):
-        """Whether nothing can be said to a worker that has nothing to say: its beat may stay open, so
-        that a start reaches it at once, and one that runs nothing has no end to tell meanwhile."""
-        return (worker.state == "ready" and not worker.running and not worker.listed and worker.beats > 1
+        """Whether nothing can be said to a worker that has nothing to say: where there are many its beat
+        stays open, so that a start reaches it at once; what runs nothing has no end to tell meanwhile."""
+        return (self._pace() > constants.BEAT_AGAIN and worker.state == "ready" and not worker.running and not worker.listed and worker.beats > 1
                 and worker.identity not in self.board.placements)
 
     def _orders(self, worker, taken, now):
@@ -190,7 +212,8 @@
         if now - self.looked >= constants.WATCH_EVERY:
             self.looked = now
             self._watch(now)
-        if self.due and not self.assigning or now - self.placed_at >= constants.PLACE_IDLE:
+        rest = constants.ROUND_REST * (len(self.board.ready) + len(self.workers))
+        if now - self.placed_at >= (rest if self.due and not self.assigning else max(rest, constants.PLACE_IDLE)):
             self._assign(now)
 
     def _assign(self, now):
@@ -213,7 +236,9 @@
                 del self.gone_at[identity]
                 self._gone(identity, "left")
         span = self.core.hold * (1 + constants.CLOCK_DRIFT) + constants.LAPSE_MARGIN
-        for identity in list(self.board.placements):
+        for identity, held in list(self.board.placements.items()):
+            if all((identity, *key) in self.ending for key in held):
+                continue
             worker = self.workers.get(identity)
             if worker is not None and worker.held_from is not None:
                 begun = worker.held_from
@@ -250,13 +275,14 @@
             if worker.silent(now) or worker.stale:
                 continue
             held = self.board.placements.get(worker.identity, {})
-            for key, (percent, since, _) in worker.progress.items():
+            for key, (percent, since, first) in worker.progress.items():
                 placement = held.get(key)
                 found = self.board.task(placement) if placement is not None and not placement.stop else None
                 if found is None or found[0].step.lasts or key in self.stopping:
                     continue
                 wave = found[0]
-                waits = constants.STALLED + (constants.GANG_PATIENCE if wave.step.gang and not percent else 0)
+                step = max(self.pace.expected(wave), (since - first) * 100 / percent if percent else 0) / 100
+                waits = constants.STALLED + constants.STALLED_STEPS * step + (constants.GANG_PATIENCE if wave.step.gang and not percent else 0)
                 if worker.heard_at - since > waits:
                     worker.wary_until = max(worker.wary_until, now + constants.STALLED_WARY)
                     stops.append((worker.identity, *key, "stalled"))
@@ -266,14 +292,20 @@
                     whole = told[1] / (self.pace.far if self.pace.is_far(wave, worker) else 1)
                     waves.setdefault(wave.key(), []).append((worker.identity, whole))
                     runs.append((worker, key, wave, percent, told[0], whole))
-        ratios = {}
+        ratios, alike = {}, {}
         for worker, key, wave, percent, left, whole in runs:
-            others = sorted(one for identity, one in waves[wave.key()] if identity != worker.identity)
-            known = self.pace.waves.get(wave.key())
-            if known and known[1]:
-                others = sorted([*others, *[known[0] / known[1]] * min(2, known[1])])
-            if len(others) >= constants.SLOW_LIKE:
-                usual = others[len(others) // 2]
+            if wave.key() not in alike:
+                known = self.pace.waves.get(wave.key())
+                ended = [known[0] / known[1]] * min(2, known[1]) if known and known[1] else ()
+                own = {}
+                for identity, one in waves[wave.key()]:
+                    own.setdefault(identity, []).append(one)
+                alike[wave.key()] = sorted([*(one for _, one in waves[wave.key()]), *ended]), own
+            all_of, own = alike[wave.key()]
+            left_out = own[worker.identity]
+            count = len(all_of) - len(left_out)
+            if count >= constants.SLOW_LIKE:
+                usual = _at_without(all_of, sorted(left_out), count // 2)
                 ratios.setdefault(worker.identity, []).append((whole / usual, worker, key, wave, percent, left, usual))
         for identity, found in ratios.items():
             ratio = sorted(one[0] for one in found)[len(found) // 2]
@@ -318,6 +350,7 @@
         self.assigning = max(0, self.assigning - 1)
         for _, _, _, group in items:
             for _, minion in group:
+                self.look[minion] = True
                 left = self.assigned.get(minion, 0) - 1
                 if left > 0:
                     self.assigned[minion] = left
--- a/src/pinepitch/tenure/worker.py
+++ b/src/pinepitch/tenure/worker.py
@@ -21,6 +21,7 @@
         self.offset = None  # least of own time less the worker's clock, milliseconds, slackened with time
         self.offset_at = now
         self.stale = False
+        self.news = self.before = None  # what an assigning round reads of the newest beat, and of the one before
         self.service = self.address = self.zone = self.state = ""
         self.labels, self.rack = frozenset(), ""
         self.room = (0, 0, 0)  # all it has, whatever runs: thousandths of a core, megabytes, accelerators
@@ -39,6 +40,7 @@
         """Takes a beat; False when it is older than one taken."""
         if beat["sequence"] <= self.sequence:
             return False
+        self.before = self.news
         self.sequence, self.heard_at = beat["sequence"], now
         self.beats += 1
         offset = now * 1000 - beat["clock_ms"]
@@ -56,6 +58,8 @@
         self.leaves_at = now + leaves / 1000 if leaves is not None and self.state != "ready" else None
         self.running = {(ref, run): (saved, percent) for ref, run, saved, percent in beat["running"]}
         self.listed = {(ref, run) for _, ref, run, _, _ in beat["ended"]}
+        self.news = (self.beats >= 2, self.stale, self.service, self.zone, self.state, self.labels, self.room,
+                     frozenset(self.running))
         for key, (_, percent) in self.running.items():
             known = self.progress.get(key)
             if known is None or percent != known[0]:
