Planted faults are looked for over 12 seeds again; only lost-not-counted over 24

Cause: one plant that shows in 8 of seeds 0 to 47 and in none of the first twelve had widened the search for all of them to 24 seeds, which made every other check of them easier. The others have their 12 seeds back; lost-not-counted stands alone with 24, which is easier than it was and is said so here: its weather wants more work lost with its minion. No product code is touched.

--- a/features/trial.feature
+++ b/features/trial.feature
@@ -67,7 +67,7 @@
 
   Scenario Outline: the planted fault <plant> is found
     Given the planted fault <plant>
-    When the weather <weather> is tried with seeds 0 to 23 on every fleet in turn
+    When the weather <weather> is tried with seeds 0 to 11 on every fleet in turn
     Then some check finds <fault>
 
     Examples:
@@ -100,7 +100,11 @@
       | limit-ignored         | setup-storm  | units of                   |
       | killed-once           | cancel-cut   | ran on after its cancel    |
       | history-cut           | final        | missing at day's end       |
-      | lost-not-counted      | crashes      | failures                   |
+
+  Scenario: the planted fault lost-not-counted is found
+    Given the planted fault lost-not-counted
+    When the weather crashes is tried with seeds 0 to 23 on every fleet in turn
+    Then some check finds failures
 
   Scenario Outline: <weather> with seed <seed> on <fleet>, once broken: <cause>
     When the weather <weather> is tried with seed <seed> on the fleet <fleet>
