--- a/src/pinepitch/accord/rules.py
+++ b/src/pinepitch/accord/rules.py
@@ -15,9 +15,17 @@
 
 from ..world.ticket import name, shaped
 
-COMPARISONS = {">": operator.gt, "<": operator.lt, ">=": operator.ge, "<=": operator.le, "==": operator.eq,
-               "!=": operator.ne}
-EXPRESSION = re.compile(r"^\s*([a-zA-Z_:][a-zA-Z0-9_:]*)\s*(?:\{([^{}]*)\})?\s*(>=|<=|==|!=|>|<)\s*(-?[0-9.]+(?:e-?\d+)?)\s*$")
+COMPARISONS = {
+    ">": operator.gt,
+    "<": operator.lt,
+    ">=": operator.ge,
+    "<=": operator.le,
+    "==": operator.eq,
+    "!=": operator.ne,
+}
+EXPRESSION = re.compile(
+    r"^\s*([a-zA-Z_:][a-zA-Z0-9_:]*)\s*(?:\{([^{}]*)\})?\s*(>=|<=|==|!=|>|<)\s*(-?[0-9.]+(?:e-?\d+)?)\s*$"
+)
 LABEL = re.compile(r'^\s*([a-zA-Z_][a-zA-Z0-9_]*)\s*=\s*"([^"\\]*)"\s*$')
 DURATION = re.compile(r"^(\d+)(ms|s|m|h)$")
 UNITS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
@@ -39,7 +47,9 @@
 def _expression(text):
     found = EXPRESSION.match(text) if isinstance(text, str) else None
     if not found:
-        raise voluptuous.Invalid('expected METRIC or METRIC{label="value"}, a comparison and a number; nothing else is read')
+        raise voluptuous.Invalid(
+            'expected METRIC or METRIC{label="value"}, a comparison and a number; nothing else is read'
+        )
     labels = []
     for one in (found[2] or "").split(","):
         if one.strip():
@@ -62,18 +72,28 @@
 
 
 TEXTS = {str: str}
-SHAPE = voluptuous.Schema({voluptuous.Required("groups"): [{
-    voluptuous.Required("name"): name,
-    voluptuous.Optional("interval"): _duration,
-    voluptuous.Required("rules"): [{
-        voluptuous.Required("alert"): name,
-        voluptuous.Required("expr"): _expression,
-        voluptuous.Optional("for", default="0s"): _duration,
-        voluptuous.Optional("labels", default=dict): {
-            voluptuous.Optional("hold"): voluptuous.In(("approvals",)), **TEXTS},
-        voluptuous.Optional("annotations", default=dict): TEXTS,
-    }],
-}]})
+SHAPE = voluptuous.Schema(
+    {
+        voluptuous.Required("groups"): [
+            {
+                voluptuous.Required("name"): name,
+                voluptuous.Optional("interval"): _duration,
+                voluptuous.Required("rules"): [
+                    {
+                        voluptuous.Required("alert"): name,
+                        voluptuous.Required("expr"): _expression,
+                        voluptuous.Optional("for", default="0s"): _duration,
+                        voluptuous.Optional("labels", default=dict): {
+                            voluptuous.Optional("hold"): voluptuous.In(("approvals",)),
+                            **TEXTS,
+                        },
+                        voluptuous.Optional("annotations", default=dict): TEXTS,
+                    }
+                ],
+            }
+        ]
+    }
+)
 
 
 def read(text):
@@ -90,8 +110,15 @@
         for position, one in enumerate(group["rules"]):
             if any(rule.alert == one["alert"] for rule in rules):
                 faults.append((f"groups.{place}.rules.{position}.alert", f"{one['alert']!r} is named twice"))
-            rules.append(Rule(one["alert"], *one["expr"], one["for"], one["labels"].get("hold", ""),
-                              one["annotations"].get("summary", "")))
+            rules.append(
+                Rule(
+                    one["alert"],
+                    *one["expr"],
+                    one["for"],
+                    one["labels"].get("hold", ""),
+                    one["annotations"].get("summary", ""),
+                )
+            )
     return (None, tuple(faults)) if faults else (tuple(rules), ())
 
 
@@ -111,12 +138,16 @@
                 series.setdefault(sample.name, []).append((sample.labels, sample.value))
         fires = {}
         for rule in self.rules:
-            hits = [value for labels, value in series.get(rule.metric, ())
-                    if all(labels.get(label) == wanted for label, wanted in rule.labels)
-                    and COMPARISONS[rule.comparison](value, rule.bound)]
+            hits = [
+                value
+                for labels, value in series.get(rule.metric, ())
+                if all(labels.get(label) == wanted for label, wanted in rule.labels)
+                and COMPARISONS[rule.comparison](value, rule.bound)
+            ]
             if not hits:
                 self.since.pop(rule.alert, None)
             elif now - self.since.setdefault(rule.alert, now) >= rule.lasting:
                 fires[rule.alert] = f"{rule.metric} is {hits[0]:g}, {rule.comparison} {rule.bound:g}" + (
-                    f": {rule.summary}" if rule.summary else "")
+                    f": {rule.summary}" if rule.summary else ""
+                )
         return fires
--- a/src/pinepitch/accord/sample.py
+++ b/src/pinepitch/accord/sample.py
@@ -29,8 +29,9 @@
     older ones SAMPLE_EACH a stratum, those of the lowest rank."""
 
     def __init__(self, blocks=()):
-        self.blocks = immutables.Map({number: Block(*block[:3], immutables.Map(block[3]))
-                                      for number, block in blocks})
+        self.blocks = immutables.Map(
+            {number: Block(*block[:3], immutables.Map(block[3])) for number, block in blocks}
+        )
 
     def image(self):
         return tuple(sorted(self.blocks.items()))
@@ -73,7 +74,7 @@
         oldest = (newest * constants.SAMPLE_BLOCK - constants.SAMPLE_WINDOW) / constants.SAMPLE_STRATUM
         for stratum, numbers in strata.items():
             numbers.sort(key=_rank)
-            for number in numbers if stratum < oldest else numbers[constants.SAMPLE_EACH:]:
+            for number in numbers if stratum < oldest else numbers[constants.SAMPLE_EACH :]:
                 self.blocks = self.blocks.delete(number)
 
     def traffic(self, tickets):
@@ -102,9 +103,26 @@
     tasks = []
     for name, task in ticket.tasks.items():
         standing = ticket.standings[name]
-        tasks.append((
-            name, task.units, task.labels, task.after, max(0.0, task.not_before - ticket.accepted), task.gang,
-            task.asked, task.limit, round(standing.took, 4) if standing.state == "done" else None,
-            standing.failures, round(standing.lost, 4)))
-    return (ticket.accepted, ticket.queue, ticket.kind, ticket.urgency if ticket.named else -1,
-            max(0.0, ticket.due - ticket.accepted) if ticket.due else 0.0, tuple(tasks))
+        tasks.append(
+            (
+                name,
+                task.units,
+                task.labels,
+                task.after,
+                max(0.0, task.not_before - ticket.accepted),
+                task.gang,
+                task.asked,
+                task.limit,
+                round(standing.took, 4) if standing.state == "done" else None,
+                standing.failures,
+                round(standing.lost, 4),
+            )
+        )
+    return (
+        ticket.accepted,
+        ticket.queue,
+        ticket.kind,
+        ticket.urgency if ticket.named else -1,
+        max(0.0, ticket.due - ticket.accepted) if ticket.due else 0.0,
+        tuple(tasks),
+    )
--- a/src/pinepitch/accord/sessions.py
+++ b/src/pinepitch/accord/sessions.py
@@ -56,7 +56,8 @@
     def own(self):
         """What is told to other accords: the sessions held here."""
         return tuple(
-            (one.identity, one.kind, one.area, one.address) for one in self.held.values() if not one.told_by)
+            (one.identity, one.kind, one.area, one.address) for one in self.held.values() if not one.told_by
+        )
 
     def live(self, kind):
         """Sessions of one kind of daemon, in the agreed order (by identity)."""
--- a/src/pinepitch/accord/table.py
+++ b/src/pinepitch/accord/table.py
@@ -36,9 +36,11 @@
         """(checked, ()) or (None, faults) of a whole setup against the live tickets."""
         checked, faults = rows.checked(document, self.setup)
         if checked is not None:
-            faults = tuple((f"queues.{queue}", f"{count} live tickets, so it can't go")
-                           for queue, count in sorted(self.live.items())
-                           if count and queue not in checked["queues"])
+            faults = tuple(
+                (f"queues.{queue}", f"{count} live tickets, so it can't go")
+                for queue, count in sorted(self.live.items())
+                if count and queue not in checked["queues"]
+            )
         return (None, faults) if faults else (checked, ())
 
     def _take_setup(self, document, who, why, base):
@@ -49,8 +51,10 @@
         before, self.setup = self.setup, checked
         self.setups.add(self.version, checked, who, why, self.time, base)
         kept = self.rows
-        self.rows = {queue: kept[queue] if queue in kept and before["queues"].get(queue) is row else rows.row_of(row)
-                     for queue, row in checked["queues"].items()}
+        self.rows = {
+            queue: kept[queue] if queue in kept and before["queues"].get(queue) is row else rows.row_of(row)
+            for queue, row in checked["queues"].items()
+        }
         return ("setup", self.version)
 
     # --- drafts -----------------------------------------------------------------------
@@ -68,9 +72,22 @@
         identity = f"d{self.draft_count}"
         while len(self.drafts) >= constants.DRAFTS_MOST:
             self.drafts = self.drafts.delete(min(self.drafts, key=lambda one: int(one[1:])))
-        self.drafts = self.drafts.set(identity, {
-            "draft": identity, "base": base, "setup": checked, "patch": patch, "who": who, "why": why,
-            "time": self.time, "state": "open", "measure": None, "rooms": [], "asked": 0})
+        self.drafts = self.drafts.set(
+            identity,
+            {
+                "draft": identity,
+                "base": base,
+                "setup": checked,
+                "patch": patch,
+                "who": who,
+                "why": why,
+                "time": self.time,
+                "state": "open",
+                "measure": None,
+                "rooms": [],
+                "asked": 0,
+            },
+        )
         return ("draft", identity)
 
     def _change_draft(self, identity, **changed):
@@ -119,7 +136,9 @@
             return ("worse", draft["measure"]["verdict"])
         if self.holds:
             return ("held", tuple((alert, why) for alert, (_, why) in sorted(self.holds.items())))
-        outcome = self._take_setup(draft["setup"], who, why or f"draft {identity}: {draft['why']}", self.version)
+        outcome = self._take_setup(
+            draft["setup"], who, why or f"draft {identity}: {draft['why']}", self.version
+        )
         if outcome[0] == "setup":
             self._change_draft(identity, state="approved")
         return outcome
--- a/src/pinepitch/client/commands.py
+++ b/src/pinepitch/client/commands.py
@@ -18,12 +18,14 @@
 
 def ask(verge, method, target, document=None, headers=()):
     """The answer of a verge, or exit 3."""
+
     async def one():
         client = http.Client(*env.split(verge))
         try:
             return await curio.ignore_after(10, client.call(method, target, document, headers))
         finally:
             await client.close()
+
     answer = curio.run(one)
     if not isinstance(answer, http.Response):
         print(f"pinepitch: no answer from {verge}", file=sys.stderr)
@@ -39,7 +41,9 @@
     cells = [[str(column) for column in columns]]
     cells += [["" if row.get(column) is None else str(row.get(column)) for column in columns] for row in rows]
     widths = [max(len(line[place]) for line in cells) for place in range(len(columns))]
-    return "\n".join("  ".join(cell.ljust(width) for cell, width in zip(line, widths)).rstrip() for line in cells)
+    return "\n".join(
+        "  ".join(cell.ljust(width) for cell, width in zip(line, widths)).rstrip() for line in cells
+    )
 
 
 def finish(answer, as_json, show):
@@ -59,7 +63,9 @@
     for key, value in document.items():
         if isinstance(value, list):
             lines.append(f"{key}:")
-            lines.append(table(value) if value and isinstance(value[0], dict) else "  " + ", ".join(map(str, value)))
+            lines.append(
+                table(value) if value and isinstance(value[0], dict) else "  " + ", ".join(map(str, value))
+            )
     return "\n".join(lines)
 
 
@@ -92,8 +98,12 @@
         self._get(f"/v1/tickets/{ticket}")
 
     def list(self, after=0, limit=50, state="", queue=""):
-        self._get(f"/v1/tickets?after={after}&limit={limit}&state={state}&queue={queue}",
-                  lambda document: table(document["tickets"], ["ticket", "state", "queue", "urgency", "tasks", "key"]))
+        self._get(
+            f"/v1/tickets?after={after}&limit={limit}&state={state}&queue={queue}",
+            lambda document: table(
+                document["tickets"], ["ticket", "state", "queue", "urgency", "tasks", "key"]
+            ),
+        )
 
     def cancel(self, ticket):
         self._do("POST", f"/v1/tickets/{ticket}/cancel")
@@ -109,16 +119,29 @@
 
     @staticmethod
     def _show(document):
-        lines = [f"{key}: {value}" for key, value in document.items()
-                 if key not in ("waves", "placements", "more_waves") and value is not None]
+        lines = [
+            f"{key}: {value}"
+            for key, value in document.items()
+            if key not in ("waves", "placements", "more_waves") and value is not None
+        ]
         if document["waves"]:
-            lines += ["waves:", table([{**one, "why": why_of(one)} for one in document["waves"]],
-                                      ["time", "step", "waiting", "placed", "done", "failures", "why"])]
+            lines += [
+                "waves:",
+                table(
+                    [{**one, "why": why_of(one)} for one in document["waves"]],
+                    ["time", "step", "waiting", "placed", "done", "failures", "why"],
+                ),
+            ]
         if document["more_waves"]:
             lines.append(f"and {document['more_waves']} more waves")
         if document["placements"]:
-            lines += ["placements:", table(document["placements"],
-                                           ["task", "run", "minion", "since", "epoch", "running", "percent", "stop"])]
+            lines += [
+                "placements:",
+                table(
+                    document["placements"],
+                    ["task", "run", "minion", "since", "epoch", "running", "percent", "stop"],
+                ),
+            ]
         return "\n".join(lines)
 
 
@@ -136,8 +159,21 @@
         self._get("/v1/configuration", lambda document: json.dumps(document, indent=2))
 
 
-WORKER_COLUMNS = ["minion", "service", "zone", "rack", "state", "closed", "free", "room", "placed", "running", "failing",
-                  "speed", "heard"]
+WORKER_COLUMNS = [
+    "minion",
+    "service",
+    "zone",
+    "rack",
+    "state",
+    "closed",
+    "free",
+    "room",
+    "placed",
+    "running",
+    "failing",
+    "speed",
+    "heard",
+]
 
 
 def _room(room):
@@ -184,12 +220,16 @@
         for answer in sides:
             if answer.status != 200:
                 finish(answer, True, flat)
-        lines = [json.dumps(answer.document["setup"], indent=2, sort_keys=True).splitlines() for answer in sides]
+        lines = [
+            json.dumps(answer.document["setup"], indent=2, sort_keys=True).splitlines() for answer in sides
+        ]
         print("\n".join(difflib.unified_diff(*lines, f"version {earlier}", f"version {later}", lineterm="")))
 
     def show(self, version=None):
-        self._get("/v1/setup" if version is None else f"/v1/setup/versions/{version}",
-                  lambda document: json.dumps(document, indent=2))
+        self._get(
+            "/v1/setup" if version is None else f"/v1/setup/versions/{version}",
+            lambda document: json.dumps(document, indent=2),
+        )
 
     def put(self, file, base, why=""):
         """Puts the whole setup in a JSON file in force, built on version `base`."""
@@ -252,7 +292,9 @@
             with open(file, newline="") as opened:
                 for number, row in enumerate(csv.DictReader(opened), 2):
                     if not row.get("queue") or None in row or None in row.values():
-                        faults.append(f"{file}: line {number}: expected a cell for each column, the first named queue")
+                        faults.append(
+                            f"{file}: line {number}: expected a cell for each column, the first named queue"
+                        )
                         continue
                     for column, text in row.items():
                         if column != "queue" and before.get(row["queue"], {}).get(column) != _value(text):
@@ -271,9 +313,13 @@
         self._do("POST", "/v1/drafts", document, (("X-Reason", why),), self._show)
 
     def drafts(self):
-        self._get("/v1/drafts", lambda document: table(
-            [{**one, "verdict": (one["measure"] or {}).get("verdict")} for one in document["drafts"]],
-            ["draft", "base", "state", "verdict", "stale", "who", "why"]))
+        self._get(
+            "/v1/drafts",
+            lambda document: table(
+                [{**one, "verdict": (one["measure"] or {}).get("verdict")} for one in document["drafts"]],
+                ["draft", "base", "state", "verdict", "stale", "who", "why"],
+            ),
+        )
 
     def draft(self, draft):
         self._get(f"/v1/drafts/{draft}", self._show)
@@ -296,10 +342,14 @@
 
     @staticmethod
     def _show(document):
-        lines = [f"draft {document['draft']} on version {document['base']}: {document['state']}"
-                 + (", stale: another change came first" if document["stale"] else ""),
-                 table([dict(zip(("cell", "in force", "draft"), cell)) for cell in document["cells"]],
-                       ["cell", "in force", "draft"])]
+        lines = [
+            f"draft {document['draft']} on version {document['base']}: {document['state']}"
+            + (", stale: another change came first" if document["stale"] else ""),
+            table(
+                [dict(zip(("cell", "in force", "draft"), cell)) for cell in document["cells"]],
+                ["cell", "in force", "draft"],
+            ),
+        ]
         measure = document["measure"]
         if measure:
             shown = []
@@ -307,11 +357,20 @@
                 for name in FIGURES:
                     before, after = one[name], one[f"draft_{name}"]
                     if before or after:
-                        shown.append({"queue": one["queue"], "figure": name, "in force": before, "draft": after,
-                                      "difference": round(after - before, 4)})
-            lines += [table(shown, ["queue", "figure", "in force", "draft", "difference"]),
-                      f"measured on {measure['tickets']} recent tickets: {measure['why']}",
-                      f"verdict: {measure['verdict']}"]
+                        shown.append(
+                            {
+                                "queue": one["queue"],
+                                "figure": name,
+                                "in force": before,
+                                "draft": after,
+                                "difference": round(after - before, 4),
+                            }
+                        )
+            lines += [
+                table(shown, ["queue", "figure", "in force", "draft", "difference"]),
+                f"measured on {measure['tickets']} recent tickets: {measure['why']}",
+                f"verdict: {measure['verdict']}",
+            ]
         return "\n".join(lines)
 
 
@@ -336,9 +395,16 @@
 
     def workers(self, verge=None, json=False):
         """The workers that run jobs under holds, as the leader knows them."""
-        Verged(verge, json)._get("/v1/workers", lambda document: table(
-            [{**one, "free": _room(one["free"]), "room": _room(one["room"])} for one in document["workers"]],
-            WORKER_COLUMNS))
+        Verged(verge, json)._get(
+            "/v1/workers",
+            lambda document: table(
+                [
+                    {**one, "free": _room(one["free"]), "room": _room(one["room"])}
+                    for one in document["workers"]
+                ],
+                WORKER_COLUMNS,
+            ),
+        )
 
     def evacuations(self, verge=None, json=False):
         """The zones whose workers get no new work."""
@@ -367,41 +433,49 @@
     def fleet(self, plan="nkansah", seconds=20, rate=1.0, seed=0, folder=None, level="warning", disturb=""):
         """Runs a whole deployment on this machine, checks its histories."""
         from ..proof.fleet import fleet
+
         fleet(plan, seconds, rate, seed, folder, level, disturb)
 
     def scale(self, sweep="workers", seconds=8, seed=0, most=None, out=None):
         """Runs real daemons beside hollow workers at rising sizes; prints what each spends."""
         from ..proof.scale import scale
+
         scale(sweep, seconds, seed, most, out)
 
     def traffic(self, verge=None, seconds=30, rate=1.0):
         """Sends stand-in tickets to the queue `default`, for a try."""
         from ..proof.fleet import traffic
+
         traffic(verge or os.environ.get("PINEPITCH_VERGE", "127.0.0.1:8080"), seconds, rate)
 
     def disturbances(self, plans="nkansah,pinturas", only="", seconds=12):
         """Runs fleets of processes under every disturbance in turn; prints a table."""
         from ..proof.fleet import disturbances
+
         disturbances(plans, only, seconds)
 
     def trials(self, weather="all", seeds=20, first=0, fleet="all", mode="static", plant=""):
         """Runs simulated fleets under failures, over many seeds; prints how to replay a fault."""
         from ..proof.trial import trials
+
         trials(weather, seeds, first, fleet, mode, plant)
 
     def forecasts(self, seconds=20):
         """Compares rehearsals' forecasts with what fleets of processes then do."""
         from ..proof.fleet import forecasts
+
         forecasts(seconds)
 
     def rates(self, idle=200, known=25):
         """Measures how often rehearsals err, over idle drafts and drafts with a known effect."""
         from ..proof.rates import rates
+
         rates(idle, known)
 
     def proof(self, page="docs/proof.md"):
         """Writes the tables of promises, failures, weathers and plants into a page."""
         from ..proof.promises import written
+
         with open(page) as file:
             text = file.read()
         with open(page, "w") as file:
--- a/src/pinepitch/client/program.py
+++ b/src/pinepitch/client/program.py
@@ -5,4 +5,5 @@
 
 def main():
     from .commands import Commands
+
     fire.Fire(Commands, name="pinepitch")
--- a/src/pinepitch/client/whence.py
+++ b/src/pinepitch/client/whence.py
@@ -12,21 +12,27 @@
 
 def told(document):
     """The explanation in words."""
-    lines = [f"{document['ticket']} in {document['queue']}, urgency {document['urgency']}: {document['state']}",
-             f"placing epoch {document['placing'][0]}, setup version {document['setup_version']}, queue: "
-             f"{document['credits']} credits, {document['running_units']} units running of {document['limit']}"]
+    lines = [
+        f"{document['ticket']} in {document['queue']}, urgency {document['urgency']}: {document['state']}",
+        f"placing epoch {document['placing'][0]}, setup version {document['setup_version']}, queue: "
+        f"{document['credits']} credits, {document['running_units']} units running of {document['limit']}",
+    ]
     if document["parked"]:
         lines.append(f"parked when it came: {document['parked']}")
     for task in document["tasks"]:
         attempts = task["attempts"] or "any"
-        lines.append(f"\n{task['task']}: {task['state']} (attempt {task['attempt']}, {task['failures']} of "
-                     f"{attempts} attempts failed)")
+        lines.append(
+            f"\n{task['task']}: {task['state']} (attempt {task['attempt']}, {task['failures']} of "
+            f"{attempts} attempts failed)"
+        )
         lines.append(f"  {task['why']}")
         for one in task["attempts_made"]:
             lenders = ", ".join(f"{credits} of {queue}" for queue, credits in one["lenders"])
-            lines.append(f"  attempt {one['attempt']} on {one['minion']} by verge {one['verge']}: {one['how']} after "
-                         f"{one['ended'] - one['placed']:.3f} s (epoch {one['epoch']}, setup {one['setup_version']}, "
-                         f"credits: {lenders})")
+            lines.append(
+                f"  attempt {one['attempt']} on {one['minion']} by verge {one['verge']}: {one['how']} after "
+                f"{one['ended'] - one['placed']:.3f} s (epoch {one['epoch']}, setup {one['setup_version']}, "
+                f"credits: {lenders})"
+            )
         if task.get("yields_to"):
             lines.append(f"  asked to yield to {task['yields_to']}")
         if task.get("candidates"):
--- a/src/pinepitch/ground/carrier.py
+++ b/src/pinepitch/ground/carrier.py
@@ -51,9 +51,16 @@
 
     def _given_up(self, call):
         if call.open or call.doubtful:
-            return 504, {"error": {"code": "unsure", "message": "no leader answered; the call may have been taken"}}, ()
-        return (503, {"error": {"code": "no_leader", "message": "no leader is known; the call was not taken"}},
-                (("Retry-After", str(constants.COME_BACK)),))
+            return (
+                504,
+                {"error": {"code": "unsure", "message": "no leader answered; the call may have been taken"}},
+                (),
+            )
+        return (
+            503,
+            {"error": {"code": "no_leader", "message": "no leader is known; the call was not taken"}},
+            (("Retry-After", str(constants.COME_BACK)),),
+        )
 
     def answered(self, token, answer):
         """Effects of the answer to a call."""
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -46,7 +46,9 @@
 PLACE_IDLE = 0.1  # seconds; a round for what only time brings: not-before, retries, minions
 PLACE_MOST = 200  # tasks; in one placing entry
 HOLD_WAIT = 5.0  # seconds; a unit that found no room this long has room held back for it
-DUE_UNNAMED = 3600.0  # seconds; work that names no due, or a later one, is ranked as due this long after acceptance
+DUE_UNNAMED = (
+    3600.0  # seconds; work that names no due, or a later one, is ranked as due this long after acceptance
+)
 SEND_WITHIN = 1.5  # seconds; after commit an order may be sent this long, then never
 ORDER_TIMEOUT = 1.5  # seconds; an order unanswered this long has an unknown outcome
 SEND_MARGIN = ORDER_TIMEOUT + 1.0  # seconds; an order's bytes may arrive this long past send-by
@@ -68,7 +70,7 @@
 # --- bounds of what callers may send -------------------------------------------------
 BODY_MOST = 2_000_000  # bytes; a ticket of the largest allowed size fits twice
 DEPTH_MOST = 32  # levels; of a JSON body, far below what any of our readers can nest
-NUMBER_MOST = 2 ** 53  # the largest whole number that every JSON reader keeps exact
+NUMBER_MOST = 2**53  # the largest whole number that every JSON reader keeps exact
 HEAD_MOST = 16_384  # bytes; request line and headers
 CONNECTIONS_MOST = 2_000  # sockets; per verge
 ANSWER_MOST = 64_000_000  # bytes; of an answer read, far above the largest page of a listing
@@ -81,7 +83,9 @@
 ATTEMPTS_MOST = 100  # attempts; more is a mistake
 UNITS_MOST = 1_000_000  # units; of room one task may ask for
 PENDING_MOST = 20_000  # tasks; default bound of a queue's pending tasks
-PARKED_PART = 10  # of a queue's pending bound one part in so many is kept for tickets no known minion could take
+PARKED_PART = (
+    10  # of a queue's pending bound one part in so many is kept for tickets no known minion could take
+)
 TICKETS_MOST = 200_000  # tickets; the whole record, beyond it tickets are shed
 FINISHED_LIVE = 1_000  # tickets; the newest finished ones are kept open, as they are asked for most
 SEGMENT_TICKETS = 256  # tickets; in one segment of the archive: sealing one takes some milliseconds
@@ -126,11 +130,28 @@
 DRAFTS_MOST = 100  # drafts; older ones are dropped
 
 # --- metrics -------------------------------------------------------------------------
-BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0)  # seconds; syncs to long waits
+BUCKETS = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    15.0,
+    60.0,
+)  # seconds; syncs to long waits
 
 # --- versions ------------------------------------------------------------------------
-WIRE_VERSION = 3  # of frames; another one is refused. 2: greetings tell the level, pieces what is held. 3: jobs
-FILE_VERSION = 3  # of files on disk; another one is left alone. 2: bases name segments. 3: images hold a board
+WIRE_VERSION = (
+    3  # of frames; another one is refused. 2: greetings tell the level, pieces what is held. 3: jobs
+)
+FILE_VERSION = (
+    3  # of files on disk; another one is left alone. 2: bases name segments. 3: images hold a board
+)
 RECORD_LEVEL = 2  # of operations; a cohort proposes only what the lowest level told of a member knows
 
 # --- jobs under holds ----------------------------------------------------------------
@@ -149,14 +170,18 @@
 CLOCK_DRIFT = 0.025  # seconds per second; a minion's clock may run slower by 2 %
 LAPSE_MARGIN = 0.1  # seconds; added to a hold before what ran under it counts as ended
 BEAT_AGAIN = 0.1  # seconds; before a minion with room beats again
-BEAT_EACH = 0.0008  # seconds; of that pace for each worker, so that a leader has some 1,250 beats a second at most
+BEAT_EACH = (
+    0.0008  # seconds; of that pace for each worker, so that a leader has some 1,250 beats a second at most
+)
 IDLE_HOLD = 0.5  # seconds; the beat of a worker with nothing to do stays open so long, well within the second it waits
 BEAT_FULL = 0.5  # seconds; before one without room does, as an end makes it beat at once
 BEAT_STALE = 0.9  # seconds; a beat older than this proves nothing and gets no starts
 BEAT_SILENT = 1.2  # seconds; a minion unheard this long gets no new work
 BEAT_HOLD = 0.06  # seconds; a beat is answered at the latest after this, while what it told is agreed on
 BEATS_KEPT = 64  # beats; whose sending time a leader keeps, some ten seconds of them
-LEAD_LEASE = 0.4  # seconds; a leader whose commit quorum answered within this may give starts: below ELECTION_TIMEOUT
+LEAD_LEASE = (
+    0.4  # seconds; a leader whose commit quorum answered within this may give starts: below ELECTION_TIMEOUT
+)
 MINION_FORGOTTEN = 30.0  # seconds; a silent minion with nothing placed is dropped
 ASSIGN_MOST = 200  # tasks; in one assigning entry
 CALL_PATIENCE = 2.5  # seconds; a call without a time of its own is carried this long
--- a/src/pinepitch/ground/env.py
+++ b/src/pinepitch/ground/env.py
@@ -73,14 +73,16 @@
     voluptuous.Optional("level", default="info"): voluptuous.In(LEVELS),
 }
 SHAPES = {
-    "accord": voluptuous.Schema({
-        **COMMON,
-        voluptuous.Required("data"): _text,
-        voluptuous.Optional("founders", default=constants.FOUNDERS): _founders,
-        voluptuous.Optional("mode", default="static"): voluptuous.In(("static", "dynamic", "single")),
-        voluptuous.Optional("http"): address,
-        voluptuous.Optional("rules"): _text,
-    }),
+    "accord": voluptuous.Schema(
+        {
+            **COMMON,
+            voluptuous.Required("data"): _text,
+            voluptuous.Optional("founders", default=constants.FOUNDERS): _founders,
+            voluptuous.Optional("mode", default="static"): voluptuous.In(("static", "dynamic", "single")),
+            voluptuous.Optional("http"): address,
+            voluptuous.Optional("rules"): _text,
+        }
+    ),
     "verge": voluptuous.Schema({**COMMON, voluptuous.Required("http"): address}),
 }
 
@@ -100,7 +102,13 @@
     except voluptuous.MultipleInvalid as several:
         return None, tuple(f"{'.'.join(map(str, one.path))}: {one.msg}" for one in several.errors)
     return Env(
-        checked["address"], checked["area"], checked["seeds"], checked.get("data"), checked["level"],
-        checked.get("founders", constants.FOUNDERS), checked.get("mode", "static"), checked.get("http"),
+        checked["address"],
+        checked["area"],
+        checked["seeds"],
+        checked.get("data"),
+        checked["level"],
+        checked.get("founders", constants.FOUNDERS),
+        checked.get("mode", "static"),
+        checked.get("http"),
         checked.get("rules"),
     ), ()
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -36,7 +36,8 @@
             await self.filled.wait()
             try:
                 socket = await curio.timeout_after(
-                    constants.ELECTION_TIMEOUT, curio.open_connection(host, port))
+                    constants.ELECTION_TIMEOUT, curio.open_connection(host, port)
+                )
             except (OSError, curio.TaskTimeout):
                 self.frames.clear()
                 self.filled.clear()
@@ -44,7 +45,9 @@
                 continue
             async with socket:
                 socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
-                socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_USER_TIMEOUT, constants.PROBE_AFTER)
+                socket.setsockopt(
+                    curio.socket.IPPROTO_TCP, curio.socket.TCP_USER_TIMEOUT, constants.PROBE_AFTER
+                )
                 try:
                     while True:
                         await self.filled.wait()
@@ -72,11 +75,23 @@
     """Runs one decider. Invariants: only run() steps it; a note is on disk before any
     later effect of the same step is carried out."""
 
-    def __init__(self, core, address, log, store=None, http_address=None, doors=(), stop_within=constants.STOP_WITHIN,
-                 watch=None):
+    def __init__(
+        self,
+        core,
+        address,
+        log,
+        store=None,
+        http_address=None,
+        doors=(),
+        stop_within=constants.STOP_WITHIN,
+        watch=None,
+    ):
         self.core, self.address, self.log = core, address, log
         self.store, self.http_address = store, http_address
-        self.doors, self.stop_within = doors, stop_within  # (address, translator) of ports that speak another way
+        self.doors, self.stop_within = (
+            doors,
+            stop_within,
+        )  # (address, translator) of ports that speak another way
         self.stopping = False
         self.watch = watch  # says by changed() which seeds the settings name now, or None if nothing changed
         self.inbox = curio.Queue()
@@ -300,12 +315,16 @@
                 request = await server.receive()
                 if isinstance(request, http.Fault):
                     if request.status:
-                        await server.answer(http.refusal(request.status, request.code, "the request can't be read"))
+                        await server.answer(
+                            http.refusal(request.status, request.code, "the request can't be read")
+                        )
                     return
                 self.request_count += 1
                 number = self.request_count
                 self.requests[number] = answers
-                await self.inbox.put(("http", number, request.method, request.target, request.headers, request.body))
+                await self.inbox.put(
+                    ("http", number, request.method, request.target, request.headers, request.body)
+                )
                 response = await answers.get()
                 if not await server.answer(response):
                     return
@@ -333,7 +352,9 @@
                 request = await server.receive()
                 if isinstance(request, http.Fault):
                     if request.status:
-                        await server.answer(http.refusal(request.status, request.code, "the request can't be read"))
+                        await server.answer(
+                            http.refusal(request.status, request.code, "the request can't be read")
+                        )
                     return
                 made = self.door.read(request)
                 if isinstance(made, http.Response):
--- a/src/pinepitch/ground/http.py
+++ b/src/pinepitch/ground/http.py
@@ -59,10 +59,14 @@
                 event = self.connection.next_event()
                 if event is h11.NEED_DATA:
                     if self.connection.they_are_waiting_for_100_continue:
-                        await self.socket.sendall(self.connection.send(
-                            h11.InformationalResponse(status_code=100, headers=[])))
-                    patience = constants.IDLE_MOST if begun is None else (
-                        begun + constants.REQUEST_MOST - time.monotonic())
+                        await self.socket.sendall(
+                            self.connection.send(h11.InformationalResponse(status_code=100, headers=[]))
+                        )
+                    patience = (
+                        constants.IDLE_MOST
+                        if begun is None
+                        else (begun + constants.REQUEST_MOST - time.monotonic())
+                    )
                     data = await curio.ignore_after(max(0.0, patience), self.socket.recv(65536))
                     if data is None and begun is None:
                         return Fault(0, "idle")
@@ -133,9 +137,18 @@
         body = b"" if document is None else json.dumps(document).encode()
         self.reached = True
         try:
-            data = self.connection.send(h11.Request(method=method, target=target, headers=[
-                ("Host", f"{self.host}:{self.port}"), ("Content-Type", "application/json"),
-                ("Content-Length", str(len(body))), *headers]))
+            data = self.connection.send(
+                h11.Request(
+                    method=method,
+                    target=target,
+                    headers=[
+                        ("Host", f"{self.host}:{self.port}"),
+                        ("Content-Type", "application/json"),
+                        ("Content-Length", str(len(body))),
+                        *headers,
+                    ],
+                )
+            )
             if body:
                 data += self.connection.send(h11.Data(data=body))
             data += self.connection.send(h11.EndOfMessage()) or b""
--- a/src/pinepitch/ground/metrics.py
+++ b/src/pinepitch/ground/metrics.py
@@ -58,5 +58,10 @@
 
 def event_figures(counts):
     """How often each numbered event was told, for every daemon alike."""
-    return ("counter", "events", "Numbered events told; docs/events.md lists them.", ("number", "event"),
-            [((number, events.CATALOGUE[number][0]), count) for number, count in sorted(counts.items())])
+    return (
+        "counter",
+        "events",
+        "Numbered events told; docs/events.md lists them.",
+        ("number", "event"),
+        [((number, events.CATALOGUE[number][0]), count) for number, count in sorted(counts.items())],
+    )
--- a/src/pinepitch/ground/program.py
+++ b/src/pinepitch/ground/program.py
@@ -18,8 +18,7 @@
     return found
 
 
-def serve(program, core, found, log, store=None, doors=(), stop_within=constants.STOP_WITHIN,
-          watch=None):
+def serve(program, core, found, log, store=None, doors=(), stop_within=constants.STOP_WITHIN, watch=None):
     """Runs a decider until it is told to stop; a broken invariant ends the process."""
     host = Host(core, found.address, log, store, found.http, doors, stop_within, watch)
     try:
--- a/src/pinepitch/ground/store.py
+++ b/src/pinepitch/ground/store.py
@@ -88,8 +88,11 @@
             if not match:
                 continue
             number = int(match[2])
-            if (number < first if match[1] == "segment"
-                    else number < version or (match[1] == "step" and number <= version)):
+            if (
+                number < first
+                if match[1] == "segment"
+                else number < version or (match[1] == "step" and number <= version)
+            ):
                 os.unlink(os.path.join(self.folder, name))
 
     def wipe(self):
@@ -103,12 +106,14 @@
         body = cbor2.dumps((constants.FILE_VERSION, payload))
         aside = os.path.join(self.folder, name + ".aside")
         if os.path.exists(aside):
-            os.unlink(aside)  # after a failed sync what a file holds can't be trusted: never the same one again
+            os.unlink(
+                aside
+            )  # after a failed sync what a file holds can't be trusted: never the same one again
         descriptor = os.open(aside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
         try:
             rest = memoryview(hashlib.sha256(body).digest() + body)
             while rest:
-                rest = rest[os.write(descriptor, rest):]
+                rest = rest[os.write(descriptor, rest) :]
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
@@ -128,5 +133,7 @@
             return Damaged((f"{name} is not what was written",))
         version, payload = cbor2.loads(body)
         if version != constants.FILE_VERSION:
-            return Foreign((f"{name} has file version {version}, this program reads {constants.FILE_VERSION}",))
+            return Foreign(
+                (f"{name} has file version {version}, this program reads {constants.FILE_VERSION}",)
+            )
         return payload
--- a/src/pinepitch/proof/caller.py
+++ b/src/pinepitch/proof/caller.py
@@ -9,17 +9,55 @@
 
 # What each kind of caller sends, by the brief: rate a second and the shape of the ticket.
 NKANSAH = (
-    ("fault-check", 5.0, {"queue": "field", "urgency": 6, "count": 12, "shape": "fan", "units": 1, "seconds": 0.1}),
-    ("scan", 1.0, {"queue": "imaging", "urgency": 4, "count": 2, "shape": "chain", "units": 2,
-                   "labels": ["graphics"], "seconds": 0.4}),
-    ("inspection", 1.0, {"queue": "imaging", "urgency": 3, "count": 2, "shape": "gang", "units": 1,
-                         "labels": ["graphics"], "seconds": 0.3}),
-    ("plan", 0.2, {"queue": "planning", "urgency": 2, "count": 6, "shape": "waves", "units": 2, "seconds": 0.5}),
+    (
+        "fault-check",
+        5.0,
+        {"queue": "field", "urgency": 6, "count": 12, "shape": "fan", "units": 1, "seconds": 0.1},
+    ),
+    (
+        "scan",
+        1.0,
+        {
+            "queue": "imaging",
+            "urgency": 4,
+            "count": 2,
+            "shape": "chain",
+            "units": 2,
+            "labels": ["graphics"],
+            "seconds": 0.4,
+        },
+    ),
+    (
+        "inspection",
+        1.0,
+        {
+            "queue": "imaging",
+            "urgency": 3,
+            "count": 2,
+            "shape": "gang",
+            "units": 1,
+            "labels": ["graphics"],
+            "seconds": 0.3,
+        },
+    ),
+    (
+        "plan",
+        0.2,
+        {"queue": "planning", "urgency": 2, "count": 6, "shape": "waves", "units": 2, "seconds": 0.5},
+    ),
     ("feed", 0.1, {"queue": "feeds", "urgency": 7, "count": 1, "shape": "feed", "units": 1, "seconds": 8.0}),
 )
 PINTURAS = (
-    ("match", 8.0, {"queue": "counter", "urgency": 7, "count": 2, "shape": "chain", "units": 1, "seconds": 0.2}),
-    ("recipe", 1.0, {"queue": "planning", "urgency": 2, "count": 4, "shape": "chain", "units": 2, "seconds": 0.3}),
+    (
+        "match",
+        8.0,
+        {"queue": "counter", "urgency": 7, "count": 2, "shape": "chain", "units": 1, "seconds": 0.2},
+    ),
+    (
+        "recipe",
+        1.0,
+        {"queue": "planning", "urgency": 2, "count": 4, "shape": "chain", "units": 2, "seconds": 0.3},
+    ),
     ("card", 1.0, {"queue": "lab", "urgency": 3, "count": 4, "shape": "fan", "units": 1, "seconds": 0.3}),
 )
 SOON = 0.02  # seconds; the first read of a ticket comes this soon after its acceptance
@@ -30,8 +68,12 @@
     """The document of one ticket."""
     count, tasks = shape["count"], []
     for place in range(count):
-        task = {"name": f"s{place}", "units": shape["units"], "labels": shape.get("labels", []),
-                "work": {"seconds": shape["seconds"], "fail": fail}}
+        task = {
+            "name": f"s{place}",
+            "units": shape["units"],
+            "labels": shape.get("labels", []),
+            "work": {"seconds": shape["seconds"], "fail": fail},
+        }
         if shape["shape"] == "chain" and place:
             task["after"] = [f"s{place - 1}"]
         elif shape["shape"] == "fan" and place == count - 1:
@@ -42,8 +84,12 @@
             task["after"] = [f"s{one}" for one in range(count // 2)]
             task["not_before"] = now + 2.0
         tasks.append(task)
-    return {"queue": shape["queue"], "urgency": shape["urgency"],
-            "kind": "feed" if shape["shape"] == "feed" else "batch", "tasks": tasks}
+    return {
+        "queue": shape["queue"],
+        "urgency": shape["urgency"],
+        "kind": "feed" if shape["shape"] == "feed" else "batch",
+        "tasks": tasks,
+    }
 
 
 class StandInCaller:
--- a/src/pinepitch/proof/checks.py
+++ b/src/pinepitch/proof/checks.py
@@ -34,8 +34,11 @@
     """No task runs twice at once, none starts again after it has ended well. An end that
     its minion took along when it died is excused for the tickets in `repeating` alone."""
     starts, ends = starts_and_ends(minion_history)
-    unsaid = {(event[4], event[5]) for event in minion_history
-              if event[0] == "unsaid" and event[4].partition("/")[0] in repeating}
+    unsaid = {
+        (event[4], event[5])
+        for event in minion_history
+        if event[0] == "unsaid" and event[4].partition("/")[0] in repeating
+    }
     faults = []
     for ref, runs in starts.items():
         seen = set()
@@ -121,7 +124,9 @@
                 if acknowledged is not None and acknowledged <= when - within:
                     break
         if allowed and used[queue] > max(allowed):
-            faults.append(f"{ref} started at {when:.3f} with {used[queue]} units of {queue}, over {max(allowed)}")
+            faults.append(
+                f"{ref} started at {when:.3f} with {used[queue]} units of {queue}, over {max(allowed)}"
+            )
     return faults
 
 
@@ -225,7 +230,9 @@
             if event[0] != "start" or not begun + grace < event[1] < (ended or 1e18):
                 continue
             if subject == (event[2] if kind == "minion" else areas[event[2]]):
-                faults.append(f"{event[4]} started on {event[2]} {event[1] - begun:.1f} s after {subject} closed")
+                faults.append(
+                    f"{event[4]} started on {event[2]} {event[1] - begun:.1f} s after {subject} closed"
+                )
     return faults
 
 
@@ -242,8 +249,12 @@
             faults.append(f"version {version} is a change that was refused")
     seen = set()
     for _, _, version, manner, document, base, reason in changes:
-        if (version not in held or held[version]["why"] != reason
-                or base is not None and held[version]["base"] != base):
+        if (
+            version not in held
+            or held[version]["why"] != reason
+            or base is not None
+            and held[version]["base"] != base
+        ):
             faults.append(f"acknowledged version {version} is missing at day's end")
             continue
         if version in seen:
@@ -252,18 +263,25 @@
         wanted = merged(documents[version - 1], document) if manner == "merge" else document
         found = documents[version]["queues"]
         if found.keys() != wanted["queues"].keys() or any(
-                found[queue][column] != value for queue, row in wanted["queues"].items() for column, value in row.items()):
+            found[queue][column] != value
+            for queue, row in wanted["queues"].items()
+            for column, value in row.items()
+        ):
             faults.append(f"version {version} does not hold just its own change")
     return faults
 
 
 def all_checks(caller_history, minion_history, documents, rows, rooms, away=(), withdrawn=()):
     """Every check that needs no moment of its own; `rows` are those of the table."""
-    repeating = {ticket for ticket, document in documents.items()
-                 if rows[document["queue"]].get("repeats", False)}
+    repeating = {
+        ticket for ticket, document in documents.items() if rows[document["queue"]].get("repeats", False)
+    }
     return [
-        *never_twice(minion_history, repeating), *in_order(minion_history, documents),
-        *attempts_kept(minion_history, documents, rows, withdrawn), *room_kept(minion_history, rooms),
-        *never_forgotten(caller_history), *finished_truly(caller_history, minion_history),
+        *never_twice(minion_history, repeating),
+        *in_order(minion_history, documents),
+        *attempts_kept(minion_history, documents, rows, withdrawn),
+        *room_kept(minion_history, rooms),
+        *never_forgotten(caller_history),
+        *finished_truly(caller_history, minion_history),
         *cancelled_truly(caller_history, minion_history, away),
     ]
--- a/src/pinepitch/proof/disturb.py
+++ b/src/pinepitch/proof/disturb.py
@@ -15,6 +15,7 @@
     async def found():
         answer = await fleet.call("GET", "/v1/cohort", verge=time.time_ns())
         return isinstance(answer, http.Response) and answer.status == 200 and answer.document
+
     cohort = await fleet.until(found, 30, "the cohort")
     for member in cohort["members"]:
         if member["accord"] == cohort["leader"]:
@@ -92,7 +93,9 @@
     fleet.kill(name, signal.SIGCONT)
 
 
-FROZEN = constants.SEND_WITHIN + constants.SEND_MARGIN + 1.5  # seconds; longer than any order may be under way
+FROZEN = (
+    constants.SEND_WITHIN + constants.SEND_MARGIN + 1.5
+)  # seconds; longer than any order may be under way
 
 
 async def freeze_leader(fleet):
@@ -162,8 +165,13 @@
 
     async def member():
         cohort = await fleet.call("GET", "/v1/cohort", verge=time.time_ns())
-        return isinstance(cohort, http.Response) and cohort.status == 200 and not cohort.document["changing"] and any(
-            one["address"] == address for one in cohort.document["members"])
+        return (
+            isinstance(cohort, http.Response)
+            and cohort.status == 200
+            and not cohort.document["changing"]
+            and any(one["address"] == address for one in cohort.document["members"])
+        )
+
     begun = time.monotonic()
     await fleet.until(member, 40, "the new accord as a member")
     took = round(time.monotonic() - begun, 2)
@@ -197,12 +205,16 @@
     limit = fleet.plan.setup["queues"][queue]["limit"]
     for turn in range(10):
         base = (await operator.persist("GET", "/v1/setup")).document["version"]
-        group = [await curio.spawn(operator.change, {"queues": {queue: {"limit": limit + 2 * turn + one}}}, base)
-                 for one in range(2)]
+        group = [
+            await curio.spawn(operator.change, {"queues": {queue: {"limit": limit + 2 * turn + one}}}, base)
+            for one in range(2)
+        ]
         won.append([await one.join() for one in group].count(200))
     if max(won) > 1:
         raise AssertionError(f"two changes on one version were accepted: {won}")
-    burst = [await curio.spawn(operator.change, {"queues": {queue: {"limit": limit + one}}}) for one in range(50)]
+    burst = [
+        await curio.spawn(operator.change, {"queues": {queue: {"limit": limit + one}}}) for one in range(50)
+    ]
     return {"races": len(won), "won": sum(won), "burst": [await one.join() for one in burst].count(200)}
 
 
--- a/src/pinepitch/proof/fleet.py
+++ b/src/pinepitch/proof/fleet.py
@@ -36,23 +36,51 @@
 
 PLANS = {
     "small": Plan(
-        ("a", "b", "c"), ("a", "b"), (("m", 2, 8, (), True),), ("a", "b", "c"),
-        (("job", 2.0, {"queue": "default", "urgency": 4, "count": 3, "shape": "chain", "units": 1, "seconds": 0.1}),),
-        {"queues": {"default": _row(16, 16, retries=3)}}, 3),
+        ("a", "b", "c"),
+        ("a", "b"),
+        (("m", 2, 8, (), True),),
+        ("a", "b", "c"),
+        (
+            (
+                "job",
+                2.0,
+                {"queue": "default", "urgency": 4, "count": 3, "shape": "chain", "units": 1, "seconds": 0.1},
+            ),
+        ),
+        {"queues": {"default": _row(16, 16, retries=3)}},
+        3,
+    ),
     "nkansah": Plan(
-        ("z1", "z1", "z2", "z3", "z4"), ("z1", "z1", "z2", "z2", "z3", "z3", "z4"),
-        (("lamp", 20, 8, (), True), ("image", 8, 4, ("graphics",), True)), ("z1", "z2", "z3", "z4"),
-        caller.NKANSAH, {"queues": {
-            "field": _row(80, 160, urgency=6, retries=5, preempts=True, yields=False),
-            "planning": _row(30, 100, urgency=2, retries=5),
-            "feeds": _row(50, 120, urgency=7, retries=5, yields=False),
-            "imaging": _row(32, 32, urgency=4, retries=5)}}, 5),
+        ("z1", "z1", "z2", "z3", "z4"),
+        ("z1", "z1", "z2", "z2", "z3", "z3", "z4"),
+        (("lamp", 20, 8, (), True), ("image", 8, 4, ("graphics",), True)),
+        ("z1", "z2", "z3", "z4"),
+        caller.NKANSAH,
+        {
+            "queues": {
+                "field": _row(80, 160, urgency=6, retries=5, preempts=True, yields=False),
+                "planning": _row(30, 100, urgency=2, retries=5),
+                "feeds": _row(50, 120, urgency=7, retries=5, yields=False),
+                "imaging": _row(32, 32, urgency=4, retries=5),
+            }
+        },
+        5,
+    ),
     "pinturas": Plan(
-        ("p1", "p2", "p3"), ("p1", "p1", "p2", "p2", "p3", "p3"), (("mix", 33, 4, (), False),),
-        ("p1", "p2", "p3"), caller.PINTURAS, {"queues": {
-            "counter": _row(66, 132, urgency=7, retries=5, preempts=True, yields=False),
-            "planning": _row(33, 100, urgency=2, retries=5),
-            "lab": _row(33, 100, urgency=3, retries=5)}}, 3),
+        ("p1", "p2", "p3"),
+        ("p1", "p1", "p2", "p2", "p3", "p3"),
+        (("mix", 33, 4, (), False),),
+        ("p1", "p2", "p3"),
+        caller.PINTURAS,
+        {
+            "queues": {
+                "counter": _row(66, 132, urgency=7, retries=5, preempts=True, yields=False),
+                "planning": _row(33, 100, urgency=2, retries=5),
+                "lab": _row(33, 100, urgency=3, retries=5),
+            }
+        },
+        3,
+    ),
 }
 
 
@@ -80,7 +108,9 @@
         self.commands = {}
         self.away = []  # [minion, from, to] of being frozen or gone
         self.operator = FleetOperator(self)
-        ports = iter(free_ports(2 * len(plan.accords) + 2 * len(plan.verges) + sum(one[1] for one in plan.minions)))
+        ports = iter(
+            free_ports(2 * len(plan.accords) + 2 * len(plan.verges) + sum(one[1] for one in plan.minions))
+        )
         self.accords = [(area, f"127.0.0.1:{next(ports)}") for area in plan.accords]
         self.own = [f"127.0.0.1:{next(ports)}" for _ in plan.accords]  # the accords' ports for metrics
         self.verges = [(area, f"127.0.0.1:{next(ports)}", f"127.0.0.1:{next(ports)}") for area in plan.verges]
@@ -88,15 +118,18 @@
         for prefix, count, room, labels, guards in plan.minions:
             for place in range(count):
                 area = plan.areas[place % len(plan.areas)]
-                self.minions.append([f"{prefix}{place}", area, f"127.0.0.1:{next(ports)}", room, list(labels), guards])
+                self.minions.append(
+                    [f"{prefix}{place}", area, f"127.0.0.1:{next(ports)}", room, list(labels), guards]
+                )
         addresses = [one[1] for one in self.accords] + [one[1] for one in self.verges]
-        self.seeds = ",".join(addresses[:constants.SEEDS])
+        self.seeds = ",".join(addresses[: constants.SEEDS])
 
     def start(self, name, *command):
         self.commands[name] = command
         log = open(os.path.join(self.folder, name + ".log"), "ab")
         self.processes[name] = subprocess.Popen(
-            [sys.executable, "-c", *command], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+            [sys.executable, "-c", *command], stdout=log, stderr=log, stdin=subprocess.DEVNULL
+        )
         log.close()
 
     def again(self, name):
@@ -105,15 +138,29 @@
 
     def start_accord(self, place):
         area, address = self.accords[place]
-        self.start(f"accord{place}", "from pinepitch.accord.program import main; main()",
-                   f"--address={address}", f"--area={area}", f"--seeds={self.seeds}",
-                   f"--data={os.path.join(self.data, f'accord{place}')}", f"--founders={self.plan.founders}",
-                   f"--level={self.level}", *([f"--http={self.own[place]}"] if place < len(self.own) else []))
+        self.start(
+            f"accord{place}",
+            "from pinepitch.accord.program import main; main()",
+            f"--address={address}",
+            f"--area={area}",
+            f"--seeds={self.seeds}",
+            f"--data={os.path.join(self.data, f'accord{place}')}",
+            f"--founders={self.plan.founders}",
+            f"--level={self.level}",
+            *([f"--http={self.own[place]}"] if place < len(self.own) else []),
+        )
 
     def start_verge(self, place):
         area, address, web = self.verges[place]
-        self.start(f"verge{place}", "from pinepitch.verge.program import main; main()", f"--address={address}",
-                   f"--http={web}", f"--area={area}", f"--seeds={self.seeds}", f"--level={self.level}")
+        self.start(
+            f"verge{place}",
+            "from pinepitch.verge.program import main; main()",
+            f"--address={address}",
+            f"--http={web}",
+            f"--area={area}",
+            f"--seeds={self.seeds}",
+            f"--level={self.level}",
+        )
 
     def start_all(self):
         for place in range(len(self.accords)):
@@ -126,16 +173,20 @@
         """The first minion has a process of its own, so that it can be frozen or killed alone."""
         self._start_minions("minions-alone", self.minions[:1])
         for place in range(groups):
-            self._start_minions(f"minions{place}", self.minions[1 + place::groups])
+            self._start_minions(f"minions{place}", self.minions[1 + place :: groups])
 
     def _start_minions(self, name, own):
         if own:
             path = os.path.join(self.folder, f"{name}.json")
             with open(path, "w") as file:
                 json.dump(own, file)
-            self.start(name, "from pinepitch.proof.minion_program import main; main()",
-                       f"--minions={path}", f"--verges={','.join(one[2] for one in self.verges)}",
-                       f"--history={os.path.join(self.folder, f'{name}.history')}")
+            self.start(
+                name,
+                "from pinepitch.proof.minion_program import main; main()",
+                f"--minions={path}",
+                f"--verges={','.join(one[2] for one in self.verges)}",
+                f"--history={os.path.join(self.folder, f'{name}.history')}",
+            )
 
     def lose_minion(self):
         """Kills the minion that is alone; what it ran is noted as gone for the checks."""
@@ -215,6 +266,7 @@
         async def put():
             answer = await self.call("PUT", "/v1/setup", self.plan.setup, (("If-Match", "*"),))
             return isinstance(answer, http.Response) and answer.status == 200
+
         await self.until(put, 20, "the setup")
 
 
@@ -230,10 +282,12 @@
 
     async def persist(self, method, target, document=None, headers=(), seconds=30):
         """Asks at one verge after another until answered other than 429 or 503."""
+
         async def answered():
             self.count += 1
             answer = await self.fleet.call(method, target, document, headers, verge=self.count)
             return isinstance(answer, http.Response) and answer.status not in (429, 503) and answer
+
         return await self.fleet.until(answered, seconds, f"an answer to {method} {target}")
 
     async def change(self, document, base=None, manner="merge"):
@@ -241,11 +295,17 @@
         self.count += 1
         reason, asked = f"change {self.count}", time.time()
         answer = await self.fleet.call(
-            "PATCH" if manner == "merge" else "PUT", "/v1/setup", document,
-            (("If-Match", "*" if base is None else f'"{base}"'), ("X-Reason", reason)), verge=self.count)
+            "PATCH" if manner == "merge" else "PUT",
+            "/v1/setup",
+            document,
+            (("If-Match", "*" if base is None else f'"{base}"'), ("X-Reason", reason)),
+            verge=self.count,
+        )
         status = answer.status if isinstance(answer, http.Response) else 0
         if status == 200:
-            self.changes.append((asked, time.time(), answer.document["version"], manner, document, base, reason))
+            self.changes.append(
+                (asked, time.time(), answer.document["version"], manner, document, base, reason)
+            )
         elif status in (409, 422):
             self.refused.append(reason)
         else:
@@ -279,10 +339,14 @@
                 answer = await self.persist("GET", "/v1/setup/versions")
             histories.append(answer.document)
         for version in {one for change in self.changes for one in (change[2], change[2] - 1)}:
-            documents[version] = (await self.persist("GET", f"/v1/setup/versions/{version}")).document["setup"]
+            documents[version] = (await self.persist("GET", f"/v1/setup/versions/{version}")).document[
+                "setup"
+            ]
         areas = {one[0]: one[1] for one in self.fleet.minions}
-        return [*checks.setups_kept(histories, documents, self.changes, self.refused),
-                *checks.closed_kept(self.fleet.minion_history(), self.spans, areas)]
+        return [
+            *checks.setups_kept(histories, documents, self.changes, self.refused),
+            *checks.closed_kept(self.fleet.minion_history(), self.spans, areas),
+        ]
 
 
 class Traffic:
@@ -308,8 +372,11 @@
         return self._unfinished()
 
     def _unfinished(self):
-        return [ticket for ticket in self.caller.open] + [one[1] for one in self.caller.retry] + [
-            one[1] for one in self.caller.under_way.values() if one[0] == "submit"]
+        return (
+            [ticket for ticket in self.caller.open]
+            + [one[1] for one in self.caller.retry]
+            + [one[1] for one in self.caller.under_way.values() if one[0] == "submit"]
+        )
 
     async def _turn(self):
         for effect in self.caller.step(("tick",), time.time()):
@@ -346,12 +413,17 @@
 
     def at(values, part):
         return round(values[min(len(values) - 1, int(part * len(values)))], 4) if values else None
+
     return {
-        "accepted": len(accept), "shed": sum(one[0] == "shed" for one in history),
-        "unanswered": sum(one[0] == "unanswered" for one in history), "states": states,
-        "accept_median": at(accept, 0.5), "accept_99": at(accept, 0.99),
-        "start_median": at(start, 0.5), "start_99": at(start, 0.99), "started": sum(
-            one[0] == "start" for one in minion_history),
+        "accepted": len(accept),
+        "shed": sum(one[0] == "shed" for one in history),
+        "unanswered": sum(one[0] == "unanswered" for one in history),
+        "states": states,
+        "accept_median": at(accept, 0.5),
+        "accept_99": at(accept, 0.99),
+        "start_median": at(start, 0.5),
+        "start_99": at(start, 0.99),
+        "started": sum(one[0] == "start" for one in minion_history),
     }
 
 
@@ -359,8 +431,15 @@
     """Faults that the history checks find in a fleet run."""
     documents = {ticket: one[2] for ticket, one in traffic.caller.accepted.items()}
     rooms = {one[0]: one[3] for one in fleet.minions}
-    return checks.all_checks(traffic.caller.history, fleet.minion_history(), documents, fleet.plan.setup["queues"], rooms,
-                             fleet.away, fleet.operator.withdrawn)
+    return checks.all_checks(
+        traffic.caller.history,
+        fleet.minion_history(),
+        documents,
+        fleet.plan.setup["queues"],
+        rooms,
+        fleet.away,
+        fleet.operator.withdrawn,
+    )
 
 
 def fleet(plan="nkansah", seconds=20, rate=1.0, seed=0, folder=None, level="warning", disturb=""):
@@ -383,6 +462,7 @@
 async def run(one, seconds, rate=1.0, seed=0, disturb=""):
     """One fleet from its start to its checks; what was seen."""
     from .disturb import DISTURBANCES
+
     begun = time.monotonic()
     one.start_all()
     try:
@@ -397,9 +477,15 @@
         unfinished = await running.join()
         figures = await one.call("GET", "/v1/figures")
         history = one.minion_history()
-        return {"served_after": round(up, 2), "disturbed": told, "figures": getattr(figures, "document", None),
-                "summary": summary(traffic.caller.history, history), "unfinished": unfinished[:20],
-                "faults": (check(one, traffic) + await one.operator.check())[:20], "folder": one.folder}
+        return {
+            "served_after": round(up, 2),
+            "disturbed": told,
+            "figures": getattr(figures, "document", None),
+            "summary": summary(traffic.caller.history, history),
+            "unfinished": unfinished[:20],
+            "faults": (check(one, traffic) + await one.operator.check())[:20],
+            "folder": one.folder,
+        }
     finally:
         one.stop()
 
@@ -413,6 +499,7 @@
         seconds: how long tickets come in each run.
     """
     from .disturb import DISTURBANCES
+
     names = [one for one in (only.split(",") if isinstance(only, str) else only) if one] or list(DISTURBANCES)
     failed = 0
     print(f"{'plan':10}{'disturbance':20}{'accepted':>9}{'shed':>6}{'faults':>7}  seen")
@@ -422,11 +509,19 @@
                 try:
                     result = curio.run(run, Fleet(PLANS[plan], folder), seconds, 1.0, 0, name)
                 except TimeoutError as late:
-                    result = {"summary": {"accepted": 0, "shed": 0}, "faults": [str(late)], "unfinished": [], "disturbed": None}
+                    result = {
+                        "summary": {"accepted": 0, "shed": 0},
+                        "faults": [str(late)],
+                        "unfinished": [],
+                        "disturbed": None,
+                    }
             faults = result["faults"] + [f"unfinished: {one}" for one in result["unfinished"]]
             failed += bool(faults)
             seen = result["summary"]
-            print(f"{plan:10}{name:20}{seen['accepted']:9}{seen['shed']:6}{len(faults):7}  {json.dumps(result['disturbed'])}", flush=True)
+            print(
+                f"{plan:10}{name:20}{seen['accepted']:9}{seen['shed']:6}{len(faults):7}  {json.dumps(result['disturbed'])}",
+                flush=True,
+            )
             for one in faults[:4]:
                 print(f"    {one}", flush=True)
     print(f"{failed} runs with faults")
@@ -436,14 +531,18 @@
 
 def traffic(verge="127.0.0.1:8080", seconds=30, rate=1.0):
     """Sends stand-in tickets to one verge's queue `default` for some seconds."""
+
     class Running(NamedTuple):
         """What Traffic needs of a fleet that runs already."""
 
         plan: Plan
         verges: tuple
+
     shape = {"queue": "default", "urgency": 4, "count": 3, "shape": "fan", "units": 1, "seconds": 0.6}
     plan = PLANS["small"]._replace(traffic=(("job", 2.0, shape),))
-    one = Traffic(Running(plan, (("", "", verge),)), time.time_ns(), rate, 0.0, f"try-{time.time_ns()}", cancels=0.0)
+    one = Traffic(
+        Running(plan, (("", "", verge),)), time.time_ns(), rate, 0.0, f"try-{time.time_ns()}", cancels=0.0
+    )
     unfinished = curio.run(one.run, seconds)
     print(f"{len(one.caller.accepted)} tickets accepted, {len(unfinished)} not finished")
 
@@ -464,12 +563,15 @@
         await curio.sleep(seconds)
         version = (await one.operator.persist("GET", "/v1/setup")).document["version"]
         patch = {"queues": {queue: {"share": after, "limit": after}}}
-        draft = (await one.operator.persist("POST", "/v1/drafts", {"base": version, "patch": patch})).document["draft"]
+        draft = (
+            await one.operator.persist("POST", "/v1/drafts", {"base": version, "patch": patch})
+        ).document["draft"]
         await one.operator.persist("POST", f"/v1/drafts/{draft}/rehearse")
 
         async def measured():
             answer = await one.operator.persist("GET", f"/v1/drafts/{draft}")
             return answer.document["state"] == "measured" and answer.document["measure"]
+
         measure = await one.until(measured, 90, "the measurement")
         await one.operator.change(patch, version)
         changed = time.time()
@@ -483,12 +585,20 @@
         waits = {"before": [], "after": []}
         for ticket, (_, accepted, document) in traffic.caller.accepted.items():
             if document["queue"] == queue:
-                waits["before" if accepted < changed else "after"].append(first.get(ticket, time.time()) - accepted)
+                waits["before" if accepted < changed else "after"].append(
+                    first.get(ticket, time.time()) - accepted
+                )
         line = next(line for line in measure["queues"] if line["queue"] == queue)
-        seen = {name: round(sorted(found)[len(found) // 2], 3) if found else None for name, found in waits.items()}
-        return {"verdict": measure["verdict"], "why": measure["why"], "forecast_median": [line["wait_median"], line["draft_wait_median"]],
-                "seen_median_first_start": [seen["before"], seen["after"]],
-                "tickets": [len(waits["before"]), len(waits["after"])]}
+        seen = {
+            name: round(sorted(found)[len(found) // 2], 3) if found else None for name, found in waits.items()
+        }
+        return {
+            "verdict": measure["verdict"],
+            "why": measure["why"],
+            "forecast_median": [line["wait_median"], line["draft_wait_median"]],
+            "seen_median_first_start": [seen["before"], seen["after"]],
+            "tickets": [len(waits["before"]), len(waits["after"])],
+        }
     finally:
         one.stop()
 
@@ -499,5 +609,7 @@
     for plan, queue, narrow, wide in FORECASTS:
         for before, after in ((narrow, wide), (wide, narrow)):
             with tempfile.TemporaryDirectory(prefix="pinepitch-") as folder:
-                told = curio.run(forecast, Fleet(copy.deepcopy(PLANS[plan]), folder), queue, before, after, seconds)
+                told = curio.run(
+                    forecast, Fleet(copy.deepcopy(PLANS[plan]), folder), queue, before, after, seconds
+                )
             print(f"{plan} {queue}.limit {before} -> {after}: {json.dumps(told)}", flush=True)
--- a/src/pinepitch/proof/minion.py
+++ b/src/pinepitch/proof/minion.py
@@ -26,7 +26,7 @@
     def begin(self):
         """A new incarnation: what ran is gone, and so is what it knew."""
         self.births += 1
-        self.incarnation = f"{self.name}.{self.births}.{self.random.randrange(10 ** 9)}"
+        self.incarnation = f"{self.name}.{self.births}.{self.random.randrange(10**9)}"
         self.running = {}  # (reference, attempt) -> (ends at, how, units)
         self.ended = {}  # (reference, attempt) -> how
         self.counter = 0
@@ -37,9 +37,9 @@
 
     def crash(self, now):
         """Loses power: everything it ran stops, and ends that nobody acknowledged are lost."""
-        for (ref, attempt) in self.running:
+        for ref, attempt in self.running:
             self.history.append(("gone", now, self.name, self.incarnation, ref, attempt))
-        for (ref, attempt) in self.ended:
+        for ref, attempt in self.ended:
             self.history.append(("unsaid", now, self.name, self.incarnation, ref, attempt))
         self.running, self.ended = {}, {}
 
@@ -92,9 +92,15 @@
 
     def report(self):
         return {
-            "minion": self.name, "area": self.area, "address": self.address, "room": self.room,
-            "labels": self.labels, "guards": self.guards, "incarnation": self.incarnation,
-            "counter": self.counter, "heard": self.heard,
+            "minion": self.name,
+            "area": self.area,
+            "address": self.address,
+            "room": self.room,
+            "labels": self.labels,
+            "guards": self.guards,
+            "incarnation": self.incarnation,
+            "counter": self.counter,
+            "heard": self.heard,
             "running": [list(key) for key in self.running],
             "ended": [[*key, how] for key, how in self.ended.items()],
         }
--- a/src/pinepitch/proof/minion_program.py
+++ b/src/pinepitch/proof/minion_program.py
@@ -43,6 +43,7 @@
                 for _, _, status, document in effects:
                     if not await server.answer(http.Response(status, document)):
                         return
+
         await curio.tcp_server(host, port, serve)
 
     def _flush(self, minion):
@@ -61,7 +62,8 @@
                     self.turn += 1
                     client = http.Client(*split(self.verges[self.turn % len(self.verges)]))
                 answer = await curio.ignore_after(
-                    constants.CARRY_TIMEOUT + 0.5, client.call("POST", "/v1/reports", document))
+                    constants.CARRY_TIMEOUT + 0.5, client.call("POST", "/v1/reports", document)
+                )
                 if isinstance(answer, http.Response):
                     minion.step(("reported", answer.status, answer.document), time.time())
                 if not isinstance(answer, http.Response) or answer.status >= 500:
@@ -76,8 +78,10 @@
     """Runs the minions of a JSON file: [[name, area, address, room, [labels], guards], ...]."""
     with open(minions) as file:
         minions = json.load(file)
-    made = [StandInMinion(name, area, address, room, labels, guards, seed=time.time_ns())
-            for name, area, address, room, labels, guards in minions]
+    made = [
+        StandInMinion(name, area, address, room, labels, guards, seed=time.time_ns())
+        for name, area, address, room, labels, guards in minions
+    ]
     if isinstance(verges, str):
         verges = verges.split(",")
     curio.run(MinionHost(made, list(verges), history).run)
--- a/src/pinepitch/proof/operator.py
+++ b/src/pinepitch/proof/operator.py
@@ -59,8 +59,16 @@
     def _begin(self, place, manner, document, base=None):
         """Sends one change and waits for nothing; what to give to _settle later."""
         reason, got = self.reason(), []
-        self.simulator.call("operator", 0, place, "PUT" if manner == "whole" else "PATCH", "/v1/setup", document,
-                            ("plain", got), headers={"if-match": "*" if base is None else f'"{base}"', "x-reason": reason})
+        self.simulator.call(
+            "operator",
+            0,
+            place,
+            "PUT" if manner == "whole" else "PATCH",
+            "/v1/setup",
+            document,
+            ("plain", got),
+            headers={"if-match": "*" if base is None else f'"{base}"', "x-reason": reason},
+        )
         return (self.now(), manner, document, base, reason, got)
 
     def _settle(self, asked, manner, document, base, reason, got):
@@ -98,8 +106,18 @@
         verges = [node for node in self.simulator.nodes.values() if node.kind == "verge"]
         if self.simulator.cuts or any(node.core is None or node.frozen for node in verges):
             return
-        if self.simulator.until(lambda: all((node.core.body or {}).get("setup_version", 0) >= version
-                                            for node in verges if node.core is not None), within, 0.05) is None:
+        if (
+            self.simulator.until(
+                lambda: all(
+                    (node.core.body or {}).get("setup_version", 0) >= version
+                    for node in verges
+                    if node.core is not None
+                ),
+                within,
+                0.05,
+            )
+            is None
+        ):
             self.faults.append(f"version {version} was not in force at every verge within {within} s")
 
     def race(self, patches):
@@ -123,19 +141,29 @@
     def check(self):
         """Faults in what was acknowledged: closed minions and areas, and setups."""
         areas = {name: node.area for name, node in self.simulator.nodes.items()}
-        return [*self.faults, *checks.closed_kept(self.simulator.minion_history, self.spans, areas),
-                *self.check_setups()]
+        return [
+            *self.faults,
+            *checks.closed_kept(self.simulator.minion_history, self.spans, areas),
+            *self.check_setups(),
+        ]
 
     def limits(self):
         """The changes as the check of limits takes them."""
-        told = [(asked, acknowledged, version, document)
-                for asked, acknowledged, version, _, document, _, _ in self.changes]
+        told = [
+            (asked, acknowledged, version, document)
+            for asked, acknowledged, version, _, document, _, _ in self.changes
+        ]
         told.sort(key=lambda one: one[2])
         told = [(0.0, 0.0, 0, self.simulator.setup), *told]
         told += [(asked, None, 0, document) for asked, document in self.maybe]
-        return [(asked, acknowledged, {queue: row["limit"] for queue, row in document["queues"].items()
-                                       if row and "limit" in row})
-                for asked, acknowledged, _, document in told]
+        return [
+            (
+                asked,
+                acknowledged,
+                {queue: row["limit"] for queue, row in document["queues"].items() if row and "limit" in row},
+            )
+            for asked, acknowledged, _, document in told
+        ]
 
     def check_setups(self):
         """Faults in what is read at day's end: every acknowledged change, its content, and
--- a/src/pinepitch/proof/plants.py
+++ b/src/pinepitch/proof/plants.py
@@ -20,7 +20,10 @@
 
 def _tasks(**changed):
     def planted(plain, retries, feed):
-        return {name: task._replace(**changed) for name, task in ticket.tasks_from(plain, retries, feed).items()}
+        return {
+            name: task._replace(**changed) for name, task in ticket.tasks_from(plain, retries, feed).items()
+        }
+
     return [(record, "tasks_from", planted)]
 
 
@@ -37,8 +40,14 @@
     original_watch(self, now)
     for name, known in self.minions.items():
         if now - known.heard_at > constants.MINION_SILENT:
-            self._propose_ends([(ref, self.record.find(ref)[2].attempt, "never")
-                                for ref in self.record.reserved.get(name, {})], None, now)
+            self._propose_ends(
+                [
+                    (ref, self.record.find(ref)[2].attempt, "never")
+                    for ref in self.record.reserved.get(name, {})
+                ],
+                None,
+                now,
+            )
 
 
 original_watch = core.Accord._watch
@@ -190,7 +199,10 @@
     "attempts-unbounded": _tasks(attempts=100),
     "own-clock": [(cohorttime.CohortTime, "read", _own_clock)],
     "cancel-in-word": [(Record, "_cancel", _cancel_in_word)],
-    "closed-ignored": [(Record, "closed", lambda self, name, area: ""), (Verge, "_closed", lambda self, order: False)],
+    "closed-ignored": [
+        (Record, "closed", lambda self, name, area: ""),
+        (Verge, "_closed", lambda self, order: False),
+    ],
     "room-doubled": [(minion, "checked", _double_room)],
     "gangs-apart": _tasks(gang=""),
     "base-ignored": [(Record, "_change", _no_base)],
@@ -199,13 +211,20 @@
     "news-kept-back": [(core.Accord, "_news_version", lambda self: (self.consensus.term, 0))],
     "failed-counts-as-done": [(Record, "_end", _as_if_done)],
     "lost-is-tried-again": [(Record, "_end", _repeats_lost)],
-    "slow-elections": [(constants, "ELECTION_TIMEOUT", 15.0), (constants, "CHECK_QUORUM", 15.0),
-                       (constants, "LEAD_LEASE", 15.0)],
+    "slow-elections": [
+        (constants, "ELECTION_TIMEOUT", 15.0),
+        (constants, "CHECK_QUORUM", 15.0),
+        (constants, "LEAD_LEASE", 15.0),
+    ],
     "amnesia": [(simulator.Simulator, "wipe", _keep_identity)],
     # No fault but a condition under which nothing may break: the log is compacted all the time.
-    "frequent-snapshots": [(constants, "SNAPSHOT_ENTRIES", 50), (constants, "SNAPSHOT_TAIL", 10),
-                           (constants, "FINISHED_LIVE", 5), (constants, "SEGMENT_TICKETS", 4),
-                           (constants, "SNAPSHOT_PIECE", 20_000)],
+    "frequent-snapshots": [
+        (constants, "SNAPSHOT_ENTRIES", 50),
+        (constants, "SNAPSHOT_TAIL", 10),
+        (constants, "FINISHED_LIVE", 5),
+        (constants, "SEGMENT_TICKETS", 4),
+        (constants, "SNAPSHOT_PIECE", 20_000),
+    ],
     "votes-twice": [(Consensus, "_on_vote", _votes_again), (constants, "ELECTION_JITTER", 0.01)],
 }
 
@@ -217,10 +236,14 @@
         for owner, attribute, replacement in PLANTS[name] if name else ():
             stack.enter_context(mock.patch.object(owner, attribute, replacement))
         if name:
-            registries = [(simulator.EFFECTS, "save", simulator.Simulator._save),
-                          (record.ACTIONS, "cancel", Record._cancel)]
-            registries += [(consensus.HANDLERS, "vote", Consensus._on_vote),
-                           (verge_core.INPUTS, "told", Verge._on_told)]
+            registries = [
+                (simulator.EFFECTS, "save", simulator.Simulator._save),
+                (record.ACTIONS, "cancel", Record._cancel),
+            ]
+            registries += [
+                (consensus.HANDLERS, "vote", Consensus._on_vote),
+                (verge_core.INPUTS, "told", Verge._on_told),
+            ]
             for registry, key, value in registries:
                 stack.enter_context(mock.patch.dict(registry, {key: value}))
         yield
--- a/src/pinepitch/proof/promises.py
+++ b/src/pinepitch/proof/promises.py
@@ -21,31 +21,76 @@
 HEALTHY = ("scattered",)
 OUTAGES = ("outage", "power", "final", "clock-outage", "areas-fall", "full")
 PROMISES = (
-    Promise("a task runs twice at once, or again after its end", ("never_twice",),
-            ("early-proof", "silence-is-an-end", "sent-again", "lost-is-tried-again", "saved-too-soon")),
-    Promise("an accepted job is forgotten, or unknown after 3 s", ("never_forgotten", "read_again", "never quiet again"),
-            ("amnesia", "promises-when-full")),
-    Promise("a task starts before its forerunners, or over 0.1 s early", ("in_order",),
-            ("forerunners-ignored", "not-before-ignored", "own-clock", "any-clock")),
-    Promise("a task retries beyond its allowed failures", ("attempts_kept",), ("attempts-unbounded", "lost-not-counted")),
-    Promise("a cancelled job starts tasks after 3 s or keeps any running", ("cancelled_truly",),
-            ("cancel-in-word", "killed-once")),
-    Promise("a draining minion gets work after 2 s, an emptied zone after 5 s", ("closed_kept",), ("closed-ignored",)),
+    Promise(
+        "a task runs twice at once, or again after its end",
+        ("never_twice",),
+        ("early-proof", "silence-is-an-end", "sent-again", "lost-is-tried-again", "saved-too-soon"),
+    ),
+    Promise(
+        "an accepted job is forgotten, or unknown after 3 s",
+        ("never_forgotten", "read_again", "never quiet again"),
+        ("amnesia", "promises-when-full"),
+    ),
+    Promise(
+        "a task starts before its forerunners, or over 0.1 s early",
+        ("in_order",),
+        ("forerunners-ignored", "not-before-ignored", "own-clock", "any-clock"),
+    ),
+    Promise(
+        "a task retries beyond its allowed failures",
+        ("attempts_kept",),
+        ("attempts-unbounded", "lost-not-counted"),
+    ),
+    Promise(
+        "a cancelled job starts tasks after 3 s or keeps any running",
+        ("cancelled_truly",),
+        ("cancel-in-word", "killed-once"),
+    ),
+    Promise(
+        "a draining minion gets work after 2 s, an emptied zone after 5 s",
+        ("closed_kept",),
+        ("closed-ignored",),
+    ),
     Promise("an unguarded minion is packed beyond its room", ("room_kept",), ("room-doubled",)),
-    Promise("a gang member waits alone while all is healthy", ("gangs_together",), ("gangs-apart",), HEALTHY,
-            "owed only while all is healthy; a member that did not start is tried in features/placing.feature"),
-    Promise("an acknowledged change is not in force within 2 s, slips back, or is missing at day's end",
-            ("Operator.in_force", "limits_kept", "setups_kept"),
-            ("change-not-kept", "news-kept-back", "limit-ignored", "history-cut")),
-    Promise("a refused or losing change takes effect, or two on one version are accepted",
-            ("Operator.race", "setups_kept"), ("base-ignored", "refused-takes-effect")),
-    Promise("a job shows finished while a task hasn't ended well", ("finished_truly",), ("failed-counts-as-done",)),
-    Promise("service is not back 12 s after a total outage", ("the weather itself",), ("slow-elections",), OUTAGES,
-            "no total outage there; that service goes on is seen by every trial's end"),
-    Promise("good work is shed, or crowds are not shed at once", ("the weather itself",),
-            ("impossible-unseen", "bound-ignored"), ("impossible", "crowds", "crowds-ten"), "bounds are not reached there"),
-    Promise("(the ground of all) two leaders of a term, logs or records that differ",
-            ("Simulator._event", "Simulator.agreement"), ("votes-twice",)),
+    Promise(
+        "a gang member waits alone while all is healthy",
+        ("gangs_together",),
+        ("gangs-apart",),
+        HEALTHY,
+        "owed only while all is healthy; a member that did not start is tried in features/placing.feature",
+    ),
+    Promise(
+        "an acknowledged change is not in force within 2 s, slips back, or is missing at day's end",
+        ("Operator.in_force", "limits_kept", "setups_kept"),
+        ("change-not-kept", "news-kept-back", "limit-ignored", "history-cut"),
+    ),
+    Promise(
+        "a refused or losing change takes effect, or two on one version are accepted",
+        ("Operator.race", "setups_kept"),
+        ("base-ignored", "refused-takes-effect"),
+    ),
+    Promise(
+        "a job shows finished while a task hasn't ended well", ("finished_truly",), ("failed-counts-as-done",)
+    ),
+    Promise(
+        "service is not back 12 s after a total outage",
+        ("the weather itself",),
+        ("slow-elections",),
+        OUTAGES,
+        "no total outage there; that service goes on is seen by every trial's end",
+    ),
+    Promise(
+        "good work is shed, or crowds are not shed at once",
+        ("the weather itself",),
+        ("impossible-unseen", "bound-ignored"),
+        ("impossible", "crowds", "crowds-ten"),
+        "bounds are not reached there",
+    ),
+    Promise(
+        "(the ground of all) two leaders of a term, logs or records that differ",
+        ("Simulator._event", "Simulator.agreement"),
+        ("votes-twice",),
+    ),
 )
 CONDITIONS = ("frequent-snapshots",)  # plants that are no faults
 FAILURES = (
@@ -53,7 +98,10 @@
     ("crowds of users, large jobs and urgent jobs at once", ("crowds", "crowds-ten", "scattered")),
     ("impossible jobs pile up", ("impossible", "crowds")),
     ("minions crash or vanish", ("crashes", "minions-fail")),
-    ("minions slow down, stall, fail tasks while reporting themselves well", ("minions-fail", "failing", "freezes")),
+    (
+        "minions slow down, stall, fail tasks while reporting themselves well",
+        ("minions-fail", "failing", "freezes"),
+    ),
     ("minions cut off that run on", ("minions-fail", "cuts", "cancel-cut")),
     ("minions withdrawn at short notice", ("withdrawn",)),
     ("daemons killed", ("kills", "leaders-fall", "verges-restart", "storm")),
@@ -64,9 +112,14 @@
     ("clocks jump", ("clocks", "clock-outage")),
     ("core split or cut off, single machines isolated, links foul", ("cuts", "foul")),
     ("a zone lost", ("areas-fall",)),
-    ("a core machine replaced by an empty one at a new address, contact points swapped", ("replaced", "verges-restart")),
-    ("configurations change, race, come in storms, grow large; zones emptied and taken back",
-     ("operators", "setup-storm", "large-setup")),
+    (
+        "a core machine replaced by an empty one at a new address, contact points swapped",
+        ("replaced", "verges-restart"),
+    ),
+    (
+        "configurations change, race, come in storms, grow large; zones emptied and taken back",
+        ("operators", "setup-storm", "large-setup"),
+    ),
     ("a final fault at day's end", ("final",)),
 )
 
@@ -83,9 +136,14 @@
     lines = ["| | must never happen | checks | planted faults that they find |", "| --- | --- | --- | --- |"]
     for place, promise in enumerate(PROMISES, 1):
         checks = ", ".join(f"`{one}`" for one in promise.checks)
-        lines.append(f"| {place} | {promise.line} | {checks} | {', '.join(f'`{one}`' for one in promise.plants)} |")
-    lines += ["", "| what fails | " + " | ".join(str(place) for place in range(1, len(PROMISES) + 1)) + " |",
-              "| --- |" + " --- |" * len(PROMISES)]
+        lines.append(
+            f"| {place} | {promise.line} | {checks} | {', '.join(f'`{one}`' for one in promise.plants)} |"
+        )
+    lines += [
+        "",
+        "| what fails | " + " | ".join(str(place) for place in range(1, len(PROMISES) + 1)) + " |",
+        "| --- |" + " --- |" * len(PROMISES),
+    ]
     for failure, weathers in FAILURES:
         cells = []
         for place, promise in enumerate(PROMISES):
--- a/src/pinepitch/proof/scale.py
+++ b/src/pinepitch/proof/scale.py
@@ -42,7 +42,9 @@
 RACK = 24  # workers; in one rack
 TEAMS = 39  # teams; a route for each stands in the configuration
 CORE, MEMORY, BYTES = 0.028, 128e6, 23e3  # one daemon's part: of a core, bytes, bytes a second
-DATA = os.environ.get("TMPDIR", "/tmp")  # where the data folders lie: say a file system in memory to leave the disk out
+DATA = os.environ.get(
+    "TMPDIR", "/tmp"
+)  # where the data folders lie: say a file system in memory to leave the disk out
 TICKS = os.sysconf("SC_CLK_TCK")
 
 # A daemon's own program, with its frames counted by kind into a file.
@@ -130,9 +132,18 @@
 
     def _worker(self, place, seed):
         worker = HollowWorker(
-            f"w{place}", "abc"[place % 3], f"10.0.{place // 250}.{place % 250}:1", tenancy.ROOM,
-            ["ab"[place // 2 % 2], f"r{place // RACK}"], True, seed, self.history,
-            "bare" if place % 2 else "held", self.accords, self.gangs)
+            f"w{place}",
+            "abc"[place % 3],
+            f"10.0.{place // 250}.{place % 250}:1",
+            tenancy.ROOM,
+            ["ab"[place // 2 % 2], f"r{place // RACK}"],
+            True,
+            seed,
+            self.history,
+            "bare" if place % 2 else "held",
+            self.accords,
+            self.gangs,
+        )
         worker.next_at = time.monotonic() + self.random.uniform(0, 0.5)
         return worker
 
@@ -152,7 +163,7 @@
                 if len(held) - place - wire.LENGTH.size < length:
                     break
                 place += wire.LENGTH.size
-                frame = wire.decode(bytes(held[place:place + length]))
+                frame = wire.decode(bytes(held[place : place + length]))
                 place += length
                 if not isinstance(frame, wire.Refused):
                     await self._heard(*frame[1])
@@ -214,8 +225,12 @@
         while True:
             for worker in self.workers:
                 now = time.monotonic()
-                if (worker.out is None and now >= worker.next_at or worker.ticked is None
-                        or now - worker.ticked >= (ADVANCE if worker.running else 1.0)):
+                if (
+                    worker.out is None
+                    and now >= worker.next_at
+                    or worker.ticked is None
+                    or now - worker.ticked >= (ADVANCE if worker.running else 1.0)
+                ):
                     for effect in worker.step(("tick",), now):
                         await self._beat(worker, *effect[1:])
             await curio.sleep(PASS)
@@ -229,15 +244,26 @@
             now = time.monotonic()
             self.beat_waits.append(now - sent)
             worker.step(("told", number, status, answer), now)
+
         await self.ask("beat", (identity, document), told, address)
 
     # --- callers ----------------------------------------------------------------------
     async def configure(self):
         """The first configuration, with a route for each team."""
         names = ["held", "bare", *(f"team{place}" for place in range(TEAMS - 2))]
-        routes = [{"name": name, "host": tenancy.HOST, "prefix": f"/{name}/", "service": ("held", "bare")[place % 2],
-                   "attempts": tenancy.ATTEMPTS, "priority": place % 4, "aim_ms": 500, "stretch": 3}
-                  for place, name in enumerate(names)]
+        routes = [
+            {
+                "name": name,
+                "host": tenancy.HOST,
+                "prefix": f"/{name}/",
+                "service": ("held", "bare")[place % 2],
+                "attempts": tenancy.ATTEMPTS,
+                "priority": place % 4,
+                "aim_ms": 500,
+                "stretch": 3,
+            }
+            for place, name in enumerate(names)
+        ]
         self.version = 1
         document = {"version": 1, "routes": routes, "services": [{"name": "held"}, {"name": "bare"}]}
         status, answer = await self.persist("configure", (0, document))
@@ -247,7 +273,13 @@
     async def change(self):
         """One route changes, by name."""
         base, self.version = self.version, self.version + 1
-        route = {"name": "team0", "host": tenancy.HOST, "prefix": "/team0/", "service": "held", "priority": base % 4}
+        route = {
+            "name": "team0",
+            "host": tenancy.HOST,
+            "prefix": "/team0/",
+            "service": "held",
+            "priority": base % 4,
+        }
         sent = time.monotonic()
         await self.persist("amend", (base, self.version, {"routes": [route]}, {}))
         self.change_waits.append(time.monotonic() - sent)
@@ -255,14 +287,22 @@
     async def submit(self, queue, count, seconds, cpu):
         """Hands a job in; its name."""
         told, what = tenancy.step_of(count, seconds, cpu)
-        identity = f"{self.random.randrange(16 ** 16):016x}"
+        identity = f"{self.random.randrange(16**16):016x}"
         document = {"spec": json.dumps({"steps": [what]}), "steps": [told]}
-        job = self.jobs[identity] = {"document": document, "queue": queue, "cancelled": None, "accepted": None,
-                                     "sent": time.monotonic(), "count": count, "short": seconds == SHORT}
+        job = self.jobs[identity] = {
+            "document": document,
+            "queue": queue,
+            "cancelled": None,
+            "accepted": None,
+            "sent": time.monotonic(),
+            "count": count,
+            "short": seconds == SHORT,
+        }
 
         def taken(status, answer):
             if status == 200:
                 job["accepted"] = time.monotonic()
+
         await self.ask("job", (tenancy.HOST, f"/{queue}/{identity}", document), taken)
         return identity
 
@@ -279,17 +319,25 @@
         if self.load.waiting:  # each worker runs one task that takes all of it, and the rest wait
             for place in range(2):
                 await self.submit(("held", "bare")[place], (self.load.workers + 1 - place) // 2, LONG, 4000)
-            await self.settled(lambda: sum(len(one.running) for one in self.workers) >= self.load.workers, "full workers")
+            await self.settled(
+                lambda: sum(len(one.running) for one in self.workers) >= self.load.workers, "full workers"
+            )
         for place in range(self.load.waiting // JOB_TASKS):
             await self.submit(("held", "bare")[place % 2], JOB_TASKS, LONG, 4000)
             await curio.sleep(PASS)
         for _ in range(0, self.load.kept, BATCH):
-            names = [await self.submit("held", 1, LONG, 9000) for _ in range(BATCH)]  # more than any worker has
+            names = [
+                await self.submit("held", 1, LONG, 9000) for _ in range(BATCH)
+            ]  # more than any worker has
             for name in names:
-                await self.settled(lambda: self.jobs[name]["accepted"] is not None, f"the answer to job {name}")
+                await self.settled(
+                    lambda: self.jobs[name]["accepted"] is not None, f"the answer to job {name}"
+                )
             over = []
             for name in names:
-                await self.ask("job-cancel", (tenancy.HOST, f"/held/{name}"), lambda status, answer: over.append(status))
+                await self.ask(
+                    "job-cancel", (tenancy.HOST, f"/held/{name}"), lambda status, answer: over.append(status)
+                )
             await self.settled(lambda: len(over) == len(names), "the answers to cancels")
 
     async def settled(self, wanted, what):
@@ -323,8 +371,12 @@
 
     def check(self):
         """Faults that the history checks of jobs find."""
-        return [*tenancy.never_twice(self.history), *tenancy.steps_kept(self.history, self.jobs),
-                *tenancy.attempts_kept(self.history, self.jobs), *tenancy.room_kept(self.history)]
+        return [
+            *tenancy.never_twice(self.history),
+            *tenancy.steps_kept(self.history, self.jobs),
+            *tenancy.attempts_kept(self.history, self.jobs),
+            *tenancy.room_kept(self.history),
+        ]
 
 
 class CountedFleet(Fleet):
@@ -367,8 +419,12 @@
         client = http.Client(*split(self.own[place]))
         text = (await client.call("GET", "/v1/metrics")).document
         await client.close()
-        return {one.name: one.value for family in text_string_to_metric_families(text) for one in family.samples
-                if not one.labels}
+        return {
+            one.name: one.value
+            for family in text_string_to_metric_families(text)
+            for one in family.samples
+            if not one.labels
+        }
 
 
 def part(values, share):
@@ -387,11 +443,18 @@
 
 
 async def _measure(load, seconds, seed, folder, data):
-    plan = PLANS["small"]._replace(accords=tuple("abc"[place % 3] for place in range(load.accords)), minions=(),
-                                   verges=("a",) * load.verges, founders=load.accords)
+    plan = PLANS["small"]._replace(
+        accords=tuple("abc"[place % 3] for place in range(load.accords)),
+        minions=(),
+        verges=("a",) * load.verges,
+        founders=load.accords,
+    )
     fleet = CountedFleet(plan, folder, data=data)
     hollow = Hollow([address for _, address in fleet.accords], load, seed)
-    names = [*(f"accord{place}" for place in range(load.accords)), *(f"verge{place}" for place in range(load.verges))]
+    names = [
+        *(f"accord{place}" for place in range(load.accords)),
+        *(f"verge{place}" for place in range(load.verges)),
+    ]
     fleet.start_all()
     try:
         async with hollow.tasks:
@@ -401,8 +464,11 @@
             await hollow.tasks.spawn(hollow.work)
             await curio.sleep(SETTLE / 2)
             await hollow.fill()
-            for rate, act in ((load.starts / JOB_TASKS, hollow.start_short), (load.changes, hollow.change),
-                              (load.calls, _caller(fleet, hollow))):
+            for rate, act in (
+                (load.starts / JOB_TASKS, hollow.start_short),
+                (load.changes, hollow.change),
+                (load.calls, _caller(fleet, hollow)),
+            ):
                 if rate:
                     await hollow.tasks.spawn(hollow.pace, rate, act)
             await curio.sleep(SETTLE)
@@ -421,6 +487,7 @@
 def _caller(fleet, hollow):
     async def call():
         await curio.spawn(_called, fleet, hollow, daemon=True)
+
     return call
 
 
@@ -435,11 +502,18 @@
 
 async def _look(fleet, hollow, names):
     """All counters at one moment."""
-    taken = {"at": time.monotonic(), "own": time.process_time(), "answers": dict(hollow.answers),
-             "marks": (len(hollow.beat_waits), len(hollow.change_waits), len(hollow.lags))}
+    taken = {
+        "at": time.monotonic(),
+        "own": time.process_time(),
+        "answers": dict(hollow.answers),
+        "marks": (len(hollow.beat_waits), len(hollow.change_waits), len(hollow.lags)),
+    }
     for place, name in enumerate(names):
-        taken[name] = (fleet.spent(name), fleet.frames(name),
-                       await fleet.metrics(place) if name.startswith("accord") else {})
+        taken[name] = (
+            fleet.spent(name),
+            fleet.frames(name),
+            await fleet.metrics(place) if name.startswith("accord") else {},
+        )
     return taken
 
 
@@ -449,17 +523,30 @@
     beats, changes, lags = before["marks"]
     waits = hollow.start_waits(before["at"])
     found = {
-        "load": load._asdict(), "seconds": round(lasted, 2), "hollow_core": round((after["own"] - before["own"]) / lasted, 3),
-        "lag_99": part(hollow.lags[lags:], 0.99), "running": sum(len(one.running) for one in hollow.workers),
+        "load": load._asdict(),
+        "seconds": round(lasted, 2),
+        "hollow_core": round((after["own"] - before["own"]) / lasted, 3),
+        "lag_99": part(hollow.lags[lags:], 0.99),
+        "running": sum(len(one.running) for one in hollow.workers),
         "beats": round((after["answers"].get("beat", 0) - before["answers"].get("beat", 0)) / lasted, 1),
-        "beat_median": part(hollow.beat_waits[beats:], 0.5), "beat_99": part(hollow.beat_waits[beats:], 0.99),
-        "starts": round(len(waits) / lasted, 1), "start_median": part(waits, 0.5), "start_99": part(waits, 0.99),
-        "change_median": part(hollow.change_waits[changes:], 0.5), "change_99": part(hollow.change_waits[changes:], 0.99),
-        "refused": {" ".join(map(str, key)): count for key, count in hollow.refused.items()}, "roles": {},
+        "beat_median": part(hollow.beat_waits[beats:], 0.5),
+        "beat_99": part(hollow.beat_waits[beats:], 0.99),
+        "starts": round(len(waits) / lasted, 1),
+        "start_median": part(waits, 0.5),
+        "start_99": part(waits, 0.99),
+        "change_median": part(hollow.change_waits[changes:], 0.5),
+        "change_99": part(hollow.change_waits[changes:], 0.99),
+        "refused": {" ".join(map(str, key)): count for key, count in hollow.refused.items()},
+        "roles": {},
     }
     followers = 0
-    found["leaders_lost"] = int(max(after[name][2].get("pinepitch_term", 0) - before[name][2].get("pinepitch_term", 0)
-                                    for name in names if name.startswith("accord")))
+    found["leaders_lost"] = int(
+        max(
+            after[name][2].get("pinepitch_term", 0) - before[name][2].get("pinepitch_term", 0)
+            for name in names
+            if name.startswith("accord")
+        )
+    )
     for name in names:
         (core, _, written), frames, metrics = before[name]
         (core_after, resident, written_after), frames_after, metrics_after = after[name]
@@ -470,8 +557,12 @@
         else:
             followers += 1
             role = f"follower{followers}"
-        one = {"core": round((core_after - core) / lasted, 4), "resident": resident,
-               "disk": round((written_after - written) / lasted), "kinds": {}}
+        one = {
+            "core": round((core_after - core) / lasted, 4),
+            "resident": resident,
+            "disk": round((written_after - written) / lasted),
+            "kinds": {},
+        }
         for way in ("in", "out"):
             told = {}
             for kind, (count, size) in frames_after[way].items():
@@ -479,8 +570,13 @@
                 told[kind] = [round((count - count_before) / lasted, 1), round((size - size_before) / lasted)]
             one[f"messages_{way}"] = round(sum(count for count, _ in told.values()), 1)
             one[f"bytes_{way}"] = sum(size for _, size in told.values())
-            one["kinds"][way] = {kind: rate for kind, rate in sorted(told.items(), key=lambda one: -one[1][1])[:6]}
-        for figure, counter in (("syncs", "pinepitch_syncs_total"), ("entries", "pinepitch_entries_applied_total")):
+            one["kinds"][way] = {
+                kind: rate for kind, rate in sorted(told.items(), key=lambda one: -one[1][1])[:6]
+            }
+        for figure, counter in (
+            ("syncs", "pinepitch_syncs_total"),
+            ("entries", "pinepitch_entries_applied_total"),
+        ):
             if counter in metrics_after:
                 one[figure] = round((metrics_after[counter] - metrics[counter]) / lasted, 1)
         found["roles"][role] = one
@@ -491,11 +587,23 @@
     """One run of real daemons under a load; what it saw. Records lie under TMPDIR: how long a disk
     takes to sync is no slope of a daemon, so a file system in memory tells most."""
     folder = folder or tempfile.mkdtemp(prefix="pinepitch-scale-")
-    with tempfile.TemporaryDirectory(prefix="pinepitch-scale-", dir=DATA if os.path.isdir(DATA) else folder) as data:
+    with tempfile.TemporaryDirectory(
+        prefix="pinepitch-scale-", dir=DATA if os.path.isdir(DATA) else folder
+    ) as data:
         return curio.run(_measure, load, seconds, seed, folder, data)
 
 
-FIGURES = ("core", "resident", "bytes_in", "bytes_out", "messages_in", "messages_out", "syncs", "entries", "disk")
+FIGURES = (
+    "core",
+    "resident",
+    "bytes_in",
+    "bytes_out",
+    "messages_in",
+    "messages_out",
+    "syncs",
+    "entries",
+    "disk",
+)
 
 
 def slopes(field, points):
@@ -503,12 +611,18 @@
     the load or a figure of the point. A point at
     which some daemon, or the hollow process, spent all it can is no point of a line."""
     told = {}
-    usable = [one for one in points if one["hollow_core"] < SATURATED
-              and all(role["core"] < SATURATED for role in one["roles"].values())]
+    usable = [
+        one
+        for one in points
+        if one["hollow_core"] < SATURATED and all(role["core"] < SATURATED for role in one["roles"].values())
+    ]
     for role in ("leader", "follower1", "verge"):
         for figure in FIGURES:
-            line = [(one["load"].get(field, one.get(field)), one["roles"][role][figure]) for one in usable
-                    if figure in one["roles"].get(role, {})]
+            line = [
+                (one["load"].get(field, one.get(field)), one["roles"][role][figure])
+                for one in usable
+                if figure in one["roles"].get(role, {})
+            ]
             if len(line) > 1:
                 told.setdefault(role, {})[figure] = (*(float(f"{one:.4g}") for one in fit(line)), len(line))
     return told
@@ -538,7 +652,10 @@
         kept[name] = {"points": points, "slopes": slopes(field, points)}
         if name == "workers":  # a worker that is answered late beats less often
             kept[name]["by_beats"] = slopes("beats", points)
-        print(json.dumps({"sweep": name, **{key: kept[name][key] for key in kept[name] if key != "points"}}), flush=True)
+        print(
+            json.dumps({"sweep": name, **{key: kept[name][key] for key in kept[name] if key != "points"}}),
+            flush=True,
+        )
         if out:
             with open(out, "w") as file:
                 json.dump(kept, file)
@@ -582,16 +699,31 @@
     def begin(self):
         """Leads, with two routes in force."""
         self.run(6)
-        routes = [{"name": name, "host": tenancy.HOST, "prefix": f"/{name}/", "service": "held", "attempts": 3,
-                   "priority": place, "aim_ms": 500, "stretch": 3} for place, name in enumerate(("held", "more"))]
+        routes = [
+            {
+                "name": name,
+                "host": tenancy.HOST,
+                "prefix": f"/{name}/",
+                "service": "held",
+                "attempts": 3,
+                "priority": place,
+                "aim_ms": 500,
+                "stretch": 3,
+            }
+            for place, name in enumerate(("held", "more"))
+        ]
         self.ask("configure", 0, {"version": 1, "routes": routes, "services": [{"name": "held"}]})
         assert self.core.epoch > 0 and self.core.record.board.configuration.version == 1
         return self
 
     def hand_in(self, count, cpu=100, queue="held", **more):
         told, what = tenancy.step_of(count, 10.0, cpu, **more)
-        self.ask("job", tenancy.HOST, f"/{queue}/{self.count:016x}",
-                 {"spec": json.dumps({"steps": [what]}), "steps": [told]})
+        self.ask(
+            "job",
+            tenancy.HOST,
+            f"/{queue}/{self.count:016x}",
+            {"spec": json.dumps({"steps": [what]}), "steps": [told]},
+        )
 
 
 class Herd:
@@ -606,11 +738,23 @@
         place = int(identity[3:])
         self.alone.sent.clear()
         running = self.running[identity]
-        self.alone.ask("beat", identity, {
-            "service": "held", "address": f"10.0.{place // 250}.{place % 250}:1", "zone": "abc"[place % 3],
-            "state": "ready", "sequence": self.sequence, "clock_ms": round(self.alone.now * 1000), "leaves_ms": None,
-            "labels": ["ab"[place % 2], f"r{place // RACK}"], "room": tenancy.ROOM,
-            "running": [[*key, "", round(self.alone.now * 0.5 % 99, 2)] for key in running], "ended": []})
+        self.alone.ask(
+            "beat",
+            identity,
+            {
+                "service": "held",
+                "address": f"10.0.{place // 250}.{place % 250}:1",
+                "zone": "abc"[place % 3],
+                "state": "ready",
+                "sequence": self.sequence,
+                "clock_ms": round(self.alone.now * 1000),
+                "leaves_ms": None,
+                "labels": ["ab"[place % 2], f"r{place // RACK}"],
+                "room": tenancy.ROOM,
+                "running": [[*key, "", round(self.alone.now * 0.5 % 99, 2)] for key in running],
+                "ended": [],
+            },
+        )
         for message in self.alone.sent:
             if message[0] == "answer" and message[2][0] == 200:
                 for reference, run, _, _ in message[2][1].get("start", ()):
@@ -677,13 +821,18 @@
         for running in sorted({0, int(workers * 4.4)}):
             alone, herd = herd_of(workers, running)
             keeper, board = alone.core.keeper, alone.core.record.board
-            told["beat"][f"{workers} workers, {running} running"] = min(herd.round() for _ in range(3)) / workers
+            told["beat"][f"{workers} workers, {running} running"] = (
+                min(herd.round() for _ in range(3)) / workers
+            )
             told["watch"][f"{workers} workers, {running} running"] = _best(lambda: keeper._watch(alone.now))
             for waves in (0, 1, 10, 100):
                 for _ in range(waves - len(board.ready)):
                     alone.hand_in(5, cpu=9000, queue="more")  # more than any worker has: they wait for ever
                 told["round"][f"{workers} workers, {running} running, {waves} waves wait"] = _best(
-                    lambda: keeper.assigner.round(board, keeper.workers, keeper, alone.now, alone.core._now(alone.now)))
+                    lambda: keeper.assigner.round(
+                        board, keeper.workers, keeper, alone.now, alone.core._now(alone.now)
+                    )
+                )
         alone, herd = herd_of(workers)
         keeper, board = alone.core.keeper, alone.core.record.board
         told["gang"][f"{workers} workers"] = _gang_cost(alone, keeper, board)
@@ -700,18 +849,27 @@
     """A round that seats a gang of 64, one that seats 64 single tasks, and one at which some
     gangs wait that are one seat short."""
     found = {}
-    for name, waits, gang, short in (("gang of 64", 1, True, False), ("64 single tasks", 1, False, False),
-                                     ("5 gangs of 64, each one seat short", 5, True, True)):
+    for name, waits, gang, short in (
+        ("gang of 64", 1, True, False),
+        ("64 single tasks", 1, False, False),
+        ("5 gangs of 64, each one seat short", 5, True, True),
+    ):
         scratch = Board.from_image(board.image())
         if short:  # one accelerator a worker, and all but 63 of them in use
-            taken = list(keeper.workers)[min(63, len(keeper.workers) - 1):]
-            scratch.accept(alone.now, "f" * 16, "held", checked({"steps": [{"count": len(taken), "gpu": 1}]})[0])
+            taken = list(keeper.workers)[min(63, len(keeper.workers) - 1) :]
+            scratch.accept(
+                alone.now, "f" * 16, "held", checked({"steps": [{"count": len(taken), "gpu": 1}]})[0]
+            )
             scratch.assign(alone.now, alone.core.epoch, [("f" * 16, 0, 0, tuple(enumerate(taken)))])
         plain, faults = checked({"steps": [{"count": 64, "cpu": 100, "gpu": int(short), "gang": gang}]})
         assert not faults
         for place in range(waits):
             scratch.accept(alone.now, f"{place:016x}", "held", plain)
-        found[name] = _best(lambda: keeper.assigner.round(scratch, keeper.workers, keeper, alone.now, alone.core._now(alone.now)))
+        found[name] = _best(
+            lambda: keeper.assigner.round(
+                scratch, keeper.workers, keeper, alone.now, alone.core._now(alone.now)
+            )
+        )
     return found
 
 
@@ -736,8 +894,12 @@
     gc.collect()
     over = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    return {"accept": accept, "entry_bytes": len(wire.encode("", entry)), "open_bytes": (held - before) / count,
-            "over_bytes": (over - before) / count}
+    return {
+        "accept": accept,
+        "entry_bytes": len(wire.encode("", entry)),
+        "open_bytes": (held - before) / count,
+        "over_bytes": (over - before) / count,
+    }
 
 
 def image_costs():
@@ -752,21 +914,32 @@
         for place in range(over):
             board.cancel(1.0, f"{place:016x}")
         for place in range(placed // 5):
-            board.assign(2.0, 1, [(f"{place:016x}", 0, 0, tuple((index, f"i-w{place}") for index in range(5)))])
+            board.assign(
+                2.0, 1, [(f"{place:016x}", 0, 0, tuple((index, f"i-w{place}") for index in range(5)))]
+            )
         record = alone.core.record
         image = record.image()
         data = type(record).encode(image)
         found[f"{jobs} open jobs, {placed} placed, {over} over"] = {
-            "image": _best(record.image), "encode": _best(lambda: type(record).encode(image)),
-            "decode": _best(lambda: type(record).decode(data, {})), "bytes": len(data)}
+            "image": _best(record.image),
+            "encode": _best(lambda: type(record).encode(image)),
+            "decode": _best(lambda: type(record).decode(data, {})),
+            "bytes": len(data),
+        }
     return found
 
 
 def door_costs(count=500):
     """Seconds that HTTP takes for one beat at a port, beside what the beat itself takes."""
-    body = json.dumps({"running": [[f"{place:016x}.0.0.1", 1, "", 50] for place in range(4)], "room": [4000, 8192, 1]}).encode()
-    text = (b"POST /beat HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: "
-            + str(len(body)).encode() + b"\r\n\r\n" + body)
+    body = json.dumps(
+        {"running": [[f"{place:016x}.0.0.1", 1, "", 50] for place in range(4)], "room": [4000, 8192, 1]}
+    ).encode()
+    text = (
+        b"POST /beat HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: "
+        + str(len(body)).encode()
+        + b"\r\n\r\n"
+        + body
+    )
     connection = h11.Connection(h11.SERVER)
     begun = time.perf_counter()
     for _ in range(count):
@@ -775,8 +948,12 @@
             pass
         json.loads(body)
         answer = json.dumps({"hold_ms": 4000, "seen": 1}).encode()
-        connection.send(h11.Response(status_code=200, headers=[
-            ("Content-Type", "application/json"), ("Content-Length", str(len(answer)))]))
+        connection.send(
+            h11.Response(
+                status_code=200,
+                headers=[("Content-Type", "application/json"), ("Content-Length", str(len(answer)))],
+            )
+        )
         connection.send(h11.Data(data=answer))
         connection.send(h11.EndOfMessage())
         connection.start_next_cycle()
@@ -792,7 +969,19 @@
         herd.round()
     profile.disable()
     stats = pstats.Stats(profile)
-    own = sorted(((took, f"{os.path.basename(place[0])}:{place[2]}", calls, whole)
-                  for place, (_, calls, took, whole, _) in stats.stats.items()), reverse=True)
-    return [{"function": name, "own": round(took / stats.total_tt, 3), "with_callees": round(whole / stats.total_tt, 3),
-             "calls_a_beat": round(calls / (rounds * workers), 2)} for took, name, calls, whole in own[:14]]
+    own = sorted(
+        (
+            (took, f"{os.path.basename(place[0])}:{place[2]}", calls, whole)
+            for place, (_, calls, took, whole, _) in stats.stats.items()
+        ),
+        reverse=True,
+    )
+    return [
+        {
+            "function": name,
+            "own": round(took / stats.total_tt, 3),
+            "with_callees": round(whole / stats.total_tt, 3),
+            "calls_a_beat": round(calls / (rounds * workers), 2),
+        }
+        for took, name, calls, whole in own[:14]
+    ]
--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -43,7 +43,7 @@
         self.syncs += 1
         kind, content = job
         if kind == "base":
-            self.base, self.steps = content, self.steps[self.covers:]
+            self.base, self.steps = content, self.steps[self.covers :]
         else:
             self.steps.append(content)
 
@@ -75,8 +75,18 @@
     """Invariants: events are handled in order of (time, number); now never falls; every
     draw is from self.draw."""
 
-    def __init__(self, seed, accords=("a", "b", "c"), verges=("a", "b", "c"), minions=(("m", 6, 8, (), True),),
-                 areas=("a", "b", "c"), setup=None, founders=3, mode="static", kinds=None):
+    def __init__(
+        self,
+        seed,
+        accords=("a", "b", "c"),
+        verges=("a", "b", "c"),
+        minions=(("m", 6, 8, (), True),),
+        areas=("a", "b", "c"),
+        setup=None,
+        founders=3,
+        mode="static",
+        kinds=None,
+    ):
         self.draw = random.Random(f"simulator-{seed}")
         self.seed = seed
         self.now = 0.0
@@ -93,20 +103,31 @@
         self.counts = collections.Counter()
         self.leaders = {}  # term -> identity, for the check that there is one
         self.committed = {}  # index -> digest, for the check that all agree
-        self.setup = setup or {"queues": {
-            "default": {"share": 24, "limit": 48, "retries": 3, "urgency": 4, "repeats": True},
-            "urgent": {"share": 12, "limit": 48, "retries": 3, "urgency": 8, "preempts": True, "yields": False},
-            "feeds": {"share": 12, "limit": 24, "retries": 3, "urgency": 6, "yields": False}}}
+        self.setup = setup or {
+            "queues": {
+                "default": {"share": 24, "limit": 48, "retries": 3, "urgency": 4, "repeats": True},
+                "urgent": {
+                    "share": 12,
+                    "limit": 48,
+                    "retries": 3,
+                    "urgency": 8,
+                    "preempts": True,
+                    "yields": False,
+                },
+                "feeds": {"share": 12, "limit": 24, "retries": 3, "urgency": 6, "yields": False},
+            }
+        }
         for place, area in enumerate(accords):
             self.add(f"accord{place}", "accord", area)
         for place, area in enumerate(verges):
             self.add(f"verge{place}", "verge", area)
-        self.seeds = [one.address for one in list(self.nodes.values())[:constants.SEEDS]]
+        self.seeds = [one.address for one in list(self.nodes.values())[: constants.SEEDS]]
         for prefix, count, room, labels, guards in minions:
             for place in range(count):
                 node = self.add(f"{prefix}{place}", "minion", areas[place % len(areas)])
                 node.core = self.kinds["minion"](
-                    node.name, node.area, node.address, room, labels, guards, seed, self.minion_history)
+                    node.name, node.area, node.address, room, labels, guards, seed, self.minion_history
+                )
                 self.at(self.draw.random() * 0.1, "tick", node.name, node.life)
         self.rooms = {name: node.core.room for name, node in self.nodes.items() if node.kind == "minion"}
         for node in list(self.nodes.values()):
@@ -134,21 +155,39 @@
         node.frozen, node.down, node.held = False, False, []
         if node.kind == "accord":
             base, steps, segments = node.disk.load()
-            identity = base[0] if base else next(
-                (payload[1] for step in steps for kind, payload in step
-                 if kind == "note" and payload[0] == "identity"), None)
+            identity = (
+                base[0]
+                if base
+                else next(
+                    (
+                        payload[1]
+                        for step in steps
+                        for kind, payload in step
+                        if kind == "note" and payload[0] == "identity"
+                    ),
+                    None,
+                )
+            )
             if identity is None:
-                identity = f"{self.draw.randrange(16 ** 6):06x}.{name}"
+                identity = f"{self.draw.randrange(16**6):06x}.{name}"
                 node.disk.keep(("step", cbor2.dumps([["note", ["identity", identity]]])))
-            node.core = (node.make or self.kinds["accord"])(identity, node.address, node.area, self.seeds, self.founders,
-                                             self.mode, f"{self.seed}-{node.life}")
+            node.core = (node.make or self.kinds["accord"])(
+                identity,
+                node.address,
+                node.area,
+                self.seeds,
+                self.founders,
+                self.mode,
+                f"{self.seed}-{node.life}",
+            )
             node.core.restore(base, steps, segments)
             node.disk.jobs.clear()
             node.disk.under_way = node.disk.beside = None
             node.disk.failed = False
         elif node.kind == "verge":
-            node.core = self.kinds["verge"](f"v{self.draw.randrange(16 ** 6):06x}.{name}", node.address, node.area,
-                                            self.seeds)
+            node.core = self.kinds["verge"](
+                f"v{self.draw.randrange(16**6):06x}.{name}", node.address, node.area, self.seeds
+            )
         else:
             node.core.begin()
             self._comes(name)
@@ -292,7 +331,9 @@
 
     def _rehearse(self, node, work):
         epoch, draft, asked, *rest = work
-        self.at(0.5, "give", node.name, node.life, ("rehearsed", epoch, draft, asked, node.core.measure(*rest)))
+        self.at(
+            0.5, "give", node.name, node.life, ("rehearsed", epoch, draft, asked, node.core.measure(*rest))
+        )
 
     def _note(self, node, payload):
         node.disk.keep(("step", cbor2.dumps([["note", payload]])))
@@ -393,8 +434,16 @@
                 if waiting and not self.lost(node.name, waiting[1]):
                     self.at(self.latency(), "posted", request, "sent" if status < 300 else "refused")
             else:
-                self.call(node.name, node.life, self.draw.randrange(100), "POST", "/v1/reports", effect[1],
-                          ("report", node.name), constants.CARRY_TIMEOUT + 0.5)
+                self.call(
+                    node.name,
+                    node.life,
+                    self.draw.randrange(100),
+                    "POST",
+                    "/v1/reports",
+                    effect[1],
+                    ("report", node.name),
+                    constants.CARRY_TIMEOUT + 0.5,
+                )
 
     def _posted(self, request, outcome):
         waiting = self.requests.pop(request, None)
@@ -413,8 +462,13 @@
             self.at(0.05, "answer", number, 0, "null")
             return
         body = b"" if document is None else json.dumps(document).encode()
-        self.at(self.latency(), "give", node.name, node.life,
-                ("http", number, method, target, headers or {}, body))
+        self.at(
+            self.latency(),
+            "give",
+            node.name,
+            node.life,
+            ("http", number, method, target, headers or {}, body),
+        )
         self.at(timeout, "answer", number, 0, "null")
 
     def _answer(self, request, status, text):
@@ -432,7 +486,9 @@
                 self.give(node, ("reported", status, document))
         elif kind == "caller":
             _, name, call = tag
-            self._caller_calls(name, self.callers[name].step(("answered", call, status, document), START + self.now))
+            self._caller_calls(
+                name, self.callers[name].step(("answered", call, status, document), START + self.now)
+            )
         elif kind == "told":
             tag[1](status, document)
         else:
@@ -477,13 +533,22 @@
     # --- what is true now -------------------------------------------------------------
     def leader(self):
         """The accord that leads the newest term, or None."""
-        leading = [node for node in self.nodes.values() if node.kind == "accord" and node.core is not None
-                   and node.core.consensus is not None and node.core.consensus.role == "leader"]
+        leading = [
+            node
+            for node in self.nodes.values()
+            if node.kind == "accord"
+            and node.core is not None
+            and node.core.consensus is not None
+            and node.core.consensus.role == "leader"
+        ]
         return max(leading, key=lambda node: node.core.consensus.term, default=None)
 
     def begin(self):
         """Waits for service and puts the setup in force."""
-        if self.until(lambda: self.leader() is not None and self.leader().core.consensus.serving(), 30) is None:
+        if (
+            self.until(lambda: self.leader() is not None and self.leader().core.consensus.serving(), 30)
+            is None
+        ):
             raise AssertionError("no leader within 30 s")
         status, answer = self.persist("PUT", "/v1/setup", self.setup, {"if-match": "*"})
         if status != 200:
@@ -491,8 +556,10 @@
 
     def quiet(self):
         """Whether every caller has seen the end of every ticket."""
-        return all(not one.open and not one.retry and not any(call[0] == "submit" for call in one.under_way.values())
-                   for one in self.callers.values())
+        return all(
+            not one.open and not one.retry and not any(call[0] == "submit" for call in one.under_way.values())
+            for one in self.callers.values()
+        )
 
     def finish(self, seconds=120.0):
         """Heals all, stops the callers, and waits until all is final; False if it never is."""
@@ -531,8 +598,15 @@
             except AssertionError as broken:
                 faults.append(f"{node.name}: {broken}")
             record = node.core.record
-            image = (record.time, record.tickets, record.keys, record.version, record.epochs, record.archive.image(),
-                     record.archive.held)
+            image = (
+                record.time,
+                record.tickets,
+                record.keys,
+                record.version,
+                record.epochs,
+                record.archive.image(),
+                record.archive.held,
+            )
             other = records.setdefault(record.index, (node.name, image))
             if other[1] != image:
                 faults.append(f"{node.name} and {other[0]} differ at {record.index}")
--- a/src/pinepitch/proof/tenancy.py
+++ b/src/pinepitch/proof/tenancy.py
@@ -45,15 +45,24 @@
 def step_of(count, seconds, cpu, fail=0.0, **more):
     """(step as it is handed in, what the spec says of it)."""
     told = {"count": count, "cpu": cpu, "mem_mb": 256, "est_ms": int(seconds * 1000), **more}
-    what = {"seconds": seconds, "fail": fail, "gang": count if more.get("gang") else 0,
-            "room": [cpu, 256, more.get("gpu", 0)], "saves": bool(more.get("saves")), "lasts": bool(more.get("lasts"))}
+    what = {
+        "seconds": seconds,
+        "fail": fail,
+        "gang": count if more.get("gang") else 0,
+        "room": [cpu, 256, more.get("gpu", 0)],
+        "saves": bool(more.get("saves")),
+        "lasts": bool(more.get("lasts")),
+    }
     return told, what
 
 
 # kind -> (jobs each second, its steps)
 KINDS = {
     "fan": (0.8, lambda: [step_of(6, 0.5, 700)]),
-    "chain": (0.4, lambda: [step_of(2, 0.4, 500), step_of(3, 0.3, 400, after=[0]), step_of(1, 0.3, 900, after=[0, 1])]),
+    "chain": (
+        0.4,
+        lambda: [step_of(2, 0.4, 500), step_of(3, 0.3, 400, after=[0]), step_of(1, 0.3, 900, after=[0, 1])],
+    ),
     "gang": (0.3, lambda: [step_of(3, 1.0, 1200, gang=True, saves=True), step_of(1, 0.2, 300, after=[0])]),
     "saves": (0.25, lambda: [step_of(2, 4.0, 1000, saves=True)]),
     "failing": (0.3, lambda: [step_of(3, 0.4, 400, fail=0.4)]),
@@ -95,7 +104,9 @@
             if call is not None:
                 job["out"] = True
                 arguments = (HOST, job["path"], job["document"]) if call == "job" else (HOST, job["path"])
-                effects.append(("call", self.random.randrange(100), call, arguments, (job["identity"], call, now)))
+                effects.append(
+                    ("call", self.random.randrange(100), call, arguments, (job["identity"], call, now))
+                )
         return effects
 
     def _due(self, job, now):
@@ -106,14 +117,19 @@
             return "job"
         if job["final"] is not None:
             return "job-read" if job["looks"] > 0 else None
-        cancels = job["cancel_at"] is not None and now >= job["cancel_at"] or self.stopped and job["kind"] == "lasting"
+        cancels = (
+            job["cancel_at"] is not None
+            and now >= job["cancel_at"]
+            or self.stopped
+            and job["kind"] == "lasting"
+        )
         if cancels and job["cancelled"] is None:
             job["cancel_sent"] = job["cancel_sent"] or now
             return "job-cancel"
         return "job-read"
 
     def _make(self, kind, now):
-        identity = f"{self.random.randrange(16 ** 16):016x}"
+        identity = f"{self.random.randrange(16**16):016x}"
         steps = KINDS[kind][1]()
         queue = self.random.choice(("held", "bare"))
         spec = json.dumps({"steps": [what for _, what in steps], "job": identity[:4]})
@@ -122,10 +138,23 @@
             document.update(first_ms=(now + self.random.uniform(0.5, 3)) * 1000, every_ms=1200, times=3)
         cancels = kind == "lasting" or self.random.random() < 0.12
         self.jobs[identity] = {
-            "identity": identity, "kind": kind, "queue": queue, "path": f"/{queue}/{identity}", "document": document,
-            "sent": now, "unclear": False, "accepted": None, "refused": None, "final": None, "looks": 2,
-            "cancel_at": now + self.random.uniform(0.5, 12) if cancels else None, "cancel_sent": None,
-            "cancelled": None, "out": False, "next_at": now, "keen": self.random.random() < 0.6,
+            "identity": identity,
+            "kind": kind,
+            "queue": queue,
+            "path": f"/{queue}/{identity}",
+            "document": document,
+            "sent": now,
+            "unclear": False,
+            "accepted": None,
+            "refused": None,
+            "final": None,
+            "looks": 2,
+            "cancel_at": now + self.random.uniform(0.5, 12) if cancels else None,
+            "cancel_sent": None,
+            "cancelled": None,
+            "out": False,
+            "next_at": now,
+            "keen": self.random.random() < 0.6,
         }
 
     def _on_answered(self, tag, status, document, now):
@@ -133,7 +162,8 @@
         job = self.jobs[identity]
         job["out"], job["next_at"] = False, now + READ_EVERY * self.random.uniform(0.7, 1.3)
         {"job": self._submitted, "job-read": self._read, "job-cancel": self._cancelled}[call](
-            job, sent, status, document or {}, now)
+            job, sent, status, document or {}, now
+        )
         return []
 
     def _submitted(self, job, sent, status, document, now):
@@ -168,8 +198,10 @@
             self.faults.append(f"the cancel of {job['identity']} was answered {status}")
 
     def quiet(self):
-        return all(job["refused"] is not None or job["final"] is not None and job["looks"] <= 0
-                   for job in self.jobs.values())
+        return all(
+            job["refused"] is not None or job["final"] is not None and job["looks"] <= 0
+            for job in self.jobs.values()
+        )
 
 
 class Governor:
@@ -188,16 +220,38 @@
 
     def found(self):
         """The first configuration, sent until it is taken."""
-        routes = [{"name": name, "host": HOST, "prefix": f"/{name}/", "service": name, "timeout_ms": 4000,
-                   "attempts": ATTEMPTS, "priority": 1, "stretch": 3, "aim_ms": 500} for name in ("held", "bare")]
-        document = {"version": 3, "routes": routes, "limits": {"anything": 1},
-                    "services": [{"name": "held", "guards": True}, {"name": "bare", "guards": False}]}
+        routes = [
+            {
+                "name": name,
+                "host": HOST,
+                "prefix": f"/{name}/",
+                "service": name,
+                "timeout_ms": 4000,
+                "attempts": ATTEMPTS,
+                "priority": 1,
+                "stretch": 3,
+                "aim_ms": 500,
+            }
+            for name in ("held", "bare")
+        ]
+        document = {
+            "version": 3,
+            "routes": routes,
+            "limits": {"anything": 1},
+            "services": [{"name": "held", "guards": True}, {"name": "bare", "guards": False}],
+        }
         change = self._send("configure", 0, document, (0, document))
         if self.simulator.until(lambda: change["decided"] is not None, 30, 0.02) is None:
             raise AssertionError("the first configuration was not taken within 30 s")
 
     def _send(self, call, base, document, arguments):
-        change = {"base": base, "version": document["version"], "sent": self.now(), "decided": None, "status": None}
+        change = {
+            "base": base,
+            "version": document["version"],
+            "sent": self.now(),
+            "decided": None,
+            "status": None,
+        }
         self.changes.append(change)
         self.documents[document["version"]] = document
 
@@ -233,7 +287,11 @@
         base, made = before["version"], []
         for one in range(2):
             self.version = max(self.version, base) + 2 + one
-            route = {**before["routes"][0], "name": f"extra{self.version}", "prefix": f"/extra{self.version}/"}
+            route = {
+                **before["routes"][0],
+                "name": f"extra{self.version}",
+                "prefix": f"/extra{self.version}/",
+            }
             document = {**before, "version": self.version, "routes": [*before["routes"], route]}
             if one:
                 made.append(("amend", document, (base, self.version, {"routes": [route]}, {})))
@@ -266,7 +324,9 @@
         acknowledged = [one for one in self.changes if one["status"] == 200]
         for one in acknowledged:
             if bases.setdefault(one["base"], one["version"]) != one["version"]:
-                faults.append(f"versions {bases[one['base']]} and {one['version']} on {one['base']} were both acknowledged")
+                faults.append(
+                    f"versions {bases[one['base']]} and {one['version']} on {one['base']} were both acknowledged"
+                )
         if held["version"] < max(one["version"] for one in acknowledged):
             faults.append(f"version {held['version']} was read back, older than what was acknowledged")
         if held != self.documents.get(held["version"]):
@@ -292,8 +352,13 @@
         self.late_most = 0.0  # seconds
         self.under_way = {}  # tenant -> its beats that stay under way until a weather lets them arrive
         accords = FIVE if seed % 3 == 0 else THREE
-        super().__init__(seed, accords, minions=(("w", TENANTS, ROOM, (), True),), founders=len(accords),
-                         kinds={"minion": self._tenant})
+        super().__init__(
+            seed,
+            accords,
+            minions=(("w", TENANTS, ROOM, (), True),),
+            founders=len(accords),
+            kinds={"minion": self._tenant},
+        )
         self.patron = Patron(seed)
         self.governor = Governor(self)
 
@@ -301,8 +366,19 @@
         place = int(name[1:])
         guards = place % 2 == 0
         accords = [node.address for node in self.nodes.values() if node.kind == "accord"]
-        return StandInTenant(name, zone, address, room, ["ab"[place // 2 % 2], f"r1-{place % 3}"], guards, seed, history,
-                             "held" if guards else "bare", accords, self.gangs)
+        return StandInTenant(
+            name,
+            zone,
+            address,
+            room,
+            ["ab"[place // 2 % 2], f"r1-{place % 3}"],
+            guards,
+            seed,
+            history,
+            "held" if guards else "bare",
+            accords,
+            self.gangs,
+        )
 
     # --- calls ------------------------------------------------------------------------
     def _sent(self, source, life, node, call, arguments, patience, told, late=0.0):
@@ -316,7 +392,13 @@
         self.at(TIMEOUT + late, "answer", number, 0, "null")
         if not self.lost(source, node.name):
             plain = json.loads(json.dumps(arguments))
-            self.at(self.latency() + late, "give", node.name, node.life, ("call", number, call, tuple(plain), patience))
+            self.at(
+                self.latency() + late,
+                "give",
+                node.name,
+                node.life,
+                ("call", number, call, tuple(plain), patience),
+            )
 
     def _lateness(self):
         return self.draw.uniform(0, self.late_most) if self.draw.random() < self.late_part else 0.0
@@ -325,7 +407,15 @@
         for effect in effects:
             target = self.by_address[effect[1]]
             if effect[0] == "leave":
-                self._sent(node.name, node.life, target, "beat-leave", (effect[2],), BEAT_PATIENCE, lambda *told: None)
+                self._sent(
+                    node.name,
+                    node.life,
+                    target,
+                    "beat-leave",
+                    (effect[2],),
+                    BEAT_PATIENCE,
+                    lambda *told: None,
+                )
                 node.down = True
                 node.life += 1
                 self._goes(node.name)
@@ -334,8 +424,16 @@
             if node.name in self.under_way:
                 self.under_way[node.name].append((target, identity, json.loads(json.dumps(document))))
                 continue
-            self._sent(node.name, node.life, target, "beat", (identity, document), BEAT_PATIENCE,
-                       self._beat_told(node, node.life, number), self._lateness())
+            self._sent(
+                node.name,
+                node.life,
+                target,
+                "beat",
+                (identity, document),
+                BEAT_PATIENCE,
+                self._beat_told(node, node.life, number),
+                self._lateness(),
+            )
 
     def arrive(self, target, identity, document):
         """A beat that was under way for long, whose sender waits for no answer any more."""
@@ -343,11 +441,13 @@
 
     def _beat_told(self, node, life, number):
         """What brings a beat's answer back, late or never by chance."""
+
         def told(status, document):
             if self.draw.random() >= self.answer_loss and (status or document is None):
                 late = self._lateness()
                 if status or not (late or node.life != life):
                     self.at(late, "give", node.name, life, ("told", number, status, document or {}))
+
         return told
 
     def _caller_calls(self, name, effects):
@@ -357,7 +457,9 @@
             def told(status, document, tag=tag):
                 if self.draw.random() < self.answer_loss:
                     status, document = 0, None
-                self._caller_calls(name, self.patron.step(("answered", tag, status, document), START + self.now))
+                self._caller_calls(
+                    name, self.patron.step(("answered", tag, status, document), START + self.now)
+                )
 
             self._sent(name, 0, verges[draw % len(verges)], call, arguments, constants.CALL_PATIENCE, told)
 
@@ -369,7 +471,15 @@
 
         def attempt():
             if self.now < until:
-                self._sent("operator", 0, nodes[next(turns) % len(nodes)], call, arguments, constants.CALL_PATIENCE, told)
+                self._sent(
+                    "operator",
+                    0,
+                    nodes[next(turns) % len(nodes)],
+                    call,
+                    arguments,
+                    constants.CALL_PATIENCE,
+                    told,
+                )
 
         def told(status, document):
             if self.draw.random() < self.answer_loss:
@@ -383,7 +493,10 @@
 
     # --- the day ----------------------------------------------------------------------
     def begin(self):
-        if self.until(lambda: self.leader() is not None and self.leader().core.consensus.serving(), 30) is None:
+        if (
+            self.until(lambda: self.leader() is not None and self.leader().core.consensus.serving(), 30)
+            is None
+        ):
             raise AssertionError("no leader within 30 s")
         self.governor.found()
         self.callers["patron"] = self.patron
@@ -405,8 +518,13 @@
     def served(self, why, within=SERVED_WITHIN):
         """A fault unless a job handed in from now on is accepted in time."""
         begun = START + self.now
-        if self.until(lambda: any(job["sent"] >= begun and job["accepted"] for job in self.patron.jobs.values()),
-                      within) is None:
+        if (
+            self.until(
+                lambda: any(job["sent"] >= begun and job["accepted"] for job in self.patron.jobs.values()),
+                within,
+            )
+            is None
+        ):
             self.governor.faults.append(f"no job was taken within {within:.0f} s {why}")
 
     def agreement(self):
@@ -416,11 +534,17 @@
             if node.kind != "accord" or node.core is None or node.core.consensus is None:
                 continue
             board, index = node.core.record.board, node.core.record.index
-            image = json.dumps(board.image())  # an entry of one's own holds tuples where one that came holds lists
+            image = json.dumps(
+                board.image()
+            )  # an entry of one's own holds tuples where one that came holds lists
             if boards.setdefault(index, image) != image:
                 faults.append(f"the board of {node.name} differs at {index}")
             again = Board.from_image(json.loads(image))
-            for name, derived in (("ready", lambda one: set(one.ready)), ("counts", _counted), ("waves", _waves)):
+            for name, derived in (
+                ("ready", lambda one: set(one.ready)),
+                ("counts", _counted),
+                ("waves", _waves),
+            ):
                 if derived(board) != derived(again):
                     faults.append(f"at {node.name} {name} of the board drifted")
         return faults
@@ -431,8 +555,11 @@
 
 
 def _waves(board):
-    return {wave.key(): (wave.blocked, wave.left, tuple(sorted(wave.waiting)))
-            for job in board.jobs.values() for wave in job.waves.values()}
+    return {
+        wave.key(): (wave.blocked, wave.left, tuple(sorted(wave.waiting)))
+        for job in board.jobs.values()
+        for wave in job.waves.values()
+    }
 
 
 def _later(simulator, function):
@@ -510,8 +637,14 @@
         simulator.run(simulator.draw.uniform(0.1, 3))
         simulator.start(name)
         node = simulator.nodes[name]
-        joined = simulator.until(lambda: node.core.consensus is not None and not node.core.consensus.cohort.coming
-                                 and node.core.identity in node.core.consensus.cohort.members(), 30)
+        joined = simulator.until(
+            lambda: (
+                node.core.consensus is not None
+                and not node.core.consensus.cohort.coming
+                and node.core.identity in node.core.consensus.cohort.members()
+            ),
+            30,
+        )
         if joined is None:
             simulator.governor.faults.append(f"{name} came back empty and was not let in")
         simulator.run(4)
@@ -643,7 +776,9 @@
         simulator.cut(names, [one for one in simulator.nodes if one not in names])
         for name in names:
             for place, beat in enumerate(late[name]):
-                simulator.at(0.2 + place * draw.uniform(0.9, 1.1), "later", functools.partial(simulator.arrive, *beat))
+                simulator.at(
+                    0.2 + place * draw.uniform(0.9, 1.1), "later", functools.partial(simulator.arrive, *beat)
+                )
         simulator.run(draw.uniform(2, 5))
         simulator.heal()
         simulator.run(draw.uniform(0.5, 2))
@@ -653,7 +788,9 @@
     """One thing after another on fouler links."""
     simulator.loss, simulator.double = 0.01, 0.02
     simulator.answer_loss, simulator.late_part, simulator.late_most = 0.03, 0.1, 3.0
-    for one in simulator.draw.sample((leader_frozen, leader_deaf, tenants_crash, tenants_cut, tenants_leave), 2):
+    for one in simulator.draw.sample(
+        (leader_frozen, leader_deaf, tenants_crash, tenants_cut, tenants_leave), 2
+    ):
         one(simulator)
     simulator.governor.race()
     leader = simulator.leader()
@@ -665,9 +802,17 @@
 
 
 WEATHERS = {
-    "calm": calm, "leader-killed": leader_killed, "leader-frozen": leader_frozen, "leader-deaf": leader_deaf,
-    "wiped": wiped, "all-killed": all_killed, "tenants-crash": tenants_crash, "tenants-cut": tenants_cut,
-    "tenants-leave": tenants_leave, "answers-late": answers_late, "beats-stale": beats_stale,
+    "calm": calm,
+    "leader-killed": leader_killed,
+    "leader-frozen": leader_frozen,
+    "leader-deaf": leader_deaf,
+    "wiped": wiped,
+    "all-killed": all_killed,
+    "tenants-crash": tenants_crash,
+    "tenants-cut": tenants_cut,
+    "tenants-leave": tenants_leave,
+    "answers-late": answers_late,
+    "beats-stale": beats_stale,
     "lives-mixed": lives_mixed,
     "storm": storm,
 }
@@ -714,12 +859,16 @@
     for began, ended, how, tenant, identity, reference, run, _ in runs_of(history):
         for other in last.get(reference, ()):
             if other[0] is None or other[0] > began:
-                faults.append(f"{reference} run {run} started on {tenant} at {began:.3f} while run {other[1]} ran "
-                              f"on {other[2]}")
+                faults.append(
+                    f"{reference} run {run} started on {tenant} at {began:.3f} while run {other[1]} ran "
+                    f"on {other[2]}"
+                )
         last.setdefault(reference, []).append((ended, run, tenant))
         for over, ended_how, earlier in noted.get(reference, ()):
             if ended_how == "done" and over < began:
-                faults.append(f"{reference} run {run} started at {began:.3f} after run {earlier} had ended done, as noted")
+                faults.append(
+                    f"{reference} run {run} started at {began:.3f} after run {earlier} had ended done, as noted"
+                )
     return faults
 
 
@@ -759,7 +908,9 @@
         if standing["queue"] != ("bare" if place % 2 else "held"):
             faults.append(f"{reference} started at another service")
         if step.get("apart"):
-            beside = [one for one in here.get((identity, job, time, number), ()) if one is None or one > began]
+            beside = [
+                one for one in here.get((identity, job, time, number), ()) if one is None or one > began
+            ]
             if len(beside) >= step["apart"]:
                 faults.append(f"{reference} started beside {len(beside)} of its step")
             here.setdefault((identity, job, time, number), []).append(ended)
@@ -803,7 +954,9 @@
         if event[0] == "start":
             _, when, tenant, _, reference, run, _, room, _, _, used = event
             if any(used[place] + room[place] > ROOM[place] for place in range(3)):
-                faults.append(f"{reference} run {run} took {tenant} beyond its room at {when:.3f}: {used} and {room}")
+                faults.append(
+                    f"{reference} run {run} took {tenant} beyond its room at {when:.3f}: {used} and {room}"
+                )
     return faults
 
 
@@ -833,7 +986,9 @@
                 faults.append(f"{event[4]} started on {event[2]}, known to drain")
             for zone, begun, ended in spans:
                 if zone == zones[event[2]] and begun + IN_FLIGHT < event[1] < (ended or 1e18):
-                    faults.append(f"{event[4]} started on {event[2]} {event[1] - begun:.2f} s after {zone} was evacuated")
+                    faults.append(
+                        f"{event[4]} started on {event[2]} {event[1] - begun:.2f} s after {zone} was evacuated"
+                    )
     return faults
 
 
@@ -874,13 +1029,21 @@
         if state == "completed" and first:
             for time in range(max(1, document.get("times", 0))):
                 for number, step in enumerate(document["steps"]):
-                    over = [one for one in done.get((identity, str(time), str(number)), {}).values() if one <= answered]
+                    over = [
+                        one
+                        for one in done.get((identity, str(time), str(number)), {}).values()
+                        if one <= answered
+                    ]
                     if not over if step.get("gang") else len(over) < step["count"]:
-                        faults.append(f"{identity} is told completed, but step {number} of time {time} is not done")
+                        faults.append(
+                            f"{identity} is told completed, but step {number} of time {time} is not done"
+                        )
     for began, _, _, _, _, reference, run, _ in runs:
         state, since = finals.get(reference.split(".")[0], ("", 1e18))
         if state and began > since + IN_FLIGHT:
-            faults.append(f"{reference} run {run} started {began - since:.2f} s after its job was told {state}")
+            faults.append(
+                f"{reference} run {run} started {began - since:.2f} s after its job was told {state}"
+            )
     return faults
 
 
@@ -900,8 +1063,11 @@
 
 def gangs_met(history, jobs):
     """In calm weather no member of a gang waits in vain."""
-    return [f"{event[4]} run {event[5]} ended alone" for event in history if event[0] == "end" and event[6] == "alone"
-            and jobs[event[4].split(".")[0]]["cancelled"] is None]
+    return [
+        f"{event[4]} run {event[5]} ended alone"
+        for event in history
+        if event[0] == "end" and event[6] == "alone" and jobs[event[4].split(".")[0]]["cancelled"] is None
+    ]
 
 
 # --- trials ----------------------------------------------------------------------------
@@ -920,8 +1086,11 @@
         WEATHERS[weather](simulator)
         simulator.governor.race()
         if not simulator.finish():
-            waiting = [(one["identity"], one["kind"], one["accepted"] is not None) for one in simulator.patron.jobs.values()
-                       if one["refused"] is None and (one["final"] is None or one["looks"] > 0)]
+            waiting = [
+                (one["identity"], one["kind"], one["accepted"] is not None)
+                for one in simulator.patron.jobs.values()
+                if one["refused"] is None and (one["final"] is None or one["looks"] > 0)
+            ]
             faults.append(f"jobs never ended: {waiting[:4]}")
         simulator.run(7)
         faults.extend(simulator.governor.check())
@@ -931,10 +1100,17 @@
     history, patron = simulator.minion_history, simulator.patron
     zones = {name: node.area for name, node in simulator.nodes.items()}
     running_most = STOP_GRACE + 1.5 if weather == "calm" else IN_FLIGHT + HELD_ON + STOP_GRACE
-    for found in (never_twice(history), steps_kept(history, patron.jobs), attempts_kept(history, patron.jobs),
-                  room_kept(history), cancels_kept(history, patron.jobs, running_most),
-                  closed_kept(history, simulator.governor.spans, zones), told_truly(history, patron),
-                  gangs_met(history, patron.jobs) if weather == "calm" else [], simulator.agreement()):
+    for found in (
+        never_twice(history),
+        steps_kept(history, patron.jobs),
+        attempts_kept(history, patron.jobs),
+        room_kept(history),
+        cancels_kept(history, patron.jobs, running_most),
+        closed_kept(history, simulator.governor.spans, zones),
+        told_truly(history, patron),
+        gangs_met(history, patron.jobs) if weather == "calm" else [],
+        simulator.agreement(),
+    ):
         faults.extend(found)
     if not any(job["final"] and job["final"][0] == "completed" for job in patron.jobs.values()):
         faults.append("no job was completed")
@@ -967,8 +1143,16 @@
         if faults:
             failed += 1
             print(replay(*arguments) + "\n   " + "\n   ".join(faults[:5]), flush=True)
-    print(json.dumps({"trials": len(work), "failed": failed, "virtual_seconds": round(virtual),
-                      "seconds": round(clocks.monotonic() - begun, 1)}))
+    print(
+        json.dumps(
+            {
+                "trials": len(work),
+                "failed": failed,
+                "virtual_seconds": round(virtual),
+                "seconds": round(clocks.monotonic() - begun, 1),
+            }
+        )
+    )
     return 1 if failed else 0
 
 
@@ -977,7 +1161,11 @@
     """Takes what is missing in a beat for a proof, whoever gave the start and however old the beat."""
     for (reference, run), placement in self.board.placements.get(worker.identity, {}).items():
         if (reference, run) not in worker.running and (reference, run) not in worker.listed:
-            if placement.epoch != self.core.epoch or not self.board.wanted(placement) or not self._open_for(worker):
+            if (
+                placement.epoch != self.core.epoch
+                or not self.board.wanted(placement)
+                or not self._open_for(worker)
+            ):
                 self._propose_end(worker.identity, reference, run, "unsent", "", False)
 
 
@@ -992,7 +1180,12 @@
                 run = max(task.run for task in wave.tasks) + 1
                 for index, minion in group:
                     task = wave.tasks[index]
-                    told = (wave.reference(index), run if wave.step.gang else task.run + 1, wave.job.spec, task.saved)
+                    told = (
+                        wave.reference(index),
+                        run if wave.step.gang else task.run + 1,
+                        wave.job.spec,
+                        task.saved,
+                    )
                     self.__dict__.setdefault("told_early", {}).setdefault(minion, []).append(told)
         propose(operation, waiting, when)
 
@@ -1016,7 +1209,9 @@
 
 
 def _failures_forgotten(self, now, placement, reference, run, how, saved, heard):
-    return original_ended(self, now, placement, reference, run, "stopped" if how == "failed" else how, saved, heard)
+    return original_ended(
+        self, now, placement, reference, run, "stopped" if how == "failed" else how, saved, heard
+    )
 
 
 def _always_ready(self, beat, now):
@@ -1055,7 +1250,10 @@
 PLANTS = {
     "absence-at-once": [(Keeper, "_take_absences", _absent_at_once)],
     "hold-not-waited-out": [(constants, "LAPSE_MARGIN", -3.5)],
-    "lease-ignored": [(Consensus, "leased", lambda self, now: self.serving()), (constants, "CHECK_QUORUM", 15.0)],
+    "lease-ignored": [
+        (Consensus, "leased", lambda self, now: self.serving()),
+        (constants, "CHECK_QUORUM", 15.0),
+    ],
     "starts-proposed": [(Keeper, "_assign", _starts_proposed), (Keeper, "_orders", _orders_early)],
     "ends-noted-early": [(Worker, "acknowledged", lambda self: self.seen)],
     "levels-forgotten": [(Lead, "common_level", _told_levels_alone)],
@@ -1068,8 +1266,11 @@
     "drain-unseen": [(Worker, "beat", _always_ready)],
     "order-unheeded": [(Board, "_index", _after_unheeded)],
     # No fault but a condition under which nothing may break: the log is compacted all the time.
-    "frequent-snapshots": [(constants, "SNAPSHOT_ENTRIES", 50), (constants, "SNAPSHOT_TAIL", 10),
-                           (constants, "SNAPSHOT_PIECE", 5_000)],
+    "frequent-snapshots": [
+        (constants, "SNAPSHOT_ENTRIES", 50),
+        (constants, "SNAPSHOT_TAIL", 10),
+        (constants, "SNAPSHOT_PIECE", 5_000),
+    ],
 }
 
 
--- a/src/pinepitch/proof/tenant.py
+++ b/src/pinepitch/proof/tenant.py
@@ -45,7 +45,7 @@
     def begin(self):
         """A new life: what ran is gone, and so is what it knew."""
         self.births += 1
-        self.identity = f"i-{self.name}-{self.births}-{self.random.randrange(16 ** 6):06x}"
+        self.identity = f"i-{self.name}-{self.births}-{self.random.randrange(16**6):06x}"
         self.running = {}  # (reference, run) -> its standing, a dict
         self.had = set()  # (reference, run) that were ever present
         self.barred = {}  # reference -> highest run that stopped or ended here
@@ -180,9 +180,15 @@
         if self.state == "draining":
             leaves = DRAIN if self.drained_at is None else max(0.0, self.drained_at + DRAIN - now)
         return {
-            "service": self.service, "address": self.address, "zone": self.zone, "state": self.state,
-            "sequence": self.sequence, "clock_ms": round(self.own(now) * 1000),
-            "leaves_ms": None if leaves is None else round(leaves * 1000), "labels": self.labels, "room": self.room,
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "state": self.state,
+            "sequence": self.sequence,
+            "clock_ms": round(self.own(now) * 1000),
+            "leaves_ms": None if leaves is None else round(leaves * 1000),
+            "labels": self.labels,
+            "room": self.room,
             "running": [[*key, one["saved"], self._percent(one)] for key, one in self.running.items()],
             "ended": [[number, *end] for number, end in list(self.ended.items())[:ENDS_MOST]],
         }
@@ -251,8 +257,21 @@
         if run <= self.barred.get(reference, 0) or self.guards and full:
             self._list_end(key, "refused", "", now)
             return
-        self.history.append(("start", now, self.name, self.identity, reference, run, self.fence, room, saved, spec,
-                             tuple(used)))
+        self.history.append(
+            (
+                "start",
+                now,
+                self.name,
+                self.identity,
+                reference,
+                run,
+                self.fence,
+                room,
+                saved,
+                spec,
+                tuple(used),
+            )
+        )
         self.running[key] = self._begun(key, what, room, saved, now)
 
     def _begun(self, key, what, room, saved, now):
@@ -270,7 +289,20 @@
         draw = random.Random(f"{self.seed}-{reference}-{run}")
         seconds = None if what["lasts"] else what["seconds"]
         fails = draw.random() < max(what["fail"], self.fail_rate)
-        fails_at = progress + draw.random() * (seconds - progress if seconds is not None else 8.0) if fails else None
-        return {"room": room, "gang": gang, "owner": owner, "began": now, "progress": progress, "saves": what["saves"],
-                "saved": saved, "saved_at": progress, "works_from": now + (RESTORE if saved else 0.0),
-                "seconds": seconds, "fails_at": fails_at, "stop_at": None}
+        fails_at = (
+            progress + draw.random() * (seconds - progress if seconds is not None else 8.0) if fails else None
+        )
+        return {
+            "room": room,
+            "gang": gang,
+            "owner": owner,
+            "began": now,
+            "progress": progress,
+            "saves": what["saves"],
+            "saved": saved,
+            "saved_at": progress,
+            "works_from": now + (RESTORE if saved else 0.0),
+            "seconds": seconds,
+            "fails_at": fails_at,
+            "stop_at": None,
+        }
--- a/src/pinepitch/proof/trial.py
+++ b/src/pinepitch/proof/trial.py
@@ -16,19 +16,43 @@
 
 TRAFFIC = (
     ("job", 3.0, {"queue": "default", "urgency": 4, "count": 4, "shape": "fan", "units": 1, "seconds": 0.3}),
-    ("chain", 1.0, {"queue": "default", "urgency": 5, "count": 3, "shape": "chain", "units": 2, "seconds": 0.2}),
-    ("urgent", 0.5, {"queue": "urgent", "urgency": 8, "count": 2, "shape": "chain", "units": 2, "seconds": 0.3}),
-    ("gang", 0.3, {"queue": "default", "urgency": 4, "count": 3, "shape": "gang", "units": 2, "seconds": 0.5}),
-    ("waves", 0.3, {"queue": "default", "urgency": 3, "count": 4, "shape": "waves", "units": 1, "seconds": 0.3}),
+    (
+        "chain",
+        1.0,
+        {"queue": "default", "urgency": 5, "count": 3, "shape": "chain", "units": 2, "seconds": 0.2},
+    ),
+    (
+        "urgent",
+        0.5,
+        {"queue": "urgent", "urgency": 8, "count": 2, "shape": "chain", "units": 2, "seconds": 0.3},
+    ),
+    (
+        "gang",
+        0.3,
+        {"queue": "default", "urgency": 4, "count": 3, "shape": "gang", "units": 2, "seconds": 0.5},
+    ),
+    (
+        "waves",
+        0.3,
+        {"queue": "default", "urgency": 3, "count": 4, "shape": "waves", "units": 1, "seconds": 0.3},
+    ),
     ("feed", 0.1, {"queue": "feeds", "urgency": 6, "count": 1, "shape": "feed", "units": 1, "seconds": 6.0}),
 )
 # The fleets a trial may run on: like each deployment of the brief, only smaller.
 FLEETS = {
     "three": {"accords": ("a", "b", "c"), "minions": (("m", 6, 8, (), True),), "founders": 3},
-    "five": {"accords": ("a", "a", "b", "c", "d"), "verges": ("a", "b", "c", "d"), "areas": ("a", "b", "c", "d"),
-             "minions": (("m", 8, 8, (), True),), "founders": 5},
-    "nine": {"accords": ("a", "a", "a", "b", "b", "b", "c", "c", "c"), "minions": (("m", 6, 8, (), True),),
-             "founders": 9},
+    "five": {
+        "accords": ("a", "a", "b", "c", "d"),
+        "verges": ("a", "b", "c", "d"),
+        "areas": ("a", "b", "c", "d"),
+        "minions": (("m", 8, 8, (), True),),
+        "founders": 5,
+    },
+    "nine": {
+        "accords": ("a", "a", "a", "b", "b", "b", "c", "c", "c"),
+        "minions": (("m", 6, 8, (), True),),
+        "founders": 9,
+    },
     "bare": {"accords": ("a", "b", "c"), "minions": (("m", 6, 8, (), False),), "founders": 3},
 }
 
@@ -71,8 +95,17 @@
         documents.update({ticket: one[2] for ticket, one in caller.accepted.items()})
         history.extend(caller.history)
     rows = simulator.setup["queues"]
-    faults.extend(checks.all_checks(history, simulator.minion_history, documents, rows, simulator.rooms,
-                                    simulator.away, operator.withdrawn))
+    faults.extend(
+        checks.all_checks(
+            history,
+            simulator.minion_history,
+            documents,
+            rows,
+            simulator.rooms,
+            simulator.away,
+            operator.withdrawn,
+        )
+    )
     faults.extend(checks.limits_kept(simulator.minion_history, documents, operator.limits()))
     faults.extend(simulator.agreement())
     if not documents:
@@ -85,7 +118,7 @@
     faults = []
     for caller in simulator.callers.values():
         final = {event[2]: event[3] for event in caller.history if event[0] == "final"}
-        for place, ticket in enumerate(sorted(caller.accepted)[::max(1, len(caller.accepted) // most)]):
+        for place, ticket in enumerate(sorted(caller.accepted)[:: max(1, len(caller.accepted) // most)]):
             status, document = simulator.ask("GET", f"/v1/tickets/{ticket}", verge=place)
             if status == 200 and document["state"] != final.get(ticket):
                 faults.append(f"{ticket} was {final.get(ticket)}, read {document['state']} at day's end")
@@ -108,7 +141,9 @@
 def replay(weather, seed, fleet, mode, plant):
     """The command that runs one trial again."""
     more = f" --plant={plant}" if plant else ""
-    return f"pinepitch trials --weather={weather} --first={seed} --seeds=1 --fleet={fleet} --mode={mode}{more}"
+    return (
+        f"pinepitch trials --weather={weather} --first={seed} --seeds=1 --fleet={fleet} --mode={mode}{more}"
+    )
 
 
 def trials(weather="all", seeds=20, first=0, fleet="all", mode="static", plant=""):
@@ -122,9 +157,18 @@
         mode: quorum mode, static or dynamic.
         plant: a planted fault, to see the checks find it.
     """
-    names = list(WEATHERS) if weather == "all" else weather.split(",") if isinstance(weather, str) else list(weather)
-    work = [(name, seed, IN_TURN[seed % len(IN_TURN)] if fleet == "all" else fleet, mode, plant)
-            for name in names for seed in range(first, first + seeds)]
+    names = (
+        list(WEATHERS)
+        if weather == "all"
+        else weather.split(",")
+        if isinstance(weather, str)
+        else list(weather)
+    )
+    work = [
+        (name, seed, IN_TURN[seed % len(IN_TURN)] if fleet == "all" else fleet, mode, plant)
+        for name in names
+        for seed in range(first, first + seeds)
+    ]
     begun, failed, virtual = time.monotonic(), 0, 0.0
     for (name, seed, on, _, _), faults, seconds in many(work):
         virtual += seconds
@@ -132,7 +176,15 @@
             failed += 1
             print(replay(name, seed, on, mode, plant))
             print("   " + "\n   ".join(faults[:4]), flush=True)
-    print(json.dumps({"trials": len(work), "failed": failed, "virtual_seconds": round(virtual),
-                      "seconds": round(time.monotonic() - begun, 1)}))
+    print(
+        json.dumps(
+            {
+                "trials": len(work),
+                "failed": failed,
+                "virtual_seconds": round(virtual),
+                "seconds": round(time.monotonic() - begun, 1),
+            }
+        )
+    )
     if failed:
         sys.exit(1)
--- a/src/pinepitch/proof/weathers.py
+++ b/src/pinepitch/proof/weathers.py
@@ -10,8 +10,11 @@
 
 
 def _daemons(simulator, kind=None):
-    return [name for name, node in simulator.nodes.items()
-            if node.kind in ((kind,) if kind else ("accord", "verge"))]
+    return [
+        name
+        for name, node in simulator.nodes.items()
+        if node.kind in ((kind,) if kind else ("accord", "verge"))
+    ]
 
 
 def kills(simulator, operator):
@@ -69,7 +72,9 @@
         for name in names:
             if simulator.nodes[name].kind != "minion":
                 simulator.kill(name)
-        simulator.cut([name for name in names if simulator.nodes[name].kind == "minion"], list(simulator.nodes))
+        simulator.cut(
+            [name for name in names if simulator.nodes[name].kind == "minion"], list(simulator.nodes)
+        )
         simulator.run(simulator.draw.uniform(3, 6))
         _served(simulator, operator, f"without area {area}")
         simulator.heal()
@@ -107,8 +112,11 @@
     """Disks slow down, stall, and power goes just after a promise."""
     for _ in range(5):
         leader = simulator.leader()
-        name = leader.name if leader and simulator.draw.random() < 0.6 else simulator.draw.choice(
-            _daemons(simulator, "accord"))
+        name = (
+            leader.name
+            if leader and simulator.draw.random() < 0.6
+            else simulator.draw.choice(_daemons(simulator, "accord"))
+        )
         disk = simulator.nodes[name].disk
         manner = simulator.draw.choice(("slow", "stall", "power"))
         if manner == "slow":
@@ -132,9 +140,15 @@
         simulator.wipe(name)
         simulator.run(simulator.draw.uniform(0.1, 3))
         simulator.start(name)
-        joined = simulator.until(lambda: simulator.nodes[name].core.consensus is not None and not
-                                 simulator.nodes[name].core.consensus.cohort.coming and simulator.nodes[name]
-                                 .core.identity in simulator.nodes[name].core.consensus.cohort.members(), 30)
+        joined = simulator.until(
+            lambda: (
+                simulator.nodes[name].core.consensus is not None
+                and not simulator.nodes[name].core.consensus.cohort.coming
+                and simulator.nodes[name].core.identity
+                in simulator.nodes[name].core.consensus.cohort.members()
+            ),
+            30,
+        )
         if joined is None:
             operator.faults.append(f"{name} came back empty and was not let in")
         simulator.run(4)
@@ -144,19 +158,29 @@
     """An accord dies for good; an empty one at a new address takes its place; twice.
     Seeds of later daemons name the new machines."""
     for turn in range(2):
-        name = simulator.draw.choice([one for one in _daemons(simulator, "accord")
-                                      if simulator.nodes[one].core is not None])
+        name = simulator.draw.choice(
+            [one for one in _daemons(simulator, "accord") if simulator.nodes[one].core is not None]
+        )
         old = simulator.nodes[name]
         simulator.kill(name)
         simulator.run(simulator.draw.uniform(0.5, 4))
         fresh = simulator.add(f"fresh{turn}", "accord", old.area)
-        live = [node.address for node in simulator.nodes.values() if node.kind != "minion" and node.core is not None]
+        live = [
+            node.address
+            for node in simulator.nodes.values()
+            if node.kind != "minion" and node.core is not None
+        ]
         simulator.seeds = [fresh.address, *simulator.draw.sample(live, 2)]
         simulator.start(fresh.name)
         old.kind = "retired"
-        joined = simulator.until(lambda: fresh.core.consensus is not None
-                                 and fresh.core.identity in fresh.core.consensus.cohort.members()
-                                 and old.core is None, 30)
+        joined = simulator.until(
+            lambda: (
+                fresh.core.consensus is not None
+                and fresh.core.identity in fresh.core.consensus.cohort.members()
+                and old.core is None
+            ),
+            30,
+        )
         if joined is None:
             operator.faults.append(f"{fresh.name} was not let in")
         for verge in _daemons(simulator, "verge"):
@@ -249,8 +273,13 @@
 def crashes(simulator, operator):
     """Minions die all the time, some just after work ended and before a word of it left."""
     for one in simulator.callers.values():
-        one.traffic += (("brief", 6.0, {"queue": "urgent", "urgency": 8, "count": 4, "shape": "fan", "units": 1,
-                                        "seconds": 0.08}),)
+        one.traffic += (
+            (
+                "brief",
+                6.0,
+                {"queue": "urgent", "urgency": 8, "count": 4, "shape": "fan", "units": 1, "seconds": 0.08},
+            ),
+        )
     for _ in range(60):
         name = simulator.draw.choice(_daemons(simulator, "minion"))
         simulator.kill(name)
@@ -275,14 +304,25 @@
         one.rate = 6.0
     impossible = []
     for place in range(10):
-        status, answer = simulator.persist("POST", "/v1/tickets", {
-            "queue": "default", "urgency": 9, "key": f"impossible{place}",
-            "tasks": [{"name": "x", "labels": ["unheard-of"]}, {"name": "y", "units": 40}]})
+        status, answer = simulator.persist(
+            "POST",
+            "/v1/tickets",
+            {
+                "queue": "default",
+                "urgency": 9,
+                "key": f"impossible{place}",
+                "tasks": [{"name": "x", "labels": ["unheard-of"]}, {"name": "y", "units": 40}],
+            },
+        )
         if status in (200, 201):
             impossible.append(answer["ticket"])
     got = []
-    large = {"queue": "default", "urgency": 1, "key": "large", "tasks": [
-        {"name": f"s{one}", "work": {"seconds": 0.05}} for one in range(400)]}
+    large = {
+        "queue": "default",
+        "urgency": 1,
+        "key": "large",
+        "tasks": [{"name": f"s{one}", "work": {"seconds": 0.05}} for one in range(400)],
+    }
     simulator.call("operator", 0, 1, "POST", "/v1/tickets", large, ("plain", got))
     simulator.run(8)
     for one in simulator.callers.values():
@@ -297,23 +337,46 @@
     """Gangs while room is scattered: little is free, and never much in one place."""
     for one in simulator.callers.values():
         one.traffic = (
-            ("gang", 1.5, {"queue": "default", "urgency": 4, "count": 3, "shape": "gang", "units": 5, "seconds": 0.6}),
-            ("job", 8.0, {"queue": "default", "urgency": 4, "count": 2, "shape": "fan", "units": 3, "seconds": 0.7}))
+            (
+                "gang",
+                1.5,
+                {"queue": "default", "urgency": 4, "count": 3, "shape": "gang", "units": 5, "seconds": 0.6},
+            ),
+            (
+                "job",
+                8.0,
+                {"queue": "default", "urgency": 4, "count": 2, "shape": "fan", "units": 3, "seconds": 0.7},
+            ),
+        )
         one.fail = 0.0
     simulator.loss = 0.0
     begun = START + simulator.now
     simulator.run(12)
     simulator.loss = LOSS
-    documents = {ticket: one[2] for caller in simulator.callers.values()
-                 for ticket, one in caller.accepted.items() if one[1] >= begun}
+    documents = {
+        ticket: one[2]
+        for caller in simulator.callers.values()
+        for ticket, one in caller.accepted.items()
+        if one[1] >= begun
+    }
     operator.faults.extend(checks.gangs_together(simulator.minion_history, documents))
 
 
 def _cancel_running(simulator, operator):
     """Cancels a ticket whose first task has long to run."""
     caller, key = simulator.callers["caller"], f"long-{simulator.now:.3f}"
-    caller.retry.append((operator.now(), key, {"queue": "default", "urgency": 5, "key": key, "tasks": [
-        {"name": "s0", "work": {"seconds": 10.0}}, {"name": "s1", "after": ["s0"]}]}))
+    caller.retry.append(
+        (
+            operator.now(),
+            key,
+            {
+                "queue": "default",
+                "urgency": 5,
+                "key": key,
+                "tasks": [{"name": "s0", "work": {"seconds": 10.0}}, {"name": "s1", "after": ["s0"]}],
+            },
+        )
+    )
     simulator.run(1.5)
     for ticket, one in caller.accepted.items():
         if one[0] == key:
@@ -352,7 +415,9 @@
         simulator.run(simulator.draw.uniform(1, 3))
         for name in _daemons(simulator, "verge"):
             simulator.kill(name)
-        simulator.seeds = [simulator.nodes[one].address for one in simulator.draw.sample(_daemons(simulator), 3)]
+        simulator.seeds = [
+            simulator.nodes[one].address for one in simulator.draw.sample(_daemons(simulator), 3)
+        ]
         for name in _daemons(simulator, "verge"):
             simulator.start(name)
 
@@ -377,7 +442,9 @@
     """Asks at one verge after another until one answers through a leader."""
     begun = simulator.now
     back = simulator.until(
-        lambda: simulator.ask("GET", "/v1/setup", verge=simulator.draw.randrange(9), seconds=3.0)[0] == 200, 30)
+        lambda: simulator.ask("GET", "/v1/setup", verge=simulator.draw.randrange(9), seconds=3.0)[0] == 200,
+        30,
+    )
     if back is None or simulator.now - begun > within:
         operator.faults.append(f"no service {why} within {within:.0f} s: {simulator.now - begun:.1f} s")
 
@@ -386,8 +453,11 @@
     """Disks turn full and are given space again, the leader's among them."""
     for _ in range(4):
         leader = simulator.leader()
-        name = leader.name if leader and simulator.draw.random() < 0.7 else simulator.draw.choice(
-            _daemons(simulator, "accord"))
+        name = (
+            leader.name
+            if leader and simulator.draw.random() < 0.7
+            else simulator.draw.choice(_daemons(simulator, "accord"))
+        )
         simulator.nodes[name].disk.full = True
         simulator.run(simulator.draw.uniform(0.5, 6))
         _served(simulator, operator, "with one full disk")
@@ -406,8 +476,11 @@
         simulator.nodes[wrong].skew = draw.choice((-1, 1)) * 3600.0
         manner = ("leader", "outage", "wrong")[(turn + simulator.seed) % 3]
         leader = simulator.leader()
-        names = {"outage": _daemons(simulator), "wrong": [wrong],
-                 "leader": [leader.name] if leader else [wrong]}[manner]
+        names = {
+            "outage": _daemons(simulator),
+            "wrong": [wrong],
+            "leader": [leader.name] if leader else [wrong],
+        }[manner]
         for name in names:
             simulator.kill(name)
         simulator.run(draw.uniform(0.2, 2))
@@ -417,7 +490,9 @@
         simulator.run(draw.uniform(2, 5))
         status, cohort = simulator.ask("GET", "/v1/cohort")
         if status == 200 and abs(cohort["time"] - START - simulator.now) > 1.0:
-            operator.faults.append(f"cohort time is off by {cohort['time'] - START - simulator.now:.1f} s after {manner}")
+            operator.faults.append(
+                f"cohort time is off by {cohort['time'] - START - simulator.now:.1f} s after {manner}"
+            )
         simulator.nodes[wrong].skew = 0.0
         simulator.run(1)
 
@@ -426,8 +501,12 @@
     """Impossible tickets pile up until they are shed, each with its reason; good work goes on."""
     shed, made = 0, []
     for place in range(60):
-        document = {"queue": "default", "urgency": 9, "key": f"impossible{place}", "tasks": [
-            {"name": f"s{one}", "labels": ["unheard-of"]} for one in range(50)]}
+        document = {
+            "queue": "default",
+            "urgency": 9,
+            "key": f"impossible{place}",
+            "tasks": [{"name": f"s{one}", "labels": ["unheard-of"]} for one in range(50)],
+        }
         status, answer = simulator.ask("POST", "/v1/tickets", document)
         if status == 201:
             made.append(answer["ticket"])
@@ -515,8 +594,11 @@
     for event in simulator.minion_history:
         if event[0] == "start":
             first.setdefault(event[4].partition("/")[0], event[1])
-    late = sorted(first.get(ticket, operator.now()) - accepted for ticket, (_, accepted, document) in caller.accepted.items()
-                  if document["queue"] == "urgent" and accepted > begun)
+    late = sorted(
+        first.get(ticket, operator.now()) - accepted
+        for ticket, (_, accepted, document) in caller.accepted.items()
+        if document["queue"] == "urgent" and accepted > begun
+    )
     if len(late) > 10 and late[len(late) // 2] > 1.0:
         operator.faults.append(f"urgent work started {late[len(late) // 2]:.1f} s late in the median")
     leader = simulator.leader()
@@ -560,12 +642,25 @@
     draw = simulator.draw
     for turn in range(3):
         key, caller = f"long-{turn}", simulator.callers["caller"]
-        caller.retry.append((operator.now(), key, {"queue": "default", "urgency": 5, "key": key, "tasks": [
-            {"name": f"s{one}", "work": {"seconds": 20.0}} for one in range(4)]}))
+        caller.retry.append(
+            (
+                operator.now(),
+                key,
+                {
+                    "queue": "default",
+                    "urgency": 5,
+                    "key": key,
+                    "tasks": [{"name": f"s{one}", "work": {"seconds": 20.0}} for one in range(4)],
+                },
+            )
+        )
         simulator.run(1.5)
         ticket = next((ticket for ticket, one in caller.accepted.items() if one[0] == key), None)
-        runs = [event[2] for event in simulator.minion_history
-                if event[0] == "start" and event[4].partition("/")[0] == ticket]
+        runs = [
+            event[2]
+            for event in simulator.minion_history
+            if event[0] == "start" and event[4].partition("/")[0] == ticket
+        ]
         if not runs:
             continue
         name = draw.choice(runs)
@@ -583,11 +678,35 @@
 
 # The registry of weathers.
 WEATHERS = {
-    "calm": calm, "kills": kills, "leaders-fall": leaders_fall, "cuts": cuts, "areas-fall": areas_fall,
-    "freezes": freezes, "clocks": clocks, "disks": disks, "wiped": wiped, "replaced": replaced,
-    "outage": outage, "power": power, "forgotten": forgotten, "failing": failing,
-    "minions-fail": minions_fail, "crashes": crashes, "withdrawn": withdrawn, "crowds": crowds, "scattered": scattered,
-    "operators": operators, "verges-restart": verges_restart, "foul": foul, "storm": storm,
-    "full": full, "clock-outage": clock_outage, "impossible": impossible, "setup-storm": setup_storm,
-    "large-setup": large_setup, "crowds-ten": crowds_ten, "final": final, "cancel-cut": cancel_cut,
+    "calm": calm,
+    "kills": kills,
+    "leaders-fall": leaders_fall,
+    "cuts": cuts,
+    "areas-fall": areas_fall,
+    "freezes": freezes,
+    "clocks": clocks,
+    "disks": disks,
+    "wiped": wiped,
+    "replaced": replaced,
+    "outage": outage,
+    "power": power,
+    "forgotten": forgotten,
+    "failing": failing,
+    "minions-fail": minions_fail,
+    "crashes": crashes,
+    "withdrawn": withdrawn,
+    "crowds": crowds,
+    "scattered": scattered,
+    "operators": operators,
+    "verges-restart": verges_restart,
+    "foul": foul,
+    "storm": storm,
+    "full": full,
+    "clock-outage": clock_outage,
+    "impossible": impossible,
+    "setup-storm": setup_storm,
+    "large-setup": large_setup,
+    "crowds-ten": crowds_ten,
+    "final": final,
+    "cancel-cut": cancel_cut,
 }
--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -61,7 +61,9 @@
             if not mine:
                 self.why.setdefault(wave.key(), "no minion")
                 continue
-            group = self._gang(wave, mine, now, time) if wave.step.gang else self._single(wave, mine, now, time)
+            group = (
+                self._gang(wave, mine, now, time) if wave.step.gang else self._single(wave, mine, now, time)
+            )
             if group:
                 count += len(group)
                 items.append((wave.job.identity, wave.time, wave.number, tuple(group)))
@@ -97,12 +99,25 @@
         for service, mine in seats.items():
             whole = [sum(seat.worker.room[kind] for seat in mine) for kind in range(3)]
             levels = sorted({priority for name, priority in self.peaks if name == service})
-            for priority in {wave.job.priority for wave in board.ready.values() if wave.job.service == service}:
-                kept = [sum(self.peaks[(service, level)][kind] for level in levels if level < priority) for kind in range(3)]
-                used = [sum(board.used.get((service, level), (0, 0, 0))[kind] for level in levels if level >= priority)
-                        for kind in range(3)]
-                budgets[(service, priority)] = [max(room * constants.BUDGET_PART, room - less) - taken
-                                                for room, less, taken in zip(whole, kept, used)]
+            for priority in {
+                wave.job.priority for wave in board.ready.values() if wave.job.service == service
+            }:
+                kept = [
+                    sum(self.peaks[(service, level)][kind] for level in levels if level < priority)
+                    for kind in range(3)
+                ]
+                used = [
+                    sum(
+                        board.used.get((service, level), (0, 0, 0))[kind]
+                        for level in levels
+                        if level >= priority
+                    )
+                    for kind in range(3)
+                ]
+                budgets[(service, priority)] = [
+                    max(room * constants.BUDGET_PART, room - less) - taken
+                    for room, less, taken in zip(whole, kept, used)
+                ]
         return budgets
 
     def _spend(self, wave, count):
@@ -123,10 +138,22 @@
         failed = set()  # shapes that found no seats since one was kept last: their like find none either
         for wave in waves:
             service, step = wave.job.service, wave.step
-            if (now - self.short.get(wave.key(), now) < constants.RESERVE_AFTER * (0.5 if not wave.job.priority else 1)
-                    or count.get(service, 0) >= constants.RESERVE_MOST):
+            if (
+                now - self.short.get(wave.key(), now)
+                < constants.RESERVE_AFTER * (0.5 if not wave.job.priority else 1)
+                or count.get(service, 0) >= constants.RESERVE_MOST
+            ):
                 continue
-            shape = (service, step.room, step.needs, step.near, step.apart, step.gang, step.tight, len(wave.waiting))
+            shape = (
+                service,
+                step.room,
+                step.needs,
+                step.near,
+                step.apart,
+                step.gang,
+                step.tight,
+                len(wave.waiting),
+            )
             if shape in failed:
                 continue
             mine = seats.get(service, ())
@@ -156,10 +183,17 @@
         for seat in seats:
             if seat.kept is not None or seat.poor or (step.needs and not seat.labels.issuperset(step.needs)):
                 continue
-            members = min((seat.worker.room[kind] // step.room[kind] for kind in range(3) if step.room[kind]), default=1)
+            members = min(
+                (seat.worker.room[kind] // step.room[kind] for kind in range(3) if step.room[kind]), default=1
+            )
             if members >= 1:
-                share = min((seat.free[kind] / seat.worker.room[kind] for kind in range(3) if step.room[kind]), default=1)
-                able.append((-share, seat.identity, seat, int(min(members, step.apart) if step.apart else members)))
+                share = min(
+                    (seat.free[kind] / seat.worker.room[kind] for kind in range(3) if step.room[kind]),
+                    default=1,
+                )
+                able.append(
+                    (-share, seat.identity, seat, int(min(members, step.apart) if step.apart else members))
+                )
         able.sort(key=lambda one: one[:2])
         able = [one for one in able if step.near in one[2].labels] or able if step.near else able
         racks = {}
@@ -191,13 +225,20 @@
                 missing = [left - room for left, room in zip(missing, placement.room)]
                 continue
             found = board.task(placement)
-            if (found is None or key not in seat.worker.running or found[0].step.gang or found[0].step.lasts
-                    or found[0].job.priority <= wave.job.priority):
+            if (
+                found is None
+                or key not in seat.worker.running
+                or found[0].step.gang
+                or found[0].step.lasts
+                or found[0].job.priority <= wave.job.priority
+            ):
                 continue
             if not found[0].step.saves:
                 if placement.run > constants.YIELD_RUNS:
                     continue
-                lost = (time - placement.since) * (placement.room[0] / 1000 + constants.GPU_CORES * placement.room[2])
+                lost = (time - placement.since) * (
+                    placement.room[0] / 1000 + constants.GPU_CORES * placement.room[2]
+                )
                 if lost > self.waste:
                     continue
                 self.waste -= lost
@@ -210,8 +251,15 @@
         seats = {}
         for worker in workers.values():
             held = board.placements.get(worker.identity, {})
-            if (worker.beats < 2 or worker.state != "ready" or worker.silent(now) or worker.stale or worker.zone in board.evacuated
-                    or now < worker.wary_until or any(key not in held for key in worker.running)):
+            if (
+                worker.beats < 2
+                or worker.state != "ready"
+                or worker.silent(now)
+                or worker.stale
+                or worker.zone in board.evacuated
+                or now < worker.wary_until
+                or any(key not in held for key in worker.running)
+            ):
                 continue
             free, steps = less(worker.room, board.taken.get(worker.identity, (0, 0, 0))), {}
             for placement in held.values():
@@ -227,8 +275,11 @@
         step, kept = wave.step, seat.kept
         if kept is not None and kept is not wave and kept.job.priority <= wave.job.priority:
             return False
-        return (seat.fits(step.room) and (not step.needs or seat.labels.issuperset(step.needs))
-                and (not step.apart or seat.steps.get((wave.job.identity, wave.number), 0) < step.apart))
+        return (
+            seat.fits(step.room)
+            and (not step.needs or seat.labels.issuperset(step.needs))
+            and (not step.apart or seat.steps.get((wave.job.identity, wave.number), 0) < step.apart)
+        )
 
     def _take(self, wave, seat):
         seat.free = less(seat.free, wave.step.room)
@@ -240,8 +291,21 @@
         step = wave.step
         far = bool(step.near) and step.near not in seat.labels
         left = less(seat.free, step.room)
-        hot = 0 if step.near else round(constants.HOT_STEPS * self.hot.get(seat.rack, 0) / max(1, *self.hot.values(), 1))
-        return (seat.poor, seat.kept is not None and seat.kept is not wave, far, hot, round(seat.worker.speed * constants.SPEED_STEPS), left[2], left[0], seat.identity)
+        hot = (
+            0
+            if step.near
+            else round(constants.HOT_STEPS * self.hot.get(seat.rack, 0) / max(1, *self.hot.values(), 1))
+        )
+        return (
+            seat.poor,
+            seat.kept is not None and seat.kept is not wave,
+            far,
+            hot,
+            round(seat.worker.speed * constants.SPEED_STEPS),
+            left[2],
+            left[0],
+            seat.identity,
+        )
 
     def _single(self, wave, seats, now, time):
         step, group = wave.step, []
@@ -255,7 +319,9 @@
         for place, index in enumerate(sorted(wave.waiting)[:allowed]):
             if order is None or patient and place >= patience:
                 patient = place < patience
-                order = self._order(wave, [seat for seat in seats if step.near in seat.labels] if patient else seats)
+                order = self._order(
+                    wave, [seat for seat in seats if step.near in seat.labels] if patient else seats
+                )
             seat = self._next(wave, order)
             if seat is None:
                 break
@@ -264,7 +330,11 @@
 
     def _order(self, wave, seats):
         """The seats that a wave's task may take, as a heap, the best first."""
-        order = [(self._score(wave, seat), place, seat) for place, seat in enumerate(seats) if self._allowed(wave, seat)]
+        order = [
+            (self._score(wave, seat), place, seat)
+            for place, seat in enumerate(seats)
+            if self._allowed(wave, seat)
+        ]
         heapq.heapify(order)
         return order
 
@@ -287,8 +357,11 @@
         if time - wave.since > (self.pace.far - 1) * length:
             return 0
         room = wave.step.room
-        turns = sum(min(seat.worker.room[kind] // room[kind] for kind in range(3) if room[kind])
-                    for seat in seats if wave.step.near in seat.labels and any(room))
+        turns = sum(
+            min(seat.worker.room[kind] // room[kind] for kind in range(3) if room[kind])
+            for seat in seats
+            if wave.step.near in seat.labels and any(room)
+        )
         ahead = self.near.get(wave.step.near, 0)
         self.near[wave.step.near] = ahead + len(wave.waiting)
         return max(0, int(turns * constants.NEAR_PART * (self.pace.far - 1)) - ahead)
--- a/src/pinepitch/tenure/board.py
+++ b/src/pinepitch/tenure/board.py
@@ -33,7 +33,8 @@
             tuple(job.image() for job in self.jobs.values()),
             tuple((identity, *rest) for identity, rest in self.final.items()),
             tuple(one.image() for held in self.placements.values() for one in held.values()),
-            self.configuration.image(), tuple(self.evacuated.items()),
+            self.configuration.image(),
+            tuple(self.evacuated.items()),
         )
 
     @classmethod
@@ -65,7 +66,10 @@
     def _hold(self, placement):
         """A run takes its room."""
         self.placements.setdefault(placement.minion, {})[(placement.reference(), placement.run)] = placement
-        for totals, key in ((self.taken, placement.minion), (self.used, (placement.service, placement.priority))):
+        for totals, key in (
+            (self.taken, placement.minion),
+            (self.used, (placement.service, placement.priority)),
+        ):
             totals[key] = [one + more for one, more in zip(totals.get(key, (0, 0, 0)), placement.room)]
 
     def _release(self, minion, key):
@@ -75,7 +79,9 @@
         if placement is None:
             return None
         self.used[(placement.service, placement.priority)] = [
-            one - less for one, less in zip(self.used[(placement.service, placement.priority)], placement.room)]
+            one - less
+            for one, less in zip(self.used[(placement.service, placement.priority)], placement.room)
+        ]
         if held:
             self.taken[minion] = [one - less for one, less in zip(self.taken[minion], placement.room)]
         else:
@@ -120,8 +126,13 @@
             return ("missing", queue)
         if len(self.jobs) >= constants.JOBS_MOST:
             return ("full", queue)
-        terms = (route["service"], max(1, route.get("attempts", 1)), route.get("priority", 0),
-                 route.get("aim_ms", 0), route.get("stretch", 1))
+        terms = (
+            route["service"],
+            max(1, route.get("attempts", 1)),
+            route.get("priority", 0),
+            route.get("aim_ms", 0),
+            route.get("stretch", 1),
+        )
         job = self.jobs[identity] = Job(identity, queue, terms, plain, now)
         self.counts[queue] = self.counts.get(queue, 0) + 1
         for wave in job.waves.values():
@@ -169,8 +180,19 @@
                 task.run = gang_run if wave.step.gang else task.run + 1
                 task.state, task.minion = "placed", minion
                 wave.waiting.discard(index)
-                placement = Placement(identity, time, number, index, task.run, minion, wave.step.room, job.service,
-                                      job.priority, now, epoch)
+                placement = Placement(
+                    identity,
+                    time,
+                    number,
+                    index,
+                    task.run,
+                    minion,
+                    wave.step.room,
+                    job.service,
+                    job.priority,
+                    now,
+                    epoch,
+                )
                 self._hold(placement)
                 placed.append(placement)
             if not job.begun and group:
