--- a/src/pinepitch/tenure/calls.py
+++ b/src/pinepitch/tenure/calls.py
@@ -18,7 +18,10 @@
 
 def _unready(core):
     if not core.record.board.configuration.version:
-        return ("answer", problem(503, "unconfigured", "no configuration is in force yet", constants.COME_BACK))
+        return (
+            "answer",
+            problem(503, "unconfigured", "no configuration is in force yet", constants.COME_BACK),
+        )
     return None
 
 
@@ -37,8 +40,15 @@
         return ("answer", problem(400, "name", "a job is named by 16 hex digits"))
     plain, faults = jobs.checked(document)
     if faults:
-        return ("answer", problem(422, "invalid", "the job has faults",
-                                  faults=[{"path": path, "message": message} for path, message in faults]))
+        return (
+            "answer",
+            problem(
+                422,
+                "invalid",
+                "the job has faults",
+                faults=[{"path": path, "message": message} for path, message in faults],
+            ),
+        )
     board = core.record.board
     state = board.state(identity)
     if state is not None:
@@ -111,7 +121,12 @@
     base, document = arguments
     if not isinstance(document, dict):
         return ("answer", problem(400, "invalid", "expected an object"))
-    return ("agree", ("configure", base, document, configuration.digest_of([base, document])), "configured", None)
+    return (
+        "agree",
+        ("configure", base, document, configuration.digest_of([base, document])),
+        "configured",
+        None,
+    )
 
 
 def amend(core, token, arguments, now):
@@ -125,8 +140,12 @@
         return (200, {"version": outcome[1]}, None)
     if outcome[0] == "stale":
         return problem(412, "stale", f"version {outcome[1]} is in force", version=outcome[1])
-    return problem(400, "invalid", "the configuration has faults",
-                   faults=[{"path": path, "message": message} for path, message in outcome[1]])
+    return problem(
+        400,
+        "invalid",
+        "the configuration has faults",
+        faults=[{"path": path, "message": message} for path, message in outcome[1]],
+    )
 
 
 def configuration_read(core, token, arguments, now):
@@ -144,8 +163,15 @@
 
 # name -> how it is made; each is read by accord/calls.py
 CALLS = {
-    "job": submit, "job-read": read, "job-cancel": cancel, "beat": beat, "beat-leave": leave,
-    "configure": configure, "amend": amend, "configuration": configuration_read, "evacuate": evacuate,
+    "job": submit,
+    "job-read": read,
+    "job-cancel": cancel,
+    "beat": beat,
+    "beat-leave": leave,
+    "configure": configure,
+    "amend": amend,
+    "configuration": configuration_read,
+    "evacuate": evacuate,
     **explain.CALLS,
 }
 SHAPES = {"job": submitted, "job-cancel": cancelled, "configured": configured, "evacuated": evacuated}
--- a/src/pinepitch/tenure/configuration.py
+++ b/src/pinepitch/tenure/configuration.py
@@ -27,12 +27,14 @@
     voluptuous.Optional("guards"): bool,
     voluptuous.Extra: object,
 }
-SHAPE = voluptuous.Schema({
-    voluptuous.Required("version"): _whole(1, constants.NUMBER_MOST),
-    voluptuous.Required("routes"): [ROUTE],
-    voluptuous.Required("services"): [SERVICE],
-    voluptuous.Extra: object,
-})
+SHAPE = voluptuous.Schema(
+    {
+        voluptuous.Required("version"): _whole(1, constants.NUMBER_MOST),
+        voluptuous.Required("routes"): [ROUTE],
+        voluptuous.Required("services"): [SERVICE],
+        voluptuous.Extra: object,
+    }
+)
 LISTS = ("routes", "services")
 
 
@@ -45,13 +47,18 @@
     services = {service["name"] for service in document["services"]}
     for kind in LISTS:
         names = [item["name"] for item in document[kind]]
-        faults.extend((f"{kind}.{name}", "named twice") for name in sorted({one for one in names if names.count(one) > 1}))
+        faults.extend(
+            (f"{kind}.{name}", "named twice")
+            for name in sorted({one for one in names if names.count(one) > 1})
+        )
     for route in document["routes"]:
         place = (route["host"].lower(), route["prefix"])
         if route["service"] not in services:
             faults.append((f"routes.{route['name']}.service", f"no service {route['service']!r}"))
         if place in places:
-            faults.append((f"routes.{route['name']}", f"{route['host']}{route['prefix']} is that of {places[place]}"))
+            faults.append(
+                (f"routes.{route['name']}", f"{route['host']}{route['prefix']} is that of {places[place]}")
+            )
         places[place] = route["name"]
         if route.get("timeout_ms", 1) == 0:
             faults.append((f"routes.{route['name']}.timeout_ms", "0 leaves no time"))
@@ -60,7 +67,9 @@
 
 def _named(items):
     """Whether something is a list of items that each have a name."""
-    return isinstance(items, list) and all(isinstance(one, dict) and isinstance(one.get("name"), str) for one in items)
+    return isinstance(items, list) and all(
+        isinstance(one, dict) and isinstance(one.get("name"), str) for one in items
+    )
 
 
 def amended(document, version, upserts, removes):
@@ -116,7 +125,7 @@
         """(route, the rest of the path) of the longest prefix that fits, or None."""
         for prefix, route in self.places.get(host.lower(), ()):
             if path.startswith(prefix):
-                return route, path[len(prefix):]
+                return route, path[len(prefix) :]
         return None
 
     def take(self, base, document, digest):
--- a/src/pinepitch/tenure/explain.py
+++ b/src/pinepitch/tenure/explain.py
@@ -27,18 +27,41 @@
     if found is None:
         final = board.final.get(identity)
         if final is None:
-            return ("answer", (404, {"error": {"code": "unknown_job", "message": f"no job {identity!r}"}}, None))
+            return (
+                "answer",
+                (404, {"error": {"code": "unknown_job", "message": f"no job {identity!r}"}}, None),
+            )
         state, ended, queue = final[:3]
-        return _answer({"job": identity, "state": state, "queue": queue, "ended": ended, "waves": [], "more_waves": 0,
-                        "placements": _placements(core, identity)})
+        return _answer(
+            {
+                "job": identity,
+                "state": state,
+                "queue": queue,
+                "ended": ended,
+                "waves": [],
+                "more_waves": 0,
+                "placements": _placements(core, identity),
+            }
+        )
     time = core._now(now)
     # what is not done comes first, so that a page's bound leaves out what is of least interest
     waves = sorted(found.waves.values(), key=lambda wave: (not wave.left, wave.time, wave.number))
-    told = [_wave(core, wave, time, now) for wave in waves[:constants.PAGE_MOST]]
-    return _answer({
-        "job": identity, "state": board.state(identity), "queue": found.queue, "service": found.service,
-        "priority": found.priority, "attempts": found.attempts, "accepted": found.accepted, "ended": None,
-        "waves": told, "more_waves": len(waves) - len(told), "placements": _placements(core, identity)})
+    told = [_wave(core, wave, time, now) for wave in waves[: constants.PAGE_MOST]]
+    return _answer(
+        {
+            "job": identity,
+            "state": board.state(identity),
+            "queue": found.queue,
+            "service": found.service,
+            "priority": found.priority,
+            "attempts": found.attempts,
+            "accepted": found.accepted,
+            "ended": None,
+            "waves": told,
+            "more_waves": len(waves) - len(told),
+            "placements": _placements(core, identity),
+        }
+    )
 
 
 def _wave(core, wave, time, now):
@@ -46,9 +69,17 @@
     for task in wave.tasks:
         states[task.state] += 1
     each = [task.failures for task in wave.tasks]
-    line = {"time": wave.time, "step": wave.number, "due": wave.due, "since": wave.since, **states,
-            "gang": wave.step.gang, "failures": wave.failures if wave.step.gang else sum(each),
-            "most_failures": wave.failures if wave.step.gang else max(each), "why": _why(core, wave, time)}
+    line = {
+        "time": wave.time,
+        "step": wave.number,
+        "due": wave.due,
+        "since": wave.since,
+        **states,
+        "gang": wave.step.gang,
+        "failures": wave.failures if wave.step.gang else sum(each),
+        "most_failures": wave.failures if wave.step.gang else max(each),
+        "why": _why(core, wave, time),
+    }
     if states["waiting"] and not wave.blocked and wave.due <= time:
         line["candidates"] = _candidates(core, wave, now)
     return line
@@ -122,8 +153,18 @@
         for (reference, run), one in held.items():
             if one.job == identity:
                 seen = worker.running.get((reference, run)) if worker else None
-                listed.append({"task": reference, "run": run, "minion": minion, "since": one.since, "epoch": one.epoch,
-                               "stop": one.stop, "running": seen is not None, "percent": seen[1] if seen else None})
+                listed.append(
+                    {
+                        "task": reference,
+                        "run": run,
+                        "minion": minion,
+                        "since": one.since,
+                        "epoch": one.epoch,
+                        "stop": one.stop,
+                        "running": seen is not None,
+                        "percent": seen[1] if seen else None,
+                    }
+                )
     return sorted(listed, key=lambda one: (one["task"], one["run"]))
 
 
@@ -133,23 +174,53 @@
     board, listed = core.record.board, []
     for identity in sorted(set(core.keeper.workers) | set(board.placements)):
         worker, held = core.keeper.workers.get(identity), board.placements.get(identity, {})
-        line = {"minion": identity, "service": None, "zone": None, "rack": None, "state": "unheard", "closed": "silent",
-                "room": None, "free": None, "placed": len(held), "running": 0, "silent": True, "wary": False,
-                "failing": 0.0, "speed": 1.0, "heard": None}
+        line = {
+            "minion": identity,
+            "service": None,
+            "zone": None,
+            "rack": None,
+            "state": "unheard",
+            "closed": "silent",
+            "room": None,
+            "free": None,
+            "placed": len(held),
+            "running": 0,
+            "silent": True,
+            "wary": False,
+            "failing": 0.0,
+            "speed": 1.0,
+            "heard": None,
+        }
         if worker is not None:
             free = [all_of - taken for all_of, taken in zip(worker.room, _taken(held))]
-            line.update(service=worker.service, zone=worker.zone, rack=worker.rack, state=worker.state,
-                        closed=_closed(board, worker, now), room=_room(worker.room), free=_room(free),
-                        running=len(worker.running), silent=worker.silent(now), wary=now < worker.wary_until,
-                        failing=round(worker.failing, 3), speed=round(worker.speed, 3), heard=round(now - worker.heard_at, 3))
+            line.update(
+                service=worker.service,
+                zone=worker.zone,
+                rack=worker.rack,
+                state=worker.state,
+                closed=_closed(board, worker, now),
+                room=_room(worker.room),
+                free=_room(free),
+                running=len(worker.running),
+                silent=worker.silent(now),
+                wary=now < worker.wary_until,
+                failing=round(worker.failing, 3),
+                speed=round(worker.speed, 3),
+                heard=round(now - worker.heard_at, 3),
+            )
         listed.append(line)
     return _answer({"workers": listed})
 
 
 def evacuations(core, token, arguments, now):
     """The zones that get no new work, and since when."""
-    return _answer({"evacuations": [{"zone": zone, "since": since}
-                                    for zone, since in sorted(core.record.board.evacuated.items())]})
+    return _answer(
+        {
+            "evacuations": [
+                {"zone": zone, "since": since} for zone, since in sorted(core.record.board.evacuated.items())
+            ]
+        }
+    )
 
 
 # name -> how it is made; part of the registry in calls.py
--- a/src/pinepitch/tenure/job.py
+++ b/src/pinepitch/tenure/job.py
@@ -30,17 +30,35 @@
     voluptuous.Optional("lasts", default=False): bool,
     voluptuous.Extra: object,
 }
-SHAPE = voluptuous.Schema({
-    voluptuous.Optional("spec", default=""): _short(constants.SPEC_MOST),
-    voluptuous.Required("steps"): voluptuous.All([STEP], voluptuous.Length(min=1, max=constants.STEPS_MOST)),
-    voluptuous.Optional("first_ms", default=0): _number(0, constants.NUMBER_MOST),
-    voluptuous.Optional("every_ms", default=0): _number(0, constants.NUMBER_MOST),
-    voluptuous.Optional("times", default=0): _whole(0, constants.TIMES_MOST),
-    voluptuous.Optional("lasts", default=False): bool,
-    voluptuous.Extra: object,
-})
-FIELDS = ("count", "cpu", "mem_mb", "gpu", "est_ms", "after", "gang", "tight", "needs", "near", "apart", "saves",
-          "twice", "lasts")
+SHAPE = voluptuous.Schema(
+    {
+        voluptuous.Optional("spec", default=""): _short(constants.SPEC_MOST),
+        voluptuous.Required("steps"): voluptuous.All(
+            [STEP], voluptuous.Length(min=1, max=constants.STEPS_MOST)
+        ),
+        voluptuous.Optional("first_ms", default=0): _number(0, constants.NUMBER_MOST),
+        voluptuous.Optional("every_ms", default=0): _number(0, constants.NUMBER_MOST),
+        voluptuous.Optional("times", default=0): _whole(0, constants.TIMES_MOST),
+        voluptuous.Optional("lasts", default=False): bool,
+        voluptuous.Extra: object,
+    }
+)
+FIELDS = (
+    "count",
+    "cpu",
+    "mem_mb",
+    "gpu",
+    "est_ms",
+    "after",
+    "gang",
+    "tight",
+    "needs",
+    "near",
+    "apart",
+    "saves",
+    "twice",
+    "lasts",
+)
 
 
 def checked(document):
@@ -73,12 +91,38 @@
     """One step of a job. Invariants: after names earlier steps only; a gang's tasks start, run
     and end together; room is (thousandths of a core, megabytes, accelerators) of one task."""
 
-    __slots__ = ("count", "room", "est_ms", "after", "gang", "tight", "needs", "near", "apart", "saves", "twice",
-                 "lasts")
+    __slots__ = (
+        "count",
+        "room",
+        "est_ms",
+        "after",
+        "gang",
+        "tight",
+        "needs",
+        "near",
+        "apart",
+        "saves",
+        "twice",
+        "lasts",
+    )
 
     def __init__(self, image):
-        (self.count, cpu, memory, accelerators, self.est_ms, after, self.gang, self.tight, needs, self.near,
-         self.apart, self.saves, self.twice, self.lasts) = image
+        (
+            self.count,
+            cpu,
+            memory,
+            accelerators,
+            self.est_ms,
+            after,
+            self.gang,
+            self.tight,
+            needs,
+            self.near,
+            self.apart,
+            self.saves,
+            self.twice,
+            self.lasts,
+        ) = image
         self.room = (cpu, memory, accelerators)
         self.after, self.needs = tuple(after), tuple(needs)
 
@@ -104,8 +148,19 @@
     of its waiting tasks; of a gang either all wait, all are placed, or it is breaking: then
     the rest is stopped until all wait again."""
 
-    __slots__ = ("job", "time", "number", "step", "due", "tasks", "waiting", "left", "blocked", "failed_runs",
-                 "since")
+    __slots__ = (
+        "job",
+        "time",
+        "number",
+        "step",
+        "due",
+        "tasks",
+        "waiting",
+        "left",
+        "blocked",
+        "failed_runs",
+        "since",
+    )
 
     def __init__(self, job, time, number, due):
         self.job, self.time, self.number, self.due = job, time, number, due
@@ -140,8 +195,26 @@
     """A job accepted and not yet final. Invariants: times below 1 mean once, under time 0;
     waves has one entry for each time and step; begun is whether any task was ever placed."""
 
-    __slots__ = ("identity", "queue", "service", "attempts", "priority", "aim_ms", "stretch", "spec", "steps",
-                 "first_ms", "every_ms", "times", "accepted", "begun", "waves", "left", "digest", "plain")
+    __slots__ = (
+        "identity",
+        "queue",
+        "service",
+        "attempts",
+        "priority",
+        "aim_ms",
+        "stretch",
+        "spec",
+        "steps",
+        "first_ms",
+        "every_ms",
+        "times",
+        "accepted",
+        "begun",
+        "waves",
+        "left",
+        "digest",
+        "plain",
+    )
 
     def __init__(self, identity, queue, terms, plain, accepted):
         self.identity, self.queue, self.accepted = identity, queue, accepted
@@ -162,8 +235,15 @@
         return (self.service, self.attempts, self.priority, self.aim_ms, self.stretch)
 
     def image(self):
-        return (self.identity, self.queue, self.terms(), self.plain, self.accepted, self.begun,
-                tuple((*key, wave.image()) for key, wave in self.waves.items()))
+        return (
+            self.identity,
+            self.queue,
+            self.terms(),
+            self.plain,
+            self.accepted,
+            self.begun,
+            tuple((*key, wave.image()) for key, wave in self.waves.items()),
+        )
 
     @classmethod
     def from_image(cls, image):
--- a/src/pinepitch/tenure/keeper.py
+++ b/src/pinepitch/tenure/keeper.py
@@ -163,13 +163,21 @@
     def _idle(self, worker):
         """Whether nothing can be said to a worker that has nothing to say: where there are many its beat
         stays open, so that a start reaches it at once; what runs nothing has no end to tell meanwhile."""
-        return (self._pace() > constants.BEAT_AGAIN and worker.state == "ready" and not worker.running and not worker.listed and worker.beats > 1
-                and worker.identity not in self.board.placements)
+        return (
+            self._pace() > constants.BEAT_AGAIN
+            and worker.state == "ready"
+            and not worker.running
+            and not worker.listed
+            and worker.beats > 1
+            and worker.identity not in self.board.placements
+        )
 
     def _orders(self, worker, taken, now):
         """What a worker is told in answer to its newest beat, taken at `taken`."""
-        start, stop = [], [key for key in worker.running
-                           if key not in self.board.placements.get(worker.identity, {})]
+        start, stop = (
+            [],
+            [key for key in worker.running if key not in self.board.placements.get(worker.identity, {})],
+        )
         strays = len(stop)
         held = self.board.placements.get(worker.identity, {})
         for (reference, run), placement in held.items():
@@ -177,8 +185,14 @@
             if (reference, run) in worker.running:
                 if not wanted:
                     stop.append((reference, run))
-            elif (not strays and (reference, run) not in worker.listed and wanted and self._open_for(worker) and not worker.stale
-                  and (worker.identity, reference, run) not in self.ending):
+            elif (
+                not strays
+                and (reference, run) not in worker.listed
+                and wanted
+                and self._open_for(worker)
+                and not worker.stale
+                and (worker.identity, reference, run) not in self.ending
+            ):
                 wave, task = self.board.task(placement)
                 start.append((reference, run, wave.job.spec, task.saved))
                 self.pace.start(worker.identity, reference, run, self.pace.is_far(wave, worker), now)
@@ -190,8 +204,12 @@
         taken_up = sum(one.room[0] for one in held.values())
         room = worker.state == "ready" and taken_up < worker.room[0]
         return {
-            "hold_ms": int(self.core.hold * 1000), "seen": worker.acknowledged(), "fence": self.core.epoch,
-            "start": tuple(start), "stop": tuple(stop), "home": self.core.address,
+            "hold_ms": int(self.core.hold * 1000),
+            "seen": worker.acknowledged(),
+            "fence": self.core.epoch,
+            "start": tuple(start),
+            "stop": tuple(stop),
+            "home": self.core.address,
             "again_ms": int(1000 * (self._pace() if room or start else constants.BEAT_FULL)),
         }
 
@@ -213,7 +231,9 @@
             self.looked = now
             self._watch(now)
         rest = constants.ROUND_REST * (len(self.board.ready) + len(self.workers))
-        if now - self.placed_at >= (rest if self.due and not self.assigning else max(rest, constants.PLACE_IDLE)):
+        if now - self.placed_at >= (
+            rest if self.due and not self.assigning else max(rest, constants.PLACE_IDLE)
+        ):
             self._assign(now)
 
     def _assign(self, now):
@@ -242,17 +262,23 @@
             worker = self.workers.get(identity)
             if worker is not None and worker.held_from is not None:
                 begun = worker.held_from
-            elif worker is not None and all(one.epoch == self.core.epoch for one in self.board.placements[identity].values()):
-                begun = worker.heard_at + constants.BEAT_SILENT - span  # no answer ever told it of any of these
+            elif worker is not None and all(
+                one.epoch == self.core.epoch for one in self.board.placements[identity].values()
+            ):
+                begun = (
+                    worker.heard_at + constants.BEAT_SILENT - span
+                )  # no answer ever told it of any of these
             else:
                 begun = self.since + constants.ELECTION_TIMEOUT
             if now - begun > span:
                 self._gone(identity, "hold lapsed")
         self._copy_what_may_run_twice(now)
         self._look_at_progress(now)
-        for identity in [one for one, worker in self.workers.items()
-                         if now - worker.heard_at > constants.MINION_FORGOTTEN
-                         and one not in self.board.placements]:
+        for identity in [
+            one
+            for one, worker in self.workers.items()
+            if now - worker.heard_at > constants.MINION_FORGOTTEN and one not in self.board.placements
+        ]:
             del self.workers[identity]
 
     def _copy_what_may_run_twice(self, now):
@@ -263,7 +289,12 @@
                 continue
             for (reference, run), placement in self.board.placements.get(worker.identity, {}).items():
                 found = self.board.task(placement)
-                if found is not None and found[0].step.twice and not found[0].step.gang and not found[0].step.lasts:
+                if (
+                    found is not None
+                    and found[0].step.twice
+                    and not found[0].step.gang
+                    and not found[0].step.lasts
+                ):
                     saved = worker.running.get((reference, run), ("", 0))[0]
                     self._propose_end(worker.identity, reference, run, "lapsed", saved, False)
 
@@ -282,7 +313,11 @@
                     continue
                 wave = found[0]
                 step = max(self.pace.expected(wave), (since - first) * 100 / percent if percent else 0) / 100
-                waits = constants.STALLED + constants.STALLED_STEPS * step + (constants.GANG_PATIENCE if wave.step.gang and not percent else 0)
+                waits = (
+                    constants.STALLED
+                    + constants.STALLED_STEPS * step
+                    + (constants.GANG_PATIENCE if wave.step.gang and not percent else 0)
+                )
                 if worker.heard_at - since > waits:
                     worker.wary_until = max(worker.wary_until, now + constants.STALLED_WARY)
                     stops.append((worker.identity, *key, "stalled"))
@@ -306,7 +341,9 @@
             count = len(all_of) - len(left_out)
             if count >= constants.SLOW_LIKE:
                 usual = _at_without(all_of, sorted(left_out), count // 2)
-                ratios.setdefault(worker.identity, []).append((whole / usual, worker, key, wave, percent, left, usual))
+                ratios.setdefault(worker.identity, []).append(
+                    (whole / usual, worker, key, wave, percent, left, usual)
+                )
         for identity, found in ratios.items():
             ratio = sorted(one[0] for one in found)[len(found) // 2]
             if ratio <= (constants.SLOW if len(found) > 1 else constants.SLOW_ALONE):
--- a/src/pinepitch/tenure/placement.py
+++ b/src/pinepitch/tenure/placement.py
@@ -1,6 +1,5 @@
 """A placement: one run of a task on one minion, from its record to its proven end."""
 
-
 from ..ground import document
 
 
@@ -8,8 +7,20 @@
     """Invariants: it stands until an end of the run is proven, whatever becomes of the job
     meanwhile, so that its room stays counted; stop is why the run is to end, or ""."""
 
-    __slots__ = ("job", "time", "number", "index", "run", "minion", "room", "service", "priority", "stop", "since",
-                 "epoch")
+    __slots__ = (
+        "job",
+        "time",
+        "number",
+        "index",
+        "run",
+        "minion",
+        "room",
+        "service",
+        "priority",
+        "stop",
+        "since",
+        "epoch",
+    )
 
     def __init__(self, job, time, number, index, run, minion, room, service, priority, since, epoch, stop=""):
         self.job, self.time, self.number, self.index = job, time, number, index
@@ -20,8 +31,20 @@
         return f"{self.job}.{self.time}.{self.number}.{self.index}"
 
     def image(self):
-        return (self.job, self.time, self.number, self.index, self.run, self.minion, self.room, self.service,
-                self.priority, self.since, self.epoch, self.stop)
+        return (
+            self.job,
+            self.time,
+            self.number,
+            self.index,
+            self.run,
+            self.minion,
+            self.room,
+            self.service,
+            self.priority,
+            self.since,
+            self.epoch,
+            self.stop,
+        )
 
 
 def parsed(reference):
--- a/src/pinepitch/tenure/worker.py
+++ b/src/pinepitch/tenure/worker.py
@@ -21,7 +21,9 @@
         self.offset = None  # least of own time less the worker's clock, milliseconds, slackened with time
         self.offset_at = now
         self.stale = False
-        self.news = self.before = None  # what an assigning round reads of the newest beat, and of the one before
+        self.news = self.before = (
+            None  # what an assigning round reads of the newest beat, and of the one before
+        )
         self.service = self.address = self.zone = self.state = ""
         self.labels, self.rack = frozenset(), ""
         self.room = (0, 0, 0)  # all it has, whatever runs: thousandths of a core, megabytes, accelerators
@@ -58,8 +60,16 @@
         self.leaves_at = now + leaves / 1000 if leaves is not None and self.state != "ready" else None
         self.running = {(ref, run): (saved, percent) for ref, run, saved, percent in beat["running"]}
         self.listed = {(ref, run) for _, ref, run, _, _ in beat["ended"]}
-        self.news = (self.beats >= 2, self.stale, self.service, self.zone, self.state, self.labels, self.room,
-                     frozenset(self.running))
+        self.news = (
+            self.beats >= 2,
+            self.stale,
+            self.service,
+            self.zone,
+            self.state,
+            self.labels,
+            self.room,
+            frozenset(self.running),
+        )
         for key, (_, percent) in self.running.items():
             known = self.progress.get(key)
             if known is None or percent != known[0]:
@@ -89,15 +99,27 @@
 def checked(beat):
     """Whether a beat from outside has the form that Worker.beat takes."""
     try:
-        return (all(isinstance(beat[field], str) for field in ("service", "address", "zone", "state"))
-                and _whole(beat["sequence"]) and _number(beat["clock_ms"])
-                and (beat["leaves_ms"] is None or _number(beat["leaves_ms"]))
-                and all(isinstance(one, str) for one in beat["labels"])
-                and len(beat["room"]) == 3 and all(map(_number, beat["room"]))
-                and all(isinstance(ref, str) and _whole(run) and isinstance(saved, str) and _number(percent)
-                        for ref, run, saved, percent in beat["running"])
-                and all(_whole(number) and isinstance(ref, str) and _whole(run) and isinstance(how, str)
-                        and isinstance(saved, str) for number, ref, run, how, saved in beat["ended"]))
+        return (
+            all(isinstance(beat[field], str) for field in ("service", "address", "zone", "state"))
+            and _whole(beat["sequence"])
+            and _number(beat["clock_ms"])
+            and (beat["leaves_ms"] is None or _number(beat["leaves_ms"]))
+            and all(isinstance(one, str) for one in beat["labels"])
+            and len(beat["room"]) == 3
+            and all(map(_number, beat["room"]))
+            and all(
+                isinstance(ref, str) and _whole(run) and isinstance(saved, str) and _number(percent)
+                for ref, run, saved, percent in beat["running"]
+            )
+            and all(
+                _whole(number)
+                and isinstance(ref, str)
+                and _whole(run)
+                and isinstance(how, str)
+                and isinstance(saved, str)
+                for number, ref, run, how, saved in beat["ended"]
+            )
+        )
     except (KeyError, TypeError, ValueError):
         return False
 
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -113,9 +113,17 @@
             if now - carried.begun >= constants.CARRY_TIMEOUT:
                 del self.carried[token]
                 self.counts["unanswered"] += 1
-                self._reply(carried.request, 503, {"error": {
-                    "code": "no_leader", "message": "no leader answered in time; the call may have been taken"}},
-                    constants.COME_BACK)
+                self._reply(
+                    carried.request,
+                    503,
+                    {
+                        "error": {
+                            "code": "no_leader",
+                            "message": "no leader answered in time; the call may have been taken",
+                        }
+                    },
+                    constants.COME_BACK,
+                )
             elif now - carried.sent >= constants.CARRY_AGAIN:
                 self._carry(token, carried, self._way(carried.to), now)
         stale = self.news_at is None or now - self.news_at > constants.STALE_AFTER
@@ -149,8 +157,11 @@
         for one, its_area, its_address in accords:
             if one not in self.accords:
                 self.accords[one] = (its_area, its_address, -1e9)
-        stale = [one for one, known in self.accords.items()
-                 if known[2] > 0 and now - known[2] > constants.ADDRESS_FORGET]
+        stale = [
+            one
+            for one, known in self.accords.items()
+            if known[2] > 0 and now - known[2] > constants.ADDRESS_FORGET
+        ]
         for one in stale:
             del self.accords[one]
 
@@ -274,10 +285,15 @@
     def health(self, now):
         """What this verge knows of itself."""
         return {
-            "identity": self.identity, "area": self.area, "cohort": self.cohort, "leader": self.leader,
-            "stale": self.stale, "setup_version": (self.body or {}).get("setup_version"),
+            "identity": self.identity,
+            "area": self.area,
+            "cohort": self.cohort,
+            "leader": self.leader,
+            "stale": self.stale,
+            "setup_version": (self.body or {}).get("setup_version"),
             "accords": sorted(one[1] for one in self.accords.values()),
-            "time": self.earliest(now), "orders_under_way": len(self.waiting_orders),
+            "time": self.earliest(now),
+            "orders_under_way": len(self.waiting_orders),
         }
 
     # --- news and orders --------------------------------------------------------------
@@ -295,16 +311,18 @@
         self.count += 1
         self.news_token = f"{self.identity}-{self.count}"
         self.news_asked = self.asked[self.news_token] = now
-        for old in list(self.asked)[:-constants.ASKED_KEPT]:
+        for old in list(self.asked)[: -constants.ASKED_KEPT]:
             del self.asked[old]
         self.outcomes_sent = len(self.outcomes)
-        self._send(address, ("news", self.identity, self.address, self.news_token, self.version,
-                             tuple(self.outcomes)))
+        self._send(
+            address,
+            ("news", self.identity, self.address, self.news_token, self.version, tuple(self.outcomes)),
+        )
 
     def _on_told(self, token, version, body, orders, kills, time, held, accords, cohort, now):
         if token == self.news_token:
             self.news_token = None
-            del self.outcomes[:self.outcomes_sent]
+            del self.outcomes[: self.outcomes_sent]
             self.outcomes_sent = 0
         version = tuple(version)
         if version >= self.version:
@@ -354,13 +372,19 @@
             del self.waiting_orders[key]
             self.outcomes.append((*key, outcome))
         if len(self.taken) > constants.TAKEN_KEPT:
-            self.taken = {key: send_by for key, send_by in self.taken.items()
-                          if send_by + constants.TAKEN_LASTS > earliest}
+            self.taken = {
+                key: send_by
+                for key, send_by in self.taken.items()
+                if send_by + constants.TAKEN_LASTS > earliest
+            }
 
     def _closed(self, order):
         body = self.body or {}
-        return (order["minion"] in body.get("drained", ()) or order["minion"] in body.get("withdrawn", ())
-                or order["area"] in body.get("emptied", ()))
+        return (
+            order["minion"] in body.get("drained", ())
+            or order["minion"] in body.get("withdrawn", ())
+            or order["area"] in body.get("emptied", ())
+        )
 
     def _on_posted(self, key, outcome, now):
         """How an order went: sent, refused, unsent or unknown."""
--- a/src/pinepitch/verge/filters.py
+++ b/src/pinepitch/verge/filters.py
@@ -16,8 +16,12 @@
 
 
 def _faulty(faults):
-    return no(422, "invalid", "the document has faults",
-              faults=[{"path": path, "message": message} for path, message in faults])
+    return no(
+        422,
+        "invalid",
+        "the document has faults",
+        faults=[{"path": path, "message": message} for path, message in faults],
+    )
 
 
 def stopping(verge, ticket, now):
@@ -103,6 +107,7 @@
     def handler(verge, ticket, now):
         verge.carry(ticket["request"], call, (*ticket["names"], *more), now)
         return "carried"
+
     return handler
 
 
@@ -115,8 +120,12 @@
         return no(400, "malformed", "after and limit are whole numbers")
     if not 1 <= most <= constants.PAGE_MOST or after < 0:
         return no(400, "malformed", f"limit is 1 to {constants.PAGE_MOST}, after is not negative")
-    verge.carry(ticket["request"], "tickets", (after, most, query.get("state", ""), query.get("queue", ""),
-                                               query.get("key", "")), now)
+    verge.carry(
+        ticket["request"],
+        "tickets",
+        (after, most, query.get("state", ""), query.get("queue", ""), query.get("key", "")),
+        now,
+    )
     return "carried"
 
 
@@ -148,7 +157,7 @@
 
 def _who(ticket):
     headers = ticket["headers"]
-    return headers.get("x-operator", "unnamed")[:constants.NAME_MOST], headers.get("x-reason", "")[:500]
+    return headers.get("x-operator", "unnamed")[: constants.NAME_MOST], headers.get("x-reason", "")[:500]
 
 
 def _change(manner):
@@ -165,6 +174,7 @@
             return no(413, "too_large", f"a setup has at most {constants.SETUP_MOST} bytes")
         verge.carry(ticket["request"], "change", (base, manner, ticket["document"], *_who(ticket)), now)
         return "carried"
+
     return handler
 
 
@@ -189,7 +199,9 @@
     patch, faults = body.get("patch"), ()
     if patch is None:
         found = body.get("cells")
-        patch, faults = rows.patch_of(found) if isinstance(found, dict) else (None, (("cells", "expected an object"),))
+        patch, faults = (
+            rows.patch_of(found) if isinstance(found, dict) else (None, (("cells", "expected an object"),))
+        )
     elif not isinstance(patch, dict):
         faults = (("patch", "expected an object"),)
     if faults:
@@ -209,22 +221,64 @@
 
 
 def _metrics(verge, ticket, now):
-    return (200, metrics.text([
-        *(("counter", f"verge_{name}", told, (), [((), verge.counts[name])]) for name, told in COUNTED),
-        ("gauge", "verge_stale", "1 while this verge can't learn news.", (), [((), int(verge.stale))]),
-        ("gauge", "verge_news_age_seconds", "Since the newest news; -1 before any.", (), [
-            ((), now - verge.news_at if verge.news_at is not None else -1)]),
-        ("gauge", "verge_setup_version", "Version of the setup in force here.", (), [
-            ((), (verge.body or {}).get("setup_version") or 0)]),
-        ("gauge", "verge_calls_carried_now", "Calls on their way to the leader.", (), [((), len(verge.carried))]),
-        ("gauge", "verge_orders_waiting", "Orders whose time has not come.", (), [((), len(verge.waiting_orders))]),
-        metrics.event_figures(verge.event_counts),
-    ]), None)
-
-
-COUNTED = (("calls", "Calls taken."), ("carried", "Calls carried to the leader."), ("answered", "Carried calls answered."),
-           ("unanswered", "Carried calls given up on."), ("orders", "Orders sent to minions."),
-           ("shed", "Tickets answered with 429."))
+    return (
+        200,
+        metrics.text(
+            [
+                *(
+                    ("counter", f"verge_{name}", told, (), [((), verge.counts[name])])
+                    for name, told in COUNTED
+                ),
+                (
+                    "gauge",
+                    "verge_stale",
+                    "1 while this verge can't learn news.",
+                    (),
+                    [((), int(verge.stale))],
+                ),
+                (
+                    "gauge",
+                    "verge_news_age_seconds",
+                    "Since the newest news; -1 before any.",
+                    (),
+                    [((), now - verge.news_at if verge.news_at is not None else -1)],
+                ),
+                (
+                    "gauge",
+                    "verge_setup_version",
+                    "Version of the setup in force here.",
+                    (),
+                    [((), (verge.body or {}).get("setup_version") or 0)],
+                ),
+                (
+                    "gauge",
+                    "verge_calls_carried_now",
+                    "Calls on their way to the leader.",
+                    (),
+                    [((), len(verge.carried))],
+                ),
+                (
+                    "gauge",
+                    "verge_orders_waiting",
+                    "Orders whose time has not come.",
+                    (),
+                    [((), len(verge.waiting_orders))],
+                ),
+                metrics.event_figures(verge.event_counts),
+            ]
+        ),
+        None,
+    )
+
+
+COUNTED = (
+    ("calls", "Calls taken."),
+    ("carried", "Calls carried to the leader."),
+    ("answered", "Carried calls answered."),
+    ("unanswered", "Carried calls given up on."),
+    ("orders", "Orders sent to minions."),
+    ("shed", "Tickets answered with 429."),
+)
 
 
 # The registry of ways: method, path, handler.
--- a/src/pinepitch/verge/program.py
+++ b/src/pinepitch/verge/program.py
@@ -20,8 +20,17 @@
         seeds: three IP:PORT of other daemons, parted by commas.
         level: log level: debug, info, warning, error, critical.
     """
-    found = checked_env("verge", settings, {
-        "address": address, "area": None if area is None else str(area), "seeds": list(seeds) if isinstance(seeds, tuple) else seeds, "http": http, "level": level})
+    found = checked_env(
+        "verge",
+        settings,
+        {
+            "address": address,
+            "area": None if area is None else str(area),
+            "seeds": list(seeds) if isinstance(seeds, tuple) else seeds,
+            "http": http,
+            "level": level,
+        },
+    )
     identity = secrets.token_hex(6)
     log = events.logger("verge", identity, found.level)
     serve("verge", Verge(identity, found.address, found.area, found.seeds), found, log)
--- a/src/pinepitch/world/contract.py
+++ b/src/pinepitch/world/contract.py
@@ -37,12 +37,14 @@
         return value is None or fits(value, pattern.pattern)
     if isinstance(pattern, Pairs):
         return isinstance(value, dict) and all(
-            fits(key, pattern.key) and fits(one, pattern.value) for key, one in value.items())
+            fits(key, pattern.key) and fits(one, pattern.value) for key, one in value.items()
+        )
     if isinstance(pattern, list):
         return isinstance(value, (list, tuple)) and all(fits(one, pattern[0]) for one in value)
     if isinstance(pattern, tuple):
-        return (isinstance(value, (list, tuple)) and len(value) == len(pattern)
-                and all(map(fits, value, pattern)))
+        return (
+            isinstance(value, (list, tuple)) and len(value) == len(pattern) and all(map(fits, value, pattern))
+        )
     return isinstance(value, pattern) and not (pattern is int and isinstance(value, bool))
 
 
@@ -124,7 +126,9 @@
         return False
     if kind == "raft":
         inner = rest[3]
-        return bool(inner) and isinstance(inner[0], str) and inner[0] in RAFT and fits(inner[1:], RAFT[inner[0]])
+        return (
+            bool(inner) and isinstance(inner[0], str) and inner[0] in RAFT and fits(inner[1:], RAFT[inner[0]])
+        )
     if kind == "ask":
         return fits(rest[3], ARGUMENTS.get(rest[2], ()))
     return True
--- a/src/pinepitch/world/minion.py
+++ b/src/pinepitch/world/minion.py
@@ -31,19 +31,21 @@
 HOW = ("done", "failed", "killed", "refused")
 _PAIR = voluptuous.All([voluptuous.Any(str, int)], voluptuous.Length(2, 2))
 _TRIPLE = voluptuous.All([voluptuous.Any(str, int)], voluptuous.Length(3, 3))
-SHAPE = voluptuous.Schema({
-    voluptuous.Required("minion"): name,
-    voluptuous.Required("area"): name,
-    voluptuous.Required("address"): env.address,
-    voluptuous.Required("room"): _whole(0, constants.UNITS_MOST),
-    voluptuous.Optional("labels", default=[]): [name],
-    voluptuous.Optional("guards", default=False): bool,
-    voluptuous.Required("incarnation"): name,
-    voluptuous.Required("counter"): _whole(0, 10 ** 15),
-    voluptuous.Optional("heard", default=0): _number(0, 1e11),
-    voluptuous.Required("running"): [_PAIR],
-    voluptuous.Required("ended"): [_TRIPLE],
-})
+SHAPE = voluptuous.Schema(
+    {
+        voluptuous.Required("minion"): name,
+        voluptuous.Required("area"): name,
+        voluptuous.Required("address"): env.address,
+        voluptuous.Required("room"): _whole(0, constants.UNITS_MOST),
+        voluptuous.Optional("labels", default=[]): [name],
+        voluptuous.Optional("guards", default=False): bool,
+        voluptuous.Required("incarnation"): name,
+        voluptuous.Required("counter"): _whole(0, 10**15),
+        voluptuous.Optional("heard", default=0): _number(0, 1e11),
+        voluptuous.Required("running"): [_PAIR],
+        voluptuous.Required("ended"): [_TRIPLE],
+    }
+)
 
 
 def checked(document):
@@ -58,9 +60,17 @@
             if field == "ended" and one[2] not in HOW:
                 return None, ((f"{field}.{place}", f"expected one of {', '.join(HOW)}"),)
     return Report(
-        plain["minion"], plain["area"], plain["address"], plain["room"], tuple(plain["labels"]),
-        plain["guards"], plain["incarnation"], plain["counter"], float(plain["heard"]),
-        tuple(map(tuple, plain["running"])), tuple(map(tuple, plain["ended"])),
+        plain["minion"],
+        plain["area"],
+        plain["address"],
+        plain["room"],
+        tuple(plain["labels"]),
+        plain["guards"],
+        plain["incarnation"],
+        plain["counter"],
+        float(plain["heard"]),
+        tuple(map(tuple, plain["running"])),
+        tuple(map(tuple, plain["ended"])),
     ), ()
 
 
--- a/src/pinepitch/world/row.py
+++ b/src/pinepitch/world/row.py
@@ -35,11 +35,23 @@
     "repeats": bool,
 }
 DEFAULTS = {
-    "share": 0, "urgency": 4, "retries": 2, "limit": constants.UNITS_MOST,
-    "pending": constants.PENDING_MOST, "lends": True, "preempts": False, "yields": True, "repeats": False,
+    "share": 0,
+    "urgency": 4,
+    "retries": 2,
+    "limit": constants.UNITS_MOST,
+    "pending": constants.PENDING_MOST,
+    "lends": True,
+    "preempts": False,
+    "yields": True,
+    "repeats": False,
 }
 WEIGHTS = {  # of one second's wait, of one unit second, of all of a queue's tickets
-    "wait_median": 1.0, "wait_99": 1.0, "dues_missed": 100.0, "failed": 100.0, "shed": 100.0, "room_used": 0.0,
+    "wait_median": 1.0,
+    "wait_99": 1.0,
+    "dues_missed": 100.0,
+    "failed": 100.0,
+    "shed": 100.0,
+    "room_used": 0.0,
     "preemptions": 1.0,
 }
 GUARD = {"factor": 1.25, "seconds": 0.25, "part": 0.01}  # a wait may grow by; a part of tickets by
@@ -49,18 +61,32 @@
     voluptuous.Optional("guard", default=dict): {
         voluptuous.Optional("factor", default=GUARD["factor"]): _number(1, 1e6),
         voluptuous.Optional("seconds", default=GUARD["seconds"]): _number(0, 1e6),
-        voluptuous.Optional("part", default=GUARD["part"]): _number(0, 1)},
+        voluptuous.Optional("part", default=GUARD["part"]): _number(0, 1),
+    },
+}
+SHAPE = voluptuous.Schema(
+    {
+        voluptuous.Required("queues"): voluptuous.All(
+            {
+                name: {
+                    voluptuous.Optional(column, default=DEFAULTS[column]): check
+                    for column, check in COLUMNS.items()
+                }
+            }
+        ),
+        voluptuous.Optional("room", default=0): _whole(0, constants.UNITS_MOST),
+        voluptuous.Optional("silence", default=dict): {name: voluptuous.In(("hold",))},
+        voluptuous.Optional("objective", default=dict): OBJECTIVE,
+        voluptuous.Optional("notes", default=dict): dict,
+    }
+)
+FIRST = {
+    "queues": {"default": dict(DEFAULTS, share=100)},
+    "room": 0,
+    "silence": {},
+    "objective": {},
+    "notes": {},
 }
-SHAPE = voluptuous.Schema({
-    voluptuous.Required("queues"): voluptuous.All(
-        {name: {voluptuous.Optional(column, default=DEFAULTS[column]): check
-                for column, check in COLUMNS.items()}}),
-    voluptuous.Optional("room", default=0): _whole(0, constants.UNITS_MOST),
-    voluptuous.Optional("silence", default=dict): {name: voluptuous.In(("hold",))},
-    voluptuous.Optional("objective", default=dict): OBJECTIVE,
-    voluptuous.Optional("notes", default=dict): dict,
-})
-FIRST = {"queues": {"default": dict(DEFAULTS, share=100)}, "room": 0, "silence": {}, "objective": {}, "notes": {}}
 
 
 def checked(document, known=None):
@@ -69,14 +95,18 @@
     same = {}
     if known is not None and isinstance(document, dict) and isinstance(document.get("queues"), dict):
         same = {queue: row for queue, row in document["queues"].items() if known["queues"].get(queue) is row}
-    part = {**document, "queues": {queue: row for queue, row in document["queues"].items() if queue not in same}
-            } if same else document
+    part = (
+        {**document, "queues": {queue: row for queue, row in document["queues"].items() if queue not in same}}
+        if same
+        else document
+    )
     plain, faults = shaped(SHAPE, part)
     if faults:
         return None, faults
     if same:
-        plain["queues"] = {queue: same[queue] if queue in same else plain["queues"][queue]
-                           for queue in document["queues"]}
+        plain["queues"] = {
+            queue: same[queue] if queue in same else plain["queues"][queue] for queue in document["queues"]
+        }
     if not 0 < len(plain["queues"]) <= constants.QUEUES_MOST:
         return None, (("queues", f"expected 1 to {constants.QUEUES_MOST} queues"),)
     faults = []
@@ -116,8 +146,10 @@
 
 def cells(document):
     """The table of a setup: a dict a row, in the order of the columns."""
-    return [{"queue": queue, **{column: row[column] for column in COLUMNS}}
-            for queue, row in sorted(document["queues"].items())]
+    return [
+        {"queue": queue, **{column: row[column] for column in COLUMNS}}
+        for queue, row in sorted(document["queues"].items())
+    ]
 
 
 def patch_of(changes):
--- a/src/pinepitch/world/task.py
+++ b/src/pinepitch/world/task.py
@@ -37,7 +37,9 @@
     incarnation: str = ""
     verge: str = ""
     send_by: float = 0.0
-    yields_to: str = ""  # a task reference, "move", "limit", "gang", "cancel" or "failing", while it is to stop
+    yields_to: str = (
+        ""  # a task reference, "move", "limit", "gang", "cancel" or "failing", while it is to stop
+    )
     charges: tuple = ()  # ((queue, credits), ...) that lent for it
     since: float = 0.0
     took: float = 0.0  # seconds from placing to proven end of the newest attempt
--- a/src/pinepitch/world/ticket.py
+++ b/src/pinepitch/world/ticket.py
@@ -71,16 +71,19 @@
     voluptuous.Optional("gang", default=""): voluptuous.Any("", name),
     voluptuous.Optional("work", default=None): voluptuous.Any(None, dict, str, int, float),
 }
-SHAPE = voluptuous.Schema({
-    voluptuous.Required("queue"): name,
-    voluptuous.Optional("kind", default="batch"): voluptuous.In(("batch", "feed")),
-    voluptuous.Optional("urgency", default=-1): _whole(-1, constants.URGENCY_MOST),
-    voluptuous.Optional("not_before", default=0): _number(0, TIME_MOST),
-    voluptuous.Optional("due", default=0): _number(0, TIME_MOST),
-    voluptuous.Optional("key"): name,
-    voluptuous.Required("tasks"): voluptuous.All(
-        [TASK_SHAPE], voluptuous.Length(1, constants.TASKS_MOST)),
-})
+SHAPE = voluptuous.Schema(
+    {
+        voluptuous.Required("queue"): name,
+        voluptuous.Optional("kind", default="batch"): voluptuous.In(("batch", "feed")),
+        voluptuous.Optional("urgency", default=-1): _whole(-1, constants.URGENCY_MOST),
+        voluptuous.Optional("not_before", default=0): _number(0, TIME_MOST),
+        voluptuous.Optional("due", default=0): _number(0, TIME_MOST),
+        voluptuous.Optional("key"): name,
+        voluptuous.Required("tasks"): voluptuous.All(
+            [TASK_SHAPE], voluptuous.Length(1, constants.TASKS_MOST)
+        ),
+    }
+)
 
 
 def shaped(shape, document):
@@ -116,7 +119,9 @@
             faults.append(("tasks", "a cycle through " + ", ".join(cycle)))
         else:
             faults.extend(_gang_faults(plain["tasks"], gangs))
-    if plain["due"] and plain["due"] <= max([plain["not_before"], *(t["not_before"] for t in plain["tasks"])]):
+    if plain["due"] and plain["due"] <= max(
+        [plain["not_before"], *(t["not_before"] for t in plain["tasks"])]
+    ):
         faults.append(("due", "not after not_before"))
     return (None, tuple(faults)) if faults else (plain, ())
 
@@ -165,9 +170,16 @@
         if one["attempts"]:
             attempts = min(attempts, one["attempts"])
         tasks[one["name"]] = Task(
-            one["name"], one["units"], tuple(one["labels"]), tuple(one["after"]),
-            max(one["not_before"], plain["not_before"]), 0 if feed else attempts,
-            one["limit"], one["gang"], one["work"], one["attempts"],
+            one["name"],
+            one["units"],
+            tuple(one["labels"]),
+            tuple(one["after"]),
+            max(one["not_before"], plain["not_before"]),
+            0 if feed else attempts,
+            one["limit"],
+            one["gang"],
+            one["work"],
+            one["attempts"],
         )
     return tasks
 
