--- a/features/steps/board.py
+++ b/features/steps/board.py
@@ -8,7 +8,8 @@
 
 from pinepitch.accord.record import Record
 from pinepitch.ground import constants
-from pinepitch.tenure import configuration, job as jobs
+from pinepitch.tenure import configuration
+from pinepitch.tenure import job as jobs
 from pinepitch.tenure.board import Board
 
 QUEUE = "orders"
@@ -445,7 +446,9 @@
         # what goes through the log comes back as lists
         told = [
             one.apply(index, time, passed)
-            for one, passed in zip(records, (operation, cbor2.loads(cbor2.dumps(operation)), operation))
+            for one, passed in zip(
+                records, (operation, cbor2.loads(cbor2.dumps(operation)), operation), strict=False
+            )
         ]
         kinds = {outcome[0] for outcome in told}
         images = {cbor2.dumps(one.board.image()) for one in records}
--- a/features/steps/input.py
+++ b/features/steps/input.py
@@ -302,7 +302,7 @@
 
 
 def work_of(text):
-    return ("POST", "/v1/tickets", '{"queue":"default","tasks":[{"name":"a","work":%s}]}' % text)
+    return ("POST", "/v1/tickets", f'{{"queue":"default","tasks":[{{"name":"a","work":{text}}}]}}')
 
 
 CALLS = {
--- a/features/steps/placing.py
+++ b/features/steps/placing.py
@@ -209,7 +209,7 @@
     while moment < 600.0:  # the day, shortened; the counter takes 60 % of the room by itself
         moment += draw.expovariate(13.0)
         stream.append((moment, {"queue": "counter", "seconds": 2.0}))
-    for one in range(120):
+    for _one in range(120):
         stream.append((draw.uniform(0, 300.0), {"queue": "lab", "seconds": 4.0, "due": 280.0, "count": 4}))
         stream.append(
             (
--- a/features/steps/tenancy.py
+++ b/features/steps/tenancy.py
@@ -28,7 +28,7 @@
 @then("some history check finds {fault}")
 def step_found(context, fault):
     found = []
-    for arguments, faults, _ in tenancy.many(context.work):
+    for _arguments, faults, _ in tenancy.many(context.work):
         found.extend(faults)
         if any(fault in one for one in faults):
             return
--- a/features/steps/trial.py
+++ b/features/steps/trial.py
@@ -47,7 +47,7 @@
 @then("some check finds {fault}")
 def step_found(context, fault):
     found = []
-    for arguments, faults, _ in trial.many(context.work):
+    for _arguments, faults, _ in trial.many(context.work):
         found.extend(faults)
         if any(fault in one for one in faults):
             return
--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -4,7 +4,8 @@
 answers at once, or names an operation to agree on, or ends to agree on with others'. An answer is (status, document, retry).
 """
 
-from typing import Callable, NamedTuple
+from collections.abc import Callable
+from typing import NamedTuple
 
 from ..ground import constants
 from ..tenure import calls as tenure
@@ -263,7 +264,7 @@
 
 
 def _line(line):
-    return dict(zip(("version", "who", "why", "time", "base"), line))
+    return dict(zip(("version", "who", "why", "time", "base"), line, strict=False))
 
 
 def _setups(core, token, arguments, now):
--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -10,7 +10,7 @@
 import cbor2
 
 from ..ground import constants
-from .quorum import Quorum, Cohort, Reply, cohort_from
+from .quorum import Cohort, Quorum, Reply, cohort_from
 
 BEYOND = 1 << 40  # the offset that a follower tells which needs nothing of a snapshot
 
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -6,11 +6,11 @@
 """
 
 from ..ground import constants, metrics
+from ..ground.carrier import Carrier
 from ..ground.cohorttime import CohortTime
+from ..tenure.keeper import Keeper
 from . import rehearsal, rules
 from .calls import SHAPES
-from ..ground.carrier import Carrier
-from ..tenure.keeper import Keeper
 from .consensus import Consensus
 from .founding import Founding
 from .lead import Lead
--- a/src/pinepitch/accord/lead.py
+++ b/src/pinepitch/accord/lead.py
@@ -412,7 +412,7 @@
             for verge in list(self.asks):
                 self._tell_news(verge, now)
         elif kind == "ended":
-            for (ref, attempt, how), result in zip(operation[1], outcome[1]):
+            for (ref, attempt, how), result in zip(operation[1], outcome[1], strict=False):
                 self.proposed_ends.discard((ref, attempt))
                 self.kills.pop(ref, None)
                 self.end_counts[how] = self.end_counts.get(how, 0) + 1
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -11,10 +11,10 @@
 import immutables
 
 from ..ground import constants
+from ..tenure.board import Board
 from ..world import row as rows
 from ..world.task import FINAL, Standing, Task, reference, unit_of
 from ..world.ticket import Ticket, tasks_from
-from ..tenure.board import Board
 from .archive import Archive
 from .history import History
 from .sample import Sample
@@ -708,7 +708,7 @@
         )
         kept = [getattr(self, name) for name in names]
         self._derive()
-        for name, one in zip(names, kept):
+        for name, one in zip(names, kept, strict=False):
             other = getattr(self, name)
             if _bare(one) != _bare(other):
                 raise AssertionError(f"{name} has drifted: {_bare(one)!r} is not {_bare(other)!r}")
--- a/src/pinepitch/accord/rehearsal.py
+++ b/src/pinepitch/accord/rehearsal.py
@@ -260,7 +260,7 @@
         before = [one[name] for one, _ in pairs]
         after = [other[name] for _, other in pairs]
         bound = (guard["factor"], guard["seconds"]) if name.startswith("wait") else (1.0, guard["part"])
-        worse = sum(b > a * bound[0] + bound[1] for a, b in zip(before, after))
+        worse = sum(b > a * bound[0] + bound[1] for a, b in zip(before, after, strict=False))
         if worse >= needed:
             return (
                 f"{queue}: {name} goes from {sum(before) / len(pairs):.3f} to {sum(after) / len(pairs):.3f}, "
@@ -296,7 +296,7 @@
             )
         )
     costs = [(cost(before, objective), cost(after, objective)) for before, after in replays]
-    means = [sum(one) / pairs for one in zip(*costs)]
+    means = [sum(one) / pairs for one in zip(*costs, strict=False)]
     least = max(constants.REHEARSAL_LEAST * means[0], 1e-9)
     better = sum(after < before - least for before, after in costs)
     worse = sum(after > before + least for before, after in costs)
--- a/src/pinepitch/client/commands.py
+++ b/src/pinepitch/client/commands.py
@@ -42,7 +42,8 @@
     cells += [["" if row.get(column) is None else str(row.get(column)) for column in columns] for row in rows]
     widths = [max(len(line[place]) for line in cells) for place in range(len(columns))]
     return "\n".join(
-        "  ".join(cell.ljust(width) for cell, width in zip(line, widths)).rstrip() for line in cells
+        "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=False)).rstrip()
+        for line in cells
     )
 
 
@@ -346,7 +347,7 @@
             f"draft {document['draft']} on version {document['base']}: {document['state']}"
             + (", stale: another change came first" if document["stale"] else ""),
             table(
-                [dict(zip(("cell", "in force", "draft"), cell)) for cell in document["cells"]],
+                [dict(zip(("cell", "in force", "draft"), cell, strict=False)) for cell in document["cells"]],
                 ["cell", "in force", "draft"],
             ),
         ]
--- a/src/pinepitch/ground/metrics.py
+++ b/src/pinepitch/ground/metrics.py
@@ -23,7 +23,7 @@
 
     def buckets(self):
         told, count = [], 0
-        for bound, one in zip((*constants.BUCKETS, "+Inf"), self.counts):
+        for bound, one in zip((*constants.BUCKETS, "+Inf"), self.counts, strict=False):
             count += one
             told.append((str(bound), count))
         return told
--- a/src/pinepitch/proof/checks.py
+++ b/src/pinepitch/proof/checks.py
@@ -43,7 +43,7 @@
     for ref, runs in starts.items():
         seen = set()
         previous_end = previous = None
-        for when, minion, incarnation, attempt, _ in runs:
+        for when, _minion, _incarnation, attempt, _ in runs:
             if attempt in seen:
                 faults.append(f"{ref} attempt {attempt} started twice")
             seen.add(attempt)
--- a/src/pinepitch/proof/tenancy.py
+++ b/src/pinepitch/proof/tenancy.py
@@ -332,7 +332,7 @@
         if held != self.documents.get(held["version"]):
             faults.append(f"version {held['version']} was read back other than it was sent")
         refused = {one["version"] for one in self.changes if one["status"] == 412}
-        for sent, answered, version in self.reads:
+        for sent, _answered, version in self.reads:
             if version in refused:
                 faults.append(f"version {version}, that was refused, was in force")
             if any(one["decided"] < sent and one["version"] > version for one in acknowledged):
@@ -856,7 +856,7 @@
     """No task runs twice at once, none starts after a run of it ended done that was noted."""
     faults, last = [], {}
     noted = noted_ends(history)
-    for began, ended, how, tenant, identity, reference, run, _ in runs_of(history):
+    for began, ended, _how, tenant, _identity, reference, run, _ in runs_of(history):
         for other in last.get(reference, ()):
             if other[0] is None or other[0] > began:
                 faults.append(
@@ -1049,7 +1049,7 @@
 
 def _causes(identity, document, failed):
     """Whether some task or gang of a job failed as often as it may."""
-    for (job, time, number), runs in failed.items():
+    for (job, _time, number), runs in failed.items():
         if job != identity:
             continue
         gang = document["steps"][int(number)].get("gang")
@@ -1229,7 +1229,7 @@
     for seat in itertools.chain(*seats.values()):
         for placement in board.placements.get(seat.identity, {}).values():
             if not board.wanted(placement):
-                seat.free = tuple(free + room for free, room in zip(seat.free, placement.room))
+                seat.free = tuple(free + room for free, room in zip(seat.free, placement.room, strict=False))
     return seats
 
 
--- a/src/pinepitch/proof/weathers.py
+++ b/src/pinepitch/proof/weathers.py
@@ -532,7 +532,7 @@
     simulator.callers["caller"].rate = 3.0  # so that limits bind
     for turn in range(2):
         changes = []
-        for one in range(150):
+        for _one in range(150):
             row = {"limit": 8 + draw.randrange(16), "share": draw.randrange(4, 8)}
             queue = draw.choice(("default", "urgent", "feeds"))
             if draw.random() < 0.2:
--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -87,7 +87,7 @@
         self.peaks_at, left = now, 0.5 ** (passed / constants.PEAK_HALF)
         for key in {*board.used, *self.peaks}:
             used, before = board.used.get(key, (0, 0, 0)), self.peaks.get(key, (0, 0, 0))
-            self.peaks[key] = [max(one, other * left) for one, other in zip(used, before)]
+            self.peaks[key] = [max(one, other * left) for one, other in zip(used, before, strict=False)]
         for rack in self.hot:
             self.hot[rack] *= left
 
@@ -116,7 +116,7 @@
                 ]
                 budgets[(service, priority)] = [
                     max(room * constants.BUDGET_PART, room - less) - taken
-                    for room, less, taken in zip(whole, kept, used)
+                    for room, less, taken in zip(whole, kept, used, strict=False)
                 ]
         return budgets
 
@@ -213,7 +213,7 @@
 
     def _victims(self, board, keeper, wave, seat, members, time):
         """Stops that make room for so many members on a seat; None when there is no such way."""
-        missing = [members * room - free for room, free in zip(wave.step.room, seat.free)]
+        missing = [members * room - free for room, free in zip(wave.step.room, seat.free, strict=False)]
         stops = []
         if max(missing) <= 0:
             return stops
@@ -222,7 +222,7 @@
             if max(missing) <= 0:
                 break
             if placement.stop or key in keeper.stopping:
-                missing = [left - room for left, room in zip(missing, placement.room)]
+                missing = [left - room for left, room in zip(missing, placement.room, strict=False)]
                 continue
             found = board.task(placement)
             if (
@@ -242,7 +242,7 @@
                 if lost > self.waste:
                     continue
                 self.waste -= lost
-            missing = [left - room for left, room in zip(missing, placement.room)]
+            missing = [left - room for left, room in zip(missing, placement.room, strict=False)]
             stops.append((seat.identity, *key, "yields"))
         return stops if max(missing) <= 0 else None
 
--- a/src/pinepitch/tenure/board.py
+++ b/src/pinepitch/tenure/board.py
@@ -70,7 +70,9 @@
             (self.taken, placement.minion),
             (self.used, (placement.service, placement.priority)),
         ):
-            totals[key] = [one + more for one, more in zip(totals.get(key, (0, 0, 0)), placement.room)]
+            totals[key] = [
+                one + more for one, more in zip(totals.get(key, (0, 0, 0)), placement.room, strict=False)
+            ]
 
     def _release(self, minion, key):
         """A run's room is free again; its placement, or None when there was none."""
@@ -80,10 +82,14 @@
             return None
         self.used[(placement.service, placement.priority)] = [
             one - less
-            for one, less in zip(self.used[(placement.service, placement.priority)], placement.room)
+            for one, less in zip(
+                self.used[(placement.service, placement.priority)], placement.room, strict=False
+            )
         ]
         if held:
-            self.taken[minion] = [one - less for one, less in zip(self.taken[minion], placement.room)]
+            self.taken[minion] = [
+                one - less for one, less in zip(self.taken[minion], placement.room, strict=False)
+            ]
         else:
             del self.placements[minion], self.taken[minion]
         return placement
--- a/src/pinepitch/tenure/calls.py
+++ b/src/pinepitch/tenure/calls.py
@@ -4,7 +4,9 @@
 """
 
 from ..ground import constants
-from . import configuration, explain, job as jobs, worker as workers
+from . import configuration, explain
+from . import job as jobs
+from . import worker as workers
 
 
 def problem(status, code, message, retry=None, **more):
--- a/src/pinepitch/tenure/explain.py
+++ b/src/pinepitch/tenure/explain.py
@@ -11,7 +11,7 @@
 
 
 def _room(room):
-    return dict(zip(ROOM, room))
+    return dict(zip(ROOM, room, strict=False))
 
 
 def _taken(held):
@@ -114,7 +114,7 @@
     board, step = core.record.board, wave.step
     held = board.placements.get(worker.identity, {})
     lacking = sorted(set(step.needs) - worker.labels)
-    free = [all_of - taken for all_of, taken in zip(worker.room, _taken(held))]
+    free = [all_of - taken for all_of, taken in zip(worker.room, _taken(held), strict=False)]
     of_step = sum((one.job, one.number) == (wave.job.identity, wave.number) for one in held.values())
     closed = _closed(board, worker, now)
     if closed:
@@ -123,7 +123,7 @@
         return "runs what is not placed there"
     if lacking:
         return "lacks " + ", ".join(lacking)
-    if any(wants > left for wants, left in zip(step.room, free)):
+    if any(wants > left for wants, left in zip(step.room, free, strict=False)):
         return "no room"
     if step.apart and of_step >= step.apart:
         return f"has {of_step} of the step, apart {step.apart}"
@@ -192,7 +192,7 @@
             "heard": None,
         }
         if worker is not None:
-            free = [all_of - taken for all_of, taken in zip(worker.room, _taken(held))]
+            free = [all_of - taken for all_of, taken in zip(worker.room, _taken(held), strict=False)]
             line.update(
                 service=worker.service,
                 zone=worker.zone,
--- a/src/pinepitch/tenure/keeper.py
+++ b/src/pinepitch/tenure/keeper.py
@@ -133,7 +133,7 @@
         parked = self.parked.pop(identity, None)
         if parked is not None:
             self.core.answer(parked[0], parked[1], (200, {}, None))
-        for (reference, run), placement in self.board.placements.get(identity, {}).items():
+        for (reference, run), _placement in self.board.placements.get(identity, {}).items():
             saved = worker.running.get((reference, run), ("", 0))[0] if worker else ""
             self._propose_end(identity, reference, run, "lapsed", saved, False)
         self.core._event(180, minion=identity, why=why)
@@ -368,7 +368,7 @@
         """An entry of ends was applied."""
         self.due = True
         self.counts["ends"] += len(items)
-        for (minion, reference, run, how, _, heard), result in zip(items, outcomes):
+        for (minion, reference, run, how, _, heard), result in zip(items, outcomes, strict=False):
             self.ending.discard((minion, reference, run))
             self.stopping.discard((reference, run))
             worker = self.workers.get(minion)
--- a/src/pinepitch/verge/filters.py
+++ b/src/pinepitch/verge/filters.py
@@ -4,7 +4,8 @@
 import secrets
 from urllib.parse import parse_qsl, unquote, urlsplit
 
-from ..ground import constants, document as documents, metrics
+from ..ground import constants, metrics
+from ..ground import document as documents
 from ..world import minion as minions
 from ..world import row as rows
 from ..world import ticket as tickets
@@ -49,13 +50,13 @@
         names = [one for one in pattern.split("/") if one]
         if len(names) != len(path):
             continue
-        if any(name != part for name, part in zip(names, path) if not name.startswith("{")):
+        if any(name != part for name, part in zip(names, path, strict=False) if not name.startswith("{")):
             continue
         if method != ticket["method"]:
             allowed.append(method)
             continue
         ticket["handler"] = handler
-        ticket["names"] = [part for name, part in zip(names, path) if name.startswith("{")]
+        ticket["names"] = [part for name, part in zip(names, path, strict=False) if name.startswith("{")]
         return None
     if allowed:
         return no(405, "method", f"allowed: {', '.join(sorted(set(allowed)))}")
