--- a/features/steps/board.py
+++ b/features/steps/board.py
@@ -90,7 +90,8 @@
 
 
 @when(
-    'the board takes job {letter:w} with steps "{steps}" due {times:d} times every {every:d} seconds from {first:d} on'
+    'the board takes job {letter:w} with steps "{steps}" '
+    "due {times:d} times every {every:d} seconds from {first:d} on"
 )
 def step_timed(context, letter, steps, times, every, first):
     plain = plain_of(steps=steps_of(steps), times=times, every_ms=every * 1000, first_ms=first * 1000)
--- a/features/steps/doors.py
+++ b/features/steps/doors.py
@@ -308,7 +308,7 @@
         names = [*words, *words.values(), "", "news", wording.MARK]
         names += [wording.MARK * chance.randint(1, 2) + one for one in names]
 
-        def value(depth):
+        def value(depth, names=names):
             kind = chance.random()
             if depth == 0 or kind < 0.3:
                 return chance.choice((None, True, 0, 1.5, "name", "", "~"))
--- a/features/steps/input.py
+++ b/features/steps/input.py
@@ -437,7 +437,7 @@
 
         side = await curio.spawn(minion_side)
         host = Host(None, "127.0.0.1:1", None)
-        address = "127.0.0.1:%d" % listener.getsockname()[1]
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
         await host._post_one(("t1/s", 1), address, "/v1/orders", {"task": "t1/s"})
         await side.cancel()
         return await host.inbox.get()
--- a/features/steps/jobs_api.py
+++ b/features/steps/jobs_api.py
@@ -102,7 +102,7 @@
     """All workers beat at once, some rounds long: the beat of an idle one stays open for a while."""
     for _ in range(rounds):
         sent = [(worker, worker.send()) for worker in context.workers if worker not in but]
-        assert context.simulator.until(lambda: all(got for _, got in sent), 8, 0.01) is not None
+        assert context.simulator.until(lambda sent=sent: all(got for _, got in sent), 8, 0.01) is not None
         for worker, got in sent:
             worker.hear(*got[0][1:])
         context.simulator.run(0.1)
@@ -441,7 +441,8 @@
 
 
 @then(
-    '"pinepitch job show" and "whence" name its placements, and "workers" and "configuration show" what there is'
+    '"pinepitch job show" and "whence" name its placements, '
+    'and "workers" and "configuration show" what there is'
 )
 def step_commands(context):
     shown, code = told(context, commands.Commands, "job", "show", context.name)
--- a/features/steps/placing.py
+++ b/features/steps/placing.py
@@ -279,7 +279,7 @@
     for seed in range(count):
         draw = random.Random(f"table-{seed}")
 
-        def table():
+        def table(draw=draw):
             found = {}
             for one in range(draw.randrange(1, 5)):
                 share = draw.randrange(0, 30)
--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -1,7 +1,8 @@
 """Calls: what verges may carry to the leader. The registry at the end names them all.
 
 A reading call answers from the record once leadership is confirmed; a deciding one
-answers at once, or names an operation to agree on, or ends to agree on with others'. An answer is (status, document, retry).
+answers at once, or names an operation to agree on, or ends to agree on with others'.
+An answer is (status, document, retry).
 """
 
 from collections.abc import Callable
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -1,8 +1,9 @@
 """The accord as a decider: sessions, founding, consensus, the record and the leader's work.
 
 Inputs go through step(message, now, clock); effects come back:
-("send", address, message), ("save", sequence, change), ("base", sequence, payload), ("segment", number, bytes),
-("note", payload), ("snapshot", index, image), ("rehearse", work), ("event", number, fields).
+("send", address, message), ("save", sequence, change), ("base", sequence, payload),
+("segment", number, bytes), ("note", payload), ("snapshot", index, image), ("rehearse", work),
+("event", number, fields).
 """
 
 from ..ground import constants, metrics
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -495,7 +495,7 @@
     def _place_group(self, group):
         """One task, or a whole gang; all of it or nothing. '' when placed."""
         room, charged, used, queue = {}, {}, 0, None
-        for ref, minion, area, size, incarnation, verge, charges, address in group:
+        for ref, minion, area, size, _incarnation, _verge, charges, _address in group:
             found = self.find(ref)
             if found is None:
                 return "unknown"
@@ -532,7 +532,7 @@
                     return "lender"  # a feed has no end that would bring the credits back
                 if credits <= 0 or charged[lender] > self.balance(lender):
                     return "credits"
-        for ref, minion, area, size, incarnation, verge, charges, address in group:
+        for ref, minion, _area, _size, incarnation, verge, charges, address in group:
             ticket, task, standing = self.find(ref)
             standing = standing._replace(
                 state="placed",
--- a/src/pinepitch/accord/rehearsal.py
+++ b/src/pinepitch/accord/rehearsal.py
@@ -189,7 +189,7 @@
                     self.placed(now, ref)
         if yields:
             self.apply(now, ("yield", 1, yields))
-            for ref, attempt, _ in yields:
+            for ref, _attempt, _ in yields:
                 found = self.record.find(ref)
                 if ref in self.record.yielding and found[0].queue in self.figures:
                     self.figures[found[0].queue]["preemptions"] += 1
@@ -313,7 +313,10 @@
         harmed = harm(queue, seen, max(1, len(seen) * needed // pairs), objective["guard"])
         if harmed:
             harms.append(harmed)
-    why = f"cost {means[0]:.3f} in force, {means[1]:.3f} draft; lower in {better}, higher in {worse} of {pairs} replays"
+    why = (
+        f"cost {means[0]:.3f} in force, {means[1]:.3f} draft; "
+        f"lower in {better}, higher in {worse} of {pairs} replays"
+    )
     if harms and verdict != "worse":
         verdict = "worse"
         why = "the guard: " + "; ".join(harms)
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -173,7 +173,7 @@
 BEAT_EACH = (
     0.0008  # seconds; of that pace for each worker, so that a leader has some 1,250 beats a second at most
 )
-IDLE_HOLD = 0.5  # seconds; the beat of a worker with nothing to do stays open so long, well within the second it waits
+IDLE_HOLD = 0.5  # seconds; an idle worker's heartbeat stays open so long, well within the second it waits
 BEAT_FULL = 0.5  # seconds; before one without room does, as an end makes it beat at once
 BEAT_STALE = 0.9  # seconds; a beat older than this proves nothing and gets no starts
 BEAT_SILENT = 1.2  # seconds; a minion unheard this long gets no new work
@@ -218,4 +218,4 @@
 YIELD_WASTE = 30.0  # core-seconds; of unsaved work that may be thrown away to make room for one wave
 YIELD_RUNS = 2  # runs; a task that was run more often yields no more unless it saves its progress
 GPU_CORES = 8  # cores; that an accelerator counts as
-ROUND_REST = 25e-6  # seconds; a leader rests between rounds, for each worker and waiting wave, some four times what one costs
+ROUND_REST = 25e-6  # seconds; rest between rounds for each worker and waiting wave, four times its cost
--- a/src/pinepitch/proof/fleet.py
+++ b/src/pinepitch/proof/fleet.py
@@ -519,7 +519,8 @@
             failed += bool(faults)
             seen = result["summary"]
             print(
-                f"{plan:10}{name:20}{seen['accepted']:9}{seen['shed']:6}{len(faults):7}  {json.dumps(result['disturbed'])}",
+                f"{plan:10}{name:20}{seen['accepted']:9}{seen['shed']:6}{len(faults):7}"
+                f"  {json.dumps(result['disturbed'])}",
                 flush=True,
             )
             for one in faults[:4]:
--- a/src/pinepitch/proof/scale.py
+++ b/src/pinepitch/proof/scale.py
@@ -54,7 +54,11 @@
 from pinepitch.{kind}.program import main
 counts, encode, decode = {{"in": {{}}, "out": {{}}}}, wire.encode, wire.decode
 def note(way, size, message):
-    kind = message[0] + (" " + message[4][0] if message[0] == "raft" else " " + message[3] if message[0] == "ask" else "")
+    kind = message[0]
+    if kind == "raft":
+        kind += " " + message[4][0]
+    elif kind == "ask":
+        kind += " " + message[3]
     one = counts[way].setdefault(kind, [0, 0])
     one[0] += 1
     one[1] += size
@@ -209,7 +213,7 @@
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             got = []
-            await self.ask(call, arguments, lambda *answer: got.append(answer))
+            await self.ask(call, arguments, lambda *answer, got=got: got.append(answer))
             asked = time.monotonic()
             while not got and time.monotonic() - asked < 2:
                 await curio.sleep(PASS)
@@ -331,14 +335,18 @@
             ]  # more than any worker has
             for name in names:
                 await self.settled(
-                    lambda: self.jobs[name]["accepted"] is not None, f"the answer to job {name}"
+                    lambda name=name: self.jobs[name]["accepted"] is not None, f"the answer to job {name}"
                 )
             over = []
             for name in names:
                 await self.ask(
-                    "job-cancel", (tenancy.HOST, f"/held/{name}"), lambda status, answer: over.append(status)
+                    "job-cancel",
+                    (tenancy.HOST, f"/held/{name}"),
+                    lambda status, answer, over=over: over.append(status),
                 )
-            await self.settled(lambda: len(over) == len(names), "the answers to cancels")
+            await self.settled(
+                lambda names=names, over=over: len(over) == len(names), "the answers to cancels"
+            )
 
     async def settled(self, wanted, what):
         """Waits for something that a fill can't do without."""
@@ -824,12 +832,14 @@
             told["beat"][f"{workers} workers, {running} running"] = (
                 min(herd.round() for _ in range(3)) / workers
             )
-            told["watch"][f"{workers} workers, {running} running"] = _best(lambda: keeper._watch(alone.now))
+            told["watch"][f"{workers} workers, {running} running"] = _best(
+                lambda alone=alone, keeper=keeper: keeper._watch(alone.now)
+            )
             for waves in (0, 1, 10, 100):
                 for _ in range(waves - len(board.ready)):
                     alone.hand_in(5, cpu=9000, queue="more")  # more than any worker has: they wait for ever
                 told["round"][f"{workers} workers, {running} running, {waves} waves wait"] = _best(
-                    lambda: keeper.assigner.round(
+                    lambda alone=alone, board=board, keeper=keeper: keeper.assigner.round(
                         board, keeper.workers, keeper, alone.now, alone.core._now(alone.now)
                     )
                 )
@@ -866,7 +876,7 @@
         for place in range(waits):
             scratch.accept(alone.now, f"{place:016x}", "held", plain)
         found[name] = _best(
-            lambda: keeper.assigner.round(
+            lambda scratch=scratch: keeper.assigner.round(
                 scratch, keeper.workers, keeper, alone.now, alone.core._now(alone.now)
             )
         )
@@ -922,8 +932,8 @@
         data = type(record).encode(image)
         found[f"{jobs} open jobs, {placed} placed, {over} over"] = {
             "image": _best(record.image),
-            "encode": _best(lambda: type(record).encode(image)),
-            "decode": _best(lambda: type(record).decode(data, {})),
+            "encode": _best(lambda image=image, record=record: type(record).encode(image)),
+            "decode": _best(lambda data=data, record=record: type(record).decode(data, {})),
             "bytes": len(data),
         }
     return found
--- a/src/pinepitch/tenure/keeper.py
+++ b/src/pinepitch/tenure/keeper.py
@@ -349,7 +349,7 @@
             if ratio <= (constants.SLOW if len(found) > 1 else constants.SLOW_ALONE):
                 continue
             found[0][1].pace(ratio, 0.5)
-            for one, worker, key, wave, percent, left, usual in found:
+            for one, _worker, key, wave, percent, left, usual in found:
                 again = usual * (1 - percent / 100 if wave.step.saves else 1)
                 if one > constants.SLOW and left > constants.SLOW_GAIN * again + constants.SLOW_COST:
                     stops.append((identity, *key, "slow"))
