--- a/src/pinepitch/tenure/board.py
+++ b/src/pinepitch/tenure/board.py
@@ -14,7 +14,8 @@
 class Board:
     """Invariants: jobs holds those not final, final the state of those that are, oldest end
     first; taken and used are the sums of the placements' rooms; ready holds every wave with
-    waiting tasks whose earlier steps are all done and that is not breaking; placements[minion] holds each run given to it whose end is not proven."""
+    waiting tasks whose earlier steps are all done and that is not breaking;
+    placements[minion] holds each run given to it whose end is not proven."""
 
     def __init__(self):
         self.jobs = {}
