--- a/src/pinepitch/client/commands.py
+++ b/src/pinepitch/client/commands.py
@@ -96,9 +96,11 @@
         self._do("POST", "/v1/tickets", document, headers)
 
     def show(self, ticket):
+        """A ticket with the state of each task."""
         self._get(f"/v1/tickets/{ticket}")
 
     def list(self, after=0, limit=50, state="", queue=""):
+        """Tickets, a page at a time, by state or queue."""
         self._get(
             f"/v1/tickets?after={after}&limit={limit}&state={state}&queue={queue}",
             lambda document: table(
@@ -107,6 +109,7 @@
         )
 
     def cancel(self, ticket):
+        """Cancels a ticket: nothing more of it starts."""
         self._do("POST", f"/v1/tickets/{ticket}/cancel")
 
 
@@ -186,12 +189,15 @@
     """list, drain, undrain, withdraw."""
 
     def list(self):
+        """The minions that report, with their room and state."""
         self._get("/v1/minions", lambda document: table(document["minions"]))
 
     def drain(self, minion):
+        """Gives a minion no new work."""
         self._do("POST", f"/v1/minions/{minion}/drain")
 
     def undrain(self, minion):
+        """Takes a drain back."""
         self._do("POST", f"/v1/minions/{minion}/undrain")
 
     def withdraw(self, minion, due=0.0):
@@ -203,12 +209,15 @@
     """list, empty, take_back."""
 
     def list(self):
+        """The areas and whether they are emptied."""
         self._get("/v1/areas", lambda document: table(document["areas"]))
 
     def empty(self, area):
+        """Gives the minions of an area no new work."""
         self._do("POST", f"/v1/areas/{area}/empty")
 
     def take_back(self, area):
+        """Lets an area have work again."""
         self._do("POST", f"/v1/areas/{area}/take-back")
 
 
@@ -227,6 +236,7 @@
         print("\n".join(difflib.unified_diff(*lines, f"version {earlier}", f"version {later}", lineterm="")))
 
     def show(self, version=None):
+        """The setup in force, or an earlier version."""
         self._get(
             "/v1/setup" if version is None else f"/v1/setup/versions/{version}",
             lambda document: json.dumps(document, indent=2),
@@ -244,6 +254,7 @@
         self._do(method, "/v1/setup", _read(file), (("If-Match", str(base)), ("X-Reason", why)))
 
     def history(self):
+        """The versions of the setup, by whom and why."""
         self._get("/v1/setup/versions", lambda document: table(document["setups"]))
 
     def back(self, version, base, why=""):
@@ -258,6 +269,7 @@
     """show, csv, edit, read, drafts, draft, rehearse, approve, drop."""
 
     def show(self):
+        """The table of queues in force."""
         self._get("/v1/table", lambda document: f"version {document['version']}\n" + table(document["rows"]))
 
     def csv(self):
@@ -314,6 +326,7 @@
         self._do("POST", "/v1/drafts", document, (("X-Reason", why),), self._show)
 
     def drafts(self):
+        """The drafts and their verdicts."""
         self._get(
             "/v1/drafts",
             lambda document: table(
@@ -323,6 +336,7 @@
         )
 
     def draft(self, draft):
+        """One draft with its measure."""
         self._get(f"/v1/drafts/{draft}", self._show)
 
     def rehearse(self, draft, wait=60):
@@ -339,6 +353,7 @@
         self._do("POST", f"/v1/drafts/{draft}/approve", None, (("X-Reason", why),))
 
     def drop(self, draft):
+        """Drops a draft."""
         self._do("DELETE", f"/v1/drafts/{draft}")
 
     @staticmethod
