--- /dev/null
+++ b/src/pinepitch/proof/jobs/fleet.py
@@ -0,0 +1,240 @@
+"""The simulated fleet that runs jobs: tenants, a caller, an operator, and the calls among them."""
+
+import itertools
+import json
+
+from ...ground import constants
+from ...tenure.board import Board
+from .. import simulator as simulators
+from ..simulator import START, Simulator
+from ..tenant import StandInTenant
+from .caller import Patron
+from .limits import BEAT_PATIENCE, ENDS_WITHIN, FIVE, ROOM, SERVED_WITHIN, TENANTS, THREE, TIMEOUT
+from .operator import Governor
+
+
+class Tenancy(Simulator):
+    """The simulator with tenants for minions. Invariants: tenants beat at accords, callers call
+    at verges; answers get lost or late by chance as answer_loss, answer_late and beat_late say."""
+
+    def __init__(self, seed):
+        self.gangs = {}
+        self.answer_loss = self.late_part = 0.0  # parts; of answers lost, of beats and answers late
+        self.late_most = 0.0  # seconds
+        self.under_way = {}  # tenant -> its beats that stay under way until a weather lets them arrive
+        accords = FIVE if seed % 3 == 0 else THREE
+        super().__init__(
+            seed,
+            accords,
+            minions=(("w", TENANTS, ROOM, (), True),),
+            founders=len(accords),
+            kinds={"minion": self._tenant},
+        )
+        self.patron = Patron(seed)
+        self.governor = Governor(self)
+
+    def _tenant(self, name, zone, address, room, labels, guards, seed, history):
+        place = int(name[1:])
+        guards = place % 2 == 0
+        accords = [node.address for node in self.nodes.values() if node.kind == "accord"]
+        return StandInTenant(
+            name,
+            zone,
+            address,
+            room,
+            ["ab"[place // 2 % 2], f"r1-{place % 3}"],
+            guards,
+            seed,
+            history,
+            "held" if guards else "bare",
+            accords,
+            self.gangs,
+        )
+
+    # --- calls ------------------------------------------------------------------------
+    def _sent(self, source, life, node, call, arguments, patience, told, late=0.0):
+        """A call to one daemon; told(status, document) comes back, or (0, None) in the end."""
+        self.request_count += 1
+        number = self.request_count
+        self.requests[number] = ("call", source, life, ("told", told), node.name)
+        if node.core is None and (source, node.name) not in self.cuts:
+            self.at(0.01, "answer", number, 0, "null")
+            return
+        self.at(TIMEOUT + late, "answer", number, 0, "null")
+        if not self.lost(source, node.name):
+            plain = json.loads(json.dumps(arguments))
+            self.at(
+                self.latency() + late,
+                "give",
+                node.name,
+                node.life,
+                ("call", number, call, tuple(plain), patience),
+            )
+
+    def _lateness(self):
+        return self.draw.uniform(0, self.late_most) if self.draw.random() < self.late_part else 0.0
+
+    def _minion_effects(self, node, effects, message):
+        for effect in effects:
+            target = self.by_address[effect[1]]
+            if effect[0] == "leave":
+                self._sent(
+                    node.name,
+                    node.life,
+                    target,
+                    "beat-leave",
+                    (effect[2],),
+                    BEAT_PATIENCE,
+                    lambda *told: None,
+                )
+                node.down = True
+                node.life += 1
+                self._goes(node.name)
+                continue
+            _, _, number, identity, document = effect
+            if node.name in self.under_way:
+                self.under_way[node.name].append((target, identity, json.loads(json.dumps(document))))
+                continue
+            self._sent(
+                node.name,
+                node.life,
+                target,
+                "beat",
+                (identity, document),
+                BEAT_PATIENCE,
+                self._beat_told(node, node.life, number),
+                self._lateness(),
+            )
+
+    def arrive(self, target, identity, document):
+        """A beat that was under way for long, whose sender waits for no answer any more."""
+        self._sent("late", 0, target, "beat", (identity, document), BEAT_PATIENCE, lambda *told: None)
+
+    def _beat_told(self, node, life, number):
+        """What brings a beat's answer back, late or never by chance."""
+
+        def told(status, document):
+            if self.draw.random() >= self.answer_loss and (status or document is None):
+                late = self._lateness()
+                if status or not (late or node.life != life):
+                    self.at(late, "give", node.name, life, ("told", number, status, document or {}))
+
+        return told
+
+    def _caller_calls(self, name, effects):
+        for _, draw, call, arguments, tag in effects:
+            verges = [node for node in self.nodes.values() if node.kind == "verge"]
+
+            def told(status, document, tag=tag):
+                if self.draw.random() < self.answer_loss:
+                    status, document = 0, None
+                self._caller_calls(
+                    name, self.patron.step(("answered", tag, status, document), START + self.now)
+                )
+
+            self._sent(name, 0, verges[draw % len(verges)], call, arguments, constants.CALL_PATIENCE, told)
+
+    def persist_call(self, kind, call, arguments, decided, seconds):
+        """An operator's call, sent again unchanged to one daemon after another until it is clearly
+        answered: decided(status, document) is told once, or never when `seconds` are over."""
+        until, turns = self.now + seconds, itertools.count(self.draw.randrange(10))
+        nodes = [node for node in self.nodes.values() if node.kind == kind]
+
+        def attempt():
+            if self.now < until:
+                self._sent(
+                    "operator",
+                    0,
+                    nodes[next(turns) % len(nodes)],
+                    call,
+                    arguments,
+                    constants.CALL_PATIENCE,
+                    told,
+                )
+
+        def told(status, document):
+            if self.draw.random() < self.answer_loss:
+                status = 0
+            if status in (0, 408, 429) or status >= 500:
+                self.at(0.2, "later", attempt)
+            else:
+                decided(status, document)
+
+        attempt()
+
+    # --- the day ----------------------------------------------------------------------
+    def begin(self):
+        if (
+            self.until(lambda: self.leader() is not None and self.leader().core.consensus.serving(), 30)
+            is None
+        ):
+            raise AssertionError("no leader within 30 s")
+        self.governor.found()
+        self.callers["patron"] = self.patron
+        self.at(0.0, "caller", "patron")
+
+    def quiet(self):
+        return self.patron.quiet()
+
+    def finish(self, seconds=ENDS_WITHIN):
+        self.answer_loss = self.late_part = self.late_most = 0.0
+        for span in self.governor.spans:
+            if span[2] is None:
+                self.governor.restore(span)
+        for node in self.nodes.values():
+            if node.kind == "minion" and node.core.state == "draining" and not node.down:
+                self.until(lambda node=node: node.down, 10)
+        return super().finish(seconds)
+
+    def served(self, why, within=SERVED_WITHIN):
+        """A fault unless a job handed in from now on is accepted in time."""
+        begun = START + self.now
+        if (
+            self.until(
+                lambda: any(job["sent"] >= begun and job["accepted"] for job in self.patron.jobs.values()),
+                within,
+            )
+            is None
+        ):
+            self.governor.faults.append(f"no job was taken within {within:.0f} s {why}")
+
+    def agreement(self):
+        """Beside the record, the boards: alike where as much is applied, and as their image says."""
+        faults, boards = super().agreement(), {}
+        for node in self.nodes.values():
+            if node.kind != "accord" or node.core is None or node.core.consensus is None:
+                continue
+            board, index = node.core.record.board, node.core.record.index
+            image = json.dumps(
+                board.image()
+            )  # an entry of one's own holds tuples where one that came holds lists
+            if boards.setdefault(index, image) != image:
+                faults.append(f"the board of {node.name} differs at {index}")
+            again = Board.from_image(json.loads(image))
+            for name, derived in (
+                ("ready", lambda one: set(one.ready)),
+                ("counts", _counted),
+                ("waves", _waves),
+            ):
+                if derived(board) != derived(again):
+                    faults.append(f"at {node.name} {name} of the board drifted")
+        return faults
+
+
+def _counted(board):
+    return {queue: count for queue, count in board.counts.items() if count}
+
+
+def _waves(board):
+    return {
+        wave.key(): (wave.blocked, wave.left, tuple(sorted(wave.waiting)))
+        for job in board.jobs.values()
+        for wave in job.waves.values()
+    }
+
+
+def _later(simulator, function):
+    function()
+
+
+simulators.HANDLERS["later"] = _later
--- /dev/null
+++ b/src/pinepitch/proof/jobs/kinds.py
@@ -0,0 +1,32 @@
+"""The kinds of jobs that the stand-in caller hands in."""
+
+
+def step_of(count, seconds, cpu, fail=0.0, **more):
+    """(step as it is handed in, what the spec says of it)."""
+    told = {"count": count, "cpu": cpu, "mem_mb": 256, "est_ms": int(seconds * 1000), **more}
+    what = {
+        "seconds": seconds,
+        "fail": fail,
+        "gang": count if more.get("gang") else 0,
+        "room": [cpu, 256, more.get("gpu", 0)],
+        "saves": bool(more.get("saves")),
+        "lasts": bool(more.get("lasts")),
+    }
+    return told, what
+
+
+# kind -> (jobs each second, its steps)
+KINDS = {
+    "fan": (0.8, lambda: [step_of(6, 0.5, 700)]),
+    "chain": (
+        0.4,
+        lambda: [step_of(2, 0.4, 500), step_of(3, 0.3, 400, after=[0]), step_of(1, 0.3, 900, after=[0, 1])],
+    ),
+    "gang": (0.3, lambda: [step_of(3, 1.0, 1200, gang=True, saves=True), step_of(1, 0.2, 300, after=[0])]),
+    "saves": (0.25, lambda: [step_of(2, 4.0, 1000, saves=True)]),
+    "failing": (0.3, lambda: [step_of(3, 0.4, 400, fail=0.4)]),
+    "apart": (0.2, lambda: [step_of(3, 0.6, 300, apart=1, gpu=1)]),
+    "named": (0.2, lambda: [step_of(2, 0.5, 500, needs="b", near="r1-1")]),
+    "timed": (0.15, lambda: [step_of(2, 0.4, 300), step_of(1, 0.3, 300, after=[0])]),
+    "lasting": (0.08, lambda: [step_of(2, 1.0, 400, fail=0.3, lasts=True)]),
+}
--- /dev/null
+++ b/src/pinepitch/proof/jobs/plants.py
@@ -0,0 +1,140 @@
+"""Planted faults: each must be found by a check of the simulated fleet that runs jobs."""
+
+import contextlib
+import itertools
+from unittest import mock
+
+from ...accord.consensus import Consensus
+from ...accord.lead import Lead
+from ...ground import constants
+from ...tenure.assigner import Assigner
+from ...tenure.board import Board
+from ...tenure.configuration import Configuration
+from ...tenure.keeper import Keeper
+from ...tenure.worker import Worker
+
+
+def _absent_at_once(self, worker, now):
+    """Takes what is missing in a beat for a proof, whoever gave the start and however old the beat."""
+    for (reference, run), placement in self.board.placements.get(worker.identity, {}).items():
+        if (reference, run) not in worker.running and (reference, run) not in worker.listed:
+            if (
+                placement.epoch != self.core.epoch
+                or not self.board.wanted(placement)
+                or not self._open_for(worker)
+            ):
+                self._propose_end(worker.identity, reference, run, "unsent", "", False)
+
+
+def _starts_proposed(self, now):
+    """Tells starts that are proposed and not yet agreed on."""
+    propose = self.core.propose
+
+    def proposed(operation, waiting, when):
+        if operation[0] == "job-assign":
+            for identity, time, number, group in operation[2]:
+                wave = self.board.jobs[identity].waves[(time, number)]
+                run = max(task.run for task in wave.tasks) + 1
+                for index, minion in group:
+                    task = wave.tasks[index]
+                    told = (
+                        wave.reference(index),
+                        run if wave.step.gang else task.run + 1,
+                        wave.job.spec,
+                        task.saved,
+                    )
+                    self.__dict__.setdefault("told_early", {}).setdefault(minion, []).append(told)
+        propose(operation, waiting, when)
+
+    with mock.patch.object(self.core, "propose", proposed):
+        original_assign(self, now)
+    self.assigned.clear()
+
+
+def _orders_early(self, worker, taken, now):
+    told = original_orders(self, worker, taken, now)
+    more = self.__dict__.get("told_early", {}).pop(worker.identity, ())
+    return {**told, "start": (*told["start"], *(one for one in more if one not in told["start"]))}
+
+
+def _base_unheeded(self, base, *rest):
+    return original_take(self, self.version, *rest)
+
+
+def _amend_unheeded(self, base, *rest):
+    return original_amend(self, self.version, *rest)
+
+
+def _failures_forgotten(self, now, placement, reference, run, how, saved, heard):
+    return original_ended(
+        self, now, placement, reference, run, "stopped" if how == "failed" else how, saved, heard
+    )
+
+
+def _always_ready(self, beat, now):
+    """Reads no beat that says "draining"."""
+    return original_beat(self, {**beat, "state": "ready", "leaves_ms": None}, now)
+
+
+def _told_levels_alone(self):
+    return min((self.told_levels.get(one, 1) for one in self.consensus.cohort.members()), default=1)
+
+
+def _room_twice(self, board, workers, keeper, now):
+    """Gives the room of runs that are to end away before they have ended."""
+    seats = original_seats(self, board, workers, keeper, now)
+    for seat in itertools.chain(*seats.values()):
+        for placement in board.placements.get(seat.identity, {}).values():
+            if not board.wanted(placement):
+                seat.free = tuple(free + room for free, room in zip(seat.free, placement.room, strict=False))
+    return seats
+
+
+def _cancel_in_word(self, now, identity):
+    return ("cancelled", identity) if identity in self.jobs else ("missing", identity)
+
+
+def _after_unheeded(self, wave):
+    """Takes every step for one without earlier steps."""
+    wave.blocked = 0
+    original_index(self, wave)
+
+
+original_assign, original_orders = Keeper._assign, Keeper._orders
+original_take, original_amend = Configuration.take, Configuration.amend
+original_ended, original_index = Board._ended, Board._index
+original_seats, original_beat = Assigner._seats, Worker.beat
+PLANTS = {
+    "absence-at-once": [(Keeper, "_take_absences", _absent_at_once)],
+    "hold-not-waited-out": [(constants, "LAPSE_MARGIN", -3.5)],
+    "lease-ignored": [
+        (Consensus, "leased", lambda self, now: self.serving()),
+        (constants, "CHECK_QUORUM", 15.0),
+    ],
+    "starts-proposed": [(Keeper, "_assign", _starts_proposed), (Keeper, "_orders", _orders_early)],
+    "ends-noted-early": [(Worker, "acknowledged", lambda self: self.seen)],
+    "levels-forgotten": [(Lead, "common_level", _told_levels_alone)],
+    "base-unheeded": [(Configuration, "take", _base_unheeded), (Configuration, "amend", _amend_unheeded)],
+    "evacuation-in-word": [(Board, "evacuate", lambda self, now, zone, begun: ("ok",))],
+    "failures-forgotten": [(Board, "_ended", _failures_forgotten)],
+    "room-given-early": [(Assigner, "_seats", _room_twice)],
+    "cancel-in-word": [(Board, "cancel", _cancel_in_word)],
+    "stops-forgotten": [(Board, "wanted", lambda self, placement: True)],
+    "drain-unseen": [(Worker, "beat", _always_ready)],
+    "order-unheeded": [(Board, "_index", _after_unheeded)],
+    # No fault but a condition under which nothing may break: the log is compacted all the time.
+    "frequent-snapshots": [
+        (constants, "SNAPSHOT_ENTRIES", 50),
+        (constants, "SNAPSHOT_TAIL", 10),
+        (constants, "SNAPSHOT_PIECE", 5_000),
+    ],
+}
+
+
+@contextlib.contextmanager
+def planted(name):
+    """The fault of that name in place; '' for none."""
+    with contextlib.ExitStack() as stack:
+        for owner, attribute, replacement in PLANTS[name] if name else ():
+            stack.enter_context(mock.patch.object(owner, attribute, replacement))
+        yield
--- /dev/null
+++ b/src/pinepitch/proof/jobs/scenarios.py
@@ -0,0 +1,262 @@
+"""Fault scenarios of the simulated fleet that runs jobs. Each is a function of the simulator;
+the registry at the end names them."""
+
+import functools
+
+from ..simulator import START
+
+JOINS_WITHIN = 30.0  # seconds; until an empty control daemon is a member, no change under way
+
+
+def accord_names(simulator):
+    return [name for name, node in simulator.nodes.items() if node.kind == "accord"]
+
+
+def tenant_names(simulator):
+    return [name for name, node in simulator.nodes.items() if node.kind == "minion" and not node.down]
+
+
+def accepted_count(simulator):
+    return sum(job["accepted"] is not None for job in simulator.patron.jobs.values())
+
+
+def run_until_accepted(simulator):
+    """Runs until one more job is known to be accepted."""
+    known = accepted_count(simulator)
+    simulator.until(lambda: accepted_count(simulator) > known, 10, 0.004)
+
+
+def is_member(node):
+    """Whether a control daemon is a member by its own knowledge, with no change of members under way."""
+    consensus = node.core.consensus
+    return (
+        consensus is not None
+        and not consensus.cohort.coming
+        and node.core.identity in consensus.cohort.members()
+    )
+
+
+def calm(simulator):
+    simulator.run(14)
+
+
+def leader_killed(simulator):
+    """The leader dies, again and again, right after something was acknowledged; without it jobs
+    are taken soon."""
+    for _ in range(3):
+        run_until_accepted(simulator)
+        leader = simulator.leader()
+        if leader is not None:
+            simulator.kill(leader.name)
+            simulator.served("without the leader")
+            simulator.run(simulator.draw.uniform(0, 3))
+            simulator.start(leader.name)
+        simulator.run(simulator.draw.uniform(1, 4))
+
+
+def leader_frozen(simulator):
+    """The leader stops and goes on later, none the wiser."""
+    for _ in range(4):
+        leader = simulator.leader()
+        if leader is not None:
+            simulator.freeze(leader.name)
+            simulator.run(simulator.draw.choice((0.3, 0.8, 1.5, 3.0, 7.0)) * simulator.draw.uniform(0.8, 1.2))
+            simulator.thaw(leader.name)
+        simulator.run(simulator.draw.uniform(1, 3))
+
+
+def leader_deaf(simulator):
+    """The leader is cut off, one way or both, from the other daemons and some tenants."""
+    for _ in range(4):
+        leader = simulator.leader()
+        if leader is not None:
+            rest = [
+                one for one in (*accord_names(simulator), "verge0", "verge1", "verge2") if one != leader.name
+            ]
+            rest += simulator.draw.sample(tenant_names(simulator), 4)
+            manner = simulator.draw.choice(("deaf", "dumb", "both"))
+            if manner == "dumb":
+                simulator.cut([leader.name], rest, both=False)
+            else:
+                simulator.cut(rest, [leader.name], both=manner == "both")
+            simulator.run(simulator.draw.choice((1.5, 4, 12)) * simulator.draw.uniform(0.8, 1.2))
+            simulator.heal()
+        simulator.run(simulator.draw.uniform(0.5, 3))
+
+
+def wiped(simulator):
+    """An accord loses its disk right after something was acknowledged, and joins anew."""
+    for turn in range(2):
+        run_until_accepted(simulator)
+        leader = simulator.leader()
+        name = leader.name if leader and turn == 0 else simulator.draw.choice(accord_names(simulator))
+        simulator.kill(name)
+        simulator.wipe(name)
+        simulator.run(simulator.draw.uniform(0.1, 3))
+        simulator.start(name)
+        if simulator.until(functools.partial(is_member, simulator.nodes[name]), JOINS_WITHIN) is None:
+            simulator.governor.faults.append(f"{name} came back empty and was not let in")
+        simulator.run(4)
+
+
+def all_killed(simulator):
+    """All accords lose power at once, right after something was acknowledged; one stays away."""
+    for _ in range(2):
+        run_until_accepted(simulator)
+        names = accord_names(simulator)
+        for name in names:
+            simulator.kill(name)
+        simulator.run(simulator.draw.choice((0.1, 2.0, 6.0)))
+        away = simulator.draw.choice(names)
+        for name in names:
+            if name != away:
+                simulator.start(name)
+        simulator.served("by two of three accords after all had lost power")
+        simulator.run(simulator.draw.uniform(0, 4))
+        simulator.start(away)
+        simulator.run(3)
+
+
+def tenants_crash(simulator):
+    """Tenants crash and come back under new identities at their addresses; some while a frozen
+    accord still holds beats of their former life."""
+    for turn in range(12):
+        names = simulator.draw.sample(tenant_names(simulator), 2)
+        frozen = simulator.draw.choice(accord_names(simulator)) if turn % 3 == 2 else None
+        if frozen is not None:
+            simulator.freeze(frozen)
+            simulator.run(simulator.draw.uniform(0.3, 1.5))
+        for name in names:
+            simulator.kill(name)
+        simulator.run(simulator.draw.choice((0.05, 0.3, 1.0)))
+        for name in names:
+            simulator.start(name)
+        simulator.run(simulator.draw.uniform(0.2, 1.5))
+        if frozen is not None:
+            simulator.thaw(frozen)
+            simulator.run(1)
+
+
+def tenants_cut(simulator):
+    """Tenants are cut off from all, one way or both, and run on; some for longer than a hold."""
+    for _ in range(4):
+        names = simulator.draw.sample(tenant_names(simulator), simulator.draw.choice((1, 2, 4)))
+        manner = simulator.draw.choice(("both", "both", "deaf", "dumb"))
+        rest = [one for one in simulator.nodes if one not in names]
+        if manner == "deaf":
+            simulator.cut(rest, names, both=False)
+        else:
+            simulator.cut(names, rest, both=manner == "both")
+        simulator.run(simulator.draw.choice((0.7, 2.0, 4.8, 5.6, 8.0)) * simulator.draw.uniform(0.9, 1.1))
+        simulator.heal()
+        simulator.run(simulator.draw.uniform(0.5, 2))
+
+
+def tenants_leave(simulator):
+    """Tenants drain and leave, zones are evacuated and taken back, and others come."""
+    for turn in range(5):
+        names = simulator.draw.sample(tenant_names(simulator), 2)
+        for name in names:
+            simulator.nodes[name].core.drain(START + simulator.now)
+        span = None
+        if turn % 2:
+            span = simulator.governor.evacuate(simulator.draw.choice(("a", "b", "c")))
+        simulator.run(simulator.draw.uniform(3, 5))
+        for name, node in simulator.nodes.items():
+            if node.kind == "minion" and node.down:
+                simulator.start(name)
+        if span is not None:
+            simulator.governor.restore(span)
+
+
+def answers_late(simulator):
+    """Beats and answers get lost or late, while tenants drain and zones are evacuated."""
+    simulator.answer_loss, simulator.late_part, simulator.late_most = 0.1, 0.3, 3.0
+    for _ in range(3):
+        span = simulator.governor.evacuate(simulator.draw.choice(("a", "b", "c")))
+        simulator.nodes[simulator.draw.choice(tenant_names(simulator))].core.drain(START + simulator.now)
+        simulator.run(simulator.draw.uniform(3, 5))
+        simulator.governor.restore(span)
+        simulator.run(simulator.draw.uniform(1, 2))
+
+
+def beats_stale(simulator):
+    """Beats come seconds late, some to a leader that has not yet heard of their tenant, while
+    tenants are cut off and run on, zones are evacuated and the leader dies."""
+    for _ in range(3):
+        simulator.late_part, simulator.late_most = 0.4, 9.0
+        simulator.run(simulator.draw.uniform(1.5, 3))
+        leader = simulator.leader()
+        names = simulator.draw.sample(tenant_names(simulator), 4)
+        zone = simulator.nodes[names[0]].area
+        if leader is not None:
+            simulator.kill(leader.name)
+        simulator.cut(names, [one for one in simulator.nodes if one not in names])
+        span = simulator.governor.evacuate(zone)
+        simulator.run(simulator.draw.uniform(3, 6))
+        simulator.late_part = 0.0
+        simulator.heal()
+        if leader is not None:
+            simulator.start(leader.name)
+        simulator.governor.restore(span)
+        simulator.run(simulator.draw.uniform(2, 4))
+
+
+def lives_mixed(simulator):
+    """Tenants crash and come back while beats of their former lives are still under way; these
+    come when the new lives, that have work, are cut off and run on."""
+    draw = simulator.draw
+    for _ in range(4):
+        names = draw.sample(tenant_names(simulator), 4)
+        simulator.under_way = {name: [] for name in names}
+        simulator.run(draw.uniform(2, 4))
+        late, simulator.under_way = simulator.under_way, {}
+        for name in names:
+            simulator.kill(name)
+        simulator.run(draw.choice((0.05, 0.5)))
+        for name in names:
+            simulator.start(name)
+        simulator.run(draw.uniform(1, 5))
+        simulator.cut(names, [one for one in simulator.nodes if one not in names])
+        for name in names:
+            for place, beat in enumerate(late[name]):
+                simulator.at(
+                    0.2 + place * draw.uniform(0.9, 1.1), "later", functools.partial(simulator.arrive, *beat)
+                )
+        simulator.run(draw.uniform(2, 5))
+        simulator.heal()
+        simulator.run(draw.uniform(0.5, 2))
+
+
+def storm(simulator):
+    """One thing after another on fouler links."""
+    simulator.loss, simulator.double = 0.01, 0.02
+    simulator.answer_loss, simulator.late_part, simulator.late_most = 0.03, 0.1, 3.0
+    for one in simulator.draw.sample(
+        (leader_frozen, leader_deaf, tenants_crash, tenants_cut, tenants_leave), 2
+    ):
+        one(simulator)
+    simulator.governor.race()
+    leader = simulator.leader()
+    if leader is not None:
+        simulator.kill(leader.name)
+        simulator.run(simulator.draw.uniform(0.5, 3))
+        simulator.start(leader.name)
+    simulator.run(3)
+
+
+SCENARIOS = {
+    "calm": calm,
+    "leader-killed": leader_killed,
+    "leader-frozen": leader_frozen,
+    "leader-deaf": leader_deaf,
+    "wiped": wiped,
+    "all-killed": all_killed,
+    "tenants-crash": tenants_crash,
+    "tenants-cut": tenants_cut,
+    "tenants-leave": tenants_leave,
+    "answers-late": answers_late,
+    "beats-stale": beats_stale,
+    "lives-mixed": lives_mixed,
+    "storm": storm,
+}
--- a/src/pinepitch/proof/scale.py
+++ b/src/pinepitch/proof/scale.py
@@ -27,8 +27,8 @@
 from ..ground.host import Link
 from ..tenure.board import Board
 from ..tenure.job import checked
-from . import tenancy
 from .fleet import PLANS, Fleet, free_ports
+from .jobs import checks, kinds, limits
 from .tenant import StandInTenant
 
 PASS = 0.01  # seconds; between two looks at which hollow worker is due
@@ -139,7 +139,7 @@
             f"w{place}",
             "abc"[place % 3],
             f"10.0.{place // 250}.{place % 250}:1",
-            tenancy.ROOM,
+            limits.ROOM,
             ["ab"[place // 2 % 2], f"r{place // RACK}"],
             True,
             seed,
@@ -258,10 +258,10 @@
         routes = [
             {
                 "name": name,
-                "host": tenancy.HOST,
+                "host": limits.HOST,
                 "prefix": f"/{name}/",
                 "service": ("held", "bare")[place % 2],
-                "attempts": tenancy.ATTEMPTS,
+                "attempts": limits.ATTEMPTS,
                 "priority": place % 4,
                 "aim_ms": 500,
                 "stretch": 3,
@@ -279,7 +279,7 @@
         base, self.version = self.version, self.version + 1
         route = {
             "name": "team0",
-            "host": tenancy.HOST,
+            "host": limits.HOST,
             "prefix": "/team0/",
             "service": "held",
             "priority": base % 4,
@@ -290,7 +290,7 @@
 
     async def submit(self, queue, count, seconds, cpu):
         """Hands a job in; its name."""
-        told, what = tenancy.step_of(count, seconds, cpu)
+        told, what = kinds.step_of(count, seconds, cpu)
         identity = f"{self.random.randrange(16**16):016x}"
         document = {"spec": json.dumps({"steps": [what]}), "steps": [told]}
         job = self.jobs[identity] = {
@@ -307,7 +307,7 @@
             if status == 200:
                 job["accepted"] = time.monotonic()
 
-        await self.ask("job", (tenancy.HOST, f"/{queue}/{identity}", document), taken)
+        await self.ask("job", (limits.HOST, f"/{queue}/{identity}", document), taken)
         return identity
 
     async def fill(self):
@@ -341,7 +341,7 @@
             for name in names:
                 await self.ask(
                     "job-cancel",
-                    (tenancy.HOST, f"/held/{name}"),
+                    (limits.HOST, f"/held/{name}"),
                     lambda status, answer, over=over: over.append(status),
                 )
             await self.settled(
@@ -380,10 +380,10 @@
     def check(self):
         """Faults that the history checks of jobs find."""
         return [
-            *tenancy.never_twice(self.history),
-            *tenancy.steps_kept(self.history, self.jobs),
-            *tenancy.attempts_kept(self.history, self.jobs),
-            *tenancy.room_kept(self.history),
+            *checks.never_twice(self.history),
+            *checks.steps_kept(self.history, self.jobs),
+            *checks.attempts_kept(self.history, self.jobs),
+            *checks.room_kept(self.history),
         ]
 
 
@@ -710,7 +710,7 @@
         routes = [
             {
                 "name": name,
-                "host": tenancy.HOST,
+                "host": limits.HOST,
                 "prefix": f"/{name}/",
                 "service": "held",
                 "attempts": 3,
@@ -725,10 +725,10 @@
         return self
 
     def hand_in(self, count, cpu=100, queue="held", **more):
-        told, what = tenancy.step_of(count, 10.0, cpu, **more)
+        told, what = kinds.step_of(count, 10.0, cpu, **more)
         self.ask(
             "job",
-            tenancy.HOST,
+            limits.HOST,
             f"/{queue}/{self.count:016x}",
             {"spec": json.dumps({"steps": [what]}), "steps": [told]},
         )
@@ -758,7 +758,7 @@
                 "clock_ms": round(self.alone.now * 1000),
                 "leaves_ms": None,
                 "labels": ["ab"[place % 2], f"r{place // RACK}"],
-                "room": tenancy.ROOM,
+                "room": limits.ROOM,
                 "running": [[*key, "", round(self.alone.now * 0.5 % 99, 2)] for key in running],
                 "ended": [],
             },
