--- a/features/steps/scale.py
+++ b/features/steps/scale.py
@@ -2,7 +2,7 @@
 
 from behave import then, when
 
-from pinepitch.proof import scale
+from pinepitch.proof.scale import costs, load, measuring, statistics, sweep
 
 SEED, SECONDS = 1, 3.0
 
@@ -10,13 +10,13 @@
 @when("real daemons bear {workers:d} hollow workers that run {running:d} tasks and start {starts:d} a second")
 def step_bear(context, workers, running, starts):
     context.found = [
-        scale.measure(scale.Load(workers=workers, running=running, starts=starts), SECONDS, SEED)
+        measuring.measure(load.Load(workers=workers, running=running, starts=starts), SECONDS, SEED)
     ]
 
 
 @when("real daemons bear {few:d} hollow workers, then {many:d}")
 def step_both(context, few, many):
-    context.found = [scale.measure(scale.Load(workers=workers), SECONDS, SEED) for workers in (few, many)]
+    context.found = [measuring.measure(load.Load(workers=workers), SECONDS, SEED) for workers in (few, many)]
 
 
 @then("no history check of jobs finds a fault")
@@ -67,7 +67,7 @@
 
 @then("points of 3 + 2x give the slope 2, the intercept 3 and no residual")
 def step_fit(context):
-    slope, level, worst = scale.fit([(x, 3 + 2 * x) for x in (0, 1, 5, 20)])
+    slope, level, worst = statistics.fit([(x, 3 + 2 * x) for x in (0, 1, 5, 20)])
     assert abs(slope - 2) < 1e-9 and abs(level - 3) < 1e-9 and worst < 1e-9, (slope, level, worst)
 
 
@@ -77,7 +77,7 @@
         {"load": {"workers": workers}, "hollow_core": 0.1, "roles": {"leader": {"core": core}}}
         for workers, core in ((10, 0.1), (20, 0.2), (30, 0.3), (400, 0.99))
     ]
-    slope, _, worst, used = scale.slopes("workers", points)["leader"]["core"]
+    slope, _, worst, used = sweep.slopes("workers", points)["leader"]["core"]
     assert used == 3 and abs(slope - 0.01) < 1e-9 and worst < 1e-9, (slope, worst, used)
 
 
@@ -85,7 +85,7 @@
 def step_herds(context, few, many):
     context.costs = []
     for workers in (few, many):
-        _, herd = scale.herd_of(workers)
+        _, herd = costs.herd_of(workers)
         context.costs.append(min(herd.round() for _ in range(5)) / workers)
 
 
--- a/src/pinepitch/client/commands.py
+++ b/src/pinepitch/client/commands.py
@@ -454,7 +454,7 @@
 
     def scale(self, sweep="workers", seconds=8, seed=0, most=None, out=None):
         """Runs real daemons beside hollow workers at rising sizes; prints what each spends."""
-        from ..proof.scale import scale
+        from ..proof.scale.sweep import scale
 
         scale(sweep, seconds, seed, most, out)
 
--- /dev/null
+++ b/src/pinepitch/proof/scale/counted_fleet.py
@@ -0,0 +1,96 @@
+"""A fleet of real daemons whose frames, processor time and memory are counted."""
+
+import json
+import os
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from ...ground import http
+from ...ground.env import split
+from ..fleet import Fleet
+
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+# A daemon's own program, with its frames counted by kind into a file.
+COUNTING = """
+import json, os, threading, time
+from pinepitch.ground import wire
+from pinepitch.{kind}.program import main
+counts, encode, decode = {{"in": {{}}, "out": {{}}}}, wire.encode, wire.decode
+def note(way, size, message):
+    kind = message[0]
+    if kind == "raft":
+        kind += " " + message[4][0]
+    elif kind == "ask":
+        kind += " " + message[3]
+    one = counts[way].setdefault(kind, [0, 0])
+    one[0] += 1
+    one[1] += size
+def counted_encode(source, message):
+    frame = encode(source, message)
+    note("out", len(frame), message)
+    return frame
+def counted_decode(body):
+    frame = decode(body)
+    if not isinstance(frame, wire.Refused):
+        note("in", len(body) + 4, frame[1])
+    return frame
+def tell():
+    while True:
+        time.sleep(0.2)
+        with open({path!r} + ".aside", "w") as file:
+            json.dump({{way: dict(kinds) for way, kinds in counts.items()}}, file)
+        os.replace({path!r} + ".aside", {path!r})
+wire.encode, wire.decode = counted_encode, counted_decode
+threading.Thread(target=tell, daemon=True).start()
+main()
+"""
+
+
+class CountedFleet(Fleet):
+    """A fleet whose daemons count their frames."""
+
+    def start(self, name, *command):
+        kind = "accord" if name.startswith("accord") else "verge"
+        code = COUNTING.format(kind=kind, path=os.path.join(self.folder, f"{name}.counts"))
+        super().start(name, code, *command[1:])
+
+    def spent(self, name):
+        """(processor seconds, bytes resident, bytes written to disk) of a daemon so far."""
+        number = self.processes[name].pid
+        with open(f"/proc/{number}/stat") as file:
+            fields = file.read().rpartition(")")[2].split()
+        with open(f"/proc/{number}/status") as file:
+            resident = next(int(line.split()[1]) for line in file if line.startswith("VmRSS"))
+        with open(f"/proc/{number}/io") as file:
+            written = next(int(line.split()[1]) for line in file if line.startswith("wchar"))
+        return (int(fields[11]) + int(fields[12])) / TICKS, resident * 1024, written
+
+    def frames(self, name):
+        """{way: {kind: [messages, bytes]}} of a daemon so far."""
+        with open(os.path.join(self.folder, f"{name}.counts")) as file:
+            return json.load(file)
+
+    def given_up(self):
+        """{why: how often} leadership was given up so far."""
+        told = {}
+        for place in range(len(self.accords)):
+            with open(os.path.join(self.folder, f"accord{place}.log")) as file:
+                for line in file:
+                    event = json.loads(line) if line.startswith("{") else {}
+                    if event.get("number") == 123:
+                        told[event["why"]] = told.get(event["why"], 0) + 1
+        return told
+
+    async def metrics(self, place):
+        """An accord's own counters and gauges by name."""
+        client = http.Client(*split(self.own[place]))
+        text = (await client.call("GET", "/v1/metrics")).document
+        await client.close()
+        return {
+            one.name: one.value
+            for family in text_string_to_metric_families(text)
+            for one in family.samples
+            if not one.labels
+        }
--- /dev/null
+++ b/src/pinepitch/proof/scale/measuring.py
@@ -0,0 +1,169 @@
+"""One run of real daemons under a load, and what each role spent in it."""
+
+import os
+import tempfile
+import time
+
+import curio
+
+from ...ground.env import split
+from ..fleet import PLANS
+from .counted_fleet import CountedFleet
+from .hollow import Hollow
+from .load import JOB_TASKS
+from .statistics import part
+
+SETTLE = 3.0  # seconds; after a load is in place, before it is measured
+# Where the data folders lie: a file system in memory leaves the disk out.
+DATA = os.environ.get("TMPDIR", "/tmp")
+
+
+async def _measure(load, seconds, seed, folder, data):
+    plan = PLANS["small"]._replace(
+        accords=tuple("abc"[place % 3] for place in range(load.accords)),
+        minions=(),
+        verges=("a",) * load.verges,
+        founders=load.accords,
+    )
+    fleet = CountedFleet(plan, folder, data=data)
+    hollow = Hollow([address for _, address in fleet.accords], load, seed)
+    names = [
+        *(f"accord{place}" for place in range(load.accords)),
+        *(f"verge{place}" for place in range(load.verges)),
+    ]
+    fleet.start_all()
+    try:
+        async with hollow.tasks:
+            await hollow.tasks.spawn(curio.tcp_server, *split(hollow.address), hollow.serve)
+            await fleet.until(fleet.served, 30, "service")
+            await hollow.configure()
+            await hollow.tasks.spawn(hollow.work)
+            await curio.sleep(SETTLE / 2)
+            await hollow.fill()
+            for rate, act in (
+                (load.starts / JOB_TASKS, hollow.start_short),
+                (load.changes, hollow.change),
+                (load.calls, _caller(fleet, hollow)),
+            ):
+                if rate:
+                    await hollow.tasks.spawn(hollow.pace, rate, act)
+            await curio.sleep(SETTLE)
+            before = await _look(fleet, hollow, names)
+            await curio.sleep(seconds)
+            after = await _look(fleet, hollow, names)
+            found = _told(load, hollow, names, before, after)
+            found["given_up"] = fleet.given_up()
+            await hollow.tasks.cancel_remaining()
+    finally:
+        fleet.stop()
+    found["faults"] = hollow.check()
+    return found
+
+
+def _caller(fleet, hollow):
+    async def call():
+        await curio.spawn(_called, fleet, hollow, daemon=True)
+
+    return call
+
+
+async def _called(fleet, hollow):
+    answer = await fleet.call("GET", "/v1/setup")
+    key = ("call", getattr(answer, "status", 0))
+    if key[1] == 200:
+        hollow.answers["call"] = hollow.answers.get("call", 0) + 1
+    else:
+        hollow.refused[key] = hollow.refused.get(key, 0) + 1
+
+
+async def _look(fleet, hollow, names):
+    """All counters at one moment."""
+    taken = {
+        "at": time.monotonic(),
+        "own": time.process_time(),
+        "answers": dict(hollow.answers),
+        "marks": (len(hollow.beat_waits), len(hollow.change_waits), len(hollow.lags)),
+    }
+    for place, name in enumerate(names):
+        taken[name] = (
+            fleet.spent(name),
+            fleet.frames(name),
+            await fleet.metrics(place) if name.startswith("accord") else {},
+        )
+    return taken
+
+
+def _told(load, hollow, names, before, after):
+    """What a window saw, by role."""
+    lasted = after["at"] - before["at"]
+    beats, changes, lags = before["marks"]
+    waits = hollow.start_waits(before["at"])
+    found = {
+        "load": load._asdict(),
+        "seconds": round(lasted, 2),
+        "hollow_core": round((after["own"] - before["own"]) / lasted, 3),
+        "lag_99": part(hollow.lags[lags:], 0.99),
+        "running": sum(len(one.running) for one in hollow.workers),
+        "beats": round((after["answers"].get("beat", 0) - before["answers"].get("beat", 0)) / lasted, 1),
+        "beat_median": part(hollow.beat_waits[beats:], 0.5),
+        "beat_99": part(hollow.beat_waits[beats:], 0.99),
+        "starts": round(len(waits) / lasted, 1),
+        "start_median": part(waits, 0.5),
+        "start_99": part(waits, 0.99),
+        "change_median": part(hollow.change_waits[changes:], 0.5),
+        "change_99": part(hollow.change_waits[changes:], 0.99),
+        "refused": {" ".join(map(str, key)): count for key, count in hollow.refused.items()},
+        "roles": {},
+    }
+    followers = 0
+    found["leaders_lost"] = int(
+        max(
+            after[name][2].get("pinepitch_term", 0) - before[name][2].get("pinepitch_term", 0)
+            for name in names
+            if name.startswith("accord")
+        )
+    )
+    for name in names:
+        (core, _, written), frames, metrics = before[name]
+        (core_after, resident, written_after), frames_after, metrics_after = after[name]
+        if name.startswith("verge"):
+            role = name.replace("verge0", "verge")
+        elif metrics_after.get("pinepitch_leading"):
+            role = "leader"
+        else:
+            followers += 1
+            role = f"follower{followers}"
+        one = {
+            "core": round((core_after - core) / lasted, 4),
+            "resident": resident,
+            "disk": round((written_after - written) / lasted),
+            "kinds": {},
+        }
+        for way in ("in", "out"):
+            told = {}
+            for kind, (count, size) in frames_after[way].items():
+                count_before, size_before = frames[way].get(kind, (0, 0))
+                told[kind] = [round((count - count_before) / lasted, 1), round((size - size_before) / lasted)]
+            one[f"messages_{way}"] = round(sum(count for count, _ in told.values()), 1)
+            one[f"bytes_{way}"] = sum(size for _, size in told.values())
+            one["kinds"][way] = {
+                kind: rate for kind, rate in sorted(told.items(), key=lambda one: -one[1][1])[:6]
+            }
+        for figure, counter in (
+            ("syncs", "pinepitch_syncs_total"),
+            ("entries", "pinepitch_entries_applied_total"),
+        ):
+            if counter in metrics_after:
+                one[figure] = round((metrics_after[counter] - metrics[counter]) / lasted, 1)
+        found["roles"][role] = one
+    return found
+
+
+def measure(load, seconds=8.0, seed=0, folder=None):
+    """One run of real daemons under a load; what it saw. Records lie under TMPDIR: how long a disk
+    takes to sync is no slope of a daemon, so a file system in memory tells most."""
+    folder = folder or tempfile.mkdtemp(prefix="pinepitch-scale-")
+    with tempfile.TemporaryDirectory(
+        prefix="pinepitch-scale-", dir=DATA if os.path.isdir(DATA) else folder
+    ) as data:
+        return curio.run(_measure, load, seconds, seed, folder, data)
