Tokens of carried calls name the life; answers tell their call's kind and subject

Cause: a core daemon's Carrier took its tokens from the store's identity and a count that begins at 0 in every life. So (1) the answer to a former life's beat of one minion was given to the new life's beat of another, (2) the leader held a new call back while a former life's was in hand, (3) `marks` answered a new change of the setup with the outcome of a former life's.

Now a token names the life (an accord's seed, drawn at each start, and seeded by the simulator; a verge's identity is new in each life already). Every answer tells the kind and subject of the call that the leader took (ground/callkey.py); an answer to an unknown token, or about another call than the one under its token, reaches no caller and is event 144 or 145. A leader that is asked another call under a token in hand drops it with event 146.

Beside it: a refusal ("elsewhere") told twice was counted twice, so that a call sent again to someone who took it could be given up as "not taken". Sendings are numbered; a refusal names the one that it refuses.

Shape of frames: "ask" and "elsewhere" end with the sending's number, "answer" with the call's key.

--- a/features/carrier.feature
+++ b/features/carrier.feature
@@ -19,6 +19,7 @@
       | sent                                               | 504    | with no more             |
       | sent, sent to nobody                               | 504    | with no more             |
       | sent, sent, refused                                | 504    | with no more             |
+      | sent, refused, refused again, sent, refused again  | 504    | with no more             |
       | sent, refused, sent                                | 504    | with no more             |
       | sent, in doubt                                     | 504    | with no more             |
       | sent, in doubt, sent, refused                      | 504    | with no more             |
--- /dev/null
+++ b/features/lives.feature
@@ -0,0 +1,32 @@
+Feature: Lives
+  A daemon that is started again has nothing to do with the calls of its former life.
+
+  Scenario: the answer to a former life's beat is given to nobody
+    Given a follower that was started again while the leader had a beat of one minion from it
+    When its new life carries a beat of another minion
+    And the leader's answer to the former life's beat arrives
+    Then no caller is told anything, and the follower tells of an answer to nobody
+    When the leader's answer to the new life's beat arrives
+    Then the other minion is told it once
+
+  Scenario: a leader holds no call back for one of a former life
+    Given a follower that was started again while the leader had a beat of one minion from it
+    When its new life carries a beat of another minion
+    Then the leader answers both beats, each once
+
+  Scenario: a change is not answered with the outcome of a former life's change
+    Given a follower whose former life has carried a change of the setup to its end
+    When its new life carries another change
+    Then the other change is in force, and its answer tells the version that it made
+
+  Scenario Outline: an answer about another call is given to nobody
+    Given a daemon that carries a beat of one minion
+    When an answer under that beat's token tells of <another>
+    Then no caller is told anything, and the daemon tells of an answer to another call
+    When its own answer comes
+    Then the minion is told it once
+
+    Examples:
+      | another                   |
+      | a beat of another minion  |
+      | another call of the minion |
--- a/features/steps/carrier.py
+++ b/features/steps/carrier.py
@@ -8,25 +8,29 @@
 
 ADDRESS, LEADER, OTHER = "10.0.0.9:7000", "10.0.0.1:7000", "10.0.0.2:7000"
 CALL = ("job", ("a.example", "/orders/5c0e7a21d94b36f8", {"steps": [{}]}))
+KEY = ("job", "a.example /orders/5c0e7a21d94b36f8")
 
 
 @given("a call to be carried, with {seconds:d} second of patience")
 @given("a call to be carried, with {seconds:d} seconds of patience")
 def step_call(context, seconds):
-    context.carrier, context.now = Carrier("verge", ADDRESS), 100.0
+    context.carrier, context.now = Carrier("verge", ADDRESS, lambda number, **_: None), 100.0
     context.token = context.carrier.begin(17, *CALL, context.now, seconds)
     context.until, context.replies = context.now + seconds, []
 
 
 @when("its way is: {history}")
 def step_history(context, history):
+    open_sendings = []
     for one in history.split(", "):
         if one == "sent":
-            context.carrier.sent(context.token, LEADER, context.now)
+            open_sendings.append(context.carrier.sent(context.token, LEADER, context.now))
         elif one == "sent to nobody":
             context.carrier.sent(context.token, None, context.now)
         elif one == "refused":
-            context.carrier.refused(context.token)
+            context.carrier.refused(context.token, open_sendings.pop(0))
+        elif one == "refused again":
+            context.carrier.refused(context.token, 1)
         else:
             assert one == "in doubt", one
             context.carrier.unsure(context.token)
@@ -52,13 +56,13 @@
 
 @when("its answer is {status:d}")
 def step_answered(context, status):
-    context.replies.extend(context.carrier.answered(context.token, (status, {"state": "queued"}, None)))
+    context.replies.extend(context.carrier.answered(context.token, (status, {"state": "queued"}, None), KEY))
 
 
 @when("its answer is {status:d} and when to come back")
 def step_answered_again(context, status):
     context.replies.extend(
-        context.carrier.answered(context.token, (status, {"state": "queued"}, constants.COME_BACK))
+        context.carrier.answered(context.token, (status, {"state": "queued"}, constants.COME_BACK), KEY)
     )
 
 
@@ -75,9 +79,9 @@
 
 @then("nothing more is replied, whatever is told later")
 def step_no_more(context):
-    context.carrier.refused(context.token)
+    context.carrier.refused(context.token, 1)
     context.carrier.unsure(context.token)
-    assert not context.carrier.answered(context.token, (200, {}, None))
+    assert not context.carrier.answered(context.token, (200, {}, None), KEY)
     assert context.carrier.due(context.until + 1000) == ([], [])
 
 
@@ -99,7 +103,7 @@
 
 @given("two calls to be carried, one with less patience")
 def step_two(context):
-    context.carrier = Carrier("verge", ADDRESS)
+    context.carrier = Carrier("verge", ADDRESS, lambda number, **_: None)
     context.tokens = [context.carrier.begin(1, *CALL, 100.0, 0.5), context.carrier.begin(2, *CALL, 100.0, 1)]
     assert len(set(context.tokens)) == 2
 
@@ -108,7 +112,7 @@
 def step_second(context):
     for token in context.tokens:
         context.carrier.sent(token, LEADER, 100.0)
-    context.replies = list(context.carrier.answered(context.tokens[1], (200, {}, None)))
+    context.replies = list(context.carrier.answered(context.tokens[1], (200, {}, None), KEY))
     context.replies.extend(context.carrier.due(100.6)[1])
 
 
@@ -151,7 +155,7 @@
     asks = []
     for effect in context.verge.step(message, context.now, 1.7e9 + context.now):
         if effect[0] == "send" and effect[2][0] == "ask" and effect[2][3] == CALL[0]:
-            asks.append((effect[1], effect[2][2]))  # (address, token)
+            asks.append((effect[1], effect[2][2], effect[2][5]))  # (address, token, sending)
         elif effect[0] == "reply":
             context.replies.append(effect)
     context.asks.extend(asks)
@@ -183,20 +187,20 @@
 
 @when("a client's call comes there and the leader names another")
 def step_names(context):
-    ((_, context.token),) = call(context)
+    ((_, context.token, sending),) = call(context)
     context.asks.clear()
-    step(context, "elsewhere", context.token, OTHER)
+    step(context, "elsewhere", context.token, OTHER, sending)
 
 
 @then("the same call goes to the other at once")
 def step_same(context):
-    assert context.asks == [(OTHER, context.token)], context.asks
+    assert [one[:2] for one in context.asks] == [(OTHER, context.token)], context.asks
 
 
 @when("the other answers it, twice")
 def step_twice(context):
     for _ in range(2):
-        step(context, "answer", context.token, (200, {"state": "queued"}, None))
+        step(context, "answer", context.token, (200, {"state": "queued"}, None), KEY)
     run(context, 1.1)
 
 
@@ -204,15 +208,15 @@
 def step_refuse(context):
     asked = call(context)
     for _ in range(round(1.1 / constants.TICK)):
-        for _, token in asked:
-            step(context, "elsewhere", token, None)
+        for _, token, sending in asked:
+            step(context, "elsewhere", token, None, sending)
         context.now += constants.TICK
         asked = step(context, "tick")
 
 
 @then("it was sent several times as the same call")
 def step_several(context):
-    assert len(context.asks) > 2 and len({token for _, token in context.asks}) == 1, context.asks
+    assert len(context.asks) > 2 and len({token for _, token, _ in context.asks}) == 1, context.asks
 
 
 @then("the client is told {status:d} once")
--- a/features/steps/keeper.py
+++ b/features/steps/keeper.py
@@ -111,14 +111,14 @@
         """Sends a call; its token."""
         self.count += 1
         token = f"t{self.count}"
-        self.step("ask", DOOR, token, call, arguments)
+        self.step("ask", DOOR, token, call, arguments, 1)
         return token
 
     def told(self, call, *arguments):
         """(status, document) of a call that is agreed on."""
         token = self.ask(call, *arguments)
         self.until(lambda: token in self.answers, 2)
-        kind, answer = self.answers[token]
+        kind, answer, *_ = self.answers[token]
         assert kind == "answer", kind
         return answer[:2]
 
@@ -210,7 +210,7 @@
 @then("the beat is answered with {status:d}")
 def step_beat_status(context, status):
     context.cohort.until(lambda: context.token in context.cohort.answers, 2)
-    kind, answer = context.cohort.answers[context.token]
+    kind, answer, *_ = context.cohort.answers[context.token]
     assert kind == "answer" and answer[0] == status, answer
 
 
--- /dev/null
+++ b/features/steps/lives.py
@@ -0,0 +1,200 @@
+"""Steps for Lives: a follower of a simulated cohort, its former life and its new one."""
+
+from unittest import mock
+
+from behave import given, then, when
+
+from pinepitch.ground.carrier import Carrier
+from pinepitch.proof import simulator as simulators
+
+ANSWER_TO_NOBODY, ANSWER_TO_ANOTHER_CALL = 144, 145
+PATIENCE = 2.0  # seconds
+MINION_ONE, MINION_TWO = 1, 2  # numbers of the requests of their beats
+
+
+def beat_of(identity):
+    """The arguments of a first beat."""
+    return (
+        identity,
+        {
+            "service": "web",
+            "address": f"10.8.0.{len(identity)}:80",
+            "zone": "a",
+            "state": "ready",
+            "sequence": 1,
+            "clock_ms": 5_000,
+            "leaves_ms": None,
+            "labels": ["a", "r1"],
+            "room": [4000, 4096, 0],
+            "running": [],
+            "ended": [],
+        },
+    )
+
+
+class Cohort:
+    """Three simulated accords whose answers to carried calls are kept instead of delivered."""
+
+    def __init__(self):
+        self.simulator = simulators.Simulator(7, minions=())
+        self.simulator.begin()
+        self.simulator.until(lambda: self.leader.core.epoch > 0, 20)
+        self.follower = next(
+            node
+            for node in self.simulator.nodes.values()
+            if node.kind == "accord" and node is not self.leader
+        )
+        self.answers = []
+
+    @property
+    def leader(self):
+        return self.simulator.leader()
+
+    def restart(self):
+        """The follower loses power and comes back; it follows the leader again."""
+        self.simulator.kill(self.follower.name)
+        self.simulator.start(self.follower.name)
+        found = self.simulator.until(
+            lambda: self.follower.core.consensus.following == self.leader.core.identity, 10, 0.02
+        )
+        assert found is not None, "the follower heard of no leader"
+
+    def carried(self, request, call, arguments):
+        """What the follower asks the leader about a call that comes to it."""
+        message = ("call", request, call, arguments, PATIENCE)
+        effects = self.follower.core.step(message, self.simulator.now + 1000.0, 0.0)
+        (ask,) = [effect[2] for effect in effects if effect[0] == "send" and effect[2][0] == "ask"]
+        return ask
+
+    def ask_leader(self, *asks):
+        """Gives the leader calls at one moment, and time to answer; the answers."""
+        before = len(self.answers)
+        with mock.patch.dict(simulators.EFFECTS, {"send": self._kept_send}):
+            for ask in asks:
+                self.simulator.give(self.leader, ask)
+            self.simulator.run(0.5)
+        return self.answers[before:]
+
+    def _kept_send(self, simulator, node, address, message):
+        if message[0] == "answer" and address == self.follower.address:
+            self.answers.append(message)
+        elif node is not self.follower or message[0] != "ask":  # what it asks again is left out
+            simulators.Simulator._send(simulator, node, address, message)
+
+    def follower_hears(self, message):
+        """Effects of a message at the follower."""
+        return self.follower.core.step(message, self.simulator.now + 1000.0, 0.0)
+
+
+def replies(effects):
+    return [effect for effect in effects if effect[0] == "reply"]
+
+
+def events(effects):
+    return [effect[1] for effect in effects if effect[0] == "event"]
+
+
+@given("a follower that was started again while the leader had a beat of one minion from it")
+def step_restarted(context):
+    context.cohort = Cohort()
+    context.former = context.cohort.carried(MINION_ONE, "beat", beat_of("one"))
+    context.cohort.restart()
+
+
+@when("its new life carries a beat of another minion")
+def step_new_beat(context):
+    context.newer = context.cohort.carried(MINION_TWO, "beat", beat_of("another"))
+
+
+@when("the leader's answer to the former life's beat arrives")
+def step_former_answer(context):
+    (answer,) = context.cohort.ask_leader(context.former)
+    context.effects = context.cohort.follower_hears(answer)
+
+
+@then("no caller is told anything, and the follower tells of an answer to nobody")
+def step_nobody(context):
+    assert not replies(context.effects), context.effects
+    assert events(context.effects) == [ANSWER_TO_NOBODY], context.effects
+
+
+@when("the leader's answer to the new life's beat arrives")
+def step_newer_answer(context):
+    (answer,) = context.cohort.ask_leader(context.newer)
+    context.effects = [*context.cohort.follower_hears(answer), *context.cohort.follower_hears(answer)]
+
+
+@then("the other minion is told it once")
+def step_told_once(context):
+    assert [one[1:3] for one in replies(context.effects)] == [(MINION_TWO, 200)], context.effects
+
+
+@then("the leader answers both beats, each once")
+def step_both(context):
+    answers = context.cohort.ask_leader(context.former, context.newer)
+    told = sorted(answer[1] for answer in answers)
+    assert told == sorted([context.former[2], context.newer[2]]), answers
+    assert len(set(told)) == 2, "both lives use one token"
+
+
+def change_of(words):
+    return (None, "merge", {"notes": {"words": words}}, "operator", "a reason")
+
+
+@given("a follower whose former life has carried a change of the setup to its end")
+def step_changed(context):
+    context.cohort = cohort = Cohort()
+    (answer,) = cohort.ask_leader(cohort.carried(1, "change", change_of("former")))
+    context.former_version = answer[2][1]["version"]
+    cohort.restart()
+
+
+@when("its new life carries another change")
+def step_other_change(context):
+    cohort = context.cohort
+    (context.answer,) = cohort.ask_leader(cohort.carried(1, "change", change_of("newer")))
+
+
+@then("the other change is in force, and its answer tells the version that it made")
+def step_in_force(context):
+    record = context.cohort.leader.core.record
+    assert record.setup["notes"] == {"words": "newer"}, record.setup
+    assert context.answer[2][:2] == (200, {"version": context.former_version + 1}), context.answer
+
+
+# --- an answer to another call --------------------------------------------------------
+@given("a daemon that carries a beat of one minion")
+def step_daemon(context):
+    context.events = []
+    context.carrier = Carrier("life", "10.0.0.9:7000", lambda number, **_: context.events.append(number))
+    context.token = context.carrier.begin(MINION_ONE, "beat", beat_of("one"), 100.0, PATIENCE)
+    context.carrier.sent(context.token, "10.0.0.1:7000", 100.0)
+
+
+OTHER_CALLS = {
+    "a beat of another minion": ("beat", "another"),
+    "another call of the minion": ("beat-leave", "one"),
+}
+
+
+@when("an answer under that beat's token tells of {another}")
+def step_other_answer(context, another):
+    context.effects = context.carrier.answered(context.token, (200, {}, None), OTHER_CALLS[another])
+
+
+@then("no caller is told anything, and the daemon tells of an answer to another call")
+def step_another(context):
+    assert not context.effects and context.events == [ANSWER_TO_ANOTHER_CALL], (
+        context.effects,
+        context.events,
+    )
+
+
+@when("its own answer comes")
+def step_own_answer(context):
+    context.effects = context.carrier.answered(context.token, (200, {}, None), ("beat", "one"))
+
+
+@then("the minion is told it once")
+def step_minion_told(context):
+    assert [one[1:3] for one in replies(context.effects)] == [(MINION_ONE, 200)], context.effects
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -59,7 +59,9 @@
         self.sync_spread, self.wait_spreads = metrics.Spread(), {}
         self.hold = constants.HOLD
         self.far = constants.FAR  # times as long that a task takes away from its data
-        self.carrier = Carrier(identity, address)
+        self.carrier = Carrier(
+            f"{identity}~{seed}", address, self._event
+        )  # the seed is drawn anew in each life
         self.hinted = {}  # minion -> when it was last told where the leader is
         self.step_at = 0.0
         self._clear_lead(0.0)
@@ -70,7 +72,7 @@
         self.awaiting = {}  # index -> [(kind, ...)] to be told the outcome
         self.reading = {}  # token -> (address, call, arguments)
         self.read_count = 0
-        self.in_hand = set()
+        self.in_hand = {}  # token -> InHand of the carried calls that are being answered
         self.asks = {}  # verge -> (address, token, news seen, asked at)
         self.outbox = {}  # verge -> {(reference, attempt): order}
         self.kills = {}  # reference -> when last ordered
@@ -529,12 +531,12 @@
     def _carry(self, token, now):
         call = self.carrier.calls[token]
         if self.consensus is not None and self.consensus.role == "leader":
-            self.carrier.sent(token, self.address, now)
-            self._on_ask(self.address, token, call.call, call.arguments, now)
+            sending = self.carrier.sent(token, self.address, now)
+            self._on_ask(self.address, token, call.call, call.arguments, sending, now)
         else:
             address = self._leader_address()
-            self.carrier.sent(token, address, now)
-            self._send(address, ("ask", self.address, token, call.call, call.arguments))
+            sending = self.carrier.sent(token, address, now)
+            self._send(address, ("ask", self.address, token, call.call, call.arguments, sending))
 
     def _carry_again(self, now):
         due, effects = self.carrier.due(now)
@@ -548,19 +550,21 @@
         self.seeds = tuple(seeds)
         self._event(182, seeds=list(seeds))
 
-    def _on_answer(self, token, answer, now):
-        call = self.carrier.calls.get(token)
-        if call is not None and call.call == "beat" and "home" in answer[1]:
+    def _on_answer(self, token, answer, key, now):
+        call = self.carrier.waiting(token, key)
+        if call is None:
+            return
+        if call.call == "beat" and "home" in answer[1]:
             # where the leader is, is told now and then only: a minion that can't reach it beats here again
             minion = call.arguments[0]
             if now - self.hinted.get(minion, -1e9) < constants.HINT_EVERY:
                 del answer[1]["home"]
             else:
                 self.hinted[minion] = now
-        self.effects.extend(self.carrier.answered(token, answer))
+        self.effects.extend(self.carrier.answered(token, answer, key))
 
-    def _on_elsewhere(self, token, leader, now):
-        self.carrier.refused(token)
+    def _on_elsewhere(self, token, leader, sending, now):
+        self.carrier.refused(token, sending)
 
     def _on_unsure(self, token, now):
         self.carrier.unsure(token)
--- a/src/pinepitch/accord/lead.py
+++ b/src/pinepitch/accord/lead.py
@@ -1,6 +1,9 @@
 """What an accord does while it leads: calls, news, reports, placing, watching."""
 
+from typing import NamedTuple
+
 from ..ground import constants, metrics
+from ..ground.callkey import CallKey, key_of
 from ..tenure import calls as tenure
 from ..world.minion import Minion
 from . import figures
@@ -9,27 +12,37 @@
 KEPT = tuple(tenure.CALLS)  # calls that only a leader with its lease and epoch may answer
 
 
+class InHand(NamedTuple):
+    """A carried call that is being answered, and which sending of it was taken."""
+
+    key: CallKey
+    sending: int
+
+
 class Lead:
-    """The leader's part of Accord. Invariant: what it gathers (minions, awaiting, outbox) is
-    empty unless this accord leads."""
+    """The leader's part of Accord. Invariants: what it gathers (minions, awaiting, outbox) is
+    empty unless this accord leads; a call is in in_hand until it is answered, and answered as
+    the call that it was taken as."""
 
     # --- leading: calls carried by verges ---------------------------------------------
-    def _on_ask(self, address, token, call, arguments, now):
-        """A verge carries a call; every call is safe to be asked again."""
+    def _on_ask(self, address, token, call, arguments, sending, now):
+        """A daemon carries a call; every call is safe to be asked again."""
         consensus = self.consensus
         if consensus is None or consensus.role != "leader" or self.stopping:
-            self.elsewhere(address, token, self._leader_address())
+            self._refuse(address, token, self._leader_address(), sending)
             return
+        key = key_of(call, arguments)
         if token in self.in_hand:
+            if self.in_hand[token].key != key:
+                self._event(146, token=token, held=list(self.in_hand[token].key), asked=list(key))
             return
+        self.in_hand[token] = InHand(key, sending)
         handler = CALLS.get(call)
         if handler is None:
             self.answer(address, token, (400, {"code": "unknown_call"}, None))
             return
-        self.in_hand.add(token)
         if not handler.reads:
             if not consensus.serving() or call in KEPT and (self.epoch <= 0 or not consensus.leased(now)):
-                self.in_hand.discard(token)
                 self.elsewhere(address, token, None)
                 return
             self._decide(address, token, handler, arguments, now)
@@ -54,28 +67,34 @@
     def _answer_read(self, read, now):
         address, token, handler, arguments = self.reading.pop(read, (None, None, None, None))
         if handler is not None:
-            self.in_hand.discard(token)
             self.answer(address, token, handler.make(self, token, arguments, now)[1])
 
     def answer(self, address, token, answer):
-        """The answer to a carried call, perhaps to one that this accord carried itself."""
-        self.in_hand.discard(token)
+        """The answer to a call in hand, perhaps to one that this accord carried itself."""
+        held = self.in_hand.pop(token, None)
+        if held is None:
+            return
         if address == self.address:
-            self.effects.extend(self.carrier.answered(token, answer))
+            self.effects.extend(self.carrier.answered(token, answer, held.key))
         else:
-            self._send(address, ("answer", token, answer))
+            self._send(address, ("answer", token, answer, held.key))
 
     def elsewhere(self, address, token, leader):
-        """A call that this accord did not take."""
-        self.in_hand.discard(token)
+        """A call in hand that this accord does not take after all."""
+        held = self.in_hand.pop(token, None)
+        if held is not None:
+            self._refuse(address, token, leader, held.sending)
+
+    def _refuse(self, address, token, leader, sending):
+        """Says that one sending of a call was not taken here."""
         if address == self.address:
-            self.carrier.refused(token)
+            self.carrier.refused(token, sending)
         else:
-            self._send(address, ("elsewhere", token, leader))
+            self._send(address, ("elsewhere", token, leader, sending))
 
     def unsure(self, address, token):
         """A call that may have been taken, though this accord can't say."""
-        self.in_hand.discard(token)
+        self.in_hand.pop(token, None)
         if address == self.address:
             self.carrier.unsure(token)
         else:
@@ -118,7 +137,7 @@
         """A verge asks for news and says how its orders went."""
         consensus = self.consensus
         if consensus is None or consensus.role != "leader" or not consensus.serving():
-            self.elsewhere(address, token, self._leader_address())
+            self._refuse(address, token, self._leader_address(), 0)
             return
         session = self.sessions.held.get(verge)
         self.sessions.greeted(verge, "verge", session.area if session else "", address, now)
--- a/src/pinepitch/ground/carrier.py
+++ b/src/pinepitch/ground/carrier.py
@@ -1,42 +1,63 @@
 """Calls on their way to the leader, until one answers or nothing more is to be hoped for."""
 
 from . import constants
+from .callkey import key_of
 
 
 class Call:
-    """Invariants: token is the same every time it is sent; open counts what was sent and
-    neither answered nor refused, so that 0 means that nobody took it."""
+    """Invariants: token is the same every time it is sent; open holds the numbers of the sendings
+    that were neither answered nor refused, so that an empty one means that nobody took it."""
 
-    __slots__ = ("request", "call", "arguments", "until", "again", "to", "open", "doubtful")
+    __slots__ = (
+        "request",
+        "call",
+        "arguments",
+        "key",
+        "until",
+        "again",
+        "to",
+        "sendings",
+        "open",
+        "doubtful",
+    )
 
     def __init__(self, request, call, arguments, until):
         self.request, self.call, self.arguments, self.until = request, call, arguments, until
+        self.key = key_of(call, arguments)
         self.again = self.to = None
-        self.open = 0
+        self.sendings = 0
+        self.open = set()
         self.doubtful = False
 
 
 class Carrier:
-    """Invariant: a call leaves `calls` with its one reply."""
+    """Invariants: a call leaves `calls` with its one reply; `life` names one life of one daemon, so
+    that no token is ever used for two calls; an answer is given to none but the call it is about."""
 
-    def __init__(self, identity, address):
-        self.identity, self.address = identity, address
+    def __init__(self, life, address, event):
+        self.life, self.address = life, address
+        self._event = event  # tells a numbered event
         self.calls = {}
         self.count = 0
 
     def begin(self, request, call, arguments, now, patience):
         """Takes a call; its token."""
         self.count += 1
-        token = f"{self.identity}~{self.count}"
+        token = f"{self.life}~{self.count}"
         self.calls[token] = Call(request, call, arguments, now + min(patience, constants.CALL_PATIENCE))
         return token
 
     def sent(self, token, address, now):
-        """Notes that a call is sent to `address`, or to nobody when it is None."""
+        """Notes that a call is sent to `address`, or to nobody when it is None; the sending's number."""
         call = self.calls[token]
         call.to = address
-        call.open += address is not None
-        call.again = now + constants.CARRY_AGAIN if address is not None else now + constants.CARRY_SEEK
+        if address is None:
+            call.again = now + constants.CARRY_SEEK
+            return 0
+        call.again = now + constants.CARRY_AGAIN
+        call.sendings += 1
+        call.open.add(call.sendings)
+        return call.sendings
 
     def due(self, now):
         """(tokens to be sent again, effects that reply to those given up)."""
@@ -62,20 +83,32 @@
             (("Retry-After", str(constants.COME_BACK)),),
         )
 
-    def answered(self, token, answer):
-        """Effects of the answer to a call."""
-        call = self.calls.pop(token, None)
+    def waiting(self, token, key):
+        """The call under a token if an answer about `key` is for it, else None."""
+        call = self.calls.get(token)
+        if call is None:
+            self._event(144, token=token)
+            return None
+        if call.key != tuple(key):
+            self._event(145, token=token, call=call.call, told=list(key))
+            return None
+        return call
+
+    def answered(self, token, answer, key):
+        """Effects of the answer to a call, that tells by its key what it is about."""
+        call = self.waiting(token, key)
         if call is None:
             return ()
+        del self.calls[token]
         status, document, retry = answer
         headers = () if retry is None else (("Retry-After", str(retry)),)
         return (("reply", call.request, status, document, headers),)
 
-    def refused(self, token):
-        """Whom it was sent to did not take it, and never will."""
+    def refused(self, token, sending):
+        """Whom it was sent to did not take that sending of it, and never will."""
         call = self.calls.get(token)
-        if call is not None:
-            call.open = max(0, call.open - 1)
+        if call is not None and sending in call.open:
+            call.open.remove(sending)
             call.again = min(call.again, call.again - constants.CARRY_AGAIN + constants.CARRY_SEEK)
 
     def unsure(self, token):
--- a/src/pinepitch/proof/scale/costs.py
+++ b/src/pinepitch/proof/scale/costs.py
@@ -50,7 +50,7 @@
 
     def ask(self, call, *arguments):
         self.count += 1
-        self.give(("ask", "127.0.0.1:2", f"t{self.count}", call, arguments))
+        self.give(("ask", "127.0.0.1:2", f"t{self.count}", call, arguments, 1))
 
     def begin(self):
         """Leads, with two routes in force."""
--- a/src/pinepitch/proof/scale/hollow.py
+++ b/src/pinepitch/proof/scale/hollow.py
@@ -99,7 +99,7 @@
             self.turn += 1
             address = self.leader or self.accords[self.turn % len(self.accords)]
         self.calls[token] = [call, arguments, told, time.monotonic()]
-        await self._send(address, ("ask", self.address, token, call, arguments))
+        await self._send(address, ("ask", self.address, token, call, arguments, 1))
 
     async def _heard(self, kind, *rest):
         token = rest[0] if rest else None
@@ -108,7 +108,7 @@
             return
         if kind == "elsewhere" and rest[1]:
             self.leader = rest[1]
-            await self._send(rest[1], ("ask", self.address, token, *call[:2]))
+            await self._send(rest[1], ("ask", self.address, token, *call[:2], 2))
             return
         del self.calls[token]
         status, document = rest[1][:2] if kind == "answer" else (503, {})
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from ..ground import constants
+from ..ground.callkey import key_of
 from ..ground.carrier import Carrier
 from .filters import FILTERS
 
@@ -52,7 +53,7 @@
         self.effects = []
         self.stopping = False
         self.kills = {}
-        self.carrier = Carrier(identity, address)  # calls about jobs
+        self.carrier = Carrier(identity, address, self._event)  # calls about jobs; each life has its identity
         self.configured = False  # whether a configuration was ever heard to be in force
         self.event_counts = {}
         self.counts = {"calls": 0, "carried": 0, "answered": 0, "unanswered": 0, "orders": 0, "shed": 0}
@@ -197,7 +198,7 @@
     def _carry(self, token, carried, address, now):
         self.carried[token] = carried._replace(sent=now, to=address or "")
         if address is not None:
-            self._send(address, ("ask", self.address, token, carried.call, carried.arguments))
+            self._send(address, ("ask", self.address, token, carried.call, carried.arguments, 0))
 
     def _on_call(self, request, call, arguments, patience, now):
         """A call about jobs, carried to whoever leads; or whether this verge is ready."""
@@ -212,8 +213,8 @@
     def _carry_call(self, token, now):
         call = self.carrier.calls[token]
         address = self._way(call.to or "") if call.to == self.leader and call.open else self._way("")
-        self.carrier.sent(token, address, now)
-        self._send(address, ("ask", self.address, token, call.call, call.arguments))
+        sending = self.carrier.sent(token, address, now)
+        self._send(address, ("ask", self.address, token, call.call, call.arguments, sending))
 
     def _on_seeds(self, seeds, now):
         """The settings name other seeds."""
@@ -223,21 +224,24 @@
     def _on_unsure(self, token, now):
         self.carrier.unsure(token)
 
-    def _on_answer(self, token, answer, now):
-        if token in self.carrier.calls:
-            self.effects.extend(self.carrier.answered(token, answer))
+    def _on_answer(self, token, answer, key, now):
+        carried = self.carried.get(token)
+        if carried is None:
+            self.effects.extend(self.carrier.answered(token, answer, key))
+            return
+        if key_of(carried.call, carried.arguments) != tuple(key):
+            self._event(145, token=token, call=carried.call, told=list(key))
             return
-        carried = self.carried.pop(token, None)
-        if carried is not None:
-            status, document, retry = answer
-            self.counts["answered"] += 1
-            self.counts["shed"] += status == 429
-            headers = ()
-            if carried.call in ("setup", "change", "back") and status == 200:
-                headers = (("ETag", f'"{document["version"]}"'),)
-            self._reply(carried.request, status, document, retry, headers)
-
-    def _on_elsewhere(self, token, leader, now):
+        del self.carried[token]
+        status, document, retry = answer
+        self.counts["answered"] += 1
+        self.counts["shed"] += status == 429
+        headers = ()
+        if carried.call in ("setup", "change", "back") and status == 200:
+            headers = (("ETag", f'"{document["version"]}"'),)
+        self._reply(carried.request, status, document, retry, headers)
+
+    def _on_elsewhere(self, token, leader, sending, now):
         """An accord that doesn't lead says who does."""
         if token == self.news_token:
             self.news_token = None
@@ -249,7 +253,7 @@
             return
         call = self.carrier.calls.get(token)
         if call is not None:
-            self.carrier.refused(token)
+            self.carrier.refused(token, sending)
             if leader is not None and leader != call.to:
                 self.leader = leader
                 self._carry_call(token, now)
--- a/src/pinepitch/world/contract.py
+++ b/src/pinepitch/world/contract.py
@@ -78,10 +78,10 @@
     "raft": (str, str, str, list),
     "claim": (str, str),
     "measured": (int, str, int, dict),
-    "ask": (str, str, str, list),
+    "ask": (str, str, str, list, int),
     "news": (str, str, str, (int, int), [OUTCOME]),
-    "answer": (str, (int, ANY, Maybe(int))),
-    "elsewhere": (str, Maybe(str)),
+    "answer": (str, (int, ANY, Maybe(int)), (str, str)),
+    "elsewhere": (str, Maybe(str), int),
     "unsure": (str,),
     "told": (str, (int, int), Maybe(dict), [dict], [(str, int, str)], Number, Number, [ACCORD], Maybe(str)),
 }
