--- a/features/lives.feature
+++ b/features/lives.feature
@@ -30,3 +30,15 @@
       | another                   |
       | a beat of another minion  |
       | another call of the minion |
+
+  Scenario Outline: a follower started again while a snapshot is on its way gets all that it lacks
+    Given a leader that sends a follower a snapshot in <pieces>, without the segments that it holds
+    When the follower is started again after <taken> pieces and holds fewer segments by then
+    And what its former life answered last arrives again
+    Then the follower installs the snapshot with all of its segments
+
+    Examples:
+      | pieces      | taken |
+      | one piece   | 0     |
+      | many pieces | 0     |
+      | many pieces | 2     |
--- /dev/null
+++ b/features/steps/snapshot_lives.py
@@ -0,0 +1,105 @@
+"""Steps for Lives: a follower that is started again while a snapshot is sent to it."""
+
+from unittest import mock
+
+from behave import given, then, when
+
+from pinepitch.accord.consensus import Consensus, Follower
+from pinepitch.ground import constants
+
+MEMBERS = {"leader": "a", "follower": "b", "other": "c"}
+SEGMENTS = {number: bytes([number]) * 40 for number in range(1, 7)}
+PIECE_SIZES = {"one piece": 100_000, "many pieces": 20}
+TERM, SNAPSHOT_INDEX = 3, 900
+
+
+class Segments:
+    """As much of an archive as consensus asks of it. Invariant: holds all segments up to `sealed`."""
+
+    def __init__(self, sealed):
+        self.sealed = sealed
+
+    def segment(self, number):
+        return SEGMENTS[number] if number <= self.sealed else None
+
+
+def member(identity, sealed):
+    consensus = Consensus(identity, 1, MEMBERS)
+    consensus.archive = Segments(sealed)
+    consensus.term = consensus.leader_term = TERM
+    return consensus
+
+
+class Transfer:
+    """A leader and a follower that hear each other at once; what they save is durable at once."""
+
+    def __init__(self, piece_size):
+        self.now, self.installed = 10.0, None
+        self.piece_size = piece_size
+        self.last_answer = None
+        self.leader = member("leader", len(SEGMENTS))
+        self.leader.base_index, self.leader.base_term = SNAPSHOT_INDEX, TERM - 1
+        self.leader.base_image, self.leader.base_segments = b"image", (1, len(SEGMENTS))
+        self.leader.first, self.leader.role = SNAPSHOT_INDEX + 1, "leader"
+        self.leader.followers = {"follower": Follower(SNAPSHOT_INDEX, self.now)}
+        self.leader.followers["follower"].next = 1
+        self.follower = member("follower", 5)
+
+    def run(self, effects, pieces=1_000):
+        """Carries what the leader sends to the follower and back, until so many pieces were taken."""
+        queue = list(effects)
+        while queue:
+            effect = queue.pop(0)
+            if effect[0] == "install":
+                self.installed = effect
+            elif effect[0] == "base":
+                queue.extend(self.follower.saved(effect[1], self.now))
+            elif effect[0] == "send" and effect[1] == "follower":
+                if effect[2][0] == "piece" and effect[2][5] >= 0:
+                    pieces -= 1
+                    if pieces < 0:
+                        return
+                queue.extend(self.follower.step("leader", effect[2], self.now))
+            elif effect[0] == "send" and effect[1] == "leader":
+                self.last_answer = effect[2]
+                queue.extend(self.leader.step("follower", effect[2], self.now))
+
+    def resend(self):
+        """The leader sends again what was not answered."""
+        self.now += 2 * constants.APPEND_RESEND
+        self.leader._replicate("follower", self.now)
+        return self.leader._done(self.now)
+
+
+@given("a leader that sends a follower a snapshot in {pieces}, without the segments that it holds")
+def step_snapshot(context, pieces):
+    context.transfer = Transfer(PIECE_SIZES[pieces])
+
+
+@when("the follower is started again after {taken:d} pieces and holds fewer segments by then")
+def step_again(context, taken):
+    transfer = context.transfer
+    with mock.patch.object(constants, "SNAPSHOT_PIECE", transfer.piece_size):
+        transfer.run(transfer.resend(), taken)
+    assert transfer.last_answer is not None and transfer.installed is None
+    transfer.follower = member("follower", 2)
+
+
+@when("what its former life answered last arrives again")
+def step_former_answer(context):
+    transfer = context.transfer
+    with mock.patch.object(constants, "SNAPSHOT_PIECE", transfer.piece_size):
+        transfer.run(transfer.resend(), 2)
+        transfer.run(transfer.leader.step("follower", transfer.last_answer, transfer.now))
+
+
+@then("the follower installs the snapshot with all of its segments")
+def step_installed(context):
+    transfer = context.transfer
+    with mock.patch.object(constants, "SNAPSHOT_PIECE", transfer.piece_size):
+        for _ in range(10):
+            transfer.run(transfer.resend())
+    assert transfer.installed is not None, "nothing was installed"
+    held = {number: SEGMENTS[number] for number in range(1, transfer.follower.archive.sealed + 1)}
+    assert {**held, **transfer.installed[3]} == SEGMENTS, transfer.installed
+    assert transfer.leader.followers["follower"].match == SNAPSHOT_INDEX
--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -34,6 +34,34 @@
         self.forgot = False  # whether it lacks what it acknowledged in this leader's time
 
 
+class Incoming:
+    """A snapshot that a follower receives. Invariant: whoever sends it was told in this life of the
+    follower which segments it holds, since a former life may have held more."""
+
+    def __init__(self, index):
+        self.index = index
+        self.total = None  # bytes, as told with the first piece
+        self.data = bytearray()
+
+    def take(self, offset, total, piece):
+        """Adds a piece; False when it isn't the next one."""
+        if offset == 0:
+            self.data.clear()
+            self.total = total
+        if offset != len(self.data):
+            return False
+        self.data.extend(piece)
+        return True
+
+    def whole(self, held):
+        """(image, span, segments), or None if some segment neither came nor is held."""
+        image, span, segments = cbor2.loads(bytes(self.data))
+        first, last = span
+        if any(number not in segments for number in range(max(first, held + 1), last + 1)):
+            return None
+        return image, tuple(span), segments
+
+
 class Consensus:
     """One accord's part in the cohort.
 
@@ -78,7 +106,7 @@
         self.beats = {}  # number of a beat -> when it was sent, of the newest BEATS_KEPT
         self.base_segments = (1, 0)  # (first, last) of the archive that the base stands on
         self.archive = None  # the record's, to send and to say what of it is held
-        self.incoming = None  # (index, bytearray) of a snapshot being received
+        self.incoming = None  # Incoming of a snapshot being received
 
     # --- state from and to disk ------------------------------------------------------
     def restore(self, base, changes):
@@ -718,22 +746,23 @@
         if index <= self.commit:
             self._send(sender, ("pieced", term, index, BEYOND, held, beat), self._hard_wait())
             return
-        if offset <= 0:
-            self.incoming = (index, bytearray())
-        if offset < 0:
+        incoming = self.incoming
+        fresh = incoming is None or incoming.index != index or offset > 0 and incoming.total != total
+        if offset < 0 or fresh:
+            self.incoming = Incoming(index)  # begun anew with what this life holds
             self._send(sender, ("pieced", term, index, -1, held, beat), self._hard_wait())
             return
-        if self.incoming is None or self.incoming[0] != index or len(self.incoming[1]) != offset:
-            have = len(self.incoming[1]) if self.incoming and self.incoming[0] == index else 0
+        if not self.incoming.take(offset, total, piece) or len(self.incoming.data) < total:
+            have = len(self.incoming.data)
             self._send(sender, ("pieced", term, index, have, held, beat), self._hard_wait())
             return
-        self.incoming[1].extend(piece)
-        if len(self.incoming[1]) < total:
-            self._send(sender, ("pieced", term, index, len(self.incoming[1]), held, beat), self._hard_wait())
+        whole = self.incoming.whole(held)
+        if whole is None:
+            self.incoming = Incoming(index)
+            self._send(sender, ("pieced", term, index, -1, held, beat), self._hard_wait())
             return
-        self.base_image, span, segments = cbor2.loads(bytes(self.incoming[1]))
         self.incoming = None
-        self.base_segments = tuple(span)
+        self.base_image, self.base_segments, segments = whole
         self.base_index, self.base_term = index, snapshot_term
         self.base_cohort = cohort_from(image)
         if self.term_at(index) == snapshot_term and self.first <= index:
