A connection's leftovers never answer the next call; a refused caller can read its answer

Causes: (1) a client that used a connection again took whatever stood on it for the answer to its next call: bytes behind the last answer, or an answer that came late. It now looks before each call, and opens a new connection when there is anything unread or the old one has ended. (2) A daemon that refused a request (413, 408, 400) closed at once with bytes unread; the kernel then resets the connection and takes the answer with it. It now ends its side, and reads what comes for up to a second.

Ruled out, by tests that pass without a change: an answer that is handed to the next request on a connection, or to another one (replies repeated, to numbers unknown, to callers that gave up; three requests in one piece); half requests that are decided (resets at every byte).

Tests: features/connections.feature; seen failing on the code before: an answer followed by another, at once and late, a connection closed after the answer, and a body of ten times the limit.

--- /dev/null
+++ b/features/connections.feature
@@ -0,0 +1,40 @@
+Feature: Connections
+  What is left on a connection by one call never reaches another.
+
+  Scenario Outline: a client's next call gets its own answer after <before>
+    Given a server whose connections each answer what they are told to
+    When a client's call meets <before>, and the client calls again
+    Then the second call gets its own answer
+
+    Examples:
+      | before                                     |
+      | an answer that is followed by another      |
+      | an answer that is followed late by another |
+      | an answer that comes after it was given up |
+      | a connection closed within the answer      |
+      | a connection closed after the answer       |
+
+  Scenario: requests in a row on one connection are answered in their order
+    Given a daemon's port whose decider answers when it is told to
+    When three requests come in one piece, and the answers come with older ones repeated
+    Then each answer stands in its request's place
+
+  Scenario: a caller that gave up leaves no answer to the next one
+    Given a daemon's port whose decider answers when it is told to
+    When a caller breaks its connection before it is answered, and another calls
+    Then the other gets its own answer
+
+  Scenario Outline: a connection that is cut <place> stops nothing
+    Given a daemon's port whose decider answers when it is told to
+    When connections are reset <place>, at every byte
+    Then no half request was decided, and a whole one is answered after them
+
+    Examples:
+      | place                |
+      | within the request   |
+      | within the answer    |
+
+  Scenario: a body over the limit is told so, however much of it is still to come
+    Given a daemon's port whose decider answers when it is told to
+    When a caller sends ten times the largest body before it reads
+    Then it reads the status 413
--- /dev/null
+++ b/features/steps/connections.py
@@ -0,0 +1,279 @@
+"""Steps for Connections: both sides of ground/http.py over real sockets."""
+
+import json
+import socket as sockets
+import struct
+
+import curio
+from behave import given, then, when
+
+from pinepitch.ground import constants, http
+from pinepitch.ground.host import Host
+
+PATIENCE = 5.0  # seconds; a step that takes longer has failed
+
+
+def response_of(words):
+    body = json.dumps({"words": words}).encode()
+    head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+# --- the client's side ----------------------------------------------------------------
+FIRST, STRAY, OWN = response_of("first"), response_of("stray"), response_of("own")
+# what the first connection sends: (at once, later, whether it closes then)
+BEFORE = {
+    "an answer that is followed by another": (FIRST + STRAY, b"", False),
+    "an answer that is followed late by another": (FIRST, STRAY, False),
+    "an answer that comes after it was given up": (b"", STRAY, False),
+    "a connection closed within the answer": (FIRST[:-3], b"", True),
+    "a connection closed after the answer": (FIRST, b"", True),
+}
+
+
+@given("a server whose connections each answer what they are told to")
+def step_server(context):
+    context.listener = sockets.create_server(("127.0.0.1", 0))
+    context.add_cleanup(context.listener.close)
+
+
+async def _two_calls(listener, at_once, later, closes):
+    """Both answers of a client, the server's first connection being a script."""
+    calls = curio.Queue()
+    client = http.Client("127.0.0.1", listener.getsockname()[1])
+
+    async def call():
+        await calls.put(await curio.ignore_after(0.2, client.call("GET", "/")))
+
+    server = curio.io.Socket(listener)
+    first_call = await curio.spawn(call)
+    first, _ = await server.accept()
+    await first.recv(65536)
+    await first.sendall(at_once)
+    if closes:
+        await first.close()
+    await first_call.join()
+    if later:
+        try:
+            await first.sendall(later)
+        except ConnectionError:
+            pass  # the client has dropped this connection
+    second_call = await curio.spawn(call)
+    accepted = await curio.ignore_after(0.2, server.accept())
+    serving = accepted[0] if accepted else first
+    await curio.ignore_after(0.2, serving.recv(65536))
+    await serving.sendall(OWN)
+    await second_call.join()
+    for one in {first, serving}:
+        await one.close()
+    await client.close()
+    return await calls.get(), await calls.get()
+
+
+@when("a client's call meets {before}, and the client calls again")
+def step_before(context, before):
+    context.told = curio.run(_two_calls, context.listener, *BEFORE[before])
+
+
+@then("the second call gets its own answer")
+def step_own(context):
+    answer = context.told[1]
+    assert isinstance(answer, http.Response) and answer.document == {"words": "own"}, context.told
+
+
+# --- the server's side ----------------------------------------------------------------
+class Decider:
+    """Keeps the requests that come, and replies with what the steps put into its messages."""
+
+    def __init__(self):
+        self.requests = []
+
+    def step(self, message, now, clock):
+        if message[0] == "http":
+            self.requests.append(message[1:])
+            return []
+        return message[1] if message[0] == "replies" else []
+
+
+class Port:
+    """A host's HTTP port on a free port of this machine, its decider in the steps' hands."""
+
+    def __init__(self):
+        self.decider = Decider()
+        self.host = Host(self.decider, "127.0.0.1:1", None)
+        self.listener = sockets.create_server(("127.0.0.1", 0))
+        self.address = self.listener.getsockname()
+
+    def run(self, act):
+        """Runs act(self) while the port serves."""
+
+        async def both():
+            async with curio.TaskGroup(wait=None) as tasks:
+                await tasks.spawn(self._accept, tasks)
+                await tasks.spawn(self._decide)
+                try:
+                    await curio.timeout_after(PATIENCE, act, self)
+                finally:
+                    await tasks.cancel_remaining()
+
+        curio.run(both)
+
+    async def _accept(self, tasks):
+        server = curio.io.Socket(self.listener)
+        while True:
+            client, address = await server.accept()
+            await tasks.spawn(self._serve, client, address)
+
+    async def _serve(self, client, address):
+        async with client:
+            await self.host._serve_http(client, address)
+
+    async def _decide(self):
+        while True:
+            await self.host._step(await self.host.inbox.get())
+
+    async def requested(self, count):
+        """Waits until so many requests have come."""
+        while len(self.decider.requests) < count:
+            await curio.sleep(0)
+
+    async def reply(self, *numbers):
+        """The decider replies to requests, each with its own number."""
+        await self.host.inbox.put(
+            ("replies", [("reply", number, 200, {"number": number}) for number in numbers])
+        )
+
+    async def connect(self):
+        return await curio.open_connection(*self.address)
+
+
+async def read_numbers(socket, count):
+    """The numbers that so many answers on a connection tell, in order."""
+    data, numbers = b"", []
+    while len(numbers) < count:
+        data += await socket.recv(65536)
+        numbers = [json.loads(part.split(b"}")[0] + b"}")["number"] for part in data.split(b"\r\n\r\n")[1:]]
+    return numbers
+
+
+def request_of(target):
+    return f"POST {target} HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{{}}".encode()
+
+
+@given("a daemon's port whose decider answers when it is told to")
+def step_port(context):
+    context.port = Port()
+    context.add_cleanup(context.port.listener.close)
+
+
+@when("three requests come in one piece, and the answers come with older ones repeated")
+def step_three(context):
+    async def act(port):
+        socket = await port.connect()
+        await socket.sendall(b"".join(request_of(f"/{one}") for one in range(3)))
+        for number in (1, 2, 3):
+            await port.requested(number)
+            await port.reply(*range(1, number + 1), 99)
+        context.numbers = await read_numbers(socket, 3)
+        await socket.close()
+
+    context.port.run(act)
+
+
+@then("each answer stands in its request's place")
+def step_in_place(context):
+    assert context.numbers == [1, 2, 3], context.numbers
+    assert [one[2] for one in context.port.decider.requests] == ["/0", "/1", "/2"]
+
+
+async def reset(socket):
+    """Ends a connection with a reset."""
+    socket.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, struct.pack("ii", 1, 0))
+    await socket.close()
+
+
+@when("a caller breaks its connection before it is answered, and another calls")
+def step_breaks(context):
+    async def act(port):
+        first = await port.connect()
+        await first.sendall(request_of("/first"))
+        await port.requested(1)
+        await reset(first)
+        second = await port.connect()
+        await second.sendall(request_of("/second"))
+        await port.requested(2)
+        await port.reply(1, 2)
+        context.numbers = await read_numbers(second, 1)
+        await second.close()
+
+    context.port.run(act)
+
+
+@then("the other gets its own answer")
+def step_other_own(context):
+    assert context.numbers == [2], context.numbers
+
+
+@when("connections are reset within the request, at every byte")
+def step_reset_requests(context):
+    whole = request_of("/cut")
+
+    async def act(port):
+        for place in range(len(whole)):
+            socket = await port.connect()
+            await socket.sendall(whole[:place])
+            await reset(socket)
+        await _whole_one(context, port, 1)
+
+    context.port.run(act)
+
+
+@when("connections are reset within the answer, at every byte")
+def step_reset_answers(context):
+    async def act(port):
+        for place in range(1, 60):
+            socket = await port.connect()
+            await socket.sendall(request_of("/cut"))
+            await port.requested(place)
+            await port.reply(place)
+            got = 0
+            while got < place:
+                got += len(await socket.recv(place - got))
+            await reset(socket)
+        await _whole_one(context, port, 60)
+
+    context.port.run(act)
+
+
+async def _whole_one(context, port, number):
+    socket = await port.connect()
+    await socket.sendall(request_of("/whole"))
+    await port.requested(number)
+    await port.reply(number)
+    context.numbers = await read_numbers(socket, 1)
+    context.expected = number
+    await socket.close()
+
+
+@then("no half request was decided, and a whole one is answered after them")
+def step_whole(context):
+    assert context.numbers == [context.expected], context.numbers
+    assert all(one[4] == b"{}" for one in context.port.decider.requests)
+    assert context.port.host.requests == {}, context.port.host.requests
+
+
+@when("a caller sends ten times the largest body before it reads")
+def step_large(context):
+    size = 10 * constants.BODY_MOST
+
+    async def act(port):
+        client = http.Client(*port.address)
+        context.answer = await client.call("POST", "/large", "x" * size)
+        await client.close()
+
+    context.port.run(act)
+
+
+@then("it reads the status 413")
+def step_too_large(context):
+    assert isinstance(context.answer, http.Response) and context.answer.status == 413, context.answer
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -75,6 +75,7 @@
 CONNECTIONS_MOST = 2_000  # sockets; per verge
 ANSWER_MOST = 64_000_000  # bytes; of an answer read, far above the largest page of a listing
 REQUEST_MOST = 20.0  # seconds; from a request's first byte to its last, so that slow senders hold nothing
+LINGER = 1.0  # seconds; a refused caller's connection is read this long, so that it gets its answer
 IDLE_MOST = 30.0  # seconds; a connection without a request is closed
 TASKS_MOST = 5_000  # tasks; in one ticket
 NAME_MOST = 128  # characters; of names, keys and labels
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -314,10 +314,7 @@
             while True:
                 request = await server.receive()
                 if isinstance(request, http.Fault):
-                    if request.status:
-                        await server.answer(
-                            http.refusal(request.status, request.code, "the request can't be read")
-                        )
+                    await server.refuse(request)
                     return
                 self.request_count += 1
                 number = self.request_count
@@ -351,10 +348,7 @@
             while True:
                 request = await server.receive()
                 if isinstance(request, http.Fault):
-                    if request.status:
-                        await server.answer(
-                            http.refusal(request.status, request.code, "the request can't be read")
-                        )
+                    await server.refuse(request)
                     return
                 made = self.door.read(request)
                 if isinstance(made, http.Response):
--- a/src/pinepitch/ground/http.py
+++ b/src/pinepitch/ground/http.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 with JSON by h11, on both sides, over curio sockets."""
 
 import json
+import select
 import socket
 import struct
 import time
@@ -111,6 +112,20 @@
         except (OSError, h11.LocalProtocolError):
             return False
 
+    async def refuse(self, fault):
+        """Tells a caller whose request can't be read so, and lets it read that: a connection that is
+        closed with bytes unread is reset, which may take the answer away with it."""
+        if not fault.status:
+            return
+        await self.answer(refusal(fault.status, fault.code, "the request can't be read"))
+        try:
+            await self.socket.shutdown(socket.SHUT_WR)
+            async with curio.ignore_after(constants.LINGER):
+                while await self.socket.recv(65536):
+                    pass
+        except OSError:
+            pass  # the caller is gone
+
 
 class Client:
     """Calls to one host. Invariant: the socket is either ready for a call or None."""
@@ -123,10 +138,19 @@
 
     async def connect(self):
         """Opens the socket if there is none; OSError says that nothing was sent."""
+        if self.socket is not None and self._spoiled():
+            await self.abort()
         if self.socket is None:
             self.socket = await curio.open_connection(self.host, self.port)
             self.connection = h11.Connection(h11.CLIENT)
 
+    def _spoiled(self):
+        """Whether the open connection holds what no call asked for, or has ended: what came
+        beside one call's answer would be taken for the next one's."""
+        unread = select.poll()
+        unread.register(self.socket.fileno(), select.POLLIN)
+        return bool(self.connection.trailing_data[0]) or bool(unread.poll(0))
+
     async def call(self, method, target, document=None, headers=()):
         """A Response, or a Fault; self.reached then tells if the call may have arrived."""
         self.reached = False
