A carried call ends on the leader's clock; old answers and calls that waited go no further

Cause: three things let a daemon that was cut off or stopped act on what was true before. A carried call had no end: held back by a link, a socket or a stopped process it was taken whenever it arrived (evacuations 3 to 20 s after they were asked for, each long given up by its caller with 504). A host wrote an answer however long after it was decided. Calls that waited in the sockets of a stopped process were taken as fresh once it went on (15 to 20 s).

- An ask bears an end as a Reading (term, seconds) of the leader's steady clock, reckoned from a lower bound that travels in answers to greetings and with `elsewhere`.
The leader takes no call past it, of another term, or without one, and says so.
No clocks are compared: the end is never after the moment at which the carrier gives the call up.
- What is answered without the log needs the lease (calls outside of KEPT did not).
- Replies bear the time until which they may be written: the call's patience, and for what the leader reads at its own door the end of its lease.
Later they become 504.
- StallGuard: a loop that did not turn for STALL refuses with 503 what it reads just after.

Ruled out: telling 503 once an unanswered copy has expired. The leader may have taken it just before its end, so 504 stays; 503 still needs a refusal of every copy.

The frames greeted, elsewhere and ask have one field more.

--- /dev/null
+++ b/features/contact.feature
@@ -0,0 +1,101 @@
+Feature: Contact
+  A control machine out of contact hands out nothing old, refuses nothing that was taken, and
+  confirms nothing that does not hold.
+
+  Scenario Outline: a machine that meets <kind> is caught telling nothing untrue
+    When a control machine meets <kind> with seeds 0 to 1
+    Then no check of contact finds a fault
+
+    Examples:
+      | kind             |
+      | cut-both         |
+      | cut-in           |
+      | cut-out          |
+      | seeds-swapped    |
+      | frozen           |
+      | stopped-at-write |
+      | stopped-at-send  |
+
+  Scenario Outline: the planted fault <plant> is found when a machine meets <kind>
+    Given the planted fault <plant>
+    When a control machine meets <kind> with seeds <seeds>
+    Then some check of contact finds <fault>
+
+    Examples:
+      | plant                | kind             | seeds  | fault                                    |
+      | asks-without-end     | cut-out          | 1 to 1 | s after it was asked for                 |
+      | asks-without-end     | stopped-at-send  | 1 to 1 | s after it was asked for                 |
+      | ends-on-own-clock    | cut-out          | 1 to 1 | s after it was asked for                 |
+      | late-answers-written | stopped-at-write | 0 to 0 | after a newer one was acknowledged       |
+      | waited-calls-taken   | frozen           | 1 to 1 | s after it was asked for                 |
+      | lease-ignored        | cut-both         | 0 to 0 | was read after a newer one               |
+      | doubt-unsaid         | cut-in           | 1 to 1 | is in force, though it was answered [503] |
+      | taken-forgotten      | cut-in           | 1 to 1 | is refused when it is sent again         |
+
+  Scenario: an end on the leader's clock comes no later than the patience it is for
+    Given daemons whose steady clocks differ, and run up to CLOCK_DRIFT apart
+    When readings of the leader's clock reach a daemon late, relayed and out of order
+    Then what it takes the leader's clock to have passed is never ahead of that clock
+    And an end that it reckons is never after the moment it is for
+
+  Scenario: what a leader of an older term told is forgotten
+    Given a daemon that heard a leader of term 4
+    When a reading of term 3 comes, and one of term 5
+    Then only that of term 5 counts
+
+  Scenario Outline: a carried call <end> is <outcome>
+    Given a leader that serves
+    When a change is carried to it <end>
+    Then that change is <outcome>
+
+    Examples:
+      | end                             | outcome                            |
+      | with time left                  | taken                              |
+      | whose end has come              | not taken, and nothing comes of it |
+      | whose end is on another's clock | not taken, and nothing comes of it |
+      | without an end                  | not taken, and nothing comes of it |
+
+  Scenario: a call that is sent again with time left is taken, whatever became of older copies
+    Given a leader that serves
+    When a change is carried to it whose end has come
+    And the same call is carried again with time left
+    Then that change is taken
+
+  Scenario: a leader whose lease is over answers nothing from its record
+    Given a leader of three that serves
+    When its followers fall silent for longer than its lease
+    And a change of the setup on an older version is carried to it
+    Then the caller is sent elsewhere, and not refused
+
+  Scenario Outline: an answer that comes <when> its patience is <reply>
+    Given a call to be carried, with 1 second of patience
+    When its way is: sent
+    And its answer comes <when> its patience
+    Then it is replied with <reply>
+
+    Examples:
+      | when   | reply             |
+      | within | 200, with no more |
+      | after  | 504, with no more |
+
+  Scenario Outline: what a host reads once it was stopped may have waited: <kind>, <seconds> seconds
+    Given a host that ticks
+    When it is stopped for <seconds> seconds, and then reads a <kind>
+    Then it is <outcome>
+
+    Examples:
+      | kind  | seconds | outcome                                 |
+      | call  | 2       | refused there, saying when to come back |
+      | http  | 2       | refused there, saying when to come back |
+      | ready | 2       | taken there                             |
+      | call  | 0.4     | taken there                             |
+
+  Scenario: calls that come once a host runs again are taken
+    Given a host that ticks
+    When it is stopped for 2 seconds, and goes on for a while
+    Then what is read from then on is taken
+
+  Scenario: an answer that is about to be written too late is told as unsure instead
+    Given a host that ticks
+    When an answer is written after its end, and another before
+    Then the one is told as unsure, and the other as it was decided
--- a/features/steps/carrier.py
+++ b/features/steps/carrier.py
@@ -52,20 +52,24 @@
 
 @when("its answer is {status:d}")
 def step_answered(context, status):
-    context.replies.extend(context.carrier.answered(context.token, (status, {"state": "queued"}, None)))
+    context.replies.extend(
+        context.carrier.answered(context.token, (status, {"state": "queued"}, None), context.now)
+    )
 
 
 @when("its answer is {status:d} and when to come back")
 def step_answered_again(context, status):
     context.replies.extend(
-        context.carrier.answered(context.token, (status, {"state": "queued"}, constants.COME_BACK))
+        context.carrier.answered(
+            context.token, (status, {"state": "queued"}, constants.COME_BACK), context.now
+        )
     )
 
 
 @then("it is replied with {status:d}, {again}")
 def step_replied(context, status, again):
     assert len(context.replies) == 1, context.replies
-    kind, request, told, document, headers = context.replies[0]
+    kind, request, told, document, headers, *_ = context.replies[0]
     assert (kind, request, told) == ("reply", 17, status), context.replies
     expected = (("Retry-After", str(constants.COME_BACK)),) if again == "saying when to come back" else ()
     assert tuple(headers) == expected, headers
@@ -77,7 +81,7 @@
 def step_no_more(context):
     context.carrier.refused(context.token)
     context.carrier.unsure(context.token)
-    assert not context.carrier.answered(context.token, (200, {}, None))
+    assert not context.carrier.answered(context.token, (200, {}, None), context.now)
     assert context.carrier.due(context.until + 1000) == ([], [])
 
 
@@ -108,7 +112,7 @@
 def step_second(context):
     for token in context.tokens:
         context.carrier.sent(token, LEADER, 100.0)
-    context.replies = list(context.carrier.answered(context.tokens[1], (200, {}, None)))
+    context.replies = list(context.carrier.answered(context.tokens[1], (200, {}, None), 100.0))
     context.replies.extend(context.carrier.due(100.6)[1])
 
 
@@ -143,6 +147,7 @@
             constants.RECORD_LEVEL,
             LEADER,
             0.0,
+            (1, 0.0),
         )
 
 
@@ -185,7 +190,7 @@
 def step_names(context):
     ((_, context.token),) = call(context)
     context.asks.clear()
-    step(context, "elsewhere", context.token, OTHER)
+    step(context, "elsewhere", context.token, OTHER, None)
 
 
 @then("the same call goes to the other at once")
@@ -205,7 +210,7 @@
     asked = call(context)
     for _ in range(round(1.1 / constants.TICK)):
         for _, token in asked:
-            step(context, "elsewhere", token, None)
+            step(context, "elsewhere", token, None, None)
         context.now += constants.TICK
         asked = step(context, "tick")
 
--- /dev/null
+++ b/features/steps/contact.py
@@ -0,0 +1,311 @@
+"""Steps for Contact: trials of a machine out of contact, and each mechanism by hand."""
+
+import random
+
+import curio
+from behave import given, then, when
+
+from pinepitch.ground import constants, host, http, stall
+from pinepitch.ground.leaderclock import LeaderClock, Reading
+from pinepitch.proof import contact, scale, tenancy
+from pinepitch.proof.simulator import Simulator
+
+CALLER = "10.0.0.9:7000"
+
+
+# --- trials --------------------------------------------------------------------------
+@when("a control machine meets {kind} with seeds {first:d} to {last:d}")
+def step_try(context, kind, first, last):
+    plant = getattr(context, "plant", "")
+    context.work = [(kind, seed, plant) for seed in range(first, last + 1)]
+
+
+@then("no check of contact finds a fault")
+def step_clean(context):
+    found = []
+    for arguments, faults, _ in tenancy.many(context.work, contact.one):
+        found.extend(f"{contact.replay(*arguments)}\n   {fault}" for fault in faults)
+    assert not found, "\n".join(found[:6])
+
+
+@then("some check of contact finds {fault}")
+def step_found(context, fault):
+    found = [one for _, faults, _ in tenancy.many(context.work, contact.one) for one in faults]
+    assert any(fault in one for one in found), f"the planted fault went unseen; found: {found[:6]}"
+
+
+# --- the leader's clock ----------------------------------------------------------------
+@given("daemons whose steady clocks differ, and run up to CLOCK_DRIFT apart")
+def step_clocks(context):
+    context.draw = random.Random("contact")
+    # name -> (what its clock reads at 0, seconds a second); the leader's is the slowest allowed
+    context.clocks = {"leader": (5000.0, 1 - constants.CLOCK_DRIFT), "a": (3.0, 1.0), "b": (9e5, 1.0)}
+
+
+def reads(context, name, moment):
+    begun, rate = context.clocks[name]
+    return begun + rate * moment
+
+
+@when("readings of the leader's clock reach a daemon late, relayed and out of order")
+def step_readings(context):
+    draw, moments = context.draw, []
+    relay, carrier = LeaderClock(), LeaderClock()
+    for _ in range(400):
+        told = draw.uniform(0, 60)
+        moments.append((told + draw.choice((0.001, 0.3, 8.0)) * draw.random(), told))
+    context.floors, context.ends = [], []
+    for heard, told in sorted(moments):
+        relay.hear(Reading(4, reads(context, "leader", told)), reads(context, "a", heard))
+        passed = heard + draw.uniform(0, 0.05)
+        carrier.hear(relay.floor(reads(context, "a", heard)), reads(context, "b", passed))
+        own, leads = reads(context, "b", passed), reads(context, "leader", passed)
+        context.floors.append((carrier.floor(own).seconds, leads))
+        until = passed + constants.CALL_PATIENCE
+        context.ends.append(
+            (carrier.end(reads(context, "b", until), own).seconds, reads(context, "leader", until))
+        )
+
+
+@then("what it takes the leader's clock to have passed is never ahead of that clock")
+def step_floors(context):
+    assert all(floor <= clock + 1e-6 for floor, clock in context.floors)
+    assert any(clock - floor < 0.5 for floor, clock in context.floors)
+
+
+@then("an end that it reckons is never after the moment it is for")
+def step_ends(context):
+    assert all(end <= clock + 1e-6 for end, clock in context.ends)
+    assert any(clock - end < 0.5 for end, clock in context.ends)
+
+
+@given("a daemon that heard a leader of term 4")
+def step_term_four(context):
+    context.leader_clock = LeaderClock()
+    assert context.leader_clock.floor(1.0) is None and context.leader_clock.end(3.0, 1.0) is None
+    context.leader_clock.hear((4, 700.0), 10.0)
+
+
+@when("a reading of term 3 comes, and one of term 5")
+def step_terms(context):
+    context.leader_clock.hear((3, 9000.0), 11.0)
+    assert context.leader_clock.floor(11.0).term == 4
+    context.leader_clock.hear((5, 2.0), 11.0)
+
+
+@then("only that of term 5 counts")
+def step_term_five(context):
+    assert context.leader_clock.floor(11.0) == Reading(5, 2.0)
+
+
+# --- carried calls at the leader ---------------------------------------------------------
+@given("a leader that serves")
+def step_leader(context):
+    context.fleet = scale.Alone().begin()
+    context.version = context.fleet.core.record.board.configuration.version
+
+
+def carry(context, end):
+    """Carries one change to the leader; what it says of it."""
+    fleet = context.fleet
+    document = {**fleet.core.record.board.configuration.document, "version": context.version + 1}
+    fleet.sent.clear()
+    fleet.give(("ask", CALLER, "token", "configure", (context.version, document), end))
+    context.told = [one for one in fleet.sent if one[0] in ("answer", "elsewhere")]
+
+
+def end_of(context, end):
+    consensus, now = context.fleet.core.consensus, context.fleet.now
+    return {
+        "with time left": Reading(consensus.term, now + 0.01),
+        "whose end has come": Reading(consensus.term, now - 0.01),
+        "whose end is on another's clock": Reading(consensus.term - 1, now + 1000.0),
+        "without an end": None,
+    }[end]
+
+
+@when("a change is carried to it {end}")
+def step_carry(context, end):
+    carry(context, end_of(context, end))
+
+
+@when("the same call is carried again with time left")
+def step_carry_again(context):
+    carry(context, end_of(context, "with time left"))
+
+
+@then("that change is taken")
+def step_taken(context):
+    assert [(one[0], one[2][0]) for one in context.told] == [("answer", 200)], context.told
+    assert context.fleet.core.record.board.configuration.version == context.version + 1
+
+
+@then("that change is not taken, and nothing comes of it")
+def step_not_taken(context):
+    ((kind, _, leader, reading),) = context.told
+    fleet = context.fleet
+    assert (kind, leader) == ("elsewhere", fleet.core.address), context.told
+    assert reading == Reading(fleet.core.consensus.term, fleet.now), reading
+    fleet.run(3.0)
+    assert fleet.core.record.board.configuration.version == context.version
+
+
+# --- a leader whose lease is over --------------------------------------------------------
+@given("a leader of three that serves")
+def step_three(context):
+    context.simulator = Simulator(1)
+    context.simulator.begin()
+
+
+@when("its followers fall silent for longer than its lease")
+def step_silent(context):
+    simulator = context.simulator
+    context.leader = simulator.leader()
+    simulator.cut([context.leader.name], list(simulator.nodes))
+    simulator.run(constants.LEAD_LEASE + 0.05)
+    assert context.leader.core.consensus.serving(), "it has given leadership up"
+
+
+@when("a change of the setup on an older version is carried to it")
+def step_old_change(context):
+    core, now = context.leader.core, context.simulator.steady()
+    arguments = (core.record.version - 1, "merge", {"queues": {}}, "someone", "")
+    end = Reading(core.consensus.term, now + 1.0)
+    effects = core.step(("ask", CALLER, "token", "change", arguments, end), now, now)
+    context.told = [one[2][0] for one in effects if one[0] == "send" and one[1] == CALLER]
+
+
+@then("the caller is sent elsewhere, and not refused")
+def step_elsewhere(context):
+    assert context.told == ["elsewhere"], context.told
+
+
+# --- answers that come late ----------------------------------------------------------------
+@when("its answer comes {when} its patience")
+def step_answer_comes(context, when):
+    now = {"within": context.until - 0.01, "after": context.until}[when]
+    answer = (200, {"state": "queued"}, None)
+    context.replies.extend(context.carrier.answered(context.token, answer, now))
+
+
+@when("the answer to a question for news is read {seconds:d} seconds after it was asked")
+def step_old_news(context, seconds):
+    verge, now = context.verge, context.now
+    verge.step(("tick",), now, now)
+    assert verge.news_token is not None
+    body = {"setup_version": 1, "configuration": 1, "drained": [], "emptied": [], "withdrawn": []}
+    told = ("told", verge.news_token, (1, 0), body, (), (), 1.7e9, 0.0, (), "cohort")
+    verge.step(told, now + seconds, now + seconds)
+    verge.step(("tick",), now + seconds, now + seconds)
+
+
+@then("the verge says that it is stale")
+def step_stale(context):
+    assert context.verge.stale and context.verge.body is not None
+
+
+# --- the host ----------------------------------------------------------------------------
+MESSAGES = {
+    "call": ("call", 1, "evacuate", ("z", True), 2.5),
+    "http": ("http", 1, "POST", "/v1/tickets", {}, b"{}"),
+    "ready": ("call", 1, "ready", (), 2.5),
+}
+
+
+class Clock:
+    """Stands in for the host's time module."""
+
+    def __init__(self):
+        self.now = 50.0
+
+    def monotonic(self):
+        return self.now
+
+    time = monotonic
+
+
+class Recorder:
+    """A decider that keeps what it is stepped with."""
+
+    def __init__(self):
+        self.messages = []
+
+    def step(self, message, now, clock):
+        self.messages.append(message)
+        return [("reply", message[1], 200, {}, ())] if message[0] != "tick" else []
+
+
+@given("a host that ticks")
+def step_host(context):
+    context.clock, context.core = Clock(), Recorder()
+    context.host = host.Host(context.core, CALLER, None)
+    context.before, host.time = host.time, context.clock
+    context.add_cleanup(setattr, host, "time", context.before)
+    tick(context, 0.2)
+
+
+def tick(context, seconds):
+    for _ in range(round(seconds / constants.TICK)):
+        context.clock.now += constants.TICK
+        curio.run(context.host._step, ("tick",))
+
+
+def read(context, message):
+    """What the host's connection is told of a call that it has read."""
+
+    async def serve():
+        answers = curio.Queue()
+        context.host.requests[message[1]] = answers
+        await context.host._step(message)
+        return await host._timely_response(answers)
+
+    return curio.run(serve)
+
+
+@when("it is stopped for {seconds:g} seconds, and then reads a {kind}")
+def step_stopped(context, seconds, kind):
+    context.clock.now += seconds
+    context.response = read(context, MESSAGES[kind])
+
+
+@when("it is stopped for {seconds:g} seconds, and goes on for a while")
+def step_goes_on(context, seconds):
+    context.clock.now += seconds
+    tick(context, constants.STALL_AFTERMATH + 2 * constants.TICK)
+
+
+@then("it is refused there, saying when to come back")
+def step_paused(context):
+    assert context.response == http.Response(*stall.PAUSED), context.response
+    assert context.response.status == 503 and dict(context.response.headers)["Retry-After"]
+    assert all(message[0] == "tick" for message in context.core.messages)
+
+
+@then("it is taken there")
+def step_taken_there(context):
+    assert context.response.status == 200 and context.core.messages[-1][0] != "tick"
+
+
+@then("what is read from then on is taken")
+def step_read_on(context):
+    for kind in ("call", "http"):
+        assert read(context, MESSAGES[kind]).status == 200
+
+
+@when("an answer is written after its end, and another before")
+def step_written(context):
+    async def write(until):
+        answers = curio.Queue()
+        context.host.requests[1] = answers
+        await context.host._reply(1, 200, {"version": 3}, (), until)
+        context.clock.now += 5.0
+        return await host._timely_response(answers)
+
+    context.responses = [curio.run(write, context.clock.now + most) for most in (4.9, 5.1)]
+
+
+@then("the one is told as unsure, and the other as it was decided")
+def step_unsure(context):
+    late, timely = context.responses
+    assert late == http.Response(*stall.LATE) and late.status == 504
+    assert timely == http.Response(200, {"version": 3})
--- a/features/steps/input.py
+++ b/features/steps/input.py
@@ -271,7 +271,7 @@
             for _ in range(10):
                 odd = [draw.choice((None, -1, "x", b"x", [], {}, [[1]], 1.5, True)) for _ in pattern]
                 throw(address, wire.encode("127.0.0.1:1", (kind, *odd)))
-        throw(address, wire.encode("127.0.0.1:1", ("ask", "127.0.0.1:1", "t", "submit", (1,))))
+        throw(address, wire.encode("127.0.0.1:1", ("ask", "127.0.0.1:1", "t", "submit", (1,), (1, 1.0))))
 
 
 @then("both still serve, and oversized or malformed calls get their status")
--- a/features/steps/keeper.py
+++ b/features/steps/keeper.py
@@ -111,7 +111,9 @@
         """Sends a call; its token."""
         self.count += 1
         token = f"t{self.count}"
-        self.step("ask", DOOR, token, call, arguments)
+        consensus = self.accord.consensus
+        end = (consensus.term, self.now + constants.CALL_PATIENCE) if consensus is not None else None
+        self.step("ask", DOOR, token, call, arguments, end)
         return token
 
     def told(self, call, *arguments):
--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -446,6 +446,19 @@
         }
         return self.serving() and self.cohort.commits(heard | {self.identity}, self.identity)
 
+    def lease_end(self, now):
+        """The moment that the lease stands until as far as is known; `now` when it does not stand."""
+        sent = {
+            one: self.beats.get(follower.beat, -1e9)
+            for one, follower in self.followers.items()
+            if one not in self.learners
+        }
+        sent[self.identity] = now
+        for since in sorted(set(sent.values()), reverse=True):
+            if self.cohort.commits({one for one, at in sent.items() if at >= since}, self.identity):
+                return max(now, since + constants.LEAD_LEASE)
+        return now
+
     def read(self, token, now):
         """Asks that ("read", token, index) be told once leadership is confirmed."""
         if self.role != "leader":
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -9,6 +9,7 @@
 from ..ground import constants, metrics
 from ..ground.carrier import Carrier
 from ..ground.cohorttime import CohortTime
+from ..ground.leaderclock import LeaderClock, Reading
 from ..tenure.keeper import Keeper
 from . import rehearsal, rules
 from .calls import SHAPES
@@ -60,6 +61,7 @@
         self.hold = constants.HOLD
         self.far = constants.FAR  # times as long that a task takes away from its data
         self.carrier = Carrier(identity, address)
+        self.leader_clock = LeaderClock()
         self.hinted = {}  # minion -> when it was last told where the leader is
         self.step_at = 0.0
         self._clear_lead(0.0)
@@ -285,10 +287,12 @@
         *fields, now = rest
         self._hear(*fields, now)
         if not self.stopping:
-            self._send(fields[3], ("greeted", *self._greeting(now), self._leader_address(), self._now(now)))
+            told = (self._leader_address(), self._now(now), self._leader_reading(now))
+            self._send(fields[3], ("greeted", *self._greeting(now), *told))
 
     def _on_greeted(self, *rest):
-        *fields, _, _, now = rest
+        *fields, _, _, reading, now = rest
+        self.leader_clock.hear(reading, now)
         self._hear(*fields, now)
 
     def _on_tell(self, teller, sessions, now):
@@ -306,6 +310,12 @@
             return self.address
         return self.sessions.address(self.consensus.following)
 
+    def _leader_reading(self, now):
+        """The Reading that the leader's steady clock has passed, as far as this accord knows."""
+        if self.consensus is not None and self.consensus.role == "leader":
+            return Reading(self.consensus.term, now)
+        return self.leader_clock.floor(now)
+
     def _now(self, now):
         """Cohort time: the clocks' median, never behind the record."""
         members = self.consensus.cohort.members() if self.consensus is not None else ()
@@ -488,9 +498,9 @@
                 if token is not None:
                     self.unsure(address, token)
         for address, token, _, _ in self.reading.values():
-            self.elsewhere(address, token, None)
+            self.elsewhere(address, token, None, now)
         for address, token, _ in self.keeper.parked.values():
-            self.elsewhere(address, token, None)
+            self.elsewhere(address, token, None, now)
         self._clear_lead(now)
 
     def _apply(self, start, entries, now):
@@ -529,12 +539,14 @@
     def _carry(self, token, now):
         call = self.carrier.calls[token]
         if self.consensus is not None and self.consensus.role == "leader":
-            self.carrier.sent(token, self.address, now)
-            self._on_ask(self.address, token, call.call, call.arguments, now)
+            end = Reading(self.consensus.term, call.until)
+            self.carrier.sent(token, self.address, now, end)
+            self._on_ask(self.address, token, call.call, call.arguments, end, now)
         else:
             address = self._leader_address()
-            self.carrier.sent(token, address, now)
-            self._send(address, ("ask", self.address, token, call.call, call.arguments))
+            end = self.leader_clock.end(call.until, now)
+            self.carrier.sent(token, address, now, end)
+            self._send(address, ("ask", self.address, token, call.call, call.arguments, end))
 
     def _carry_again(self, now):
         due, effects = self.carrier.due(now)
@@ -557,10 +569,14 @@
                 del answer[1]["home"]
             else:
                 self.hinted[minion] = now
-        self.effects.extend(self.carrier.answered(token, answer))
+        self.effects.extend(self.carrier.answered(token, answer, now))
 
-    def _on_elsewhere(self, token, leader, now):
+    def _on_elsewhere(self, token, leader, reading, now):
+        self.leader_clock.hear(reading, now)
         self.carrier.refused(token)
+        call = self.carrier.calls.get(token)
+        if call is not None and leader is not None and (call.term or 0) < self.leader_clock.term:
+            self._carry(token, now)  # it lacked an end on this leader's clock
 
     def _on_unsure(self, token, now):
         self.carrier.unsure(token)
--- a/src/pinepitch/accord/lead.py
+++ b/src/pinepitch/accord/lead.py
@@ -14,14 +14,18 @@
     empty unless this accord leads."""
 
     # --- leading: calls carried by verges ---------------------------------------------
-    def _on_ask(self, address, token, call, arguments, now):
-        """A verge carries a call; every call is safe to be asked again."""
+    def _on_ask(self, address, token, call, arguments, end, now):
+        """A verge carries a call; every call is safe to be asked again. None is taken after its
+        end, a Reading of this leader's clock: whoever carries it has given it up by then."""
         consensus = self.consensus
         if consensus is None or consensus.role != "leader" or self.stopping:
-            self.elsewhere(address, token, self._leader_address())
+            self.elsewhere(address, token, self._leader_address(), now)
             return
         if token in self.in_hand:
             return
+        if not self._in_time(end, now):
+            self.elsewhere(address, token, self.address, now)
+            return
         handler = CALLS.get(call)
         if handler is None:
             self.answer(address, token, (400, {"code": "unknown_call"}, None))
@@ -29,8 +33,7 @@
         self.in_hand.add(token)
         if not handler.reads:
             if not consensus.serving() or call in KEPT and (self.epoch <= 0 or not consensus.leased(now)):
-                self.in_hand.discard(token)
-                self.elsewhere(address, token, None)
+                self.elsewhere(address, token, None, now)
                 return
             self._decide(address, token, handler, arguments, now)
             return
@@ -38,6 +41,10 @@
         self.reading[self.read_count] = (address, token, handler, arguments)
         self._run(consensus.read(self.read_count, now), now)
 
+    def _in_time(self, end, now):
+        """Whether a carried call may be taken; one without an end may not."""
+        return end is not None and end[0] == self.consensus.term and now <= end[1]
+
     def _decide(self, address, token, handler, arguments, now):
         """Asks a handler for an answer at once or an operation to agree on."""
         made = handler.make(self, token, arguments, now)
@@ -46,7 +53,10 @@
         elif made[0] == "beat":
             self.keeper.beat(made[1], made[2], address, token, now)
         elif made[0] == "answer":
-            self.answer(address, token, made[1])
+            if self.leased(now):
+                self.answer(address, token, made[1], self.consensus.lease_end(now))
+            else:  # what stands in the record here may be old
+                self.elsewhere(address, token, None, now)
         else:
             _, operation, shape, extra = made
             self.propose(operation, (address, token, shape, extra), now)
@@ -57,21 +67,22 @@
             self.in_hand.discard(token)
             self.answer(address, token, handler.make(self, token, arguments, now)[1])
 
-    def answer(self, address, token, answer):
-        """The answer to a carried call, perhaps to one that this accord carried itself."""
+    def answer(self, address, token, answer, until=None):
+        """The answer to a carried call, perhaps to one that this accord carried itself; what was
+        only read, and not agreed on, is written until `until` at the latest."""
         self.in_hand.discard(token)
         if address == self.address:
-            self.effects.extend(self.carrier.answered(token, answer))
+            self.effects.extend(self.carrier.answered(token, answer, self.step_at, until))
         else:
             self._send(address, ("answer", token, answer))
 
-    def elsewhere(self, address, token, leader):
-        """A call that this accord did not take."""
+    def elsewhere(self, address, token, leader, now):
+        """A call that this accord did not take, and never will take from this copy."""
         self.in_hand.discard(token)
         if address == self.address:
             self.carrier.refused(token)
         else:
-            self._send(address, ("elsewhere", token, leader))
+            self._send(address, ("elsewhere", token, leader, self._leader_reading(now)))
 
     def unsure(self, address, token):
         """A call that may have been taken, though this accord can't say."""
@@ -105,7 +116,7 @@
         if self.record.levels.get(operation[0], 1) > self.common_level():
             self._event(133, operation=operation[0], level=self.common_level())
             if waiting is not None:
-                self.elsewhere(waiting[0], waiting[1], None)
+                self.elsewhere(waiting[0], waiting[1], None, now)
             return
         start = self.consensus.last_index() + 1
         if waiting is not None:
@@ -118,7 +129,7 @@
         """A verge asks for news and says how its orders went."""
         consensus = self.consensus
         if consensus is None or consensus.role != "leader" or not consensus.serving():
-            self.elsewhere(address, token, self._leader_address())
+            self.elsewhere(address, token, self._leader_address(), now)
             return
         session = self.sessions.held.get(verge)
         self.sessions.greeted(verge, "verge", session.area if session else "", address, now)
--- a/src/pinepitch/ground/carrier.py
+++ b/src/pinepitch/ground/carrier.py
@@ -7,13 +7,14 @@
     """Invariants: token is the same every time it is sent; open counts what was sent and
     neither answered nor refused, so that 0 means that nobody took it."""
 
-    __slots__ = ("request", "call", "arguments", "until", "again", "to", "open", "doubtful")
+    __slots__ = ("request", "call", "arguments", "until", "again", "to", "open", "doubtful", "term")
 
     def __init__(self, request, call, arguments, until):
         self.request, self.call, self.arguments, self.until = request, call, arguments, until
         self.again = self.to = None
         self.open = 0
         self.doubtful = False
+        self.term = None  # of the leader whose clock the newest copy's end is on
 
 
 class Carrier:
@@ -31,10 +32,11 @@
         self.calls[token] = Call(request, call, arguments, now + min(patience, constants.CALL_PATIENCE))
         return token
 
-    def sent(self, token, address, now):
-        """Notes that a call is sent to `address`, or to nobody when it is None."""
+    def sent(self, token, address, now, end=None):
+        """Notes that a call is sent to `address`, or to nobody when it is None, to be taken only
+        until `end`, a Reading of the leader's clock."""
         call = self.calls[token]
-        call.to = address
+        call.to, call.term = address, end.term if end else None
         call.open += address is not None
         call.again = now + constants.CARRY_AGAIN if address is not None else now + constants.CARRY_SEEK
 
@@ -62,14 +64,18 @@
             (("Retry-After", str(constants.COME_BACK)),),
         )
 
-    def answered(self, token, answer):
-        """Effects of the answer to a call."""
+    def answered(self, token, answer, now, until=None):
+        """Effects of the answer to a call, which may be written until its patience is over, or
+        until `until` if that is sooner."""
         call = self.calls.pop(token, None)
         if call is None:
             return ()
+        if now >= call.until:  # read after a stall: nobody waits for it, nor knows how old it is
+            return (("reply", call.request, *self._given_up(call)),)
         status, document, retry = answer
         headers = () if retry is None else (("Retry-After", str(retry)),)
-        return (("reply", call.request, status, document, headers),)
+        until = call.until if until is None else min(until, call.until)
+        return (("reply", call.request, status, document, headers, until),)
 
     def refused(self, token):
         """Whom it was sent to did not take it, and never will."""
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -12,7 +12,7 @@
 import curio.socket
 
 from ..world import contract
-from . import constants, events, http, wire
+from . import constants, events, http, stall, wire
 from .env import split
 
 
@@ -104,6 +104,7 @@
         self.connections = 0
         self.tasks = curio.TaskGroup(wait=None)
         self.ticking = False
+        self.stall_guard = stall.StallGuard()
 
     async def run(self):
         """Serves until told to stop."""
@@ -130,7 +131,12 @@
             await self.tasks.cancel_remaining()
 
     async def _step(self, message):
-        for effect in self.core.step(message, time.monotonic(), time.time()):
+        now = time.monotonic()
+        self.stall_guard.turn(now)
+        if self.stall_guard.refuses(message, now):
+            await self._reply(message[1], *stall.PAUSED)
+            return
+        for effect in self.core.step(message, now, time.time()):
             await EFFECTS[effect[0]](self, *effect[1:])
 
     # --- effects ----------------------------------------------------------------------
@@ -174,10 +180,11 @@
         await self._job("note", done, ["note", payload])
         await done.wait()
 
-    async def _reply(self, request, status, document, headers=()):
+    async def _reply(self, request, status, document, headers=(), until=None):
+        """Hands an answer to the connection that waits for it, to be written until `until`."""
         waiting = self.requests.pop(request, None)
         if waiting is not None:
-            await waiting.put(http.Response(status, document, tuple(headers)))
+            await waiting.put(((status, document, tuple(headers)), until))
 
     async def _post(self, key, address, path, document):
         await curio.spawn(self._post_one, key, address, path, document, daemon=True)
@@ -325,13 +332,19 @@
                 await self.inbox.put(
                     ("http", number, request.method, request.target, request.headers, request.body)
                 )
-                response = await answers.get()
-                if not await server.answer(response):
+                if not await server.answer(await _timely_response(answers)):
                     return
         finally:
             self.connections -= 1
 
 
+async def _timely_response(answers):
+    """The Response to a request once its answer comes; the clock is read when it is about to be
+    written, however long the process was stopped since the answer was decided."""
+    reply, until = await answers.get()
+    return http.Response(*stall.timely(reply, until, time.monotonic()))
+
+
 class Entrance:
     """A port whose callers speak another way: the door translates both ways, and decides nothing."""
 
@@ -363,7 +376,7 @@
                     host.request_count += 1
                     host.requests[host.request_count] = answers
                     await host.inbox.put(("call", host.request_count, *made))
-                    response = self.door.write(made[0], await answers.get())
+                    response = self.door.write(made[0], await _timely_response(answers))
                 if host.stopping:
                     response = response._replace(headers=(*response.headers, ("Connection", "close")))
                 if not await server.answer(response):
--- /dev/null
+++ b/src/pinepitch/ground/leaderclock.py
@@ -0,0 +1,46 @@
+"""A lower bound of the leader's steady clock, as kept by a daemon that carries calls to it.
+
+It lets a carried call bear an end on the clock of the only daemon that may take it, so that
+nobody's clocks need to agree: an end that is reckoned from a lower bound is never too late.
+"""
+
+from typing import NamedTuple
+
+from . import constants
+
+
+class Reading(NamedTuple):
+    """What the steady clock of the leader of `term` read, or has passed by now."""
+
+    term: int
+    seconds: float
+
+
+class LeaderClock:
+    """Invariants: term never falls; the floor of one term never falls, and is at most what the
+    leader's steady clock reads, given that no clock runs slower than another by CLOCK_DRIFT."""
+
+    def __init__(self):
+        self.term = 0
+        self.seconds = self.heard = 0.0
+
+    def hear(self, reading, now):
+        """Takes a reading told by the leader, or relayed by a daemon that heard it."""
+        if reading is None:
+            return
+        term, seconds = reading
+        if term > self.term or term == self.term and seconds > self._passed(now):
+            self.term, self.seconds, self.heard = term, seconds, now
+
+    def floor(self, now):
+        """The Reading that the leader's clock has passed by now, None before any was heard."""
+        return Reading(self.term, self._passed(now)) if self.term else None
+
+    def end(self, until, now):
+        """The Reading after which the leader may not take a call that is given up here at `until`."""
+        if not self.term:
+            return None
+        return Reading(self.term, self._passed(now) + (until - now) * (1 - constants.CLOCK_DRIFT))
+
+    def _passed(self, now):
+        return self.seconds + (now - self.heard) * (1 - constants.CLOCK_DRIFT)
--- /dev/null
+++ b/src/pinepitch/ground/stall.py
@@ -0,0 +1,41 @@
+"""Calls that waited while their daemon was stopped, and answers that were held back too long."""
+
+from . import constants
+
+PAUSED = (
+    503,
+    {"error": {"code": "paused", "message": "this daemon was stopped for a while; the call was not taken"}},
+    (("Retry-After", str(constants.COME_BACK)),),
+)
+LATE = (
+    504,
+    {"error": {"code": "late", "message": "the answer is too old to be told; the call may have been taken"}},
+    (),
+)
+
+
+class StallGuard:
+    """Notices by its own steady clock that the process did not run. Invariant: `until` is
+    STALL_AFTERMATH past the end of the newest stall."""
+
+    def __init__(self):
+        self.turned = None
+        self.until = -1e9
+
+    def turn(self, now):
+        """Notes one turn of the daemon's loop, which ticks at the least."""
+        if self.turned is not None and now - self.turned > constants.STALL:
+            self.until = now + constants.STALL_AFTERMATH
+        self.turned = now
+
+    def refuses(self, message, now):
+        """Whether a message is a call that may have waited since before the stall: its caller
+        has gone to another daemon, and may have done what the call would undo."""
+        if now >= self.until:
+            return False
+        return message[0] == "http" or message[0] == "call" and message[2] != "ready"
+
+
+def timely(reply, until, now):
+    """A (status, document, headers) that may still be written, or what is written instead."""
+    return reply if until is None or now <= until else LATE
--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -12,7 +12,7 @@
 import cbor2
 
 from ..accord.core import Accord
-from ..ground import constants, wire
+from ..ground import constants, stall, wire
 from ..verge.core import Verge
 from ..world import contract
 from . import caller as callers
@@ -58,7 +58,8 @@
     """One simulated process. Invariants: a daemon's core is None while it is down, a
     minion's stays (its history goes on) and down says so; held keeps what
     came while it was frozen, in order; alive counts its lives, so that what was meant for
-    an earlier life is dropped."""
+    an earlier life is dropped; unwritten keeps what a step decided when the process was stopped
+    before it carried that out."""
 
     def __init__(self, name, kind, area, address):
         self.name, self.kind, self.area, self.address = name, kind, area, address
@@ -66,7 +67,9 @@
         self.make = None  # the kind of daemon, where it is not the fleet's
         self.life = 0
         self.frozen = self.down = False
-        self.held = []
+        self.held, self.unwritten = [], []
+        self.stops_at = None  # says of each effect whether the process is stopped just before it
+        self.stall_guard = stall.StallGuard()
         self.skew = 0.0
         self.disk = Disk() if kind == "accord" else None
 
@@ -145,6 +148,10 @@
         self.number += 1
         heapq.heappush(self.events, (self.now + delay, self.number, event))
 
+    def steady(self):
+        """What every daemon's steady clock reads."""
+        return self.now + 1000.0
+
     def clock(self, node):
         return START + self.now + node.skew
 
@@ -152,7 +159,8 @@
         """Starts a daemon with what its disk kept."""
         node = self.nodes[name]
         node.life += 1
-        node.frozen, node.down, node.held = False, False, []
+        node.frozen, node.down, node.held, node.unwritten = False, False, [], []
+        node.stall_guard = stall.StallGuard()
         if node.kind == "accord":
             base, steps, segments = node.disk.load()
             identity = (
@@ -230,6 +238,9 @@
         node = self.nodes[name]
         node.frozen = False
         self._comes(name)
+        unwritten, node.unwritten = node.unwritten, []
+        for effect in unwritten:
+            self.carry_out(node, effect)
         held, node.held = node.held, []
         for message in held:
             self.at(0.0, "give", name, node.life, message)
@@ -290,8 +301,23 @@
         if node.kind == "minion":
             self._minion_effects(node, node.core.step(message, START + self.now), message)
             return
-        for effect in node.core.step(message, self.now + 1000.0, self.clock(node)):
-            EFFECTS[effect[0]](self, node, *effect[1:])
+        now = self.steady()
+        node.stall_guard.turn(now)
+        if node.stall_guard.refuses(message, now):
+            self._reply(node, message[1], *stall.PAUSED)
+            return
+        for effect in node.core.step(message, now, self.clock(node)):
+            if node.stops_at is not None and node.stops_at(effect):
+                node.stops_at = None
+                self.freeze(node.name)
+            if node.frozen:
+                node.unwritten.append(effect)
+            else:
+                self.carry_out(node, effect)
+
+    def carry_out(self, node, effect):
+        """Does what a daemon decided."""
+        EFFECTS[effect[0]](self, node, *effect[1:])
 
     def lost(self, source, target):
         return (source, target) in self.cuts or self.draw.random() < self.loss
@@ -408,7 +434,8 @@
             if other != node.name:
                 raise AssertionError(f"two leaders in term {term}: {other} and {node.name}")
 
-    def _reply(self, node, request, status, document, headers=()):
+    def _reply(self, node, request, status, document, headers=(), until=None):
+        status, document, _ = stall.timely((status, document, headers), until, self.steady())
         self.at(self.latency(), "answer", request, status, json.dumps(document))
 
     def _post(self, node, key, address, path, document):
--- a/src/pinepitch/proof/tenancy.py
+++ b/src/pinepitch/proof/tenancy.py
@@ -67,10 +67,10 @@
     return arguments, faults, simulator.now
 
 
-def many(work):
+def many(work, one=_one):
     """Yields (arguments, faults, virtual seconds) of trials run side by side."""
     with multiprocessing.Pool(PROCESSES) as pool:
-        yield from pool.imap_unordered(_one, work)
+        yield from pool.imap_unordered(one, work)
 
 
 def replay(scenario, seed, plant=""):
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -9,6 +9,7 @@
 
 from ..ground import constants
 from ..ground.carrier import Carrier
+from ..ground.leaderclock import LeaderClock
 from .filters import FILTERS
 
 
@@ -53,6 +54,7 @@
         self.stopping = False
         self.kills = {}
         self.carrier = Carrier(identity, address)  # calls about jobs
+        self.leader_clock = LeaderClock()
         self.configured = False  # whether a configuration was ever heard to be in force
         self.event_counts = {}
         self.counts = {"calls": 0, "carried": 0, "answered": 0, "unanswered": 0, "orders": 0, "shed": 0}
@@ -112,18 +114,7 @@
         for token, carried in list(self.carried.items()):
             if now - carried.begun >= constants.CARRY_TIMEOUT:
                 del self.carried[token]
-                self.counts["unanswered"] += 1
-                self._reply(
-                    carried.request,
-                    503,
-                    {
-                        "error": {
-                            "code": "no_leader",
-                            "message": "no leader answered in time; the call may have been taken",
-                        }
-                    },
-                    constants.COME_BACK,
-                )
+                self._give_up(carried)
             elif now - carried.sent >= constants.CARRY_AGAIN:
                 self._carry(token, carried, self._way(carried.to), now)
         stale = self.news_at is None or now - self.news_at > constants.STALE_AFTER
@@ -168,10 +159,12 @@
     def _on_greet(self, *rest):
         *fields, now = rest
         self._hear(*fields, now)
-        self._send(fields[3], ("greeted", *self._greeting(), self.leader, None))
+        told = (self.leader, None, self.leader_clock.floor(now))
+        self._send(fields[3], ("greeted", *self._greeting(), *told))
 
     def _on_greeted(self, *rest):
-        *fields, leader, _, now = rest
+        *fields, leader, _, reading, now = rest
+        self.leader_clock.hear(reading, now)
         self._hear(*fields, now)
         if fields[1] == "accord" and leader:
             self.leader = leader
@@ -197,7 +190,15 @@
     def _carry(self, token, carried, address, now):
         self.carried[token] = carried._replace(sent=now, to=address or "")
         if address is not None:
-            self._send(address, ("ask", self.address, token, carried.call, carried.arguments))
+            end = self.leader_clock.end(carried.begun + constants.CARRY_TIMEOUT, now)
+            self._send(address, ("ask", self.address, token, carried.call, carried.arguments, end))
+
+    def _give_up(self, carried):
+        """No answer came while the call was to be carried."""
+        self.counts["unanswered"] += 1
+        message = "no leader answered in time; the call may have been taken"
+        problem = {"error": {"code": "no_leader", "message": message}}
+        self._reply(carried.request, 503, problem, constants.COME_BACK)
 
     def _on_call(self, request, call, arguments, patience, now):
         """A call about jobs, carried to whoever leads; or whether this verge is ready."""
@@ -212,8 +213,9 @@
     def _carry_call(self, token, now):
         call = self.carrier.calls[token]
         address = self._way(call.to or "") if call.to == self.leader and call.open else self._way("")
-        self.carrier.sent(token, address, now)
-        self._send(address, ("ask", self.address, token, call.call, call.arguments))
+        end = self.leader_clock.end(call.until, now)
+        self.carrier.sent(token, address, now, end)
+        self._send(address, ("ask", self.address, token, call.call, call.arguments, end))
 
     def _on_seeds(self, seeds, now):
         """The settings name other seeds."""
@@ -225,10 +227,13 @@
 
     def _on_answer(self, token, answer, now):
         if token in self.carrier.calls:
-            self.effects.extend(self.carrier.answered(token, answer))
+            self.effects.extend(self.carrier.answered(token, answer, now))
             return
         carried = self.carried.pop(token, None)
         if carried is not None:
+            if now - carried.begun >= constants.CARRY_TIMEOUT:  # read after a stall
+                self._give_up(carried)
+                return
             status, document, retry = answer
             self.counts["answered"] += 1
             self.counts["shed"] += status == 429
@@ -237,8 +242,9 @@
                 headers = (("ETag", f'"{document["version"]}"'),)
             self._reply(carried.request, status, document, retry, headers)
 
-    def _on_elsewhere(self, token, leader, now):
-        """An accord that doesn't lead says who does."""
+    def _on_elsewhere(self, token, leader, reading, now):
+        """An accord that doesn't take a call says who leads, and what the leader's clock has passed."""
+        self.leader_clock.hear(reading, now)
         if token == self.news_token:
             self.news_token = None
             if leader is None or leader != self.leader:
@@ -250,10 +256,11 @@
         call = self.carrier.calls.get(token)
         if call is not None:
             self.carrier.refused(token)
-            if leader is not None and leader != call.to:
+            newer = (call.term or 0) < self.leader_clock.term
+            if leader is not None and (leader != call.to or newer):
                 self.leader = leader
                 self._carry_call(token, now)
-            elif self.leader == call.to:
+            elif leader is None and self.leader == call.to:
                 self.leader = None
             return
         carried = self.carried.get(token)
--- a/src/pinepitch/world/contract.py
+++ b/src/pinepitch/world/contract.py
@@ -53,6 +53,7 @@
 COHORT = [(Pairs(str, str), str)]
 ENTRY = (int, Number, list)
 OUTCOME = (str, int, str)
+READING = (int, Number)  # a term, and what the steady clock of its leader has passed
 GREETING = (str, str, str, str, Maybe(str), [str], Number, [ACCORD], [str], int)
 
 RAFT = {
@@ -70,7 +71,7 @@
 # The registry of contracts: message kind -> pattern of what follows it.
 CONTRACTS = {
     "greet": GREETING,
-    "greeted": (*GREETING, Maybe(str), Maybe(Number)),
+    "greeted": (*GREETING, Maybe(str), Maybe(Number), Maybe(READING)),
     "tell": (str, [(str, str, str, str)]),
     "leave": (str,),
     "join": (str, str, str),
@@ -78,10 +79,10 @@
     "raft": (str, str, str, list),
     "claim": (str, str),
     "measured": (int, str, int, dict),
-    "ask": (str, str, str, list),
+    "ask": (str, str, str, list, Maybe(READING)),
     "news": (str, str, str, (int, int), [OUTCOME]),
     "answer": (str, (int, ANY, Maybe(int))),
-    "elsewhere": (str, Maybe(str)),
+    "elsewhere": (str, Maybe(str), Maybe(READING)),
     "unsure": (str,),
     "told": (str, (int, int), Maybe(dict), [dict], [(str, int, str)], Number, Number, [ACCORD], Maybe(str)),
 }
