A verge's news counts from when it was asked for, not from when the answer is read

Cause: the answer to a question for news that lay unread, in the socket of a stopped verge say, set news_at to the time of reading, so that a state 20 s old counted as fresh. The new scenario failed on the code before ("the verge says that it is stale").

--- a/features/contact.feature
+++ b/features/contact.feature
@@ -78,6 +78,11 @@
       | within | 200, with no more |
       | after  | 504, with no more |
 
+  Scenario: news that was asked for long ago does not make a verge's state fresh
+    Given a verge that follows a leader
+    When the answer to a question for news is read 20 seconds after it was asked
+    Then the verge says that it is stale
+
   Scenario Outline: what a host reads once it was stopped may have waited: <kind>, <seconds> seconds
     Given a host that ticks
     When it is stopped for <seconds> seconds, and then reads a <kind>
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -332,11 +332,13 @@
             del self.outcomes[: self.outcomes_sent]
             self.outcomes_sent = 0
         version = tuple(version)
+        asked = self.asked.get(token)
         if version >= self.version:
             if body is not None:
                 self.version, self.body = version, body
                 self.configured = self.configured or bool(body["configuration"])
-            self.news_at = now
+            if asked is not None:  # as old as that at most, however long it lay unread here
+                self.news_at = max(asked + held, asked if self.news_at is None else self.news_at)
             self._learn_time(token, time, held, now)
             self.cohort = self.cohort or cohort
         for one, area, address in accords:
