--- a/features/steps/carrier.py
+++ b/features/steps/carrier.py
@@ -56,20 +56,24 @@
 
 @when("its answer is {status:d}")
 def step_answered(context, status):
-    context.replies.extend(context.carrier.answered(context.token, (status, {"state": "queued"}, None), KEY))
+    context.replies.extend(
+        context.carrier.answered(context.token, (status, {"state": "queued"}, None), KEY, context.now)
+    )
 
 
 @when("its answer is {status:d} and when to come back")
 def step_answered_again(context, status):
     context.replies.extend(
-        context.carrier.answered(context.token, (status, {"state": "queued"}, constants.COME_BACK), KEY)
+        context.carrier.answered(
+            context.token, (status, {"state": "queued"}, constants.COME_BACK), KEY, context.now
+        )
     )
 
 
 @then("it is replied with {status:d}, {again}")
 def step_replied(context, status, again):
     assert len(context.replies) == 1, context.replies
-    kind, request, told, document, headers = context.replies[0]
+    kind, request, told, document, headers, *_ = context.replies[0]
     assert (kind, request, told) == ("reply", 17, status), context.replies
     expected = (("Retry-After", str(constants.COME_BACK)),) if again == "saying when to come back" else ()
     assert tuple(headers) == expected, headers
@@ -81,7 +85,7 @@
 def step_no_more(context):
     context.carrier.refused(context.token, 1)
     context.carrier.unsure(context.token)
-    assert not context.carrier.answered(context.token, (200, {}, None), KEY)
+    assert not context.carrier.answered(context.token, (200, {}, None), KEY, context.now)
     assert context.carrier.due(context.until + 1000) == ([], [])
 
 
@@ -112,7 +116,7 @@
 def step_second(context):
     for token in context.tokens:
         context.carrier.sent(token, LEADER, 100.0)
-    context.replies = list(context.carrier.answered(context.tokens[1], (200, {}, None), KEY))
+    context.replies = list(context.carrier.answered(context.tokens[1], (200, {}, None), KEY, 100.0))
     context.replies.extend(context.carrier.due(100.6)[1])
 
 
@@ -147,6 +151,7 @@
             constants.RECORD_LEVEL,
             LEADER,
             0.0,
+            (1, 0.0),
         )
 
 
@@ -189,7 +194,7 @@
 def step_names(context):
     ((_, context.token, sending),) = call(context)
     context.asks.clear()
-    step(context, "elsewhere", context.token, OTHER, sending)
+    step(context, "elsewhere", context.token, OTHER, sending, None)
 
 
 @then("the same call goes to the other at once")
@@ -209,7 +214,7 @@
     asked = call(context)
     for _ in range(round(1.1 / constants.TICK)):
         for _, token, sending in asked:
-            step(context, "elsewhere", token, None, sending)
+            step(context, "elsewhere", token, None, sending, None)
         context.now += constants.TICK
         asked = step(context, "tick")
 
--- a/features/steps/lives.py
+++ b/features/steps/lives.py
@@ -179,7 +179,7 @@
 
 @when("an answer under that beat's token tells of {another}")
 def step_other_answer(context, another):
-    context.effects = context.carrier.answered(context.token, (200, {}, None), OTHER_CALLS[another])
+    context.effects = context.carrier.answered(context.token, (200, {}, None), OTHER_CALLS[another], 100.0)
 
 
 @then("no caller is told anything, and the daemon tells of an answer to another call")
@@ -192,7 +192,7 @@
 
 @when("its own answer comes")
 def step_own_answer(context):
-    context.effects = context.carrier.answered(context.token, (200, {}, None), ("beat", "one"))
+    context.effects = context.carrier.answered(context.token, (200, {}, None), ("beat", "one"), 100.0)
 
 
 @then("the minion is told it once")
--- a/src/pinepitch/accord/lead.py
+++ b/src/pinepitch/accord/lead.py
@@ -25,17 +25,21 @@
     the call that it was taken as."""
 
     # --- leading: calls carried by verges ---------------------------------------------
-    def _on_ask(self, address, token, call, arguments, sending, now):
-        """A daemon carries a call; every call is safe to be asked again."""
+    def _on_ask(self, address, token, call, arguments, sending, end, now):
+        """A daemon carries a call; every call is safe to be asked again. None is taken after its
+        end, a Reading of this leader's clock: whoever carries it has given it up by then."""
         consensus = self.consensus
         if consensus is None or consensus.role != "leader" or self.stopping:
-            self._refuse(address, token, self._leader_address(), sending)
+            self._refuse(address, token, self._leader_address(), sending, now)
             return
         key = key_of(call, arguments)
         if token in self.in_hand:
             if self.in_hand[token].key != key:
                 self._event(146, token=token, held=list(self.in_hand[token].key), asked=list(key))
             return
+        if not self._in_time(end, now):
+            self._refuse(address, token, self.address, sending, now)
+            return
         self.in_hand[token] = InHand(key, sending)
         handler = CALLS.get(call)
         if handler is None:
@@ -43,7 +47,7 @@
             return
         if not handler.reads:
             if not consensus.serving() or call in KEPT and (self.epoch <= 0 or not consensus.leased(now)):
-                self.elsewhere(address, token, None)
+                self.elsewhere(address, token, None, now)
                 return
             self._decide(address, token, handler, arguments, now)
             return
@@ -51,6 +55,10 @@
         self.reading[self.read_count] = (address, token, handler, arguments)
         self._run(consensus.read(self.read_count, now), now)
 
+    def _in_time(self, end, now):
+        """Whether a carried call may be taken; one without an end may not."""
+        return end is not None and end[0] == self.consensus.term and now <= end[1]
+
     def _decide(self, address, token, handler, arguments, now):
         """Asks a handler for an answer at once or an operation to agree on."""
         made = handler.make(self, token, arguments, now)
@@ -59,7 +67,10 @@
         elif made[0] == "beat":
             self.keeper.beat(made[1], made[2], address, token, now)
         elif made[0] == "answer":
-            self.answer(address, token, made[1])
+            if self.leased(now):
+                self.answer(address, token, made[1], self.consensus.lease_end(now))
+            else:  # what stands in the record here may be old
+                self.elsewhere(address, token, None, now)
         else:
             _, operation, shape, extra = made
             self.propose(operation, (address, token, shape, extra), now)
@@ -69,28 +80,29 @@
         if handler is not None:
             self.answer(address, token, handler.make(self, token, arguments, now)[1])
 
-    def answer(self, address, token, answer):
-        """The answer to a call in hand, perhaps to one that this accord carried itself."""
+    def answer(self, address, token, answer, until=None):
+        """The answer to a call in hand, perhaps to one that this accord carried itself; what was
+        only read, and not agreed on, is written until `until` at the latest."""
         held = self.in_hand.pop(token, None)
         if held is None:
             return
         if address == self.address:
-            self.effects.extend(self.carrier.answered(token, answer, held.key))
+            self.effects.extend(self.carrier.answered(token, answer, held.key, self.step_at, until))
         else:
             self._send(address, ("answer", token, answer, held.key))
 
-    def elsewhere(self, address, token, leader):
+    def elsewhere(self, address, token, leader, now):
         """A call in hand that this accord does not take after all."""
         held = self.in_hand.pop(token, None)
         if held is not None:
-            self._refuse(address, token, leader, held.sending)
+            self._refuse(address, token, leader, held.sending, now)
 
-    def _refuse(self, address, token, leader, sending):
-        """Says that one sending of a call was not taken here."""
+    def _refuse(self, address, token, leader, sending, now):
+        """Says that one sending of a call was not taken here, and never will be."""
         if address == self.address:
             self.carrier.refused(token, sending)
         else:
-            self._send(address, ("elsewhere", token, leader, sending))
+            self._send(address, ("elsewhere", token, leader, sending, self._leader_reading(now)))
 
     def unsure(self, address, token):
         """A call that may have been taken, though this accord can't say."""
@@ -124,7 +136,7 @@
         if self.record.levels.get(operation[0], 1) > self.common_level():
             self._event(133, operation=operation[0], level=self.common_level())
             if waiting is not None:
-                self.elsewhere(waiting[0], waiting[1], None)
+                self.elsewhere(waiting[0], waiting[1], None, now)
             return
         start = self.consensus.last_index() + 1
         if waiting is not None:
@@ -137,7 +149,7 @@
         """A verge asks for news and says how its orders went."""
         consensus = self.consensus
         if consensus is None or consensus.role != "leader" or not consensus.serving():
-            self._refuse(address, token, self._leader_address(), 0)
+            self._refuse(address, token, self._leader_address(), 0, now)
             return
         session = self.sessions.held.get(verge)
         self.sessions.greeted(verge, "verge", session.area if session else "", address, now)
--- a/src/pinepitch/ground/carrier.py
+++ b/src/pinepitch/ground/carrier.py
@@ -19,6 +19,7 @@
         "sendings",
         "open",
         "doubtful",
+        "term",
     )
 
     def __init__(self, request, call, arguments, until):
@@ -28,6 +29,7 @@
         self.sendings = 0
         self.open = set()
         self.doubtful = False
+        self.term = None  # of the leader whose clock the newest copy's end is on
 
 
 class Carrier:
@@ -47,10 +49,11 @@
         self.calls[token] = Call(request, call, arguments, now + min(patience, constants.CALL_PATIENCE))
         return token
 
-    def sent(self, token, address, now):
-        """Notes that a call is sent to `address`, or to nobody when it is None; the sending's number."""
+    def sent(self, token, address, now, end=None):
+        """Notes that a call is sent to `address`, or to nobody when it is None, to be taken only
+        until `end`, a Reading of the leader's clock; the sending's number."""
         call = self.calls[token]
-        call.to = address
+        call.to, call.term = address, end.term if end else None
         if address is None:
             call.again = now + constants.CARRY_SEEK
             return 0
@@ -94,15 +97,19 @@
             return None
         return call
 
-    def answered(self, token, answer, key):
-        """Effects of the answer to a call, that tells by its key what it is about."""
+    def answered(self, token, answer, key, now, until=None):
+        """Effects of the answer to a call, that tells by its key what it is about; it may be
+        written until the call's patience is over, or until `until` if that is sooner."""
         call = self.waiting(token, key)
         if call is None:
             return ()
         del self.calls[token]
+        if now >= call.until:  # read after a stall: nobody waits for it, nor knows how old it is
+            return (("reply", call.request, *self._given_up(call)),)
         status, document, retry = answer
         headers = () if retry is None else (("Retry-After", str(retry)),)
-        return (("reply", call.request, status, document, headers),)
+        until = call.until if until is None else min(until, call.until)
+        return (("reply", call.request, status, document, headers, until),)
 
     def refused(self, token, sending):
         """Whom it was sent to did not take that sending of it, and never will."""
--- a/src/pinepitch/proof/scale/costs.py
+++ b/src/pinepitch/proof/scale/costs.py
@@ -12,6 +12,7 @@
 
 from ...accord.core import Accord
 from ...ground import constants, wire
+from ...ground.leaderclock import Reading
 from ...tenure.board import Board
 from ...tenure.job import checked
 from ..jobs import kinds, limits
@@ -50,7 +51,8 @@
 
     def ask(self, call, *arguments):
         self.count += 1
-        self.give(("ask", "127.0.0.1:2", f"t{self.count}", call, arguments, 1))
+        end = Reading(self.core.consensus.term, self.now + constants.CALL_PATIENCE)
+        self.give(("ask", "127.0.0.1:2", f"t{self.count}", call, arguments, 1, end))
 
     def begin(self):
         """Leads, with two routes in force."""
--- a/src/pinepitch/proof/scale/hollow.py
+++ b/src/pinepitch/proof/scale/hollow.py
@@ -6,8 +6,9 @@
 
 import curio
 
-from ...ground import wire
+from ...ground import constants, wire
 from ...ground.host import Link
+from ...ground.leaderclock import LeaderClock
 from ..fleet import free_ports
 from ..jobs import checks, kinds, limits
 from ..tenant import StandInTenant
@@ -36,6 +37,7 @@
         self.load, self.accords, self.random = load, accords, random.Random(f"scale-{seed}")
         self.address = f"127.0.0.1:{free_ports(1)[0]}"
         self.leader, self.turn = None, 0
+        self.leader_clock = LeaderClock()
         self.history, self.gangs, self.jobs, self.links, self.calls = [], {}, {}, {}, {}
         self.count = self.version = 0
         self.bytes_in = self.bytes_out = 0
@@ -99,7 +101,13 @@
             self.turn += 1
             address = self.leader or self.accords[self.turn % len(self.accords)]
         self.calls[token] = [call, arguments, told, time.monotonic()]
-        await self._send(address, ("ask", self.address, token, call, arguments, 1))
+        await self._carry(address, token, 1)
+
+    async def _carry(self, address, token, sending):
+        """Sends one copy of a call, to be taken only while its caller waits."""
+        call, arguments, _, begun = self.calls[token]
+        end = self.leader_clock.end(begun + constants.CALL_PATIENCE, time.monotonic())
+        await self._send(address, ("ask", self.address, token, call, arguments, sending, end))
 
     async def _heard(self, kind, *rest):
         token = rest[0] if rest else None
@@ -108,7 +116,8 @@
             return
         if kind == "elsewhere" and rest[1]:
             self.leader = rest[1]
-            await self._send(rest[1], ("ask", self.address, token, *call[:2], 2))
+            self.leader_clock.hear(rest[3], time.monotonic())
+            await self._carry(self.leader, token, 2)
             return
         del self.calls[token]
         status, document = rest[1][:2] if kind == "answer" else (503, {})
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -10,6 +10,7 @@
 from ..ground import constants
 from ..ground.callkey import key_of
 from ..ground.carrier import Carrier
+from ..ground.leaderclock import LeaderClock
 from .filters import FILTERS
 
 
@@ -54,6 +55,7 @@
         self.stopping = False
         self.kills = {}
         self.carrier = Carrier(identity, address, self._event)  # calls about jobs; each life has its identity
+        self.leader_clock = LeaderClock()
         self.configured = False  # whether a configuration was ever heard to be in force
         self.event_counts = {}
         self.counts = {"calls": 0, "carried": 0, "answered": 0, "unanswered": 0, "orders": 0, "shed": 0}
@@ -113,18 +115,7 @@
         for token, carried in list(self.carried.items()):
             if now - carried.begun >= constants.CARRY_TIMEOUT:
                 del self.carried[token]
-                self.counts["unanswered"] += 1
-                self._reply(
-                    carried.request,
-                    503,
-                    {
-                        "error": {
-                            "code": "no_leader",
-                            "message": "no leader answered in time; the call may have been taken",
-                        }
-                    },
-                    constants.COME_BACK,
-                )
+                self._give_up(carried)
             elif now - carried.sent >= constants.CARRY_AGAIN:
                 self._carry(token, carried, self._way(carried.to), now)
         stale = self.news_at is None or now - self.news_at > constants.STALE_AFTER
@@ -169,10 +160,12 @@
     def _on_greet(self, *rest):
         *fields, now = rest
         self._hear(*fields, now)
-        self._send(fields[3], ("greeted", *self._greeting(), self.leader, None))
+        told = (self.leader, None, self.leader_clock.floor(now))
+        self._send(fields[3], ("greeted", *self._greeting(), *told))
 
     def _on_greeted(self, *rest):
-        *fields, leader, _, now = rest
+        *fields, leader, _, reading, now = rest
+        self.leader_clock.hear(reading, now)
         self._hear(*fields, now)
         if fields[1] == "accord" and leader:
             self.leader = leader
@@ -198,7 +191,15 @@
     def _carry(self, token, carried, address, now):
         self.carried[token] = carried._replace(sent=now, to=address or "")
         if address is not None:
-            self._send(address, ("ask", self.address, token, carried.call, carried.arguments, 0))
+            end = self.leader_clock.end(carried.begun + constants.CARRY_TIMEOUT, now)
+            self._send(address, ("ask", self.address, token, carried.call, carried.arguments, 0, end))
+
+    def _give_up(self, carried):
+        """No answer came while the call was to be carried."""
+        self.counts["unanswered"] += 1
+        message = "no leader answered in time; the call may have been taken"
+        problem = {"error": {"code": "no_leader", "message": message}}
+        self._reply(carried.request, 503, problem, constants.COME_BACK)
 
     def _on_call(self, request, call, arguments, patience, now):
         """A call about jobs, carried to whoever leads; or whether this verge is ready."""
@@ -213,8 +214,9 @@
     def _carry_call(self, token, now):
         call = self.carrier.calls[token]
         address = self._way(call.to or "") if call.to == self.leader and call.open else self._way("")
-        sending = self.carrier.sent(token, address, now)
-        self._send(address, ("ask", self.address, token, call.call, call.arguments, sending))
+        end = self.leader_clock.end(call.until, now)
+        sending = self.carrier.sent(token, address, now, end)
+        self._send(address, ("ask", self.address, token, call.call, call.arguments, sending, end))
 
     def _on_seeds(self, seeds, now):
         """The settings name other seeds."""
@@ -227,12 +229,15 @@
     def _on_answer(self, token, answer, key, now):
         carried = self.carried.get(token)
         if carried is None:
-            self.effects.extend(self.carrier.answered(token, answer, key))
+            self.effects.extend(self.carrier.answered(token, answer, key, now))
             return
         if key_of(carried.call, carried.arguments) != tuple(key):
             self._event(145, token=token, call=carried.call, told=list(key))
             return
         del self.carried[token]
+        if now - carried.begun >= constants.CARRY_TIMEOUT:  # read after a stall
+            self._give_up(carried)
+            return
         status, document, retry = answer
         self.counts["answered"] += 1
         self.counts["shed"] += status == 429
@@ -241,8 +246,9 @@
             headers = (("ETag", f'"{document["version"]}"'),)
         self._reply(carried.request, status, document, retry, headers)
 
-    def _on_elsewhere(self, token, leader, sending, now):
-        """An accord that doesn't lead says who does."""
+    def _on_elsewhere(self, token, leader, sending, reading, now):
+        """An accord that doesn't take a call says who leads, and what the leader's clock has passed."""
+        self.leader_clock.hear(reading, now)
         if token == self.news_token:
             self.news_token = None
             if leader is None or leader != self.leader:
@@ -254,10 +260,11 @@
         call = self.carrier.calls.get(token)
         if call is not None:
             self.carrier.refused(token, sending)
-            if leader is not None and leader != call.to:
+            newer = (call.term or 0) < self.leader_clock.term
+            if leader is not None and (leader != call.to or newer):
                 self.leader = leader
                 self._carry_call(token, now)
-            elif self.leader == call.to:
+            elif leader is None and self.leader == call.to:
                 self.leader = None
             return
         carried = self.carried.get(token)
@@ -329,11 +336,13 @@
             del self.outcomes[: self.outcomes_sent]
             self.outcomes_sent = 0
         version = tuple(version)
+        asked = self.asked.get(token)
         if version >= self.version:
             if body is not None:
                 self.version, self.body = version, body
                 self.configured = self.configured or bool(body["configuration"])
-            self.news_at = now
+            if asked is not None:  # as old as that at most, however long it lay unread here
+                self.news_at = max(asked + held, asked if self.news_at is None else self.news_at)
             self._learn_time(token, time, held, now)
             self.cohort = self.cohort or cohort
         for one, area, address in accords:
