Changes older than all that is remembered are told "can't say", no longer refused

Cause: of the newest 1,000 versions (CONFIGURATIONS_KEPT) the call is remembered. An older one, taken but sent again, was answered 412 as if it had never been taken.

Mend: below the oldest version of a full list a call is neither refused nor taken: 504, as nobody knows. Nothing more is kept and the image is as before.

Also: names that stand twice are counted, not searched for each other (1,000 routes: a million comparisons a change at every daemon).

Seen to fail: the model on the code before ("was answered 412, not one of [200, 504]"); six planted faults (proof/order_plants.py), each found by the model; two cases of 1,100 changes. The planted base-unheeded of the simulator moved there. Ruled out: 5 and 5.0 are two changes (another text is another call); the order of list items counts, that of members doesn't; invalid and stale at once is answered 412.

--- /dev/null
+++ b/features/steps/orders.py
@@ -0,0 +1,285 @@
+"""Steps for Orders: models with random schedules against the plain rules, and single cases."""
+
+import json
+import os
+import sys
+from unittest import mock
+
+import hypothesis
+from behave import given, then, when
+from hypothesis import strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from pinepitch.accord.record import Record
+from pinepitch.ground import constants
+from pinepitch.ground.http import Request, Response
+from pinepitch.proof import order_rules, tenancy
+from pinepitch.tenure import calls
+
+FOLDER = os.path.join(
+    os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))), "platform"
+)
+sys.path.insert(0, FOLDER)
+try:
+    import doors
+    import wording
+finally:
+    sys.path.remove(FOLDER)
+
+TARGETS = {order_rules.REPLACE: doors.REPLACE, order_rules.AMEND: doors.AMEND}
+REMEMBERED = 5  # versions; as CONFIGURATIONS_KEPT in the model, so that some are forgotten in it
+BOUNDED = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=80,
+    phases=[hypothesis.Phase.generate],
+    stateful_step_count=40,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+# --- orders at random ------------------------------------------------------------------
+def route(name, prefix, service="web", timeout=3000):
+    return {
+        "name": name,
+        "hostName": "a.example",
+        "pathPrefix": prefix,
+        "serviceName": service,
+        "timeoutMs": timeout,
+    }
+
+
+ROUTES = strategies.builds(
+    route,
+    strategies.sampled_from(["one", "two", "three"]),
+    strategies.sampled_from(["/one/", "/two/", "/three/"]),
+    strategies.sampled_from(["web", "web", "web", "web", "spare", "gone"]),
+    strategies.sampled_from([3000, 3000, 3000.0, 1, 0, True, 2**53, -1]),
+)
+LIMITS = strategies.sampled_from([{}, {"most": 5}, {"most": 5.0}, {"most": True}, {"most": [1, 2]}])
+ODD_VERSIONS = strategies.sampled_from([0, -3, 2**53, 2**53 + 1, 10**30, 7.0, 7.5, True, "7", None, 1e300])
+ODD_BASES = strategies.sampled_from(["", "-1", "+1", "1.0", "x", "9" * 30, str(2**53), "0", "1"])
+
+
+def members_reversed(value):
+    """The same JSON with the members of every object in the opposite order."""
+    if isinstance(value, dict):
+        return {name: members_reversed(value[name]) for name in reversed(list(value))}
+    if isinstance(value, list):
+        return [members_reversed(one) for one in value]
+    return value
+
+
+class RecordCore:
+    """As much of an accord as calls about the configuration ask of it."""
+
+    def __init__(self):
+        self.record, self.index = Record(), 0
+
+    def call(self, name, *arguments):
+        made = calls.CALLS[name](self, "token", arguments, 0.0)
+        if made[0] == "answer":
+            return made[1]
+        _, operation, shape, extra = made
+        self.index += 1
+        outcome = self.record.apply(self.index, float(self.index), json.loads(json.dumps(operation)))
+        return calls.SHAPES[shape](self, outcome, extra, 0.0)
+
+    def restart(self):
+        self.record = Record.decode(Record.encode(self.record.image()))
+
+
+def at_the_door(order, document):
+    """What a control port makes of an order: a response, or the call to carry."""
+    request = Request(
+        "POST",
+        TARGETS[order.kind],
+        {"x-based-on-version": order.base},
+        json.dumps(document).encode(),
+    )
+    return doors.Control("10.0.0.1:8080").read(request)
+
+
+class OrdersAtARecord(RuleBasedStateMachine):
+    """Orders come one after another to one record; each answer is one that the rules allow."""
+
+    def __init__(self):
+        super().__init__()
+        self.core = RecordCore()
+        self.reference = order_rules.Reference(REMEMBERED)
+        self.sent = []  # (order, document)
+
+    def send(self, kind, base, document):
+        order = order_rules.order_of(kind, base, document)
+        self.sent.append((order, document))
+        self.answer(order, document)
+
+    def answer(self, order, document):
+        found = at_the_door(order, document)
+        if isinstance(found, Response):
+            status = found.status
+        else:
+            call, arguments, _ = found
+            status = self.core.call(call, *arguments)[0]
+        fault = self.reference.answered(order, status)
+        assert fault is None, fault
+
+    def base(self, data):
+        if data.draw(strategies.integers(0, 5)):
+            return str(self.reference.version)
+        return data.draw(ODD_BASES)
+
+    def version(self, data):
+        if data.draw(strategies.integers(0, 5)):
+            return self.reference.version + data.draw(strategies.integers(-1, 3))
+        return data.draw(ODD_VERSIONS)
+
+    @initialize()
+    def first(self):
+        self.send(
+            order_rules.REPLACE,
+            "0",
+            {
+                "configVersion": 3,
+                "routes": [route("one", "/one/")],
+                "services": [{"name": "web"}],
+                "limits": {},
+            },
+        )
+
+    @rule(data=strategies.data(), routes=strategies.lists(ROUTES, max_size=3), limits=LIMITS)
+    def replace(self, data, routes, limits):
+        document = {
+            "configVersion": self.version(data),
+            "routes": routes,
+            "services": [{"name": "web"}],
+            "limits": limits,
+        }
+        self.send(order_rules.REPLACE, self.base(data), document)
+
+    @rule(
+        data=strategies.data(),
+        routes=strategies.lists(ROUTES, max_size=2, unique_by=lambda one: one["name"]),
+        removes=strategies.lists(strategies.sampled_from(["one", "two", "never"]), max_size=2),
+    )
+    def amend(self, data, routes, removes):
+        document = {
+            "configVersion": self.version(data),
+            "upsertItems": {"routes": routes},
+            "removeNames": {"routes": removes},
+        }
+        self.send(order_rules.AMEND, self.base(data), document)
+
+    @rule(step=strategies.integers(1, 3), limits=LIMITS)
+    def next_version(self, step, limits):
+        document = {
+            "configVersion": self.reference.version + step,
+            "routes": [route("one", "/one/"), route("two", "/two/")],
+            "services": [{"name": "web"}],
+            "limits": limits,
+        }
+        self.send(order_rules.REPLACE, str(self.reference.version), document)
+
+    @precondition(lambda self: self.sent)
+    @rule(data=strategies.data(), turned=strategies.booleans())
+    def again(self, data, turned):
+        order, document = data.draw(strategies.sampled_from(self.sent))
+        self.answer(order, members_reversed(document) if turned else document)
+
+    @precondition(lambda self: self.reference.taken)
+    @rule(data=strategies.data(), limits=LIMITS)
+    def other_under_one_number(self, data, limits):
+        order, _ = data.draw(strategies.sampled_from(self.reference.taken[-8:]))
+        document = json.loads(order.body)
+        if order.kind == order_rules.REPLACE:
+            document["limits"] = {"other": limits}
+        else:
+            document["removeNames"]["services"] = ["other"]
+        self.send(order.kind, order.base, document)
+
+    @rule()
+    def restart(self):
+        self.core.restart()
+
+    @invariant()
+    def read_back(self):
+        found = self.core.record.board.configuration.document
+        plain = None if found is None else wording.original(found, wording.CONFIGURATION)
+        assert json.dumps(plain, sort_keys=True) == json.dumps(self.reference.document, sort_keys=True)
+
+
+@then("random orders, sent again and after restarts of the record, are answered as the rules say")
+def step_record_model(context):
+    with mock.patch.object(constants, "CONFIGURATIONS_KEPT", REMEMBERED):
+        run_state_machine_as_test(OrdersAtARecord, settings=BOUNDED)
+
+
+@then("random orders are not answered as the rules say")
+def step_record_model_fails(context):
+    try:
+        with tenancy.planted(context.plant):
+            step_record_model(context)
+    except AssertionError:
+        return
+    raise AssertionError(f"the planted fault {context.plant} went unseen")
+
+
+# --- more changes than are remembered ----------------------------------------------------
+EARLY = {"a whole one": 0, "a change by name": 1}  # place among the changes that are made
+
+
+def change(place):
+    """The change of that place: (call, arguments), each on top of the one before."""
+    base, version = 2 * place, 2 * place + 2
+    if place == EARLY["a change by name"]:
+        return ("amend", (base, version, {"services": [{"name": "spare"}]}, {}))
+    document = {"version": version, "routes": [], "services": [{"name": f"web{place}"}]}
+    return ("configure", (base, document))
+
+
+@given("{count:d} changes were taken, one upon the other, {call} among the first")
+def step_many(context, count, call):
+    context.core, context.count = RecordCore(), count
+    for place in range(count):
+        name, arguments = change(place)
+        assert context.core.call(name, *arguments)[0] == 200
+
+
+def send_changed(context, name, arguments):
+    context.before = context.core.record.board.configuration.image()
+    context.core.restart()
+    context.answer = context.core.call(name, *arguments)
+
+
+@when("the oldest change that is remembered is sent again")
+def step_oldest(context):
+    send_changed(context, *change(context.count - constants.CONFIGURATIONS_KEPT))
+
+
+@when("another change under the number of {call} is sent")
+def step_other(context, call):
+    name, arguments = change(EARLY[call])
+    more = {"routes": [], "services": []}
+    last = arguments[-1]
+    send_changed(context, name, (*arguments[:-1], {**last, **more}))
+
+
+@when("{call} is sent again")
+def step_again(context, call):
+    send_changed(context, *change(EARLY[call]))
+
+
+@then("it is answered with {status:d}, and nothing has changed")
+def step_answered(context, status):
+    assert context.answer[0] == status, context.answer
+    assert repr(context.core.record.board.configuration.image()) == repr(
+        (context.before[0], tuple(tuple(one) for one in context.before[1]))
+    )
--- /dev/null
+++ b/src/pinepitch/proof/order_plants.py
@@ -0,0 +1,47 @@
+"""Faults planted into orders, to see that the models and the simulator's operators find them."""
+
+import hashlib
+import json
+
+from ..tenure import configuration
+from ..tenure.configuration import Configuration
+
+original_settled = Configuration._settled
+original_image = Configuration.image
+
+
+def _base_unheeded(self, base, version, digest):
+    """Takes changes on whatever version is in force."""
+    return original_settled(self, self.version, version, digest)
+
+
+def _number_is_enough(self, base, version, digest):
+    """Acknowledges any change under a number that was taken."""
+    if type(version) is int and version in self.taken:
+        return ("configured", version)
+    return original_settled(self, base, version, digest)
+
+
+def _forgets_at_restart(self):
+    """Keeps no digests in snapshots."""
+    return (original_image(self)[0], ())
+
+
+def _member_order_counts(value):
+    """Takes the same change with its members in another order for another one."""
+    return hashlib.sha256(json.dumps(value).encode()).hexdigest()[:16]
+
+
+def _old_is_refused(self):
+    """Refuses changes older than all that is remembered as if it knew."""
+    return 0
+
+
+PLANTS = {
+    "base-unheeded": [(Configuration, "_settled", _base_unheeded)],
+    "number-is-enough": [(Configuration, "_settled", _number_is_enough)],
+    "taken-not-in-snapshots": [(Configuration, "image", _forgets_at_restart)],
+    "order-of-members-counts": [(configuration, "digest_of", _member_order_counts)],
+    "old-changes-refused": [(Configuration, "_forgotten_below", _old_is_refused)],
+    "faults-unseen": [(configuration, "checked", lambda document: ())],
+}
--- a/src/pinepitch/proof/tenancy.py
+++ b/src/pinepitch/proof/tenancy.py
@@ -18,9 +18,9 @@
 from ..ground import constants
 from ..tenure.assigner import Assigner
 from ..tenure.board import Board
-from ..tenure.configuration import Configuration
 from ..tenure.keeper import Keeper
 from ..tenure.worker import Worker
+from . import order_plants
 from . import simulator as simulators
 from .simulator import START, Simulator
 from .tenant import STOP_GRACE, StandInTenant
@@ -1200,14 +1200,6 @@
     return {**told, "start": (*told["start"], *(one for one in more if one not in told["start"]))}
 
 
-def _base_unheeded(self, base, *rest):
-    return original_take(self, self.version, *rest)
-
-
-def _amend_unheeded(self, base, *rest):
-    return original_amend(self, self.version, *rest)
-
-
 def _failures_forgotten(self, now, placement, reference, run, how, saved, heard):
     return original_ended(
         self, now, placement, reference, run, "stopped" if how == "failed" else how, saved, heard
@@ -1244,7 +1236,6 @@
 
 
 original_assign, original_orders = Keeper._assign, Keeper._orders
-original_take, original_amend = Configuration.take, Configuration.amend
 original_ended, original_index = Board._ended, Board._index
 original_seats, original_beat = Assigner._seats, Worker.beat
 PLANTS = {
@@ -1257,7 +1248,6 @@
     "starts-proposed": [(Keeper, "_assign", _starts_proposed), (Keeper, "_orders", _orders_early)],
     "ends-noted-early": [(Worker, "acknowledged", lambda self: self.seen)],
     "levels-forgotten": [(Lead, "common_level", _told_levels_alone)],
-    "base-unheeded": [(Configuration, "take", _base_unheeded), (Configuration, "amend", _amend_unheeded)],
     "evacuation-in-word": [(Board, "evacuate", lambda self, now, zone, begun: ("ok",))],
     "failures-forgotten": [(Board, "_ended", _failures_forgotten)],
     "room-given-early": [(Assigner, "_seats", _room_twice)],
@@ -1271,6 +1261,7 @@
         (constants, "SNAPSHOT_TAIL", 10),
         (constants, "SNAPSHOT_PIECE", 5_000),
     ],
+    **order_plants.PLANTS,
 }
 
 
--- a/src/pinepitch/tenure/calls.py
+++ b/src/pinepitch/tenure/calls.py
@@ -142,6 +142,8 @@
         return (200, {"version": outcome[1]}, None)
     if outcome[0] == "stale":
         return problem(412, "stale", f"version {outcome[1]} is in force", version=outcome[1])
+    if outcome[0] == "forgotten":
+        return problem(504, "forgotten", f"version {outcome[1]} is too old to tell whether it was taken")
     return problem(
         400,
         "invalid",
--- a/src/pinepitch/tenure/configuration.py
+++ b/src/pinepitch/tenure/configuration.py
@@ -1,5 +1,6 @@
 """The routes and services in force: checked, replaced whole or by named items, looked up."""
 
+import collections
 import hashlib
 import json
 
@@ -46,11 +47,8 @@
     faults, places = [], {}
     services = {service["name"] for service in document["services"]}
     for kind in LISTS:
-        names = [item["name"] for item in document[kind]]
-        faults.extend(
-            (f"{kind}.{name}", "named twice")
-            for name in sorted({one for one in names if names.count(one) > 1})
-        )
+        counts = collections.Counter(item["name"] for item in document[kind])
+        faults.extend((f"{kind}.{name}", "named twice") for name in sorted(counts) if counts[name] > 1)
     for route in document["routes"]:
         place = (route["host"].lower(), route["prefix"])
         if route["service"] not in services:
@@ -128,13 +126,29 @@
                 return route, path[len(prefix) :]
         return None
 
+    def _forgotten_below(self):
+        """The version below which calls may have been taken and forgotten, 0 if none is forgotten."""
+        return next(iter(self.taken)) if len(self.taken) >= constants.CONFIGURATIONS_KEPT else 0
+
+    def _settled(self, base, version, digest):
+        """The outcome of a call that was taken before or comes too late, or None: it may be taken.
+
+        A call older than all that is remembered may have been taken, so it is not refused."""
+        whole = type(version) is int
+        if whole and self.taken.get(version) == digest:
+            return ("configured", version)
+        if base == self.version:
+            return None
+        if whole and version < self._forgotten_below():
+            return ("forgotten", version)
+        return ("stale", self.version)
+
     def take(self, base, document, digest):
         """Brings a whole configuration into force, or says why not."""
         version = document.get("version")
-        if type(version) is int and self.taken.get(version) == digest:
-            return ("configured", version)
-        if base != self.version:
-            return ("stale", self.version)
+        settled = self._settled(base, version, digest)
+        if settled is not None:
+            return settled
         faults = checked(document)
         if not faults and version <= self.version:
             faults = (("version", f"{version} is not above {self.version}"),)
@@ -148,10 +162,9 @@
 
     def amend(self, base, version, upserts, removes, digest):
         """The same for named items."""
-        if type(version) is int and self.taken.get(version) == digest:
-            return ("configured", version)
-        if base != self.version:
-            return ("stale", self.version)
+        settled = self._settled(base, version, digest)
+        if settled is not None:
+            return settled
         if self.document is None:
             return ("invalid", (("version", "there is no configuration to change yet"),))
         document, faults = amended(self.document, version, upserts, removes)
