A late Begin or Finish no longer undoes a newer order of its zone

Cause, brought about in the simulator (features/orders.feature, proof/order_fleet.py): an order for a zone bears no version. A Begin carried by a daemon that is cut off, or that froze before it was heard, or by a leader that is cut off, is carried again for 2.5 s. By then its caller has sent it elsewhere, has the acknowledgement, and one for its Finish.

Mend: the daemon that gets the order first asks the leader how far the log is, a confirmed read (ground/confirmed.py), for 0.75 s at most, as long as the caller of a second surely still waits; what was never confirmed was sent to nobody: 503, not taken. The order is then carried with that index, always the same one. At apply (tenure/evacuation.py) an order whose zone has a newer one is acknowledged if that says the same, else it is "superseded": 503, send again. Orders that change nothing count as newer ones, too.

Bounds: 1,000 zones evacuated, and as many more whose newest order is remembered; of those dropped the highest index is kept, so that the late one is refused, not taken. Names of zones have at most 128 characters.

Operation "evacuation" has level 3. While a member knows level 2 only, "evacuate" is proposed as before. The call "evacuate" has one argument more, "log-index" is new (frames), the board's image holds the newest orders (files).

Tests changed: keeper.py's steps and the board's random operations give the index, as a daemon does.

--- a/features/orders.feature
+++ b/features/orders.feature
@@ -30,3 +30,34 @@
       | call             |
       | a whole one      |
       | a change by name |
+
+  Scenario Outline: a Begin that was <held> comes too late to undo an acknowledged Finish
+    Given a cohort that takes orders
+    When a Begin is <held>, sent again elsewhere, acknowledged and finished, and then let go on
+    Then the zone stays free, and an order for it is taken anew
+
+    Examples:
+      | held                                       |
+      | carried by a daemon that is cut off |
+      | confirmed by a daemon that then is cut off |
+      | carried by a daemon that freezes    |
+      | confirmed by a daemon that then freezes |
+      | carried by a leader that is cut off |
+
+  Scenario Outline: the planted fault <plant> lets a Begin that was <held> undo a Finish
+    Given the planted fault <plant>
+    And a cohort that takes orders
+    When a Begin is <held>, sent again elsewhere, acknowledged and finished, and then let go on
+    Then the zone does not stay free
+
+    Examples:
+      | plant                 | held                                       |
+      | late-orders-taken     | confirmed by a daemon that then is cut off |
+      | late-orders-taken     | confirmed by a daemon that then freezes    |
+      | orders-confirmed-late | carried by a daemon that is cut off        |
+      | orders-confirmed-late | carried by a daemon that freezes           |
+
+  Scenario: an order for a zone is acknowledged within a second in calm times
+    Given a cohort that takes orders
+    When 200 orders are given one after another at daemons of all roles
+    Then each was acknowledged within 0.2 seconds
--- a/features/steps/board.py
+++ b/features/steps/board.py
@@ -405,7 +405,10 @@
         return ("amend", base, version, upserts, {}, configuration.digest_of([base, version, upserts]))
 
     def evacuate(self, board, record):
-        return ("evacuate", self.random.choice(("north", "south")), self.random.random() < 0.5)
+        order = (self.random.choice(("north", "south")), self.random.random() < 0.5)
+        if self.random.random() < 0.3:
+            return ("evacuate", *order)  # as members of level 2 propose it
+        return ("evacuation", *order, record.index - self.random.choice((0, 0, 20, 200)))
 
     def duty(self, board, record):
         return ("duty", "placing", self.random.choice(("one", "two")))
--- a/features/steps/keeper.py
+++ b/features/steps/keeper.py
@@ -320,12 +320,14 @@
 
 @when("minion one is in an emptied zone")
 def step_evacuated(context):
-    assert context.cohort.told("evacuate", "zone-one", True)[0] == 200
+    confirmed = context.cohort.accord.record.index
+    assert context.cohort.told("evacuate", "zone-one", True, confirmed)[0] == 200
 
 
 @when("the evacuation is taken back")
 def step_taken_back(context):
-    assert context.cohort.told("evacuate", "zone-one", False)[0] == 200
+    confirmed = context.cohort.accord.record.index
+    assert context.cohort.told("evacuate", "zone-one", False, confirmed)[0] == 200
 
 
 @when("minion two beats from the address of minion one until it is told a start")
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -20,7 +20,7 @@
 from pinepitch.accord.record import Record
 from pinepitch.ground import constants
 from pinepitch.ground.http import Request, Response
-from pinepitch.proof import order_rules, tenancy
+from pinepitch.proof import order_fleet, order_rules, tenancy
 from pinepitch.tenure import calls
 
 FOLDER = os.path.join(
@@ -283,3 +283,97 @@
     assert repr(context.core.record.board.configuration.image()) == repr(
         (context.before[0], tuple(tuple(one) for one in context.before[1]))
     )
+
+
+# --- orders that come late ---------------------------------------------------------------
+CONFIRMING = 0.03  # seconds; until a daemon has confirmed an order, and not yet sent it on
+
+
+@given("a cohort that takes orders")
+def step_cohort(context):
+    planted = tenancy.planted(getattr(context, "plant", ""))
+    planted.__enter__()
+    context.add_cleanup(planted.__exit__, None, None, None)
+    context.fleet = order_fleet.OrderFleet(1)
+    context.fleet.begin()
+    context.fleet.run(1)
+
+
+def hold_back(fleet, held, name):
+    """Holds a daemon back as a case says; what lets it go on."""
+    if "freezes" in held:
+        fleet.freeze(name)
+        return lambda: fleet.thaw(name)
+    fleet.cut([name], [one for one in fleet.names() if one != name])
+    return fleet.heal
+
+
+@when("a Begin is {held}, sent again elsewhere, acknowledged and finished, and then let go on")
+def step_late(context, held):
+    fleet = context.fleet
+    by_leader = "leader" in held
+    name = fleet.leader().name if by_leader else fleet.followers()[0]
+    operator = context.operator = order_fleet.ZoneOperator(fleet, "a")
+    if "confirmed" in held:
+        operator.give(True, name)
+        assert fleet.until(lambda: on_its_way(fleet.nodes[name].core), 0.5, 0.001) is not None
+        go_on = hold_back(fleet, held, name)
+    elif "freezes" in held:  # before what it sent was heard
+        fleet.cut([name], [one for one in fleet.names() if one != name])
+        operator.give(True, name)
+        assert fleet.until(lambda: fleet.nodes[name].core.carrier.calls, 0.5, 0.0005) is not None
+        go_on = hold_back(fleet, held, name)
+        fleet.heal()
+    else:
+        go_on = hold_back(fleet, held, name)
+        operator.give(True, name)
+    assert fleet.until(lambda: operator.standing is True, 20, 0.005) is not None
+    other = next(one for one in fleet.names() if one != name)
+    operator.give(False, other)
+    assert fleet.until(lambda: operator.standing is False, 20, 0.005) is not None
+    context.finished = fleet.now
+    go_on()
+
+
+def on_its_way(core):
+    """Whether a daemon carries an evacuation that was confirmed to it."""
+    return any(call.call == "evacuate" for call in core.carrier.calls.values())
+
+
+@then("the zone stays free, and an order for it is taken anew")
+def step_stays(context):
+    fleet, operator = context.fleet, context.operator
+    for _ in range(300):
+        fleet.run(0.02)
+        assert not operator.faults(), operator.faults()
+    operator.give(True)
+    assert fleet.until(lambda: operator.standing is True, 20, 0.005) is not None
+    fleet.run(1)
+    assert not operator.faults(), operator.faults()
+
+
+@then("the zone does not stay free")
+def step_undone(context):
+    try:
+        step_stays(context)
+    except AssertionError as found:
+        assert "is undone" in str(found), found
+        return
+    raise AssertionError(f"the planted fault {context.plant} went unseen")
+
+
+@when("{count:d} orders are given one after another at daemons of all roles")
+def step_calm_orders(context, count):
+    fleet = context.fleet
+    fleet.loss = 0.0
+    operator = context.operator = order_fleet.ZoneOperator(fleet, "a")
+    for place in range(count):
+        operator.give(place % 2 == 0, fleet.names()[place % 3])
+        assert fleet.until(lambda: operator.standing is not None, 20, 0.005) is not None
+
+
+@then("each was acknowledged within {most:g} seconds")
+def step_acknowledged(context, most):
+    waits = sorted(context.operator.waits)
+    context.waits = waits
+    assert waits[-1] < most, waits[-5:]
--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from ..ground import constants
+from ..ground.carrier import INDEX_CALL
 from ..tenure import calls as tenure
 from ..world import row as rows
 from ..world.minion import Report
@@ -635,6 +636,11 @@
     return ("answer", (200, {"tasks": listed}, None))
 
 
+def _log_index(core, token, arguments, now):
+    """How far the log is, confirmed: what was acknowledged before has no higher index."""
+    return ("answer", (200, {"index": core.record.index}, None))
+
+
 # The registry of calls: a new one is an entry here.
 CALLS = {
     "submit": Call(False, _submit),
@@ -664,6 +670,7 @@
     "holds": Call(True, _holds),
     "whence": Call(True, _whence),
     "live": Call(True, _live_tasks),
+    INDEX_CALL: Call(True, _log_index),
     **{name: Call(False, make) for name, make in tenure.CALLS.items()},
 }
 
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -8,6 +8,7 @@
 from ..ground import constants, metrics
 from ..ground.carrier import Carrier
 from ..ground.cohorttime import CohortTime
+from ..ground.confirmed import ConfirmedCalls
 from ..tenure.keeper import Keeper
 from . import rehearsal, rules
 from .calls import SHAPES
@@ -59,6 +60,7 @@
         self.hold = constants.HOLD
         self.far = constants.FAR  # times as long that a task takes away from its data
         self.carrier = Carrier(identity, address)
+        self.confirmed_calls = ConfirmedCalls(self.carrier)
         self.hinted = {}  # minion -> when it was last told where the leader is
         self.step_at = 0.0
         self._clear_lead(0.0)
@@ -522,7 +524,7 @@
         if call == "ready":
             self.effects.append(("reply", request, 200 if self.consensus is not None else 503, {}, ()))
             return
-        token = self.carrier.begin(request, call, arguments, now, patience)
+        token = self.confirmed_calls.begin(request, call, arguments, now, patience)
         self._carry(token, now)
 
     def _carry(self, token, now):
@@ -556,7 +558,7 @@
                 del answer[1]["home"]
             else:
                 self.hinted[minion] = now
-        self.effects.extend(self.carrier.answered(token, answer))
+        self.effects.extend(self.confirmed_calls.answered(token, answer, now))
 
     def _on_elsewhere(self, token, leader, now):
         self.carrier.refused(token)
--- a/src/pinepitch/accord/lead.py
+++ b/src/pinepitch/accord/lead.py
@@ -61,7 +61,7 @@
         """The answer to a carried call, perhaps to one that this accord carried itself."""
         self.in_hand.discard(token)
         if address == self.address:
-            self.effects.extend(self.carrier.answered(token, answer))
+            self.effects.extend(self.confirmed_calls.answered(token, answer, self.step_at))
         else:
             self._send(address, ("answer", token, answer))
 
@@ -429,7 +429,7 @@
                 self._refused(outcome[1])
         elif kind == "job-ended":
             self.keeper.ended(self.record.index, operation[1], outcome[1])
-        elif kind in ("job", "job-cancel", "evacuate", "configure", "amend"):
+        elif kind in ("job", "job-cancel", "evacuate", "evacuation", "configure", "amend"):
             self.keeper.due = True
             if outcome[0] == "configured":
                 self._event(181, version=outcome[1])
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -779,6 +779,11 @@
     return ("assigned", record.board.assign(record.time, epoch, items))
 
 
+def _evacuate(record, zone, begun, confirmed=None):
+    """An order for a zone, with a confirmed index of the log since level 3."""
+    return record.board.evacuate(record.time, zone, begun, record.index, confirmed)
+
+
 def _stop_runs(record, epoch, items):
     if epoch != record.epochs.get("placing", (0, ""))[0]:
         return ("refused", "epoch")
@@ -814,7 +819,8 @@
     "job-ended": _on_board("end"),
     "configure": _on_board("configure"),
     "amend": _on_board("amend"),
-    "evacuate": _on_board("evacuate"),
+    "evacuate": _evacuate,
+    "evacuation": _evacuate,
 }
 Record.actions = ACTIONS
 Record.levels = {
@@ -831,3 +837,4 @@
         "evacuate",
     )
 }
+Record.levels["evacuation"] = 3
--- a/src/pinepitch/ground/carrier.py
+++ b/src/pinepitch/ground/carrier.py
@@ -2,6 +2,8 @@
 
 from . import constants
 
+INDEX_CALL = "log-index"  # asks how far the log is; it changes nothing, so that given up it was not taken
+
 
 class Call:
     """Invariants: token is the same every time it is sent; open counts what was sent and
@@ -43,14 +45,18 @@
         due, effects = [], []
         for token, call in list(self.calls.items()):
             if now >= call.until:
-                del self.calls[token]
-                effects.append(("reply", call.request, *self._given_up(call)))
+                effects.extend(self.give_up(token))
             elif call.again is not None and now >= call.again:
                 due.append(token)
         return due, effects
 
+    def give_up(self, token):
+        """Effects of giving a call up."""
+        call = self.calls.pop(token)
+        return (("reply", call.request, *self._given_up(call)),)
+
     def _given_up(self, call):
-        if call.open or call.doubtful:
+        if (call.open or call.doubtful) and call.call != INDEX_CALL:
             return (
                 504,
                 {"error": {"code": "unsure", "message": "no leader answered; the call may have been taken"}},
--- /dev/null
+++ b/src/pinepitch/ground/confirmed.py
@@ -0,0 +1,54 @@
+"""Calls that are carried with an index of the log, confirmed by the leader as they came.
+
+First the index is asked for, then the call is carried with it as its last argument. The index is
+asked for only while the caller surely still waits, and never anew for the same call: what the
+caller does after it gave up has a higher one.
+"""
+
+from typing import NamedTuple
+
+from . import constants
+from .carrier import INDEX_CALL
+
+CALLS = frozenset(("evacuate",))  # that are carried so: they bear no version of their own
+
+
+class Waiting(NamedTuple):
+    """A call whose index is being asked for, and until when the whole may take."""
+
+    call: str
+    arguments: tuple
+    until: float
+
+
+class ConfirmedCalls:
+    """Invariant: a call in `waiting` has been sent to nobody."""
+
+    def __init__(self, carrier):
+        self.carrier = carrier
+        self.waiting = {}  # token of the question for the index -> Waiting
+
+    def begin(self, request, call, arguments, now, patience):
+        """Takes any call; the token of what is to be carried first."""
+        if call not in CALLS:
+            return self.carrier.begin(request, call, arguments, now, patience)
+        for token in [one for one in self.waiting if one not in self.carrier.calls]:
+            del self.waiting[token]
+        until = now + min(patience, constants.CALL_PATIENCE)
+        token = self.carrier.begin(request, INDEX_CALL, (), now, min(patience, constants.CONFIRM_WITHIN))
+        self.waiting[token] = Waiting(call, tuple(arguments), until)
+        return token
+
+    def answered(self, token, answer, now):
+        """Effects of an answer to any carried call. With its index, a call is due to be carried."""
+        waiting = self.waiting.pop(token, None)
+        question = self.carrier.calls.get(token)
+        if waiting is None or question is None or answer[0] != 200:
+            return self.carrier.answered(token, answer)
+        if now >= question.until:
+            return self.carrier.give_up(token)
+        del self.carrier.calls[token]
+        arguments = (*waiting.arguments, answer[1]["index"])
+        following = self.carrier.begin(question.request, waiting.call, arguments, now, waiting.until - now)
+        self.carrier.calls[following].again = now
+        return ()
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -152,7 +152,9 @@
 FILE_VERSION = (
     3  # of files on disk; another one is left alone. 2: bases name segments. 3: images hold a board
 )
-RECORD_LEVEL = 2  # of operations; a cohort proposes only what the lowest level told of a member knows
+RECORD_LEVEL = (
+    3  # of operations; a cohort proposes only what the lowest level told of a member knows. 3: evacuation
+)
 
 # --- jobs under holds ----------------------------------------------------------------
 SPEC_MOST = 4_000  # characters; of what a job hands to its tasks
@@ -166,6 +168,7 @@
 FINAL_SWEEP = 20  # jobs; looked at for dropping whenever one becomes final
 PREFIX_MOST = 512  # characters; of a route's prefix
 CONFIGURATIONS_KEPT = 1_000  # versions; whose call is remembered, so that sent again it is answered alike. Never raise it  # without a level: a list that is full tells that older ones were forgotten
+EVACUATED_MOST = 1_000  # zones; evacuated at once, and of others as many whose newest order is remembered
 HOLD = 4.0  # seconds; what runs is held this long beyond a beat, unless env allows less
 CLOCK_DRIFT = 0.025  # seconds per second; a minion's clock may run slower by 2 %
 LAPSE_MARGIN = 0.1  # seconds; added to a hold before what ran under it counts as ended
@@ -184,6 +187,9 @@
 )
 MINION_FORGOTTEN = 30.0  # seconds; a silent minion with nothing placed is dropped
 ASSIGN_MOST = 200  # tasks; in one assigning entry
+CONFIRM_WITHIN = (
+    0.75  # seconds; an order's index of the log is asked for while its caller, who waits 1 s, listens
+)
 CALL_PATIENCE = 2.5  # seconds; a call without a time of its own is carried this long
 LEAVE_MARGIN = 0.5  # seconds; after a worker said that it ends before what it ran counts as ended
 WARY = 0.5  # seconds; a worker that refused a start gets no other this long
--- a/src/pinepitch/proof/order_plants.py
+++ b/src/pinepitch/proof/order_plants.py
@@ -3,8 +3,10 @@
 import hashlib
 import json
 
+from ..ground import constants
 from ..tenure import configuration
 from ..tenure.configuration import Configuration
+from ..tenure.evacuation import Evacuations
 
 original_settled = Configuration._settled
 original_image = Configuration.image
@@ -37,6 +39,24 @@
     return 0
 
 
+original_take = Evacuations.take
+
+
+def _late_orders_taken(self, index, now, zone, begun, confirmed):
+    """Takes an order for a zone however late it comes."""
+    return original_take(self, index, now, zone, begun, index)
+
+
+def _holding_orders_unnoted(self, index, now, zone, begun, confirmed):
+    """Notes an order only if it changes something."""
+    before = dict(self.newest)
+    held = (zone in self.since) == begun
+    outcome = original_take(self, index, now, zone, begun, confirmed)
+    if held:
+        self.newest = before
+    return outcome
+
+
 PLANTS = {
     "base-unheeded": [(Configuration, "_settled", _base_unheeded)],
     "number-is-enough": [(Configuration, "_settled", _number_is_enough)],
@@ -44,4 +64,7 @@
     "order-of-members-counts": [(configuration, "digest_of", _member_order_counts)],
     "old-changes-refused": [(Configuration, "_forgotten_below", _old_is_refused)],
     "faults-unseen": [(configuration, "checked", lambda document: ())],
+    "late-orders-taken": [(Evacuations, "take", _late_orders_taken)],
+    "holding-orders-unnoted": [(Evacuations, "take", _holding_orders_unnoted)],
+    "orders-confirmed-late": [(constants, "CONFIRM_WITHIN", constants.CALL_PATIENCE)],
 }
--- a/src/pinepitch/proof/tenancy.py
+++ b/src/pinepitch/proof/tenancy.py
@@ -1248,7 +1248,7 @@
     "starts-proposed": [(Keeper, "_assign", _starts_proposed), (Keeper, "_orders", _orders_early)],
     "ends-noted-early": [(Worker, "acknowledged", lambda self: self.seen)],
     "levels-forgotten": [(Lead, "common_level", _told_levels_alone)],
-    "evacuation-in-word": [(Board, "evacuate", lambda self, now, zone, begun: ("ok",))],
+    "evacuation-in-word": [(Board, "evacuate", lambda self, *order: ("ok",))],
     "failures-forgotten": [(Board, "_ended", _failures_forgotten)],
     "room-given-early": [(Assigner, "_seats", _room_twice)],
     "cancel-in-word": [(Board, "cancel", _cancel_in_word)],
--- a/src/pinepitch/tenure/board.py
+++ b/src/pinepitch/tenure/board.py
@@ -7,6 +7,7 @@
 
 from ..ground import constants
 from .configuration import Configuration
+from .evacuation import Evacuations
 from .job import Job
 from .placement import Placement
 
@@ -23,7 +24,7 @@
         self.taken = {}  # minion -> [thousandths of a core, megabytes, accelerators] of its placements
         self.used = {}  # (service, priority) -> the same of all placements
         self.configuration = Configuration()
-        self.evacuated = {}  # zone -> since
+        self.evacuations = Evacuations()
         self.ready = {}  # key of a wave -> Wave
         self.counts = {}  # queue -> jobs not yet begun
 
@@ -34,15 +35,15 @@
             tuple((identity, *rest) for identity, rest in self.final.items()),
             tuple(one.image() for held in self.placements.values() for one in held.values()),
             self.configuration.image(),
-            tuple(self.evacuated.items()),
+            self.evacuations.image(),
         )
 
     @classmethod
     def from_image(cls, image):
         board = cls()
-        jobs, final, placements, configuration, evacuated = image
+        jobs, final, placements, configuration, evacuations = image
         board.configuration = Configuration(*configuration)
-        board.evacuated = dict(evacuated)
+        board.evacuations = Evacuations(*evacuations)
         board.final = {identity: tuple(rest) for identity, *rest in final}
         for one in placements:
             placement = Placement(*one)
@@ -56,6 +57,11 @@
                 board._index(wave)
         return board
 
+    @property
+    def evacuated(self):
+        """The zones that are evacuated, and since when."""
+        return self.evacuations.since
+
     def _index(self, wave):
         """Puts a wave among the ready, or takes it out."""
         if wave.waiting and not wave.blocked and not wave.breaking():
@@ -290,9 +296,8 @@
     def amend(self, now, base, version, upserts, removes, digest):
         return self.configuration.amend(base, version, upserts, removes, digest)
 
-    def evacuate(self, now, zone, begun):
-        if begun:
-            self.evacuated.setdefault(zone, now)
-        else:
-            self.evacuated.pop(zone, None)
-        return ("ok",)
+    def evacuate(self, now, zone, begun, index, confirmed=None):
+        """An order for a zone at entry `index`; `confirmed` as Evacuations.take wants it."""
+        if confirmed is None:
+            return self.evacuations.take_unconfirmed(index, now, zone, begun)
+        return self.evacuations.take(index, now, zone, begun, confirmed)
--- a/src/pinepitch/tenure/calls.py
+++ b/src/pinepitch/tenure/calls.py
@@ -157,11 +157,22 @@
 
 
 def evacuate(core, token, arguments, now):
-    zone, begun = arguments
-    return ("agree", ("evacuate", zone, begun), "evacuated", None)
+    """An order for a zone, with the index of the log that was confirmed as it came."""
+    zone, begun, confirmed = arguments
+    if not 0 < len(zone) <= constants.NAME_MOST:
+        return ("answer", problem(400, "zone", f"a zone has a name of 1 to {constants.NAME_MOST} characters"))
+    operation = ("evacuation", zone, begun, confirmed)
+    if core.record.levels["evacuation"] > core.common_level():
+        operation = ("evacuate", zone, begun)
+    return ("agree", operation, "evacuated", None)
 
 
 def evacuated(core, outcome, extra, now):
+    if outcome[0] == "superseded":
+        why = "another order for the zone came first; this one was not taken, send it again"
+        return problem(503, "superseded", why, constants.COME_BACK)
+    if outcome[0] == "full":
+        return problem(429, "full", "too many zones are evacuated", constants.COME_BACK)
     return (200, {}, None)
 
 
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -9,6 +9,7 @@
 
 from ..ground import constants
 from ..ground.carrier import Carrier
+from ..ground.confirmed import ConfirmedCalls
 from .filters import FILTERS
 
 
@@ -53,6 +54,7 @@
         self.stopping = False
         self.kills = {}
         self.carrier = Carrier(identity, address)  # calls about jobs
+        self.confirmed_calls = ConfirmedCalls(self.carrier)
         self.configured = False  # whether a configuration was ever heard to be in force
         self.event_counts = {}
         self.counts = {"calls": 0, "carried": 0, "answered": 0, "unanswered": 0, "orders": 0, "shed": 0}
@@ -206,7 +208,7 @@
             ready = self.configured and not self.stopping
             self.effects.append(("reply", request, 200 if ready else 503, {}, ()))
             return
-        token = self.carrier.begin(request, call, arguments, now, patience)
+        token = self.confirmed_calls.begin(request, call, arguments, now, patience)
         self._carry_call(token, now)
 
     def _carry_call(self, token, now):
@@ -225,7 +227,7 @@
 
     def _on_answer(self, token, answer, now):
         if token in self.carrier.calls:
-            self.effects.extend(self.carrier.answered(token, answer))
+            self.effects.extend(self.confirmed_calls.answered(token, answer, now))
             return
         carried = self.carried.pop(token, None)
         if carried is not None:
