--- a/features/orders.feature
+++ b/features/orders.feature
@@ -4,6 +4,20 @@
   Scenario: random orders are answered as the plain rules say
     Then random orders, sent again and after restarts of the record, are answered as the rules say
 
+  Scenario: random orders at a cohort in trouble keep the rules
+    Then random orders at a cohort that loses answers, daemons and disks keep the rules
+
+  Scenario Outline: random orders at a cohort find the planted fault <plant>
+    Given the planted fault <plant>
+    Then random orders at a cohort do not keep the rules
+
+    Examples:
+      | plant                  |
+      | base-unheeded          |
+      | number-is-enough       |
+      | taken-not-in-snapshots |
+      | late-orders-taken      |
+
   Scenario Outline: random orders find the planted fault <plant>
     Given the planted fault <plant>
     Then random orders are not answered as the rules say
@@ -31,31 +45,34 @@
       | a whole one      |
       | a change by name |
 
-  Scenario Outline: a Begin that was <held> comes too late to undo an acknowledged Finish
+  Scenario Outline: a Begin that was <held>, <ending>, comes too late to undo an acknowledged Finish
     Given a cohort that takes orders
-    When a Begin is <held>, sent again elsewhere, acknowledged and finished, and then let go on
+    When a Begin is <held>, <ending> and finished, and then let go on
     Then the zone stays free, and an order for it is taken anew
 
     Examples:
-      | held                                       |
-      | carried by a daemon that is cut off |
-      | confirmed by a daemon that then is cut off |
-      | carried by a daemon that freezes    |
-      | confirmed by a daemon that then freezes |
-      | carried by a leader that is cut off |
-
-  Scenario Outline: the planted fault <plant> lets a Begin that was <held> undo a Finish
+      | held                                       | ending                              |
+      | carried by a daemon that is cut off        | sent again elsewhere, acknowledged  |
+      | confirmed by a daemon that then is cut off | sent again elsewhere, acknowledged  |
+      | carried by a daemon that freezes           | sent again elsewhere, acknowledged  |
+      | confirmed by a daemon that then freezes    | sent again elsewhere, acknowledged  |
+      | carried by a leader that is cut off        | sent again elsewhere, acknowledged  |
+      | carried by a daemon that is cut off        | given up                            |
+      | confirmed by a daemon that then is cut off | given up                            |
+
+  Scenario Outline: the planted fault <plant> lets a Begin that was <held>, <ending>, undo a Finish
     Given the planted fault <plant>
     And a cohort that takes orders
-    When a Begin is <held>, sent again elsewhere, acknowledged and finished, and then let go on
+    When a Begin is <held>, <ending> and finished, and then let go on
     Then the zone does not stay free
 
     Examples:
-      | plant                 | held                                       |
-      | late-orders-taken     | confirmed by a daemon that then is cut off |
-      | late-orders-taken     | confirmed by a daemon that then freezes    |
-      | orders-confirmed-late | carried by a daemon that is cut off        |
-      | orders-confirmed-late | carried by a daemon that freezes           |
+      | plant                  | held                                       | ending                             |
+      | late-orders-taken      | confirmed by a daemon that then is cut off | sent again elsewhere, acknowledged |
+      | late-orders-taken      | confirmed by a daemon that then freezes    | sent again elsewhere, acknowledged |
+      | orders-confirmed-late  | carried by a daemon that is cut off        | sent again elsewhere, acknowledged |
+      | orders-confirmed-late  | carried by a daemon that freezes           | sent again elsewhere, acknowledged |
+      | holding-orders-unnoted | confirmed by a daemon that then is cut off | given up                           |
 
   Scenario: an order for a zone is acknowledged within a second in calm times
     Given a cohort that takes orders
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -1,5 +1,6 @@
 """Steps for Orders: models with random schedules against the plain rules, and single cases."""
 
+import contextlib
 import json
 import os
 import sys
@@ -227,7 +228,8 @@
     try:
         with tenancy.planted(context.plant):
             step_record_model(context)
-    except AssertionError:
+    except AssertionError as found:
+        print(str(found)[:300])
         return
     raise AssertionError(f"the planted fault {context.plant} went unseen")
 
@@ -308,8 +310,8 @@
     return fleet.heal
 
 
-@when("a Begin is {held}, sent again elsewhere, acknowledged and finished, and then let go on")
-def step_late(context, held):
+@when("a Begin is {held}, {ending} and finished, and then let go on")
+def step_late(context, held, ending):
     fleet = context.fleet
     by_leader = "leader" in held
     name = fleet.leader().name if by_leader else fleet.followers()[0]
@@ -327,11 +329,12 @@
     else:
         go_on = hold_back(fleet, held, name)
         operator.give(True, name)
-    assert fleet.until(lambda: operator.standing is True, 20, 0.005) is not None
-    other = next(one for one in fleet.names() if one != name)
-    operator.give(False, other)
+    if ending == "given up":
+        operator.instead = False
+    else:
+        assert fleet.until(lambda: operator.standing is True, 20, 0.005) is not None
+        operator.give(False, next(one for one in fleet.names() if one != name))
     assert fleet.until(lambda: operator.standing is False, 20, 0.005) is not None
-    context.finished = fleet.now
     go_on()
 
 
@@ -377,3 +380,222 @@
     waits = sorted(context.operator.waits)
     context.waits = waits
     assert waits[-1] < most, waits[-5:]
+
+
+# --- random orders at a cohort -------------------------------------------------------------
+FLEET_BOUNDED = hypothesis.settings(BOUNDED, max_examples=30, stateful_step_count=50)
+UNDER_WAY = 8  # orders at once
+ZONES = ("a", "b")
+SNAPSHOTS = {"SNAPSHOT_ENTRIES": 8, "SNAPSHOT_TAIL": 2}  # entries; so that some come in each run
+
+
+class OrdersAtACohort(RuleBasedStateMachine):
+    """Up to eight orders under way at daemons that are killed, frozen, cut off and wiped, one at a
+    time. Each zone has an operator, and two operators give versions on top of what they read."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = order_fleet.OrderFleet(1)
+        self.fleet.begin()
+        self.fleet.answer_loss = 0.2
+        self.operators = order_fleet.ChangeOperators(self.fleet)
+        self.zones = [order_fleet.ZoneOperator(self.fleet, zone) for zone in ZONES]
+        self.trouble = None  # (kind, name) of the daemon in trouble
+
+    # --- orders
+    def document(self, version, text):
+        return {
+            "configVersion": version,
+            "routes": [route("one", "/one/")],
+            "services": [{"name": "web"}],
+            "limits": {"text": text},
+        }
+
+    def known_version(self):
+        """What an operator knows to be in force."""
+        read = [document["version"] for _, _, document in self.operators.reads]
+        taken = [one.version() for one in self.operators.changes if 200 in one.statuses()]
+        return max([*read, *taken], default=0)
+
+    def give(self, kind, document, place):
+        base = str(self.known_version())
+        call, arguments, _ = at_the_door(order_rules.order_of(kind, base, document), document)
+        change = order_fleet.Change(order_rules.order_of(kind, base, document), call, arguments)
+        if all(change.order != one.order for one in self.operators.changes):
+            self.operators.give(change, self.fleet.names()[place])
+
+    @precondition(lambda self: self.operators.under_way() < UNDER_WAY)
+    @rule(
+        step=strategies.integers(0, 2), text=strategies.sampled_from("xyz"), place=strategies.integers(0, 2)
+    )
+    def replace(self, step, text, place):
+        self.give(order_rules.REPLACE, self.document(self.known_version() + step, text), place)
+
+    @precondition(lambda self: self.operators.under_way() < UNDER_WAY)
+    @rule(
+        step=strategies.integers(0, 2), name=strategies.sampled_from("xyz"), place=strategies.integers(0, 2)
+    )
+    def amend(self, step, name, place):
+        change = {
+            "configVersion": self.known_version() + step,
+            "upsertItems": {"routes": [route(name, f"/{name}/")]},
+            "removeNames": {},
+        }
+        self.give(order_rules.AMEND, change, place)
+
+    @precondition(lambda self: self.operators.changes and self.operators.under_way() < UNDER_WAY)
+    @rule(data=strategies.data(), place=strategies.integers(0, 2))
+    def again(self, data, place):
+        """A change whose answer was lost, sent again, also after others."""
+        change = data.draw(strategies.sampled_from(self.operators.changes))
+        self.operators.send(change, self.fleet.names()[place])
+
+    @rule(place=strategies.integers(0, 2))
+    def read(self, place):
+        self.operators.read(self.fleet.names()[place])
+
+    @rule(zone=strategies.integers(0, 1), begun=strategies.booleans(), place=strategies.integers(0, 2))
+    def order_zone(self, zone, begun, place):
+        operator = self.zones[zone]
+        if operator.order == 0 or operator.standing is not None:
+            operator.give(begun, self.fleet.names()[place])
+        else:
+            operator.instead = begun
+
+    # --- the world
+    @rule(seconds=strategies.sampled_from([0.003, 0.03, 0.2, 0.7, 1.5]))
+    def run(self, seconds):
+        end = self.fleet.now + seconds
+        while self.fleet.now < end:
+            self.fleet.run(min(0.02, seconds))
+            for operator in self.zones:
+                assert not operator.faults(), operator.faults()
+
+    def whole(self):
+        """Whether all daemons are up and members."""
+        leader = self.fleet.leader()
+        if leader is None or any(node.core is None for node in self.fleet.nodes.values()):
+            return False
+        cohort = leader.core.consensus.cohort
+        return cohort.coming is None and {node.core.identity for node in self.fleet.nodes.values()} == set(
+            cohort.members()
+        )
+
+    @precondition(lambda self: self.trouble is None)
+    @rule(
+        kind=strategies.sampled_from(["kill", "freeze", "cut", "wipe"]),
+        leads=strategies.booleans(),
+    )
+    def befall(self, kind, leads):
+        if self.whole():
+            self.strike(kind, self.fleet.leader().name if leads else self.fleet.followers()[0])
+
+    @precondition(lambda self: self.trouble is None)
+    @rule(
+        zone=strategies.integers(0, 1),
+        kind=strategies.sampled_from(["freeze", "cut"]),
+        place=strategies.integers(0, 2),
+        after=strategies.sampled_from([0.0, 0.003, 0.01, 0.03]),
+    )
+    def strike_carrier(self, zone, kind, place, after):
+        """An order for a zone, and then trouble for the daemon that carries it."""
+        operator = self.zones[zone]
+        if self.whole() and (operator.order == 0 or operator.standing is not None):
+            operator.give(operator.standing is not True, self.fleet.names()[place])
+            self.run(after)
+            self.strike(kind, self.fleet.names()[place])
+
+    @precondition(lambda self: self.trouble is not None)
+    @rule(zone=strategies.integers(0, 1), place=strategies.integers(0, 2), given_up=strategies.booleans())
+    def turn_and_end(self, zone, place, given_up):
+        """The opposite order once the last is acknowledged or given up, and then the end of the
+        trouble."""
+        operator = self.zones[zone]
+        if operator.order == 0:
+            return
+        if given_up:
+            operator.instead = not operator.wanted
+        self.fleet.until(lambda: operator.standing is not None, 2, 0.01)
+        if operator.standing is not None and not given_up:
+            operator.give(not operator.standing, self.fleet.names()[place])
+            self.fleet.until(lambda: operator.standing is not None, 1, 0.01)
+        self.end_trouble()
+
+    def strike(self, kind, name):
+        self.trouble = (kind, name)
+        if kind == "freeze":
+            self.fleet.freeze(name)
+        elif kind == "cut":
+            self.fleet.cut([name], [one for one in self.fleet.names() if one != name])
+        else:
+            self.fleet.kill(name)
+        if kind == "wipe":
+            self.fleet.wipe(name)
+
+    @precondition(lambda self: self.trouble is not None)
+    @rule()
+    def end_trouble(self):
+        self.fleet.restore()
+        self.trouble = None
+
+    # --- the end
+    def teardown(self):
+        fleet = self.fleet
+        fleet.restore()
+        fleet.answer_loss = fleet.loss = 0.0
+        assert fleet.until(lambda: self.whole() and fleet.leader().core.epoch > 0, 60) is not None
+        settled = fleet.until(lambda: not self.operators.under_way() and not fleet.under_way(), 30)
+        assert settled is not None, "orders are never answered"
+        for operator in self.zones:
+            assert operator.order == 0 or operator.standing is not None
+            assert not operator.faults(), operator.faults()
+        self.restart_all()
+        self.resend_all()
+        faults = self.operators.faults()
+        assert not faults, faults[:3]
+        self.chain_kept()
+
+    def restart_all(self):
+        """All daemons lose power and start again with what their disks kept."""
+        for name in self.fleet.names():
+            self.fleet.kill(name)
+        self.fleet.restore()
+        assert self.fleet.until(lambda: self.whole() and self.fleet.leader().core.epoch > 0, 60) is not None
+
+    def resend_all(self):
+        """Every change is sent once more, at a calm cohort."""
+        for place, change in enumerate(self.operators.changes):
+            self.operators.send(change, self.fleet.names()[place % 3])
+            assert self.fleet.until(lambda: not self.operators.under_way(), 20, 0.01) is not None
+
+    def chain_kept(self):
+        """The changes that were taken follow on one another, and the last is what is read."""
+        reference = order_rules.Reference(constants.CONFIGURATIONS_KEPT)
+        for change in sorted(self.operators.taken_in_record(), key=order_fleet.Change.version):
+            fault = reference.answered(change.order, 200)
+            assert fault is None, fault
+        self.operators.reads.clear()
+        self.operators.read(self.fleet.names()[0])
+        self.fleet.run(1)
+        if reference.document is not None:
+            found = wording.original(self.operators.reads[0][2], wording.CONFIGURATION)
+            assert found == reference.document, (found, reference.document)
+
+
+@then("random orders at a cohort that loses answers, daemons and disks keep the rules")
+def step_cohort_model(context):
+    with contextlib.ExitStack() as patches:
+        for name, value in SNAPSHOTS.items():
+            patches.enter_context(mock.patch.object(constants, name, value))
+        run_state_machine_as_test(OrdersAtACohort, settings=FLEET_BOUNDED)
+
+
+@then("random orders at a cohort do not keep the rules")
+def step_cohort_model_fails(context):
+    try:
+        with tenancy.planted(context.plant):
+            step_cohort_model(context)
+    except AssertionError as found:
+        print(str(found)[:300])
+        return
+    raise AssertionError(f"the planted fault {context.plant} went unseen")
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -167,7 +167,8 @@
 FINAL_MOST = 60_000  # jobs; final ones kept readable at most
 FINAL_SWEEP = 20  # jobs; looked at for dropping whenever one becomes final
 PREFIX_MOST = 512  # characters; of a route's prefix
-CONFIGURATIONS_KEPT = 1_000  # versions; whose call is remembered, so that sent again it is answered alike. Never raise it  # without a level: a list that is full tells that older ones were forgotten
+# Raised only with a new level: a full list tells that older versions were forgotten.
+CONFIGURATIONS_KEPT = 1_000  # versions; whose call is remembered, so that sent again it is answered alike
 EVACUATED_MOST = 1_000  # zones; evacuated at once, and of others as many whose newest order is remembered
 HOLD = 4.0  # seconds; what runs is held this long beyond a beat, unless env allows less
 CLOCK_DRIFT = 0.025  # seconds per second; a minion's clock may run slower by 2 %
--- a/src/pinepitch/proof/order_fleet.py
+++ b/src/pinepitch/proof/order_fleet.py
@@ -5,7 +5,10 @@
 """
 
 import itertools
+import json
 
+from ..ground import constants
+from ..tenure import calls
 from .simulator import START, Simulator
 from .tenancy import Tenancy
 
@@ -20,6 +23,7 @@
     _sent = Tenancy._sent
 
     def __init__(self, seed, areas=("a", "b", "c")):
+        self.answer_loss = 0.0  # part of the answers that get lost
         super().__init__(seed, areas, verges=(), minions=(), founders=len(areas))
 
     def begin(self):
@@ -35,9 +39,21 @@
         leader = self.leader()
         return [name for name, node in self.nodes.items() if node.core is not None and node is not leader]
 
-    def send(self, name, call, arguments, told, patience=2.5):
-        """One call to one daemon; told(status, document) comes back, (0, None) after silence."""
-        self._sent("operator", 0, self.nodes[name], call, arguments, patience, told)
+    def send(self, name, call, arguments, told):
+        """One call to one daemon; told(status, document) comes back once, (0, None) after silence."""
+        answers = []
+
+        def once(status, document):
+            if not answers:
+                answers.append(status)
+                told(status, document)
+
+        def perhaps(status, document):
+            if self.draw.random() >= self.answer_loss:
+                once(status, document)
+
+        self._sent("operator", 0, self.nodes[name], call, arguments, constants.CALL_PATIENCE, perhaps)
+        self.at(SILENCE, "later", lambda: once(0, None))
 
     def thaw(self, name):
         """A call that came while the daemon was frozen is turned away: its caller may be gone."""
@@ -48,6 +64,10 @@
             self.at(0.0, "answer", request, 0, "null")
         super().thaw(name)
 
+    def under_way(self):
+        """Whether something waits to be answered or to be sent again."""
+        return any(event[0] == "later" for _, _, event in self.events)
+
     def restore(self):
         """Ends all faults."""
         self.heal()
@@ -65,6 +85,7 @@
     def __init__(self, fleet, zone):
         self.fleet, self.zone = fleet, zone
         self.standing = self.wanted = None
+        self.instead = None  # what is ordered once the attempt under way has ended unclearly
         self.orders = itertools.count(1)
         self.order = 0
         self.sent = self.acknowledged = 0.0
@@ -73,21 +94,18 @@
     def give(self, begun, first=None):
         """Gives an order and sends it until it is acknowledged."""
         self.order, self.standing, self.wanted = next(self.orders), None, begun
+        self.instead = None
         self.sent = self.fleet.now
         self._attempt(self.order, first or self.fleet.draw.choice(self.fleet.names()))
 
     def _attempt(self, order, name):
         if order != self.order or self.standing is not None:
             return
-        over = []
 
         def told(status, document):
-            if not over:
-                over.append(status)
-                self._answered(order, name, status)
+            self._answered(order, name, status)
 
         self.fleet.send(name, "evacuate", (self.zone, self.wanted), told)
-        self.fleet.at(SILENCE, "later", lambda: told(0, None))
 
     def _answered(self, order, name, status):
         if order != self.order or self.standing is not None:
@@ -98,6 +116,9 @@
             return
         if status in REFUSALS:
             raise AssertionError(f"an order for {self.zone} was refused with {status}")
+        if self.instead is not None:
+            self.give(self.instead)
+            return
         others = [one for one in self.fleet.names() if one != name]
         self.fleet.at(PAUSE, "later", lambda: self._attempt(order, self.fleet.draw.choice(others)))
 
@@ -113,3 +134,100 @@
             return []
         done = "begun" if self.standing else "finished"
         return [f"zone {self.zone}: the evacuation was {done} and is undone at {self.fleet.now:.2f}"]
+
+
+class Change:
+    """An order that brings a version, and each answer to it."""
+
+    def __init__(self, order, call, arguments):
+        self.order, self.call, self.arguments = order, call, arguments
+        self.answers = []  # (sent, answered, status), 0 for silence
+        self.under_way = 0
+
+    def version(self):
+        """The number that it bears."""
+        return json.loads(self.order.body)["configVersion"]
+
+    def digest(self):
+        """What the record would remember it by."""
+        plain = json.loads(json.dumps(self.arguments))
+        return calls.CALLS[self.call](None, "", plain, 0.0)[1][-1]
+
+    def statuses(self):
+        return {status for _, _, status in self.answers}
+
+
+class ChangeOperators:
+    """Operators of versions, who send each change until it is clearly answered, to one daemon after
+    another, and now and then once more. Faults are told by faults()."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.changes = []
+        self.reads = []  # (sent, answered, document)
+
+    def under_way(self):
+        return sum(change.under_way for change in self.changes)
+
+    def give(self, change, name):
+        """Begins to send a change."""
+        self.changes.append(change)
+        self.send(change, name)
+
+    def send(self, change, name):
+        """Sends a change to one daemon, and to others until it is clearly answered."""
+        change.under_way += 1
+        sent = self.fleet.now
+
+        def told(status, document):
+            change.under_way -= 1
+            change.answers.append((sent, self.fleet.now, status))
+            if status in (0, 408, 429) or status >= 500:
+                others = [one for one in self.fleet.names() if one != name]
+                self.fleet.at(PAUSE, "later", lambda: self.send(change, self.fleet.draw.choice(others)))
+
+        self.fleet.send(name, change.call, change.arguments, told)
+
+    def read(self, name):
+        """Reads what is in force from one daemon."""
+        sent = self.fleet.now
+
+        def told(status, document):
+            if status == 200:
+                self.reads.append((sent, self.fleet.now, document))
+
+        self.fleet.send(name, "configuration", (), told)
+
+    def taken_in_record(self):
+        """The changes that the leader's record holds for taken."""
+        taken = self.fleet.leader().core.record.board.configuration.taken
+        return [one for one in self.changes if taken.get(one.version()) == one.digest()]
+
+    def faults(self):
+        """Faults in the answers, once all is calm and nothing is under way."""
+        faults, taken = [], self.taken_in_record()
+        for change in self.changes:
+            statuses = change.statuses()
+            if change in taken and statuses & {400, 412}:
+                faults.append(f"{change.order} was taken and refused: {change.answers}")
+            if change in taken and statuses and statuses <= {503}:
+                faults.append(f"{change.order} was taken, and told not to be: {change.answers}")
+            if change not in taken and 200 in statuses:
+                faults.append(f"{change.order} was acknowledged and not taken: {change.answers}")
+        return faults + self._read_faults()
+
+    def _read_faults(self):
+        """Reads that are older than what was acknowledged or read before them."""
+        faults = []
+        acknowledged = [
+            (answered, change.version())
+            for change in self.changes
+            for _, answered, status in change.answers
+            if status == 200
+        ]
+        seen = acknowledged + [(answered, document["version"]) for _, answered, document in self.reads]
+        for sent, _, document in self.reads:
+            newest = max((version for answered, version in seen if answered < sent), default=0)
+            if document["version"] < newest:
+                faults.append(f"version {document['version']} was read after version {newest}")
+        return faults
