--- /dev/null
+++ b/features/orders.feature
@@ -0,0 +1,80 @@
+Feature: Orders
+  An operator's order is taken once, never refused once taken, and never taken anew when it comes late.
+
+  Scenario: random orders are answered as the plain rules say
+    Then random orders, sent again and after restarts of the record, are answered as the rules say
+
+  Scenario: random orders at a cohort in trouble keep the rules
+    Then random orders at a cohort that loses answers, daemons and disks keep the rules
+
+  Scenario Outline: random orders at a cohort find the planted fault <plant>
+    Given the planted fault <plant>
+    Then random orders at a cohort do not keep the rules
+
+    Examples:
+      | plant                  |
+      | base-unheeded          |
+      | number-is-enough       |
+      | taken-not-in-snapshots |
+      | late-orders-taken      |
+
+  Scenario Outline: random orders find the planted fault <plant>
+    Given the planted fault <plant>
+    Then random orders are not answered as the rules say
+
+    Examples:
+      | plant                   |
+      | base-unheeded           |
+      | number-is-enough        |
+      | taken-not-in-snapshots  |
+      | order-of-members-counts |
+      | old-changes-refused     |
+      | faults-unseen           |
+
+  Scenario Outline: after more changes than are remembered, <call> sent again is not refused and not taken twice
+    Given 1100 changes were taken, one upon the other, <call> among the first
+    When <call> is sent again
+    Then it is answered with 504, and nothing has changed
+    When the oldest change that is remembered is sent again
+    Then it is answered with 200, and nothing has changed
+    When another change under the number of <call> is sent
+    Then it is answered with 504, and nothing has changed
+
+    Examples:
+      | call             |
+      | a whole one      |
+      | a change by name |
+
+  Scenario Outline: a Begin that was <held>, <ending>, comes too late to undo an acknowledged Finish
+    Given a cohort that takes orders
+    When a Begin is <held>, <ending> and finished, and then let go on
+    Then the zone stays free, and an order for it is taken anew
+
+    Examples:
+      | held                                       | ending                              |
+      | carried by a daemon that is cut off        | sent again elsewhere, acknowledged  |
+      | confirmed by a daemon that then is cut off | sent again elsewhere, acknowledged  |
+      | carried by a daemon that freezes           | sent again elsewhere, acknowledged  |
+      | confirmed by a daemon that then freezes    | sent again elsewhere, acknowledged  |
+      | carried by a leader that is cut off        | sent again elsewhere, acknowledged  |
+      | carried by a daemon that is cut off        | given up                            |
+      | confirmed by a daemon that then is cut off | given up                            |
+
+  Scenario Outline: the planted fault <plant> lets a Begin that was <held>, <ending>, undo a Finish
+    Given the planted fault <plant>
+    And a cohort that takes orders
+    When a Begin is <held>, <ending> and finished, and then let go on
+    Then the zone does not stay free
+
+    Examples:
+      | plant                  | held                                       | ending                             |
+      | late-orders-taken      | confirmed by a daemon that then is cut off | sent again elsewhere, acknowledged |
+      | late-orders-taken      | confirmed by a daemon that then freezes    | sent again elsewhere, acknowledged |
+      | orders-confirmed-late  | carried by a daemon that is cut off        | sent again elsewhere, acknowledged |
+      | orders-confirmed-late  | carried by a daemon that freezes           | sent again elsewhere, acknowledged |
+      | holding-orders-unnoted | confirmed by a daemon that then is cut off | given up                           |
+
+  Scenario: an order for a zone is acknowledged within a second in calm times
+    Given a cohort that takes orders
+    When 200 orders are given one after another at daemons of all roles
+    Then each was acknowledged within 0.2 seconds
--- /dev/null
+++ b/features/steps/orders.py
@@ -0,0 +1,602 @@
+"""Steps for Orders: models with random schedules against the plain rules, and single cases."""
+
+import contextlib
+import json
+import os
+import sys
+from unittest import mock
+
+import hypothesis
+from behave import given, then, when
+from hypothesis import strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from pinepitch.accord.record import Record
+from pinepitch.ground import constants
+from pinepitch.ground.http import Request, Response
+from pinepitch.proof import order_fleet, order_rules
+from pinepitch.proof.jobs import plants
+from pinepitch.tenure import calls
+
+FOLDER = os.path.join(
+    os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))), "platform"
+)
+sys.path.insert(0, FOLDER)
+try:
+    import doors
+    import wording
+finally:
+    sys.path.remove(FOLDER)
+
+TARGETS = {order_rules.REPLACE: doors.REPLACE, order_rules.AMEND: doors.AMEND}
+REMEMBERED = 5  # versions; as CONFIGURATIONS_KEPT in the model, so that some are forgotten in it
+BOUNDED = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=80,
+    phases=[hypothesis.Phase.generate],
+    stateful_step_count=40,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+# --- orders at random ------------------------------------------------------------------
+def route(name, prefix, service="web", timeout=3000):
+    return {
+        "name": name,
+        "hostName": "a.example",
+        "pathPrefix": prefix,
+        "serviceName": service,
+        "timeoutMs": timeout,
+    }
+
+
+ROUTES = strategies.builds(
+    route,
+    strategies.sampled_from(["one", "two", "three"]),
+    strategies.sampled_from(["/one/", "/two/", "/three/"]),
+    strategies.sampled_from(["web", "web", "web", "web", "spare", "gone"]),
+    strategies.sampled_from([3000, 3000, 3000.0, 1, 0, True, 2**53, -1]),
+)
+LIMITS = strategies.sampled_from([{}, {"most": 5}, {"most": 5.0}, {"most": True}, {"most": [1, 2]}])
+ODD_VERSIONS = strategies.sampled_from([0, -3, 2**53, 2**53 + 1, 10**30, 7.0, 7.5, True, "7", None, 1e300])
+ODD_BASES = strategies.sampled_from(["", "-1", "+1", "1.0", "x", "9" * 30, str(2**53), "0", "1"])
+
+
+def members_reversed(value):
+    """The same JSON with the members of every object in the opposite order."""
+    if isinstance(value, dict):
+        return {name: members_reversed(value[name]) for name in reversed(list(value))}
+    if isinstance(value, list):
+        return [members_reversed(one) for one in value]
+    return value
+
+
+class RecordCore:
+    """As much of an accord as calls about the configuration ask of it."""
+
+    def __init__(self):
+        self.record, self.index = Record(), 0
+
+    def call(self, name, *arguments):
+        made = calls.CALLS[name](self, "token", arguments, 0.0)
+        if made[0] == "answer":
+            return made[1]
+        _, operation, shape, extra = made
+        self.index += 1
+        outcome = self.record.apply(self.index, float(self.index), json.loads(json.dumps(operation)))
+        return calls.SHAPES[shape](self, outcome, extra, 0.0)
+
+    def restart(self):
+        self.record = Record.decode(Record.encode(self.record.image()))
+
+
+def at_the_door(order, document):
+    """What a control port makes of an order: a response, or the call to carry."""
+    request = Request(
+        "POST",
+        TARGETS[order.kind],
+        {"x-based-on-version": order.base},
+        json.dumps(document).encode(),
+    )
+    return doors.Control("10.0.0.1:8080").read(request)
+
+
+class OrdersAtARecord(RuleBasedStateMachine):
+    """Orders come one after another to one record; each answer is one that the rules allow."""
+
+    def __init__(self):
+        super().__init__()
+        self.core = RecordCore()
+        self.reference = order_rules.Reference(REMEMBERED)
+        self.sent = []  # (order, document)
+
+    def send(self, kind, base, document):
+        order = order_rules.order_of(kind, base, document)
+        self.sent.append((order, document))
+        self.answer(order, document)
+
+    def answer(self, order, document):
+        found = at_the_door(order, document)
+        if isinstance(found, Response):
+            status = found.status
+        else:
+            call, arguments, _ = found
+            status = self.core.call(call, *arguments)[0]
+        fault = self.reference.answered(order, status)
+        assert fault is None, fault
+
+    def base(self, data):
+        if data.draw(strategies.integers(0, 5)):
+            return str(self.reference.version)
+        return data.draw(ODD_BASES)
+
+    def version(self, data):
+        if data.draw(strategies.integers(0, 5)):
+            return self.reference.version + data.draw(strategies.integers(-1, 3))
+        return data.draw(ODD_VERSIONS)
+
+    @initialize()
+    def first(self):
+        self.send(
+            order_rules.REPLACE,
+            "0",
+            {
+                "configVersion": 3,
+                "routes": [route("one", "/one/")],
+                "services": [{"name": "web"}],
+                "limits": {},
+            },
+        )
+
+    @rule(data=strategies.data(), routes=strategies.lists(ROUTES, max_size=3), limits=LIMITS)
+    def replace(self, data, routes, limits):
+        document = {
+            "configVersion": self.version(data),
+            "routes": routes,
+            "services": [{"name": "web"}],
+            "limits": limits,
+        }
+        self.send(order_rules.REPLACE, self.base(data), document)
+
+    @rule(
+        data=strategies.data(),
+        routes=strategies.lists(ROUTES, max_size=2, unique_by=lambda one: one["name"]),
+        removes=strategies.lists(strategies.sampled_from(["one", "two", "never"]), max_size=2),
+    )
+    def amend(self, data, routes, removes):
+        document = {
+            "configVersion": self.version(data),
+            "upsertItems": {"routes": routes},
+            "removeNames": {"routes": removes},
+        }
+        self.send(order_rules.AMEND, self.base(data), document)
+
+    @rule(step=strategies.integers(1, 3), limits=LIMITS)
+    def next_version(self, step, limits):
+        document = {
+            "configVersion": self.reference.version + step,
+            "routes": [route("one", "/one/"), route("two", "/two/")],
+            "services": [{"name": "web"}],
+            "limits": limits,
+        }
+        self.send(order_rules.REPLACE, str(self.reference.version), document)
+
+    @precondition(lambda self: self.sent)
+    @rule(data=strategies.data(), turned=strategies.booleans())
+    def again(self, data, turned):
+        order, document = data.draw(strategies.sampled_from(self.sent))
+        self.answer(order, members_reversed(document) if turned else document)
+
+    @precondition(lambda self: self.reference.taken)
+    @rule(data=strategies.data(), limits=LIMITS)
+    def other_under_one_number(self, data, limits):
+        order, _ = data.draw(strategies.sampled_from(self.reference.taken[-8:]))
+        document = json.loads(order.body)
+        if order.kind == order_rules.REPLACE:
+            document["limits"] = {"other": limits}
+        else:
+            document["removeNames"]["services"] = ["other"]
+        self.send(order.kind, order.base, document)
+
+    @rule()
+    def restart(self):
+        self.core.restart()
+
+    @invariant()
+    def read_back(self):
+        found = self.core.record.board.configuration.document
+        plain = None if found is None else wording.original(found, wording.CONFIGURATION)
+        assert json.dumps(plain, sort_keys=True) == json.dumps(self.reference.document, sort_keys=True)
+
+
+@then("random orders, sent again and after restarts of the record, are answered as the rules say")
+def step_record_model(context):
+    with mock.patch.object(constants, "CONFIGURATIONS_KEPT", REMEMBERED):
+        run_state_machine_as_test(OrdersAtARecord, settings=BOUNDED)
+
+
+@then("random orders are not answered as the rules say")
+def step_record_model_fails(context):
+    try:
+        with plants.planted(context.plant):
+            step_record_model(context)
+    except AssertionError as found:
+        print(str(found)[:300])
+        return
+    raise AssertionError(f"the planted fault {context.plant} went unseen")
+
+
+# --- more changes than are remembered ----------------------------------------------------
+EARLY = {"a whole one": 0, "a change by name": 1}  # place among the changes that are made
+
+
+def change(place):
+    """The change of that place: (call, arguments), each on top of the one before."""
+    base, version = 2 * place, 2 * place + 2
+    if place == EARLY["a change by name"]:
+        return ("amend", (base, version, {"services": [{"name": "spare"}]}, {}))
+    document = {"version": version, "routes": [], "services": [{"name": f"web{place}"}]}
+    return ("configure", (base, document))
+
+
+@given("{count:d} changes were taken, one upon the other, {call} among the first")
+def step_many(context, count, call):
+    context.core, context.count = RecordCore(), count
+    for place in range(count):
+        name, arguments = change(place)
+        assert context.core.call(name, *arguments)[0] == 200
+
+
+def send_changed(context, name, arguments):
+    context.before = context.core.record.board.configuration.image()
+    context.core.restart()
+    context.answer = context.core.call(name, *arguments)
+
+
+@when("the oldest change that is remembered is sent again")
+def step_oldest(context):
+    send_changed(context, *change(context.count - constants.CONFIGURATIONS_KEPT))
+
+
+@when("another change under the number of {call} is sent")
+def step_other(context, call):
+    name, arguments = change(EARLY[call])
+    more = {"routes": [], "services": []}
+    last = arguments[-1]
+    send_changed(context, name, (*arguments[:-1], {**last, **more}))
+
+
+@when("{call} is sent again")
+def step_again(context, call):
+    send_changed(context, *change(EARLY[call]))
+
+
+@then("it is answered with {status:d}, and nothing has changed")
+def step_answered(context, status):
+    assert context.answer[0] == status, context.answer
+    assert repr(context.core.record.board.configuration.image()) == repr(
+        (context.before[0], tuple(tuple(one) for one in context.before[1]))
+    )
+
+
+# --- orders that come late ---------------------------------------------------------------
+CONFIRMING = 0.03  # seconds; until a daemon has confirmed an order, and not yet sent it on
+
+
+@given("a cohort that takes orders")
+def step_cohort(context):
+    planted = plants.planted(getattr(context, "plant", ""))
+    planted.__enter__()
+    context.add_cleanup(planted.__exit__, None, None, None)
+    context.fleet = order_fleet.OrderFleet(1)
+    context.fleet.begin()
+    context.fleet.run(1)
+
+
+def hold_back(fleet, held, name):
+    """Holds a daemon back as a case says; what lets it go on."""
+    if "freezes" in held:
+        fleet.freeze(name)
+        return lambda: fleet.thaw(name)
+    fleet.cut([name], [one for one in fleet.names() if one != name])
+    return fleet.heal
+
+
+@when("a Begin is {held}, {ending} and finished, and then let go on")
+def step_late(context, held, ending):
+    fleet = context.fleet
+    by_leader = "leader" in held
+    name = fleet.leader().name if by_leader else fleet.followers()[0]
+    operator = context.operator = order_fleet.ZoneOperator(fleet, "a")
+    if "confirmed" in held:
+        operator.give(True, name)
+        assert fleet.until(lambda: on_its_way(fleet.nodes[name].core), 0.5, 0.001) is not None
+        go_on = hold_back(fleet, held, name)
+    elif "freezes" in held:  # before what it sent was heard
+        fleet.cut([name], [one for one in fleet.names() if one != name])
+        operator.give(True, name)
+        assert fleet.until(lambda: fleet.nodes[name].core.carrier.calls, 0.5, 0.0005) is not None
+        go_on = hold_back(fleet, held, name)
+        fleet.heal()
+    else:
+        go_on = hold_back(fleet, held, name)
+        operator.give(True, name)
+    if ending == "given up":
+        operator.instead = False
+    else:
+        assert fleet.until(lambda: operator.standing is True, 20, 0.005) is not None
+        operator.give(False, next(one for one in fleet.names() if one != name))
+    assert fleet.until(lambda: operator.standing is False, 20, 0.005) is not None
+    go_on()
+
+
+def on_its_way(core):
+    """Whether a daemon carries an evacuation that was confirmed to it."""
+    return any(call.call == "evacuate" for call in core.carrier.calls.values())
+
+
+@then("the zone stays free, and an order for it is taken anew")
+def step_stays(context):
+    fleet, operator = context.fleet, context.operator
+    for _ in range(300):
+        fleet.run(0.02)
+        assert not operator.faults(), operator.faults()
+    operator.give(True)
+    assert fleet.until(lambda: operator.standing is True, 20, 0.005) is not None
+    fleet.run(1)
+    assert not operator.faults(), operator.faults()
+
+
+@then("the zone does not stay free")
+def step_undone(context):
+    try:
+        step_stays(context)
+    except AssertionError as found:
+        assert "is undone" in str(found), found
+        return
+    raise AssertionError(f"the planted fault {context.plant} went unseen")
+
+
+@when("{count:d} orders are given one after another at daemons of all roles")
+def step_calm_orders(context, count):
+    fleet = context.fleet
+    fleet.loss = 0.0
+    operator = context.operator = order_fleet.ZoneOperator(fleet, "a")
+    for place in range(count):
+        operator.give(place % 2 == 0, fleet.names()[place % 3])
+        assert fleet.until(lambda: operator.standing is not None, 20, 0.005) is not None
+
+
+@then("each was acknowledged within {most:g} seconds")
+def step_acknowledged(context, most):
+    waits = sorted(context.operator.waits)
+    context.waits = waits
+    assert waits[-1] < most, waits[-5:]
+
+
+# --- random orders at a cohort -------------------------------------------------------------
+FLEET_BOUNDED = hypothesis.settings(BOUNDED, max_examples=30, stateful_step_count=50)
+UNDER_WAY = 8  # orders at once
+ZONES = ("a", "b")
+SNAPSHOTS = {"SNAPSHOT_ENTRIES": 8, "SNAPSHOT_TAIL": 2}  # entries; so that some come in each run
+
+
+class OrdersAtACohort(RuleBasedStateMachine):
+    """Up to eight orders under way at daemons that are killed, frozen, cut off and wiped, one at a
+    time. Each zone has an operator, and two operators give versions on top of what they read."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = order_fleet.OrderFleet(1)
+        self.fleet.begin()
+        self.fleet.answer_loss = 0.2
+        self.operators = order_fleet.ChangeOperators(self.fleet)
+        self.zones = [order_fleet.ZoneOperator(self.fleet, zone) for zone in ZONES]
+        self.trouble = None  # (kind, name) of the daemon in trouble
+
+    # --- orders
+    def document(self, version, text):
+        return {
+            "configVersion": version,
+            "routes": [route("one", "/one/")],
+            "services": [{"name": "web"}],
+            "limits": {"text": text},
+        }
+
+    def known_version(self):
+        """What an operator knows to be in force."""
+        read = [document["version"] for _, _, document in self.operators.reads]
+        taken = [one.version() for one in self.operators.changes if 200 in one.statuses()]
+        return max([*read, *taken], default=0)
+
+    def give(self, kind, document, place):
+        base = str(self.known_version())
+        call, arguments, _ = at_the_door(order_rules.order_of(kind, base, document), document)
+        change = order_fleet.Change(order_rules.order_of(kind, base, document), call, arguments)
+        if all(change.order != one.order for one in self.operators.changes):
+            self.operators.give(change, self.fleet.names()[place])
+
+    @precondition(lambda self: self.operators.under_way() < UNDER_WAY)
+    @rule(
+        step=strategies.integers(0, 2), text=strategies.sampled_from("xyz"), place=strategies.integers(0, 2)
+    )
+    def replace(self, step, text, place):
+        self.give(order_rules.REPLACE, self.document(self.known_version() + step, text), place)
+
+    @precondition(lambda self: self.operators.under_way() < UNDER_WAY)
+    @rule(
+        step=strategies.integers(0, 2), name=strategies.sampled_from("xyz"), place=strategies.integers(0, 2)
+    )
+    def amend(self, step, name, place):
+        change = {
+            "configVersion": self.known_version() + step,
+            "upsertItems": {"routes": [route(name, f"/{name}/")]},
+            "removeNames": {},
+        }
+        self.give(order_rules.AMEND, change, place)
+
+    @precondition(lambda self: self.operators.changes and self.operators.under_way() < UNDER_WAY)
+    @rule(data=strategies.data(), place=strategies.integers(0, 2))
+    def again(self, data, place):
+        """A change whose answer was lost, sent again, also after others."""
+        change = data.draw(strategies.sampled_from(self.operators.changes))
+        self.operators.send(change, self.fleet.names()[place])
+
+    @rule(place=strategies.integers(0, 2))
+    def read(self, place):
+        self.operators.read(self.fleet.names()[place])
+
+    @rule(zone=strategies.integers(0, 1), begun=strategies.booleans(), place=strategies.integers(0, 2))
+    def order_zone(self, zone, begun, place):
+        operator = self.zones[zone]
+        if operator.order == 0 or operator.standing is not None:
+            operator.give(begun, self.fleet.names()[place])
+        else:
+            operator.instead = begun
+
+    # --- the world
+    @rule(seconds=strategies.sampled_from([0.003, 0.03, 0.2, 0.7, 1.5]))
+    def run(self, seconds):
+        end = self.fleet.now + seconds
+        while self.fleet.now < end:
+            self.fleet.run(min(0.02, seconds))
+            for operator in self.zones:
+                assert not operator.faults(), operator.faults()
+
+    def whole(self):
+        """Whether all daemons are up and members."""
+        leader = self.fleet.leader()
+        if leader is None or any(node.core is None for node in self.fleet.nodes.values()):
+            return False
+        cohort = leader.core.consensus.cohort
+        return cohort.coming is None and {node.core.identity for node in self.fleet.nodes.values()} == set(
+            cohort.members()
+        )
+
+    @precondition(lambda self: self.trouble is None)
+    @rule(
+        kind=strategies.sampled_from(["kill", "freeze", "cut", "wipe"]),
+        leads=strategies.booleans(),
+    )
+    def befall(self, kind, leads):
+        if self.whole():
+            self.strike(kind, self.fleet.leader().name if leads else self.fleet.followers()[0])
+
+    @precondition(lambda self: self.trouble is None)
+    @rule(
+        zone=strategies.integers(0, 1),
+        kind=strategies.sampled_from(["freeze", "cut"]),
+        place=strategies.integers(0, 2),
+        after=strategies.sampled_from([0.0, 0.003, 0.01, 0.03]),
+    )
+    def strike_carrier(self, zone, kind, place, after):
+        """An order for a zone, and then trouble for the daemon that carries it."""
+        operator = self.zones[zone]
+        if self.whole() and (operator.order == 0 or operator.standing is not None):
+            operator.give(operator.standing is not True, self.fleet.names()[place])
+            self.run(after)
+            self.strike(kind, self.fleet.names()[place])
+
+    @precondition(lambda self: self.trouble is not None)
+    @rule(zone=strategies.integers(0, 1), place=strategies.integers(0, 2), given_up=strategies.booleans())
+    def turn_and_end(self, zone, place, given_up):
+        """The opposite order once the last is acknowledged or given up, and then the end of the
+        trouble."""
+        operator = self.zones[zone]
+        if operator.order == 0:
+            return
+        if given_up:
+            operator.instead = not operator.wanted
+        self.fleet.until(lambda: operator.standing is not None, 2, 0.01)
+        if operator.standing is not None and not given_up:
+            operator.give(not operator.standing, self.fleet.names()[place])
+            self.fleet.until(lambda: operator.standing is not None, 1, 0.01)
+        self.end_trouble()
+
+    def strike(self, kind, name):
+        self.trouble = (kind, name)
+        if kind == "freeze":
+            self.fleet.freeze(name)
+        elif kind == "cut":
+            self.fleet.cut([name], [one for one in self.fleet.names() if one != name])
+        else:
+            self.fleet.kill(name)
+        if kind == "wipe":
+            self.fleet.wipe(name)
+
+    @precondition(lambda self: self.trouble is not None)
+    @rule()
+    def end_trouble(self):
+        self.fleet.restore()
+        self.trouble = None
+
+    # --- the end
+    def teardown(self):
+        fleet = self.fleet
+        fleet.restore()
+        fleet.answer_loss = fleet.loss = 0.0
+        assert fleet.until(lambda: self.whole() and fleet.leader().core.epoch > 0, 60) is not None
+        settled = fleet.until(lambda: not self.operators.under_way() and not fleet.under_way(), 30)
+        assert settled is not None, "orders are never answered"
+        for operator in self.zones:
+            assert operator.order == 0 or operator.standing is not None
+            assert not operator.faults(), operator.faults()
+        self.restart_all()
+        self.resend_all()
+        faults = self.operators.faults()
+        assert not faults, faults[:3]
+        self.chain_kept()
+
+    def restart_all(self):
+        """All daemons lose power and start again with what their disks kept."""
+        for name in self.fleet.names():
+            self.fleet.kill(name)
+        self.fleet.restore()
+        assert self.fleet.until(lambda: self.whole() and self.fleet.leader().core.epoch > 0, 60) is not None
+
+    def resend_all(self):
+        """Every change is sent once more, at a calm cohort."""
+        for place, change in enumerate(self.operators.changes):
+            self.operators.send(change, self.fleet.names()[place % 3])
+            assert self.fleet.until(lambda: not self.operators.under_way(), 20, 0.01) is not None
+
+    def chain_kept(self):
+        """The changes that were taken follow on one another, and the last is what is read."""
+        reference = order_rules.Reference(constants.CONFIGURATIONS_KEPT)
+        for change in sorted(self.operators.taken_in_record(), key=order_fleet.Change.version):
+            fault = reference.answered(change.order, 200)
+            assert fault is None, fault
+        self.operators.reads.clear()
+        self.operators.read(self.fleet.names()[0])
+        self.fleet.run(1)
+        if reference.document is not None:
+            found = wording.original(self.operators.reads[0][2], wording.CONFIGURATION)
+            assert found == reference.document, (found, reference.document)
+
+
+@then("random orders at a cohort that loses answers, daemons and disks keep the rules")
+def step_cohort_model(context):
+    with contextlib.ExitStack() as patches:
+        for name, value in SNAPSHOTS.items():
+            patches.enter_context(mock.patch.object(constants, name, value))
+        run_state_machine_as_test(OrdersAtACohort, settings=FLEET_BOUNDED)
+
+
+@then("random orders at a cohort do not keep the rules")
+def step_cohort_model_fails(context):
+    try:
+        with plants.planted(context.plant):
+            step_cohort_model(context)
+    except AssertionError as found:
+        print(str(found)[:300])
+        return
+    raise AssertionError(f"the planted fault {context.plant} went unseen")
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -9,6 +9,7 @@
 from ..ground import constants, metrics
 from ..ground.carrier import Carrier
 from ..ground.cohorttime import CohortTime
+from ..ground.confirmed import ConfirmedCalls
 from ..ground.leaderclock import LeaderClock, Reading
 from ..tenure.keeper import Keeper
 from . import rehearsal, rules
@@ -62,6 +63,7 @@
         self.far = constants.FAR  # times as long that a task takes away from its data
         life = f"{identity}~{seed}"  # the seed is drawn anew in each life
         self.carrier = Carrier(life, address, self._event)
+        self.confirmed_calls = ConfirmedCalls(self.carrier)
         self.leader_clock = LeaderClock()
         self.hinted = {}  # minion -> when it was last told where the leader is
         self.step_at = 0.0
@@ -534,7 +536,7 @@
         if call == "ready":
             self.effects.append(("reply", request, 200 if self.consensus is not None else 503, {}, ()))
             return
-        token = self.carrier.begin(request, call, arguments, now, patience)
+        token = self.confirmed_calls.begin(request, call, arguments, now, patience)
         self._carry(token, now)
 
     def _carry(self, token, now):
@@ -572,7 +574,7 @@
                 del answer[1]["home"]
             else:
                 self.hinted[minion] = now
-        self.effects.extend(self.carrier.answered(token, answer, key, now))
+        self.effects.extend(self.confirmed_calls.answered(token, answer, key, now))
 
     def _on_elsewhere(self, token, leader, sending, reading, now):
         self.leader_clock.hear(reading, now)
--- a/src/pinepitch/accord/lead.py
+++ b/src/pinepitch/accord/lead.py
@@ -87,7 +87,8 @@
         if held is None:
             return
         if address == self.address:
-            self.effects.extend(self.carrier.answered(token, answer, held.key, self.step_at, until))
+            answered = self.confirmed_calls.answered(token, answer, held.key, self.step_at, until)
+            self.effects.extend(answered)
         else:
             self._send(address, ("answer", token, answer, held.key))
 
@@ -460,7 +461,7 @@
                 self._refused(outcome[1])
         elif kind == "job-ended":
             self.keeper.ended(self.record.index, operation[1], outcome[1])
-        elif kind in ("job", "job-cancel", "evacuate", "configure", "amend"):
+        elif kind in ("job", "job-cancel", "evacuate", "evacuation", "configure", "amend"):
             self.keeper.due = True
             if outcome[0] == "configured":
                 self._event(181, version=outcome[1])
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -10,6 +10,7 @@
 from ..ground import constants
 from ..ground.callkey import key_of
 from ..ground.carrier import Carrier
+from ..ground.confirmed import ConfirmedCalls
 from ..ground.leaderclock import LeaderClock
 from .filters import FILTERS
 
@@ -55,6 +56,7 @@
         self.stopping = False
         self.kills = {}
         self.carrier = Carrier(identity, address, self._event)  # calls about jobs; each life has its identity
+        self.confirmed_calls = ConfirmedCalls(self.carrier)
         self.leader_clock = LeaderClock()
         self.configured = False  # whether a configuration was ever heard to be in force
         self.event_counts = {}
@@ -208,7 +210,7 @@
             ready = self.configured and not self.stopping
             self.effects.append(("reply", request, 200 if ready else 503, {}, ()))
             return
-        token = self.carrier.begin(request, call, arguments, now, patience)
+        token = self.confirmed_calls.begin(request, call, arguments, now, patience)
         self._carry_call(token, now)
 
     def _carry_call(self, token, now):
@@ -229,7 +231,7 @@
     def _on_answer(self, token, answer, key, now):
         carried = self.carried.get(token)
         if carried is None:
-            self.effects.extend(self.carrier.answered(token, answer, key, now))
+            self.effects.extend(self.confirmed_calls.answered(token, answer, key, now))
             return
         if key_of(carried.call, carried.arguments) != tuple(key):
             self._event(145, token=token, call=carried.call, told=list(key))
