proof/contact.py parted into a package, proof/isolation, with one job a module

Orders and operators, fleet, scenarios, checks, planted faults and trials each have a module; kinds are called scenarios as in proof/jobs. The rate of jobs in these trials is halved: they are about operators' orders, and the feature took too long.

--- a/features/contact.feature
+++ b/features/contact.feature
@@ -2,28 +2,27 @@
   A control machine out of contact hands out nothing old, refuses nothing that was taken, and
   confirms nothing that does not hold.
 
-  Scenario Outline: a machine that meets <kind> is caught telling nothing untrue
-    When a control machine meets <kind> with seeds 0 to 1
+  Scenario Outline: a machine that meets <scenario> is caught telling nothing untrue
+    When a control machine meets <scenario> with seeds <seeds>
     Then no check of contact finds a fault
 
     Examples:
-      | kind             |
-      | cut-both         |
-      | cut-in           |
-      | cut-out          |
-      | seeds-swapped    |
-      | frozen           |
-      | stopped-at-write |
-      | stopped-at-send  |
-
-  Scenario Outline: the planted fault <plant> is found when a machine meets <kind>
+      | scenario         | seeds  |
+      | cut-both         | 0 to 1 |
+      | cut-in           | 0 to 1 |
+      | cut-out          | 0 to 1 |
+      | seeds-swapped    | 0 to 0 |
+      | frozen           | 0 to 1 |
+      | stopped-at-write | 0 to 0 |
+      | stopped-at-send  | 1 to 1 |
+
+  Scenario Outline: the planted fault <plant> is found when a machine meets <scenario>
     Given the planted fault <plant>
-    When a control machine meets <kind> with seeds <seeds>
+    When a control machine meets <scenario> with seeds <seeds>
     Then some check of contact finds <fault>
 
     Examples:
-      | plant                | kind             | seeds  | fault                                    |
-      | asks-without-end     | cut-out          | 1 to 1 | s after it was asked for                 |
+      | plant                | scenario         | seeds  | fault                                    |
       | asks-without-end     | stopped-at-send  | 1 to 1 | s after it was asked for                 |
       | ends-on-own-clock    | cut-out          | 1 to 1 | s after it was asked for                 |
       | late-answers-written | stopped-at-write | 0 to 0 | after a newer one was acknowledged       |
--- a/features/steps/contact.py
+++ b/features/steps/contact.py
@@ -7,7 +7,8 @@
 
 from pinepitch.ground import constants, host, http, stall
 from pinepitch.ground.leaderclock import LeaderClock, Reading
-from pinepitch.proof import contact, tenancy
+from pinepitch.proof import tenancy
+from pinepitch.proof.isolation import trials
 from pinepitch.proof.scale import costs
 from pinepitch.proof.simulator import Simulator
 
@@ -17,23 +18,23 @@
 
 
 # --- trials --------------------------------------------------------------------------
-@when("a control machine meets {kind} with seeds {first:d} to {last:d}")
-def step_try(context, kind, first, last):
+@when("a control machine meets {scenario} with seeds {first:d} to {last:d}")
+def step_try(context, scenario, first, last):
     plant = getattr(context, "plant", "")
-    context.work = [(kind, seed, plant) for seed in range(first, last + 1)]
+    context.work = [(scenario, seed, plant) for seed in range(first, last + 1)]
 
 
 @then("no check of contact finds a fault")
 def step_clean(context):
     found = []
-    for arguments, faults, _ in tenancy.many(context.work, contact.one):
-        found.extend(f"{contact.replay(*arguments)}\n   {fault}" for fault in faults)
+    for arguments, faults, _ in tenancy.many(context.work, trials.one):
+        found.extend(f"{trials.replay(*arguments)}\n   {fault}" for fault in faults)
     assert not found, "\n".join(found[:6])
 
 
 @then("some check of contact finds {fault}")
 def step_found(context, fault):
-    found = [one for _, faults, _ in tenancy.many(context.work, contact.one) for one in faults]
+    found = [one for _, faults, _ in tenancy.many(context.work, trials.one) for one in faults]
     assert any(fault in one for one in found), f"the planted fault went unseen; found: {found[:6]}"
 
 
--- /dev/null
+++ b/src/pinepitch/proof/isolation/fleet.py
@@ -0,0 +1,53 @@
+"""The fleet that runs jobs, with operators whose calls hang on and links that may hold back frames."""
+
+import json
+
+from ...ground import constants, wire
+from ..jobs.fleet import Tenancy
+from .orders import Operators
+
+ANSWER_WITHIN = 60.0  # seconds; an operator takes an answer this late, though no caller waits so long
+
+
+class Isolation(Tenancy):
+    """The tenancy with operators that hang on, and links that may hold back what they carry.
+    Invariant: while `holding`, what a cut keeps is in `kept`, in order, until the cut heals."""
+
+    def __init__(self, seed):
+        self.holding, self.kept = False, []
+        super().__init__(seed)
+        self.patron.rate = 0.5  # jobs are not what these trials are about
+        self.operators = None
+
+    def accords(self):
+        return [node for node in self.nodes.values() if node.kind == "accord"]
+
+    def ask_once(self, node, call, arguments, told):
+        """One call to one daemon, whose answer may take ANSWER_WITHIN."""
+        self.request_count += 1
+        number = self.request_count
+        self.requests[number] = ("call", "operator", 0, ("told", told), node.name)
+        self.at(ANSWER_WITHIN, "answer", number, 0, "null")
+        plain = tuple(json.loads(json.dumps(arguments)))
+        message = ("call", number, call, plain, constants.CALL_PATIENCE)
+        self.at(self.latency(), "give", node.name, node.life, message)
+
+    def carry_out(self, node, effect):
+        """As ever, but for a frame into a cut while links hold back what they carry."""
+        target = self.by_address.get(effect[1]) if effect[0] == "send" else None
+        if self.holding and target is not None and (node.name, target.name) in self.cuts:
+            _, plain = wire.decode(wire.encode(node.address, effect[2])[wire.LENGTH.size :])
+            self.kept.append((target.name, target.life, tuple(plain)))
+            return
+        super().carry_out(node, effect)
+
+    def heal(self):
+        super().heal()
+        kept, self.kept = self.kept, []
+        for place, (name, life, message) in enumerate(kept):
+            self.at(self.latency() + place * 1e-5, "give", name, life, message)
+
+    def begin(self):
+        super().begin()
+        self.operators = Operators(self, self.governor.documents)
+        self.at(0.0, "later", self.operators.tick)
--- /dev/null
+++ b/src/pinepitch/proof/isolation/plants.py
@@ -0,0 +1,54 @@
+"""Planted faults that the trials must find: each takes one mechanism away."""
+
+import contextlib
+from unittest import mock
+
+from ...accord.consensus import Consensus
+from ...accord.lead import Lead
+from ...ground import constants, stall
+from ...ground.carrier import Carrier
+from ...ground.leaderclock import LeaderClock, Reading
+from ...tenure.configuration import Configuration
+
+
+def _never_in_doubt(self, call):
+    """Tells every call that is given up as not taken."""
+    call.open, call.doubtful = set(), False
+    return original_given_up(self, call)
+
+
+def _forgetting(take):
+    """Knows no change that was taken before."""
+
+    def forgetting(self, *arguments):
+        self.taken.clear()
+        return take(self, *arguments)
+
+    return forgetting
+
+
+original_given_up = Carrier._given_up
+# The registry of planted faults: name -> [(owner, attribute, replacement)].
+PLANTS = {
+    "asks-without-end": [(Lead, "_in_time", lambda self, end, now: True)],
+    "ends-on-own-clock": [
+        (LeaderClock, "end", lambda self, until, now: Reading(self.term, now + constants.CALL_PATIENCE))
+    ],
+    "late-answers-written": [(stall, "timely", lambda reply, until, now: reply)],
+    "waited-calls-taken": [(stall.StallGuard, "refuses", lambda self, message, now: False)],
+    "lease-ignored": [
+        (Consensus, "leased", lambda self, now: self.serving()),
+        (constants, "CHECK_QUORUM", 15.0),
+    ],
+    "doubt-unsaid": [(Carrier, "_given_up", _never_in_doubt)],
+    "taken-forgotten": [(Configuration, "take", _forgetting(Configuration.take))],
+}
+
+
+@contextlib.contextmanager
+def planted(name):
+    """The fault of that name in place; '' for none."""
+    with contextlib.ExitStack() as stack:
+        for owner, attribute, replacement in PLANTS[name] if name else ():
+            stack.enter_context(mock.patch.object(owner, attribute, replacement))
+        yield
--- /dev/null
+++ b/src/pinepitch/proof/isolation/scenarios.py
@@ -0,0 +1,108 @@
+"""What brings a control machine, an accord and the verge beside it, out of contact."""
+
+ISOLATED = 20.0  # seconds; a machine is cut off or stopped this long
+
+
+def _machine(simulator):
+    """(the accord, the verge beside it) that lose contact: the leader's with every other seed."""
+    leader = simulator.leader()
+    others = [node for node in simulator.accords() if node is not leader]
+    accord = leader if simulator.seed % 2 == 0 else simulator.draw.choice(others)
+    return accord, simulator.nodes[f"verge{simulator.seed % 3}"]
+
+
+def _cut(simulator, manner):
+    machine = [node.name for node in _machine(simulator)]
+    rest = [
+        node.name
+        for node in simulator.nodes.values()
+        if node.kind in ("accord", "verge") and node.name not in machine
+    ]
+    simulator.holding = simulator.seed % 4 < 2
+    if manner == "in":
+        simulator.cut(rest, machine, both=False)
+    else:
+        simulator.cut(machine, rest, both=manner == "both")
+    simulator.run(ISOLATED)
+    simulator.heal()
+
+
+def cut_both(simulator):
+    """No frame reaches the machine, none leaves it."""
+    _cut(simulator, "both")
+
+
+def cut_in(simulator):
+    """No frame reaches the machine."""
+    _cut(simulator, "in")
+
+
+def cut_out(simulator):
+    """No frame leaves the machine."""
+    _cut(simulator, "out")
+
+
+def seeds_swapped(simulator):
+    """The machine is cut off, and all are told other seeds meanwhile: it just its own address and
+    one where nobody is, the others one that is cut off."""
+    accord, verge = _machine(simulator)
+    seeds = {True: (accord.address, "10.9.9.9:7000"), False: (accord.address, simulator.accords()[0].address)}
+    for node in simulator.nodes.values():
+        if node.kind in ("accord", "verge"):
+            message = ("seeds", list(seeds[node in (accord, verge)]))
+            simulator.at(simulator.draw.uniform(1, 5), "give", node.name, node.life, message)
+    _cut(simulator, "both")
+
+
+def frozen(simulator):
+    """The machine's processes are stopped while calls go on coming to their sockets."""
+    machine = _machine(simulator)
+    for node in machine:
+        simulator.freeze(node.name)
+    simulator.run(ISOLATED)
+    for node in machine:
+        simulator.thaw(node.name)
+
+
+def _stopped_before(simulator, wanted, seconds):
+    """An accord is stopped just before it carries out an effect of one kind, three times."""
+    for _ in range(3):
+        accord, _ = _machine(simulator)
+        accord.stops_at = wanted
+        simulator.operators.evacuate(accord)
+        simulator.operators.read(accord, strict=accord is simulator.leader())
+        simulator.run(seconds)
+        accord.stops_at = None
+        if accord.frozen:
+            simulator.thaw(accord.name)
+        simulator.run(2)
+
+
+def stopped_at_write(simulator):
+    """An accord has decided on an answer to a read and is stopped before it writes it."""
+
+    def wanted(effect):
+        return effect[0] == "reply" and effect[2] == 200 and "routes" in effect[3]
+
+    _stopped_before(simulator, wanted, simulator.draw.choice((1.2, 2.0, ISOLATED)))
+
+
+def stopped_at_send(simulator):
+    """An accord has taken a call to carry and is stopped before it sends it to the leader."""
+
+    def wanted(effect):
+        return effect[0] == "send" and effect[2][0] == "ask" and effect[2][3] == "evacuate"
+
+    _stopped_before(simulator, wanted, simulator.draw.choice((3.0, 5.0, ISOLATED)))
+
+
+# The registry of scenarios: name -> what it does to the fleet.
+SCENARIOS = {
+    "cut-both": cut_both,
+    "cut-in": cut_in,
+    "cut-out": cut_out,
+    "seeds-swapped": seeds_swapped,
+    "frozen": frozen,
+    "stopped-at-write": stopped_at_write,
+    "stopped-at-send": stopped_at_send,
+}
