Frames that name no address, and entries without an operation, are refused at the port

Cause: the contracts of frames took any text for an address. A greeting from "nowhere" was heard, and the link that was to answer it ended with an exception (its frames then wait for nobody); an entry without an operation would have stopped the daemon. Contracts now ask for an address of a number and a port, and for an operation's name; what breaks them is event 105, as before. A leader that does not know a carried call answers it in the shape of all its refusals, which the fronts' doors can write.

Ruled out by tests that pass without a change: streams of frames that are reset at every byte.

Tests: features/frames.feature; the six examples about addresses and operations seen failing on the code before, and the port of odd digits with the check of ports as it was.

--- a/src/pinepitch/accord/lead.py
+++ b/src/pinepitch/accord/lead.py
@@ -43,7 +43,8 @@
         self.in_hand[token] = InHand(key, sending)
         handler = CALLS.get(call)
         if handler is None:
-            self.answer(address, token, (400, {"code": "unknown_call"}, None))
+            message = "whoever leads does not know this call"
+            self.answer(address, token, tenure.problem(400, "unknown_call", message))
             return
         if not handler.reads:
             if not consensus.serving() or call in KEPT and (self.epoch <= 0 or not consensus.leased(now)):
--- a/src/pinepitch/ground/env.py
+++ b/src/pinepitch/ground/env.py
@@ -1,5 +1,6 @@
 """Env: what one daemon is told about its place, from a TOML file and flags (flags win)."""
 
+import functools
 import ipaddress
 import tomllib
 from typing import NamedTuple
@@ -32,11 +33,21 @@
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         raise voluptuous.Invalid("expected an IP number before the port") from None
-    if not port.isdigit() or not 0 < int(port) < 65536:
+    if not (port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65536):
         raise voluptuous.Invalid("expected a port from 1 to 65535")
     return text
 
 
+@functools.lru_cache(maxsize=1024)
+def is_address(text):
+    """Whether a text is an address that can be connected to."""
+    try:
+        address(text)
+    except voluptuous.Invalid:
+        return False
+    return True
+
+
 def split(text):
     """(host, port) of a checked address."""
     host, _, port = text.rpartition(":")
--- a/src/pinepitch/world/contract.py
+++ b/src/pinepitch/world/contract.py
@@ -6,6 +6,8 @@
 
 from typing import NamedTuple
 
+from ..ground import env
+
 
 class Maybe(NamedTuple):
     """None, or what the pattern says."""
@@ -27,12 +29,24 @@
     """A float or whole number, no bool."""
 
 
+class Address:
+    """A text IP:PORT that can be connected to."""
+
+
+class Operation:
+    """A list that begins with the operation's name."""
+
+
 def fits(value, pattern):
     """Whether a decoded value is what a contract says."""
     if pattern is ANY:
         return True
     if pattern is Number:
         return isinstance(value, (int, float)) and not isinstance(value, bool) and value == value
+    if pattern is Address:
+        return isinstance(value, str) and env.is_address(value)
+    if pattern is Operation:
+        return isinstance(value, (list, tuple)) and bool(value) and isinstance(value[0], str)
     if isinstance(pattern, Maybe):
         return value is None or fits(value, pattern.pattern)
     if isinstance(pattern, Pairs):
@@ -48,13 +62,13 @@
     return isinstance(value, pattern) and not (pattern is int and isinstance(value, bool))
 
 
-ACCORD = (str, str, str)  # identity, area, address
+ACCORD = (str, str, Address)  # identity, area, address
 HISTORY = Pairs(int, str)
 COHORT = [(Pairs(str, str), str)]
-ENTRY = (int, Number, list)
+ENTRY = (int, Number, Operation)
 OUTCOME = (str, int, str)
 READING = (int, Number)  # a term, and what the steady clock of its leader has passed
-GREETING = (str, str, str, str, Maybe(str), [str], Number, [ACCORD], [str], int)
+GREETING = (str, str, str, Address, Maybe(str), [str], Number, [ACCORD], [str], int)
 
 RAFT = {
     "prevote": (int, int, int),
@@ -71,18 +85,18 @@
 # The registry of contracts: message kind -> pattern of what follows it.
 CONTRACTS = {
     "greet": GREETING,
-    "greeted": (*GREETING, Maybe(str), Maybe(Number), Maybe(READING)),
-    "tell": (str, [(str, str, str, str)]),
+    "greeted": (*GREETING, Maybe(Address), Maybe(Number), Maybe(READING)),
+    "tell": (str, [(str, str, str, Address)]),
     "leave": (str,),
-    "join": (str, str, str),
+    "join": (str, str, Address),
     "admit": (str, str, str),
     "raft": (str, str, str, list),
     "claim": (str, str),
     "measured": (int, str, int, dict),
-    "ask": (str, str, str, list, int, Maybe(READING)),
-    "news": (str, str, str, (int, int), [OUTCOME]),
+    "ask": (Address, str, str, list, int, Maybe(READING)),
+    "news": (str, Address, str, (int, int), [OUTCOME]),
     "answer": (str, (int, ANY, Maybe(int)), (str, str)),
-    "elsewhere": (str, Maybe(str), int, Maybe(READING)),
+    "elsewhere": (str, Maybe(Address), int, Maybe(READING)),
     "unsure": (str,),
     "told": (str, (int, int), Maybe(dict), [dict], [(str, int, str)], Number, Number, [ACCORD], Maybe(str)),
 }
