Trials replay frames between daemons: late, overtaking, to other lives, distorted

A fault scenario of the simulated fleet that runs jobs: 8 % of all frames come again, half of them within 3 ms (they may overtake the first), the others up to 6 s late, to whatever life the receiver is in by then, while daemons and the leader are started again; of these 30 % are distorted (another cohort or receiver, answers to nobody or to another call, refusals of another sending, unknown calls). All history checks stand. Calls of evacuations are left out: they bear no version, only the end of a carried call can keep a late one out.

--- a/features/tenancy.feature
+++ b/features/tenancy.feature
@@ -19,6 +19,7 @@
       | answers-late  |
       | beats-stale   |
       | lives-mixed   |
+      | frames-replayed |
       | storm         |
 
   Scenario Outline: <weather> breaks no rule of jobs while the log is compacted all the time
@@ -53,6 +54,7 @@
       | cancel-in-word      | calm          | was cancelled, then           |
       | stops-forgotten     | calm          | ran on after its cancel       |
       | order-unheeded      | calm          | was done                      |
+      | answers-unchecked   | frames-replayed | started, though its job was refused |
 
   Scenario: the same seed gives jobs under holds the same history
     When jobs under holds meet the weather storm twice with seed 3
--- a/src/pinepitch/proof/jobs/plants.py
+++ b/src/pinepitch/proof/jobs/plants.py
@@ -7,6 +7,7 @@
 from ...accord.consensus import Consensus
 from ...accord.lead import Lead
 from ...ground import constants
+from ...ground.carrier import Carrier
 from ...tenure.assigner import Assigner
 from ...tenure.board import Board
 from ...tenure.configuration import Configuration
@@ -122,6 +123,7 @@
     "stops-forgotten": [(Board, "wanted", lambda self, placement: True)],
     "drain-unseen": [(Worker, "beat", _always_ready)],
     "order-unheeded": [(Board, "_index", _after_unheeded)],
+    "answers-unchecked": [(Carrier, "waiting", lambda self, token, key: self.calls.get(token))],
     # No fault but a condition under which nothing may break: the log is compacted all the time.
     "frequent-snapshots": [
         (constants, "SNAPSHOT_ENTRIES", 50),
--- /dev/null
+++ b/src/pinepitch/proof/jobs/replays.py
@@ -0,0 +1,114 @@
+"""Frames that come again, late, out of order, to another life of their receiver, or distorted.
+
+Links lose frames and never repeat them; this is harsher. What is meant to hold: no daemon stops,
+no caller gets another's answer, and nothing takes effect that was not asked for.
+"""
+
+import contextlib
+import functools
+from unittest import mock
+
+from ...ground import wire
+from ...world import contract
+from .. import simulator as simulators
+
+PART = 0.08  # of all frames come again
+AT_ONCE = 0.003  # seconds; half of them so soon that they may overtake the first
+LATEST = 6.0  # seconds; the others at most this late
+DISTORTED = 0.3  # of these are distorted
+ONCE_ONLY = ("evacuate",)  # carried calls without a version: only their end keeps old ones out
+
+
+def _other_cohort(draw, message):
+    kind, cohort, *rest = message
+    return (kind, f"{cohort}-other", *rest)
+
+
+def _other_receiver(draw, message):
+    kind, cohort, sender, receiver, inner = message
+    return (kind, cohort, sender, f"{receiver}-other", inner)
+
+
+def _to_nobody(draw, message):
+    kind, token, *rest = message
+    return (kind, f"{token}{draw.randrange(10)}", *rest)
+
+
+def _to_another_call(draw, message):
+    kind, token, _, (call, subject) = message
+    other_key = draw.choice(((f"{call}-other", subject), (call, f"{subject} other")))
+    return (kind, token, (200, {"state": "completed", "version": 1}, None), other_key)
+
+
+def _other_sending(draw, message):
+    kind, token, leader, sending = message
+    return (kind, token, leader, sending + draw.randrange(1, 4))
+
+
+def _unknown_call(draw, message):
+    kind, address, token, call, arguments, sending = message
+    return (kind, address, token, f"{call}-other", [], sending)
+
+
+# message kind -> what may be done to it
+DISTORTIONS = {
+    "raft": (_other_cohort, _other_receiver),
+    "answer": (_to_nobody, _to_another_call),
+    "elsewhere": (_to_nobody, _other_sending),
+    "unsure": (_to_nobody,),
+    "ask": (_unknown_call,),
+}
+
+
+def distorted(draw, message):
+    """A frame as some other cohort, life or version would have sent it."""
+    known = DISTORTIONS.get(message[0])
+    if known is None or draw.random() >= DISTORTED:
+        return message
+    changed = draw.choice(known)(draw, message)
+    if not contract.kept(changed):
+        raise AssertionError(f"a distorted frame breaks the contract: {changed!r}")
+    return changed
+
+
+def _arrive_again(simulator, name, message):
+    node = simulator.nodes[name]
+    if node.core is not None:
+        simulator.counts["replayed"] += 1
+        simulator.give(node, message)
+
+
+@contextlib.contextmanager
+def frames_again(simulator):
+    """While it lasts, a part of all frames comes again, to whatever life its receiver is in then."""
+    original, draw = simulators.EFFECTS["send"], simulator.draw
+
+    def send(simulator, node, address, message):
+        original(simulator, node, address, message)
+        target = simulator.by_address.get(address)
+        once_only = message[0] == "ask" and message[3] in ONCE_ONLY
+        if target is None or once_only or draw.random() >= PART:
+            return
+        _, plain = wire.decode(wire.encode(node.address, message)[wire.LENGTH.size :])
+        again = functools.partial(_arrive_again, simulator, target.name, distorted(draw, tuple(plain)))
+        simulator.at(draw.uniform(0.0, draw.choice((AT_ONCE, LATEST))), "later", again)
+
+    with mock.patch.dict(simulators.EFFECTS, {"send": send}):
+        yield
+
+
+def frames_replayed(simulator):
+    """Frames come again while control daemons and fronts are started again, the leader too."""
+    with frames_again(simulator):
+        for turn in range(4):
+            simulator.run(simulator.draw.uniform(1, 2.5))
+            leader = simulator.leader()
+            if turn % 2 and leader is not None:
+                name = leader.name
+            else:
+                daemons = [one for one, node in simulator.nodes.items() if node.kind in ("accord", "verge")]
+                name = simulator.draw.choice(daemons)
+            simulator.kill(name)
+            simulator.run(simulator.draw.uniform(0.05, 2))
+            simulator.start(name)
+        simulator.run(2)
--- a/src/pinepitch/proof/jobs/scenarios.py
+++ b/src/pinepitch/proof/jobs/scenarios.py
@@ -4,6 +4,7 @@
 import functools
 
 from ..simulator import START
+from .replays import frames_replayed
 
 JOINS_WITHIN = 30.0  # seconds; until an empty control daemon is a member, no change under way
 
@@ -258,5 +259,6 @@
     "answers-late": answers_late,
     "beats-stale": beats_stale,
     "lives-mixed": lives_mixed,
+    "frames-replayed": frames_replayed,
     "storm": storm,
 }
