Page of all calls and acts that may not be repeated, held to the registry; tests of each asked again

docs/design/control/calls.md lists every call that is no mere reading with what a second taking would do, the mechanism that keeps it at most once, and its test; whatever number or name is used again, and why it can't be taken for another; acts towards minions.

--- /dev/null
+++ b/features/steps/calls.py
@@ -0,0 +1,182 @@
+"""Steps for Calls: the same call asked again at simulated accords."""
+
+import json
+import os
+import re
+from unittest import mock
+
+from behave import given, then, when
+
+from pinepitch.accord.calls import CALLS
+from pinepitch.proof import simulator as simulators
+from pinepitch.world import ticket as tickets
+
+ROOT = os.path.join(os.path.dirname(__file__), "..", "..")
+DOOR = "10.0.0.99:7000"  # where nobody stands
+HOST, JOB = "a.example", "/orders/5c0e7a21d94b36f8"
+CONFIGURATION = {
+    "version": 1,
+    "services": [{"name": "web"}],
+    "routes": [{"name": "orders", "host": HOST, "prefix": "/orders/", "service": "web", "attempts": 3}],
+}
+JOB_BODY = {"spec": "(text)", "steps": [{"count": 2, "cpu": 500, "mem_mb": 256, "est_ms": 900}]}
+TICKET = {"queue": "default", "tasks": [{"name": "a", "work": {"seconds": 60.0}}]}
+ASKED = {
+    "a ticket": ("submit", None),  # its arguments are made by the product's own checks
+    "a change of the setup": ("change", (None, "merge", {"notes": {"words": "one"}}, "operator", "a reason")),
+    "a draft": ("draft", (2, {"notes": {"words": "one"}}, "operator", "a reason")),
+    "a minion's draining": ("drain", ("m1", True)),
+    "a minion's withdrawal": ("withdraw", ("m1", 2e9)),
+    "an area's emptying": ("area", ("a", True)),
+    "a job": ("job", (HOST, JOB, JOB_BODY)),
+    "a job's cancel": ("job-cancel", (HOST, JOB)),
+    "a configuration": ("configure", (1, {**CONFIGURATION, "version": 2})),
+    "named items of one": ("amend", (1, 2, {"services": [{"name": "more"}]}, {})),
+    "an evacuation": ("evacuate", ("a", True)),
+    "a minion's leaving": ("beat-leave", ("one",)),
+}
+
+
+class Accords:
+    """Three simulated accords and a door in the steps' hands. Invariant: answers holds what was
+    answered to the door, by token."""
+
+    def __init__(self):
+        self.simulator = simulators.Simulator(11, minions=())
+        self.simulator.begin()
+        self.answers = {}
+        self.count = 0
+        self.wait_for_leader()
+        status, _ = self.ask("configure", (0, CONFIGURATION))
+        assert status == 200
+
+    @property
+    def record(self):
+        return self.simulator.leader().core.record
+
+    def wait_for_leader(self):
+        found = self.simulator.until(
+            lambda: self.simulator.leader() is not None and self.simulator.leader().core.epoch > 0, 30, 0.02
+        )
+        assert found is not None, "nobody leads"
+        self.simulator.run(2.5)  # members have told their levels, and what was asked is applied by all
+
+    def _kept_send(self, simulator, node, address, message):
+        if address == DOOR:
+            assert message[0] == "answer", message
+            self.answers.setdefault(message[1], []).append(message[2][:2])
+        else:
+            simulators.Simulator._send(simulator, node, address, message)
+
+    def give(self, call, arguments, token, times=1):
+        """The answers to a call asked so many times in one moment."""
+        self.answers.pop(token, None)
+        arguments = json.loads(json.dumps(arguments))
+        with mock.patch.dict(simulators.EFFECTS, {"send": self._kept_send}):
+            for sending in range(1, times + 1):
+                self.simulator.give(self.simulator.leader(), ("ask", DOOR, token, call, arguments, sending))
+            self.simulator.run(0.5)
+        return self.answers.get(token, [])
+
+    def ask(self, call, arguments, token=None):
+        if token is None:
+            self.count += 1
+            token = f"token{self.count}"
+        (answer,) = self.give(call, arguments, token)
+        return answer
+
+    def lose_leader(self):
+        """The leader falls, another leads, and the first comes back."""
+        fallen = self.simulator.leader().name
+        self.simulator.kill(fallen)
+        self.wait_for_leader()
+        assert self.simulator.leader().name != fallen
+        self.simulator.start(fallen)
+
+    def standing(self):
+        """What calls can change of the record, moments left out."""
+        record = self.record
+        board = record.board
+        return {
+            "versions": [tuple(line)[0] for line in record.setups.lines],
+            "notes": record.setup["notes"],
+            "tickets": (record.count, sorted(record.tickets)),
+            "drafts": (record.draft_count, sorted(record.drafts)),
+            "closed": (sorted(record.drained), sorted(record.emptied), dict(record.withdrawn)),
+            "jobs": sorted(board.jobs),
+            "final": {identity: one[0] for identity, one in board.final.items()},
+            "placements": json.dumps(board.image()[2]),
+            "configuration": board.configuration.document,
+            "evacuated": sorted(board.evacuated),
+        }
+
+
+def arguments_of(call):
+    """(call, arguments) as a door hands them on."""
+    name, arguments = ASKED[call]
+    if name == "submit":
+        plain, faults = tickets.checked(TICKET)
+        assert not faults, faults
+        arguments = ("a key", "a digest", plain)
+    return name, arguments
+
+
+@given("accords that lead, with routes and a setup in force")
+def step_lead(context):
+    context.accords = Accords()
+
+
+def prepared(context, call):
+    """What must be there before a call can take effect."""
+    if call == "a job's cancel":
+        assert context.accords.ask(*arguments_of("a job"))[0] == 200
+    context.before = context.accords.standing()
+    return arguments_of(call)
+
+
+@when("{call} is asked, and the same call again {when}")
+def step_again(context, call, when):
+    accords, (name, arguments) = context.accords, prepared(context, call)
+    context.first = accords.ask(name, arguments, "the token")
+    context.after_first = accords.standing()
+    if when == "after the leader fell":
+        accords.lose_leader()
+    context.second = accords.ask(name, arguments, "the token")
+    context.changes = call != "a minion's leaving"  # which is no entry, and counts once for its life
+
+
+@then("both are answered {alike}, and the record stands as after the first")
+def step_once(context, alike):
+    assert context.first[0] in (200, 201), context.first
+    if alike == "alike":
+        assert context.first == context.second, (context.first, context.second)
+    else:
+        assert context.second[0] == 200 and context.first[1]["ticket"] == context.second[1]["ticket"]
+    assert (context.before != context.after_first) == context.changes, context.before
+    assert context.accords.standing() == context.after_first
+
+
+@when("{call} is asked twice in one moment")
+def step_twice(context, call):
+    name, arguments = prepared(context, call)
+    context.told = context.accords.give(name, arguments, "the token", times=2)
+
+
+@then("it is answered once, and the record holds one of it")
+def step_one(context):
+    assert len(context.told) == 1 and context.told[0][0] in (200, 201), context.told
+    before, after = context.before, context.accords.standing()
+    assert len(after["versions"]) - len(before["versions"]) <= 1
+    assert after["drafts"][0] - before["drafts"][0] <= 1
+    assert after["tickets"][0] - before["tickets"][0] <= 1
+    assert len(after["jobs"]) - len(before["jobs"]) <= 1
+    assert after != before
+
+
+@then("docs/design/control/calls.md has one row for each call that is no mere reading")
+def step_page(context):
+    with open(os.path.join(ROOT, "docs", "design", "control", "calls.md")) as file:
+        rows = re.findall(r"^\| `([a-z-]+)` \|", file.read(), re.M)
+    readings = {"job-read", "configuration", "job-explain", "workers", "evacuations"}  # under the lease
+    wanted = {name for name, call in CALLS.items() if not call.reads} - readings
+    assert sorted(rows) == sorted(wanted), (set(rows) ^ wanted, rows)
--- a/features/steps/lives.py
+++ b/features/steps/lives.py
@@ -210,7 +210,11 @@
         self.token, self.told = None, []
 
     def _kept_send(self, simulator, node, address, message):
-        if node is self.first and message[0] in ("answer", "elsewhere", "unsure") and message[1] == self.token:
+        if (
+            node is self.first
+            and message[0] in ("answer", "elsewhere", "unsure")
+            and message[1] == self.token
+        ):
             self.told.append(message[0])
         simulators.Simulator._send(simulator, node, address, message)
 
@@ -218,7 +222,6 @@
         with mock.patch.dict(simulators.EFFECTS, {"send": self._kept_send}):
             assert self.simulator.until(happened, seconds, 0.02) is not None, "it did not happen in time"
 
-
     def other_leads(self, former):
         """Waits until another than `former` leads and serves."""
         self.until(
