Planted faults of calls past their end work beside one that takes late orders

Cause: an order for a zone that comes late is stopped by two mechanisms since both were merged, the end of the carried copy and the order's confirmed index; with either one planted the other holds and no check can find a fault. Each planted fault now takes out both for its finding, the checks are as they were.

--- a/src/pinepitch/proof/isolation/plants.py
+++ b/src/pinepitch/proof/isolation/plants.py
@@ -9,6 +9,7 @@
 from ...ground.carrier import Carrier
 from ...ground.leaderclock import LeaderClock, Reading
 from ...tenure.configuration import Configuration
+from .. import order_plants
 
 
 def _never_in_doubt(self, call):
@@ -30,8 +31,14 @@
 original_given_up = Carrier._given_up
 # The registry of planted faults: name -> [(owner, attribute, replacement)].
 PLANTS = {
-    "asks-without-end": [(Lead, "_in_time", lambda self, end, now: True)],
+    # What a late copy of an order for a zone would undo, its confirmed index keeps too: each of these
+    # two faults does harm only beside one that takes late orders.
+    "asks-without-end": [
+        (Lead, "_in_time", lambda self, end, now: True),
+        *order_plants.LATE_ORDERS,
+    ],
     "ends-on-own-clock": [
+        *order_plants.LATE_ORDERS,
         (LeaderClock, "end", lambda self, until, now: Reading(self.term, now + constants.CALL_PATIENCE))
     ],
     "late-answers-written": [(stall, "timely", lambda reply, until, now: reply)],
--- a/src/pinepitch/proof/order_plants.py
+++ b/src/pinepitch/proof/order_plants.py
@@ -58,6 +58,7 @@
     return outcome
 
 
+LATE_ORDERS = ((Evacuations, "take", _late_orders_taken),)
 PLANTS = {
     "base-unheeded": [(Configuration, "_settled", _base_unheeded)],
     "number-is-enough": [(Configuration, "_settled", _number_is_enough)],
@@ -67,7 +68,7 @@
     "faults-unseen": [(configuration, "checked", lambda document: ())],
     # A late order is stopped by the end that its carried copy bears, too: without both it is taken.
     "late-orders-taken": [
-        (Evacuations, "take", _late_orders_taken),
+        *LATE_ORDERS,
         (Lead, "_in_time", lambda self, end, now: True),
     ],
     "holding-orders-unnoted": [(Evacuations, "take", _holding_orders_unnoted)],
