A restarted voter gives no vote before its first tick, and waits by a fast clock

Cause, found by reading and brought about by the timed model: the wait that keeps a restarted voter from breaking a lease given in its former life began with the first tick. A vote asked for by a frame that came before it (the first tick is 25 ms after the start) was granted at once, so a second leader could be elected while the first had its lease. And the wait was LEAD_LEASE by the voter's own clock: by one that runs 2.5 % fast, beside a leader's that runs 2.5 % slow, it ended before the lease did.

Now the first input of any kind begins the wait, and it lasts LEAD_LEASE times LEASE_STRETCH (1.051, from CLOCK_DRIFT). features/lease.feature: the new scenario and the changed one were seen to fail with the old consensus.py. The changed one asked for a pre-vote 0.42 s after the start and wanted it granted; a lease by a slow clock may stand until 0.4205 s, so it asks at 0.41 s, which must be refused, and at 0.4305 s.

--- a/features/lease.feature
+++ b/features/lease.feature
@@ -3,9 +3,14 @@
 
   Scenario: an accord that starts anew gives no vote while it may carry a lease
     Given an accord with a log that starts anew
-    When it is asked for a pre-vote at once, and again once a lease is over
+    When it is asked for a pre-vote at once, as a lease ends by its own clock, and once it has ended by any
     Then it refuses at first and grants then
 
+  Scenario: an accord that starts anew gives no vote before it has seen the time pass
+    Given an accord with a log that starts anew, and has not looked at its clock yet
+    When it is asked for a vote in a later term at once, and again once a lease is over
+    Then it says nothing at first and grants then
+
   Scenario: an accord that just heard its leader gives nobody a vote
     Given an accord with a log that heard its leader just now
     When it is asked for a vote in a later term at once, and again once a time-out is over
@@ -17,3 +22,7 @@
 
   Scenario: the lease is shorter than the time-out, and a hold outlasts an election
     Then the constants leave a lease no room beside an election
+
+  Scenario: a lease is over for all, by clocks that drift, before a voter may vote
+    Then the constants allow each steady clock the drift that a worker's may have
+    And a lease as long as the time-out, or a restart that waits for no drift, would allow none
--- a/features/steps/lease.py
+++ b/features/steps/lease.py
@@ -6,12 +6,19 @@
 from pinepitch.ground import constants
 
 MEMBERS = {"a": "north", "b": "south", "c": "west"}
+WAITS = {"lease": constants.LEAD_LEASE * constants.LEASE_STRETCH, "time-out": constants.ELECTION_TIMEOUT}
 
 
-def begun(identity, now):
-    """A consensus with one entry in its log, as after a restart."""
+def restored(identity):
+    """A consensus with one entry in its log, as after a restart, before its first input."""
     consensus = Consensus(identity, 7, MEMBERS)
     consensus.restore(None, [([3, "a", 3, {}], None, 1, [(3, 0.0, ("noop",))])])
+    return consensus
+
+
+def begun(identity, now):
+    """The same, once it has looked at its clock."""
+    consensus = restored(identity)
     consensus.tick(now)
     return consensus
 
@@ -28,19 +35,26 @@
     context.accord = begun("b", context.now)
 
 
-@when("it is asked for a pre-vote at once, and again once a lease is over")
+@given("an accord with a log that starts anew, and has not looked at its clock yet")
+def step_not_looked(context):
+    context.now = 100.0
+    context.accord = restored("b")
+
+
+@when("it is asked for a pre-vote at once, as a lease ends by its own clock, and once it has ended by any")
 def step_pre_votes(context):
     context.told = []
-    for after in (0.01, constants.LEAD_LEASE + 0.02):
+    longest = constants.LEAD_LEASE * (1 + constants.CLOCK_DRIFT) / (1 - constants.CLOCK_DRIFT)
+    for after in (0.01, constants.LEAD_LEASE + 0.01, longest + 0.01):
         effects = context.accord.step("c", ("prevote", 4, 1, 3), context.now + after)
         context.told.append(answers(effects, "prevoted"))
 
 
 @then("it refuses at first and grants then")
 def step_refused_granted(context):
-    first, second = context.told
-    assert all(not one[2] for one in first), first
-    assert [one[2] for one in second] == [True], second
+    *early, late = context.told
+    assert all(not one[2] for told in early for one in told), early
+    assert [one[2] for one in late] == [True], late
 
 
 @given("an accord with a log that heard its leader just now")
@@ -50,10 +64,10 @@
     context.accord.step("a", ("append", 3, 1, 3, (), 1, 1), context.now)
 
 
-@when("it is asked for a vote in a later term at once, and again once a time-out is over")
-def step_votes(context):
+@when("it is asked for a vote in a later term at once, and again once a {wait} is over")
+def step_votes(context, wait):
     context.told = []
-    for after in (0.01, constants.ELECTION_TIMEOUT + 0.02):
+    for after in (0.01, WAITS[wait] + 0.02):
         effects = context.accord.step("c", ("vote", 4, 1, 3), context.now + after)
         effects += context.accord.saved(context.accord.sequence, context.now + after)
         context.told.append(answers(effects, "voted"))
@@ -93,3 +107,25 @@
     assert constants.CHECK_QUORUM <= constants.ELECTION_TIMEOUT
     assert 2 * longest < constants.HOLD
     assert constants.LEAD_LEASE + 1.0 < constants.ELECTION_TIMEOUT + constants.GATHER
+
+
+def lease_is_safe(drift, lease, timeout, stretch):
+    """The condition on the constants: a lease that a slow clock measures is over before a fast one
+    has counted a voter's silence, after it heard the leader and after it started anew."""
+    slow, fast = 1 - drift, 1 + drift
+    longest = lease / slow
+    return longest <= timeout / fast and longest <= lease * stretch / fast + 1e-9
+
+
+@then("the constants allow each steady clock the drift that a worker's may have")
+def step_drift(context):
+    assert lease_is_safe(
+        constants.CLOCK_DRIFT, constants.LEAD_LEASE, constants.ELECTION_TIMEOUT, constants.LEASE_STRETCH
+    )
+
+
+@then("a lease as long as the time-out, or a restart that waits for no drift, would allow none")
+def step_no_drift(context):
+    lease, timeout = constants.LEAD_LEASE, constants.ELECTION_TIMEOUT
+    assert not lease_is_safe(constants.CLOCK_DRIFT, timeout, timeout, constants.LEASE_STRETCH)
+    assert not lease_is_safe(constants.CLOCK_DRIFT, lease, timeout, 1.0)
--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -253,14 +253,7 @@
     # --- time -------------------------------------------------------------------------
     def tick(self, now):
         """Lets time pass: beats, time-outs, stalled disks."""
-        if self.election_at is None:
-            # what an earlier life acknowledged may still carry a leader's lease: no vote before that is over
-            self.heard_leader = max(
-                self.heard_leader, now - constants.ELECTION_TIMEOUT + constants.LEAD_LEASE
-            )
-            self._reset_election(now)
-            if self.last_index() > 0:
-                self.election_at = now + constants.LEAD_LEASE * (1.2 + self.random.random())
+        self._begin_life(now)
         stalled = bool(self.saving) and now - self.saving[0][2] > constants.DISK_STALL
         if stalled:
             self.penance_until = now + constants.DISK_PENANCE
@@ -284,6 +277,17 @@
                 self._reset_election(now)
         return self._done(now)
 
+    def _begin_life(self, now):
+        """At the first input: what an earlier life acknowledged may still carry a leader's lease, so no
+        vote is given before that is over, also by that leader's slower clock."""
+        if self.election_at is not None:
+            return
+        lease = constants.LEAD_LEASE * constants.LEASE_STRETCH
+        self.heard_leader = max(self.heard_leader, now - constants.ELECTION_TIMEOUT + lease)
+        self._reset_election(now)
+        if self.last_index() > 0:
+            self.election_at = now + constants.LEAD_LEASE * (1.2 + self.random.random())
+
     def disk_failed(self, now):
         """A disk that refuses to write is no leader's."""
         self.penance_until = now + constants.DISK_PENANCE
@@ -814,6 +818,7 @@
 
     def step(self, sender, message, now):
         """Takes one message of a cohort member."""
+        self._begin_life(now)
         kind, *rest = message
         handler = HANDLERS.get(kind)
         if handler is not None:
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -183,6 +183,7 @@
 LEAD_LEASE = (
     0.4  # seconds; a leader whose commit quorum answered within this may give starts: below ELECTION_TIMEOUT
 )
+LEASE_STRETCH = (1 + CLOCK_DRIFT) / (1 - CLOCK_DRIFT)  # times; a lease by a slow clock, told by a fast one
 MINION_FORGOTTEN = 30.0  # seconds; a silent minion with nothing placed is dropped
 ASSIGN_MOST = 200  # tasks; in one assigning entry
 CALL_PATIENCE = 2.5  # seconds; a call without a time of its own is carried this long
