A coming voter's copies and answers count from the joint entry on

Cause: a learner stayed one until the new list was committed, and what learners acknowledge counts neither for a commit nor for a lease. So in a joint change from a, b, c to a, b, d with b lost, the entry that a, c and d hold durable (a majority of both lists) was never committed, while check-quorum, which does count d, kept the leader leading: no commit until b came back. Now the leader takes the new voters off its learners as it appends the joint entry. Cohort.commits counts members only, so a learner outside both lists still counts for nothing.

Seen to fail without it in features/models.feature (fault "coming-voter-ignored"), which comes with the models.

--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -444,6 +444,8 @@
             return None
         coming = Quorum(dict(members), self.cohort.now.mode)
         self._event(130, members=sorted(members))
+        for identity in members:
+            self.learners.pop(identity, None)  # from here on a voter, whose copies and answers count
         result = self.propose([("members", Cohort(self.cohort.now, coming).image())], time, now)
         return result
 
@@ -688,8 +690,6 @@
             gone = [one for one in self.followers if one not in members and one not in self.learners]
             for identity in gone:
                 del self.followers[identity]
-            for identity in members:
-                self.learners.pop(identity, None)
             if gone:
                 self._event(132, members=sorted(members))
             if self.identity not in members:
