--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -217,6 +217,14 @@
             saving[1] = min(saving[1], index - 1)
         self._find_cohort()
 
+    def _drop_log(self):
+        """Drops every entry for a snapshot that the log does not lead to: of what is on disk or on
+        its way there only what is committed stays true."""
+        self.entries = []
+        self.durable = min(self.durable, self.commit)
+        for saving in self.saving:
+            saving[1] = min(saving[1], self.commit)
+
     # --- effects ----------------------------------------------------------------------
     def _send(self, identity, message, after=0):
         effect = ("send", identity, message)
@@ -780,12 +788,12 @@
             return
         self.incoming = None
         self.base_image, self.base_segments, segments = whole
-        self.base_index, self.base_term = index, snapshot_term
-        self.base_cohort = cohort_from(image)
-        if self.term_at(index) == snapshot_term and self.first <= index:
+        if self.term_at(index) == snapshot_term:
             del self.entries[: index + 1 - self.first]
         else:
-            self.entries = []
+            self._drop_log()
+        self.base_index, self.base_term = index, snapshot_term
+        self.base_cohort = cohort_from(image)
         self.first = index + 1
         self.commit = index
         self.truncate = self.dirty_from = None
