Models of consensus: every schedule of small fleets, leases by clocks that drift

Steps: any message arrives, in any order, late, never or twice; a member stands; proposals, joint changes, saves that end, crashes, wipes with a new identity, compaction; with clocks also time, freezes and reads. schedule.py runs coarse random schedules of fleets with clocks that drift and sees whether they serve again.

`pinepitch explore` runs the long bounds.

--- /dev/null
+++ b/features/models.feature
@@ -0,0 +1,29 @@
+Feature: Models
+  Every schedule of small fleets, up to a depth, and random ones beyond it keep what consensus promises.
+
+  Scenario: no schedule of any model breaks an invariant
+    When every model of the registry is searched within its brief bounds
+    Then no invariant is broken, and as many states are seen as the models have
+
+  Scenario: each injected fault is found
+    When every fault of the registry is injected into the models that must find it
+    Then each model finds its fault
+
+  Scenario: a coming voter's copies count as soon as its joint change is in the log
+    Given three voters and a caught-up spare that replaces the third, while the second is lost
+    When all messages between the others arrive
+    Then the change is committed by the first, the third and the spare
+    And it is not while the spare's copies are still taken for a learner's
+
+  Scenario: a lease holds under random schedules, by clocks that drift
+    When 30 random schedules of cuts, freezes, restarts, wipes and changes run, by seeds that are always the same
+    Then no later leader is elected while a lease stands, and leases stood in most schedules
+    And once all is well again a proposal is committed, unless too many disks were lost
+
+  Scenario: a fleet serves again after any schedule
+    When 25 schedules drawn from seeds run
+    Then once all is well again a proposal is committed, unless too many disks were lost
+
+  Scenario: a joint change that stands still is found
+    When 25 schedules drawn from seeds run with the fault "coming-voter-ignored"
+    Then some fleet doesn't serve again though enough disks are left
--- a/src/pinepitch/client/commands.py
+++ b/src/pinepitch/client/commands.py
@@ -476,6 +476,12 @@
 
         trials(weather, seeds, first, fleet, mode, plant)
 
+    def explore(self, model="all", states=0, walks=1_000, fault=""):
+        """Searches every schedule of small fleets of consensus, at length; prints what breaks and how."""
+        from ..proof.model.search import explore
+
+        explore(model, states, walks, fault)
+
     def forecasts(self, seconds=20):
         """Compares rehearsals' forecasts with what fleets of processes then do."""
         from ..proof.fleet import forecasts
--- /dev/null
+++ b/src/pinepitch/proof/model/explore.py
@@ -0,0 +1,98 @@
+"""Searches the states of a model: all of them up to a depth, or along random schedules."""
+
+import random
+from typing import NamedTuple
+
+from .invariants import Violation
+
+
+class Found(NamedTuple):
+    """A broken invariant and the steps that lead to it from the model's start."""
+
+    why: str
+    steps: tuple
+    state: int  # how many states had been seen
+
+
+class Outcome(NamedTuple):
+    """What a search saw. Invariant: whole says that no state within `depth` was left out."""
+
+    states: int
+    steps: int
+    depth: int
+    whole: bool
+    found: Found | None
+
+
+def breadth_first(start, depth, most_states):
+    """Every state within `depth` steps of `start`, level by level, until `most_states` are seen."""
+    seen = {start.key()}
+    origins = {start.key(): None}
+    level, steps = [start], 0
+    for reached in range(depth):
+        following = []
+        for world in level:
+            for action in world.actions():
+                steps += 1
+                after, why = _stepped(world, action)
+                if why is not None:
+                    path = (*_path(origins, world.key()), action)
+                    return Outcome(len(seen), steps, reached + 1, False, Found(why, path, len(seen)))
+                key = after.key()
+                if key in seen:
+                    continue
+                seen.add(key)
+                origins[key] = (world.key(), action)
+                following.append(after)
+                if len(seen) >= most_states:
+                    return Outcome(len(seen), steps, reached, False, None)
+        if not following:
+            return Outcome(len(seen), steps, reached, True, None)
+        level = following
+    return Outcome(len(seen), steps, depth, True, None)
+
+
+def _stepped(world, action):
+    """(the world after a step, why an invariant broke there or None)."""
+    try:
+        after = world.step(action)
+        after.check(world)
+    except AssertionError as broken:
+        kind = "" if isinstance(broken, Violation) else "the decider stops: "
+        return None, kind + str(broken)
+    return after, None
+
+
+def _path(origins, key):
+    """The steps from the start to the state of that key."""
+    steps = []
+    while origins[key] is not None:
+        key, action = origins[key]
+        steps.append(action)
+    return tuple(reversed(steps))
+
+
+def random_walks(start, walks, length, seed=0, weight=None):
+    """Random schedules from `start`, each up to `length` steps; deeper than every state can be visited.
+
+    `weight` says how likely an action is beside the others; 1 for each where left out."""
+    seen, steps, deepest = set(), 0, 0
+    for number in range(walks):
+        draw = random.Random(f"walk-{seed}-{number}")
+        world, path = start, []
+        for place in range(length):
+            actions = world.actions()
+            if not actions:
+                break
+            weights = None if weight is None else [weight(action) for action in actions]
+            action = draw.choices(actions, weights)[0]
+            steps += 1
+            path.append(action)
+            after, why = _stepped(world, action)
+            if why is not None:
+                found = Found(why, tuple(path), len(seen))
+                return Outcome(len(seen), steps, place + 1, False, found)
+            world = after
+            seen.add(world.key())
+        deepest = max(deepest, len(path))
+    return Outcome(len(seen), steps, deepest, False, None)
--- /dev/null
+++ b/src/pinepitch/proof/model/fleets.py
@@ -0,0 +1,422 @@
+"""The models: small fleets, where each search of them starts, and how far it goes."""
+
+from typing import NamedTuple
+
+from ...ground import constants
+from .invariants import Violation
+from .timed import TimedBudget, TimedWorld
+from .world import Action, Budget, World
+
+PLENTY = 100  # steps of each kind; that a script may take
+SLOW, FAST = 1 - constants.CLOCK_DRIFT, 1 + constants.CLOCK_DRIFT
+
+
+class Fleet(NamedTuple):
+    """A small fleet. `script` leads from a founding to the state where a search begins."""
+
+    members: dict
+    spares: dict = {}
+    mode: str = "static"
+    budget: Budget = Budget()
+    script: tuple = ()
+    slow_disks: bool = False  # whether a write becomes durable in a step of its own
+    append_entries: int = constants.APPEND_ENTRIES  # most in one append, so that an append may be in parts
+    draws: dict = {}  # daemon -> its random numbers; always the shortest spread where left out
+    rates: dict | None = None  # seconds of each steady clock per second; None for a model without time
+
+
+class Bounds(NamedTuple):
+    """How far a search goes."""
+
+    depth: int
+    states: int
+
+
+class Model(NamedTuple):
+    """A fleet and the bounds of its searches: in CI and on command."""
+
+    fleet: Fleet
+    brief: Bounds
+    long: Bounds
+    about: str
+
+
+def quiet(world):
+    """Delivers and saves until nothing is under way."""
+    for _ in range(1_000):
+        action = next((one for one in world.actions() if one.kind in ("save", "deliver")), None)
+        if action is None:
+            return world
+        world = world.step(action)
+    raise Violation("messages never end")
+
+
+def deliver(kind, receiver):
+    """A line of a script: delivers the messages of one kind that are under way to one daemon."""
+
+    def line(world):
+        for number in sorted(world.letters):
+            letter = world.post.letters[number]
+            if letter.message[0] == kind and letter.receiver == receiver:
+                world = world.step(Action("deliver", number))
+        return world
+
+    return line
+
+
+def quiet_without(lost):
+    """A line of a script: delivers and saves until nothing is under way but what one daemon sends or gets."""
+
+    def line(world):
+        for _ in range(1_000):
+            for number in sorted(world.letters):
+                if lost in world.post.letters[number][:2]:
+                    world = world.step(Action("lose", number))
+            if not world.letters:
+                return world
+            world = world.step(Action("deliver", min(world.letters)))
+        raise Violation("messages never end")
+
+    return line
+
+
+def drop(world):
+    """Loses all that is under way."""
+    for number in sorted(world.letters):
+        world = world.step(Action("lose", number))
+    return world
+
+
+def started(fleet):
+    """The world in which a search of this fleet begins."""
+    kind = type(fleet.budget)
+    plenty = kind(*([PLENTY] * len(kind._fields)))
+    begun = fleet._replace(budget=plenty, slow_disks=False)
+    world = World(begun) if fleet.rates is None else TimedWorld(begun, fleet.rates)
+    for line in fleet.script:
+        world = line(world)
+    world.budget, world.slow_disks = fleet.budget, fleet.slow_disks
+    return world
+
+
+def elect(identity):
+    """A line of a script: this member is elected and all hear of it."""
+    return lambda world: quiet(world.step(Action("stand", identity)))
+
+
+def act(kind, subject, detail=None):
+    """A line of a script: one step, nothing delivered."""
+    return lambda world: world.step(Action(kind, subject, detail))
+
+
+def settle(kind, subject, detail=None):
+    """A line of a script: one step, and all that follows from it."""
+    return lambda world: quiet(world.step(Action(kind, subject, detail)))
+
+
+def keep_only(kind):
+    """A line of a script: loses all that is under way but messages of one kind."""
+
+    def line(world):
+        for number in sorted(world.letters):
+            if world.post.letters[number].message[0] != kind:
+                world = world.step(Action("lose", number))
+        return world
+
+    return line
+
+
+def wait_without(lost, times):
+    """A line of a script: time passes and all messages arrive, but for those to and from one daemon."""
+
+    def line(world):
+        for _ in range(times):
+            world = quiet_without(lost)(world.step(Action("wait", "")))
+        return world
+
+    return line
+
+
+def wait_unheard(times):
+    """A line of a script: time passes and nothing arrives."""
+
+    def line(world):
+        for _ in range(times):
+            world = world.step(Action("wait", ""))
+        return world
+
+    return line
+
+
+def _replaced(members, leaver, newcomer):
+    """The list of members, as a change names it, with one replaced in its area."""
+    rest = {one: area for one, area in members.items() if one != leaver}
+    return tuple(sorted({**rest, newcomer: members[leaver]}.items()))
+
+
+THREE = {"a": "north", "b": "south", "c": "west"}
+FOUR = {"a": "north", "b": "south", "c": "west", "d": "west"}
+FIVE = {"a": "north", "b": "north", "c": "south", "d": "south", "e": "west"}
+LEARNT = (elect("a"), settle("propose", "a"), settle("learn", "a", "d"), settle("beat", "a"))
+CHANGING = (*LEARNT, act("change", "a", _replaced(THREE, "c", "d")))
+LOST_TAIL = (
+    elect("c"),
+    act("propose", "c"),
+    act("propose", "c"),
+    act("propose", "c"),
+    drop,
+    act("stand", "b"),
+    quiet_without("c"),
+    settle("compact", "b"),
+    act("beat", "b"),
+    quiet_without("c"),
+    act("beat", "b"),
+)
+SERVING = (wait_without("c", 6), elect("a"), settle("propose", "a"))
+LEASED = (*SERVING, wait_without("c", 5))
+LATE_ANSWER = (
+    *SERVING,
+    wait_unheard(2),
+    deliver("append", "b"),
+    *(keep_only("appended"), wait_unheard(1)) * 4,
+)
+OLDER_TERM = (
+    elect("a"),
+    act("propose", "a"),
+    drop,
+    act("stand", "c"),
+    deliver("vote", "b"),
+    deliver("voted", "c"),
+    drop,
+    act("stand", "a"),
+    deliver("vote", "b"),
+    deliver("voted", "a"),
+)
+DEPOSED = (
+    *SERVING,
+    act("freeze", "a"),
+    wait_without("a", 6),
+    elect("c"),
+    settle("propose", "c"),
+    act("thaw", "a"),
+)
+CLOCKS = {"a": SLOW, "b": FAST, "c": FAST}
+
+# The registry of models: name -> what is searched.
+MODELS = {
+    "election": Model(
+        Fleet(THREE, budget=Budget(stands=2, proposals=1, beats=1, restarts=1)),
+        Bounds(5, 1_000),
+        Bounds(10, 1_000_000),
+        "three voters from their founding on: two campaigns, a proposal, a crash",
+    ),
+    "slow-disks": Model(
+        Fleet(THREE, budget=Budget(stands=2, proposals=1, restarts=2), slow_disks=True),
+        Bounds(6, 1_000),
+        Bounds(11, 1_000_000),
+        "the same, every write durable in a step of its own, two crashes between any steps",
+    ),
+    "two-terms": Model(
+        Fleet(
+            THREE,
+            budget=Budget(stands=2, proposals=1, beats=2, restarts=1),
+            script=(elect("a"), act("propose", "a"), deliver("append", "b"), drop, act("stand", "c")),
+        ),
+        Bounds(5, 1_000),
+        Bounds(10, 1_000_000),
+        "an entry of an older term is on two of three, unacknowledged, while another campaigns",
+    ),
+    "unsaved-votes": Model(
+        Fleet(
+            THREE,
+            budget=Budget(stands=1, restarts=1),
+            script=(act("stand", "a"),),
+            slow_disks=True,
+        ),
+        Bounds(10, 1_000),
+        Bounds(14, 1_000_000),
+        "votes are asked for while disks are slow; a voter starts anew and is asked again",
+    ),
+    "older-term": Model(
+        Fleet(THREE, budget=Budget(stands=1, beats=2), script=OLDER_TERM, append_entries=1),
+        Bounds(6, 1_000),
+        Bounds(12, 1_000_000),
+        "three terms left a different tail each (Figure 8 of the Raft paper), logs are sent in parts",
+    ),
+    "joint-change": Model(
+        Fleet(
+            THREE,
+            {"d": "west"},
+            budget=Budget(stands=2, proposals=1, beats=1, restarts=1),
+            script=CHANGING,
+        ),
+        Bounds(5, 1_000),
+        Bounds(10, 1_000_000),
+        "a voter is being replaced by a spare: the joint entry is under way",
+    ),
+    "joint-ending": Model(
+        Fleet(
+            THREE,
+            {"d": "west"},
+            budget=Budget(stands=2, proposals=1, beats=1, restarts=1),
+            script=(*CHANGING, deliver("append", "b"), deliver("append", "c"), deliver("appended", "a")),
+        ),
+        Bounds(5, 1_000),
+        Bounds(10, 1_000_000),
+        "the joint entry is committed, the new list of members under way",
+    ),
+    "second-change": Model(
+        Fleet(
+            THREE,
+            {"d": "west", "e": "south"},
+            budget=Budget(stands=1, changes=1, beats=2),
+            script=(
+                *LEARNT,
+                settle("learn", "a", "e"),
+                settle("beat", "a"),
+                settle("change", "a", _replaced(THREE, "c", "d")),
+            ),
+        ),
+        Bounds(4, 1_000),
+        Bounds(9, 1_000_000),
+        "a replacement of a replacement, added and removed members, any one list after another",
+    ),
+    "wiped": Model(
+        Fleet(
+            THREE,
+            budget=Budget(stands=2, proposals=1, changes=1, beats=2, wipes=1),
+            script=(elect("a"), act("propose", "a"), deliver("append", "b")),
+        ),
+        Bounds(5, 1_000),
+        Bounds(9, 1_000_000),
+        "any voter loses its disk while an entry is being acknowledged, and comes back as a newcomer",
+    ),
+    "wiped-twice": Model(
+        Fleet(
+            THREE,
+            budget=Budget(stands=1, changes=1, beats=2, wipes=1),
+            script=(
+                elect("a"),
+                settle("propose", "a"),
+                act("wipe", "c"),
+                settle("learn", "a", "c'"),
+                settle("beat", "a"),
+                act("change", "a", _replaced(THREE, "c", "c'")),
+            ),
+        ),
+        Bounds(5, 1_000),
+        Bounds(9, 1_000_000),
+        "a wiped voter's place is being taken by its newcomer, and another disk is lost",
+    ),
+    "snapshot": Model(
+        Fleet(
+            THREE,
+            budget=Budget(stands=1, proposals=2, beats=2, restarts=1, compactions=1),
+            script=LOST_TAIL,
+        ),
+        Bounds(7, 1_000),
+        Bounds(11, 1_000_000),
+        "a snapshot is on its way to a former leader with a long tail that was never committed",
+    ),
+    "zones": Model(
+        Fleet(
+            FOUR,
+            budget=Budget(stands=2, proposals=1, beats=1, restarts=1),
+            script=(elect("a"), act("propose", "a")),
+        ),
+        Bounds(4, 1_000),
+        Bounds(8, 1_000_000),
+        "four voters in three areas, two of them in one group",
+    ),
+    "five-single": Model(
+        Fleet(
+            FIVE,
+            {"f": "west"},
+            "single",
+            budget=Budget(stands=1, proposals=1, beats=1),
+            script=(
+                elect("a"),
+                settle("learn", "a", "f"),
+                settle("beat", "a"),
+                act("change", "a", _replaced(FIVE, "e", "f")),
+            ),
+        ),
+        Bounds(4, 1_000),
+        Bounds(8, 1_000_000),
+        "five voters, each a group, one being replaced",
+    ),
+    "learner": Model(
+        Fleet(
+            THREE,
+            {"d": "west"},
+            budget=Budget(stands=1, proposals=2, beats=1, restarts=1),
+            script=LEARNT,
+        ),
+        Bounds(5, 1_000),
+        Bounds(9, 1_000_000),
+        "a spare follows the log, its copies and votes count for nothing",
+    ),
+    "lease": Model(
+        Fleet(THREE, budget=TimedBudget(waits=6, restarts=1), script=LEASED, rates=CLOCKS),
+        Bounds(8, 1_000),
+        Bounds(14, 1_000_000),
+        "a leader by a slow clock has its lease; one voter hears nothing of it, the other may start anew",
+    ),
+    "lease-answers": Model(
+        Fleet(THREE, budget=TimedBudget(waits=2), script=LATE_ANSWER, rates=CLOCKS),
+        Bounds(7, 1_000),
+        Bounds(16, 1_000_000),
+        "the answer to a leader's beat is late by nearly a whole time-out",
+    ),
+    "lease-restart": Model(
+        Fleet(
+            THREE,
+            budget=TimedBudget(waits=1, restarts=1),
+            script=(*SERVING, wait_without("c", 2), act("restart", "b"), act("tick", "b"), wait_unheard(3)),
+            rates=CLOCKS,
+        ),
+        Bounds(6, 1_000),
+        Bounds(12, 1_000_000),
+        "a voter by a fast clock started anew just after it answered a leader by a slow one",
+    ),
+    "lease-freezes": Model(
+        Fleet(THREE, budget=TimedBudget(waits=6, freezes=2), script=LEASED, rates=CLOCKS),
+        Bounds(6, 1_000),
+        Bounds(12, 1_000_000),
+        "any daemon is stopped between any two steps and goes on later",
+    ),
+    "lease-suspended": Model(
+        Fleet(
+            THREE,
+            budget=TimedBudget(waits=3),
+            script=(*SERVING, act("freeze", "a"), wait_without("a", 5)),
+            rates=CLOCKS,
+        ),
+        Bounds(7, 1_000),
+        Bounds(14, 1_000_000),
+        "a leader's machine is suspended; its steady clock counts that time",
+    ),
+    "reads": Model(
+        Fleet(THREE, budget=TimedBudget(waits=2, reads=2, proposals=1), script=DEPOSED, rates=CLOCKS),
+        Bounds(5, 1_000),
+        Bounds(12, 1_000_000),
+        "a leader that was stopped is asked for reads beside its successor",
+    ),
+    "lease-wiped": Model(
+        Fleet(
+            THREE,
+            budget=TimedBudget(waits=6, restarts=1, wipes=1, changes=1, proposals=1),
+            script=(
+                *LEASED,
+                act("wipe", "c"),
+                settle("learn", "a", "c'"),
+                settle("wait", ""),
+                act("change", "a", _replaced(THREE, "c", "c'")),
+            ),
+            rates=CLOCKS,
+        ),
+        Bounds(5, 1_000),
+        Bounds(10, 1_000_000),
+        "a wiped voter's newcomer is becoming a voter while leases stand, another disk may be lost",
+    ),
+}
--- /dev/null
+++ b/src/pinepitch/proof/model/invariants.py
@@ -0,0 +1,122 @@
+"""What must hold in every state of a model, whatever happened before."""
+
+import functools
+import itertools
+
+from ...accord.quorum import Cohort, Reply, cohort_from
+from .replica import frozen
+
+
+class Violation(AssertionError):
+    """An invariant that a state of the model breaks."""
+
+
+def entry_key(entry):
+    """Term and operation of an entry of the log, to be compared."""
+    return (entry[0], frozen(entry[2]))
+
+
+def subsets(names):
+    """Every set of these names."""
+    names = sorted(names)
+    for size in range(len(names) + 1):
+        for chosen in itertools.combinations(names, size):
+            yield frozenset(chosen)
+
+
+@functools.lru_cache(maxsize=100_000)
+def wins(image, voters):
+    """Whether the votes of `voters` elect a leader by the cohort of that frozen image."""
+    replies = {voter: Reply(True, None, 0, {}) for voter in voters}
+    return cohort_of(image).elects(replies, 1, None, 0).satisfied
+
+
+@functools.lru_cache(maxsize=10_000)
+def cohort_of(image):
+    """The Cohort of a frozen image."""
+    return cohort_from([(dict(members), mode) for members, mode in image])
+
+
+@functools.lru_cache(maxsize=10_000)
+def election_quorums(image):
+    """Every set of members that elects a leader."""
+    return [one for one in subsets(cohort_of(image).members()) if wins(image, one)]
+
+
+@functools.lru_cache(maxsize=10_000)
+def commit_quorums(image):
+    """Every set of members that commits under some leader in it."""
+    cohort = cohort_of(image)
+    return [
+        one for one in subsets(cohort.members()) if any(cohort.commits(one, leader) for leader in sorted(one))
+    ]
+
+
+@functools.lru_cache(maxsize=10_000)
+def quorums_meet(former, latter):
+    """Whether the quorums of two successive cohorts, as frozen images, meet as they must."""
+    for elected in election_quorums(former):
+        if not all(elected & other for other in election_quorums(latter)):
+            return False
+        if not all(elected & other for other in commit_quorums(latter)):
+            return False
+    return all(one & other for one in commit_quorums(former) for other in election_quorums(latter))
+
+
+def forget_quorums():
+    """Forgets which quorums there are: what decides them was changed."""
+    for remembered in (wins, election_quorums, commit_quorums, quorums_meet, quorums_to_hold):
+        remembered.cache_clear()
+
+
+def check_change(former, latter):
+    """Successive cohorts have quorums that meet."""
+    for first, second in ((former, latter), (latter, latter)):
+        if not quorums_meet(first, second):
+            raise Violation(f"quorums of successive members don't meet: {first} then {second}")
+
+
+def holds(consensus, index, term):
+    """Whether a log holds the committed entry of that index and term, and so all before it."""
+    return index <= consensus.base_index or consensus.term_at(index) == term
+
+
+def check_electable(logs, committed):
+    """Whoever can win an election holds all that was committed.
+
+    `logs` are the decoded disks of all members that still have their disk: any of them may
+    stop at any moment, so any mix of what is durable may vote. A wiped member is not there:
+    neither its copies nor its votes count."""
+    if not committed:
+        return
+    index, term = len(committed), committed[-1][0]
+    for candidate in logs:
+        if candidate.identity not in candidate.cohort.members() or holds(candidate, index, term):
+            continue
+        last = candidate.last_index()
+        last_term = candidate.term_at(last)
+        voters = frozenset(voter.identity for voter in logs if voter._fresh(last, last_term))
+        if wins(frozen(candidate.cohort.image()), voters):
+            raise Violation(f"{candidate.identity} can be elected and lacks committed entry {index}")
+
+
+def check_commit_of_members(logs, image, committed):
+    """All that is committed by now lies, durable, on every quorum that may elect from now on, and on
+    every one that may commit, where any two of these meet (with 2 or 4 groups they need not).
+
+    `image` is the cohort that the change names; the quorums are those of members that have their disks."""
+    index, term = len(committed), committed[-1][0]
+    holders = {log.identity for log in logs if holds(log, index, term)}
+    present = {log.identity for log in logs}
+    members = Cohort(cohort_of(image).quorums()[-1])
+    for quorum in quorums_to_hold(frozen(members.image())):
+        if quorum <= present and not quorum & holders:
+            raise Violation(f"change committed at {index}, which no one of {sorted(quorum)} holds")
+
+
+@functools.lru_cache(maxsize=10_000)
+def quorums_to_hold(image):
+    """The quorums of a list of members that must each hold what is committed."""
+    commits = commit_quorums(image)
+    meet = all(one & other for one in commits for other in commits)
+    return [*election_quorums(image), *(commits if meet else ())]
--- /dev/null
+++ b/src/pinepitch/proof/model/replica.py
@@ -0,0 +1,192 @@
+"""One replica of a model: a real Consensus, its disk, and a fingerprint of both."""
+
+import functools
+from typing import NamedTuple
+
+from ...accord.consensus import Consensus, Follower, Incoming
+
+LONG_AGO = -1e9
+SCALARS = (int, str, bool, float, bytes, type(None))
+
+
+class SteadyRandom:
+    """Stands in for a decider's random numbers, so that a state has no hidden part."""
+
+    def random(self):
+        """The shortest spread that a decider may draw."""
+        return 0.0
+
+
+SHORTEST = SteadyRandom()
+
+
+class EmptyArchive:
+    """An archive that holds no segments: the model's record has no tickets."""
+
+    sealed = 0
+
+    def segment(self, number):
+        """No segment is ever asked for."""
+        raise AssertionError(f"segment {number} is not there")
+
+
+class Job(NamedTuple):
+    """A write under way. Invariant: jobs of one disk become durable in order."""
+
+    kind: str  # save or base
+    sequence: int | None
+    payload: list
+
+
+def frozen(value):
+    """A hashable copy of a message or of a part of one."""
+    if isinstance(value, (list, tuple)):
+        return tuple([frozen(one) if type(one) not in SCALARS else one for one in value])
+    if isinstance(value, dict):
+        return tuple(sorted((key, frozen(one)) for key, one in value.items()))
+    return value
+
+
+def frozen_entries(entries):
+    """A hashable copy of entries of the log."""
+    return tuple([one if one[2][0] != "members" else frozen(one) for one in entries])
+
+
+def fresh_consensus(identity, members, mode, draw):
+    """A Consensus without any past."""
+    return copy_of(_unused_consensus(identity, tuple(members.items()), mode, draw))
+
+
+@functools.lru_cache(maxsize=1_000)
+def _unused_consensus(identity, members, mode, draw):
+    consensus = Consensus(identity, 0, dict(members), mode)
+    consensus.random = draw
+    consensus.archive = EmptyArchive()
+    return consensus
+
+
+def copy_of(consensus):
+    """A Consensus with the same state, which shares only what is never changed in place."""
+    twin = Consensus.__new__(Consensus)
+    fields = twin.__dict__
+    fields.update(consensus.__dict__)
+    for name in ("history", "learners", "replies", "beats"):
+        fields[name] = dict(fields[name])
+    for name in ("entries", "held", "effects", "reads_now", "reads_next"):
+        fields[name] = list(fields[name])
+    twin.saving = [list(one) for one in consensus.saving]
+    twin.followers = {identity: _copy_of_follower(one) for identity, one in consensus.followers.items()}
+    if consensus.incoming is not None:
+        twin.incoming = _copy_of_incoming(consensus.incoming)
+    return twin
+
+
+def _copy_of_incoming(incoming):
+    twin = Incoming(incoming.index)
+    twin.total, twin.data = incoming.total, bytearray(incoming.data)
+    return twin
+
+
+def _copy_of_follower(follower):
+    twin = Follower.__new__(Follower)
+    twin.__dict__.update(follower.__dict__)
+    return twin
+
+
+class Replica:
+    """A daemon of the model. Invariants: `disk` is the payload of a base file that holds all
+    that is durable; `queue` are the writes under way; a wiped daemon has another identity."""
+
+    def __init__(self, identity, area, members, mode, draw=SHORTEST):
+        self.identity, self.area = identity, area
+        self.members, self.mode, self.draw = members, mode, draw
+        self.consensus = fresh_consensus(identity, members, mode, draw)
+        self.disk = self.consensus.founding_base()
+        self.queue = ()
+        self._key = self._disk_key = None
+
+    def copy(self):
+        """A replica with the same state, for the next step to change."""
+        twin = Replica.__new__(Replica)
+        twin.__dict__.update(self.__dict__)
+        twin.consensus = copy_of(self.consensus)
+        twin._key = None
+        return twin
+
+    def complete(self):
+        """Makes the next write durable; the write."""
+        job, self.queue = self.queue[0], self.queue[1:]
+        self._disk_key = None
+        if job.kind == "base":
+            self.disk = job.payload
+        else:
+            self.disk = self.stored([job.payload]).base_payload()
+        return job
+
+    def stored(self, changes=()):
+        """A Consensus that starts from the disk."""
+        consensus = fresh_consensus(self.identity, self.members, self.mode, self.draw)
+        consensus.restore(self.disk, changes)
+        return consensus
+
+    def restart(self):
+        """Ends the process and starts it again from what was durable."""
+        self.queue = ()
+        self.consensus = self.stored()
+
+    def forget_times(self):
+        """Takes time out of the state: any time-out may have passed, any wait may be over."""
+        consensus = self.consensus
+        consensus.heard_leader = consensus.beat_at = LONG_AGO
+        consensus.election_at = 0.0
+        consensus.beat, consensus.beats = 0, {}
+        for follower in consensus.followers.values():
+            follower.beat, follower.sent_at, follower.heard_at = 0, 0.0, 0.0
+        for saving in consensus.saving:
+            saving[2] = 0.0
+
+    def key(self):
+        """A fingerprint: replicas with equal keys behave alike from here on."""
+        if self._key is None:
+            self._key = hash((self.identity, self._state(), self._durable_state()))
+        return self._key
+
+    def _durable_state(self):
+        if self._disk_key is None:
+            self._disk_key = hash(frozen(self.disk))
+        queued = tuple((job.kind, frozen(job.payload)) for job in self.queue)
+        return self._disk_key, queued
+
+    def _state(self):
+        one = self.consensus
+        sequence = one.saved_sequence
+        followers = tuple(
+            (
+                identity,
+                follower.match,
+                follower.next,
+                follower.probing,
+                follower.window,
+                follower.piece,
+                follower.whole,
+                follower.denials,
+                follower.forgot,
+            )
+            for identity, follower in sorted(one.followers.items())
+        )
+        return (
+            (one.term, one.role, one.following, one.leader, one.leader_term, one.commit, one.stranger),
+            (one.first, one.base_index, one.base_term, one.durable, one.cohort_index),
+            frozen(one.history),
+            frozen_entries(one.entries),
+            frozen(one.learners),
+            frozen(one.replies),
+            followers,
+            one.sequence - sequence,
+            max(0, one.hard_sequence - sequence),
+            tuple((saving[0] - sequence, saving[1]) for saving in one.saving),
+            tuple((need - sequence, frozen(effect)) for need, effect in one.held),
+            None
+            if one.incoming is None
+            else (one.incoming.index, one.incoming.total, bytes(one.incoming.data)),
+        )
--- /dev/null
+++ b/src/pinepitch/proof/model/schedule.py
@@ -0,0 +1,230 @@
+"""Schedules of a fleet with clocks: what goes wrong and when, in coarse steps.
+
+The rest goes on as in a real fleet: clocks tick, messages arrive at once where no cut holds
+them, the leader lets newcomers in. Who draws the events is no matter of this module.
+"""
+
+import random
+from typing import NamedTuple
+
+from . import invariants
+from .faults import conditions
+from .fleets import FAST, FIVE, SLOW, THREE, Fleet
+from .replica import frozen
+from .timed import TimedBudget, TimedWorld
+from .world import Action, machine_of
+
+MESSAGES_MOST = 400  # messages; delivered between two waits, a storm beyond that is a fault itself
+RECOVERY = 80  # quanta; within which an election, a joint change and another election are over
+COMMIT = 10  # quanta; within which a leader commits what was proposed
+WIPES_MOST = 3  # in one schedule
+ENDLESS = TimedBudget(*([10**9] * len(TimedBudget._fields)))
+
+
+class Event(NamedTuple):
+    """One thing that happens. `first` and `second` count the daemons; `quanta` pass afterwards."""
+
+    kind: str
+    first: int
+    second: int
+    quanta: int
+
+
+class Run:
+    """A schedule under way. Invariants: `seed` decides all spreads; every state was checked."""
+
+    def __init__(self, members, spares, mode, rates, seed):
+        draws = {one: random.Random(f"{one}-{seed}") for one in (*members, *spares)}
+        fleet = Fleet(members, spares, mode, ENDLESS, draws=draws, rates=rates)
+        self.world = TimedWorld(fleet, rates)
+        self.cuts = set()  # (machine, machine) whose messages wait
+        self.leased = 0  # states, one a wait, in which a leader had its lease
+        self.wipes = 0
+
+    def machines(self):
+        """The machines, in order; a wiped one keeps its name."""
+        return sorted({machine_of(one) for one in self.world.replicas})
+
+    def identity(self, number):
+        """The daemon that runs on the machine of that number."""
+        machines = self.machines()
+        machine = machines[number % len(machines)]
+        return next(one for one in sorted(self.world.replicas) if machine_of(one) == machine)
+
+    def step(self, kind, subject, detail=None):
+        """One checked step of the world."""
+        after = self.world.step(Action(kind, subject, detail))
+        after.check(self.world)
+        self.world = after
+
+    def happen(self, event):
+        """An event and the time after it."""
+        EVENTS[event.kind](self, event)
+        for _ in range(event.quanta):
+            self.deliver()
+            self.tend_members()
+            self.step("wait", "")
+            self.leased += any(self._leased(identity) for identity in self.world.replicas)
+
+    def _leased(self, identity):
+        consensus = self.world.replicas[identity].consensus
+        return consensus.role == "leader" and consensus.leased(self.world.now(identity))
+
+    def deliver(self):
+        """All messages that no cut and no stopped daemon holds back."""
+        for _ in range(MESSAGES_MOST):
+            number = next((one for one in sorted(self.world.letters) if self._passes(one)), None)
+            if number is None:
+                return
+            self.step("deliver", number)
+        raise AssertionError("messages never end")
+
+    def _passes(self, number):
+        letter = self.world.post.letters[number]
+        ends = frozenset((machine_of(letter.sender), machine_of(letter.receiver)))
+        return ends not in self.cuts and letter.receiver not in self.world.frozen
+
+    def tend_members(self):
+        """Lets newcomers in, in the place of a daemon that the same machine ran before."""
+        for leader in self.world.leaders_by_themselves():
+            if leader in self.world.frozen:
+                continue
+            consensus = self.world.replicas[leader].consensus
+            members = consensus.cohort.members()
+            for identity in sorted(self.world.replicas):
+                if identity not in members and identity not in consensus.followers:
+                    self.step("learn", leader, identity)
+                elif identity not in members and consensus.caught_up(identity):
+                    former = next((one for one in members if machine_of(one) == machine_of(identity)), None)
+                    if former is not None:
+                        self.change(leader, former, identity)
+
+    def change(self, leader, leaver, newcomer):
+        """Replaces a member, if the leader may now."""
+        members = self.world.replicas[leader].consensus.cohort.now.members
+        area = self.world.replicas[newcomer].area
+        coming = {**{one: place for one, place in members.items() if one != leaver}, newcomer: area}
+        self.step("change", leader, tuple(sorted(coming.items())))
+
+    def serves_again(self):
+        """Whether a proposal is committed once all is well again; None if too many disks were lost."""
+        self.happen(Event("heal anew", 0, 0, 0))
+        self.happen(Event("thaw", 0, 0, RECOVERY))
+        if not self._quorum_left():
+            return None
+        committed = len(self.world.committed)
+        self.happen(Event("propose", 0, 0, COMMIT))
+        return len(self.world.committed) > committed
+
+    def _quorum_left(self):
+        """Whether the members of the newest list may still elect a leader and commit."""
+        logs = self.world.logs
+        newest = max(logs.values(), key=lambda log: (log.term_at(log.last_index()), log.last_index()))
+        image, present = frozen(newest.cohort.image()), frozenset(logs)
+        return invariants.wins(image, present & frozenset(newest.cohort.members()))
+
+    # --- events -----------------------------------------------------------------------
+    def _nothing(self, event):
+        pass
+
+    def _cut(self, event):
+        """Messages between two machines wait."""
+        self.cuts.add(
+            frozenset((machine_of(self.identity(event.first)), machine_of(self.identity(event.second))))
+        )
+
+    def _cut_off(self, event):
+        """Messages of one machine wait."""
+        lost = machine_of(self.identity(event.first))
+        self.cuts |= {frozenset((lost, other)) for other in self.machines() if other != lost}
+
+    def _heal(self, event):
+        """What waited arrives, late."""
+        self.cuts.clear()
+
+    def _heal_anew(self, event):
+        """What waited is lost, links begin anew."""
+        for number in sorted(self.world.letters):
+            if not self._passes(number):
+                self.step("lose", number)
+        self.cuts.clear()
+
+    def _freeze(self, event):
+        identity = self.identity(event.first)
+        if identity not in self.world.frozen:
+            self.step("freeze", identity)
+
+    def _thaw(self, event):
+        for identity in sorted(self.world.frozen):
+            self.step("thaw", identity)
+
+    def _restart(self, event):
+        self.step("restart", self.identity(event.first))
+
+    def _wipe(self, event):
+        if self.wipes < WIPES_MOST:
+            self.wipes += 1
+            self.step("wipe", self.identity(event.first))
+
+    def _propose(self, event):
+        for leader in self.world.leaders_by_themselves():
+            if leader not in self.world.frozen:
+                self.step("propose", leader)
+
+    def _read(self, event):
+        for leader in self.world.leaders_by_themselves():
+            if leader not in self.world.frozen:
+                self.step("read", leader)
+
+    def _replace(self, event):
+        """A leader swaps a member for a spare that follows."""
+        for leader in self.world.leaders_by_themselves():
+            consensus = self.world.replicas[leader].consensus
+            members = sorted(consensus.cohort.members())
+            ready = [one for one in sorted(consensus.learners) if consensus.caught_up(one)]
+            ready = [one for one in ready if one in self.world.replicas]
+            if ready and leader not in self.world.frozen:
+                self.change(leader, members[event.first % len(members)], ready[event.second % len(ready)])
+
+    def _compact(self, event):
+        identity = self.identity(event.first)
+        consensus = self.world.replicas[identity].consensus
+        if consensus.commit > consensus.base_index:
+            self.step("compact", identity)
+
+
+# The registry of events: kind -> what happens.
+EVENTS = {
+    "nothing": Run._nothing,
+    "cut": Run._cut,
+    "cut off": Run._cut_off,
+    "heal": Run._heal,
+    "heal anew": Run._heal_anew,
+    "freeze": Run._freeze,
+    "thaw": Run._thaw,
+    "restart": Run._restart,
+    "wipe": Run._wipe,
+    "propose": Run._propose,
+    "read": Run._read,
+    "replace": Run._replace,
+    "compact": Run._compact,
+}
+
+
+BEGINNING = Event("nothing", 0, 0, 20)  # time for a first election
+EVENTS_EACH = 20  # events; of a schedule drawn from a seed
+SHAPES = ((THREE, {}, "static"), (THREE, {"d": "west"}, "static"), (FIVE, {"f": "west"}, "single"))
+
+
+def drawn_run(seed):
+    """A schedule drawn from a seed, run to its end."""
+    draw = random.Random(f"schedule-{seed}")
+    members, spares, mode = draw.choice(SHAPES)
+    rates = {one: draw.choice((SLOW, 1.0, FAST)) for one in (*members, *spares)}
+    with conditions(Fleet(members)):
+        run = Run(members, spares, mode, rates, seed)
+        run.happen(BEGINNING)
+        for _ in range(EVENTS_EACH):
+            kind = draw.choice(list(EVENTS))
+            run.happen(Event(kind, draw.randrange(6), draw.randrange(6), draw.randrange(8)))
+    return run
--- /dev/null
+++ b/src/pinepitch/proof/model/timed.py
@@ -0,0 +1,172 @@
+"""A model with time: every daemon has a steady clock of its own, and leases must hold.
+
+Real time moves by `wait` alone, in steps of QUANTUM. A daemon's clock runs at its own rate; a
+frozen daemon takes no input while its clock goes on. Messages arrive after any delay. The
+time of day is nowhere read, so a step of it changes nothing.
+"""
+
+from typing import NamedTuple
+
+from .invariants import Violation
+from .world import Action, World, machine_of
+
+QUANTUM = 0.1  # seconds; of real time, as long as a heartbeat
+BEGIN = 1000.0  # seconds; what every clock reads at first
+
+
+class TimedBudget(NamedTuple):
+    """How often each kind of step may still be taken; times out of it pass by themselves."""
+
+    waits: int = 0
+    freezes: int = 0
+    restarts: int = 0
+    wipes: int = 0
+    proposals: int = 0
+    changes: int = 0
+    stands: int = 0
+    beats: int = 0
+    compactions: int = 0
+    repeats: int = 0
+    reads: int = 0  # a leader is asked for what is committed
+
+
+class TimedWorld(World):
+    """A state with clocks. Invariant: while a leader's lease stands, no later term has a leader."""
+
+    ignored = ()
+
+    def __init__(self, fleet, rates=None):
+        self.time = 0.0
+        self.rates = dict(rates or {})  # daemon -> seconds of its clock per second; 1 where left out
+        self.frozen = frozenset()
+        self.stopped = {}  # machine -> seconds that its clock stood still, which a steady clock never does
+        super().__init__(fleet)
+
+    def now(self, identity):
+        """The steady clock of a daemon; a wiped one's machine keeps its clock."""
+        machine = machine_of(identity)
+        passed = self.time - self.stopped.get(machine, 0.0)
+        return BEGIN + passed * self.rates.get(machine, 1.0)
+
+    def key(self):
+        """A fingerprint, times included."""
+        times = tuple(self._times(self.replicas[one]) for one in sorted(self.replicas))
+        stopped = tuple(sorted(self.stopped.items()))
+        return hash((super().key(), round(self.time, 3), self.frozen, stopped, times))
+
+    def _times(self, replica):
+        consensus = replica.consensus
+        followers = tuple(
+            (one, follower.beat, round(follower.heard_at, 3), round(follower.sent_at, 3))
+            for one, follower in sorted(consensus.followers.items())
+        )
+        return (
+            round(max(consensus.heard_leader, 0.0), 3),
+            None if consensus.election_at is None else round(consensus.election_at, 3),
+            round(max(consensus.beat_at, 0.0), 3),
+            round(max(consensus.penance_until, 0.0), 3),
+            consensus.beat,
+            followers,
+            tuple((number, round(sent, 3)) for number, sent in sorted(consensus.beats.items())),
+            (consensus.round, tuple(consensus.reads_now), tuple(consensus.reads_next)),
+        )
+
+    def _forget_times(self, replica):
+        """Times are part of this model."""
+
+    def _posted(self, message):
+        return message
+
+    # --- steps ------------------------------------------------------------------------
+    def actions(self):
+        """Every step that may be taken here; campaigns and beats come with time."""
+        found = [one for one in super().actions() if one.kind not in ("stand", "beat")]
+        found = [one for one in found if self._awake(one)]
+        if self.budget.waits:
+            found.append(Action("wait", ""))
+        if self.budget.freezes:
+            found += [Action("freeze", one) for one in sorted(self.replicas) if one not in self.frozen]
+        found += [Action("thaw", one) for one in sorted(self.frozen)]
+        if self.budget.reads:
+            found += [Action("read", one) for one in self.leaders_by_themselves() if one not in self.frozen]
+        return found
+
+    def leaders_by_themselves(self):
+        """Daemons that take themselves for the leader."""
+        return [one for one in sorted(self.replicas) if self.replicas[one].consensus.role == "leader"]
+
+    def _awake(self, action):
+        if action.kind in ("deliver", "repeat"):
+            return self.post.letters[action.subject].receiver not in self.frozen
+        return action.subject not in self.frozen
+
+    def _wait(self, action):
+        self._spend("waits")
+        self.time += QUANTUM
+        for identity in sorted(self.replicas):
+            if identity not in self.frozen:
+                self._tick_one(identity)
+
+    def _tick(self, action):
+        self._tick_one(action.subject)
+
+    def _tick_one(self, identity):
+        replica = self._touch(identity)
+        self._carry_out(replica, replica.consensus.tick(self.now(identity)))
+
+    def _freeze(self, action):
+        self._spend("freezes")
+        self.frozen |= {action.subject}
+
+    def _thaw(self, action):
+        """Goes on; what came meanwhile is still under way, and may be read before the next tick or after."""
+        self.frozen -= {action.subject}
+
+    def _restart(self, action):
+        super()._restart(action)
+        self.frozen -= {action.subject}
+
+    def _wipe(self, action):
+        super()._wipe(action)
+        self.frozen -= {action.subject}
+
+    def _read(self, action):
+        """Asks a leader for a read; its token is what had been committed by then, anywhere."""
+        self._spend("reads")
+        replica = self._touch(action.subject)
+        effects = replica.consensus.read(len(self.committed), self.now(action.subject))
+        self._carry_out(replica, effects)
+
+    def _carry_out(self, replica, effects):
+        for effect in effects:
+            if effect[0] == "read" and effect[2] < effect[1]:
+                raise Violation(
+                    f"{replica.identity} reads at {effect[2]}, when asked {effect[1]} was committed"
+                )
+        super()._carry_out(replica, effects)
+
+    # --- invariants -------------------------------------------------------------------
+    def check(self, before):
+        """What holds without time, and the lease."""
+        super().check(before)
+        for identity, replica in self.replicas.items():
+            consensus = replica.consensus
+            if consensus.role != "leader" or not consensus.leased(self.now(identity)):
+                continue
+            for term, leader in self.leaders:
+                if term > consensus.term:
+                    raise Violation(
+                        f"{leader} leads term {term} while {identity} has its lease of term {consensus.term}"
+                    )
+
+
+TimedWorld.kinds = {
+    **World.kinds,
+    "wait": TimedWorld._wait,
+    "tick": TimedWorld._tick,
+    "freeze": TimedWorld._freeze,
+    "thaw": TimedWorld._thaw,
+    "read": TimedWorld._read,
+    "restart": TimedWorld._restart,
+    "wipe": TimedWorld._wipe,
+}
