Deciders are told a steady clock that goes on while the machine is suspended

Cause: the monotonic clock of Linux stands still while a machine is suspended. Now deciders get CLOCK_BOOTTIME, which goes on.

features/lease.feature, new scenario: seen to fail with the old host.py.

--- a/features/lease.feature
+++ b/features/lease.feature
@@ -26,3 +26,8 @@
   Scenario: a lease is over for all, by clocks that drift, before a voter may vote
     Then the constants allow each steady clock the drift that a worker's may have
     And a lease as long as the time-out, or a restart that waits for no drift, would allow none
+
+  Scenario: a lease doesn't outlast a machine's suspension
+    Given a daemon on a machine whose steady clocks differ by a suspension
+    When it takes a message
+    Then its decider is told the clock that went on
--- a/features/steps/contact.py
+++ b/features/steps/contact.py
@@ -1,6 +1,7 @@
 """Steps for Contact: trials of a machine out of contact, and each mechanism by hand."""
 
 import random
+import time
 
 import curio
 from behave import given, then, when
@@ -221,9 +222,15 @@
     def __init__(self):
         self.now = 50.0
 
+    CLOCK_BOOTTIME = time.CLOCK_BOOTTIME
+
     def monotonic(self):
         return self.now
 
+    def clock_gettime(self, clock):
+        assert clock == self.CLOCK_BOOTTIME
+        return self.now
+
     time = monotonic
 
 
--- a/features/steps/lease.py
+++ b/features/steps/lease.py
@@ -1,9 +1,13 @@
 """Steps for Lease: one accord's consensus, stepped by hand."""
 
+import time
+from unittest import mock
+
 from behave import given, then, when
 
 from pinepitch.accord.consensus import Consensus
 from pinepitch.ground import constants
+from pinepitch.ground.host import Host
 
 MEMBERS = {"a": "north", "b": "south", "c": "west"}
 WAITS = {"lease": constants.LEAD_LEASE * constants.LEASE_STRETCH, "time-out": constants.ELECTION_TIMEOUT}
@@ -129,3 +133,35 @@
     lease, timeout = constants.LEAD_LEASE, constants.ELECTION_TIMEOUT
     assert not lease_is_safe(constants.CLOCK_DRIFT, timeout, timeout, constants.LEASE_STRETCH)
     assert not lease_is_safe(constants.CLOCK_DRIFT, lease, timeout, 1.0)
+
+
+class Listener:
+    """A decider that keeps the time it is told."""
+
+    def step(self, message, now, clock):
+        self.now = now
+        return ()
+
+
+@given("a daemon on a machine whose steady clocks differ by a suspension")
+def step_suspended(context):
+    context.core = Listener()
+    context.host = Host(context.core, "127.0.0.1:1", None)
+    context.clocks = {time.CLOCK_BOOTTIME: 620.0, time.CLOCK_MONOTONIC: 20.0}
+
+
+@when("it takes a message")
+def step_takes(context):
+    with (
+        mock.patch.object(time, "clock_gettime", context.clocks.get),
+        mock.patch.object(time, "monotonic", lambda: context.clocks[time.CLOCK_MONOTONIC]),
+    ):
+        try:
+            context.host._step(("tick",)).send(None)
+        except StopIteration:
+            pass
+
+
+@then("its decider is told the clock that went on")
+def step_told(context):
+    assert context.core.now == context.clocks[time.CLOCK_BOOTTIME], context.core.now
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -16,6 +16,12 @@
 from .env import split
 
 
+def steady_clock():
+    """Seconds that a decider's leases and time-outs are told by: never set, and unlike the monotonic
+    clock it goes on while the machine is suspended, so that a lease is over when it resumes."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Link:
     """One way out to another daemon. Invariant: frames leave in the order they came; the
     oldest falls when LINK_QUEUE are waiting; a broken socket loses what it held."""
@@ -131,7 +137,7 @@
             await self.tasks.cancel_remaining()
 
     async def _step(self, message):
-        now = time.monotonic()
+        now = steady_clock()
         self.stall_guard.turn(now)
         if self.stall_guard.refuses(message, now):
             await self._reply(message[1], *stall.PAUSED)
@@ -339,7 +345,7 @@
     """The Response to a request once its answer comes; the clock is read when it is about to be
     written, however long the process was stopped since the answer was decided."""
     reply, until = await answers.get()
-    return http.Response(*stall.timely(reply, until, time.monotonic()))
+    return http.Response(*stall.timely(reply, until, steady_clock()))
 
 
 class Entrance:
