--- a/src/pinepitch/proof/model/faults.py
+++ b/src/pinepitch/proof/model/faults.py
@@ -16,6 +16,7 @@
 original_advance = Consensus._advance
 original_appended = Consensus._on_appended
 original_change_members = Consensus.change_members
+original_leased = Consensus.leased
 original_vote = Consensus._on_vote
 original_wait = TimedWorld._wait
 
@@ -131,6 +132,15 @@
     original_appended(self, sender, term, success, index, beat, now)
 
 
+def _leased_by_new_list(self, now):
+    """Takes a lease from the coming list alone."""
+    cohort, self.cohort = self.cohort, Cohort(self.cohort.quorums()[-1])
+    try:
+        return original_leased(self, now)
+    finally:
+        self.cohort = cohort
+
+
 def _check_round_at_once(self, now):
     """Answers reads without asking whether this one still leads."""
     if self.round is not None:
@@ -177,6 +187,7 @@
     "vote-beside-leader": Fault(((Consensus, "leader_near", lambda self, now: False),), ("lease",)),
     "clock-stops-in-suspend": Fault(((TimedWorld, "_wait", _wait_while_suspended),), ("lease-suspended",)),
     "read-without-round": Fault(((Consensus, "_check_round", _check_round_at_once),), ("reads",)),
+    "lease-by-new-list": Fault(((Consensus, "leased", _leased_by_new_list),), ("lease-change",)),
     "lease-from-answer": Fault(((Consensus, "_on_appended", _lease_from_answer),), ("lease-answers",)),
 }
 
--- a/src/pinepitch/proof/model/fleets.py
+++ b/src/pinepitch/proof/model/fleets.py
@@ -64,13 +64,14 @@
     return line
 
 
-def quiet_without(lost):
-    """A line of a script: delivers and saves until nothing is under way but what one daemon sends or gets."""
+def quiet_without(*lost):
+    """A line of a script: delivers and saves until nothing is under way; what the lost ones send or
+    would get is lost."""
 
     def line(world):
         for _ in range(1_000):
             for number in sorted(world.letters):
-                if lost in world.post.letters[number][:2]:
+                if set(lost) & set(world.post.letters[number][:2]):
                     world = world.step(Action("lose", number))
             if not world.letters:
                 return world
@@ -126,12 +127,12 @@
     return line
 
 
-def wait_without(lost, times):
-    """A line of a script: time passes and all messages arrive, but for those to and from one daemon."""
+def wait_without(times, *lost):
+    """A line of a script: time passes and all messages arrive, but for those to and from the lost ones."""
 
     def line(world):
         for _ in range(times):
-            world = quiet_without(lost)(world.step(Action("wait", "")))
+            world = quiet_without(*lost)(world.step(Action("wait", "")))
         return world
 
     return line
@@ -172,8 +173,8 @@
     quiet_without("c"),
     act("beat", "b"),
 )
-SERVING = (wait_without("c", 6), elect("a"), settle("propose", "a"))
-LEASED = (*SERVING, wait_without("c", 5))
+SERVING = (wait_without(6, "c"), elect("a"), settle("propose", "a"))
+LEASED = (*SERVING, wait_without(5, "c"))
 LATE_ANSWER = (
     *SERVING,
     wait_unheard(2),
@@ -195,7 +196,7 @@
 DEPOSED = (
     *SERVING,
     act("freeze", "a"),
-    wait_without("a", 6),
+    wait_without(6, "a"),
     elect("c"),
     settle("propose", "c"),
     act("thaw", "a"),
@@ -372,7 +373,7 @@
         Fleet(
             THREE,
             budget=TimedBudget(waits=1, restarts=1),
-            script=(*SERVING, wait_without("c", 2), act("restart", "b"), act("tick", "b"), wait_unheard(3)),
+            script=(*SERVING, wait_without(2, "c"), act("restart", "b"), act("tick", "b"), wait_unheard(3)),
             rates=CLOCKS,
         ),
         Bounds(6, 1_000),
@@ -389,7 +390,7 @@
         Fleet(
             THREE,
             budget=TimedBudget(waits=3),
-            script=(*SERVING, act("freeze", "a"), wait_without("a", 5)),
+            script=(*SERVING, act("freeze", "a"), wait_without(5, "a")),
             rates=CLOCKS,
         ),
         Bounds(7, 1_000),
@@ -402,6 +403,24 @@
         Bounds(12, 1_000_000),
         "a leader that was stopped is asked for reads beside its successor",
     ),
+    "lease-change": Model(
+        Fleet(
+            THREE,
+            {"d": "west"},
+            budget=TimedBudget(waits=2, restarts=1),
+            script=(
+                *SERVING,
+                settle("learn", "a", "d"),
+                settle("wait", ""),
+                act("change", "a", _replaced(THREE, "c", "d")),
+                wait_without(4, "b", "c"),
+            ),
+            rates={**CLOCKS, "d": SLOW},
+        ),
+        Bounds(5, 1_000),
+        Bounds(10, 1_000_000),
+        "only the coming voter hears the leader, the others know nothing of the joint change",
+    ),
     "lease-wiped": Model(
         Fleet(
             THREE,
