--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -217,6 +217,14 @@
             saving[1] = min(saving[1], index - 1)
         self._find_cohort()
 
+    def _drop_log(self):
+        """Drops every entry for a snapshot that the log does not lead to: of what is on disk or on
+        its way there only what is committed stays true."""
+        self.entries = []
+        self.durable = min(self.durable, self.commit)
+        for saving in self.saving:
+            saving[1] = min(saving[1], self.commit)
+
     # --- effects ----------------------------------------------------------------------
     def _send(self, identity, message, after=0):
         effect = ("send", identity, message)
@@ -253,14 +261,7 @@
     # --- time -------------------------------------------------------------------------
     def tick(self, now):
         """Lets time pass: beats, time-outs, stalled disks."""
-        if self.election_at is None:
-            # what an earlier life acknowledged may still carry a leader's lease: no vote before that is over
-            self.heard_leader = max(
-                self.heard_leader, now - constants.ELECTION_TIMEOUT + constants.LEAD_LEASE
-            )
-            self._reset_election(now)
-            if self.last_index() > 0:
-                self.election_at = now + constants.LEAD_LEASE * (1.2 + self.random.random())
+        self._begin_life(now)
         stalled = bool(self.saving) and now - self.saving[0][2] > constants.DISK_STALL
         if stalled:
             self.penance_until = now + constants.DISK_PENANCE
@@ -284,6 +285,17 @@
                 self._reset_election(now)
         return self._done(now)
 
+    def _begin_life(self, now):
+        """At the first input: what an earlier life acknowledged may still carry a leader's lease, so no
+        vote is given before that is over, also by that leader's slower clock."""
+        if self.election_at is not None:
+            return
+        lease = constants.LEAD_LEASE * constants.LEASE_STRETCH
+        self.heard_leader = max(self.heard_leader, now - constants.ELECTION_TIMEOUT + lease)
+        self._reset_election(now)
+        if self.last_index() > 0:
+            self.election_at = now + constants.LEAD_LEASE * (1.2 + self.random.random())
+
     def disk_failed(self, now):
         """A disk that refuses to write is no leader's."""
         self.penance_until = now + constants.DISK_PENANCE
@@ -440,6 +452,8 @@
             return None
         coming = Quorum(dict(members), self.cohort.now.mode)
         self._event(130, members=sorted(members))
+        for identity in members:
+            self.learners.pop(identity, None)  # from here on a voter, whose copies and answers count
         result = self.propose([("members", Cohort(self.cohort.now, coming).image())], time, now)
         return result
 
@@ -684,8 +698,6 @@
             gone = [one for one in self.followers if one not in members and one not in self.learners]
             for identity in gone:
                 del self.followers[identity]
-            for identity in members:
-                self.learners.pop(identity, None)
             if gone:
                 self._event(132, members=sorted(members))
             if self.identity not in members:
@@ -776,12 +788,12 @@
             return
         self.incoming = None
         self.base_image, self.base_segments, segments = whole
-        self.base_index, self.base_term = index, snapshot_term
-        self.base_cohort = cohort_from(image)
-        if self.term_at(index) == snapshot_term and self.first <= index:
+        if self.term_at(index) == snapshot_term:
             del self.entries[: index + 1 - self.first]
         else:
-            self.entries = []
+            self._drop_log()
+        self.base_index, self.base_term = index, snapshot_term
+        self.base_cohort = cohort_from(image)
         self.first = index + 1
         self.commit = index
         self.truncate = self.dirty_from = None
@@ -814,6 +826,7 @@
 
     def step(self, sender, message, now):
         """Takes one message of a cohort member."""
+        self._begin_life(now)
         kind, *rest = message
         handler = HANDLERS.get(kind)
         if handler is not None:
