--- a/features/tenancy.feature
+++ b/features/tenancy.feature
@@ -46,6 +46,8 @@
       | ends-noted-early    | leader-deaf   | jobs never ended              |
       | levels-forgotten    | all-killed    | no job was taken              |
       | base-unheeded       | calm          | were both acknowledged        |
+      | number-is-enough    | calm          | were both acknowledged        |
+      | taken-unheeded      | answers-late  | was acknowledged and refused  |
       | evacuation-in-word  | tenants-leave | was evacuated                 |
       | drain-unseen        | tenants-leave | known to drain                |
       | failures-forgotten  | calm          | failures                      |
--- a/src/pinepitch/proof/order_plants.py
+++ b/src/pinepitch/proof/order_plants.py
@@ -24,6 +24,11 @@
     return original_settled(self, base, version, digest)
 
 
+def _taken_unheeded(self, base, version, digest):
+    """Knows no change again that was taken."""
+    return None if base == self.version else ("stale", self.version)
+
+
 def _forgets_at_restart(self):
     """Keeps no digests in snapshots."""
     return (original_image(self)[0], ())
@@ -60,6 +65,7 @@
 PLANTS = {
     "base-unheeded": [(Configuration, "_settled", _base_unheeded)],
     "number-is-enough": [(Configuration, "_settled", _number_is_enough)],
+    "taken-unheeded": [(Configuration, "_settled", _taken_unheeded)],
     "taken-not-in-snapshots": [(Configuration, "image", _forgets_at_restart)],
     "order-of-members-counts": [(configuration, "digest_of", _member_order_counts)],
     "old-changes-refused": [(Configuration, "_forgotten_below", _old_is_refused)],
