Old changes that can't be told apart from taken ones are never made again, nor refused

The product's own changes: what came of the newest 1,000 is kept by mark (MARKS_KEPT). A change that builds on no version, carried here again after that many others, was made a second time ("('setup', 1203, 1203)" in the new test on the code before). Mend (accord/marks.py): of those dropped, the highest number of each carrier is kept, 1,000 carriers; a mark up to it that is not remembered is neither made nor refused: 504. Numbers of one life of a carrier rise, and another life has another name. What is noted changes what an entry decides, so it begins with level 3. Marks are kept in the order they came: dropping one looked through all 1,000 before. The record's image holds both parts (files).

One that is invalid by itself, or whose number is not above that it builds on, is refused as before (three cases kept as tests).

--- a/features/orders.feature
+++ b/features/orders.feature
@@ -78,3 +78,24 @@
     Given a cohort that takes orders
     When 200 orders are given one after another at daemons of all roles
     Then each was acknowledged within 0.2 seconds
+
+  Scenario: after more changes of the setup than are remembered, an old one is not made again
+    Given 1200 changes of the setup that build on no version, of one verge
+    Then the first one sent again is neither made nor refused, also after a restart
+    And the newest 1000 sent again are answered as they were
+    And a new one of that verge, and the first one of another, are made
+
+  Scenario: 1001 verges that lived make no record of changes grow
+    Given 3 changes of the setup of each of 1400 verges
+    Then no more than 1000 outcomes and 1000 verges are remembered
+
+  Scenario Outline: after more changes than are remembered, an old one <that> is refused
+    Given 1100 changes were taken, one upon the other, a whole one among the first
+    When an old one <that> is sent
+    Then it is answered with <status>, and nothing has changed
+
+    Examples:
+      | that                                   | status |
+      | to a service that there is not         | 400    |
+      | under a number below that it builds on | 412    |
+      | under a number below 0                 | 412    |
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -599,3 +599,80 @@
         print(str(found)[:300])
         return
     raise AssertionError(f"the planted fault {context.plant} went unseen")
+
+
+# --- changes of the setup ------------------------------------------------------------------
+def setup_change(core, verge, number):
+    """One change of the setup that builds on no version; its outcome."""
+    patch = {"queues": {"default": {"limit": 10 + number % 7}}}
+    core.index += 1
+    operation = ("setup", f"{verge}-{number}", None, "merge", patch, "operator", "")
+    return core.record.apply(core.index, float(core.index), operation)
+
+
+def setup_core():
+    core = RecordCore()
+    core.record.apply(1, 1.0, ("level", constants.RECORD_LEVEL))
+    queues = {"queues": {"default": {"share": 8, "limit": 10, "urgency": 4}}}
+    core.record.apply(2, 2.0, ("setup", "first-1", None, "whole", queues, "operator", ""))
+    core.index = 2
+    return core
+
+
+@given("{count:d} changes of the setup that build on no version, of one verge")
+def step_setups(context, count):
+    context.core, context.count = setup_core(), count
+    context.outcomes = [setup_change(context.core, "v1a2.verge0", one) for one in range(1, count + 1)]
+    assert all(outcome[0] == "setup" for outcome in context.outcomes), context.outcomes[:2]
+
+
+@then("the first one sent again is neither made nor refused, also after a restart")
+def step_setup_again(context):
+    for _ in range(2):
+        version = context.core.record.version
+        outcome = setup_change(context.core, "v1a2.verge0", 1)
+        assert outcome[0] == "forgotten", outcome
+        assert context.core.record.version == version
+        context.core.restart()
+
+
+@then("the newest {count:d} sent again are answered as they were")
+def step_setups_again(context, count):
+    for number in range(context.count - count + 1, context.count + 1):
+        outcome = setup_change(context.core, "v1a2.verge0", number)
+        assert outcome == context.outcomes[number - 1], outcome
+
+
+@then("a new one of that verge, and the first one of another, are made")
+def step_setups_new(context):
+    assert setup_change(context.core, "v1a2.verge0", context.count + 1)[0] == "setup"
+    assert setup_change(context.core, "v9.verge0", 1)[0] == "setup"
+
+
+@given("{count:d} changes of the setup of each of {verges:d} verges")
+def step_setups_many(context, count, verges):
+    context.core = setup_core()
+    for verge in range(verges):
+        for number in range(1, count + 1):
+            assert setup_change(context.core, f"v{verge}.verge", number)[0] == "setup"
+
+
+@then("no more than {outcomes:d} outcomes and {verges:d} verges are remembered")
+def step_setups_bounded(context, outcomes, verges):
+    kept, forgotten = context.core.record.marks.image()
+    assert len(kept) == outcomes and len(forgotten) == verges, (len(kept), len(forgotten))
+
+
+# --- old changes that were never taken -------------------------------------------------------
+OLD = {
+    "to a service that there is not": (4, 6, [{"name": "r", "host": "h", "prefix": "/", "service": "gone"}]),
+    "under a number below that it builds on": (8, 6, []),
+    "under a number below 0": (4, -3, []),
+}
+
+
+@when("an old one {that} is sent")
+def step_old(context, that):
+    base, version, routes = OLD[that]
+    document = {"version": version, "routes": routes, "services": [{"name": "web"}]}
+    send_changed(context, "configure", (base, document))
--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -281,12 +281,14 @@
 
 def _change(core, token, arguments, now):
     base, manner, document, who, why = arguments
-    if base is not None and base != core.record.version and token not in core.record.marks:
+    if base is not None and base != core.record.version and core.record.marks.outcome(token) is None:
         return ("answer", _setup_answer(core, ("conflict", core.record.version)))
     return ("agree", ("setup", token, base, manner, document, who, why), "setup", None)
 
 
 def _setup_answer(core, outcome, extra=None, now=None):
+    if outcome[0] == "forgotten":
+        return problem(504, "forgotten", "too many changes came since to tell whether this one was made")
     if outcome[0] == "conflict":
         return problem(409, "base_moved", f"version {outcome[1]} is in force", version=outcome[1])
     if outcome[0] == "invalid":
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -17,6 +17,7 @@
 from ..world.ticket import Ticket, tasks_from
 from .archive import Archive
 from .history import History
+from .marks import Marks
 from .sample import Sample
 from .table import OK, Table
 
@@ -58,7 +59,7 @@
         self.level = 1  # of operations; agreed once all members knew it, never falls
         self.sealed = []  # (number, bytes) of segments sealed since the decider took them
         self.sample = Sample()
-        self.marks = immutables.Map()  # mark of a change -> its outcome, so that it counts once
+        self.marks = Marks()
         self.ripe_at = 0.0  # not part of the image: it moves with who asks
         self._derive()
 
@@ -81,7 +82,7 @@
             dict(self.withdrawn),
             self.drafts,
             self.draft_count,
-            self.marks,
+            self.marks.image(),
             self.sample.image(),
             self.archive.image(),
             dict(self.holds),
@@ -124,7 +125,7 @@
         record.holds = {alert: tuple(one) for alert, one in holds.items()}
         record.archive = Archive(lines, segments)
         record.sample = Sample(sample)
-        record.marks = immutables.Map({mark: tuple(outcome) for mark, outcome in marks.items()})
+        record.marks = Marks(*marks)
         record.tickets = immutables.Map({one: _ticket(image) for one, image in tickets.items()})
         record.keys = immutables.Map(keys)
         record.finished = [tuple(one) for one in finished]
--- a/src/pinepitch/accord/table.py
+++ b/src/pinepitch/accord/table.py
@@ -4,6 +4,7 @@
 from ..world import row as rows
 
 OK = ("ok",)
+MARKS_LEVEL = 3  # of operations; from it on all members know which marks they have forgotten
 
 
 class Table:
@@ -16,14 +17,12 @@
 
     def _once(self, mark, change):
         """The outcome of a change, the same one however often it is carried here."""
-        if mark in self.marks:
-            return self.marks[mark]
-        outcome = change()
-        if len(self.marks) >= constants.MARKS_KEPT:
-            oldest = min(self.marks.items(), key=lambda one: one[1][-1])[0]
-            self.marks = self.marks.delete(oldest)
-        self.marks = self.marks.set(mark, (*outcome, self.index))
-        return self.marks[mark]
+        known = self.marks.outcome(mark)
+        if known is not None:
+            return known
+        outcome = (*change(), self.index)
+        self.marks.keep(mark, outcome, self.level >= MARKS_LEVEL)
+        return outcome
 
     def _change(self, base, manner, document, who, why):
         if base is not None and base != self.version:
--- a/src/pinepitch/tenure/configuration.py
+++ b/src/pinepitch/tenure/configuration.py
@@ -139,7 +139,7 @@
             return ("configured", version)
         if base == self.version:
             return None
-        if whole and version < self._forgotten_below():
+        if whole and base < version < self._forgotten_below():
             return ("forgotten", version)
         return ("stale", self.version)
 
@@ -147,9 +147,11 @@
         """Brings a whole configuration into force, or says why not."""
         version = document.get("version")
         settled = self._settled(base, version, digest)
-        if settled is not None:
+        if settled is not None and settled[0] != "forgotten":
             return settled
         faults = checked(document)
+        if not faults and settled is not None:
+            return settled
         if not faults and version <= self.version:
             faults = (("version", f"{version} is not above {self.version}"),)
         if faults:
