--- a/features/orders.feature
+++ b/features/orders.feature
@@ -99,3 +99,30 @@
       | to a service that there is not         | 400    |
       | under a number below that it builds on | 412    |
       | under a number below 0                 | 412    |
+
+  Scenario Outline: a configuration whose body has <size> is <fate>
+    Given a cohort that takes orders
+    When a configuration whose body has <size> comes to a control port
+    Then it is <fate> everywhere
+
+    Examples:
+      | size                         | fate      |
+      | 262144 bytes                 | taken     |
+      | as many bytes as are allowed | taken     |
+      | one byte more than allowed   | not taken |
+
+  Scenario: while a member knows level 2 only, orders for zones are taken as before
+    Given a cohort that takes orders, one member of which knows level 2
+    When an evacuation is begun and finished
+    Then both were agreed on as level 2 knows them, and neither bears an index
+    When that member knows level 3
+    And an evacuation is begun and finished
+    Then the newest order of the zone is remembered by every member
+
+  Scenario: orders for ever new zones are bounded, and a late one for a forgotten zone is not taken
+    Given a record of orders for zones
+    When the evacuations of 3000 zones are begun and finished
+    Then the orders of no more than 2000 zones are remembered
+    And a late Begin for the first zone is superseded, a late Finish acknowledged, a new Begin taken
+    When the evacuations of 1000 zones more are begun
+    Then one more is told that too many are evacuated, and a Finish is taken
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -6,6 +6,7 @@
 import sys
 from unittest import mock
 
+import curio
 import hypothesis
 from behave import given, then, when
 from hypothesis import strategies
@@ -18,9 +19,10 @@
     run_state_machine_as_test,
 )
 
+from pinepitch.accord.core import Accord
 from pinepitch.accord.record import Record
 from pinepitch.ground import constants
-from pinepitch.ground.http import Request, Response
+from pinepitch.ground.http import Request, Response, Server
 from pinepitch.proof import order_fleet, order_rules, tenancy
 from pinepitch.tenure import calls
 
@@ -676,3 +678,164 @@
     base, version, routes = OLD[that]
     document = {"version": version, "routes": routes, "services": [{"name": "web"}]}
     send_changed(context, "configure", (base, document))
+
+
+# --- large bodies ----------------------------------------------------------------------------
+def body_of(size):
+    """A whole configuration of just that many bytes."""
+    document = {"configVersion": 3, "routes": [], "services": [], "limits": {"pad": ""}}
+    document["limits"]["pad"] = "x" * (size - len(json.dumps(document)))
+    return json.dumps(document).encode()
+
+
+async def received(body):
+    """The request of a body that comes over a socket, or why there is none."""
+    ours, theirs = curio.socket.socketpair()
+    target, host = doors.REPLACE, "Host: x\r\nX-Based-On-Version: 0"
+    head = f"POST {target} HTTP/1.1\r\n{host}\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+    async with ours, theirs:
+        sending = await curio.spawn(theirs.sendall, head + body)
+        found = await Server(ours).receive()
+        await sending.cancel()
+    return found
+
+
+SIZES = {
+    "262144 bytes": 262_144,
+    "as many bytes as are allowed": constants.BODY_MOST,
+    "one byte more than allowed": constants.BODY_MOST + 1,
+}
+
+
+@when("a configuration whose body has {size} comes to a control port")
+def step_large(context, size):
+    body, fleet = body_of(SIZES[size]), context.fleet
+    context.document = json.loads(body)
+    found = curio.run(received, body)
+    if not isinstance(found, Request):
+        context.status = found.status
+        return
+    call, arguments, _ = doors.Control("10.0.0.1:8080").read(found)
+    order = order_rules.order_of(order_rules.REPLACE, "0", context.document)
+    change = order_fleet.Change(order, call, arguments)
+    operators = order_fleet.ChangeOperators(fleet)
+    operators.give(change, fleet.followers()[0])
+    assert fleet.until(lambda: 200 in change.statuses(), 30, 0.05) is not None, change.answers
+    context.status = 200
+
+
+@then("it is taken everywhere")
+def step_large_taken(context):
+    assert context.status == 200
+    context.fleet.run(1)
+    for node in context.fleet.nodes.values():
+        found = node.core.record.board.configuration.document
+        assert wording.original(found, wording.CONFIGURATION) == context.document
+
+
+@then("it is not taken everywhere")
+def step_large_refused(context):
+    assert context.status == 413
+    assert all(node.core.record.board.configuration.version == 0 for node in context.fleet.nodes.values())
+
+
+# --- levels ------------------------------------------------------------------------------------
+class LevelTwo(Accord):
+    """A daemon that tells level 2."""
+
+    level = 2
+
+
+@given("a cohort that takes orders, one member of which knows level 2")
+def step_level_two(context):
+    context.fleet = fleet = order_fleet.OrderFleet(1)
+    context.old = fleet.nodes["accord1"]
+    fleet.kill("accord1")
+    context.old.make = LevelTwo
+    fleet.start("accord1")
+    fleet.begin()
+    assert fleet.until(lambda: fleet.leader().core.record.level == 2, 10) is not None
+
+
+@when("an evacuation is begun and finished")
+def step_begun_and_finished(context):
+    fleet = context.fleet
+    operator = order_fleet.ZoneOperator(fleet, "a")
+    for begun in (True, False):
+        operator.give(begun)
+        assert fleet.until(lambda: operator.standing is not None, 20, 0.01) is not None
+        fleet.run(0.2)
+        assert not operator.faults(), operator.faults()
+
+
+@then("both were agreed on as level 2 knows them, and neither bears an index")
+def step_unconfirmed(context):
+    consensus = context.fleet.leader().core.consensus
+    entries = [consensus.entry(index) for index in range(consensus.first, consensus.commit + 1)]
+    orders = [list(entry[2]) for entry in entries if entry[2][0].startswith("evacuat")]
+    assert orders == [["evacuate", "a", True], ["evacuate", "a", False]], orders
+
+
+@when("that member knows level 3")
+def step_level_three(context):
+    fleet = context.fleet
+    fleet.kill(context.old.name)
+    context.old.make = None
+    fleet.start(context.old.name)
+    assert fleet.until(lambda: fleet.leader() and fleet.leader().core.record.level == 3, 20) is not None
+
+
+@then("the newest order of the zone is remembered by every member")
+def step_remembered(context):
+    context.fleet.run(1)
+    found = [node.core.record.board.evacuations.newest for node in context.fleet.nodes.values()]
+    assert found[0] == found[1] == found[2] and not found[0]["a"].begun, found
+
+
+# --- ever new zones ------------------------------------------------------------------------------
+def order_zone(context, zone, begun, confirmed=None):
+    """The outcome of an order that was confirmed at an index, by default the newest."""
+    record, context.index = context.record, context.index + 1
+    confirmed = context.index - 1 if confirmed is None else confirmed
+    return record.apply(context.index, float(context.index), ("evacuation", zone, begun, confirmed))
+
+
+@given("a record of orders for zones")
+def step_zones(context):
+    context.record, context.index = Record(), 1
+
+
+@when("the evacuations of {count:d} zones are begun and finished")
+def step_zones_turned(context, count):
+    for zone in range(count):
+        for begun in (True, False):
+            assert order_zone(context, f"z{zone}", begun) == ("ok",)
+
+
+@then("the orders of no more than {count:d} zones are remembered")
+def step_zones_bounded(context, count):
+    context.record = Record.decode(Record.encode(context.record.image()))
+    assert len(context.record.board.evacuations.newest) == count
+
+
+@then("a late Begin for the first zone is superseded, a late Finish acknowledged, a new Begin taken")
+def step_zones_late(context):
+    assert order_zone(context, "z0", True, 1) == ("superseded",)
+    assert order_zone(context, "z0", False, 1) == ("ok",)
+    assert order_zone(context, "z0", True) == ("ok",)
+    assert list(context.record.board.evacuated) == ["z0"]
+    assert order_zone(context, "z0", False) == ("ok",)
+
+
+@when("the evacuations of {count:d} zones more are begun")
+def step_zones_begun(context, count):
+    for zone in range(count):
+        assert order_zone(context, f"more{zone}", True) == ("ok",)
+
+
+@then("one more is told that too many are evacuated, and a Finish is taken")
+def step_zones_full(context):
+    assert order_zone(context, "one-more", True) == ("full",)
+    assert order_zone(context, "more7", False) == ("ok",)
+    assert order_zone(context, "one-more", True) == ("ok",)
+    assert len(context.record.board.evacuations.newest) <= 2 * constants.EVACUATED_MOST
