--- a/src/pinepitch/proof/isolation/plants.py
+++ b/src/pinepitch/proof/isolation/plants.py
@@ -39,7 +39,7 @@
     ],
     "ends-on-own-clock": [
         *order_plants.LATE_ORDERS,
-        (LeaderClock, "end", lambda self, until, now: Reading(self.term, now + constants.CALL_PATIENCE))
+        (LeaderClock, "end", lambda self, until, now: Reading(self.term, now + constants.CALL_PATIENCE)),
     ],
     "late-answers-written": [(stall, "timely", lambda reply, until, now: reply)],
     "waited-calls-taken": [(stall.StallGuard, "refuses", lambda self, message, now: False)],
--- a/src/pinepitch/proof/tenancy.py
+++ b/src/pinepitch/proof/tenancy.py
@@ -10,7 +10,7 @@
 
 from .jobs import checks
 from .jobs.fleet import Tenancy
-from .jobs.limits import HELD_ON, IN_FLIGHT, PROCESSES
+from .jobs.limits import HELD_ON, IN_FLIGHT, PROCESSES, RUSHES
 from .jobs.plants import planted
 from .jobs.scenarios import SCENARIOS
 from .tenant import STOP_GRACE
@@ -28,6 +28,8 @@
         simulator.begin()
         simulator.run(2)
         simulator.governor.race()
+        for turn in range(RUSHES):
+            simulator.at(simulator.draw.uniform(0, 3) + 3 * turn, "later", simulator.governor.rush)
         SCENARIOS[scenario](simulator)
         simulator.governor.race()
         if not simulator.finish():
