A stopping leader hands leadership to a voter that holds all, without an election's wait

Cause: on SIGTERM a leader stood down and named nobody; the others waited out the time-out (0.6 s and its jitter) before a pre-vote could be granted.

Now it leads on until its successor (the voter heard lately that lacks least) holds the whole log and all of it is committed, so that everybody who waits has an answer; then it gives leadership, and with it the lease, up, and only then tells the successor, which campaigns at once by "takeover", a request for votes that carries the released term. A voter beside a near leader grants it only if no leader newer than that term was heard: every lease that may stand is then of a newer term, and its quorum meets the candidate's. After 1 s without that it stands down as before. While it stops it decides nothing of its own; the learners are named to the successor, which goes on feeding them.

Beside it, found by review: a message that came before the first tick of a new life found no wait for the lease that its earlier life may have acknowledged; the first step now begins it, whatever it is.

Ruled out: letting the successor pre-vote (the others refuse it beside a near leader), and shorter time-outs (they cost elections on slow disks).

The new scenarios of features/lease.feature fail without hand_over, _on_takeover and _begin.

--- a/features/lease.feature
+++ b/features/lease.feature
@@ -17,3 +17,24 @@
 
   Scenario: the lease is shorter than the time-out, and a hold outlasts an election
     Then the constants leave a lease no room beside an election
+
+  Scenario: an accord that is asked for a vote before its first tick gives none either
+    Given an accord with a log that was not stepped yet
+    When it is asked for a pre-vote at once, and again once a lease is over
+    Then it refuses at first and grants then
+
+  Scenario: a leader that hands over gives its lease up before its successor hears of it
+    Given a leader whose followers answered a beat
+    When it hands over while its successor lacks an entry
+    Then it leads on, and names the successor once all is held, without a lease by then
+
+  Scenario: a voter grants a takeover beside the leader that released it, not beside a newer one
+    Given an accord with a log that heard its leader just now
+    When it is asked for a takeover of the term before, and then of that leader's
+    Then it says nothing at first and grants then
+
+  Scenario: only the leader of the term names a successor
+    Given an accord with a log that heard its leader just now
+    When others than its leader, and an older leader, name it successor
+    Then it begins no election
+    But it does, without a pre-vote, once its leader names it
--- a/features/steps/lease.py
+++ b/features/steps/lease.py
@@ -93,3 +93,64 @@
     assert constants.CHECK_QUORUM <= constants.ELECTION_TIMEOUT
     assert 2 * longest < constants.HOLD
     assert constants.LEAD_LEASE + 1.0 < constants.ELECTION_TIMEOUT + constants.GATHER
+
+
+@given("an accord with a log that was not stepped yet")
+def step_unstepped(context):
+    context.now = 100.0
+    context.accord = Consensus("b", 7, MEMBERS)
+    context.accord.restore(None, [([3, "a", 3, {}], None, 1, [(3, 0.0, ("noop",))])])
+
+
+@when("it hands over while its successor lacks an entry")
+def step_hands_over(context):
+    leader, now = context.leader, context.now + 0.06
+    context.beats = leader.beat
+    _, effects = leader.propose([("noop",)], 0.0, now)
+    effects += leader.saved(leader.sequence, now)
+    effects += leader.hand_over({"b", "c"}, now)
+    context.told = [answers(effects, "handover"), leader.role, leader.leased(now)]
+
+
+@then("it leads on, and names the successor once all is held, without a lease by then")
+def step_names(context):
+    leader, now = context.leader, context.now + 0.07
+    assert context.told == [[], "leader", True], context.told
+    target = leader.handover.target
+    effects = leader.step(target, ("appended", 4, True, leader.last_index(), leader.beat), now)
+    assert answers(effects, "handover") == [("handover", 4, {})], effects
+    kinds = [effect[0] for effect in effects]
+    assert kinds.index("unlead") < kinds.index("send"), kinds
+    assert leader.role == "follower" and not leader.leased(now)
+
+
+@when("it is asked for a takeover of the term before, and then of that leader's")
+def step_takeovers(context):
+    context.told = []
+    for released in (2, 3):
+        effects = context.accord.step("c", ("takeover", 4, 1, 3, released), context.now + 0.01)
+        effects += context.accord.saved(context.accord.sequence, context.now + 0.01)
+        context.told.append(answers(effects, "voted"))
+
+
+def campaigns(effects):
+    return [effect for effect in effects if effect[0] == "event" and effect[1] in (120, 121)]
+
+
+@when("others than its leader, and an older leader, name it successor")
+def step_named(context):
+    context.effects = context.accord.step("c", ("handover", 3, {}), context.now + 0.01)
+    context.effects += context.accord.step("a", ("handover", 2, {}), context.now + 0.01)
+
+
+@then("it begins no election")
+def step_no_election(context):
+    assert not campaigns(context.effects), context.effects
+
+
+@then("it does, without a pre-vote, once its leader names it")
+def step_election(context):
+    effects = context.accord.step("a", ("handover", 3, {}), context.now + 0.01)
+    assert [event[1] for event in campaigns(effects)] == [121], effects
+    effects = context.accord.saved(context.accord.sequence, context.now + 0.02)
+    assert answers(effects, "takeover") == [("takeover", 4, 1, 3, 3)] * 2, effects
--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from typing import NamedTuple
 
 import cbor2
 
@@ -15,6 +16,15 @@
 BEYOND = 1 << 40  # the offset that a follower tells which needs nothing of a snapshot
 
 
+class Handover(NamedTuple):
+    """A leader's intent to let `target` lead. Until then it leads on; after `until` it just stands down.
+
+    Invariant: leadership, and with it the lease, is given up before the target hears of it."""
+
+    target: str
+    until: float
+
+
 class Follower:
     """What a leader knows of one cohort member or learner.
 
@@ -71,6 +81,9 @@
         self.election_at = None
         self.penance_until = -1e9
         self.stranger = False
+        self.handover = None  # the Handover under way while leading
+        self.heirs = {}  # the learners that a leader named when it handed over: identity -> area
+        self.released = 0  # the term whose leader gave its lease up in favour of this candidate
         self.beat = 0
         self.round = None  # the beat whose acknowledgement the reads under way need
         self.reads_now, self.reads_next = [], []
@@ -226,13 +239,7 @@
     def tick(self, now):
         """Lets time pass: beats, time-outs, stalled disks."""
         if self.election_at is None:
-            # what an earlier life acknowledged may still carry a leader's lease: no vote before that is over
-            self.heard_leader = max(
-                self.heard_leader, now - constants.ELECTION_TIMEOUT + constants.LEAD_LEASE
-            )
-            self._reset_election(now)
-            if self.last_index() > 0:
-                self.election_at = now + constants.LEAD_LEASE * (1.2 + self.random.random())
+            self._begin(now)
         stalled = bool(self.saving) and now - self.saving[0][2] > constants.DISK_STALL
         if stalled:
             self.penance_until = now + constants.DISK_PENANCE
@@ -245,6 +252,8 @@
             if stalled:
                 self._event(125)
                 self._follow(self.term, now, "disk stalled")
+            elif self.handover is not None and now >= self.handover.until:
+                self._follow(self.term, now, "stopping")
             elif not self.cohort.commits(heard, self.identity):
                 self._follow(self.term, now, "commit quorum not heard")
             elif now - self.beat_at >= constants.HEARTBEAT:
@@ -256,6 +265,14 @@
                 self._reset_election(now)
         return self._done(now)
 
+    def _begin(self, now):
+        """The first thing a process does: what an earlier life of it acknowledged may still carry a
+        leader's lease, so it gives no vote before that is over."""
+        self.heard_leader = max(self.heard_leader, now - constants.ELECTION_TIMEOUT + constants.LEAD_LEASE)
+        self._reset_election(now)
+        if self.last_index() > 0:
+            self.election_at = now + constants.LEAD_LEASE * (1.2 + self.random.random())
+
     def disk_failed(self, now):
         """A disk that refuses to write is no leader's."""
         self.penance_until = now + constants.DISK_PENANCE
@@ -281,11 +298,13 @@
         if self.role != "follower":
             self._reset_election(now)
         self.role = "follower"
+        self.handover = None
         self.followers, self.learners, self.beats = {}, {}, {}
 
     # --- elections --------------------------------------------------------------------
-    def _campaign(self, role, now):
-        self.role, self.replies = role, {}
+    def _campaign(self, role, now, released=0):
+        """Begins an election; `released` is the term whose leader gave up its lease for it, if one did."""
+        self.role, self.replies, self.released = role, {}, released
         self._reset_election(now)
         term = self.term + 1
         self.following = None
@@ -297,6 +316,8 @@
         self.replies[self.identity] = self._reply(True)
         kind = "vote" if role == "candidate" else "prevote"
         message = (kind, term, self.last_index(), self.term_at(self.last_index()))
+        if released:
+            message = ("takeover", *message[1:], released)
         for identity in self.cohort.members():
             if identity != self.identity:
                 self._send(identity, message, self._after_flush())
@@ -355,6 +376,19 @@
             return
         if self.leader_near(now) and sender != self.following:
             return  # it won its pre-vote before the leader was heard again, whose lease stands on that
+        self._answer_vote(sender, term, last_index, last_term, now)
+
+    def _on_takeover(self, sender, term, last_index, last_term, released, now):
+        """A vote asked for by a candidate whom the leader of the term `released` named: that leader, and
+        every older one, relies on its lease no more; a newer one may."""
+        if term < self.term:
+            self._send(sender, ("behind", self.term), self.hard_sequence)
+            return
+        if self.leader_near(now) and self.leader_term > released:
+            return
+        self._answer_vote(sender, term, last_index, last_term, now)
+
+    def _answer_vote(self, sender, term, last_index, last_term, now):
         if term > self.term:
             self._follow(term, now, "newer term")
         choice = self.history.get(term)
@@ -378,6 +412,51 @@
             self.replies[sender] = Reply(granted, leader, leader_term, dict(history))
             self._count_votes(now)
 
+    # --- handing leadership over ------------------------------------------------------
+    def hand_over(self, candidates, now):
+        """Leads on until the voter among `candidates` that lacks least has all that is agreed on, then
+        gives leadership up and lets that voter campaign at once; with no such voter stands down."""
+        if self.role != "leader":
+            return []
+        target = self._successor(set(candidates), now)
+        if target is None:
+            self._follow(self.term, now, "stopping")
+        else:
+            self.handover = Handover(target, now + constants.HANDOVER_WITHIN)
+            self._replicate_all(now)
+            self._try_handover(now)
+        return self._done(now)
+
+    def _successor(self, candidates, now):
+        """The voter of every list in force, heard lately, that holds most of the log; None without one."""
+        able = [
+            (follower.match, identity)
+            for identity, follower in self.followers.items()
+            if identity in candidates
+            and all(identity in quorum.members for quorum in self.cohort.quorums())
+            and now - follower.heard_at <= constants.LEAD_LEASE
+            and not follower.forgot
+        ]
+        return max(able)[1] if able else None
+
+    def _try_handover(self, now):
+        """Gives leadership up in favour of the successor once it holds all, and all is committed."""
+        target = self.handover.target
+        follower = self.followers.get(target)
+        if follower is None or follower.match < self.last_index() or self.commit < self.last_index():
+            return
+        learners = dict(self.learners)
+        self._follow(self.term, now, "handed over")
+        self._send(target, ("handover", self.term, learners), self.hard_sequence)
+
+    def _on_handover(self, sender, term, learners, now):
+        """The leader of this term gave up its lease and names this voter its successor."""
+        newest = term == self.term == self.leader_term and sender == self.leader
+        able = self.identity in self.cohort.members() and now >= self.penance_until and not self.stranger
+        if newest and able and self.role == "follower":
+            self.heirs = dict(learners)
+            self._campaign("candidate", now, released=term)
+
     def _lead(self, now):
         self.role = "leader"
         self.following = self.identity
@@ -392,6 +471,9 @@
         self._event(122, groups=len(self.cohort.now.groups()))
         self.effects.append(("lead", self.term))
         self._append([(self.term, 0.0, ("noop",))], self.last_index() + 1)
+        learners, self.heirs = (self.heirs if self.released else {}), {}
+        for identity, area in learners.items():
+            self.learn(identity, area, now)
         self._broadcast(now)
 
     # --- leading ----------------------------------------------------------------------
@@ -408,6 +490,8 @@
         """Begins a joint change; None when one is under way or there is no own commit yet."""
         if self.role != "leader" or self.cohort.coming is not None or not self.serving():
             return None
+        if self.handover is not None:
+            return None  # the successor's to decide
         if self.cohort_index > self.commit:
             return None
         coming = Quorum(dict(members), self.cohort.now.mode)
@@ -415,6 +499,10 @@
         result = self.propose([("members", Cohort(self.cohort.now, coming).image())], time, now)
         return result
 
+    def changing(self):
+        """Whether a change of members is under way: its newest list is not yet committed alone."""
+        return self.cohort.coming is not None or self.cohort_index > self.commit
+
     def learn(self, identity, area, now):
         """Starts to replicate to one that is no member yet."""
         if self.role == "leader" and identity not in self.followers:
@@ -606,6 +694,8 @@
             follower.window = 0
         self._advance(now)
         self._check_round(now)
+        if self.handover is not None:
+            self._try_handover(now)
         if self.role == "leader" and sender in self.followers and follower.next <= self.last_index():
             self._replicate(sender, now)
 
@@ -766,6 +856,8 @@
         self.effects.extend(ready)
         if self.role == "leader":
             self._advance(now)
+            if self.handover is not None:
+                self._try_handover(now)
         elif self.role == "candidate":
             self._count_votes(now)
         return self._done(now)
@@ -774,6 +866,8 @@
         """Takes one message of a cohort member."""
         kind, *rest = message
         handler = HANDLERS.get(kind)
+        if self.election_at is None:
+            self._begin(now)
         if handler is not None:
             if kind in ("voted", "appended", "pieced") and rest[0] > self.term:
                 self._follow(rest[0], now, "newer term")
@@ -785,7 +879,9 @@
     "prevote": Consensus._on_prevote,
     "prevoted": Consensus._on_prevoted,
     "vote": Consensus._on_vote,
+    "takeover": Consensus._on_takeover,
     "voted": Consensus._on_voted,
+    "handover": Consensus._on_handover,
     "behind": Consensus._on_behind,
     "stranger": Consensus._on_stranger,
     "append": Consensus._on_append,
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -133,14 +133,19 @@
         handler = INPUTS.get(kind)
         if handler is not None:
             handler(self, *rest, now)
+        if not self.stopping:  # what was not agreed on by then is the successor's to decide
+            self._decide_due(now)
+        effects, self.effects = self.effects, []
+        return effects
+
+    def _decide_due(self, now):
+        """What a leader decides beside what a message asks for."""
         if self.place_due and now - self.place_at >= constants.PLACE_EVERY:
             self._place(now)
         if self.epoch > 0 and self.consensus.serving():
             if now - self.keeper.flushed >= constants.GATHER_BEATS:
                 self.keeper.tick(now)
             self.keeper.flush(now)
-        effects, self.effects = self.effects, []
-        return effects
 
     def _send(self, address, message):
         if address is not None and address != self.address:
@@ -166,8 +171,11 @@
             or self.consensus.leader_term > 0
             or set(self.founders) <= self.consented | {self.identity}
         )
-        if allowed and not self.stopping:
+        leading = self.consensus.role == "leader"
+        if allowed and (leading or not self.stopping):
             self._run(self.consensus.tick(now), now)
+        if self.stopping:
+            return
         if self.consensus.stranger or self.identity not in self.consensus.cohort.members():
             self._ask_to_join(now)
         if self.consensus.role == "leader":
@@ -566,12 +574,12 @@
 
     # --- stopping ---------------------------------------------------------------------
     def _on_stop(self, now):
-        """SIGTERM: gives leadership up, leaves the session, finishes nothing new."""
+        """SIGTERM: hands leadership to a voter that holds all, leaves the session, finishes nothing new."""
         self.stopping = True
         self._event(101)
-        if self.consensus is not None and self.consensus.role == "leader":
-            self.consensus._follow(self.consensus.term, now, "stopping")
-            self._run(self.consensus._done(now), now)
+        if self.consensus is not None:
+            able = {session.identity for session in self.sessions.live("accord")}
+            self._run(self.consensus.hand_over(able, now), now)
         for session in self.sessions.live("accord"):
             self._send(session.address, ("leave", self.identity))
 
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -9,6 +9,7 @@
 DISK_STALL = 1.5  # seconds; a leader whose save takes longer gives leadership up
 DISK_AGAIN = 0.5  # seconds; before what a disk refused is written again
 DISK_PENANCE = 5.0  # seconds; how long such a machine stands for no election afterwards
+HANDOVER_WITHIN = 1.0  # seconds; a stopping leader waits so long for its successor to hold all, many syncs
 APPEND_ENTRIES = 256  # entries; most in one append, keeps a frame small and a beat prompt
 APPEND_WINDOW = 4  # messages; appends under way to one follower before an answer
 APPEND_RESEND = 0.5  # seconds; an unanswered window is sent anew after this
--- a/src/pinepitch/world/contract.py
+++ b/src/pinepitch/world/contract.py
@@ -59,6 +59,8 @@
     "prevote": (int, int, int),
     "prevoted": (int, bool, Maybe(str), int, HISTORY),
     "vote": (int, int, int),
+    "takeover": (int, int, int, int),
+    "handover": (int, Pairs(str, str)),
     "voted": (int, bool, Maybe(str), int, HISTORY),
     "behind": (int,),
     "stranger": (int, int),
