A stopping voter's seat goes to a spare that holds the log; the time to replace follows from catchUpS

REPLACE_AFTER 3.0 was counted from the fall of the session, and a session told by others fell up to 1.5 s after theirs. - The record of when a member was first missed outlived leaderships: a leader elected again could take a member that had just gone for one long gone (found by review).

Now: the leader answers a voter's "leave" by "seat": kept, when no spare may have it (the process ends as soon as before, a restart changes no list), or handed, when a live spare of its area, or in single mode of any, leaves as much to lose by machines and by areas (accord/membership.py: tolerance); then the change is agreed on and the process ends once its own log says so, 0.6 of graceS at the most. A voter unheard for catchUpS less what joining, catching up and two joint changes take (2.5 s by default) is replaced by a newcomer of its area; the change counts as long as the newest one took if that is longer. Sessions told by others last 0.75 s; an accord that no leader feeds asks four times a second to be let in.

In the simulator events are now dispatched by method, so that a kind of simulator can hook them.

--- /dev/null
+++ b/features/steps/second_loss.py
@@ -0,0 +1,34 @@
+"""Steps for Second loss: trials of losses timed to the steps of a replacement."""
+
+from behave import then, when
+
+from pinepitch.proof import second_loss
+
+
+@when("second losses are tried as {name} with seeds {first:d} to {last:d}")
+def step_try(context, name, first, last):
+    context.plant = ""
+    context.trials = [(name, seed) for seed in range(first, last + 1)]
+
+
+@when("second losses are tried as {name} with seeds {first:d} to {last:d} and the planted fault {plant}")
+def step_try_planted(context, name, first, last, plant):
+    context.plant = plant
+    context.trials = [(name, seed) for seed in range(first, last + 1)]
+
+
+@then("no trial of second losses finds a fault")
+def step_clean(context):
+    for name, seed in context.trials:
+        faults = second_loss.run(name, seed)
+        assert not faults, f"python -m pinepitch.proof.second_loss {name} {seed} 1: {faults[:4]}"
+
+
+@then("some trial of second losses finds {fault}")
+def step_found(context, fault):
+    found = []
+    for name, seed in context.trials:
+        found.extend(second_loss.run(name, seed, context.plant))
+        if any(fault in one for one in found):
+            return
+    raise AssertionError(f"the planted fault went unseen; found: {found[:6]}")
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -9,7 +9,7 @@
 from ..ground.carrier import Carrier
 from ..ground.cohorttime import CohortTime
 from ..tenure.keeper import Keeper
-from . import rehearsal, rules
+from . import membership, rehearsal, rules
 from .calls import SHAPES
 from .consensus import Consensus
 from .founding import Founding
@@ -44,12 +44,17 @@
         self.record = self.record_kind()
         self.effects = []
         self.stopping = False
-        self.greet_at = self.join_at = -1e9
+        self.catch_up = constants.CATCH_UP  # seconds; in which a lost voter's successor must be a voter
+        self.leave_within = constants.LEAVE_WITHIN  # seconds; from SIGTERM, in which a seat is handed on
+        self.departure = None  # the Departure of this accord, once it stops
+        self.leaving = {}  # accord that stops -> its membership.Leave
+        self.change_took = 0.0  # seconds; of the newest joint change that this accord led
+        self.begun_at = None  # when the first tick came
+        self.greet_at = self.join_at = self.held_back_at = -1e9
         self.snapshotting = False
         self.snapshot_segments = (1, 0)  # of the archive, that the snapshot under way stands on
         self.rehearsing = None  # (draft, asked) that this accord measures now
         self.claim_at = -1e9
-        self.out_since = {}  # member -> when its session was first missed
         self.applied_outcomes = {}
         self.counts = {"applied": 0, "sent": 0, "syncs": 0}
         self.event_counts, self.refusals, self.end_counts = {}, {}, {}
@@ -85,7 +90,7 @@
         self.ends, self.ends_waiting = [], []
         self.moving = set()
         self.news_serial = 0
-        self.retire_at = -1e9
+        self.change_begun = None  # when the joint change under way was proposed
         self.alerts = rules.Watch(self.rules)
         self.alert_at = -1e9
 
@@ -158,6 +163,8 @@
 
     def _tick(self, now):
         self._carry_again(now)
+        if self.begun_at is None:
+            self.begun_at = now
         for identity in self.sessions.expire(now):
             self._event(141, daemon=identity)
         if now - self.greet_at >= constants.GREET_EVERY and not self.stopping:
@@ -175,6 +182,8 @@
         if allowed and (leading or not self.stopping):
             self._run(self.consensus.tick(now), now)
         if self.stopping:
+            if self.departure.due(now):
+                self._tell_leave()
             return
         if self.consensus.stranger or self.identity not in self.consensus.cohort.members():
             self._ask_to_join(now)
@@ -273,6 +282,7 @@
         """What a greeting and its answer have in common."""
         if identity == self.identity:
             return
+        self.leaving.pop(identity, None)
         if self.sessions.greeted(identity, kind, area, address, now):
             self._event(140, daemon=identity, kind=kind, address=address)
         self.sessions.vouched(accords)
@@ -305,6 +315,13 @@
         """A daemon ends its session itself."""
         if self.sessions.held.pop(identity, None):
             self._event(141, daemon=identity)
+        if self.consensus is not None and identity in self.consensus.cohort.members():
+            self.leaving[identity] = membership.Leave(now, None)
+
+    def _on_seat(self, kept, now):
+        """The leader says whether this stopping voter's seat is kept for it or goes to a spare."""
+        if self.departure is not None:
+            self.departure.kept = kept
 
     def _leader_address(self):
         if self.consensus is None or self.consensus.following is None:
@@ -349,10 +366,13 @@
         return known[0] if known else None
 
     def _ask_to_join(self, now):
-        if now - self.join_at < constants.JOIN_AGAIN or self.stopping:
+        followed = self.consensus is not None and self.consensus.leader_near(now)
+        wait = constants.JOIN_AGAIN if followed else constants.JOIN_SEEK
+        if now - self.join_at < wait or self.stopping:
             return
         self.join_at = now
-        if self.cohort is None:
+        if self.cohort is None and now - self.held_back_at >= constants.JOIN_AGAIN:
+            self.held_back_at = now
             self._event(112, cohort=self.founding.veto(now))
         for session in self.sessions.live("accord"):
             self._send(session.address, ("join", self.identity, self.area, self.address))
@@ -378,28 +398,64 @@
     def _tend_members(self, now):
         """Lets caught-up newcomers in and long lost members out, by joint consensus."""
         consensus = self.consensus
-        live = {session.identity for session in self.sessions.live("accord")} | {self.identity}
+        self._time_change(now)
+        live = {session.identity for session in self.sessions.live("accord")} - set(self.leaving)
+        live.add(self.identity)
         members = consensus.cohort.members()
-        for identity in members:
-            if identity in live:
-                self.out_since.pop(identity, None)
-            else:
-                self.out_since.setdefault(identity, now)
-        if consensus.cohort.coming is not None or not consensus.serving():
+        if not consensus.serving():
             return
-        out = {one: now - since for one, since in self.out_since.items() if one in members}
-        for identity in sorted(consensus.learners):
-            if identity in live and consensus.caught_up(identity) and identity not in members:
-                change = self._admission(identity, consensus.learners[identity], members, out)
-                if change is not None:
-                    self._propose_members(change, now)
-                    return
-        for identity, lost in sorted(out.items()):
+        self._tell_seats(live, now)
+        if consensus.cohort.coming is not None:
+            return
+        change = self._wanted_members(members, live, now)
+        if change is not None:
+            self._propose_members(change, now)
+
+    def _wanted_members(self, members, live, now):
+        """The list that is to follow, or None while this one is right."""
+        caught_up = {
+            one: area
+            for one, area in self.consensus.learners.items()
+            if one in live and one not in members and self.consensus.caught_up(one)
+        }
+        out = {one: self._unheard(one, now) for one in members if one not in live}
+        for leaver in sorted(one for one in self.leaving if one in out):
+            heir = membership.heir(self.consensus.cohort.now, leaver, caught_up, live)
+            if heir is not None:
+                return membership.swapped(members, leaver, heir, caught_up[heir])
+        for identity, area in sorted(caught_up.items()):
+            change = self._admission(identity, area, members, out)
+            if change is not None:
+                return change
+        for identity, unheard in sorted(out.items()):
             beside = any(one in live and area == members[identity] for one, area in members.items())
             least = self.voters if self.mode == "single" else 3
-            if lost > constants.RETIRE_AFTER and beside and len(members) > least:
-                self._propose_members({one: area for one, area in members.items() if one != identity}, now)
-                return
+            if unheard > constants.RETIRE_AFTER and beside and len(members) > least:
+                return {one: area for one, area in members.items() if one != identity}
+        return None
+
+    def _unheard(self, identity, now):
+        """How long a member that is out of session was not heard, as far as this accord can tell."""
+        return now - max(self.sessions.heard(identity), self.begun_at)
+
+    def _time_change(self, now):
+        """Measures how long the joint change that this accord leads takes."""
+        if self.change_begun is None or self.consensus.changing():
+            return
+        self.change_took, self.change_begun = now - self.change_begun, None
+
+    def _tell_seats(self, live, now):
+        """Tells each stopping voter whether a spare is to have its seat, and forgets those long gone."""
+        members = self.consensus.cohort.members()
+        spares = {one: area for one, area in self.consensus.learners.items() if one not in members}
+        for leaver, leave in list(self.leaving.items()):
+            if leaver not in self.consensus.cohort.now.members or now - leave.since > self.catch_up:
+                del self.leaving[leaver]
+                continue
+            kept = membership.heir(self.consensus.cohort.now, leaver, spares, live) is None
+            if leave.kept != kept:
+                self.leaving[leaver] = leave._replace(kept=kept)
+                self._send(self.sessions.address(leaver), ("seat", kept))
 
     def _admission(self, identity, area, members, out):
         """The members once a newcomer is in: in a lost one's place, or in an area without
@@ -407,12 +463,11 @@
         address = self.sessions.address(identity)
         lost = [one for one in members if self.sessions.address(one) == address]
         if not lost:
-            lost = [
-                one for one, since in out.items() if members[one] == area and since >= constants.REPLACE_AFTER
-            ]
+            after = membership.Budget(self.catch_up, self.change_took).replace_after()
+            lost = [one for one, unheard in out.items() if members[one] == area and unheard >= after]
         if lost:
             leaves = max(lost, key=lambda one: (out.get(one, 0.0), one))
-            return {**{one: place for one, place in members.items() if one != leaves}, identity: area}
+            return membership.swapped(members, leaves, identity, area)
         if self.mode == "single":
             # so many that any two lost leave a majority, and no area as many as would be missed
             inside = sum(one == area for one in members.values())
@@ -428,6 +483,7 @@
     def _propose_members(self, members, now):
         result = self.consensus.change_members(members, self._now(now), now)
         if result is not None:
+            self.change_begun = now
             self._run(result[1], now)
 
     # --- consensus --------------------------------------------------------------------
@@ -576,13 +632,25 @@
     def _on_stop(self, now):
         """SIGTERM: hands leadership to a voter that holds all, leaves the session, finishes nothing new."""
         self.stopping = True
+        self.departure = membership.Departure(now, self.leave_within)
         self._event(101)
         if self.consensus is not None:
-            able = {session.identity for session in self.sessions.live("accord")}
+            able = {session.identity for session in self.sessions.live("accord")} - set(self.leaving)
             self._run(self.consensus.hand_over(able, now), now)
+        self.departure.due(now)
+        self._tell_leave()
+
+    def _tell_leave(self):
         for session in self.sessions.live("accord"):
             self._send(session.address, ("leave", self.identity))
 
+    def may_end(self, now):
+        """Whether a stopping process may end as far as its seat and its leadership go."""
+        if self.departure is None or self.consensus is None:
+            return True
+        voting = self.identity in self.consensus.cohort.members() and len(self.consensus.cohort.members()) > 1
+        return self.departure.over(now, voting, self.consensus.role == "leader")
+
 
 # The registry of inputs: message kind -> handler.
 INPUTS = {
@@ -608,5 +676,6 @@
     "elsewhere": Accord._on_elsewhere,
     "unsure": Accord._on_unsure,
     "seeds": Accord._on_seeds,
+    "seat": Accord._on_seat,
     "stop": Accord._on_stop,
 }
--- a/src/pinepitch/accord/sessions.py
+++ b/src/pinepitch/accord/sessions.py
@@ -7,7 +7,7 @@
 
 class Session(NamedTuple):
     """Invariant: heard is when the daemon, or the accord that holds its session, last
-    said that it stands; it falls SESSION_LASTS later."""
+    said that it stands; it falls SESSION_LASTS later, or TOLD_LASTS if it was told."""
 
     identity: str
     kind: str
@@ -38,8 +38,10 @@
             own = self.held.get(identity)
             if own is None or own.told_by or now - own.heard > 2 * constants.GREET_EVERY:
                 self.held[identity] = Session(identity, kind, area, address, now, teller)
-            if kind == "accord" and identity not in self.accords:
-                self.accords[identity] = (area, address, -1e9)
+            if kind == "accord":
+                # the teller may not have heard it for as long as a session lasts
+                _, known, heard = self.accords.get(identity, (area, address, -1e9))
+                self.accords[identity] = (area, known, max(heard, now - constants.SESSION_LASTS))
 
     def vouched(self, accords):
         """Accords somebody knows of; an address heard directly is not overwritten."""
@@ -48,7 +50,11 @@
 
     def expire(self, now):
         """Drops what has fallen; the identities dropped."""
-        fallen = [one for one, session in self.held.items() if now - session.heard > constants.SESSION_LASTS]
+        fallen = [
+            one
+            for one, session in self.held.items()
+            if now - session.heard > (constants.TOLD_LASTS if session.told_by else constants.SESSION_LASTS)
+        ]
         for identity in fallen:
             del self.held[identity]
         return fallen
@@ -63,6 +69,11 @@
         """Sessions of one kind of daemon, in the agreed order (by identity)."""
         return [self.held[one] for one in sorted(self.held) if self.held[one].kind == kind]
 
+    def heard(self, identity):
+        """The latest time at which an accord is known to have been heard by some accord; -1e9 for never."""
+        known = self.accords.get(identity)
+        return known[2] if known else -1e9
+
     def address(self, identity):
         """Where an accord was last known, or None."""
         known = self.accords.get(identity)
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -23,7 +23,18 @@
 WATCH_EVERY = 0.1  # seconds; between looks for overruns, moves and dues
 COHORT_MOST = 9  # accords; the bound on voters that joining may reach
 JOIN_AGAIN = 1.0  # seconds; how often an accord outside the cohort asks to be let in
-REPLACE_AFTER = 3.0  # seconds; out of session this long before a newcomer takes the place
+JOIN_SEEK = 0.25  # seconds; how often it asks while no leader sends it the log, as often as it greets
+CATCH_UP = (
+    4.0  # seconds; from its start a lost voter's successor must vote within this, unless told otherwise
+)
+JOIN_WITHIN = 0.5  # seconds; of that until the leader sends a newcomer the log: two rounds of greetings
+CATCH_UP_WITHIN = 0.5  # seconds; of that until it holds the log
+CHANGE_WITHIN = 0.25  # seconds; of that for a joint change, unless one took longer: four syncs and answers
+LEAVE_WITHIN = (
+    1.2  # seconds; from SIGTERM a process stays for its seat to be handed on, unless told otherwise
+)
+LEAVE_PART = 0.6  # of the time from SIGTERM to SIGKILL that a process may use of its own accord
+SEAT_ANSWER = 0.5  # seconds; a stopping voter waits so long for a leader's word on its seat
 CAUGHT_UP = 64  # entries; a newcomer this close behind may become a voter
 
 # --- founding and sessions -----------------------------------------------------------
@@ -33,6 +44,7 @@
 SEEDS = 3  # addresses; what every daemon is given to find the others by
 GREET_EVERY = 0.25  # seconds; how often a daemon renews its session
 SESSION_LASTS = 1.5  # seconds; silence after which a session has fallen
+TOLD_LASTS = 0.75  # seconds; the same for a session told by another accord, which tells three times in it
 ADDRESS_FORGET = 600.0  # seconds; an address nobody vouched for is dropped after this
 NEWS_HOLD = 0.5  # seconds; a news question is answered after this even if nothing is new
 STALE_AFTER = 2.0  # seconds; a verge without news this long says that it is stale
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -226,6 +226,8 @@
             await curio.sleep(max(0.0, self.stop_within * 0.6 - constants.CALL_PATIENCE))
         while time.monotonic() < until and (self.requests or self.jobs or not self.beside.empty()):
             await curio.sleep(constants.TICK)
+        while not self.core.may_end(time.monotonic()):  # bounded by the decider
+            await curio.sleep(constants.TICK)
         await curio.sleep(constants.TICK * 4)  # lets the last answers and leaves go out
         await self.inbox.put(("halt",))
 
--- /dev/null
+++ b/src/pinepitch/proof/loss_trial.py
@@ -0,0 +1,208 @@
+"""A fleet in the simulator whose losses are timed to the steps that accords tell by their events.
+
+What was agreed on is read from the disks, not from the deciders' word, and leases are compared at every
+step. `second_loss` holds what is tried with it.
+"""
+
+from ..accord.consensus import Consensus
+from ..accord.quorum import Quorum
+from ..ground import constants
+from . import simulator as simulators
+from .simulator import Simulator
+
+GRACE = 6.0  # seconds; from SIGTERM to SIGKILL
+SLOW_SYNC = 0.017  # seconds; a sync of 12 ms on a disk with 5 ms of latency
+MEAN_SYNC = 0.003  # seconds; what the simulator's disks take on average
+SETTLED = 8.0  # seconds; in which service must be back once what was lost is back
+OFFSET = 1000.0  # seconds; between the simulator's time and that which the deciders are given
+
+
+class LossTrial(Simulator):
+    """A fleet without minions. Invariants: faults is only added to; acknowledged holds every change of
+    the setup that was; a hook runs once, right after the step in which its event was told."""
+
+    def __init__(self, seed, accords=("a", "b", "c"), slow=False, **more):
+        self.faults, self.acknowledged, self.hooks = [], [], []
+        self.slow = 1.0
+        self.changes = 0
+        super().__init__(seed, accords, minions=(), **more)
+        self.loss = 0.0
+        if slow:
+            self.slow = SLOW_SYNC / MEAN_SYNC
+            for node in self.accords():
+                node.disk.slow = self.slow
+
+    def accords(self):
+        """The accords' machines that are not gone for good, up or down."""
+        return [node for node in self.nodes.values() if node.kind == "accord"]
+
+    def machine(self, identity):
+        """The machine on which the accord of that identity runs now, or None."""
+        found = [node for node in self.accords() if node.core is not None and node.core.identity == identity]
+        return found[0] if found else None
+
+    # --- ends and starts of machines ---------------------------------------------------
+    def stop(self, name, grace=GRACE):
+        """SIGTERM: the process ends once it says that it may, and is killed after the grace."""
+        node = self.nodes[name]
+        node.core.leave_within = grace * constants.LEAVE_PART
+        self.give(node, ("stop",))
+        self.at(constants.TICK * 4, "leaving", name, node.life, self.now + grace)
+
+    def _leaving(self, name, life, until):
+        node = self.nodes[name]
+        if node.life != life or node.core is None:
+            return
+        written = not (node.disk.jobs or node.disk.under_way)
+        if self.now < until and not (written and node.core.may_end(self.now + OFFSET)):
+            self.at(constants.TICK, "leaving", name, life, until)
+            return
+        self.kill(name)
+
+    def retire(self, name):
+        """The machine is gone for good, its disk with it."""
+        if self.nodes[name].core is not None:
+            self.kill(name)
+        self.nodes[name].kind = "retired"
+
+    def fresh(self, name, area):
+        """Starts a new machine with an empty disk at a new address."""
+        node = self.add(name, "accord", area)
+        node.disk.slow = self.slow
+        live = [one.address for one in self.accords() if one.core is not None]
+        self.seeds = [*live[:2], node.address]
+        self.start(name)
+        return node
+
+    def again(self, name, after):
+        """Starts a machine that is down after some time."""
+        self.at(after, "act", lambda: self.nodes[name].core is None and self.start(name))
+
+    # --- steps --------------------------------------------------------------------------
+    def on(self, number, act, count=1):
+        """Calls act(node) right after the step in which a node tells event `number` the count-th time."""
+        self.hooks.append([number, act, count])
+
+    def _event(self, node, number, fields):
+        super()._event(node, number, fields)
+        for hook in [one for one in self.hooks if one[0] == number]:
+            hook[2] -= 1
+            if hook[2] == 0:
+                self.hooks.remove(hook)
+                self.at(0.0, "act", lambda hook=hook: hook[1](node))
+        if number == 131:
+            self._check_joint(node)
+
+    def _act(self, act):
+        act()
+
+    def give(self, node, message):
+        super().give(node, message)
+        if node.kind == "accord":
+            self._check_leases()
+
+    # --- checks -------------------------------------------------------------------------
+    def fault(self, text):
+        """Notes a fault once."""
+        if text not in self.faults:
+            self.faults.append(text)
+
+    def _check_leases(self):
+        """While an accord may rely on its lease no other serves in a newer term."""
+        leading = [
+            node.core.consensus
+            for node in self.accords()
+            if node.core is not None
+            and node.core.consensus is not None
+            and node.core.consensus.role == "leader"
+        ]
+        if len(leading) < 2:
+            return
+        newest = max((one.term for one in leading if one.serving()), default=0)
+        for one in leading:
+            if one.term < newest and one.leased(self.now + OFFSET):
+                self.fault(f"{one.identity} relies on its lease of term {one.term} beside term {newest}")
+
+    def _on_disks(self, index, term):
+        """The identities whose disks hold the entry of that index and term, and so all before it."""
+        holding = set()
+        for node in self.accords():
+            base, steps, _ = node.disk.load()
+            changes = [one for step in steps for kind, one in step if kind == "raft"]
+            notes = [one for step in steps for kind, one in step if kind == "note" and one[0] == "identity"]
+            kept = Consensus("", 0)
+            kept.restore(base[2] if base else None, changes)
+            if kept.base_index >= index or kept.term_at(index) == term:
+                holding.add(base[0] if base else notes[0][1])
+        return holding
+
+    def _check_joint(self, node):
+        """A joint list that counts as committed lies, with all before it, on the disks of a commit quorum
+        of the old list and of one of the new."""
+        consensus = node.core.consensus
+        index = consensus.commit
+        while consensus.entry(index)[2][0] != "members":
+            index -= 1
+        term, _, (_, lists) = consensus.entry(index)
+        holding = self._on_disks(index, term)
+        for members, mode in lists:
+            if not Quorum(dict(members), mode).commits(holding, consensus.identity):
+                found = f"without a quorum of {sorted(members)} on disk: {sorted(holding)}"
+                self.fault(f"list {index} is committed at {node.name} {found}")
+
+    def change(self, within=SETTLED):
+        """One change of the setup, tried until it is acknowledged."""
+        self.changes += 1
+        limit = 50 + self.changes
+        patch = {"queues": {"default": {"limit": limit}}}
+        status, answer = self.persist("PATCH", "/v1/setup", patch, {"if-match": "*"}, seconds=within)
+        if status == 200:
+            self.acknowledged.append((answer["version"], limit))
+        else:
+            self.fault(f"change {self.changes} was not taken within {within:.1f} s: {status}")
+
+    def settle(self):
+        """Heals all; then all acknowledged is kept, changes are taken, and the accords agree."""
+        self.heal()
+        for node in self.accords():
+            if node.core is None:
+                self.start(node.name)
+        if self.served(SETTLED) is None:
+            self.fault(f"nobody served within {SETTLED:.0f} s after all was back")
+            return
+        self.change()
+        for version, limit in self.acknowledged[-20:]:
+            status, answer = self.persist("GET", f"/v1/setup/versions/{version}", seconds=SETTLED)
+            found = answer["setup"]["queues"]["default"]["limit"] if status == 200 else None
+            if found != limit:
+                self.fault(f"version {version}, acknowledged with {limit}, reads {status} {found}")
+        self.faults.extend(self.agreement())
+
+    # --- what is known ------------------------------------------------------------------
+    def served(self, within, but=None):
+        """How long until an accord other than `but` leads and serves, or None."""
+
+        def serving():
+            leader = self.leader()
+            return leader is not None and leader.name != but and leader.core.consensus.serving()
+
+        return self.until(serving, within, 0.001)
+
+    def voters(self):
+        """The identities on the newest leader's list, or none while a change of it is under way."""
+        leader = self.leader()
+        if leader is None or leader.core.consensus.changing():
+            return set()
+        return set(leader.core.consensus.cohort.members())
+
+    def votes(self, *nodes):
+        """Whether all these machines' accords vote, by a list that is settled."""
+        return all(node.core is not None and node.core.identity in self.voters() for node in nodes)
+
+    def told(self, number):
+        """How often an event was told."""
+        return sum(event[2] == number for event in self.trace)
+
+
+simulators.HANDLERS["leaving"] = LossTrial._leaving
+simulators.HANDLERS["act"] = LossTrial._act
--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -631,7 +631,7 @@
     "note": Simulator._note,
     "snapshot": Simulator._snapshot,
     "rehearse": Simulator._rehearse,
-    "event": Simulator._event,
+    "event": lambda simulator, *rest: simulator._event(*rest),  # kinds of simulators add to it
     "reply": Simulator._reply,
     "post": Simulator._post,
 }
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -401,6 +401,10 @@
         for _, address, _ in self.accords.values():
             self._send(address, ("leave", self.identity))
 
+    def may_end(self, now):
+        """A stopping front has no seat to hand on."""
+        return True
+
 
 # The registry of inputs: message kind -> handler.
 INPUTS = {
--- a/src/pinepitch/world/contract.py
+++ b/src/pinepitch/world/contract.py
@@ -75,6 +75,7 @@
     "greeted": (*GREETING, Maybe(str), Maybe(Number)),
     "tell": (str, [(str, str, str, str)]),
     "leave": (str,),
+    "seat": (bool,),
     "join": (str, str, str),
     "admit": (str, str, str),
     "raft": (str, str, str, list),
