A lost member's seat goes to a newcomer of another area where that leaves more to lose

Cause: a member gone for good whose successor started in an area that had its voter kept its seat (for ever with three members, 30 s with more): the next loss, allowed once the successor had had catchUpS, left no quorum.

Now a newcomer also takes the seat of a member unheard for as long as a replacement waits, when the list then can lose more of what is live, by machines or areas, and no less by either; a machine of the lost area that comes later is let in as its area's first, as before. The measure is kept for the newest 64 lists and sets of live members, since it is asked for at every tick while a member is out.

--- a/features/second_loss.feature
+++ b/features/second_loss.feature
@@ -12,6 +12,7 @@
       | seat-handed-on       | 5    |
       | rolling-restart      | 1    |
       | replaced-in-time     | 3    |
+      | replaced-elsewhere   | 3    |
       | replacement-replaced | 1    |
       | newcomer-cut-off     | 3    |
       | spare-lost-too       | 1    |
@@ -34,6 +35,7 @@
       | seat-dropped      | rolling-restart      | the voters were             |
       | slow-replacement  | replaced-in-time     | does not vote               |
       | slow-replacement  | replacement-replaced | does not vote               |
+      | area-alone        | replaced-elsewhere   | does not vote               |
       | old-list-alone    | seat-handed-on       | without a quorum of         |
       | held-too-soon     | newcomer-cut-off     | without a quorum of         |
       | held-too-soon     | area-lost-beside     | without a quorum of         |
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -424,7 +424,7 @@
             if heir is not None:
                 return membership.swapped(members, leaver, heir, caught_up[heir])
         for identity, area in sorted(caught_up.items()):
-            change = self._admission(identity, area, members, out)
+            change = self._admission(identity, area, members, out, live)
             if change is not None:
                 return change
         for identity, unheard in sorted(out.items()):
@@ -457,14 +457,19 @@
                 self.leaving[leaver] = leave._replace(kept=kept)
                 self._send(self.sessions.address(leaver), ("seat", kept))
 
-    def _admission(self, identity, area, members, out):
-        """The members once a newcomer is in: in a lost one's place, or in an area without
-        any; else None, and it stays a spare that follows the log."""
+    def _admission(self, identity, area, members, out, live):
+        """The members once a newcomer is in: in a lost one's place, its own area's first, or in an area
+        without any; else None, and it stays a spare that follows the log."""
         address = self.sessions.address(identity)
         lost = [one for one in members if self.sessions.address(one) == address]
         if not lost:
             after = membership.Budget(self.catch_up, self.change_took).replace_after()
-            lost = [one for one, unheard in out.items() if members[one] == area and unheard >= after]
+            missed = [one for one, unheard in out.items() if unheard >= after]
+            lost = [one for one in missed if members[one] == area] or [
+                one
+                for one in missed
+                if membership.gains(self.consensus.cohort.now, one, identity, area, live)
+            ]
         if lost:
             leaves = max(lost, key=lambda one: (out.get(one, 0.0), one))
             return membership.swapped(members, leaves, identity, area)
--- a/src/pinepitch/accord/membership.py
+++ b/src/pinepitch/accord/membership.py
@@ -1,6 +1,7 @@
 """Decisions on who votes: what a list of members may lose, who takes a leaving voter's seat, and
 how long a voter must be unheard before a newcomer takes its place. Pure functions and values."""
 
+import functools
 import itertools
 from typing import NamedTuple
 
@@ -27,7 +28,13 @@
 
 def tolerance(quorum, live):
     """What may be lost next of the members that are live: any so many machines, and any one area."""
-    inside = set(quorum.members) & set(live)
+    inside = frozenset(quorum.members) & frozenset(live)
+    return _tolerance(tuple(sorted(quorum.members.items())), quorum.mode, inside)
+
+
+@functools.lru_cache(maxsize=64)
+def _tolerance(members, mode, inside):
+    quorum = Quorum(dict(members), mode)
     if not _works(quorum, inside):
         return Tolerance(-1, False)
     machines = 0
@@ -65,6 +72,13 @@
     return None
 
 
+def gains(quorum, lost, newcomer, area, live):
+    """Whether a newcomer of another area in a lost member's seat leaves more to lose, and no less in any way."""
+    members = swapped(quorum.members, lost, newcomer, area)
+    before, after = tolerance(quorum, live), tolerance(Quorum(dict(members), quorum.mode), live)
+    return after != before and after.machines >= before.machines and after.areas >= before.areas
+
+
 class Budget(NamedTuple):
     """Where the time goes that a lost voter's successor has from its start until it may be needed.
 
--- a/src/pinepitch/proof/second_loss.py
+++ b/src/pinepitch/proof/second_loss.py
@@ -52,7 +52,7 @@
 
 def _votes_within(trial, node, seconds):
     """Notes a fault unless that machine's accord votes soon, by a list that is settled."""
-    if trial.until(lambda: trial.votes(node), seconds, 0.005) is None:
+    if not trial.votes(node) and trial.until(lambda: trial.votes(node), seconds, 0.005) is None:
         trial.fault(f"{node.name} does not vote {seconds:.0f} s on; the voters are {trial.voters()}")
 
 
@@ -144,6 +144,26 @@
     return trial
 
 
+def replaced_elsewhere(seed):
+    """A machine is gone for good and its successor starts in another area, which has its voter: once it
+    has had its time, another loss stops nothing; a machine of the lost area then votes again."""
+    trial = begun(seed, (("a", "b", "c"), ("a", "a", "b", "c", "c"))[seed % 2])
+    node = next(one for one in trial.accords() if one.area == "a")
+    trial.retire(node.name)
+    fresh = trial.fresh("fresh", "b")
+    trial.run(constants.CATCH_UP)
+    _votes_within(trial, fresh, 0.0)
+    other = next(one for one in trial.accords() if one.area in "bc"[seed // 2 % 2] and one is not fresh)
+    trial.kill(other.name)
+    trial.change(SERVED_ON)
+    trial.start(other.name)
+    if seed % 2 == 0:
+        back = trial.fresh("back", "a")
+        _votes_within(trial, back, constants.CATCH_UP)
+    trial.settle()
+    return trial
+
+
 def replacement_replaced(seed):
     """A successor is gone for good as soon as it votes, and so is its own."""
     trial = begun(seed)
@@ -344,6 +364,7 @@
     "seat-handed-on": seat_handed_on,
     "rolling-restart": rolling_restart,
     "replaced-in-time": replaced_in_time,
+    "replaced-elsewhere": replaced_elsewhere,
     "replacement-replaced": replacement_replaced,
     "newcomer-cut-off": newcomer_cut_off,
     "spare-lost-too": spare_lost_too,
@@ -422,6 +443,7 @@
     "old-list-alone": [(Cohort, "commits", _old_list_alone)],
     "no-heir": [(membership, "heir", _no_heir)],
     "seat-dropped": [(Accord, "_wanted_members", _shrinks)],
+    "area-alone": [(membership, "gains", lambda *_: False)],
     "slow-replacement": [(membership.Budget, "replace_after", lambda self: 4.5)],
     "held-too-soon": [(simulator.Simulator, "_save", plants._early_saved)],
     "counted-too-soon": [(Consensus, "_on_appended", _counts_at_once)],
