No stand-in from another area for a voter that only restarts; one that stands in goes once it can

Now the seat of a stopping voter is handed on only if the list is then as good as with that voter back; and in single mode a newcomer takes the seat of one whose area holds several where that leaves more to lose.

--- a/features/second_loss.feature
+++ b/features/second_loss.feature
@@ -35,6 +35,8 @@
       | seat-dropped      | rolling-restart      | the voters were             |
       | slow-replacement  | replaced-in-time     | does not vote               |
       | slow-replacement  | replacement-replaced | does not vote               |
+      | any-heir          | rolling-restart      | the voters were             |
+      | never-spread      | replaced-elsewhere   | back does not vote          |
       | area-alone        | replaced-elsewhere   | does not vote               |
       | old-list-alone    | seat-handed-on       | without a quorum of         |
       | held-too-soon     | newcomer-cut-off     | without a quorum of         |
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -476,15 +476,23 @@
         if self.mode == "single":
             # so many that any two lost leave a majority, and no area as many as would be missed
             inside = sum(one == area for one in members.values())
-            return (
-                {**members, identity: area}
-                if len(members) < self.voters and inside < (self.voters - 1) // 2
-                else None
-            )
+            if len(members) < self.voters and inside < (self.voters - 1) // 2:
+                return {**members, identity: area}
+            return self._spread(identity, area, members, live)
         if area in members.values() or len(members) >= constants.COHORT_MOST:
             return None  # a spare: a group of two would need both, so it waits for a loss
         return {**members, identity: area}
 
+    def _spread(self, identity, area, members, live):
+        """The members once a newcomer has the seat of one whose area holds several, as after a loss that
+        one of another area stood in for; None where that leaves no more to lose."""
+        for one, place in sorted(members.items()):
+            several = sum(other == place for other in members.values()) > 1
+            if several and one != self.identity and place != area:
+                if membership.gains(self.consensus.cohort.now, one, identity, area, live):
+                    return membership.swapped(members, one, identity, area)
+        return None
+
     def _propose_members(self, members, now):
         result = self.consensus.change_members(members, self._now(now), now)
         if result is not None:
--- a/src/pinepitch/accord/membership.py
+++ b/src/pinepitch/accord/membership.py
@@ -60,20 +60,21 @@
 
 def heir(quorum, leaver, spares, live):
     """The spare (identity -> area, in order) that may take the leaver's seat: one of its area, or in
-    single mode, where an area is no group, any that leaves as much to lose. None without one."""
+    single mode, where an area is no group, any that leaves as much to lose as the leaver itself would
+    once it is back. None without one."""
     area = quorum.members[leaver]
-    present = set(live) - {leaver}
+    present = set(live) | {leaver}
     for identity in sorted(spares, key=lambda one: (spares[one] != area, one)):
         if spares[identity] != area and quorum.mode != "single":
             continue
         members = swapped(quorum.members, leaver, identity, spares[identity])
-        if identity in present and without_harm(quorum, members, present):
+        if identity in live and without_harm(quorum, members, present):
             return identity
     return None
 
 
 def gains(quorum, lost, newcomer, area, live):
-    """Whether a newcomer of another area in a lost member's seat leaves more to lose, and no less in any way."""
+    """Whether a newcomer of another area in a member's seat leaves more to lose, and no less in any way."""
     members = swapped(quorum.members, lost, newcomer, area)
     before, after = tolerance(quorum, live), tolerance(Quorum(dict(members), quorum.mode), live)
     return after != before and after.machines >= before.machines and after.areas >= before.areas
