Trials of jobs: the leader is asked to stop, alone, beside a cut, or with another accord

The simulator can ask an accord to stop: it ends once it says that it may, at the latest after the grace.

--- a/features/tenancy.feature
+++ b/features/tenancy.feature
@@ -9,6 +9,7 @@
       | weather       |
       | calm          |
       | leader-killed |
+      | leader-stops  |
       | leader-frozen |
       | leader-deaf   |
       | wiped         |
--- a/src/pinepitch/proof/loss_trial.py
+++ b/src/pinepitch/proof/loss_trial.py
@@ -6,15 +6,12 @@
 
 from ..accord.consensus import Consensus
 from ..accord.quorum import Quorum
-from ..ground import constants
 from . import simulator as simulators
-from .simulator import Simulator
+from .simulator import OFFSET, Simulator
 
-GRACE = 6.0  # seconds; from SIGTERM to SIGKILL
 SLOW_SYNC = 0.017  # seconds; a sync of 12 ms on a disk with 5 ms of latency
 MEAN_SYNC = 0.003  # seconds; what the simulator's disks take on average
 SETTLED = 8.0  # seconds; in which service must be back once what was lost is back
-OFFSET = 1000.0  # seconds; between the simulator's time and that which the deciders are given
 
 
 class LossTrial(Simulator):
@@ -42,23 +39,6 @@
         return found[0] if found else None
 
     # --- ends and starts of machines ---------------------------------------------------
-    def stop(self, name, grace=GRACE):
-        """SIGTERM: the process ends once it says that it may, and is killed after the grace."""
-        node = self.nodes[name]
-        node.core.leave_within = grace * constants.LEAVE_PART
-        self.give(node, ("stop",))
-        self.at(constants.TICK * 4, "leaving", name, node.life, self.now + grace)
-
-    def _leaving(self, name, life, until):
-        node = self.nodes[name]
-        if node.life != life or node.core is None:
-            return
-        written = not (node.disk.jobs or node.disk.under_way)
-        if self.now < until and not (written and node.core.may_end(self.now + OFFSET)):
-            self.at(constants.TICK, "leaving", name, life, until)
-            return
-        self.kill(name)
-
     def retire(self, name):
         """The machine is gone for good, its disk with it."""
         if self.nodes[name].core is not None:
@@ -204,5 +184,4 @@
         return sum(event[2] == number for event in self.trace)
 
 
-simulators.HANDLERS["leaving"] = LossTrial._leaving
 simulators.HANDLERS["act"] = LossTrial._act
--- a/src/pinepitch/proof/second_loss.py
+++ b/src/pinepitch/proof/second_loss.py
@@ -16,7 +16,8 @@
 from ..accord.quorum import Cohort
 from ..ground import constants
 from . import plants, simulator
-from .loss_trial import GRACE, SETTLED, LossTrial
+from .loss_trial import SETTLED, LossTrial
+from .simulator import GRACE
 
 HANDED_WITHIN = 0.1  # seconds; without a leader while one hands over, on the slowest disk
 STOPPED_WITHIN = 0.5  # seconds; until a process without an heir for its seat has ended
--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -19,6 +19,8 @@
 from .minion import StandInMinion
 
 START = 1_000_000.0  # virtual seconds; any wall clock will do
+OFFSET = 1000.0  # seconds; from the simulator's time to the one that deciders are given
+GRACE = 6.0  # seconds; from SIGTERM to SIGKILL
 LOSS = 0.002  # of messages in calm weather; links are TCP but break
 ANSWER_TIMEOUT = 5.0  # seconds a stand-in caller waits
 
@@ -212,6 +214,23 @@
             node.disk.jobs.clear()
             node.disk.under_way = node.disk.beside = None
 
+    def stop(self, name, grace=GRACE):
+        """SIGTERM to an accord: it ends once it says that it may, and is killed after the grace."""
+        node = self.nodes[name]
+        node.core.leave_within = grace * constants.LEAVE_PART
+        self.give(node, ("stop",))
+        self.at(constants.TICK * 4, "stopping", name, node.life, self.now + grace)
+
+    def _stopping(self, name, life, until):
+        node = self.nodes[name]
+        if node.life != life or node.core is None:
+            return
+        written = not (node.disk.jobs or node.disk.under_way)
+        if self.now < until and not (written and node.core.may_end(self.now + OFFSET)):
+            self.at(constants.TICK, "stopping", name, life, until)
+            return
+        self.kill(name)
+
     def wipe(self, name):
         self.nodes[name].disk = Disk()
 
@@ -290,7 +309,7 @@
         if node.kind == "minion":
             self._minion_effects(node, node.core.step(message, START + self.now), message)
             return
-        for effect in node.core.step(message, self.now + 1000.0, self.clock(node)):
+        for effect in node.core.step(message, self.now + OFFSET, self.clock(node)):
             EFFECTS[effect[0]](self, node, *effect[1:])
 
     def lost(self, source, target):
@@ -622,6 +641,7 @@
     "posted": Simulator._posted,
     "expire": Simulator._expire,
     "caller": Simulator._caller,
+    "stopping": Simulator._stopping,
 }
 EFFECTS = {
     "send": Simulator._send,
--- a/src/pinepitch/proof/tenancy.py
+++ b/src/pinepitch/proof/tenancy.py
@@ -608,6 +608,32 @@
         simulator.run(simulator.draw.uniform(1, 3))
 
 
+def leader_stops(simulator):
+    """The leader is asked to stop, at times while a machine is cut off or another stops too, and comes
+    back with its disk; jobs are taken all the time."""
+    for _ in range(4):
+        leader = simulator.leader()
+        if leader is not None:
+            rest = [one for one in _accords(simulator) if one != leader.name]
+            also = simulator.draw.choice(rest)
+            manner = simulator.draw.choice(("alone", "alone", "cut", "both"))
+            if manner == "cut":
+                simulator.cut([also], [one for one in simulator.nodes if one != also])
+            simulator.stop(leader.name)
+            if manner == "both":
+                simulator.run(simulator.draw.uniform(0, 0.05))
+                simulator.stop(also)
+            simulator.until(lambda leader=leader: leader.core is None, simulators.GRACE, 0.02)
+            if manner == "alone":
+                simulator.served("after the leader was asked to stop")
+            simulator.heal()
+            simulator.run(simulator.draw.uniform(0.1, 1))
+            for name in (leader.name, also):
+                if simulator.nodes[name].core is None:
+                    simulator.start(name)
+        simulator.run(simulator.draw.uniform(1, 4))
+
+
 def leader_deaf(simulator):
     """The leader is cut off, one way or both, from the other daemons and some tenants."""
     for _ in range(4):
@@ -804,6 +830,7 @@
 WEATHERS = {
     "calm": calm,
     "leader-killed": leader_killed,
+    "leader-stops": leader_stops,
     "leader-frozen": leader_frozen,
     "leader-deaf": leader_deaf,
     "wiped": wiped,
