--- a/features/second_loss.feature
+++ b/features/second_loss.feature
@@ -44,6 +44,6 @@
       | held-too-soon     | wiped-twice          | without a quorum of         |
       | counted-too-soon  | spare-lost-too       | without a quorum of         |
       | counted-too-soon  | change-struck        | without a quorum of         |
-      | counted-too-soon  | snapshot-struck      | struck                      |
+      | snapshot-too-soon | snapshot-struck      | does not vote               |
       | counted-too-soon  | only-copy-leaves     | is gone                     |
       | founds-at-sight   | founding-struck      | no leader within            |
--- a/src/pinepitch/proof/loss_trial.py
+++ b/src/pinepitch/proof/loss_trial.py
@@ -59,17 +59,21 @@
         self.at(after, "act", lambda: self.nodes[name].core is None and self.start(name))
 
     # --- steps --------------------------------------------------------------------------
-    def on(self, number, act, count=1):
-        """Calls act(node) right after the step in which a node tells event `number` the count-th time."""
-        self.hooks.append([number, act, count])
+    def on(self, step, act, count=1):
+        """Calls act(node) right after a step comes the count-th time: an event's number that a node tells,
+        or the kind of a message of consensus that reaches a node."""
+        self.hooks.append([step, act, count])
 
-    def _event(self, node, number, fields):
-        super()._event(node, number, fields)
-        for hook in [one for one in self.hooks if one[0] == number]:
+    def _step_came(self, step, node):
+        for hook in [one for one in self.hooks if one[0] == step]:
             hook[2] -= 1
             if hook[2] == 0:
                 self.hooks.remove(hook)
                 self.at(0.0, "act", lambda hook=hook: hook[1](node))
+
+    def _event(self, node, number, fields):
+        super()._event(node, number, fields)
+        self._step_came(number, node)
         if number == 131:
             self._check_joint(node)
 
@@ -79,6 +83,8 @@
     def give(self, node, message):
         super().give(node, message)
         if node.kind == "accord":
+            if message[0] == "raft":
+                self._step_came(message[4][0], node)
             self._check_leases()
 
     # --- checks -------------------------------------------------------------------------
--- a/src/pinepitch/proof/second_loss.py
+++ b/src/pinepitch/proof/second_loss.py
@@ -30,6 +30,7 @@
 )
 JOINT, COMMITTED, DONE = 130, 131, 132  # events of a change of members
 CONSENT, LEADER, INSTALLED = 111, 122, 127
+SNAPSHOT_STEPS = (("piece", 1), ("piece", 2), ("piece", 4), (INSTALLED, 1))  # what comes, how often
 
 
 def begun(seed, accords=("a", "b", "c"), slow=True, mode="static"):
@@ -296,12 +297,12 @@
     """While a snapshot is sent and as it is installed, its sender, its receiver or another voter loses
     power for a while: one too many."""
     with plants.planted("frequent-snapshots"), mock.patch.object(constants, "SNAPSHOT_PIECE", 500):
-        for step, kind in itertools.product((113, INSTALLED), ("leader", "newcomer", "other")):
+        for (step, count), kind in itertools.product(SNAPSHOT_STEPS, ("leader", "newcomer", "other")):
             trial = begun(seed)
             for _ in range(60):
                 trial.change()
             fresh = _replace(trial, _followers(trial)[0].name, "fresh")
-            trial.on(step, _striker(trial, kind, fresh))
+            trial.on(step, _striker(trial, kind, fresh), count)
             for _ in range(3):
                 trial.change()
             _votes_within(trial, fresh, SETTLED)
@@ -311,7 +312,7 @@
             if trial.hooks:
                 trial.fault("the step to strike at never came")
             if trial.faults:
-                trial.faults.insert(0, f"struck: {kind} at {step}")
+                trial.faults.insert(0, f"struck: {kind} at {step}, {count}")
                 return trial
     return trial
 
@@ -448,6 +449,14 @@
     return cohort_identity(members), members
 
 
+def _early_base(self, node, sequence, payload):
+    """Tells a snapshot that came durable before it is."""
+    original_base(self, node, sequence, payload)
+    if sequence is not None:
+        self.at(0.0, "give", node.name, node.life, ("saved", sequence))
+
+
+original_base = simulator.Simulator._base
 original_wanted = Accord._wanted_members
 original_appended = Consensus._on_appended
 PLANTS = {
@@ -460,6 +469,7 @@
     "never-spread": [(Accord, "_spread", lambda *_: None)],
     "area-alone": [(membership, "gains", lambda *_: False)],
     "slow-replacement": [(membership.Budget, "replace_after", lambda self: 4.5)],
+    "snapshot-too-soon": [(simulator.Simulator, "_base", _early_base)],
     "held-too-soon": [(simulator.Simulator, "_save", plants._early_saved)],
     "counted-too-soon": [(Consensus, "_on_appended", _counts_at_once)],
     "founds-at-sight": [(Founding, "ready", _founds_at_sight)],
@@ -473,7 +483,8 @@
         for owner, attribute, replacement in PLANTS[name] if name else ():
             stack.enter_context(mock.patch.object(owner, attribute, replacement))
         stack.enter_context(mock.patch.dict(consensus.HANDLERS, {"appended": Consensus._on_appended}))
-        stack.enter_context(mock.patch.dict(simulator.EFFECTS, {"save": simulator.Simulator._save}))
+        effects = {"save": simulator.Simulator._save, "base": simulator.Simulator._base}
+        stack.enter_context(mock.patch.dict(simulator.EFFECTS, effects))
         yield
 
 
