--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -19,6 +19,8 @@
 from .minion import StandInMinion
 
 START = 1_000_000.0  # virtual seconds; any wall clock will do
+OFFSET = 1000.0  # seconds; from the simulator's time to the one that deciders are given
+GRACE = 6.0  # seconds; from SIGTERM to SIGKILL
 LOSS = 0.002  # of messages in calm weather; links are TCP but break
 ANSWER_TIMEOUT = 5.0  # seconds a stand-in caller waits
 
@@ -150,7 +152,7 @@
 
     def steady(self):
         """What every daemon's steady clock reads."""
-        return self.now + 1000.0
+        return self.now + OFFSET
 
     def clock(self, node):
         return START + self.now + node.skew
@@ -220,6 +222,23 @@
             node.disk.jobs.clear()
             node.disk.under_way = node.disk.beside = None
 
+    def stop(self, name, grace=GRACE):
+        """SIGTERM to an accord: it ends once it says that it may, and is killed after the grace."""
+        node = self.nodes[name]
+        node.core.leave_within = grace * constants.LEAVE_PART
+        self.give(node, ("stop",))
+        self.at(constants.TICK * 4, "stopping", name, node.life, self.now + grace)
+
+    def _stopping(self, name, life, until):
+        node = self.nodes[name]
+        if node.life != life or node.core is None:
+            return
+        written = not (node.disk.jobs or node.disk.under_way)
+        if self.now < until and not (written and node.core.may_end(self.now + OFFSET)):
+            self.at(constants.TICK, "stopping", name, life, until)
+            return
+        self.kill(name)
+
     def wipe(self, name):
         self.nodes[name].disk = Disk()
 
@@ -649,6 +668,7 @@
     "posted": Simulator._posted,
     "expire": Simulator._expire,
     "caller": Simulator._caller,
+    "stopping": Simulator._stopping,
 }
 EFFECTS = {
     "send": Simulator._send,
@@ -658,7 +678,7 @@
     "note": Simulator._note,
     "snapshot": Simulator._snapshot,
     "rehearse": Simulator._rehearse,
-    "event": Simulator._event,
+    "event": lambda simulator, *rest: simulator._event(*rest),  # kinds of simulators add to it
     "reply": Simulator._reply,
     "post": Simulator._post,
 }
