--- /dev/null
+++ b/src/pinepitch/proof/outage.py
@@ -0,0 +1,118 @@
+"""How long an outage of the whole control plane lasts: every accord is killed right after a job
+was accepted and started again, and each step of the way back is timed from the last start.
+
+`python -m pinepitch.proof.outage [SEEDS]` prints the spans over seeds.
+"""
+
+import statistics
+import sys
+from typing import NamedTuple
+
+from .simulator import START
+from .tenancy import Tenancy
+
+DOWN = 0.5  # seconds; from the kill to the first start
+STAGGER = 0.3  # seconds; the starts are spread over this
+WATCHED = 12.0  # seconds; from the last start, in which everything is expected to happen
+CANDIDATE, LEADER, DUTY = 121, 122, 150  # numbers of the events that are timed
+JOB_RATE = 3.0  # times the usual traffic, so that the first answer is not waited for
+
+
+class Outage(NamedTuple):
+    """Seconds from the last start of an accord to each step; None for what never came."""
+
+    candidate: float | None
+    leader: float | None
+    duty: float | None
+    accepted: float | None  # the first job that was handed in during the outage or later
+    started: float | None  # the first start of a task at a minion
+    last_accepted: float | None  # the last of the jobs that were handed in before the leader was there
+    handed_in: int  # jobs handed in from the kill until the leader was there
+    refused: int  # of the answers to those, "not taken"
+    unsure: int  # of the answers to those, "may have been taken", or none
+
+
+def measure(seed):
+    """One outage, with all that the seed draws."""
+    simulator = Tenancy(seed)
+    simulator.patron.rate = JOB_RATE
+    simulator.begin()
+    simulator.run(4 + simulator.draw.random())
+    answers = _recorded_answers(simulator)
+    known = _accepted(simulator)
+    simulator.until(lambda: _accepted(simulator) > known, 10, 0.004)
+    killed = simulator.now
+    accords = [name for name, node in simulator.nodes.items() if node.kind == "accord"]
+    for name in accords:
+        simulator.kill(name)
+    simulator.run(DOWN)
+    delays = sorted(simulator.draw.random() * STAGGER for _ in accords)
+    simulator.draw.shuffle(accords)
+    for name, delay, before in zip(accords, delays, [0.0, *delays], strict=False):
+        simulator.run(delay - before)
+        simulator.start(name)
+    last = simulator.now
+    simulator.run(WATCHED)
+    return _spans(simulator, killed, last, answers)
+
+
+def _accepted(simulator):
+    return sum(job["accepted"] is not None for job in simulator.patron.jobs.values())
+
+
+def _recorded_answers(simulator):
+    """A list that fills with (sent, answered, status) of every try to hand in a job."""
+    answers, submitted = [], simulator.patron._submitted
+
+    def record(job, sent, status, document, now):
+        answers.append((sent - START, now - START, status))
+        return submitted(job, sent, status, document, now)
+
+    simulator.patron._submitted = record
+    return answers
+
+
+def _spans(simulator, killed, last, answers):
+    """The Outage that a simulated run went through."""
+
+    def event(number):
+        return _first(at - last for at, _, told, _ in simulator.trace if told == number and at > killed)
+
+    leader = event(LEADER)
+    until = WATCHED if leader is None else leader
+    jobs = [job for job in simulator.patron.jobs.values() if killed < job["sent"] - START < last + until]
+    accepted = [job["accepted"] - START - last for job in jobs if job["accepted"] is not None]
+    early = [status for sent, _, status in answers if killed < sent < last + until]
+    return Outage(
+        event(CANDIDATE),
+        leader,
+        event(DUTY),
+        _first(accepted),
+        _first(
+            one[1] - START - last
+            for one in simulator.minion_history
+            if one[0] == "start" and one[1] - START > last
+        ),
+        max(accepted) if jobs and len(accepted) == len(jobs) else None,
+        len(jobs),
+        sum(status in (429, 503) for status in early),
+        sum(status in (0, 504) for status in early),
+    )
+
+
+def _first(moments):
+    return min(moments, default=None)
+
+
+def main(seeds="20"):
+    """Prints median and longest of each span over seeds, and the sums of the answers."""
+    outages = [measure(seed) for seed in range(int(seeds))]
+    for field in Outage._fields[:6]:
+        found = [getattr(one, field) for one in outages if getattr(one, field) is not None]
+        print(f"{field:14} median {statistics.median(found):6.3f}  most {max(found):6.3f}  seen {len(found)}")
+    for field in Outage._fields[6:]:
+        print(f"{field:14} {sum(getattr(one, field) for one in outages)}")
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
