--- a/features/steps/rules.py
+++ b/features/steps/rules.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from pinepitch.accord import rules
+from pinepitch.accord import rulefile
 from pinepitch.accord.record import Record
 from pinepitch.proof.simulator import Simulator
 
@@ -39,11 +39,11 @@
 
 @when("a rules file with {fault} is read")
 def step_read(context, fault):
-    found, _ = rules.read(GOOD)
+    found, _ = rulefile.read(GOOD)
     assert [(one.alert, one.bound, one.lasting, one.holds) for one in found] == [
         ("parked", 0.0, 2.0, "approvals")
     ]
-    context.found, context.faults = rules.read(BENT[fault])
+    context.found, context.faults = rulefile.read(BENT[fault])
 
 
 @then("the fault is at {place}")
@@ -87,7 +87,7 @@
     context.simulator = Simulator(5, setup=SETUP)
     for node in context.simulator.nodes.values():
         if node.kind == "accord":
-            node.core.rules = rules.read(GOOD)[0]
+            node.core.rules = rulefile.read(GOOD)[0]
     context.simulator.begin()
     context.simulator.caller("day", CROWD, fail=0.0)
     context.simulator.run(20)
@@ -158,7 +158,7 @@
     simulator.run(6)
     assert "parked" in simulator.leader().core.record.holds
     simulator.start(old.name)
-    old.core.rules = rules.read(GOOD)[0]
+    old.core.rules = rulefile.read(GOOD)[0]
 
 
 @then("once the ticket is cancelled approving puts the draft, made anew, in force")
--- a/features/steps/store.py
+++ b/features/steps/store.py
@@ -11,7 +11,7 @@
 import cbor2
 from behave import given, then, when
 
-from pinepitch.accord.program import identity_of, open_store
+from pinepitch.accord.opening import identity_of, open_store
 from pinepitch.ground import constants
 from pinepitch.ground.store import Damaged, Store
 
--- a/src/pinepitch/accord/program.py
+++ b/src/pinepitch/accord/program.py
@@ -7,43 +7,16 @@
 
 from ..ground import events
 from ..ground.program import checked_env, serve
-from ..ground.store import Damaged, Foreign, Store
 from .core import Accord
-from .rules import read as rules_of
-
-
-def open_store(folder):
-    """(store, base, steps, segments, why it was damaged or None); a damaged store counts as
-    empty, one of another version is left as it is: OSError says so."""
-    store = Store(folder)
-    loaded = store.load()
-    if isinstance(loaded, Foreign):
-        raise OSError(
-            f"{loaded[0]}; run the version that wrote it, or give an empty folder to start as a newcomer"
-        )
-    if isinstance(loaded, Damaged):
-        store.wipe()
-        return store, None, [], {}, loaded[0]
-    return store, *loaded, None
-
-
-def identity_of(store, base, steps):
-    """The store's identity; an empty store gets a new one, durable before it is used."""
-    if base is not None:
-        return base[0]
-    for step in steps:
-        for kind, payload in step:
-            if kind == "note" and payload[0] == "identity":
-                return payload[1]
-    identity = secrets.token_hex(6)
-    store.write_step([["note", ["identity", identity]]])
-    return identity
+from .opening import identity_of, open_store
 
 
 def read_rules(path):
     """The alert rules of a file, or exit 2 with one line per fault."""
     if path is None:
         return ()
+    from .rulefile import read as rules_of  # most daemons have no such file
+
     try:
         with open(path, encoding="utf-8") as file:
             found, faults = rules_of(file.read())
--- a/src/pinepitch/ground/metrics.py
+++ b/src/pinepitch/ground/metrics.py
@@ -1,12 +1,7 @@
 """Metrics: plain figures as text in the Prometheus manner, by the library."""
 
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily
-
 from . import constants, events
 
-KINDS = {"counter": CounterMetricFamily, "gauge": GaugeMetricFamily, "histogram": HistogramMetricFamily}
-
 
 class Spread:
     """How a figure is spread. Invariants: counts has one more element than the bounds;
@@ -41,9 +36,14 @@
 
 def text(figures):
     """The text of figures (kind, name, help, label names, [(label values, value)])."""
+    # loaded by its first use, as it takes longer than a third of all else that a daemon needs to start
+    from prometheus_client import CollectorRegistry, generate_latest
+    from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily
+
+    kinds = {"counter": CounterMetricFamily, "gauge": GaugeMetricFamily, "histogram": HistogramMetricFamily}
     families = []
     for kind, name, told, labels, values in figures:
-        family = KINDS[kind](f"pinepitch_{name}", told, labels=labels)
+        family = kinds[kind](f"pinepitch_{name}", told, labels=labels)
         for label_values, value in values:
             label_values = [str(one) for one in label_values]
             if kind == "histogram":
