A restarted voter's wait for a lease counts from when it came to own its data folder

Cause: the wait (LEAD_LEASE) began with the first tick, after the program had been loaded and the store read, though no acknowledgement of the earlier life can be younger than the begin of this one. The core program now takes a lock on its data folder first, loads the rest meanwhile, and counts from there. What makes it safe: while the earlier life lived it held the lock (the folder's own descriptor, so nothing is written), so all it acknowledged was sent before the lock was had; the lock ends with its process. A second process on a folder now ends at once; before, two could share one. Without a known begin the first tick counts, as before. Ruled out: counting from the begin of the process, which the earlier life may outlive. Tests: the scenario on the wait fails where the begin isn't handed on, the one on the folder times out without the lock.

--- a/features/outage.feature
+++ b/features/outage.feature
@@ -20,3 +20,8 @@
     Given an accord with a log whose process began 0.25 s before its first tick
     Then it gives no vote before a lease from the begin of the process is over
     And it gives one 0.02 s later
+
+  Scenario: a data folder is one process's at a time
+    Given a data folder that a process owns
+    Then an accord on it ends at once and says so
+    And the folder can be owned again once that process has let go
--- a/features/steps/outage.py
+++ b/features/steps/outage.py
@@ -1,11 +1,18 @@
 """Steps for Outage: seeded outages of the whole control plane, and accords stepped by hand."""
 
+import os
 import statistics
+import subprocess
+import sys
+import tempfile
+import time
 
 from behave import given, then, when
 
 from pinepitch.accord.consensus import Consensus
+from pinepitch.accord.core import Accord
 from pinepitch.ground import constants
+from pinepitch.ground.folderlock import FolderLock
 from pinepitch.proof import outage
 
 MEMBERS = {"a": "north", "b": "south", "c": "west"}
@@ -95,8 +102,16 @@
 @given("an accord with a log whose process began {before:g} s before its first tick")
 def step_began(context, before):
     context.now = 100.0
-    context.accord = restarted("b")
-    context.accord.begun_at = context.now - before
+    core = Accord("b", "10.0.0.2:1", "south", ("10.0.0.1:1",))
+    core.begun_at = context.now - before
+    core.restore(
+        None,
+        [
+            [("note", ["consent", "ours", MEMBERS, "static"])],
+            [("raft", [[3, "c", 3, {}], None, 1, [(3, 0.0, ("noop",))]])],
+        ],
+    )
+    context.accord = core.consensus
     context.accord.tick(context.now)
     context.wait_over = context.now - before + LEASE
 
@@ -115,3 +130,40 @@
 @then("it gives one {after:g} s later")
 def step_gives(context, after):
     assert granted(context, context.wait_over + after) == [True]
+
+
+@given("a data folder that a process owns")
+def step_owned(context):
+    folder = tempfile.TemporaryDirectory(prefix="pinepitch-")
+    context.add_cleanup(folder.cleanup)
+    context.folder = folder.name
+    context.lock = FolderLock(context.folder)
+
+
+@then("an accord on it ends at once and says so")
+def step_ends(context):
+    ended = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "from pinepitch.accord.program import main; main()",
+            "--address=127.0.0.1:1",
+            "--area=a",
+            f"--data={context.folder}",
+            "--seeds=127.0.0.1:1,127.0.0.1:2,127.0.0.1:3",
+        ],
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
+    assert ended.returncode == 2 and context.folder in ended.stderr, ended
+    assert len(ended.stderr.strip().splitlines()) == 1 and not os.listdir(context.folder), ended.stderr
+
+
+@then("the folder can be owned again once that process has let go")
+def step_again(context):
+    os.close(context.lock.descriptor)
+    begun = time.monotonic()
+    again = FolderLock(context.folder)
+    assert begun <= again.since <= time.monotonic()
+    os.close(again.descriptor)
--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -69,7 +69,7 @@
         self.effects = []
         self.heard_leader = -1e9
         self.begun_at = (
-            None  # when this life began, before which an earlier one had ended; else the first tick
+            None  # when this life began, after any earlier one had ended; None: at the first tick
         )
         self.election_at = None
         self.ask_at = -1e9  # when votes are asked for again
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -44,6 +44,7 @@
         self.record = self.record_kind()
         self.effects = []
         self.stopping = False
+        self.begun_at = None  # when this process came to own its data folder, if that is known
         self.greet_at = self.join_at = -1e9
         self.snapshotting = False
         self.snapshot_segments = (1, 0)  # of the archive, that the snapshot under way stands on
@@ -114,6 +115,7 @@
 
     def _begin_consensus(self, members):
         self.consensus = Consensus(self.identity, self.seed, members, self.mode)
+        self.consensus.begun_at = self.begun_at
         self.consensus.archive = self.record.archive
 
     def _take_record(self, image, segments):
--- a/src/pinepitch/accord/program.py
+++ b/src/pinepitch/accord/program.py
@@ -6,6 +6,7 @@
 import fire
 
 from ..ground import events
+from ..ground.folderlock import FolderLock
 from ..ground.program import checked_env, serve
 from .core import Accord
 from .opening import identity_of, open_store
@@ -72,6 +73,7 @@
     )
     judged = read_rules(found.rules)
     try:
+        lock = FolderLock(found.data)
         store, base, steps, segments, damage = open_store(found.data)
         identity = identity_of(store, base, steps)
     except OSError as fault:
@@ -90,6 +92,7 @@
         seed=secrets.token_hex(4),
     )
     core.rules = judged
+    core.begun_at = lock.since
     core.restore(base, steps, segments)
     serve("accord", core, found, log, store)
 
