A leader claims the placing duty beside the first entry of its term

Cause: the claim waited for that entry's commit and then for a tick, though nothing that is kept is answered before the claim itself is applied.

--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -75,7 +75,8 @@
         self.outbox = {}  # verge -> {(reference, attempt): order}
         self.kills = {}  # reference -> when last ordered
         self.placer = Placer()
-        self.epoch = 0
+        self.epoch = 0  # -1 while it is claimed
+        self.duty_index = None  # of the entry that claims the placing duty: older claims may be applied now
         self.level_asked = 0  # the level that is proposed to be agreed on
         self.lead_since = None
         self.place_at = self.watch_at = -1e9
@@ -137,7 +138,9 @@
             handler(self, *rest, now)
         if self.place_due and now - self.place_at >= constants.PLACE_EVERY:
             self._place(now)
-        if self.epoch > 0 and self.consensus.serving():
+        if self.epoch == 0 and self.consensus is not None and self.consensus.role == "leader":
+            self._claim_placing(now)
+        elif self.epoch > 0 and self.consensus.serving():
             if now - self.keeper.flushed >= constants.GATHER_BEATS:
                 self.keeper.tick(now)
             self.keeper.flush(now)
--- a/src/pinepitch/accord/lead.py
+++ b/src/pinepitch/accord/lead.py
@@ -287,9 +287,6 @@
             self.keeper.tick(now)
         self._propose_gathered(now)
         self._tend_members(now)
-        if not self.epoch:
-            self.epoch = -1
-            self.propose(("duty", "placing", self.identity), None, now)
         for verge in list(self.asks):
             if verge in self.asks:
                 self._tell_news(verge, now)
@@ -306,6 +303,13 @@
         ):
             self._tend_alerts(now)
 
+    def _claim_placing(self, now):
+        """Proposes to hold the placing duty, beside the first entry of the term: nothing that is kept is
+        answered before this one has brought its epoch, so it goes out with the other."""
+        self.epoch = -1
+        self.duty_index = self.consensus.last_index() + 1
+        self.propose(("duty", "placing", self.identity), None, now)
+
     def _place(self, now):
         """One round: at once when something was applied that may let a task be placed, and
         now and then for what only time brings. Never from within applying, whose own
@@ -390,13 +394,12 @@
         """What the leader does about an entry that was applied just now."""
         kind = operation[0]
         self.place_due = True
-        if kind == "duty" and operation[2] == self.identity and operation[1] == "placing":
-            if self.epoch == -1:
-                self.epoch = outcome[1]
-                if self.epoch == 1:
-                    self._event(110, cohort=self.cohort)
-                self._event(150, epoch=self.epoch)
-                self._resend_orders(now)
+        if kind == "duty" and self.record.index == self.duty_index:
+            self.epoch = outcome[1]
+            if self.epoch == 1:
+                self._event(110, cohort=self.cohort)
+            self._event(150, epoch=self.epoch)
+            self._resend_orders(now)
         elif kind == "place":
             self.placing_busy = max(0, self.placing_busy - 1)
             self.placer.settled([item[0] for item in operation[3]])
