A candidate that can't win any more begins anew soon

Cause: accords that were started together and wait for one lease may be candidates at once; where they split the votes, a whole time-out of 0.6 to 1.0 s passed before the next try.

--- a/features/outage.feature
+++ b/features/outage.feature
@@ -16,6 +16,10 @@
     When the first asks for votes once it may, and its first vote request is lost
     Then it leads within 0.3 s of the end of the second's wait
 
+  Scenario: a candidate that can't win any more begins anew soon
+    Given a candidate whose voters chose another
+    Then it asks for pre-votes within 0.25 s, under the term it has
+
   Scenario: the wait for a lease counts from the begin of the process, and is never shorter
     Given an accord with a log whose process began 0.25 s before its first tick
     Then it gives no vote before a lease from the begin of the process is over
--- a/features/steps/outage.py
+++ b/features/steps/outage.py
@@ -99,6 +99,26 @@
     assert context.led_at >= wait_over, context.led_at
 
 
+@given("a candidate whose voters chose another")
+def step_split(context):
+    context.now = 100.0
+    context.accord = restarted("a")
+    context.accord.tick(context.now)
+    context.accord._campaign("candidate", context.now + 1.0)
+    context.accord.saved(context.accord.sequence, context.now + 1.0)
+    for voter in ("b", "c"):
+        context.accord.step(voter, ("voted", 4, False, "c", 3, {4: "c"}), context.now + 1.01)
+
+
+@then("it asks for pre-votes within {most:g} s, under the term it has")
+def step_pre_votes(context, most):
+    now = context.now + 1.01
+    while context.accord.role != "prospect" and now < context.now + 1.01 + most:
+        now += constants.TICK
+        context.accord.tick(now)
+    assert context.accord.role == "prospect" and context.accord.term == 4
+
+
 @given("an accord with a log whose process began {before:g} s before its first tick")
 def step_began(context, before):
     context.now = 100.0
--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -68,9 +68,7 @@
         self.hard_dirty, self.truncate, self.dirty_from = False, None, None
         self.effects = []
         self.heard_leader = -1e9
-        self.begun_at = (
-            None  # when this life began, after any earlier one had ended; None: at the first tick
-        )
+        self.begun_at = None  # when this life began, after any earlier one had ended; None: at the first tick
         self.election_at = None
         self.ask_at = -1e9  # when votes are asked for again
         self.penance_until = -1e9
@@ -329,6 +327,9 @@
                 self._campaign("candidate", now)
             elif self.hard_sequence <= self.saved_sequence and not self.hard_dirty:
                 self._lead(now)
+        elif self.role == "candidate" and not result.possible:
+            # the votes were split: nobody may have won, so it asks for pre-votes anew soon
+            self.election_at = min(self.election_at, now + constants.RESTART_SPREAD * self.random.random())
 
     def _fresh(self, last_index, last_term):
         own = self.term_at(self.last_index())
