Without a leader a call is given up sooner, as not taken, and its caller told when to come back

Cause: while no leader was known a verge held every call for 2.5 s, over half of what its caller waits, and answered 504 as its frames lay in the queue to a dead accord, though nobody could have taken them. Now a link tells which calls reached nobody, and queues none for a peer that it could not reach last; a verge that heard no leader for 1 s gives a call up after 0.55 of its time (outlasts a restart of all processes, some 1.2 s), and from 2 s on after 0.2 s if nobody can have taken it: 503 and Retry-After. One that may have been taken keeps the 0.55. Tests: the scenarios on long outages, on silent leaders and on links fail without it.

--- a/features/outage.feature
+++ b/features/outage.feature
@@ -29,3 +29,29 @@
     Given a data folder that a process owns
     Then an accord on it ends at once and says so
     And the folder can be owned again once that process has let go
+
+  Scenario: in a long outage callers are told soon that nobody took their call
+    When every accord is killed and started again after 5 s, with seeds 0 to 1
+    Then no try is held longer than 1.4 s, and on average none over 0.5 s
+    And nine in ten are told that the call was not taken
+    And all take a job within 0.25 s of it, and start a task within 0.5 s of it
+
+  Scenario Outline: a verge without news from a leader for <silent> s gives a call up after <held> s
+    Given a verge that last heard its leader <silent> s ago
+    When a call of 2 s comes that <way>
+    Then it is answered <status> after <held> s
+
+    Examples:
+      | silent | way                  | status | held |
+      | 0.5    | nobody takes         | 503    | 1.1  |
+      | 1.5    | nobody takes         | 503    | 0.5  |
+      | 3      | nobody takes         | 503    | 0.2  |
+      | 3      | reaches nobody       | 503    | 0.2  |
+      | 3      | is sent and unheard  | 504    | 1.1  |
+
+  Scenario: a call is not queued for a peer that could not be reached
+    Given a link to a port where nobody listens
+    When two calls are put into it, one after the other
+    Then both calls are told as undelivered, the second at once
+    When a peer listens there and two calls more are put into it
+    Then the second of them arrives, and nothing that was told as undelivered
--- a/features/steps/outage.py
+++ b/features/steps/outage.py
@@ -1,19 +1,25 @@
 """Steps for Outage: seeded outages of the whole control plane, and accords stepped by hand."""
 
+import functools
 import os
+import socket
 import statistics
 import subprocess
 import sys
 import tempfile
 import time
 
+import curio
+import curio.socket
 from behave import given, then, when
 
 from pinepitch.accord.consensus import Consensus
 from pinepitch.accord.core import Accord
 from pinepitch.ground import constants
 from pinepitch.ground.folderlock import FolderLock
+from pinepitch.ground.host import Link
 from pinepitch.proof import outage
+from pinepitch.verge.core import Verge
 
 MEMBERS = {"a": "north", "b": "south", "c": "west"}
 WATCHED = 3.0  # seconds from the last start
@@ -187,3 +193,114 @@
     again = FolderLock(context.folder)
     assert begun <= again.since <= time.monotonic()
     os.close(again.descriptor)
+
+
+@when("every accord is killed and started again after {down:g} s, with seeds {first:d} to {last:d}")
+def step_long_outages(context, down, first, last):
+    context.outages = [outage.measure(seed, WATCHED, down) for seed in range(first, last + 1)]
+
+
+@then("no try is held longer than {most:g} s, and on average none over {average:g} s")
+def step_held(context, most, average):
+    for one in context.outages:
+        assert one.longest_held <= most, one
+        assert one.held <= average * (one.refused + one.unsure), one
+
+
+@then("nine in ten are told that the call was not taken")
+def step_not_taken(context):
+    for one in context.outages:
+        assert one.refused >= 0.9 * (one.refused + one.unsure) > 0, one
+
+
+VERGE, LEADER = "10.0.0.9:7000", "10.0.0.1:7000"
+
+
+@given("a verge that last heard its leader {silent:g} s ago")
+def step_verge(context, silent):
+    context.verge, context.now = Verge("verge", VERGE, "north", (LEADER,)), 50.0
+    context.verge.step(("tick",), context.now, 0.0)
+    context.verge.leader = LEADER
+    context.verge.accords = {"a": ("north", LEADER, context.now)}
+    context.verge.news_at = context.now - silent
+
+
+@when("a call of {patience:g} s comes that {way}")
+def step_call_comes(context, patience, way):
+    context.replies, begun = [], context.now
+    effects = context.verge.step(("call", 1, "job", (), patience), context.now, 0.0)
+    while not context.replies and context.now < begun + patience + 1:
+        for effect in effects:
+            if effect[0] == "send" and effect[2][0] == "ask":
+                told = {"nobody takes": ("elsewhere", effect[2][2], None)}
+                told["reaches nobody"] = ("undelivered", effect[2][2])
+                if way in told:
+                    context.verge.step(told[way], context.now, 0.0)
+        context.now += constants.TICK
+        effects = context.verge.step(("tick",), context.now, 0.0)
+        context.replies = [effect for effect in effects if effect[0] == "reply"]
+    context.held = context.now - begun
+
+
+@then("it is answered {status:d} after {held:g} s")
+def step_answered(context, status, held):
+    ((_, _, told, _, headers),) = context.replies
+    assert told == status, context.replies
+    assert (("Retry-After", str(constants.COME_BACK)) in headers) == (status == 503), headers
+    assert held <= context.held + 0.001 and context.held <= held + 2 * constants.TICK, context.held
+
+
+@given("a link to a port where nobody listens")
+def step_link(context):
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        context.port = taken.getsockname()[1]
+    context.undelivered, context.arrived = [], b""
+
+
+async def undelivered(context, tokens):
+    context.undelivered.extend(tokens)
+
+
+async def through_link(context):
+    """Calls while nobody listens, then calls while a peer does; the link's task ends with it."""
+    link = Link(f"127.0.0.1:{context.port}", functools.partial(undelivered, context))
+    task = await curio.spawn(link.run)
+    await link.put(b"first", "one")
+    while not context.undelivered:
+        await curio.sleep(0)
+    await link.put(b"second", "two")
+    context.told_at_once = list(context.undelivered)
+    server = curio.socket.socket()
+    server.setsockopt(curio.socket.SOL_SOCKET, curio.socket.SO_REUSEADDR, 1)
+    server.bind(("127.0.0.1", context.port))
+    server.listen(1)
+    await link.put(b"third", "three")
+    peer, _ = await server.accept()
+    while link.down:
+        await curio.sleep(0)
+    await link.put(b"fourth", "four")
+    context.arrived = await peer.recv(100)
+    await task.cancel()
+    await peer.close()
+    await server.close()
+
+
+@when("two calls are put into it, one after the other")
+def step_put(context):
+    curio.run(through_link, context)
+
+
+@then("both calls are told as undelivered, the second at once")
+def step_both(context):
+    assert context.told_at_once == ["one", "two"], context.told_at_once
+
+
+@when("a peer listens there and two calls more are put into it")
+def step_listens(context):
+    assert context.undelivered == ["one", "two", "three"], context.undelivered
+
+
+@then("the second of them arrives, and nothing that was told as undelivered")
+def step_arrives(context):
+    assert context.arrived == b"fourth", context.arrived
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -566,6 +566,10 @@
     def _on_elsewhere(self, token, leader, now):
         self.carrier.refused(token)
 
+    def _on_undelivered(self, token, now):
+        """A call that was sent under `token` reached nobody: no connection could be made."""
+        self.carrier.refused(token)
+
     def _on_unsure(self, token, now):
         self.carrier.unsure(token)
 
@@ -604,6 +608,7 @@
     "answer": Accord._on_answer,
     "elsewhere": Accord._on_elsewhere,
     "unsure": Accord._on_unsure,
+    "undelivered": Accord._on_undelivered,
     "seeds": Accord._on_seeds,
     "stop": Accord._on_stop,
 }
--- a/src/pinepitch/ground/carrier.py
+++ b/src/pinepitch/ground/carrier.py
@@ -7,10 +7,11 @@
     """Invariants: token is the same every time it is sent; open counts what was sent and
     neither answered nor refused, so that 0 means that nobody took it."""
 
-    __slots__ = ("request", "call", "arguments", "until", "again", "to", "open", "doubtful")
+    __slots__ = ("request", "call", "arguments", "begun", "until", "again", "to", "open", "doubtful")
 
-    def __init__(self, request, call, arguments, until):
-        self.request, self.call, self.arguments, self.until = request, call, arguments, until
+    def __init__(self, request, call, arguments, begun, until):
+        self.request, self.call, self.arguments = request, call, arguments
+        self.begun, self.until = begun, until
         self.again = self.to = None
         self.open = 0
         self.doubtful = False
@@ -28,7 +29,8 @@
         """Takes a call; its token."""
         self.count += 1
         token = f"{self.identity}~{self.count}"
-        self.calls[token] = Call(request, call, arguments, now + min(patience, constants.CALL_PATIENCE))
+        until = now + min(patience, constants.CALL_PATIENCE)
+        self.calls[token] = Call(request, call, arguments, now, until)
         return token
 
     def sent(self, token, address, now):
@@ -38,17 +40,27 @@
         call.open += address is not None
         call.again = now + constants.CARRY_AGAIN if address is not None else now + constants.CARRY_SEEK
 
-    def due(self, now):
-        """(tokens to be sent again, effects that reply to those given up)."""
+    def due(self, now, unled_for=0.0):
+        """(tokens to be sent again, effects that reply to those given up). While no leader has been
+        heard for `unled_for` seconds, calls are given up sooner, so that their callers may come back."""
         due, effects = [], []
         for token, call in list(self.calls.items()):
-            if now >= call.until:
+            if now >= self._end(call, unled_for):
                 del self.calls[token]
                 effects.append(("reply", call.request, *self._given_up(call)))
             elif call.again is not None and now >= call.again:
                 due.append(token)
         return due, effects
 
+    def _end(self, call, unled_for):
+        """When a call is given up: without a leader after a part of its time, which outlasts a restart;
+        in a long outage soon, if nobody can have taken it and its caller can be told when to come back."""
+        if unled_for <= 0:
+            return call.until
+        if unled_for < constants.OUTAGE_SHORT or call.open or call.doubtful:
+            return call.begun + constants.UNLED_SHARE * (call.until - call.begun)
+        return min(call.until, call.begun + constants.UNLED_SEEK)
+
     def _given_up(self, call):
         if call.open or call.doubtful:
             return (
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -15,19 +15,32 @@
 from . import constants, events, http, wire
 from .env import split
 
+TOKENS = {"ask": 2, "news": 3}  # kinds of messages that wait for an answer -> where their token stands
+
 
 class Link:
     """One way out to another daemon. Invariant: frames leave in the order they came; the
-    oldest falls when LINK_QUEUE are waiting; a broken socket loses what it held."""
+    oldest falls when LINK_QUEUE are waiting; a broken socket loses what it held; tokens are those
+    of calls in frames, none of which has gone out yet."""
 
-    def __init__(self, address):
+    def __init__(self, address, undelivered):
         self.address = address
+        self.undelivered = undelivered  # told the tokens of calls when no connection could be made
         self.frames = collections.deque(maxlen=constants.LINK_QUEUE)
+        self.tokens = []
+        self.down = False  # whether the last attempt to connect failed, and none was made since
         self.filled = curio.Event()
 
-    async def put(self, frame):
-        self.frames.append(frame)
+    async def put(self, frame, token=None):
+        """Queues a frame; `token` is that of the call in it, if it carries one. A call is not queued
+        for a peer that could not be reached last: it only makes the link try again."""
         await self.filled.set()
+        if token is not None and self.down:
+            await self.undelivered([token])
+            return
+        self.frames.append(frame)
+        if token is not None:
+            self.tokens.append(token)
 
     async def run(self):
         """Connects, sends, and begins anew when the socket breaks."""
@@ -39,10 +52,14 @@
                     constants.ELECTION_TIMEOUT, curio.open_connection(host, port)
                 )
             except (OSError, curio.TaskTimeout):
+                tokens, self.tokens = self.tokens, []
                 self.frames.clear()
                 self.filled.clear()
+                self.down = True
+                await self.undelivered(tokens)
                 await curio.sleep(constants.LINK_BACKOFF)
                 continue
+            self.down = False
             async with socket:
                 socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
                 socket.setsockopt(
@@ -51,8 +68,9 @@
                 try:
                     while True:
                         await self.filled.wait()
-                        batch = b"".join(self.frames)
+                        batch = b"".join(self.frames)  # empty where it was only to try again
                         self.frames.clear()
+                        self.tokens.clear()
                         self.filled.clear()
                         await curio.timeout_after(constants.ELECTION_TIMEOUT, socket.sendall(batch))
                 except (OSError, curio.TaskTimeout):
@@ -137,9 +155,15 @@
     async def _send(self, address, message):
         link = self.links.get(address)
         if link is None:
-            link = self.links[address] = Link(address)
+            link = self.links[address] = Link(address, self._undelivered)
             await self.tasks.spawn(link.run)
-        await link.put(wire.encode(self.address, message))
+        token_at = TOKENS.get(message[0])
+        await link.put(wire.encode(self.address, message), None if token_at is None else message[token_at])
+
+    async def _undelivered(self, tokens):
+        """Tells the decider which calls reached nobody."""
+        for token in tokens:
+            await self.inbox.put(("undelivered", token))
 
     async def _event(self, number, fields):
         events.emit(self.log, number, **fields)
--- a/src/pinepitch/proof/outage.py
+++ b/src/pinepitch/proof/outage.py
@@ -11,7 +11,8 @@
 from .simulator import START
 from .tenancy import Tenancy
 
-DOWN = 0.5  # seconds; from the kill to the first start
+DOWN = 0.5  # seconds; from the kill to the first start: the platform starts what ended
+LONG = 5.0  # seconds; the same after a loss of power
 STAGGER = 0.3  # seconds; the starts are spread over this
 WATCHED = 12.0  # seconds; from the last start, in which everything is expected to happen
 CANDIDATE, LEADER, DUTY = 121, 122, 150  # numbers of the events that are timed
@@ -28,12 +29,15 @@
     started: float | None  # the first start of a task at a minion
     last_accepted: float | None  # the last of the jobs that were handed in before the leader was there
     handed_in: int  # jobs handed in from the kill until the leader was there
-    refused: int  # of the answers to those, "not taken"
-    unsure: int  # of the answers to those, "may have been taken", or none
+    refused: int  # of the tries sent until then, answered "not taken"
+    unsure: int  # of those, answered "may have been taken", or not at all
+    held: float  # seconds that all the tries were held that were answered, but not with success
+    longest_held: float  # the longest of them
 
 
-def measure(seed, watched=WATCHED):
-    """One outage, with all that the seed draws, watched for some seconds from the last start."""
+def measure(seed, watched=WATCHED, down=DOWN):
+    """One outage, with all that the seed draws: `down` seconds from the kill to the first start,
+    watched for some seconds from the last one."""
     simulator = Tenancy(seed)
     simulator.patron.rate = JOB_RATE
     simulator.begin()
@@ -45,7 +49,7 @@
     accords = [name for name, node in simulator.nodes.items() if node.kind == "accord"]
     for name in accords:
         simulator.kill(name)
-    simulator.run(DOWN)
+    simulator.run(down)
     delays = sorted(simulator.draw.random() * STAGGER for _ in accords)
     simulator.draw.shuffle(accords)
     for name, delay, before in zip(accords, delays, [0.0, *delays], strict=False):
@@ -82,7 +86,8 @@
     until = simulator.now - last if leader is None else leader
     jobs = [job for job in simulator.patron.jobs.values() if killed < job["sent"] - START < last + until]
     accepted = [job["accepted"] - START - last for job in jobs if job["accepted"] is not None]
-    early = [status for sent, _, status in answers if killed < sent < last + until]
+    early = [one for one in answers if killed < one[0] < last + until]
+    held = [answered - sent for sent, answered, status in early if status not in (0, 200)]
     return Outage(
         event(CANDIDATE),
         leader,
@@ -95,8 +100,10 @@
         ),
         max(accepted) if jobs and len(accepted) == len(jobs) else None,
         len(jobs),
-        sum(status in (429, 503) for status in early),
-        sum(status in (0, 504) for status in early),
+        sum(status in (429, 503) for _, _, status in early),
+        sum(status in (0, 504) for _, _, status in early),
+        sum(held),
+        max(held, default=0.0),
     )
 
 
@@ -105,13 +112,18 @@
 
 
 def main(seeds="20"):
-    """Prints median and longest of each span over seeds, and the sums of the answers."""
-    outages = [measure(seed) for seed in range(int(seeds))]
-    for field in Outage._fields[:6]:
-        found = [getattr(one, field) for one in outages if getattr(one, field) is not None]
-        print(f"{field:14} median {statistics.median(found):6.3f}  most {max(found):6.3f}  seen {len(found)}")
-    for field in Outage._fields[6:]:
-        print(f"{field:14} {sum(getattr(one, field) for one in outages)}")
+    """Prints, for short and long outages over seeds, median and longest of each span, and the sums."""
+    for down in (DOWN, LONG):
+        print(f"away for {down} s")
+        outages = [measure(seed, down=down) for seed in range(int(seeds))]
+        for field in Outage._fields[:6]:
+            found = [getattr(one, field) for one in outages if getattr(one, field) is not None]
+            told = f"median {statistics.median(found):6.3f}  most {max(found):6.3f}" if found else "never"
+            print(f"{field:14} {told}  seen {len(found)}")
+        for field in Outage._fields[6:9]:
+            print(f"{field:14} {sum(getattr(one, field) for one in outages)}")
+        held = sum(one.held for one in outages), max(one.longest_held for one in outages)
+        print(f"held, in vain   {held[0]:6.1f} s in all, longest {held[1]:.2f} s")
 
 
 if __name__ == "__main__":
--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -13,6 +13,7 @@
 
 from ..accord.core import Accord
 from ..ground import constants, wire
+from ..ground.host import TOKENS
 from ..verge.core import Verge
 from ..world import contract
 from . import caller as callers
@@ -20,6 +21,7 @@
 
 START = 1_000_000.0  # virtual seconds; any wall clock will do
 LOSS = 0.002  # of messages in calm weather; links are TCP but break
+REFUSED_AFTER = 0.002  # seconds; a machine whose process is down refuses a connection so soon
 ANSWER_TIMEOUT = 5.0  # seconds a stand-in caller waits
 
 
@@ -305,6 +307,9 @@
         target = self.by_address.get(address)
         if target is None or self.lost(node.name, target.name):
             return
+        if target.core is None and message[0] in TOKENS:
+            self.at(REFUSED_AFTER, "give", node.name, node.life, ("undelivered", message[TOKENS[message[0]]]))
+            return
         source, plain = wire.decode(wire.encode(node.address, message)[4:])
         if not contract.kept(plain):
             raise AssertionError(f"{node.name} breaks a contract: {message!r}")
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -45,6 +45,7 @@
         self.version = (0, 0)
         self.body = None  # the newest news
         self.news_at = None
+        self.begun_at = None  # the first step
         self.stale = True
         self.asked = {}  # token of a question for news -> when it was asked
         self.bounds = None  # (earliest, latest) cohort time less own time, and when learnt
@@ -59,6 +60,8 @@
 
     def step(self, message, now, clock):
         """Takes one message; returns the effects."""
+        if self.begun_at is None:
+            self.begun_at = now
         handler = INPUTS.get(message[0])
         if handler is not None:
             handler(self, *message[1:], now)
@@ -105,7 +108,7 @@
             self._greet(now)
         self._ask_news(now)
         self._send_waiting(now)
-        due, effects = self.carrier.due(now)
+        due, effects = self.carrier.due(now, self._unled_for(now))
         self.effects.extend(effects)
         for token in due:
             self._carry_call(token, now)
@@ -176,6 +179,11 @@
         if fields[1] == "accord" and leader:
             self.leader = leader
 
+    def _unled_for(self, now):
+        """How long no leader has been heard, in seconds; 0 while one is heard often enough."""
+        silent = now - (self.begun_at if self.news_at is None else self.news_at)
+        return silent if silent > constants.LEADER_SILENT else 0.0
+
     # --- carrying ---------------------------------------------------------------------
     def _way(self, avoid):
         """Where to carry a call: the leader if known, else accords in turn."""
@@ -244,8 +252,7 @@
             if leader is None or leader != self.leader:
                 self.leader = leader
             if leader is None:
-                self.news_asked = now  # asked again after a while, of another
-                self.news_token = token
+                self._ask_news_soon(token, now)
             return
         call = self.carrier.calls.get(token)
         if call is not None:
@@ -265,6 +272,16 @@
         elif leader is None and self.leader == carried.to:
             self.leader = None
 
+    def _on_undelivered(self, token, now):
+        """What was sent under `token` reached nobody: no connection could be made."""
+        if token == self.news_token:
+            self._ask_news_soon(token, now)
+            return
+        call = self.carrier.calls.get(token)
+        if call is not None and call.to == self.leader:
+            self.leader = None
+        self.carrier.refused(token)
+
     def _reply(self, request, status, document, retry=None, headers=()):
         if retry is not None:
             headers = (*headers, ("Retry-After", str(retry)))
@@ -319,6 +336,11 @@
             ("news", self.identity, self.address, self.news_token, self.version, tuple(self.outcomes)),
         )
 
+    def _ask_news_soon(self, token, now):
+        """Nobody answers this question: it is asked again after a while, of another."""
+        self.news_token = token
+        self.news_asked = now + constants.CARRY_SEEK - constants.NEWS_HOLD - constants.CARRY_AGAIN
+
     def _on_told(self, token, version, body, orders, kills, time, held, accords, cohort, now):
         if token == self.news_token:
             self.news_token = None
@@ -413,6 +435,7 @@
     "http": Verge._on_http,
     "call": Verge._on_call,
     "unsure": Verge._on_unsure,
+    "undelivered": Verge._on_undelivered,
     "seeds": Verge._on_seeds,
     "posted": Verge._on_posted,
     "stop": Verge._on_stop,
