--- a/features/lease.feature
+++ b/features/lease.feature
@@ -34,7 +34,7 @@
 
   Scenario: an accord that is asked for a vote before its first tick gives none either
     Given an accord with a log that was not stepped yet
-    When it is asked for a pre-vote at once, as a lease ends by its own clock, and once it has ended by any
+    When it is asked for pre-votes that begin its life, and until a lease from then has ended by any clock
     Then it refuses at first and grants then
 
   Scenario: a leader that hands over gives its lease up before its successor hears of it
--- a/features/steps/lease.py
+++ b/features/steps/lease.py
@@ -46,14 +46,19 @@
 
 
 @when("it is asked for a pre-vote at once, as a lease ends by its own clock, and once it has ended by any")
-def step_pre_votes(context):
+def step_pre_votes(context, since=0.0):
     context.told = []
     longest = constants.LEAD_LEASE * (1 + constants.CLOCK_DRIFT) / (1 - constants.CLOCK_DRIFT)
-    for after in (0.01, constants.LEAD_LEASE + 0.01, longest + 0.01):
+    for after in (0.01, since + constants.LEAD_LEASE + 0.01, since + longest + 0.01):
         effects = context.accord.step("c", ("prevote", 4, 1, 3), context.now + after)
         context.told.append(answers(effects, "prevoted"))
 
 
+@when("it is asked for pre-votes that begin its life, and until a lease from then has ended by any clock")
+def step_pre_votes_first(context):
+    step_pre_votes(context, since=0.01)
+
+
 @then("it refuses at first and grants then")
 def step_refused_granted(context):
     *early, late = context.told
--- /dev/null
+++ b/features/steps/outage.py
@@ -0,0 +1,306 @@
+"""Steps for Outage: seeded outages of the whole control plane, and accords stepped by hand."""
+
+import functools
+import os
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+
+import curio
+import curio.socket
+from behave import given, then, when
+
+from pinepitch.accord.consensus import Consensus
+from pinepitch.accord.core import Accord
+from pinepitch.ground import constants
+from pinepitch.ground.folderlock import FolderLock
+from pinepitch.ground.host import Link
+from pinepitch.proof import outage
+from pinepitch.verge.core import Verge
+
+MEMBERS = {"a": "north", "b": "south", "c": "west"}
+WATCHED = 3.0  # seconds from the last start
+LEASE = constants.LEAD_LEASE * (1 + constants.CLOCK_DRIFT)  # of a leader whose clock runs slow
+
+
+def restarted(identity):
+    """A consensus that a store gave one entry."""
+    consensus = Consensus(identity, 7, MEMBERS)
+    consensus.restore(None, [([3, "c", 3, {}], None, 1, [(3, 0.0, ("noop",))])])
+    return consensus
+
+
+@when("every accord is killed and started again, with seeds {first:d} to {last:d}")
+def step_outages(context, first, last):
+    context.outages = [outage.measure(seed, WATCHED) for seed in range(first, last + 1)]
+
+
+@then("half of them have a leader within {half:g} of a lease, and all within {most:g}")
+def step_leaders(context, half, most):
+    spans = [one.leader / constants.LEAD_LEASE for one in context.outages]
+    assert statistics.median(spans) <= half and max(spans) <= most, spans
+
+
+@then("all take a job within {taken:g} s of it, and start a task within {started:g} s of it")
+def step_served(context, taken, started):
+    for one in context.outages:
+        assert one.accepted - one.leader <= taken, one
+        assert one.started - one.leader <= started, one
+
+
+@given("two accords with a log that start anew, the second {late:g} s after the first")
+def step_two(context, late):
+    context.accords = {"a": restarted("a"), "b": restarted("b")}
+    context.starts = {"a": 100.0, "b": 100.0 + late}
+    context.lost = set()
+
+
+@when("the first asks for votes once it may")
+def step_asks(context):
+    context.led_at = run_until_led(context)
+
+
+@when("the first asks for votes once it may, and its first vote request is lost")
+def step_asks_lost(context):
+    context.lost = {"vote"}
+    context.led_at = run_until_led(context)
+
+
+def run_until_led(context):
+    """Ticks both accords, "c" being away, and carries what they say at once; when "a" leads, or None.
+    The second only votes, as its own campaign would hide how soon the first is heard."""
+    now = context.starts["a"]
+    while now < 103.0:
+        for identity, accord in context.accords.items():
+            if now >= context.starts[identity]:
+                deliver(context, identity, accord.tick(now), now)
+                if identity == "b":
+                    accord.election_at = now + 10.0
+        if context.accords["a"].role == "leader":
+            return now
+        now += constants.TICK
+    return None
+
+
+def deliver(context, sender, effects, now):
+    """Hands messages over and calls saves done, until nothing is left to do."""
+    for effect in effects:
+        if effect[0] == "save":
+            deliver(context, sender, context.accords[sender].saved(effect[1], now), now)
+        elif effect[0] == "send" and effect[1] in context.accords and now >= context.starts[effect[1]]:
+            if effect[2][0] in context.lost:
+                context.lost.remove(effect[2][0])
+                continue
+            answers = context.accords[effect[1]].step(sender, effect[2], now)
+            deliver(context, effect[1], answers, now)
+
+
+@then("it leads within {most:g} s of the end of the second's wait")
+def step_leads(context, most):
+    wait_over = context.starts["b"] + LEASE
+    assert context.led_at is not None and context.led_at <= wait_over + most, context.led_at
+    assert context.led_at >= wait_over, context.led_at
+
+
+@given("a candidate whose voters chose another")
+def step_split(context):
+    context.now = 100.0
+    context.accord = restarted("a")
+    context.accord.tick(context.now)
+    context.accord._campaign("candidate", context.now + 1.0)
+    context.accord.saved(context.accord.sequence, context.now + 1.0)
+    for voter in ("b", "c"):
+        context.accord.step(voter, ("voted", 4, False, "c", 3, {4: "c"}), context.now + 1.01)
+
+
+@then("it asks for pre-votes within {most:g} s, under the term it has")
+def step_pre_votes(context, most):
+    now = context.now + 1.01
+    while context.accord.role != "prospect" and now < context.now + 1.01 + most:
+        now += constants.TICK
+        context.accord.tick(now)
+    assert context.accord.role == "prospect" and context.accord.term == 4
+
+
+@given("an accord with a log whose process began {before:g} s before its first tick")
+def step_began(context, before):
+    context.now = 100.0
+    core = Accord("b", "10.0.0.2:1", "south", ("10.0.0.1:1",))
+    core.begun_at = context.now - before
+    core.restore(
+        None,
+        [
+            [("note", ["consent", "ours", MEMBERS, "static"])],
+            [("raft", [[3, "c", 3, {}], None, 1, [(3, 0.0, ("noop",))]])],
+        ],
+    )
+    context.accord = core.consensus
+    context.accord.tick(context.now)
+    context.wait_over = context.now - before + LEASE
+
+
+def granted(context, at):
+    effects = context.accord.step("a", ("prevote", 4, 1, 3), at)
+    return [effect[2][2] for effect in effects if effect[0] == "send" and effect[2][0] == "prevoted"]
+
+
+@then("it gives no vote before a lease from the begin of the process is over")
+def step_none(context):
+    assert context.accord.election_at >= context.wait_over
+    assert granted(context, context.wait_over - 0.01) == [False]
+
+
+@then("it gives one {after:g} s later")
+def step_gives(context, after):
+    assert granted(context, context.wait_over + after) == [True]
+
+
+@given("a data folder that a process owns")
+def step_owned(context):
+    folder = tempfile.TemporaryDirectory(prefix="pinepitch-")
+    context.add_cleanup(folder.cleanup)
+    context.folder = folder.name
+    context.lock = FolderLock(context.folder)
+
+
+@then("an accord on it ends at once and says so")
+def step_ends(context):
+    ended = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "from pinepitch.accord.program import main; main()",
+            "--address=127.0.0.1:1",
+            "--area=a",
+            f"--data={context.folder}",
+            "--seeds=127.0.0.1:1,127.0.0.1:2,127.0.0.1:3",
+        ],
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
+    assert ended.returncode == 2 and context.folder in ended.stderr, ended
+    assert len(ended.stderr.strip().splitlines()) == 1 and not os.listdir(context.folder), ended.stderr
+
+
+@then("the folder can be owned again once that process has let go")
+def step_again(context):
+    os.close(context.lock.descriptor)
+    begun = time.monotonic()
+    again = FolderLock(context.folder)
+    assert begun <= again.since <= time.monotonic()
+    os.close(again.descriptor)
+
+
+@when("every accord is killed and started again after {down:g} s, with seeds {first:d} to {last:d}")
+def step_long_outages(context, down, first, last):
+    context.outages = [outage.measure(seed, WATCHED, down) for seed in range(first, last + 1)]
+
+
+@then("no try is held longer than {most:g} s, and on average none over {average:g} s")
+def step_held(context, most, average):
+    for one in context.outages:
+        assert one.longest_held <= most, one
+        assert one.held <= average * (one.refused + one.unsure), one
+
+
+@then("nine in ten are told that the call was not taken")
+def step_not_taken(context):
+    for one in context.outages:
+        assert one.refused >= 0.9 * (one.refused + one.unsure) > 0, one
+
+
+VERGE, LEADER = "10.0.0.9:7000", "10.0.0.1:7000"
+
+
+@given("a verge that last heard its leader {silent:g} s ago")
+def step_verge(context, silent):
+    context.verge, context.now = Verge("verge", VERGE, "north", (LEADER,)), 50.0
+    context.verge.step(("tick",), context.now, 0.0)
+    context.verge.leader = LEADER
+    context.verge.accords = {"a": ("north", LEADER, context.now)}
+    context.verge.news_at = context.now - silent
+
+
+@when("a call of {patience:g} s comes that {way}")
+def step_call_comes(context, patience, way):
+    context.replies, begun = [], context.now
+    effects = context.verge.step(("call", 1, "job", (), patience), context.now, 0.0)
+    while not context.replies and context.now < begun + patience + 1:
+        for effect in effects:
+            if effect[0] == "send" and effect[2][0] == "ask":
+                told = {"nobody takes": ("elsewhere", effect[2][2], None, effect[2][5], None)}
+                told["reaches nobody"] = ("undelivered", effect[2][2], effect[2][5])
+                if way in told:
+                    context.verge.step(told[way], context.now, 0.0)
+        context.now += constants.TICK
+        effects = context.verge.step(("tick",), context.now, 0.0)
+        context.replies = [effect for effect in effects if effect[0] == "reply"]
+    context.held = context.now - begun
+
+
+@then("it is answered {status:d} after {held:g} s")
+def step_answered(context, status, held):
+    ((_, _, told, _, headers),) = context.replies
+    assert told == status, context.replies
+    assert (("Retry-After", str(constants.COME_BACK)) in headers) == (status == 503), headers
+    assert held <= context.held + 0.001 and context.held <= held + 2 * constants.TICK, context.held
+
+
+@given("a link to a port where nobody listens")
+def step_link(context):
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        context.port = taken.getsockname()[1]
+    context.undelivered, context.arrived = [], b""
+
+
+async def undelivered(context, tokens):
+    context.undelivered.extend(tokens)
+
+
+async def through_link(context):
+    """Calls while nobody listens, then calls while a peer does; the link's task ends with it."""
+    link = Link(f"127.0.0.1:{context.port}", functools.partial(undelivered, context))
+    task = await curio.spawn(link.run)
+    await link.put(b"first", "one")
+    while not context.undelivered:
+        await curio.sleep(0)
+    await link.put(b"second", "two")
+    context.told_at_once = list(context.undelivered)
+    server = curio.socket.socket()
+    server.setsockopt(curio.socket.SOL_SOCKET, curio.socket.SO_REUSEADDR, 1)
+    server.bind(("127.0.0.1", context.port))
+    server.listen(1)
+    await link.put(b"third", "three")
+    peer, _ = await server.accept()
+    while link.down:
+        await curio.sleep(0)
+    await link.put(b"fourth", "four")
+    context.arrived = await peer.recv(100)
+    await task.cancel()
+    await peer.close()
+    await server.close()
+
+
+@when("two calls are put into it, one after the other")
+def step_put(context):
+    curio.run(through_link, context)
+
+
+@then("both calls are told as undelivered, the second at once")
+def step_both(context):
+    assert context.told_at_once == ["one", "two"], context.told_at_once
+
+
+@when("a peer listens there and two calls more are put into it")
+def step_listens(context):
+    assert context.undelivered == ["one", "two", "three"], context.undelivered
+
+
+@then("the second of them arrives, and nothing that was told as undelivered")
+def step_arrives(context):
+    assert context.arrived == b"fourth", context.arrived
--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -106,7 +106,9 @@
         self.hard_dirty, self.truncate, self.dirty_from = False, None, None
         self.effects = []
         self.heard_leader = -1e9
+        self.begun_at = None  # when this life began, after any earlier one had ended; None: at the first tick
         self.election_at = None
+        self.ask_at = -1e9  # when votes are asked for again
         self.penance_until = -1e9
         self.stranger = False
         self.handover = None  # the Handover under way while leading
@@ -293,6 +295,8 @@
                 self._follow(self.term, now, "commit quorum not heard")
             elif now - self.beat_at >= constants.HEARTBEAT:
                 self._broadcast(now)
+        elif self.role in ("prospect", "candidate") and self.ask_at <= now < self.election_at:
+            self._ask_votes(now)
         elif now >= self.election_at:
             if self.identity in self.cohort.members() and now >= self.penance_until and not self.stranger:
                 self._campaign("prospect", now)
@@ -301,15 +305,17 @@
         return self._done(now)
 
     def _begin_life(self, now):
-        """At the first input: what an earlier life acknowledged may still carry a leader's lease, so no
-        vote is given before that is over, also by that leader's slower clock."""
+        """At the first input of this life: what an earlier one acknowledged may still carry a leader's
+        lease, so no vote is given, and none asked for, before that is over, also by that leader's
+        slower clock."""
         if self.election_at is not None:
             return
-        lease = constants.LEAD_LEASE * constants.LEASE_STRETCH
-        self.heard_leader = max(self.heard_leader, now - constants.ELECTION_TIMEOUT + lease)
+        since = now if self.begun_at is None else min(now, self.begun_at)
+        lease_over = since + constants.LEAD_LEASE * constants.LEASE_STRETCH
+        self.heard_leader = max(self.heard_leader, lease_over - constants.ELECTION_TIMEOUT)
         self._reset_election(now)
         if self.last_index() > 0:
-            self.election_at = now + constants.LEAD_LEASE * (1.2 + self.random.random())
+            self.election_at = max(now, lease_over) + constants.RESTART_SPREAD * self.random.random()
 
     def disk_failed(self, now):
         """A disk that refuses to write is no leader's."""
@@ -352,14 +358,20 @@
             self.hard_dirty = True
         self._event(121 if role == "candidate" else 120, campaign=term)
         self.replies[self.identity] = self._reply(True)
-        kind = "vote" if role == "candidate" else "prevote"
+        self._ask_votes(now)
+        self._count_votes(now)
+
+    def _ask_votes(self, now):
+        """Asks for what the campaign under way needs, and again until the time-out: a request or its
+        answer may get lost, and a voter that still waits for a lease to end grants a moment later."""
+        self.ask_at = now + constants.VOTE_AGAIN * (0.5 + self.random.random())
+        kind, term = ("vote", self.term) if self.role == "candidate" else ("prevote", self.term + 1)
         message = (kind, term, self.last_index(), self.term_at(self.last_index()))
-        if released:
-            message = ("takeover", *message[1:], released)
+        if self.released:
+            message = ("takeover", *message[1:], self.released)
         for identity in self.cohort.members():
             if identity != self.identity:
                 self._send(identity, message, self._after_flush())
-        self._count_votes(now)
 
     def _reply(self, granted):
         return Reply(granted, self.leader, self.leader_term, dict(self.history))
@@ -372,6 +384,9 @@
                 self._campaign("candidate", now)
             elif self.hard_sequence <= self.saved_sequence and not self.hard_dirty:
                 self._lead(now)
+        elif self.role == "candidate" and not result.possible:
+            # the votes were split: nobody may have won, so it asks for pre-votes anew soon
+            self.election_at = min(self.election_at, now + constants.RESTART_SPREAD * self.random.random())
 
     def _fresh(self, last_index, last_term):
         own = self.term_at(self.last_index())
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -52,7 +52,8 @@
         self.departure = None  # the Departure of this accord, once it stops
         self.leaving = {}  # accord that stops -> its membership.Leave
         self.change_took = 0.0  # seconds; of the newest joint change that this accord led
-        self.begun_at = None  # when the first tick came
+        self.first_tick_at = None
+        self.begun_at = None  # when this process came to own its data folder, if that is known
         self.greet_at = self.join_at = self.held_back_at = -1e9
         self.snapshotting = False
         self.snapshot_segments = (1, 0)  # of the archive, that the snapshot under way stands on
@@ -85,7 +86,8 @@
         self.outbox = {}  # verge -> {(reference, attempt): order}
         self.kills = {}  # reference -> when last ordered
         self.placer = Placer()
-        self.epoch = 0
+        self.epoch = 0  # -1 while it is claimed
+        self.duty_index = None  # of the entry that claims the placing duty: older claims may be applied now
         self.level_asked = 0  # the level that is proposed to be agreed on
         self.lead_since = None
         self.place_at = self.watch_at = -1e9
@@ -125,6 +127,7 @@
 
     def _begin_consensus(self, members):
         self.consensus = Consensus(self.identity, self.seed, members, self.mode)
+        self.consensus.begun_at = self.begun_at
         self.consensus.archive = self.record.archive
 
     def _take_record(self, image, segments):
@@ -153,7 +156,9 @@
         """What a leader decides beside what a message asks for."""
         if self.place_due and now - self.place_at >= constants.PLACE_EVERY:
             self._place(now)
-        if self.epoch > 0 and self.consensus.serving():
+        if self.epoch == 0 and self.consensus is not None and self.consensus.role == "leader":
+            self._claim_placing(now)
+        elif self.epoch > 0 and self.consensus.serving():
             if now - self.keeper.flushed >= constants.GATHER_BEATS:
                 self.keeper.tick(now)
             self.keeper.flush(now)
@@ -169,8 +174,8 @@
 
     def _tick(self, now):
         self._carry_again(now)
-        if self.begun_at is None:
-            self.begun_at = now
+        if self.first_tick_at is None:
+            self.first_tick_at = now
         for identity in self.sessions.expire(now):
             self._event(141, daemon=identity)
         if now - self.greet_at >= constants.GREET_EVERY and not self.stopping:
@@ -450,7 +455,7 @@
 
     def _unheard(self, identity, now):
         """How long a member that is out of session was not heard, as far as this accord can tell."""
-        return now - max(self.sessions.heard(identity), self.begun_at)
+        return now - max(self.sessions.heard(identity), self.first_tick_at)
 
     def _time_change(self, now):
         """Measures how long the joint change that this accord leads takes."""
@@ -660,6 +665,10 @@
         if call is not None and leader is not None and (call.term or 0) < self.leader_clock.term:
             self._carry(token, now)  # it lacked an end on this leader's clock
 
+    def _on_undelivered(self, token, sending, now):
+        """A sending of a call reached nobody: no connection could be made."""
+        self.carrier.refused(token, sending)
+
     def _on_unsure(self, token, now):
         self.carrier.unsure(token)
 
@@ -710,6 +719,7 @@
     "answer": Accord._on_answer,
     "elsewhere": Accord._on_elsewhere,
     "unsure": Accord._on_unsure,
+    "undelivered": Accord._on_undelivered,
     "seeds": Accord._on_seeds,
     "seat": Accord._on_seat,
     "stop": Accord._on_stop,
--- a/src/pinepitch/ground/carrier.py
+++ b/src/pinepitch/ground/carrier.py
@@ -15,6 +15,7 @@
         "call",
         "arguments",
         "key",
+        "begun",
         "until",
         "again",
         "to",
@@ -24,8 +25,9 @@
         "term",
     )
 
-    def __init__(self, request, call, arguments, until):
-        self.request, self.call, self.arguments, self.until = request, call, arguments, until
+    def __init__(self, request, call, arguments, begun, until):
+        self.request, self.call, self.arguments = request, call, arguments
+        self.begun, self.until = begun, until
         self.key = key_of(call, arguments)
         self.again = self.to = None
         self.sendings = 0
@@ -48,7 +50,8 @@
         """Takes a call; its token."""
         self.count += 1
         token = f"{self.life}~{self.count}"
-        self.calls[token] = Call(request, call, arguments, now + min(patience, constants.CALL_PATIENCE))
+        until = now + min(patience, constants.CALL_PATIENCE)
+        self.calls[token] = Call(request, call, arguments, now, until)
         return token
 
     def sent(self, token, address, now, end=None):
@@ -64,11 +67,12 @@
         call.open.add(call.sendings)
         return call.sendings
 
-    def due(self, now):
-        """(tokens to be sent again, effects that reply to those given up)."""
+    def due(self, now, unled_for=0.0):
+        """(tokens to be sent again, effects that reply to those given up). While no leader has been
+        heard for `unled_for` seconds, calls are given up sooner, so that their callers may come back."""
         due, effects = [], []
         for token, call in list(self.calls.items()):
-            if now >= call.until:
+            if now >= self._end(call, unled_for):
                 effects.extend(self.give_up(token))
             elif call.again is not None and now >= call.again:
                 due.append(token)
@@ -79,8 +83,22 @@
         call = self.calls.pop(token)
         return (("reply", call.request, *self._given_up(call)),)
 
+    def _end(self, call, unled_for):
+        """When a call is given up: without a leader after a part of its time, which outlasts a restart;
+        in a long outage soon, if nobody can have taken it and its caller can be told when to come back."""
+        if unled_for <= 0:
+            return call.until
+        if unled_for < constants.OUTAGE_SHORT or self._may_be_taken(call):
+            return call.begun + constants.UNLED_SHARE * (call.until - call.begun)
+        return min(call.until, call.begun + constants.UNLED_SEEK)
+
+    @staticmethod
+    def _may_be_taken(call):
+        """Whether somebody may have taken a call, so that it may have its effect."""
+        return bool(call.open or call.doubtful) and call.call != INDEX_CALL
+
     def _given_up(self, call):
-        if (call.open or call.doubtful) and call.call != INDEX_CALL:
+        if self._may_be_taken(call):
             return (
                 504,
                 {"error": {"code": "unsure", "message": "no leader answered; the call may have been taken"}},
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -5,6 +5,8 @@
 HEARTBEAT = 0.1  # seconds; six fit in an election time-out, so a lost one changes nothing
 ELECTION_TIMEOUT = 0.6  # seconds; the design has 1 s and leaves it free: what runs is held only so long
 ELECTION_JITTER = 0.7  # times the time-out; a seeded spread that keeps candidates apart
+RESTART_SPREAD = 0.2  # seconds; keeps candidates apart that waited for one lease together, or split the votes
+VOTE_AGAIN = 0.1  # seconds; before votes are asked for again: one may be lost, a voter's wait over by then
 CHECK_QUORUM = 0.6  # seconds; a leader unheard by a commit quorum this long steps down
 DISK_STALL = 1.5  # seconds; a leader whose save takes longer gives leadership up
 DISK_AGAIN = 0.5  # seconds; before what a disk refused is written again
@@ -228,6 +230,14 @@
 RACK_WAIT = 1.0  # seconds; a gang waits for one rack with room for all at most this long
 STALL = 0.9  # seconds; a daemon that did not run this long: callers go elsewhere after a second of silence
 STALL_AFTERMATH = 0.25  # seconds; after a stall in which calls that waited in sockets are still being read
+LEADER_SILENT = 1.0  # seconds; without news from a leader this long a verge counts as unled: twice NEWS_HOLD
+UNLED_SHARE = (
+    0.55  # of its time a call waits at an unled verge at most; its caller can come back within the rest
+)
+OUTAGE_SHORT = (
+    2.0  # seconds; an outage that lasts longer is no restart of processes, nobody waits for its end
+)
+UNLED_SEEK = 0.2  # seconds; in a long outage, enough to ask one or two accords who leads
 CARRY_SEEK = 0.1  # seconds; before a call that nobody took is sent to whoever leads by then
 GATHER_BEATS = 0.005  # seconds; what beats tell is gathered this long into one entry
 HINT_EVERY = 10.0  # seconds; between two hints to a minion where the leader is
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -16,6 +16,13 @@
 from .env import split
 
 
+def call_sending(message):
+    """(token, number of the sending) of a message that waits for an answer, None for any other."""
+    if message[0] == "ask":
+        return message[2], message[5]
+    return (message[3], 0) if message[0] == "news" else None
+
+
 def steady_clock():
     """Seconds that a decider's leases and time-outs are told by: never set, and unlike the monotonic
     clock it goes on while the machine is suspended, so that a lease is over when it resumes."""
@@ -24,16 +31,27 @@
 
 class Link:
     """One way out to another daemon. Invariant: frames leave in the order they came; the
-    oldest falls when LINK_QUEUE are waiting; a broken socket loses what it held."""
+    oldest falls when LINK_QUEUE are waiting; a broken socket loses what it held; sendings are those
+    of calls in frames, none of which has gone out yet."""
 
-    def __init__(self, address):
+    def __init__(self, address, undelivered):
         self.address = address
+        self.undelivered = undelivered  # told the sendings of calls when no connection could be made
         self.frames = collections.deque(maxlen=constants.LINK_QUEUE)
+        self.sendings = []
+        self.down = False  # whether the last attempt to connect failed, and none was made since
         self.filled = curio.Event()
 
-    async def put(self, frame):
-        self.frames.append(frame)
+    async def put(self, frame, sending=None):
+        """Queues a frame; `sending` names the call in it, if it carries one. A call is not queued
+        for a peer that could not be reached last: it only makes the link try again."""
         await self.filled.set()
+        if sending is not None and self.down:
+            await self.undelivered([sending])
+            return
+        self.frames.append(frame)
+        if sending is not None:
+            self.sendings.append(sending)
 
     async def run(self):
         """Connects, sends, and begins anew when the socket breaks."""
@@ -45,10 +63,14 @@
                     constants.ELECTION_TIMEOUT, curio.open_connection(host, port)
                 )
             except (OSError, curio.TaskTimeout):
+                sendings, self.sendings = self.sendings, []
                 self.frames.clear()
                 self.filled.clear()
+                self.down = True
+                await self.undelivered(sendings)
                 await curio.sleep(constants.LINK_BACKOFF)
                 continue
+            self.down = False
             async with socket:
                 socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
                 socket.setsockopt(
@@ -57,8 +79,9 @@
                 try:
                     while True:
                         await self.filled.wait()
-                        batch = b"".join(self.frames)
+                        batch = b"".join(self.frames)  # empty where it was only to try again
                         self.frames.clear()
+                        self.sendings.clear()
                         self.filled.clear()
                         await curio.timeout_after(constants.ELECTION_TIMEOUT, socket.sendall(batch))
                 except (OSError, curio.TaskTimeout):
@@ -149,9 +172,15 @@
     async def _send(self, address, message):
         link = self.links.get(address)
         if link is None:
-            link = self.links[address] = Link(address)
+            link = self.links[address] = Link(address, self._undelivered)
             await self.tasks.spawn(link.run)
-        await link.put(wire.encode(self.address, message))
+        sending = call_sending(message)
+        await link.put(wire.encode(self.address, message), sending)
+
+    async def _undelivered(self, sendings):
+        """Tells the decider which sendings of calls reached nobody."""
+        for token, number in sendings:
+            await self.inbox.put(("undelivered", token, number))
 
     async def _event(self, number, fields):
         events.emit(self.log, number, **fields)
--- a/src/pinepitch/proof/isolation/fleet.py
+++ b/src/pinepitch/proof/isolation/fleet.py
@@ -49,5 +49,6 @@
 
     def begin(self):
         super().begin()
-        self.operators = Operators(self, self.governor.documents)
+        documents = {change.version: change.document for change in self.governor.changes}
+        self.operators = Operators(self, documents)
         self.at(0.0, "later", self.operators.tick)
--- a/src/pinepitch/proof/scale/hollow.py
+++ b/src/pinepitch/proof/scale/hollow.py
@@ -87,12 +87,16 @@
     async def _send(self, address, message):
         link = self.links.get(address)
         if link is None:
-            link = self.links[address] = Link(address)
+            link = self.links[address] = Link(address, self._undelivered)
             await self.tasks.spawn(link.run)
         frame = wire.encode(self.address, message)
         self.bytes_out += len(frame)
         await link.put(frame)
 
+    async def _undelivered(self, sendings):
+        """Calls that reached nobody are asked of another daemon when they are sent again."""
+        self.leader = None
+
     async def ask(self, call, arguments, told, address=None):
         """Carries one call; told(status, document) is called with its answer."""
         self.count += 1
--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -13,6 +13,7 @@
 
 from ..accord.core import Accord
 from ..ground import constants, stall, wire
+from ..ground.host import call_sending
 from ..verge.core import Verge
 from ..world import contract
 from . import caller as callers
@@ -22,6 +23,7 @@
 OFFSET = 1000.0  # seconds; from the simulator's time to the one that deciders are given
 GRACE = 6.0  # seconds; from SIGTERM to SIGKILL
 LOSS = 0.002  # of messages in calm weather; links are TCP but break
+REFUSED_AFTER = 0.002  # seconds; a machine whose process is down refuses a connection so soon
 ANSWER_TIMEOUT = 5.0  # seconds a stand-in caller waits
 
 
@@ -350,6 +352,10 @@
         target = self.by_address.get(address)
         if target is None or self.lost(node.name, target.name):
             return
+        sending = call_sending(message)
+        if target.core is None and sending is not None:
+            self.at(REFUSED_AFTER, "give", node.name, node.life, ("undelivered", *sending))
+            return
         source, plain = wire.decode(wire.encode(node.address, message)[4:])
         if not contract.kept(plain):
             raise AssertionError(f"{node.name} breaks a contract: {message!r}")
