--- a/features/contact.feature
+++ b/features/contact.feature
@@ -86,13 +86,14 @@
     Given a host that ticks
     When it is stopped for <seconds> seconds, and then reads a <kind>
     Then it is <outcome>
+    And the log says <events>
 
     Examples:
-      | kind  | seconds | outcome                                 |
-      | call  | 2       | refused there, saying when to come back |
-      | http  | 2       | refused there, saying when to come back |
-      | ready | 2       | taken there                             |
-      | call  | 0.4     | taken there                             |
+      | kind  | seconds | outcome                                 | events                  |
+      | call  | 2       | refused there, saying when to come back | once that it was stopped |
+      | http  | 2       | refused there, saying when to come back | once that it was stopped |
+      | ready | 2       | taken there                             | once that it was stopped |
+      | call  | 0.4     | taken there                             | nothing                 |
 
   Scenario: calls that come once a host runs again are taken
     Given a host that ticks
--- a/features/steps/contact.py
+++ b/features/steps/contact.py
@@ -2,11 +2,12 @@
 
 import random
 import time
+from unittest import mock
 
 import curio
 from behave import given, then, when
 
-from pinepitch.ground import constants, host, http, stall
+from pinepitch.ground import constants, events, host, http, stall
 from pinepitch.ground.leaderclock import LeaderClock, Reading
 from pinepitch.proof import tenancy
 from pinepitch.proof.isolation import trials
@@ -249,7 +250,8 @@
 @given("a host that ticks")
 def step_host(context):
     context.clock, context.core = Clock(), Recorder()
-    context.host = host.Host(context.core, CALLER, None)
+    context.log = mock.Mock()
+    context.host = host.Host(context.core, CALLER, context.log)
     context.before, host.time = host.time, context.clock
     context.add_cleanup(setattr, host, "time", context.before)
     tick(context, 0.2)
@@ -297,6 +299,20 @@
     assert context.response.status == 200 and context.core.messages[-1][0] != "tick"
 
 
+@then("the log says once that it was stopped")
+def step_logged(context):
+    tick(context, 0.5)
+    ((text, fields),) = [(one.args[0], one.kwargs) for one in context.log.warning.call_args_list]
+    assert text == events.CATALOGUE[108][0] and fields["number"] == 108, (text, fields)
+    assert abs(fields["seconds"] - 2.0) < constants.TICK, fields
+
+
+@then("the log says nothing")
+def step_nothing_logged(context):
+    tick(context, 0.5)
+    assert not context.log.method_calls, context.log.method_calls
+
+
 @then("what is read from then on is taken")
 def step_read_on(context):
     for kind in ("call", "http"):
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -138,7 +138,9 @@
 
     async def _step(self, message):
         now = steady_clock()
-        self.stall_guard.turn(now)
+        stalled = self.stall_guard.turn(now)
+        if stalled:
+            events.emit(self.log, 108, seconds=round(stalled, 3))
         if self.stall_guard.refuses(message, now):
             await self._reply(message[1], *stall.PAUSED)
             return
--- a/src/pinepitch/ground/stall.py
+++ b/src/pinepitch/ground/stall.py
@@ -23,10 +23,14 @@
         self.until = -1e9
 
     def turn(self, now):
-        """Notes one turn of the daemon's loop, which ticks at the least."""
-        if self.turned is not None and now - self.turned > constants.STALL:
-            self.until = now + constants.STALL_AFTERMATH
+        """Notes one turn of the daemon's loop, which ticks at the least; the seconds of the stall
+        that it ends, 0.0 if there was none."""
+        passed = 0.0 if self.turned is None else now - self.turned
         self.turned = now
+        if passed <= constants.STALL:
+            return 0.0
+        self.until = now + constants.STALL_AFTERMATH
+        return passed
 
     def refuses(self, message, now):
         """Whether a message is a call that may have waited since before the stall: its caller
