--- a/features/steps/calls.py
+++ b/features/steps/calls.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from pinepitch.accord.calls import CALLS
+from pinepitch.ground.leaderclock import Reading
 from pinepitch.proof import simulator as simulators
 from pinepitch.world import ticket as tickets
 
@@ -68,13 +69,19 @@
         else:
             simulators.Simulator._send(simulator, node, address, message)
 
+    def end(self):
+        """An end, on the leader's clock, that is far off."""
+        return Reading(self.simulator.leader().core.consensus.term, self.simulator.steady() + 2.0)
+
     def give(self, call, arguments, token, times=1):
         """The answers to a call asked so many times in one moment."""
         self.answers.pop(token, None)
         arguments = json.loads(json.dumps(arguments))
         with mock.patch.dict(simulators.EFFECTS, {"send": self._kept_send}):
             for sending in range(1, times + 1):
-                self.simulator.give(self.simulator.leader(), ("ask", DOOR, token, call, arguments, sending))
+                self.simulator.give(
+                    self.simulator.leader(), ("ask", DOOR, token, call, arguments, sending, self.end())
+                )
             self.simulator.run(0.5)
         return self.answers.get(token, [])
 
--- a/features/steps/door_fuzz.py
+++ b/features/steps/door_fuzz.py
@@ -196,7 +196,7 @@
         if made[0] in ("configure", "amend") and response.status == 200:
             self.versions.append(response.document["configVersion"])
 
-    def _reply(self, simulator, node, request, status, document, headers=()):
+    def _reply(self, simulator, node, request, status, document, headers=(), until=None):
         self.replies.setdefault(request, []).append(Response(status, document, tuple(headers)))
 
 
--- a/features/steps/frames.py
+++ b/features/steps/frames.py
@@ -40,8 +40,8 @@
 WHOLE = wire.encode(SOURCE, ("leave", "whole"))
 STREAM = [
     wire.encode(SOURCE, greeting()),
-    wire.encode(SOURCE, ("ask", SOURCE, "token", "beat-leave", ("minion",), 1)),
-    wire.encode(SOURCE, ("elsewhere", "token", None, 1)),
+    wire.encode(SOURCE, ("ask", SOURCE, "token", "beat-leave", ("minion",), 1, (1, 2.5))),
+    wire.encode(SOURCE, ("elsewhere", "token", None, 1, None)),
 ]
 FRAMES = {
     "a frame of another version": length_and(
@@ -57,9 +57,9 @@
     "a greeting from a port of odd digits": wire.encode(SOURCE, greeting("10.0.0.1:7\u00b2")),
     "a greeting that tells of a faulty address": wire.encode(SOURCE, greeting(known=(("two", "a", "x:y"),))),
     "a call to be answered to no address": wire.encode(
-        SOURCE, ("ask", "", "token", "beat-leave", ("minion",), 1)
+        SOURCE, ("ask", "", "token", "beat-leave", ("minion",), 1, None)
     ),
-    "a refusal that names no address": wire.encode(SOURCE, ("elsewhere", "token", "leader", 1)),
+    "a refusal that names no address": wire.encode(SOURCE, ("elsewhere", "token", "leader", 1, None)),
     "a raft message without a kind": raft(),
     "an entry without an operation": raft("append", 1, 0, 0, ((1, 1.5, ()),), 0, 1),
 }
--- a/features/steps/lives.py
+++ b/features/steps/lives.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from pinepitch.ground.carrier import Carrier
+from pinepitch.ground.leaderclock import Reading
 from pinepitch.proof import simulator as simulators
 
 ANSWER_TO_NOBODY, ANSWER_TO_ANOTHER_CALL = 144, 145
@@ -66,6 +67,10 @@
         (ask,) = [effect[2] for effect in effects if effect[0] == "send" and effect[2][0] == "ask"]
         return ask
 
+    def end(self):
+        """An end, on the leader's clock, that is far off."""
+        return Reading(self.leader.core.consensus.term, self.simulator.steady() + PATIENCE)
+
     def ask_leader(self, *asks):
         """Gives the leader calls at one moment, and time to answer; the answers."""
         before = len(self.answers)
@@ -252,7 +257,15 @@
     cohort = context.cohort
     cohort.other_leads(cohort.first)
     for turn in range(3):
-        ask = ("ask", cohort.leader.address, f"turn{turn}", "change", change_of(f"turn {turn}"), 1)
+        ask = (
+            "ask",
+            cohort.leader.address,
+            f"turn{turn}",
+            "change",
+            change_of(f"turn {turn}"),
+            1,
+            cohort.end(),
+        )
         cohort.simulator.give(cohort.leader, ask)
     cohort.until(lambda: cohort.leader.core.consensus.commit >= context.index + 1)
     cohort.simulator.heal()
--- a/src/pinepitch/proof/jobs/replays.py
+++ b/src/pinepitch/proof/jobs/replays.py
@@ -41,13 +41,13 @@
 
 
 def _other_sending(draw, message):
-    kind, token, leader, sending = message
-    return (kind, token, leader, sending + draw.randrange(1, 4))
+    kind, token, leader, sending, reading = message
+    return (kind, token, leader, sending + draw.randrange(1, 4), reading)
 
 
 def _unknown_call(draw, message):
-    kind, address, token, call, arguments, sending = message
-    return (kind, address, token, f"{call}-other", [], sending)
+    kind, address, token, call, arguments, sending, end = message
+    return (kind, address, token, f"{call}-other", [], sending, end)
 
 
 # message kind -> what may be done to it
