Messages that are another daemon's are told of as event 147

Cause: a frame of another cohort, one to an identity that stood at the address before, or a kind that this kind of daemon does not take, was dropped without a word. It still changes nothing.

Tests: four examples in features/lives.feature, all seen failing on the code before.

--- a/features/lives.feature
+++ b/features/lives.feature
@@ -48,3 +48,15 @@
     When another leader agrees on other changes, and the first leads again after the cut
     Then the change is told as unsure, once, and nothing more
     And the change is not in force
+
+  Scenario Outline: <message> is dropped, and told of
+    Given a follower of a cohort that serves
+    When <message> comes to it
+    Then it tells of a message that is not for it, and does nothing else
+
+    Examples:
+      | message                                 |
+      | an append of another cohort             |
+      | a vote asked for by another cohort      |
+      | an append to an identity that was wiped |
+      | news for a front                        |
--- a/features/steps/lives.py
+++ b/features/steps/lives.py
@@ -290,3 +290,51 @@
 def step_not_in_force(context):
     notes = context.cohort.first.core.record.setup["notes"]
     assert notes == {"words": "turn 2"}, notes
+
+
+# --- messages for others ---------------------------------------------------------------
+NOT_FOR_IT = 147
+NEWEST_TERM = 99
+
+
+@given("a follower of a cohort that serves")
+def step_follower(context):
+    context.cohort = Cohort()
+
+
+def message_for_other(cohort, name):
+    """A message as another cohort, or another receiver's peer, would send it."""
+    follower, leader = cohort.follower.core, cohort.leader.core
+    append = ("append", NEWEST_TERM, 0, 0, (), 0, 1)
+    told = ("told", "token", (1, 1), None, (), (), 1.0, 0.1, (), "another")
+    return {
+        "an append of another cohort": ("raft", "another", leader.identity, follower.identity, append),
+        "a vote asked for by another cohort": (
+            "raft",
+            "another",
+            leader.identity,
+            follower.identity,
+            ("vote", NEWEST_TERM, 10_000, NEWEST_TERM),
+        ),
+        "an append to an identity that was wiped": (
+            "raft",
+            follower.cohort,
+            leader.identity,
+            "wiped",
+            append,
+        ),
+        "news for a front": told,
+    }[name]
+
+
+@when("{message} comes to it")
+def step_message(context, message):
+    cohort = context.cohort
+    context.term = cohort.follower.core.consensus.term
+    context.effects = cohort.follower_hears(message_for_other(cohort, message))
+
+
+@then("it tells of a message that is not for it, and does nothing else")
+def step_not_for_it(context):
+    assert [effect[:2] for effect in context.effects] == [("event", NOT_FOR_IT)], context.effects
+    assert context.cohort.follower.core.consensus.term == context.term
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -137,6 +137,8 @@
         handler = INPUTS.get(kind)
         if handler is not None:
             handler(self, *rest, now)
+        else:
+            self._event(147, kind=kind)
         if self.place_due and now - self.place_at >= constants.PLACE_EVERY:
             self._place(now)
         if self.epoch > 0 and self.consensus.serving():
@@ -437,6 +439,7 @@
     # --- consensus --------------------------------------------------------------------
     def _on_raft(self, cohort, sender, receiver, message, now):
         if self.consensus is None or cohort != self.cohort or receiver != self.identity:
+            self._event(147, kind="raft", cohort=cohort, receiver=receiver)
             return
         self._run(self.consensus.step(sender, message, now), now)
 
--- a/src/pinepitch/ground/events.py
+++ b/src/pinepitch/ground/events.py
@@ -37,6 +37,7 @@
     144: ("answer to nobody dropped", "debug"),
     145: ("answer to another call dropped", "error"),
     146: ("call under another's token dropped", "error"),
+    147: ("message for another daemon dropped", "debug"),
     150: ("placing duty claimed", "info"),
     151: ("placement refused at apply", "warning"),
     152: ("order sent", "debug"),
--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -65,6 +65,8 @@
         handler = INPUTS.get(message[0])
         if handler is not None:
             handler(self, *message[1:], now)
+        else:
+            self._event(147, kind=message[0])
         effects, self.effects = self.effects, []
         return effects
 
