--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -147,6 +147,8 @@
         handler = INPUTS.get(kind)
         if handler is not None:
             handler(self, *rest, now)
+        else:
+            self._event(147, kind=kind)
         if not self.stopping:  # what was not agreed on by then is the successor's to decide
             self._decide_due(now)
         effects, self.effects = self.effects, []
@@ -521,6 +523,7 @@
     # --- consensus --------------------------------------------------------------------
     def _on_raft(self, cohort, sender, receiver, message, now):
         if self.consensus is None or cohort != self.cohort or receiver != self.identity:
+            self._event(147, kind="raft", cohort=cohort, receiver=receiver)
             return
         self._run(self.consensus.step(sender, message, now), now)
 
