--- a/src/pinepitch/proof/second_loss.py
+++ b/src/pinepitch/proof/second_loss.py
@@ -30,6 +30,7 @@
 )
 JOINT, COMMITTED, DONE = 130, 131, 132  # events of a change of members
 CONSENT, LEADER, INSTALLED = 111, 122, 127
+STRUCK = ("leader", "newcomer", "other")
 SNAPSHOT_STEPS = (("piece", 1), ("piece", 2), ("piece", 4), (INSTALLED, 1))  # what comes, how often
 
 
@@ -272,49 +273,47 @@
     return lambda _: _lost_for_a_while(trial, _victim(trial, kind, newcomer))
 
 
+def _replacement_struck(seed, step, count, kind, changes):
+    """A replacement in which one machine loses power for a while as the step comes the count-th time."""
+    trial = begun(seed)
+    for _ in range(changes):
+        trial.change()
+    fresh = _replace(trial, _followers(trial)[0].name, "fresh")
+    trial.on(step, _striker(trial, kind, fresh), count)
+    for _ in range(3):
+        trial.change()
+    _votes_within(trial, fresh, SETTLED)
+    trial.settle()
+    if not trial.votes(fresh) or len(trial.voters()) != 3:
+        trial.fault(f"the voters are {trial.voters()}")
+    if trial.hooks:
+        trial.fault("the step to strike at never came")
+    if trial.faults:
+        trial.faults.insert(0, f"struck: {kind} at {step}, {count}")
+    return trial
+
+
+def _first_faulty(trials):
+    """The first of some trials that finds a fault, else the last."""
+    for trial in trials:
+        if trial.faults:
+            break
+    return trial
+
+
 def change_struck(seed):
     """In each step of a change of members the leader, the newcomer or another voter loses power for a
     while: one too many. Nothing acknowledged is lost, and the change ends."""
-    for step, kind in itertools.product((JOINT, COMMITTED, DONE), ("leader", "newcomer", "other")):
-        trial = begun(seed)
-        fresh = _replace(trial, _followers(trial)[0].name, "fresh")
-        trial.on(step, _striker(trial, kind, fresh))
-        for _ in range(3):
-            trial.change()
-        _votes_within(trial, fresh, SETTLED)
-        trial.settle()
-        if not trial.votes(fresh) or len(trial.voters()) != 3:
-            trial.fault(f"the voters are {trial.voters()}")
-        if trial.hooks:
-            trial.fault("the step to strike at never came")
-        if trial.faults:
-            trial.faults.insert(0, f"struck: {kind} at {step}")
-            return trial
-    return trial
+    steps = itertools.product((JOINT, COMMITTED, DONE), STRUCK)
+    return _first_faulty(_replacement_struck(seed, step, 1, kind, 0) for step, kind in steps)
 
 
 def snapshot_struck(seed):
     """While a snapshot is sent and as it is installed, its sender, its receiver or another voter loses
     power for a while: one too many."""
     with plants.planted("frequent-snapshots"), mock.patch.object(constants, "SNAPSHOT_PIECE", 500):
-        for (step, count), kind in itertools.product(SNAPSHOT_STEPS, ("leader", "newcomer", "other")):
-            trial = begun(seed)
-            for _ in range(60):
-                trial.change()
-            fresh = _replace(trial, _followers(trial)[0].name, "fresh")
-            trial.on(step, _striker(trial, kind, fresh), count)
-            for _ in range(3):
-                trial.change()
-            _votes_within(trial, fresh, SETTLED)
-            trial.settle()
-            if not trial.votes(fresh):
-                trial.fault(f"the voters are {trial.voters()}")
-            if trial.hooks:
-                trial.fault("the step to strike at never came")
-            if trial.faults:
-                trial.faults.insert(0, f"struck: {kind} at {step}, {count}")
-                return trial
-    return trial
+        steps = itertools.product(SNAPSHOT_STEPS, STRUCK)
+        return _first_faulty(_replacement_struck(seed, *step, kind, 60) for step, kind in steps)
 
 
 def founding_struck(seed):
