--- a/src/pinepitch/proof/model/faults.py
+++ b/src/pinepitch/proof/model/faults.py
@@ -141,6 +141,14 @@
         self.cohort = cohort
 
 
+def _hands_over_and_leads(self, now):
+    """Names a successor, and leads on with its lease."""
+    target = self.handover.target
+    follower = self.followers.get(target)
+    if follower is not None and follower.match >= self.last_index() == self.commit:
+        self._send(target, ("handover", self.term, dict(self.learners)), self.hard_sequence)
+
+
 def _check_round_at_once(self, now):
     """Answers reads without asking whether this one still leads."""
     if self.round is not None:
@@ -187,6 +195,9 @@
     "vote-beside-leader": Fault(((Consensus, "leader_near", lambda self, now: False),), ("lease",)),
     "clock-stops-in-suspend": Fault(((TimedWorld, "_wait", _wait_while_suspended),), ("lease-suspended",)),
     "read-without-round": Fault(((Consensus, "_check_round", _check_round_at_once),), ("reads",)),
+    "handover-keeps-lease": Fault(
+        ((Consensus, "_try_handover", _hands_over_and_leads),), ("lease-handover",)
+    ),
     "lease-by-new-list": Fault(((Consensus, "leased", _leased_by_new_list),), ("lease-change",)),
     "lease-from-answer": Fault(((Consensus, "_on_appended", _lease_from_answer),), ("lease-answers",)),
 }
--- a/src/pinepitch/proof/model/fleets.py
+++ b/src/pinepitch/proof/model/fleets.py
@@ -357,6 +357,28 @@
         Bounds(9, 1_000_000),
         "a spare follows the log, its copies and votes count for nothing",
     ),
+    "handover": Model(
+        Fleet(
+            THREE,
+            {"d": "west"},
+            budget=Budget(stands=1, proposals=1, handovers=2, beats=1, restarts=1),
+            script=CHANGING,
+        ),
+        Bounds(5, 700),
+        Bounds(9, 1_000_000),
+        "leadership is handed over while a voter is being replaced, twice, beside a campaign",
+    ),
+    "lease-handover": Model(
+        Fleet(
+            THREE,
+            budget=TimedBudget(waits=2, handovers=1, restarts=1),
+            script=(*SERVING, settle("wait", "")),
+            rates=CLOCKS,
+        ),
+        Bounds(7, 700),
+        Bounds(12, 1_000_000),
+        "a leader with its lease hands leadership over; voters may start anew meanwhile",
+    ),
     "lease": Model(
         Fleet(THREE, budget=TimedBudget(waits=6, restarts=1), script=LEASED, rates=CLOCKS),
         Bounds(8, 700),
--- a/src/pinepitch/proof/model/replica.py
+++ b/src/pinepitch/proof/model/replica.py
@@ -70,7 +70,7 @@
     twin = Consensus.__new__(Consensus)
     fields = twin.__dict__
     fields.update(consensus.__dict__)
-    for name in ("history", "learners", "replies", "beats"):
+    for name in ("history", "learners", "replies", "beats", "heirs"):
         fields[name] = dict(fields[name])
     for name in ("entries", "held", "effects", "reads_now", "reads_next"):
         fields[name] = list(fields[name])
@@ -134,14 +134,16 @@
         self.queue = ()
         self.consensus = self.stored()
 
-    def forget_times(self):
+    def forget_times(self, now):
         """Takes time out of the state: any time-out may have passed, any wait may be over."""
         consensus = self.consensus
         consensus.heard_leader = consensus.beat_at = LONG_AGO
         consensus.election_at = 0.0
         consensus.beat, consensus.beats = 0, {}
         for follower in consensus.followers.values():
-            follower.beat, follower.sent_at, follower.heard_at = 0, 0.0, 0.0
+            follower.beat, follower.sent_at, follower.heard_at = 0, 0.0, now
+        if consensus.handover is not None:
+            consensus.handover = consensus.handover._replace(until=now)
         for saving in consensus.saving:
             saving[2] = 0.0
 
@@ -180,6 +182,7 @@
             frozen(one.history),
             frozen_entries(one.entries),
             frozen(one.learners),
+            (frozen(one.heirs), one.released, one.handover),
             frozen(one.replies),
             followers,
             one.sequence - sequence,
--- a/src/pinepitch/proof/model/schedule.py
+++ b/src/pinepitch/proof/model/schedule.py
@@ -180,6 +180,11 @@
             if leader not in self.world.frozen:
                 self.step("read", leader)
 
+    def _hand_over(self, event):
+        for leader in self.world.leaders_by_themselves():
+            if leader not in self.world.frozen:
+                self.step("hand over", leader, self.identity(event.first))
+
     def _replace(self, event):
         """A leader swaps a member for a spare that follows."""
         for leader in self.world.leaders_by_themselves():
@@ -210,6 +215,7 @@
     "wipe": Run._wipe,
     "propose": Run._propose,
     "read": Run._read,
+    "hand over": Run._hand_over,
     "replace": Run._replace,
     "compact": Run._compact,
 }
--- a/src/pinepitch/proof/model/timed.py
+++ b/src/pinepitch/proof/model/timed.py
@@ -27,6 +27,7 @@
     beats: int = 0
     compactions: int = 0
     repeats: int = 0
+    handovers: int = 0
     reads: int = 0  # a leader is asked for what is committed
 
 
@@ -65,7 +66,7 @@
             None if consensus.election_at is None else round(consensus.election_at, 3),
             round(max(consensus.beat_at, 0.0), 3),
             round(max(consensus.penance_until, 0.0), 3),
-            consensus.beat,
+            (consensus.beat, consensus.handover),
             followers,
             tuple((number, round(sent, 3)) for number, sent in sorted(consensus.beats.items())),
             (consensus.round, tuple(consensus.reads_now), tuple(consensus.reads_next)),
--- a/src/pinepitch/proof/model/world.py
+++ b/src/pinepitch/proof/model/world.py
@@ -51,6 +51,7 @@
     wipes: int = 0
     compactions: int = 0
     repeats: int = 0  # a message arrives twice
+    handovers: int = 0  # a leader lets another voter lead
 
 
 class Action(NamedTuple):
@@ -99,7 +100,7 @@
 
     def _forget_times(self, replica):
         """Takes time out of a replica's state."""
-        replica.forget_times()
+        replica.forget_times(NOW)
 
     # --- steps ------------------------------------------------------------------------
     def actions(self):
@@ -138,6 +139,8 @@
             if consensus.cohort_index <= consensus.commit and self.budget.changes:
                 found += [Action("change", identity, change) for change in self._changes(consensus)]
         members = consensus.cohort.members()
+        if self.budget.handovers and consensus.handover is None:
+            found += [Action("hand over", identity, one) for one in sorted(members) if one != identity]
         for other in sorted(self.replicas):
             if self.budget.changes and other not in members and other not in consensus.learners:
                 found.append(Action("learn", identity, other))
@@ -251,6 +254,12 @@
         if result is not None:
             self._carry_out(replica, result[1])
 
+    def _hand_over(self, action):
+        self._spend("handovers")
+        replica = self._touch(action.subject)
+        effects = replica.consensus.hand_over({action.detail}, self.now(action.subject))
+        self._carry_out(replica, effects)
+
     def _learn(self, action):
         replica = self._touch(action.subject)
         consensus, now = replica.consensus, self.now(action.subject)
@@ -383,6 +392,7 @@
     "stand": World._stand,
     "propose": World._propose,
     "change": World._change,
+    "hand over": World._hand_over,
     "learn": World._learn,
     "beat": World._beat,
     "compact": World._compact,
