--- a/src/pinepitch/verge/core.py
+++ b/src/pinepitch/verge/core.py
@@ -67,6 +67,7 @@
         """Takes one message; returns the effects."""
         if self.begun_at is None:
             self.begun_at = now
+        self.confirmed_calls.turn(now)
         handler = INPUTS.get(message[0])
         if handler is not None:
             handler(self, *message[1:], now)
