Fault scenarios of control daemons, on fleets with quorums of single members and of areas

Cause: trials of jobs knew 13 fault scenarios on fleets with area quorums only; the adapter runs quorums of single members with a fixed number of voters, and what may befall a deployment had no scenario: cuts of 20 s of a daemon that callers still reach, contact points swapped meanwhile, acknowledgements lost, resets, losses within 4 ms of a promise, herd kills, zones, slow, stalled and full disks, slow machines, freezes amid orders, clock steps, settings read again, losses timed to each step of a repair, chains of replacements and wipes, hundreds of changes. 21 scenarios, on four plans of fleets by turns; changes, reads and evacuations come all the while (up to 8 changes without an answer). Two checks more: nothing is evacuated at the end, and no change is refused that alone built on a version in force. Only the first start may found, as in the adapter.

--- a/src/pinepitch/proof/jobs/fleet.py
+++ b/src/pinepitch/proof/jobs/fleet.py
@@ -11,27 +11,35 @@
 from .caller import Patron
 from .limits import BEAT_PATIENCE, ENDS_WITHIN, FIVE, ROOM, SERVED_WITHIN, TENANTS, THREE, TIMEOUT
 from .operator import Governor
+from .operator_traffic import OperatorTraffic
+from .plans import FleetPlan
+
+ACKNOWLEDGED = ("job", "job-cancel", "configure", "amend", "evacuate")  # calls whose answer is a promise
 
 
 class Tenancy(Simulator):
     """The simulator with tenants for minions. Invariants: tenants beat at accords, callers call
     at verges; answers get lost or late by chance as answer_loss, answer_late and beat_late say."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, plan=None):
+        self.plan = plan or FleetPlan(FIVE if seed % 3 == 0 else THREE, "static", constants.FOUNDERS, 1)
         self.gangs = {}
         self.answer_loss = self.late_part = 0.0  # parts; of answers lost, of beats and answers late
         self.late_most = 0.0  # seconds
         self.under_way = {}  # tenant -> its beats that stay under way until a weather lets them arrive
-        accords = FIVE if seed % 3 == 0 else THREE
+        self.acknowledgement_loss = 0.0  # part; of answers to the operator lost, beside answer_loss
+        self.acknowledgements = []  # (when it arrived, call, the daemon that answered)
         super().__init__(
             seed,
-            accords,
+            self.plan.areas,
             minions=(("w", TENANTS, ROOM, (), True),),
-            founders=len(accords),
+            founders=constants.FOUNDERS if self.plan.mode == "single" else len(self.plan.areas),
+            mode=self.plan.mode,
             kinds={"minion": self._tenant},
         )
         self.patron = Patron(seed)
         self.governor = Governor(self)
+        self.orders = OperatorTraffic(self)
 
     def _tenant(self, name, zone, address, room, labels, guards, seed, history):
         place = int(name[1:])
@@ -51,12 +59,28 @@
             self.gangs,
         )
 
+    def start(self, name):
+        """Starts a daemon; only one of the first start may found the cohort."""
+        super().start(name)
+        node = self.nodes[name]
+        if node.kind == "accord":
+            node.core.voters = self.plan.voters
+            node.core.may_found = self.now == 0.0
+            if self.plan.mode == "single":
+                node.core.found_among = tuple(self.seeds)
+
     # --- calls ------------------------------------------------------------------------
     def _sent(self, source, life, node, call, arguments, patience, told, late=0.0):
         """A call to one daemon; told(status, document) comes back, or (0, None) in the end."""
+
+        def heard(status, document):
+            if status == 200 and call in ACKNOWLEDGED:
+                self.acknowledgements.append((self.now, call, node.name))
+            told(status, document)
+
         self.request_count += 1
         number = self.request_count
-        self.requests[number] = ("call", source, life, ("told", told), node.name)
+        self.requests[number] = ("call", source, life, ("told", heard), node.name)
         if node.core is None and (source, node.name) not in self.cuts:
             self.at(0.01, "answer", number, 0, "null")
             return
@@ -153,7 +177,7 @@
                 )
 
         def told(status, document):
-            if self.draw.random() < self.answer_loss:
+            if self.draw.random() < max(self.answer_loss, self.acknowledgement_loss):
                 status = 0
             if status in (0, 408, 429) or status >= 500:
                 self.at(0.2, "later", attempt)
@@ -169,15 +193,23 @@
             is None
         ):
             raise AssertionError("no leader within 30 s")
+        if self.plan.mode == "single" and self.until(self._grown, 30) is None:
+            raise AssertionError(f"fewer than {self.plan.voters} members within 30 s")
         self.governor.found()
         self.callers["patron"] = self.patron
         self.at(0.0, "caller", "patron")
 
+    def _grown(self):
+        """Whether as many are members as are wanted, with no change of members under way."""
+        leader = self.leader()
+        cohort = leader.core.consensus.cohort if leader is not None else None
+        return cohort is not None and cohort.coming is None and len(cohort.now.members) >= self.plan.voters
+
     def quiet(self):
         return self.patron.quiet()
 
     def finish(self, seconds=ENDS_WITHIN):
-        self.answer_loss = self.late_part = self.late_most = 0.0
+        self.answer_loss = self.late_part = self.late_most = self.acknowledgement_loss = 0.0
         for span in self.governor.spans:
             if span[2] is None:
                 self.governor.restore(span)
@@ -186,6 +218,11 @@
                 self.until(lambda node=node: node.down, 10)
         return super().finish(seconds)
 
+    def evacuated(self):
+        """Zones that are evacuated by what the leader has agreed on."""
+        leader = self.leader()
+        return set(leader.core.record.board.evacuated) if leader is not None else set()
+
     def served(self, why, within=SERVED_WITHIN):
         """A fault unless a job handed in from now on is accepted in time."""
         begun = START + self.now
--- a/src/pinepitch/proof/jobs/limits.py
+++ b/src/pinepitch/proof/jobs/limits.py
@@ -13,6 +13,7 @@
 SERVED_WITHIN = 8.0  # seconds; until jobs are taken again while most accords run
 ENDS_WITHIN = 90.0  # seconds; until every job has ended once faults stop
 RUSHES = 5  # times; that the operators give as many orders as may be under way, during a scenario
+ORDERS_END_WITHIN = 40.0  # seconds; until every order is answered or given up
 FINAL = ("completed", "failed", "cancelled")
 PROCESSES = 2  # that run trials side by side
 THREE, FIVE = ("a", "b", "c"), ("a", "a", "b", "c", "c")  # areas of a fleet's accords
--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -19,6 +19,8 @@
 from . import caller as callers
 from .minion import StandInMinion
 
+OF_THE_MACHINE = ("encoded", "rehearsed")  # what a daemon is given by its own machine, by no connection
+LAGGED = ("give", "tick", "synced", "based")  # events of one machine, which a slow one handles late
 START = 1_000_000.0  # virtual seconds; any wall clock will do
 OFFSET = 1000.0  # seconds; from the simulator's time to the one that deciders are given
 GRACE = 6.0  # seconds; from SIGTERM to SIGKILL
@@ -102,6 +104,7 @@
         self.cuts = set()  # (source, target) names
         self.away, self.gone = [], {}  # (name, from, to) of being cut off, frozen or down; name -> since
         self.loss, self.delay, self.double = LOSS, 0.002, 0.0
+        self.lag = {}  # name -> seconds that a slow machine takes longer for whatever it does
         self.founders, self.mode = founders, mode
         self.kinds = {"accord": Accord, "verge": Verge, "minion": StandInMinion, **(kinds or {})}
         self.minion_history, self.operator_history, self.trace = [], [], []
@@ -149,6 +152,8 @@
         return node
 
     def at(self, delay, *event):
+        if self.lag and event[0] in LAGGED:
+            delay += self.lag.get(event[1], 0.0)
         self.number += 1
         heapq.heappush(self.events, (self.now + delay, self.number, event))
 
@@ -281,6 +286,20 @@
         for name in [one for one in self.gone if not self.nodes[one].frozen and not self.nodes[one].down]:
             self._comes(name)
 
+    def reset_connections(self, name, share):
+        """A share of a daemon's connections is reset: what is on its way to it is lost, and whoever
+        waits for its answer knows nothing of what became of the call."""
+        kept = []
+        for moment, number, event in self.events:
+            carried = event[0] == "give" and event[1] == name and event[3][0] not in OF_THE_MACHINE
+            if not carried or self.draw.random() >= share:
+                kept.append((moment, number, event))
+        self.events = kept
+        heapq.heapify(self.events)
+        for number, waiting in list(self.requests.items()):
+            if waiting[0] == "call" and waiting[4] == name and self.draw.random() < share:
+                self.at(0.0, "answer", number, 0, "null")
+
     # --- running ----------------------------------------------------------------------
     def run(self, seconds):
         """Handles events for some virtual seconds."""
@@ -617,6 +636,7 @@
         """Heals all, stops the callers, and waits until all is final; False if it never is."""
         self.heal()
         self.loss, self.double, self.delay = LOSS, 0.0, 0.002
+        self.lag.clear()
         for node in self.nodes.values():
             node.skew = 0.0
             if node.disk is not None:
--- a/src/pinepitch/proof/tenancy.py
+++ b/src/pinepitch/proof/tenancy.py
@@ -9,8 +9,11 @@
 import traceback
 
 from .jobs import checks
+from .jobs.control_scenarios import CONTROL_SCENARIOS
 from .jobs.fleet import Tenancy
 from .jobs.limits import HELD_ON, IN_FLIGHT, PROCESSES, RUSHES
+from .jobs.limits import HELD_ON, IN_FLIGHT, ORDERS_END_WITHIN, PROCESSES
+from .jobs.plans import plan_for
 from .jobs.plants import planted
 from .jobs.scenarios import SCENARIOS
 from .tenant import STOP_GRACE
@@ -22,8 +25,24 @@
         return _trial(scenario, seed)
 
 
+def _fleet(scenario, seed):
+    """The fleet of a trial: those of control scenarios are of every plan in turn."""
+    return Tenancy(seed, plan_for(seed) if scenario in CONTROL_SCENARIOS else None)
+
+
+def _strike(scenario, simulator):
+    """Plays a fault scenario; under one of the control daemons, orders come all the time."""
+    if scenario in SCENARIOS:
+        SCENARIOS[scenario](simulator)
+        return
+    simulator.orders.begin()
+    CONTROL_SCENARIOS[scenario](simulator)
+    simulator.orders.end()
+    simulator.until(simulator.orders.quiet, ORDERS_END_WITHIN)
+
+
 def _trial(scenario, seed):
-    simulator, faults = Tenancy(seed), []
+    simulator, faults = _fleet(scenario, seed), []
     try:
         simulator.begin()
         simulator.run(2)
@@ -31,6 +50,7 @@
         for turn in range(RUSHES):
             simulator.at(simulator.draw.uniform(0, 3) + 3 * turn, "later", simulator.governor.rush)
         SCENARIOS[scenario](simulator)
+        _strike(scenario, simulator)
         simulator.governor.race()
         if not simulator.finish():
             waiting = [
@@ -41,6 +61,7 @@
             faults.append(f"jobs never ended: {waiting[:4]}")
         simulator.run(7)
         faults.extend(simulator.governor.check())
+        faults.extend(checks.evacuations_over(simulator.governor.spans, simulator.evacuated()))
     except Exception as broken:  # a trial reports whatever ends it, to be replayed
         place = traceback.extract_tb(broken.__traceback__)[-1]
         faults.append(f"{type(broken).__name__} at {place.name}:{place.lineno}: {broken}")
@@ -56,6 +77,7 @@
         checks.closed_kept(history, simulator.governor.spans, zones),
         checks.told_truly(history, patron),
         checks.gangs_met(history, patron.jobs) if scenario == "calm" else [],
+        checks.refused_without_rival(simulator.governor.changes),
         simulator.agreement(),
     ):
         faults.extend(found)
@@ -82,8 +104,9 @@
 
 def main(scenario="all", first="0", seeds="5", plant=""):
     """Runs trials over seeds and prints how to replay each that fails."""
-    names = list(SCENARIOS) if scenario == "all" else scenario.split(",")
-    work = [(name, seed, plant) for name in names for seed in range(int(first), int(first) + int(seeds))]
+    groups = {"all": (*SCENARIOS, *CONTROL_SCENARIOS), "control": tuple(CONTROL_SCENARIOS)}
+    names = groups.get(scenario, scenario.split(","))
+    work = [(name, seed, plant) for seed in range(int(first), int(first) + int(seeds)) for name in names]
     begun, failed, virtual = clocks.monotonic(), 0, 0.0
     for arguments, faults, seconds in many(work):
         virtual += seconds
