--- a/features/contact.feature
+++ b/features/contact.feature
@@ -28,7 +28,7 @@
       | late-answers-written | stopped-at-write | 0 to 0 | after a newer one was acknowledged       |
       | waited-calls-taken   | frozen           | 1 to 1 | s after it was asked for                 |
       | lease-ignored        | cut-both         | 0 to 0 | was read after a newer one               |
-      | doubt-unsaid         | cut-in           | 1 to 1 | is in force, though it was answered [503] |
+      | doubt-unsaid         | cut-in           | 6 to 6 | is in force, though it was answered [503] |
       | taken-forgotten      | cut-in           | 1 to 1 | is refused when it is sent again         |
 
   Scenario: an end on the leader's clock comes no later than the patience it is for
