The planted fault waited-calls-taken carries orders without a confirmed index, too

Cause: such an order's index isn't asked for after a stop, which came with the branch of orders: a second guard that stops what this fault lets through.

--- a/src/pinepitch/proof/isolation/plants.py
+++ b/src/pinepitch/proof/isolation/plants.py
@@ -39,7 +39,7 @@
 # The registry of planted faults: name -> [(owner, attribute, replacement)].
 PLANTS = {
     # What a late copy of an order for a zone would undo, its confirmed index keeps too: each of these
-    # two faults does harm only beside one that carries orders without that.
+    # faults does harm only beside one that carries orders without that.
     "asks-without-end": [
         (Lead, "_in_time", lambda self, end, now: True),
         UNCONFIRMED_ORDERS,
@@ -49,7 +49,10 @@
         (LeaderClock, "end", lambda self, until, now: Reading(self.term, now + constants.CALL_PATIENCE)),
     ],
     "late-answers-written": [(stall, "timely", lambda reply, until, now: reply)],
-    "waited-calls-taken": [(stall.StallGuard, "refuses", lambda self, message, now: False)],
+    "waited-calls-taken": [
+        (stall.StallGuard, "refuses", lambda self, message, now: False),
+        UNCONFIRMED_ORDERS,
+    ],
     "lease-ignored": [
         (Consensus, "leased", lambda self, now: self.serving()),
         (constants, "CHECK_QUORUM", 15.0),
