Isolation trials find a change that is refused while its base is still in force

Cause: the checks took every 412 as said, so that a daemon with an old record that refused changes on the version in force went unseen.

--- a/features/contact.feature
+++ b/features/contact.feature
@@ -30,6 +30,7 @@
       | lease-ignored        | cut-both         | 0 to 0 | was read after a newer one               |
       | doubt-unsaid         | cut-in           | 1 to 1 | is in force, though it was answered [503] |
       | taken-forgotten      | cut-in           | 1 to 1 | is refused when it is sent again         |
+      | refused-at-will      | cut-in           | 1 to 1 | still in force                           |
 
   Scenario: an end on the leader's clock comes no later than the patience it is for
     Given daemons whose steady clocks differ, and run up to CLOCK_DRIFT apart
--- a/src/pinepitch/proof/isolation/checks.py
+++ b/src/pinepitch/proof/isolation/checks.py
@@ -35,7 +35,8 @@
 
 def changes_kept(orders, final):
     """What was acknowledged is behind the version in force at the end, what was refused is not, no
-    two acknowledged ones build on one version, and a change sent again is not refused."""
+    two acknowledged ones build on one version, a change sent again is not refused, and one on the
+    version in force is refused only when another took its place."""
     faults, attempts, bases = [], {}, {}
     for order in _of(orders, "configure"):
         attempts.setdefault(order.subject, []).append(order)
@@ -43,6 +44,7 @@
     while version in attempts:
         in_force.add(version)
         version = attempts[version][0].base
+    successors = {attempts[version][0].base: attempts[version][0] for version in in_force}
     for version, tries in attempts.items():
         statuses = [order.status for order in tries]
         if 200 in statuses:
@@ -54,6 +56,11 @@
                 faults.append(f"version {version} was taken and is refused when it is sent again")
         elif version in in_force and all(status in NOT_TAKEN for status in statuses):
             faults.append(f"version {version} is in force, though it was answered {statuses}")
+        successor = successors.get(tries[0].base)
+        for order in tries:
+            early = successor is None or successor.sent > (order.answered or 0.0)
+            if order.status == 400 or order.status == 412 and early:
+                faults.append(f"version {version} was refused, though {order.base} was still in force")
     return faults
 
 
--- a/src/pinepitch/proof/isolation/plants.py
+++ b/src/pinepitch/proof/isolation/plants.py
@@ -28,6 +28,17 @@
     return forgetting
 
 
+def _refusing(take):
+    """Refuses some changes on the version in force, as a daemon with an old record would."""
+
+    def refusing(self, base, document, digest):
+        if base == self.version and document["version"] % 5 == 0:
+            return ("stale", self.version + 1)
+        return take(self, base, document, digest)
+
+    return refusing
+
+
 original_given_up = Carrier._given_up
 # The registry of planted faults: name -> [(owner, attribute, replacement)].
 PLANTS = {
@@ -48,6 +59,7 @@
         (constants, "CHECK_QUORUM", 15.0),
     ],
     "doubt-unsaid": [(Carrier, "_given_up", _never_in_doubt)],
+    "refused-at-will": [(Configuration, "take", _refusing(Configuration.take))],
     "taken-forgotten": [(Configuration, "take", _forgetting(Configuration.take))],
 }
 
