A call's key costs a leader less for each beat

Cause: the subject of every call was read from all its arguments, and two typed values were made for each call in hand. A beat's subject is its minion's identity and nothing else is looked at; what is in hand is one value whose first two fields are the key.

--- a/src/pinepitch/accord/lead.py
+++ b/src/pinepitch/accord/lead.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from ..ground import constants, metrics
-from ..ground.callkey import CallKey, key_of
+from ..ground.callkey import subject_of
 from ..tenure import calls as tenure
 from ..world.minion import Minion
 from . import figures
@@ -13,11 +13,17 @@
 
 
 class InHand(NamedTuple):
-    """A carried call that is being answered, and which sending of it was taken."""
+    """A carried call that is being answered, and which sending of it was taken. Invariant: the first
+    two are its CallKey."""
 
-    key: CallKey
+    call: str
+    subject: str
     sending: int
 
+    @property
+    def key(self):
+        return self[:2]
+
 
 class Lead:
     """The leader's part of Accord. Invariants: what it gathers (minions, awaiting, outbox) is
@@ -32,15 +38,16 @@
         if consensus is None or consensus.role != "leader" or self.stopping:
             self._refuse(address, token, self._leader_address(), sending, now)
             return
-        key = key_of(call, arguments)
-        if token in self.in_hand:
-            if self.in_hand[token].key != key:
-                self._event(146, token=token, held=list(self.in_hand[token].key), asked=list(key))
+        taken = InHand(call, subject_of(call, arguments), sending)
+        held = self.in_hand.get(token)
+        if held is not None:
+            if held.key != taken.key:
+                self._event(146, token=token, held=list(held.key), asked=list(taken.key))
             return
         if not self._in_time(end, now):
             self._refuse(address, token, self.address, sending, now)
             return
-        self.in_hand[token] = InHand(key, sending)
+        self.in_hand[token] = taken
         handler = CALLS.get(call)
         if handler is None:
             message = "whoever leads does not know this call"
--- a/src/pinepitch/ground/callkey.py
+++ b/src/pinepitch/ground/callkey.py
@@ -16,6 +16,11 @@
     return " ".join([str(one) for one in arguments if not isinstance(one, (dict, list, tuple))])
 
 
+def _minion_subject(arguments):
+    """The identity of the minion that speaks: by far the most calls, so nothing else is looked at."""
+    return arguments[0]
+
+
 def _configured_subject(arguments):
     """A configuration is named by the version it builds on and its own."""
     base, document = arguments
@@ -23,9 +28,14 @@
 
 
 # call -> how its subject is read, where it is not all texts and numbers among its arguments
-SUBJECTS = {"configure": _configured_subject}
+SUBJECTS = {"beat": _minion_subject, "configure": _configured_subject}
+
+
+def subject_of(call, arguments):
+    """The subject of a call."""
+    return SUBJECTS.get(call, _plain_subject)(arguments)
 
 
 def key_of(call, arguments):
     """The key of a call."""
-    return CallKey(call, SUBJECTS.get(call, _plain_subject)(arguments))
+    return CallKey(call, subject_of(call, arguments))
