--- a/src/pinepitch/proof/model/replica.py
+++ b/src/pinepitch/proof/model/replica.py
@@ -137,7 +137,7 @@
     def forget_times(self, now):
         """Takes time out of the state: any time-out may have passed, any wait may be over."""
         consensus = self.consensus
-        consensus.heard_leader = consensus.beat_at = LONG_AGO
+        consensus.heard_leader = consensus.beat_at = consensus.ask_at = LONG_AGO
         consensus.election_at = 0.0
         consensus.beat, consensus.beats = 0, {}
         for follower in consensus.followers.values():
--- a/src/pinepitch/proof/model/timed.py
+++ b/src/pinepitch/proof/model/timed.py
@@ -66,7 +66,7 @@
             None if consensus.election_at is None else round(consensus.election_at, 3),
             round(max(consensus.beat_at, 0.0), 3),
             round(max(consensus.penance_until, 0.0), 3),
-            (consensus.beat, consensus.handover),
+            (consensus.beat, consensus.handover, consensus.begun_at, max(consensus.ask_at, 0.0)),
             followers,
             tuple((number, round(sent, 3)) for number, sent in sorted(consensus.beats.items())),
             (consensus.round, tuple(consensus.reads_now), tuple(consensus.reads_next)),
@@ -124,7 +124,9 @@
         self.frozen -= {action.subject}
 
     def _restart(self, action):
+        """Starts anew at once; the first input of the new life may come any time later."""
         super()._restart(action)
+        self.replicas[action.subject].consensus.begun_at = self.now(action.subject)
         self.frozen -= {action.subject}
 
     def _wipe(self, action):
