--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -5,6 +5,7 @@
 from pinepitch.accord.core import Accord
 from pinepitch.accord.record import ACTIONS, OK, Record
 from pinepitch.ground import constants
+from pinepitch.ground.packed import kind_of
 from pinepitch.proof import checks, trial
 from pinepitch.proof.simulator import Simulator
 
@@ -63,7 +64,7 @@
         for node in accords(context)
         if node.core is not None
         for index, entry in enumerate(node.core.consensus.entries, node.core.consensus.first)
-        if entry[2][0] == "remark"
+        if kind_of(entry[2]) == "remark"
     }
 
 
--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -10,7 +10,12 @@
 import cbor2
 
 from ..ground import constants
+from ..ground.limits import Limits
+from ..ground.packed import kind_of
+from .flow import Flow
+from .log import Log
 from .quorum import Cohort, Quorum, Reply, cohort_from
+from .transfer import Snapshot, Transfer
 
 BEYOND = 1 << 40  # the offset that a follower tells which needs nothing of a snapshot
 
@@ -24,32 +29,35 @@
         self.match = 0
         self.next = last_index + 1
         self.probing = True
-        self.window = 0
-        self.sent_at = now
+        self.flow = Flow()
         self.heard_at = now
         self.beat = 0
-        self.piece = None  # (snapshot index, offset, whether a piece is under way) while one is sent
-        self.whole = None  # what is sent: the snapshot and the segments it lacks
+        self.transfer = None  # the snapshot that it is being sent
         self.denials = 0  # answers in a row that lack what was acknowledged
         self.forgot = False  # whether it lacks what it acknowledged in this leader's time
 
+    def needed_from(self):
+        """The first entry that it will need, after the snapshot that it is being sent."""
+        return (self.transfer.snapshot.index if self.transfer else self.match) + 1
+
 
 class Consensus:
     """One accord's part in the cohort.
 
     Invariants: term never falls; at most one vote a term, in history[term], durable before
-    it is told; entries[i] has index first + i; commit <= last index; durable <= last
+    it is told; commit <= last index; durable <= last
     index and all up to it is on disk; history holds no term <= leader_term, since any
     candidate starts Algorithm 1 at the newest leader told with the histories, and this
     one's is told along; cohort is that of the newest members entry in the log or base."""
 
-    def __init__(self, identity, seed, members=None, mode="static"):
+    def __init__(self, identity, seed, members=None, mode="static", limits=Limits()):
         self.identity = identity
+        self.limits = limits
         self.random = random.Random(f"{identity}-{seed}")
         self.term = 0
         self.history = {}
         self.leader, self.leader_term = None, 0
-        self.first, self.entries = 1, []
+        self.log = Log()
         self.base_index, self.base_term, self.base_image = 0, 0, None
         self.base_cohort = Cohort(Quorum(dict(members or {}), mode))
         self.cohort, self.cohort_index = self.base_cohort, 0
@@ -89,15 +97,16 @@
             self.base_index, self.base_term, image, self.base_image, segments = snapshot
             self.base_segments = tuple(segments)
             self.base_cohort = cohort_from(image)
-            self.first, self.entries = first, [tuple(one) for one in entries]
+            self.log.clear(first)
+            self.log.append(entries)
         for hard, truncate, start, entries in changes:
             if hard is not None:
                 self._take_hard(hard)
             if truncate is not None:
-                del self.entries[max(0, truncate - self.first) :]
+                self.log.cut(truncate)
             if entries:
-                del self.entries[start - self.first :]
-                self.entries.extend(tuple(one) for one in entries)
+                self.log.cut(start)
+                self.log.append(entries)
         self.commit = self.applied = self.base_index
         self.durable = self.last_index()
         self._find_cohort()
@@ -121,51 +130,69 @@
         cohort = self.base_cohort
         for place in range(self.first, index + 1):
             operation = self.entry(place)[2]
-            if operation[0] == "members":
+            if kind_of(operation) == "members":
                 cohort = cohort_from(operation[1])
         self.base_cohort = cohort
         self.base_index, self.base_term, self.base_image = index, term, image
-        keep = max(self.first, index - constants.SNAPSHOT_TAIL + 1)
-        if self.role == "leader":
-            behind = [one.match + 1 for one in self.followers.values() if one.match >= self.first]
-            keep = max(self.first, min([keep, *behind])) if behind else keep
-            keep = max(keep, index - 10 * constants.SNAPSHOT_TAIL)
         # base_cohort must stay true for entries from `first` on: only a cohort older than
         # the kept tail may differ, and _find_cohort reads newest first, so it never does.
-        del self.entries[: keep - self.first]
-        self.first = keep
+        self.log.drop_before(self._kept_from(index))
         return self.base_payload()
 
+    def _kept_from(self, index):
+        """The first entry to keep behind a base at `index`: a tail, and what followers still need
+        as far as the laggards' bounds go."""
+        keep = self.log.tail_start(index, constants.SNAPSHOT_TAIL, self.limits.tail)
+        needed = [one.needed_from() for one in self.followers.values()]
+        needed = [one for one in needed if self.first <= one < keep]
+        if needed:
+            furthest = self.log.tail_start(
+                index, constants.LAGGARD_TIMES * constants.SNAPSHOT_TAIL, self.limits.laggard
+            )
+            keep = min(keep, max(min(needed), furthest))
+        return keep
+
     def base_payload(self):
         """All that a base must hold."""
         return [
             self._hard(),
             [self.base_index, self.base_term, self.base_cohort.image(), self.base_image, self.base_segments],
             self.first,
-            list(self.entries),
+            list(self.log.entries),
         ]
 
     # --- the log ----------------------------------------------------------------------
+    @property
+    def first(self):
+        """The index of the oldest entry that is held."""
+        return self.log.first
+
+    @property
+    def entries(self):
+        """The entries that are held, oldest first."""
+        return self.log.entries
+
     def last_index(self):
-        return max(self.base_index, self.first + len(self.entries) - 1)
+        return max(self.base_index, self.log.last())
 
     def entry(self, index):
-        return self.entries[index - self.first]
+        return self.log.entries[index - self.log.first]
 
     def term_at(self, index):
         """The term of an entry, None where it is no longer or not yet held."""
         if index == 0:
             return 0
-        if self.first <= index < self.first + len(self.entries):
-            return self.entries[index - self.first][0]
+        place = index - self.log.first
+        if 0 <= place < len(self.log.entries):
+            return self.log.entries[place][0]
         if index == self.base_index:
             return self.base_term
         return None
 
     def _find_cohort(self):
         for place in range(len(self.entries) - 1, -1, -1):
-            operation = self.entries[place][2]
-            if operation[0] == "members":
+            operation = self.log.entries[place][2]
+            if kind_of(operation) == "members":
                 self.cohort, self.cohort_index = cohort_from(operation[1]), self.first + place
                 return
         self.cohort, self.cohort_index = self.base_cohort, self.base_index
@@ -173,14 +200,14 @@
     def _append(self, entries, start):
         if self.dirty_from is None or start < self.dirty_from:
             self.dirty_from = start
-        self.entries.extend(entries)
+        self.log.append(entries)
         for place, (_, _, operation) in enumerate(entries):
-            if operation[0] == "members":
+            if kind_of(operation) == "members":
                 self.cohort, self.cohort_index = cohort_from(operation[1]), start + place
 
     def _cut(self, index):
         """Drops entries from `index` on."""
-        del self.entries[index - self.first :]
+        self.log.cut(index)
         self.truncate = index if self.truncate is None else min(self.truncate, index)
         if self.dirty_from is not None and self.dirty_from >= index:
             self.dirty_from = None
@@ -206,7 +233,7 @@
         if self.hard_dirty or self.truncate is not None or self.dirty_from is not None:
             self.sequence += 1
             start = self.dirty_from
-            fresh = [] if start is None else list(self.entries[start - self.first :])
+            fresh = [] if start is None else self.log.entries[start - self.first :]
             change = [self._hard() if self.hard_dirty else None, self.truncate, start, fresh]
             if self.hard_dirty:
                 self.hard_sequence = self.sequence
@@ -427,7 +454,7 @@
         return (
             follower is not None
             and not follower.probing
-            and follower.piece is None
+            and follower.transfer is None
             and follower.match + constants.CAUGHT_UP >= self.last_index()
         )
 
@@ -486,33 +513,50 @@
             self._replicate(identity, now)
 
     def _replicate(self, identity, now, beat=False):
-        """Sends what a follower lacks, within its window; a bare beat when asked for."""
+        """Sends what a follower lacks, as much as its flow takes; a bare beat when asked for."""
         follower = self.followers[identity]
         if follower.forgot:
             return
-        if follower.window and now - follower.sent_at > constants.APPEND_RESEND:
-            follower.window = 0
+        flow = follower.flow
+        if flow.overdue(now):
+            flow.lost()
             follower.next = follower.match + 1
             follower.probing = True
-            if follower.piece:
-                follower.piece = (follower.piece[0], follower.piece[1], False)
-        if follower.next - 1 < self.first - 1 or self.term_at(follower.next - 1) is None:
+            if follower.transfer:
+                follower.transfer.under_way = False
+        if self._needs_snapshot(follower):
             self._send_piece(identity, follower, now)
             if beat:
-                self._send(identity, ("append", self.term, 0, 0, (), 0, self.beat), self.hard_sequence)
+                self._send_bare_beat(identity)
             return
         sent = False
         window = 1 if follower.probing else constants.APPEND_WINDOW
-        while follower.next <= self.last_index() and follower.window < window:
-            start = follower.next - self.first
-            entries = self.entries[start : start + constants.APPEND_ENTRIES]
+        while follower.next <= self.last_index() and len(flow.under_way) < window and not flow.bulky():
+            entries, size = self.log.slice_from(follower.next, constants.APPEND_ENTRIES, flow.budget)
+            if follower.probing and size >= constants.BULK_BYTES:
+                entries, size = (), 0  # first what it holds: a large append would be for nothing
+            if not flow.takes(size, window):
+                break
             self._send_append(identity, follower.next - 1, entries)
             follower.next += len(entries)
-            follower.window += 1
-            follower.sent_at = now
+            flow.begin(follower.next - 1, size, now)
             sent = True
         if beat and not sent:
-            self._send_append(identity, follower.next - 1, ())
+            self._send_beat(identity, follower)
+
+    def _needs_snapshot(self, follower):
+        """Whether a follower is sent the base: it needs entries that are gone, or so many that
+        the image is the shorter way, or the sending has begun."""
+        if follower.transfer is not None:
+            if follower.transfer.snapshot.index > follower.match:
+                return True
+            follower.transfer = None
+        if follower.next < self.first or self.term_at(follower.next - 1) is None:
+            return True
+        if follower.probing or follower.next > self.base_index or self.base_image is None:
+            return False
+        lacks = self.log.bytes_between(follower.next, self.base_index)
+        return lacks > constants.SNAPSHOT_WORTH * len(self.base_image) + constants.APPEND_BYTES
 
     def _send_append(self, identity, previous, entries):
         self._send(
@@ -521,39 +565,66 @@
             self.hard_sequence,
         )
 
+    def _send_beat(self, identity, follower):
+        """A beat with no entries. While a large append is under way, by another connection, it
+        says nothing of what that one brings."""
+        if not follower.flow.bulky():
+            self._send_append(identity, follower.next - 1, ())
+        elif follower.match > 0 and self.term_at(follower.match) is not None:
+            self._send_append(identity, follower.match, ())
+        else:
+            self._send_bare_beat(identity)
+
+    def _send_bare_beat(self, identity):
+        """A beat that says nothing of the log."""
+        self._send(identity, ("append", self.term, 0, 0, (), 0, self.beat), self.hard_sequence)
+
     def _send_piece(self, identity, follower, now):
         if self.base_image is None:
             return
-        if follower.piece is None or follower.piece[0] != self.base_index:
-            follower.piece, follower.whole = (self.base_index, -1, False), None
-        index, offset, under_way = follower.piece
-        if not under_way:
-            # offset -1 asks what is held; whole is what was answered to it
-            piece = b"" if offset < 0 else follower.whole[offset : offset + constants.SNAPSHOT_PIECE]
-            self._send(
-                identity,
-                (
-                    "piece",
-                    self.term,
-                    index,
-                    self.base_term,
-                    self.base_cohort.image(),
-                    offset,
-                    len(follower.whole or b""),
-                    piece,
-                    self.beat,
-                ),
-            )
-            follower.piece = (index, offset, True)
-            follower.window, follower.sent_at = 1, now
+        transfer = follower.transfer
+        if transfer is None or transfer.whole is None and transfer.snapshot.index != self.base_index:
+            follower.flow.clear()
+            transfer = follower.transfer = Transfer(self._snapshot())
+        if transfer.under_way:
+            return
+        piece = transfer.piece(min(constants.SNAPSHOT_PIECE, follower.flow.budget))
+        snapshot = transfer.snapshot
+        self._send(
+            identity,
+            (
+                "piece",
+                self.term,
+                snapshot.index,
+                snapshot.term,
+                snapshot.cohort,
+                transfer.offset,
+                len(transfer.whole or b""),
+                piece,
+                self.beat,
+            ),
+        )
+        transfer.under_way = True
+        follower.flow.begin(0, len(piece), now)
+
+    def _snapshot(self):
+        """The newest base, as it is sent."""
+        return Snapshot(
+            self.base_index, self.base_term, self.base_cohort.image(), self.base_image, self.base_segments
+        )
 
-    def _whole(self, held):
-        """The base's image with the segments from `held` + 1 on that it stands on."""
-        first, last = self.base_segments
+    def _whole(self, transfer):
+        """The snapshot's image with the segments that it stands on and the follower lacks."""
+        for follower in self.followers.values():
+            other = follower.transfer
+            if other is not None and other.whole is not None:
+                if other.snapshot.index == transfer.snapshot.index and other.held == transfer.held:
+                    return other.whole
+        first, last = transfer.snapshot.segments
         segments = {}
-        for number in range(max(first, held + 1), last + 1):
+        for number in range(max(first, transfer.held + 1), last + 1):
             segments[number] = self.archive.segment(number)
-        return cbor2.dumps([self.base_image, [first, last], segments])
+        return cbor2.dumps([transfer.snapshot.image, [first, last], segments])
 
     def _on_pieced(self, sender, term, index, offset, held, beat, now):
         follower = self.followers.get(sender)
@@ -561,18 +632,23 @@
             return
         follower.heard_at = now
         follower.beat = max(follower.beat, beat)
-        if follower.piece and follower.piece[0] == index:
-            follower.window = 0
+        transfer = follower.transfer
+        if transfer is not None and transfer.snapshot.index == index:
+            follower.flow.answered(0, now)
+            transfer.under_way = False
             if offset < 0:
-                follower.whole = self._whole(held)
-                follower.piece = (index, 0, False)
-            elif offset == BEYOND or follower.whole is not None and offset >= len(follower.whole):
-                follower.piece = follower.whole = None
+                if transfer.snapshot.index == self.base_index:
+                    transfer.held = held
+                    transfer.whole = self._whole(transfer)
+                    transfer.offset = 0
+            elif offset == BEYOND or transfer.whole is not None and offset >= len(transfer.whole):
+                follower.transfer = None
+                follower.flow.clear()
                 follower.match = max(follower.match, index)
                 follower.next = follower.match + 1
                 follower.probing = False
             else:
-                follower.piece = (index, offset if follower.whole is not None else -1, False)
+                transfer.offset = offset if transfer.whole is not None else -1
             self._replicate(sender, now)
 
     def _on_appended(self, sender, term, success, index, beat, now):
@@ -594,8 +670,8 @@
                 follower.match = 0
         if follower.forgot:
             return
-        follower.window = max(0, follower.window - 1)
         if success:
+            follower.flow.answered(index, now)
             if index > follower.match:
                 follower.match = index
             follower.next = max(follower.next, follower.match + 1)
@@ -603,7 +679,7 @@
         else:
             follower.probing = True
             follower.next = max(follower.match + 1, min(follower.next - 1, index + 1), 1)
-            follower.window = 0
+            follower.flow.clear()
         self._advance(now)
         self._check_round(now)
         if self.role == "leader" and sender in self.followers and follower.next <= self.last_index():
@@ -625,7 +701,7 @@
 
     def _commit_to(self, index):
         start = self.commit + 1
-        entries = self.entries[start - self.first : index + 1 - self.first]
+        entries = self.log.entries[start - self.first : index + 1 - self.first]
         self.commit = index
         self.effects.append(("commit", start, entries))
 
@@ -737,10 +813,9 @@
         self.base_index, self.base_term = index, snapshot_term
         self.base_cohort = cohort_from(image)
         if self.term_at(index) == snapshot_term and self.first <= index:
-            del self.entries[: index + 1 - self.first]
+            self.log.drop_before(index + 1)
         else:
-            self.entries = []
-        self.first = index + 1
+            self.log.clear(index + 1)
         self.commit = index
         self.truncate = self.dirty_from = None
         self._find_cohort()
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -8,6 +8,8 @@
 from ..ground import constants, metrics
 from ..ground.carrier import Carrier
 from ..ground.cohorttime import CohortTime
+from ..ground.limits import Limits
+from ..ground.packed import unpacked
 from ..tenure.keeper import Keeper
 from . import rehearsal, rules
 from .calls import SHAPES
@@ -37,6 +39,7 @@
         self.voters = constants.FOUNDERS  # members wanted in single mode, where each is a group
         self.may_found = True  # an accord that has lost its disk joins, it never founds
         self.time = CohortTime()
+        self.limits = Limits()
         self.cohort = None
         self.founders = ()  # identities whose consent a founding needs
         self.consented = set()
@@ -46,6 +49,7 @@
         self.stopping = False
         self.greet_at = self.join_at = -1e9
         self.snapshotting = False
+        self.since_base = 0  # bytes of entries applied since the newest snapshot was begun
         self.snapshot_segments = (1, 0)  # of the archive, that the snapshot under way stands on
         self.rehearsing = None  # (draft, asked) that this accord measures now
         self.claim_at = -1e9
@@ -113,7 +117,7 @@
             self._take_record(self.consensus.base_image, segments)
 
     def _begin_consensus(self, members):
-        self.consensus = Consensus(self.identity, self.seed, members, self.mode)
+        self.consensus = Consensus(self.identity, self.seed, members, self.mode, self.limits)
         self.consensus.archive = self.record.archive
 
     def _take_record(self, image, segments):
@@ -469,6 +473,7 @@
             elif kind == "commit":
                 self._apply(effect[1], effect[2], now)
             elif kind == "install":
+                self.since_base = 0
                 archive = self.record.archive
                 self._take_record(effect[2], {**archive.retired, **archive.held, **effect[3]})
                 for number, data in sorted(effect[3].items()):
@@ -496,6 +501,7 @@
         consensus = self.consensus
         for place, (_, time, operation) in enumerate(entries):
             index = start + place
+            operation = unpacked(operation)
             outcome = self.record.apply(index, time, operation)
             self.counts["applied"] += 1
             if consensus.role == "leader" and consensus.commit >= index:
@@ -505,12 +511,23 @@
         for number, data in self.record.sealed:
             self.effects.append(("segment", number, data))
         self.record.sealed.clear()
-        due = self.record.index - consensus.base_index >= constants.SNAPSHOT_ENTRIES
-        if due and not self.snapshotting:
+        if entries:
+            self.since_base += consensus.log.bytes_between(start, start + len(entries) - 1)
+        if not self.snapshotting and self._snapshot_due():
             self.snapshotting = True
+            self.since_base = 0
             self.snapshot_segments = self.record.archive.range()
             self.effects.append(("snapshot", self.record.index, self.record.image()))
 
+    def _snapshot_due(self):
+        """Whether so many entries, or so many bytes of them, were applied since the last base. A
+        large image is made more rarely, so that writing it costs no more than the entries did."""
+        consensus = self.consensus
+        if self.record.index - consensus.base_index >= constants.SNAPSHOT_ENTRIES:
+            return True
+        least = min(max(self.limits.since_base, len(consensus.base_image or b"")), self.limits.log // 2)
+        return self.since_base >= least
+
     def _tell(self, address, token, shape, extra, outcome, now):
         if token is None:
             return
--- /dev/null
+++ b/src/pinepitch/accord/flow.py
@@ -0,0 +1,86 @@
+"""What is under way to one follower, and how much of it the way there was seen to carry."""
+
+import collections
+from typing import NamedTuple
+
+from ..ground import constants
+
+
+PATIENT = 4  # times as slow as seen before; so long an answer to a large message is waited for
+
+
+class Sent(NamedTuple):
+    """One append or piece without an answer yet."""
+
+    last: int
+    size: int
+    at: float
+
+
+class Flow:
+    """Invariants: under_way is in the order of sending; budget is from APPEND_LEAST to
+    APPEND_BYTES; at most one message of BULK_BYTES or more is under way, and then it alone,
+    since such ones go by a connection of their own and order holds for one connection only."""
+
+    def __init__(self):
+        self.under_way = collections.deque()
+        self.budget = constants.APPEND_START
+        self.rate = None  # bytes a second of the last large message that was answered
+        self.progress_at = -1e9
+        self.losses = 0  # in a row
+
+    def bulky(self):
+        """Whether a large message is under way."""
+        return bool(self.under_way) and self.under_way[0].size >= constants.BULK_BYTES
+
+    def takes(self, size, window):
+        """Whether a message of so many bytes may follow what is under way."""
+        if not self.under_way:
+            return True
+        return size < constants.BULK_BYTES and not self.bulky() and len(self.under_way) < window
+
+    def begin(self, last, size, now):
+        """A message whose answer says `last` or more is sent."""
+        self.under_way.append(Sent(last, size, now))
+
+    def answered(self, upto, now):
+        """All up to `upto` has arrived and is durable."""
+        while self.under_way and (self.under_way[0].last <= upto or not self.under_way[0].size):
+            self._learn(self.under_way.popleft(), now)
+
+    def _learn(self, sent, now):
+        self.progress_at = now
+        self.losses = 0
+        if sent.size < constants.APPEND_LEAST:
+            return
+        took = max(now - sent.at, 1e-3)
+        self.rate = sent.size / took
+        if took < constants.HEARTBEAT:
+            self.budget = min(constants.APPEND_BYTES, self.budget * 2)
+        elif took > 2 * constants.HEARTBEAT:
+            self.budget = max(constants.APPEND_LEAST, self.budget // 2)
+
+    def overdue(self, now):
+        """Whether what is under way must be taken for lost."""
+        if not self.under_way:
+            return False
+        since = max(self.under_way[0].at, self.progress_at)
+        size = self.under_way[0].size
+        patience = constants.APPEND_RESEND
+        if size >= constants.BULK_BYTES:
+            rate = constants.LINK_SLOWEST if self.rate is None else self.rate / PATIENT
+            patience += (1 + self.losses) * size / rate
+        return now - since > patience
+
+    def lost(self):
+        """Nothing under way is waited for any longer."""
+        if self.bulky():
+            self.losses = min(self.losses + 1, constants.LOSSES_MOST)
+            self.budget = max(constants.APPEND_LEAST, self.budget // 2)
+            if self.rate is not None:
+                self.rate /= 2  # the way may have become slower
+        self.under_way.clear()
+
+    def clear(self):
+        """The follower asks for something else."""
+        self.under_way.clear()
--- /dev/null
+++ b/src/pinepitch/accord/log.py
@@ -0,0 +1,115 @@
+"""The entries of the log as they are held in memory, with their size in bytes.
+
+An entry is (term, time, operation). An operation of PACK_LEAST bytes or more is held encoded
+(ground/packed.py) and decoded only when it is applied.
+"""
+
+import cbor2
+
+from ..ground import constants
+from ..ground.packed import Packed
+
+SMALL = 64  # bytes; of an entry without any list
+ITEM = 80  # bytes; of one item of a list in an entry
+
+
+def _estimate(operation):
+    """About how many bytes an operation takes, None where only encoding it can tell."""
+    size = SMALL
+    for part in operation:
+        kind = type(part)
+        if kind is dict:
+            return None
+        if kind is list or kind is tuple:
+            size += ITEM * len(part)
+        elif kind is str:
+            size += len(part)
+    return size
+
+
+def measured(operation):
+    """(the operation, packed if it is large, its size in bytes)."""
+    if type(operation) is Packed:
+        return operation, SMALL + len(operation.data)
+    size = _estimate(operation)
+    if size is not None and size < constants.PACK_LEAST:
+        return operation, size
+    data = cbor2.dumps(operation)
+    if len(data) < constants.PACK_LEAST:
+        return operation, SMALL + len(data)
+    return Packed(operation[0], data), SMALL + len(data)
+
+
+def packed_step(payload):
+    """What a step file held, its large operations packed."""
+    for kind, change in payload:
+        if kind == "raft" and isinstance(change, list):
+            change[3] = [(term, time, measured(operation)[0]) for term, time, operation in change[3]]
+    return payload
+
+
+class Log:
+    """Entries without a gap. Invariants: entries[i] has index first + i and sizes[i] is its size;
+    size is the sum of sizes."""
+
+    def __init__(self):
+        self.first = 1
+        self.entries = []
+        self.sizes = []
+        self.size = 0
+
+    def last(self):
+        """The index of the newest entry, first - 1 where there is none."""
+        return self.first + len(self.entries) - 1
+
+    def append(self, entries):
+        """Adds entries at the end; large operations are packed."""
+        for term, time, operation in entries:
+            operation, size = measured(operation)
+            self.entries.append((term, time, operation))
+            self.sizes.append(size)
+            self.size += size
+
+    def cut(self, index):
+        """Drops the entries from `index` on."""
+        place = max(0, index - self.first)
+        self.size -= sum(self.sizes[place:])
+        del self.entries[place:]
+        del self.sizes[place:]
+
+    def drop_before(self, index):
+        """Drops the entries before `index`, which is the first one from now on."""
+        count = index - self.first
+        self.size -= sum(self.sizes[:count])
+        del self.entries[:count]
+        del self.sizes[:count]
+        self.first = index
+
+    def clear(self, first):
+        """Drops all; the next entry has the index `first`."""
+        self.first, self.entries, self.sizes, self.size = first, [], [], 0
+
+    def bytes_between(self, start, end):
+        """Bytes of the entries from `start` to `end`, both included."""
+        return sum(self.sizes[max(0, start - self.first) : max(0, end + 1 - self.first)])
+
+    def slice_from(self, index, most_entries, most_bytes):
+        """(entries from `index` on, their bytes): one at least, as many as both bounds allow."""
+        place = index - self.first
+        end, size = place, 0
+        for one in self.sizes[place : place + most_entries]:
+            if end > place and size + one > most_bytes:
+                break
+            size += one
+            end += 1
+        return self.entries[place:end], size
+
+    def tail_start(self, index, most_entries, most_bytes):
+        """The lowest index so that the entries from it to `index` keep both bounds."""
+        size, start = 0, index + 1
+        while start > self.first and index + 1 - start < most_entries:
+            size += self.sizes[start - 1 - self.first]
+            if size > most_bytes:
+                break
+            start -= 1
+        return start
--- a/src/pinepitch/accord/program.py
+++ b/src/pinepitch/accord/program.py
@@ -9,6 +9,7 @@
 from ..ground.program import checked_env, serve
 from ..ground.store import Damaged, Foreign, Store
 from .core import Accord
+from .log import packed_step
 from .rules import read as rules_of
 
 
@@ -16,7 +17,7 @@
     """(store, base, steps, segments, why it was damaged or None); a damaged store counts as
     empty, one of another version is left as it is: OSError says so."""
     store = Store(folder)
-    loaded = store.load()
+    loaded = store.load(packed_step)
     if isinstance(loaded, Foreign):
         raise OSError(
             f"{loaded[0]}; run the version that wrote it, or give an empty folder to start as a newcomer"
--- /dev/null
+++ b/src/pinepitch/accord/transfer.py
@@ -0,0 +1,29 @@
+"""A snapshot on its way from the leader to one follower."""
+
+from typing import NamedTuple
+
+
+class Snapshot(NamedTuple):
+    """The record up to `index`, as a base holds it."""
+
+    index: int
+    term: int
+    cohort: list
+    image: bytes
+    segments: tuple  # (first, last) of the archive that it stands on
+
+
+class Transfer:
+    """Invariants: the snapshot stays the same until all of it has arrived, whatever newer one
+    its leader makes meanwhile; whole is None until the follower said what it holds."""
+
+    def __init__(self, snapshot):
+        self.snapshot = snapshot
+        self.held = None  # newest segment that the follower holds
+        self.whole = None
+        self.offset = -1  # -1 asks what is held
+        self.under_way = False
+
+    def piece(self, most):
+        """The next piece, of at most so many bytes."""
+        return b"" if self.offset < 0 else self.whole[self.offset : self.offset + most]
--- a/src/pinepitch/ground/events.py
+++ b/src/pinepitch/ground/events.py
@@ -32,6 +32,7 @@
     131: ("member change joint", "info"),
     132: ("member change done", "info"),
     133: ("operation held back: a member does not know it", "warning"),
+    134: ("operation held back: the log is full", "warning"),
     140: ("session opened", "info"),
     141: ("session fell", "info"),
     150: ("placing duty claimed", "info"),
--- /dev/null
+++ b/src/pinepitch/ground/limits.py
@@ -0,0 +1,38 @@
+"""How much memory and disk a daemon may take, and what follows for its log."""
+
+from typing import NamedTuple
+
+from . import constants
+
+
+class Limits(NamedTuple):
+    """Bytes of memory and of disk. Invariants: log + every base's tail fit many times into
+    either; tail <= laggard <= since_base <= log."""
+
+    memory: int = constants.MEMORY
+    disk: int = constants.DISK
+
+    @property
+    def log(self):
+        """Bytes of entries held, committed or not; above it callers' operations are held back."""
+        return max(constants.LOG_LEAST, min(self.memory, self.disk // 2) // constants.LOG_PART)
+
+    @property
+    def since_base(self):
+        """Bytes of entries applied since the last base that make a new one due."""
+        return self.log // 4
+
+    @property
+    def laggard(self):
+        """Bytes of entries kept behind a base for a follower that still needs them."""
+        return self.log // 4
+
+    @property
+    def tail(self):
+        """Bytes of entries kept behind a base in any case."""
+        return self.log // 8
+
+    @property
+    def link(self):
+        """Bytes of frames that wait for one destination on one connection."""
+        return max(constants.LINK_LEAST, self.memory // constants.LINK_PART)
--- a/src/pinepitch/ground/store.py
+++ b/src/pinepitch/ground/store.py
@@ -6,7 +6,7 @@
 
 import cbor2
 
-from . import constants
+from . import constants, packed
 
 NAME = re.compile(r"^(base|step|segment)-(\d{16})$")
 
@@ -32,9 +32,9 @@
         self.version = 0
         self.syncs = 0
 
-    def load(self):
+    def load(self, shrunk=lambda payload: payload):
         """(base payload or None, step payloads in order, segments by number that the base
-        stands on), or Damaged."""
+        stands on), or Damaged. Each step passes through `shrunk` before the next one is read."""
         os.makedirs(self.folder, exist_ok=True)
         names = os.listdir(self.folder)
         found = {"base": {}, "step": {}, "segment": {}}
@@ -64,7 +64,7 @@
             payload = self._read(steps[version])
             if isinstance(payload, Damaged):
                 return payload
-            payloads.append(payload)
+            payloads.append(shrunk(payload))
         self.version = base_version + len(payloads)
         return base, payloads, segments
 
@@ -103,7 +103,7 @@
         self.version = 0
 
     def _write(self, name, payload):
-        body = cbor2.dumps((constants.FILE_VERSION, payload))
+        body = packed.dumps((constants.FILE_VERSION, payload))
         aside = os.path.join(self.folder, name + ".aside")
         if os.path.exists(aside):
             os.unlink(
@@ -111,9 +111,10 @@
             )  # after a failed sync what a file holds can't be trusted: never the same one again
         descriptor = os.open(aside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
         try:
-            rest = memoryview(hashlib.sha256(body).digest() + body)
-            while rest:
-                rest = rest[os.write(descriptor, rest) :]
+            for part in (hashlib.sha256(body).digest(), body):  # apart: no second copy of a large body
+                rest = memoryview(part)
+                while rest:
+                    rest = rest[os.write(descriptor, rest) :]
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
@@ -128,7 +129,7 @@
     def _read(self, name):
         with open(os.path.join(self.folder, name), "rb") as file:
             whole = file.read()
-        digest, body = whole[:32], whole[32:]
+        digest, body = whole[:32], memoryview(whole)[32:]  # no second copy of a large body
         if len(digest) < 32 or hashlib.sha256(body).digest() != digest:
             return Damaged((f"{name} is not what was written",))
         version, payload = cbor2.loads(body)
--- a/src/pinepitch/proof/scale.py
+++ b/src/pinepitch/proof/scale.py
@@ -25,6 +25,7 @@
 from ..ground import constants, http, wire
 from ..ground.env import split
 from ..ground.host import Link
+from ..ground.packed import unpacked
 from ..tenure.board import Board
 from ..tenure.job import checked
 from . import tenancy
@@ -885,7 +886,7 @@
     before = tracemalloc.get_traced_memory()[0]
     board = Board()
     board.configuration = alone.core.record.board.configuration
-    plain = entry[2][3]
+    plain = unpacked(entry[2])[3]
     for place in range(count):
         board.accept(0.0, f"{place:016x}", "held", plain)
     held = tracemalloc.get_traced_memory()[0]
--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -12,7 +12,7 @@
 import cbor2
 
 from ..accord.core import Accord
-from ..ground import constants, wire
+from ..ground import constants, packed, wire
 from ..verge.core import Verge
 from ..world import contract
 from . import caller as callers
@@ -347,7 +347,7 @@
             if disk.beside is not None:
                 return
             disk.jobs.popleft()
-            disk.beside, disk.covers = (("base", cbor2.dumps(payload)), tag), len(disk.steps)
+            disk.beside, disk.covers = (("base", packed.dumps(payload)), tag), len(disk.steps)
             if tag is not None:
                 disk.under_way = disk.beside  # nothing may follow before it is durable
             self.at((0.005 + self.draw.random() * 0.3) * disk.slow, "based", node.name, node.life)
@@ -357,7 +357,7 @@
         while disk.jobs and disk.jobs[0][0] == "save":
             _, tag, payload = disk.jobs.popleft()
             batch.append(payload)
-        disk.under_way = (("step", cbor2.dumps(batch)), tag)
+        disk.under_way = (("step", packed.dumps(batch)), tag)
         self.at((0.001 + self.draw.random() * 0.004) * disk.slow, "synced", node.name, node.life)
 
     def _durable(self, node, what, job, life):
@@ -590,7 +590,7 @@
             consensus = node.core.consensus
             for index in range(consensus.first, consensus.commit + 1):
                 entry = consensus.entry(index)
-                text = cbor2.dumps((entry[0], entry[2]))
+                text = packed.dumps((entry[0], entry[2]))
                 if entries.setdefault(index, text) != text:
                     faults.append(f"entry {index} differs at {node.name}")
             try:
