--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -14,49 +14,8 @@
 from ..world import contract
 from . import constants, events, http, wire
 from .env import split
-
-
-class Link:
-    """One way out to another daemon. Invariant: frames leave in the order they came; the
-    oldest falls when LINK_QUEUE are waiting; a broken socket loses what it held."""
-
-    def __init__(self, address):
-        self.address = address
-        self.frames = collections.deque(maxlen=constants.LINK_QUEUE)
-        self.filled = curio.Event()
-
-    async def put(self, frame):
-        self.frames.append(frame)
-        await self.filled.set()
-
-    async def run(self):
-        """Connects, sends, and begins anew when the socket breaks."""
-        host, port = split(self.address)
-        while True:
-            await self.filled.wait()
-            try:
-                socket = await curio.timeout_after(
-                    constants.ELECTION_TIMEOUT, curio.open_connection(host, port)
-                )
-            except (OSError, curio.TaskTimeout):
-                self.frames.clear()
-                self.filled.clear()
-                await curio.sleep(constants.LINK_BACKOFF)
-                continue
-            async with socket:
-                socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
-                socket.setsockopt(
-                    curio.socket.IPPROTO_TCP, curio.socket.TCP_USER_TIMEOUT, constants.PROBE_AFTER
-                )
-                try:
-                    while True:
-                        await self.filled.wait()
-                        batch = b"".join(self.frames)
-                        self.frames.clear()
-                        self.filled.clear()
-                        await curio.timeout_after(constants.ELECTION_TIMEOUT, socket.sendall(batch))
-                except (OSError, curio.TaskTimeout):
-                    pass
+from .limits import Limits
+from .link import Link
 
 
 class Breath:
@@ -137,7 +96,7 @@
     async def _send(self, address, message):
         link = self.links.get(address)
         if link is None:
-            link = self.links[address] = Link(address)
+            link = self.links[address] = Link(address, getattr(self.core, "limits", Limits()))
             await self.tasks.spawn(link.run)
         await link.put(wire.encode(self.address, message))
 
--- a/src/pinepitch/ground/limits.py
+++ b/src/pinepitch/ground/limits.py
@@ -15,7 +15,10 @@
     @property
     def log(self):
         """Bytes of entries held, committed or not; above it callers' operations are held back."""
-        return max(constants.LOG_LEAST, min(self.memory, self.disk // 2) // constants.LOG_PART)
+        return max(
+            constants.LOG_LEAST,
+            min(self.memory // constants.LOG_PART_OF_MEMORY, self.disk // constants.LOG_PART_OF_DISK),
+        )
 
     @property
     def since_base(self):
--- /dev/null
+++ b/src/pinepitch/proof/changes.py
@@ -0,0 +1,169 @@
+"""Long histories of large configurations: hundreds of changes handed to the leader of a
+simulated cohort, and what its members hold, send and keep of them."""
+
+import os
+import sys
+import time
+
+from ..ground.limits import Limits
+from .simulator import Simulator
+
+BODY = 262_144  # bytes; of one configuration
+TEXT = 4_000  # characters; that each route carries along, so that the rest is cheap to check
+
+
+def document_of(version, size=BODY):
+    """A configuration of about `size` bytes, different in each version."""
+    routes = [
+        {
+            "name": f"route{place}",
+            "host": "a.example",
+            "prefix": f"/route{place}/",
+            "service": "held",
+            "note": f"{version:08d}" * (TEXT // 8),
+        }
+        for place in range(max(1, size // (TEXT + 100)))
+    ]
+    return {"version": version, "routes": routes, "services": [{"name": "held", "guards": True}]}
+
+
+def folder_bytes(disk):
+    """Bytes that a simulated data folder holds, a base under way included."""
+    under_way = {id(job): job for job in (disk.beside, disk.under_way) if job is not None}
+    files = [disk.base or b"", *disk.steps, *(job[0][1] for job in under_way.values())]
+    return sum(map(len, files))
+
+
+class Held:
+    """The most that any member held at any look. Invariant: each field only grows."""
+
+    def __init__(self):
+        self.log = self.disk = self.entries = self.append = 0
+
+    def look(self, simulator):
+        """Looks at every member."""
+        for node in simulator.nodes.values():
+            if node.core is not None and node.core.consensus is not None:
+                log = node.core.consensus.log
+                self.log, self.entries = max(self.log, log.size), max(self.entries, len(log.entries))
+                self.disk = max(self.disk, folder_bytes(node.disk))
+
+
+class Cohort(Simulator):
+    """Accords alone, to whose leader changes are handed. Invariants: version is that of the newest
+    change handed over; acknowledged holds the versions that were answered 200."""
+
+    def __init__(self, seed, accords=("a", "b", "c"), limits=Limits(), size=BODY):
+        self.limits, self.size = limits, size
+        super().__init__(seed, accords=accords, verges=(), minions=(), founders=len(accords))
+        self.loss = 0.0
+        self.version, self.acknowledged, self.held = 0, [], Held()
+        self.appends = 0  # bytes of the largest frame
+
+    def start(self, name):
+        super().start(name)
+        core = self.nodes[name].core
+        core.limits = self.limits
+        if core.consensus is not None:
+            core.consensus.limits = self.limits
+
+    def leaderships(self):
+        """(when, name) of every leadership so far."""
+        return [(when, name) for when, name, number, _ in self.trace if number == 122]
+
+    def begin(self):
+        """Waits until a leader serves."""
+        if self.until(lambda: self.serving() is not None, 30) is None:
+            raise AssertionError("no leader within 30 s")
+
+    def serving(self):
+        """The leader that may answer now, or None."""
+        leader = self.leader()
+        if leader is None or not leader.core.consensus.leased(self.now + 1000.0) or leader.core.epoch <= 0:
+            return None
+        return leader
+
+    def change(self, patience=2.5):
+        """Hands one change to the leader, on top of what it has in force; whether there is one."""
+        leader = self.serving()
+        if leader is None:
+            return False
+        base = leader.core.record.board.configuration.version
+        self.version = max(self.version, base) + 1
+        document = document_of(self.version, self.size)
+
+        def told(status, answer):
+            if status == 200:
+                self.acknowledged.append(answer["version"])
+
+        self.request_count += 1
+        self.requests[self.request_count] = ("call", "operator", 0, ("told", told), leader.name)
+        self.give(leader, ("call", self.request_count, "configure", (base, document), patience))
+        return True
+
+    def steady(self, count, every):
+        """So many changes, one each `every` seconds."""
+        for _ in range(count):
+            self.change()
+            self.run(every)
+            self.held.look(self)
+
+    def lacks(self, name):
+        """Entries that a member has not applied of what its leader committed."""
+        leader, core = self.leader(), self.nodes[name].core
+        if leader is None or core is None or core.consensus is None:
+            return None
+        return leader.core.consensus.commit - core.record.index
+
+    def faults(self):
+        """What is wrong at the end: members that differ, or a version acknowledged and not held."""
+        found = self.agreement()
+        leader = self.leader()
+        if leader is None:
+            return [*found, "nobody leads"]
+        if self.acknowledged and leader.core.record.board.configuration.version < max(self.acknowledged):
+            found.append(f"version {max(self.acknowledged)} was acknowledged and is not in force")
+        return found
+
+
+def missed(simulator, name, count, every, wiped=False, meanwhile=0.25):
+    """One member misses `count` changes and comes back under further ones; (seconds until it lacks
+    two entries at most, bytes sent to it, or None where it never did within 120 s)."""
+    simulator.kill(name)
+    simulator.steady(count, every)
+    if wiped:
+        simulator.wipe(name)
+    before = sum(size for (_, target), size in simulator.ways.sent.items() if target == name)
+    begun = simulator.now
+    simulator.start(name)
+    while simulator.now - begun < 120.0:
+        simulator.change()
+        simulator.run(meanwhile)
+        simulator.held.look(simulator)
+        lacks = simulator.lacks(name)
+        if lacks is not None and lacks <= 2 and simulator.nodes[name].core.consensus.role == "follower":
+            after = sum(size for (_, target), size in simulator.ways.sent.items() if target == name)
+            return simulator.now - begun, after - before
+    return None
+
+
+def main(changes="1000", seed="1", size=str(BODY)):
+    """A trial: so many changes of a large configuration, five a second; what is held of them."""
+    limits = Limits(296_000_000, 128_000_000)
+    begun = time.perf_counter()
+    simulator = Cohort(int(seed), limits=limits, size=int(size))
+    simulator.begin()
+    simulator.steady(int(changes), 0.2)
+    simulator.run(3.0)
+    held = simulator.held
+    print(
+        f"changes {changes}, acknowledged {len(simulator.acknowledged)}, log at most {held.log} bytes and "
+        f"{held.entries} entries (bound {limits.log}), folder at most {held.disk} bytes (bound {limits.disk}), "
+        f"leaderships {len(simulator.leaderships())}, {time.perf_counter() - begun:.0f} s, faults {simulator.faults()}"
+    )
+    with open(f"/proc/{os.getpid()}/status", encoding="ascii") as status:
+        print([line.strip() for line in status if line.startswith("VmHWM")])
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- a/src/pinepitch/proof/scale.py
+++ b/src/pinepitch/proof/scale.py
@@ -24,7 +24,7 @@
 from ..accord.core import Accord
 from ..ground import constants, http, wire
 from ..ground.env import split
-from ..ground.host import Link
+from ..ground.link import Link
 from ..ground.packed import unpacked
 from ..tenure.board import Board
 from ..tenure.job import checked
--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -95,6 +95,7 @@
         self.cuts = set()  # (source, target) names
         self.away, self.gone = [], {}  # (name, from, to) of being cut off, frozen or down; name -> since
         self.loss, self.delay, self.double = LOSS, 0.002, 0.0
+        self.ways = None  # a Ways where the bytes that a link carries are bounded
         self.founders, self.mode = founders, mode
         self.kinds = {"accord": Accord, "verge": Verge, "minion": StandInMinion, **(kinds or {})}
         self.minion_history, self.operator_history, self.trace = [], [], []
@@ -305,10 +306,14 @@
         target = self.by_address.get(address)
         if target is None or self.lost(node.name, target.name):
             return
-        source, plain = wire.decode(wire.encode(node.address, message)[4:])
+        frame = wire.encode(node.address, message)
+        delay = self.latency()
+        if self.ways is not None:
+            delay += self.ways.delay(node.name, target.name, len(frame), self.now)
+        source, plain = wire.decode(frame[4:])
         if not contract.kept(plain):
             raise AssertionError(f"{node.name} breaks a contract: {message!r}")
-        self.at(self.latency(), "give", target.name, target.life, tuple(plain))
+        self.at(delay, "give", target.name, target.life, tuple(plain))
         if self.double and self.draw.random() < self.double:
             self.at(self.latency() * 5, "give", target.name, target.life, tuple(plain))
 
