--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -456,6 +456,7 @@
             and not follower.probing
             and follower.transfer is None
             and follower.match + constants.CAUGHT_UP >= self.last_index()
+            and self.log.bytes_between(follower.match + 1, self.last_index()) <= constants.CAUGHT_UP_BYTES
         )
 
     def serving(self):
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -39,6 +39,7 @@
 JOIN_AGAIN = 1.0  # seconds; how often an accord outside the cohort asks to be let in
 REPLACE_AFTER = 3.0  # seconds; out of session this long before a newcomer takes the place
 CAUGHT_UP = 64  # entries; a newcomer this close behind may become a voter
+CAUGHT_UP_BYTES = 2_000_000  # bytes; and this close, so that large entries don't hold up what it must confirm
 
 # --- founding and sessions -----------------------------------------------------------
 FOUNDERS = 3  # accords; the least that may found a cohort unless env says otherwise
