--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -614,22 +614,24 @@
 
     def _snapshot(self):
         """The newest base, as it is sent."""
-        return Snapshot(
-            self.base_index, self.base_term, self.base_cohort.image(), self.base_image, self.base_segments
-        )
+        return Snapshot(self.base_index, self.base_term, self.base_cohort.image())
 
-    def _whole(self, transfer):
-        """The snapshot's image with the segments that it stands on and the follower lacks."""
+    def _shared_whole(self, transfer):
+        """What another follower that lacks the same is being sent already, or None."""
         for follower in self.followers.values():
             other = follower.transfer
             if other is not None and other.whole is not None:
                 if other.snapshot.index == transfer.snapshot.index and other.held == transfer.held:
                     return other.whole
-        first, last = transfer.snapshot.segments
+        return None
+
+    def _whole(self, held):
+        """The base's image with the segments from `held` + 1 on that it stands on."""
+        first, last = self.base_segments
         segments = {}
-        for number in range(max(first, transfer.held + 1), last + 1):
+        for number in range(max(first, held + 1), last + 1):
             segments[number] = self.archive.segment(number)
-        return cbor2.dumps([transfer.snapshot.image, [first, last], segments])
+        return cbor2.dumps([self.base_image, [first, last], segments])
 
     def _on_pieced(self, sender, term, index, offset, held, beat, now):
         follower = self.followers.get(sender)
@@ -644,7 +646,7 @@
             if offset < 0:
                 if transfer.snapshot.index == self.base_index:
                     transfer.held = held
-                    transfer.whole = self._whole(transfer)
+                    transfer.whole = self._shared_whole(transfer) or self._whole(held)
                     transfer.offset = 0
             elif offset == BEYOND or transfer.whole is not None and offset >= len(transfer.whole):
                 follower.transfer = None
--- a/src/pinepitch/accord/transfer.py
+++ b/src/pinepitch/accord/transfer.py
@@ -4,13 +4,11 @@
 
 
 class Snapshot(NamedTuple):
-    """The record up to `index`, as a base holds it."""
+    """The base that stands for the log up to `index`."""
 
     index: int
     term: int
     cohort: list
-    image: bytes
-    segments: tuple  # (first, last) of the archive that it stands on
 
 
 class Transfer:
