--- a/features/steps/lives.py
+++ b/features/steps/lives.py
@@ -56,7 +56,12 @@
         self.simulator.kill(self.follower.name)
         self.simulator.start(self.follower.name)
         found = self.simulator.until(
-            lambda: self.follower.core.consensus.following == self.leader.core.identity, 10, 0.02
+            lambda: (
+                self.follower.core.consensus.following == self.leader.core.identity
+                and self.follower.core._leader_address() is not None
+            ),
+            10,
+            0.02,
         )
         assert found is not None, "the follower heard of no leader"
 
--- a/features/steps/outage.py
+++ b/features/steps/outage.py
@@ -277,7 +277,7 @@
     server.listen(1)
     await link.put(b"third", "three")
     peer, _ = await server.accept()
-    while link.down:
+    while link.ordinary.down:
         await curio.sleep(0)
     await link.put(b"fourth", "four")
     context.arrived = await peer.recv(100)
--- a/src/pinepitch/ground/host.py
+++ b/src/pinepitch/ground/host.py
@@ -14,6 +14,8 @@
 from ..world import contract
 from . import constants, events, http, stall, wire
 from .env import split
+from .limits import USUAL
+from .link import Link
 
 
 def call_sending(message):
@@ -29,65 +31,6 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-class Link:
-    """One way out to another daemon. Invariant: frames leave in the order they came; the
-    oldest falls when LINK_QUEUE are waiting; a broken socket loses what it held; sendings are those
-    of calls in frames, none of which has gone out yet."""
-
-    def __init__(self, address, undelivered):
-        self.address = address
-        self.undelivered = undelivered  # told the sendings of calls when no connection could be made
-        self.frames = collections.deque(maxlen=constants.LINK_QUEUE)
-        self.sendings = []
-        self.down = False  # whether the last attempt to connect failed, and none was made since
-        self.filled = curio.Event()
-
-    async def put(self, frame, sending=None):
-        """Queues a frame; `sending` names the call in it, if it carries one. A call is not queued
-        for a peer that could not be reached last: it only makes the link try again."""
-        await self.filled.set()
-        if sending is not None and self.down:
-            await self.undelivered([sending])
-            return
-        self.frames.append(frame)
-        if sending is not None:
-            self.sendings.append(sending)
-
-    async def run(self):
-        """Connects, sends, and begins anew when the socket breaks."""
-        host, port = split(self.address)
-        while True:
-            await self.filled.wait()
-            try:
-                socket = await curio.timeout_after(
-                    constants.ELECTION_TIMEOUT, curio.open_connection(host, port)
-                )
-            except (OSError, curio.TaskTimeout):
-                sendings, self.sendings = self.sendings, []
-                self.frames.clear()
-                self.filled.clear()
-                self.down = True
-                await self.undelivered(sendings)
-                await curio.sleep(constants.LINK_BACKOFF)
-                continue
-            self.down = False
-            async with socket:
-                socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
-                socket.setsockopt(
-                    curio.socket.IPPROTO_TCP, curio.socket.TCP_USER_TIMEOUT, constants.PROBE_AFTER
-                )
-                try:
-                    while True:
-                        await self.filled.wait()
-                        batch = b"".join(self.frames)  # empty where it was only to try again
-                        self.frames.clear()
-                        self.sendings.clear()
-                        self.filled.clear()
-                        await curio.timeout_after(constants.ELECTION_TIMEOUT, socket.sendall(batch))
-                except (OSError, curio.TaskTimeout):
-                    pass
-
-
 class Breath:
     """Called between slices of a long work in a thread: sleeps as long as the slice took, so
     that the decider's own thread has the interpreter for at least half of the time."""
@@ -174,7 +117,8 @@
     async def _send(self, address, message):
         link = self.links.get(address)
         if link is None:
-            link = self.links[address] = Link(address, self._undelivered)
+            limits = getattr(self.core, "limits", USUAL)
+            link = self.links[address] = Link(address, self._undelivered, limits)
             await self.tasks.spawn(link.run)
         sending = call_sending(message)
         await link.put(wire.encode(self.address, message), sending)
--- a/src/pinepitch/proof/model/faults.py
+++ b/src/pinepitch/proof/model/faults.py
@@ -104,9 +104,9 @@
     self.logs = {**self.logs, identity: self.replicas[identity].stored()}
 
 
-def _drop_log_keeps_durable(self):
+def _drop_log_keeps_durable(self, first):
     """Goes on to count what a snapshot replaced as durable, as before this was mended."""
-    self.entries = []
+    self.log.clear(first)
 
 
 def _no_wait_after_restart(self, now):
