--- a/src/pinepitch/proof/jobs/replays.py
+++ b/src/pinepitch/proof/jobs/replays.py
@@ -16,7 +16,6 @@
 AT_ONCE = 0.003  # seconds; half of them so soon that they may overtake the first
 LATEST = 6.0  # seconds; the others at most this late
 DISTORTED = 0.3  # of these are distorted
-ONCE_ONLY = ("evacuate",)  # carried calls without a version: only their end keeps old ones out
 
 
 def _other_cohort(draw, message):
@@ -86,8 +85,7 @@
     def send(simulator, node, address, message):
         original(simulator, node, address, message)
         target = simulator.by_address.get(address)
-        once_only = message[0] == "ask" and message[3] in ONCE_ONLY
-        if target is None or once_only or draw.random() >= PART:
+        if target is None or draw.random() >= PART:
             return
         _, plain = wire.decode(wire.encode(node.address, message)[wire.LENGTH.size :])
         again = functools.partial(_arrive_again, simulator, target.name, distorted(draw, tuple(plain)))
@@ -98,10 +96,13 @@
 
 
 def frames_replayed(simulator):
-    """Frames come again while control daemons and fronts are started again, the leader too."""
+    """Frames come again while control daemons and fronts are started again, the leader too, and
+    while zones are evacuated and taken back."""
     with frames_again(simulator):
         for turn in range(4):
+            span = simulator.governor.evacuate(simulator.draw.choice(("a", "b", "c")))
             simulator.run(simulator.draw.uniform(1, 2.5))
+            simulator.governor.restore(span)
             leader = simulator.leader()
             if turn % 2 and leader is not None:
                 name = leader.name
