--- a/src/pinepitch/proof/loss_trial.py
+++ b/src/pinepitch/proof/loss_trial.py
@@ -39,6 +39,12 @@
         return found[0] if found else None
 
     # --- ends and starts of machines ---------------------------------------------------
+    def lose_power(self, name):
+        """A machine loses power, and with it all that was not synced: the worst that may be left of it."""
+        disk = self.nodes[name].disk
+        disk.beside = disk.under_way = None
+        self.kill(name)
+
     def retire(self, name):
         """The machine is gone for good, its disk with it."""
         if self.nodes[name].core is not None:
--- a/src/pinepitch/proof/second_loss.py
+++ b/src/pinepitch/proof/second_loss.py
@@ -30,6 +30,8 @@
 )
 JOINT, COMMITTED, DONE = 130, 131, 132  # events of a change of members
 CONSENT, LEADER, INSTALLED = 111, 122, 127
+SNAPSHOTS_SOON = {"SNAPSHOT_ENTRIES": 20, "SNAPSHOT_TAIL": 5, "SNAPSHOT_PIECE": 300}
+CHANGES = 20  # changes before a replacement, so that a newcomer is sent a snapshot by then
 STRUCK = ("leader", "newcomer", "other")
 SNAPSHOT_STEPS = (("piece", 1), ("piece", 2), ("piece", 4), (INSTALLED, 1))  # what comes, how often
 
@@ -264,7 +266,7 @@
 
 
 def _lost_for_a_while(trial, node):
-    trial.kill(node.name)
+    trial.lose_power(node.name)
     trial.again(node.name, WHILE)
 
 
@@ -311,9 +313,9 @@
 def snapshot_struck(seed):
     """While a snapshot is sent and as it is installed, its sender, its receiver or another voter loses
     power for a while: one too many."""
-    with plants.planted("frequent-snapshots"), mock.patch.object(constants, "SNAPSHOT_PIECE", 500):
+    with mock.patch.multiple(constants, **SNAPSHOTS_SOON):
         steps = itertools.product(SNAPSHOT_STEPS, STRUCK)
-        return _first_faulty(_replacement_struck(seed, *step, kind, 60) for step, kind in steps)
+        return _first_faulty(_replacement_struck(seed, *step, kind, CHANGES) for step, kind in steps)
 
 
 def founding_struck(seed):
