--- a/features/steps/models.py
+++ b/features/steps/models.py
@@ -4,7 +4,7 @@
 from hypothesis import HealthCheck, Phase, settings, strategies
 from hypothesis import given as drawn
 
-from pinepitch.proof.model import fleets, search
+from pinepitch.proof.model import fleets, script, search
 from pinepitch.proof.model.explore import Found
 from pinepitch.proof.model.faults import FAULTS, conditions, injected
 from pinepitch.proof.model.fleets import FAST, MODELS, SLOW, THREE, Fleet
@@ -54,9 +54,9 @@
     """The leader's consensus after a replacement was begun, carried on by all but b."""
     with conditions(fleet):
         world = fleets.started(fleet._replace(budget=fleets.Budget(beats=10, changes=1)))
-        world = fleets.act("change", "a", REPLACING)(world)
+        world = script.act("change", "a", REPLACING)(world)
         for _ in range(6):
-            world = fleets.act("beat", "a")(fleets.quiet_without("b")(world))
+            world = script.act("beat", "a")(script.quiet_without("b")(world))
     return world.replicas["a"].consensus
 
 
