--- a/src/pinepitch/proof/model/fleets.py
+++ b/src/pinepitch/proof/model/fleets.py
@@ -158,6 +158,16 @@
         Bounds(12, 1_000_000),
         "three terms left a different tail each (Figure 8 of the Raft paper), logs are sent in parts",
     ),
+    "repeats": Model(
+        Fleet(
+            THREE,
+            budget=Budget(stands=2, proposals=1, beats=1, repeats=3),
+            script=(elect("a"), act("propose", "a")),
+        ),
+        Bounds(5, 700),
+        Bounds(10, 1_000_000),
+        "messages arrive twice",
+    ),
     "joint-change": Model(
         Fleet(
             THREE,
