--- a/features/steps/snapshot_lives.py
+++ b/features/steps/snapshot_lives.py
@@ -40,7 +40,8 @@
         self.leader = member("leader", len(SEGMENTS))
         self.leader.base_index, self.leader.base_term = SNAPSHOT_INDEX, TERM - 1
         self.leader.base_image, self.leader.base_segments = b"image", (1, len(SEGMENTS))
-        self.leader.first, self.leader.role = SNAPSHOT_INDEX + 1, "leader"
+        self.leader.log.clear(SNAPSHOT_INDEX + 1)
+        self.leader.role = "leader"
         self.leader.followers = {"follower": Follower(SNAPSHOT_INDEX, self.now)}
         self.leader.followers["follower"].next = 1
         self.follower = member("follower", 5)
--- a/src/pinepitch/accord/opening.py
+++ b/src/pinepitch/accord/opening.py
@@ -3,13 +3,14 @@
 import secrets
 
 from ..ground.store import Damaged, Foreign, Store
+from .log import packed_step
 
 
 def open_store(folder):
     """(store, base, steps, segments, why it was damaged or None); a damaged store counts as
     empty, one of another version is left as it is: OSError says so."""
     store = Store(folder)
-    loaded = store.load()
+    loaded = store.load(packed_step)
     if isinstance(loaded, Foreign):
         raise OSError(
             f"{loaded[0]}; run the version that wrote it, or give an empty folder to start as a newcomer"
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -14,11 +14,26 @@
 HANDOVER_WITHIN = 1.0  # seconds; a stopping leader waits so long for its successor to hold all, many syncs
 APPEND_ENTRIES = 256  # entries; most in one append, keeps a frame small and a beat prompt
 APPEND_WINDOW = 4  # messages; appends under way to one follower before an answer
-APPEND_RESEND = 0.5  # seconds; an unanswered window is sent anew after this
+APPEND_RESEND = 0.5  # seconds; an unanswered window is sent anew after this, later where it is large
+APPEND_BYTES = 262_144  # bytes; most in one append or piece unless one entry is larger
+APPEND_START = 65_536  # bytes; what is tried first on a way that carried nothing large yet
+APPEND_LEAST = 16_384  # bytes; so much is sent at once on the slowest way: 66 ms at 2 Mbit/s
+BULK_BYTES = 24_576  # bytes; appends from here on go one at a time, by a connection of their own
+LINK_SLOWEST = 250_000  # bytes a second; 2 Mbit/s: what a way unknown so far is waited for as if it carried
+LOSSES_MOST = 4  # times in a row; that the patience with a slow way is raised
+PACK_LEAST = 1_024  # bytes; an operation from here on is held encoded in the log
 DENIALS = 20  # answers in a row; a follower that lacks what it acknowledged has forgotten
 SNAPSHOT_ENTRIES = 4000  # entries; applied between two snapshots of the record
 SNAPSHOT_TAIL = 1000  # entries; kept behind a snapshot for followers a little behind
-SNAPSHOT_PIECE = 262_144  # bytes; one piece of a snapshot on its way to a follower
+LAGGARD_TIMES = 10  # times the tail; entries kept at most for a follower that still needs them
+SNAPSHOT_PIECE = 262_144  # bytes; most in one piece of a snapshot on its way to a follower
+SNAPSHOT_WORTH = 2  # times; a follower that lacks so many times the image is sent the image instead
+MEMORY = 512_000_000  # bytes; that a daemon may take unless env says otherwise
+DISK = 2_000_000_000  # bytes; that a data folder may take unless env says otherwise
+MEGABYTES_LEAST = 32  # of memory or disk, the least that env may name
+LOG_PART_OF_MEMORY = 16  # of the memory one part in so many is for entries of the log
+LOG_PART_OF_DISK = 8  # of the disk, which holds two bases beside the entries for a while
+LOG_LEAST = 4_000_000  # bytes; below it two of the largest operations would hold back all others
 RETIRE_AFTER = 30.0  # seconds; out of session this long beside a live one of its area
 KILL_AGAIN = 0.5  # seconds; before an unproven kill is ordered again
 ALERT_EVERY = 1.0  # seconds; between two looks at the alert rules
@@ -38,6 +53,7 @@
 LEAVE_PART = 0.6  # of the time from SIGTERM to SIGKILL that a process may use of its own accord
 SEAT_ANSWER = 0.5  # seconds; a stopping voter waits so long for a leader's word on its seat
 CAUGHT_UP = 64  # entries; a newcomer this close behind may become a voter
+CAUGHT_UP_BYTES = 2_000_000  # bytes; and this close, so that large entries don't hold up what it must confirm
 
 # --- founding and sessions -----------------------------------------------------------
 FOUNDERS = 3  # accords; the least that may found a cohort unless env says otherwise
@@ -121,6 +137,11 @@
 HELD_COME_BACK = 10  # seconds; Retry-After when an alert holds approvals
 COME_BACK = 1  # seconds; Retry-After when a queue is full or no leader is known
 LINK_QUEUE = 4_096  # frames; waiting for one destination, beyond it the oldest fall
+LINK_PART = 64  # of the memory one part in so many may wait for one destination
+LINK_LEAST = 2_000_000  # bytes; waiting for one destination, whatever memory there is
+LINK_SLICE = 16_384  # bytes; handed to a socket at once: each must get on within ELECTION_TIMEOUT
+LINK_BUFFER = 65_536  # bytes; that the system holds for a connection of large frames
+LINK_BULK = 32_768  # bytes; frames from here on go by a connection of their own
 LINK_BACKOFF = 0.1  # seconds; between two attempts to connect
 FRAME_MOST = 16_000_000  # bytes; of one frame between our processes
 STOP_WITHIN = 2.0  # seconds; from SIGTERM to exit
@@ -233,13 +254,8 @@
 RACK_WAIT = 1.0  # seconds; a gang waits for one rack with room for all at most this long
 STALL = 0.9  # seconds; a daemon that did not run this long: callers go elsewhere after a second of silence
 STALL_AFTERMATH = 0.25  # seconds; after a stall in which calls that waited in sockets are still being read
-LEADER_SILENT = 1.0  # seconds; without news from a leader this long a verge counts as unled: twice NEWS_HOLD
-UNLED_SHARE = (
-    0.55  # of its time a call waits at an unled verge at most; its caller can come back within the rest
-)
-OUTAGE_SHORT = (
-    2.0  # seconds; an outage that lasts longer is no restart of processes, nobody waits for its end
-)
+UNLED_SHARE = 0.55  # of its time a call that may have been taken waits in a long outage
+OUTAGE_SHORT = 2.2  # seconds without news from a leader; what lasts longer is no restart of processes
 UNLED_SEEK = 0.2  # seconds; in a long outage, enough to ask one or two accords who leads
 CARRY_SEEK = 0.1  # seconds; before a call that nobody took is sent to whoever leads by then
 GATHER_BEATS = 0.005  # seconds; what beats tell is gathered this long into one entry
--- a/src/pinepitch/proof/isolation/plants.py
+++ b/src/pinepitch/proof/isolation/plants.py
@@ -5,11 +5,10 @@
 
 from ...accord.consensus import Consensus
 from ...accord.lead import Lead
-from ...ground import constants, stall
+from ...ground import confirmed, constants, stall
 from ...ground.carrier import Carrier
 from ...ground.leaderclock import LeaderClock, Reading
 from ...tenure.configuration import Configuration
-from .. import order_plants
 
 
 def _never_in_doubt(self, call):
@@ -28,26 +27,49 @@
     return forgetting
 
 
+def _carried_unconfirmed(self, request, call, arguments, now, patience):
+    """Carries an order for a zone at once, as if the newest index of all had been confirmed."""
+    if call in confirmed.CALLS:
+        arguments = (*arguments, constants.NUMBER_MOST)
+    return self.carrier.begin(request, call, arguments, now, patience)
+
+
+def _refusing(take):
+    """Refuses some changes on the version in force, as a daemon with an old record would."""
+
+    def refusing(self, base, document, digest):
+        if base == self.version and document["version"] % 5 == 0:
+            return ("stale", self.version + 1)
+        return take(self, base, document, digest)
+
+    return refusing
+
+
 original_given_up = Carrier._given_up
+UNCONFIRMED_ORDERS = (confirmed.ConfirmedCalls, "begin", _carried_unconfirmed)
 # The registry of planted faults: name -> [(owner, attribute, replacement)].
 PLANTS = {
     # What a late copy of an order for a zone would undo, its confirmed index keeps too: each of these
-    # two faults does harm only beside one that takes late orders.
+    # faults does harm only beside one that carries orders without that.
     "asks-without-end": [
         (Lead, "_in_time", lambda self, end, now: True),
-        *order_plants.LATE_ORDERS,
+        UNCONFIRMED_ORDERS,
     ],
     "ends-on-own-clock": [
-        *order_plants.LATE_ORDERS,
+        UNCONFIRMED_ORDERS,
         (LeaderClock, "end", lambda self, until, now: Reading(self.term, now + constants.CALL_PATIENCE)),
     ],
     "late-answers-written": [(stall, "timely", lambda reply, until, now: reply)],
-    "waited-calls-taken": [(stall.StallGuard, "refuses", lambda self, message, now: False)],
+    "waited-calls-taken": [
+        (stall.StallGuard, "refuses", lambda self, message, now: False),
+        UNCONFIRMED_ORDERS,
+    ],
     "lease-ignored": [
         (Consensus, "leased", lambda self, now: self.serving()),
         (constants, "CHECK_QUORUM", 15.0),
     ],
     "doubt-unsaid": [(Carrier, "_given_up", _never_in_doubt)],
+    "refused-at-will": [(Configuration, "take", _refusing(Configuration.take))],
     "taken-forgotten": [(Configuration, "take", _forgetting(Configuration.take))],
 }
 
--- a/src/pinepitch/proof/model/replica.py
+++ b/src/pinepitch/proof/model/replica.py
@@ -1,9 +1,13 @@
 """One replica of a model: a real Consensus, its disk, and a fingerprint of both."""
 
+import collections
+import copy
 import functools
 from typing import NamedTuple
 
 from ...accord.consensus import Consensus, Follower, Incoming
+from ...accord.log import Log
+from ...ground import constants
 
 LONG_AGO = -1e9
 SCALARS = (int, str, bool, float, bytes, type(None))
@@ -72,8 +76,9 @@
     fields.update(consensus.__dict__)
     for name in ("history", "learners", "replies", "beats", "heirs"):
         fields[name] = dict(fields[name])
-    for name in ("entries", "held", "effects", "reads_now", "reads_next"):
+    for name in ("held", "effects", "reads_now", "reads_next"):
         fields[name] = list(fields[name])
+    twin.log = _copy_of_log(consensus.log)
     twin.saving = [list(one) for one in consensus.saving]
     twin.followers = {identity: _copy_of_follower(one) for identity, one in consensus.followers.items()}
     if consensus.incoming is not None:
@@ -87,12 +92,42 @@
     return twin
 
 
+def _copy_of_log(log):
+    twin = Log()
+    twin.first, twin.size = log.first, log.size
+    twin.entries, twin.sizes = list(log.entries), list(log.sizes)
+    return twin
+
+
 def _copy_of_follower(follower):
     twin = Follower.__new__(Follower)
     twin.__dict__.update(follower.__dict__)
+    twin.flow = copy.copy(follower.flow)
+    twin.flow.under_way = collections.deque(follower.flow.under_way)
+    twin.transfer = copy.copy(follower.transfer)
     return twin
 
 
+def _forget_flow_times(flow):
+    """Takes time, and what was learnt by time, out of what is under way to a follower."""
+    flow.under_way = collections.deque(sent._replace(at=0.0) for sent in flow.under_way)
+    flow.progress_at, flow.rate, flow.losses = 0.0, None, 0
+    flow.budget = constants.APPEND_START
+
+
+def _flow_state(flow):
+    """What is under way to a follower, without times."""
+    return tuple((sent.last, sent.size) for sent in flow.under_way)
+
+
+def _transfer_state(transfer):
+    """A snapshot on its way to a follower, None where there is none."""
+    if transfer is None:
+        return None
+    progress = (transfer.offset, transfer.awaited, transfer.under_way)
+    return (frozen(transfer.snapshot), transfer.held, transfer.whole, *progress)
+
+
 class Replica:
     """A daemon of the model. Invariants: `disk` is the payload of a base file that holds all
     that is durable; `queue` are the writes under way; a wiped daemon has another identity."""
@@ -137,11 +172,12 @@
     def forget_times(self, now):
         """Takes time out of the state: any time-out may have passed, any wait may be over."""
         consensus = self.consensus
-        consensus.heard_leader = consensus.beat_at = LONG_AGO
+        consensus.heard_leader = consensus.beat_at = consensus.ask_at = LONG_AGO
         consensus.election_at = 0.0
         consensus.beat, consensus.beats = 0, {}
         for follower in consensus.followers.values():
-            follower.beat, follower.sent_at, follower.heard_at = 0, 0.0, now
+            follower.beat, follower.heard_at = 0, now
+            _forget_flow_times(follower.flow)
         if consensus.handover is not None:
             consensus.handover = consensus.handover._replace(until=now)
         for saving in consensus.saving:
@@ -168,9 +204,8 @@
                 follower.match,
                 follower.next,
                 follower.probing,
-                follower.window,
-                follower.piece,
-                follower.whole,
+                _flow_state(follower.flow),
+                _transfer_state(follower.transfer),
                 follower.denials,
                 follower.forgot,
             )
--- a/src/pinepitch/proof/model/timed.py
+++ b/src/pinepitch/proof/model/timed.py
@@ -14,6 +14,11 @@
 BEGIN = 1000.0  # seconds; what every clock reads at first
 
 
+def _flow_times(flow):
+    """The times of what is under way to a follower."""
+    return tuple(round(sent.at, 3) for sent in flow.under_way), round(max(flow.progress_at, 0.0), 3)
+
+
 class TimedBudget(NamedTuple):
     """How often each kind of step may still be taken; times out of it pass by themselves."""
 
@@ -31,6 +36,11 @@
     reads: int = 0  # a leader is asked for what is committed
 
 
+def _flow_times(flow):
+    """The times of what is under way to a follower."""
+    return tuple(round(sent.at, 3) for sent in flow.under_way), round(max(flow.progress_at, 0.0), 3)
+
+
 class TimedWorld(World):
     """A state with clocks. Invariant: while a leader's lease stands, no later term has a leader."""
 
@@ -58,7 +68,7 @@
     def _times(self, replica):
         consensus = replica.consensus
         followers = tuple(
-            (one, follower.beat, round(follower.heard_at, 3), round(follower.sent_at, 3))
+            (one, follower.beat, round(follower.heard_at, 3), _flow_times(follower.flow))
             for one, follower in sorted(consensus.followers.items())
         )
         return (
@@ -66,7 +76,7 @@
             None if consensus.election_at is None else round(consensus.election_at, 3),
             round(max(consensus.beat_at, 0.0), 3),
             round(max(consensus.penance_until, 0.0), 3),
-            (consensus.beat, consensus.handover),
+            (consensus.beat, consensus.handover, consensus.begun_at, max(consensus.ask_at, 0.0)),
             followers,
             tuple((number, round(sent, 3)) for number, sent in sorted(consensus.beats.items())),
             (consensus.round, tuple(consensus.reads_now), tuple(consensus.reads_next)),
@@ -124,7 +134,9 @@
         self.frozen -= {action.subject}
 
     def _restart(self, action):
+        """Starts anew at once; the first input of the new life may come any time later."""
         super()._restart(action)
+        self.replicas[action.subject].consensus.begun_at = self.now(action.subject)
         self.frozen -= {action.subject}
 
     def _wipe(self, action):
--- a/src/pinepitch/proof/simulator.py
+++ b/src/pinepitch/proof/simulator.py
@@ -12,7 +12,7 @@
 import cbor2
 
 from ..accord.core import Accord
-from ..ground import constants, stall, wire
+from ..ground import constants, packed, stall, wire
 from ..ground.host import call_sending
 from ..verge.core import Verge
 from ..world import contract
@@ -29,6 +29,11 @@
 ANSWER_TIMEOUT = 5.0  # seconds a stand-in caller waits
 
 
+def plain_image(record):
+    """A record's whole image as bytes that don't depend on the order of its maps."""
+    return cbor2.dumps(cbor2.loads(record.encode(record.image())), canonical=True)
+
+
 class Disk:
     """An accord's data folder. Invariants: base and steps are what survives; jobs are not
     durable until done; one job (a batch of saves) is under way at a time, and beside it at
@@ -105,6 +110,7 @@
         self.away, self.gone = [], {}  # (name, from, to) of being cut off, frozen or down; name -> since
         self.loss, self.delay, self.double = LOSS, 0.002, 0.0
         self.lag = {}  # name -> seconds that a slow machine takes longer for whatever it does
+        self.ways = None  # a Ways where the bytes that a link carries are bounded
         self.founders, self.mode = founders, mode
         self.kinds = {"accord": Accord, "verge": Verge, "minion": StandInMinion, **(kinds or {})}
         self.minion_history, self.operator_history, self.trace = [], [], []
@@ -375,10 +381,14 @@
         if target.core is None and sending is not None:
             self.at(REFUSED_AFTER, "give", node.name, node.life, ("undelivered", *sending))
             return
-        source, plain = wire.decode(wire.encode(node.address, message)[4:])
+        frame = wire.encode(node.address, message)
+        delay = self.latency()
+        if self.ways is not None and target.core is not None:
+            delay += self.ways.delay(node.name, target.name, len(frame), self.now)
+        source, plain = wire.decode(frame[4:])
         if not contract.kept(plain):
             raise AssertionError(f"{node.name} breaks a contract: {message!r}")
-        self.at(self.latency(), "give", target.name, target.life, tuple(plain))
+        self.at(delay, "give", target.name, target.life, tuple(plain))
         if self.double and self.draw.random() < self.double:
             self.at(self.latency() * 5, "give", target.name, target.life, tuple(plain))
 
@@ -417,7 +427,7 @@
             if disk.beside is not None:
                 return
             disk.jobs.popleft()
-            disk.beside, disk.covers = (("base", cbor2.dumps(payload)), tag), len(disk.steps)
+            disk.beside, disk.covers = (("base", packed.dumps(payload)), tag), len(disk.steps)
             if tag is not None:
                 disk.under_way = disk.beside  # nothing may follow before it is durable
             self.at((0.005 + self.draw.random() * 0.3) * disk.slow, "based", node.name, node.life)
@@ -427,7 +437,7 @@
         while disk.jobs and disk.jobs[0][0] == "save":
             _, tag, payload = disk.jobs.popleft()
             batch.append(payload)
-        disk.under_way = (("step", cbor2.dumps(batch)), tag)
+        disk.under_way = (("step", packed.dumps(batch)), tag)
         self.at((0.001 + self.draw.random() * 0.004) * disk.slow, "synced", node.name, node.life)
 
     def _durable(self, node, what, job, life):
@@ -662,7 +672,7 @@
             consensus = node.core.consensus
             for index in range(consensus.first, consensus.commit + 1):
                 entry = consensus.entry(index)
-                text = cbor2.dumps((entry[0], entry[2]))
+                text = packed.dumps((entry[0], entry[2]))
                 if entries.setdefault(index, text) != text:
                     faults.append(f"entry {index} differs at {node.name}")
             try:
@@ -670,15 +680,11 @@
             except AssertionError as broken:
                 faults.append(f"{node.name}: {broken}")
             record = node.core.record
-            image = (
-                record.time,
-                record.tickets,
-                record.keys,
-                record.version,
-                record.epochs,
-                record.archive.image(),
-                record.archive.held,
-            )
+            plain = plain_image(record)
+            decoded = type(record).decode(record.encode(record.image()), record.archive.held)
+            if plain_image(decoded) != plain:
+                faults.append(f"{node.name} would restart with another record than it holds")
+            image = (plain, record.archive.held)
             other = records.setdefault(record.index, (node.name, image))
             if other[1] != image:
                 faults.append(f"{node.name} and {other[0]} differ at {record.index}")
