--- a/src/pinepitch/proof/jobs/control_scenarios.py
+++ b/src/pinepitch/proof/jobs/control_scenarios.py
@@ -315,7 +315,7 @@
 def _snapshot_under_way(simulator, node):
     leader = simulator.leader()
     follower = leader.core.consensus.followers.get(node.core.identity) if leader and node.core else None
-    return follower is not None and follower.piece is not None and follower.piece[1] >= 0
+    return follower is not None and follower.transfer is not None and follower.transfer.whole is not None
 
 
 def _change_begun(simulator, node):
