--- a/src/pinepitch/proof/jobs/checks.py
+++ b/src/pinepitch/proof/jobs/checks.py
@@ -255,3 +255,14 @@
         for event in history
         if event[0] == "end" and event[6] == "alone" and jobs[event[4].split(".")[0]]["cancelled"] is None
     ]
+
+
+def refused_without_rival(changes):
+    """No change is refused while it alone was sent on top of a version that was in force."""
+    faults = []
+    taken = {one.version for one in changes if one.acknowledged() is not None}
+    for one in changes:
+        rivals = [other for other in changes if other.base == one.base and other is not one]
+        if one.was_refused() and one.base in taken and not rivals:
+            faults.append(f"version {one.version} was refused, though it alone built on {one.base}")
+    return faults
