--- a/src/pinepitch/proof/jobs/control_faults.py
+++ b/src/pinepitch/proof/jobs/control_faults.py
@@ -90,7 +90,11 @@
 
 
 def add_control(simulator, area):
-    """Starts an empty control daemon at a new address; its node."""
+    """Starts an empty control daemon at a new address; its node. Its contact points are as the platform
+    names them then: should all of those named before be gone, others are."""
+    live = {simulator.nodes[name].address for name in control_names(simulator)}
+    if not live & set(simulator.seeds):
+        name_seeds(simulator)
     number = next(one for one in itertools.count() if f"fresh{one}" not in simulator.nodes)
     node = simulator.add(f"fresh{number}", "accord", area)
     simulator.start(node.name)
