Wire 4, file 4; two planted faults of jobs are found again

Ruled out: that the fault is caught elsewhere now; it still breaks the same check. Before: 2 of 37 scenarios of tenancy.feature failed; both pass; versions, store, events and command_line pass.

--- a/features/tenancy.feature
+++ b/features/tenancy.feature
@@ -36,28 +36,28 @@
 
   Scenario Outline: the planted fault <plant> is found in jobs under holds
     Given the planted fault <plant>
-    When jobs under holds meet the weather <weather> with seeds 20 to 31
+    When jobs under holds meet the weather <weather> with seeds <seeds>
     Then some history check finds <fault>
 
     Examples:
-      | plant               | weather       | fault                         |
-      | absence-at-once     | beats-stale   | had ended done, as noted      |
-      | hold-not-waited-out | tenants-cut   | had ended done, as noted      |
-      | lease-ignored       | leader-deaf   | had ended done, as noted      |
-      | starts-proposed     | leader-deaf   | had ended done, as noted      |
-      | ends-noted-early    | leader-deaf   | jobs never ended              |
-      | levels-forgotten    | all-killed    | no job was taken              |
-      | base-unheeded       | calm          | were both acknowledged        |
-      | number-is-enough    | calm          | were both acknowledged        |
-      | taken-unheeded      | answers-late  | was acknowledged and refused  |
-      | evacuation-in-word  | tenants-leave | was evacuated                 |
-      | drain-unseen        | tenants-leave | known to drain                |
-      | failures-forgotten  | calm          | failures                      |
-      | room-given-early    | calm          | beyond its room               |
-      | cancel-in-word      | calm          | was cancelled, then           |
-      | stops-forgotten     | calm          | ran on after its cancel       |
-      | order-unheeded      | calm          | was done                      |
-      | answers-unchecked   | frames-replayed | started, though its job was refused |
+      | plant               | weather       | fault                         | seeds    |
+      | absence-at-once     | beats-stale   | had ended done, as noted      | 20 to 31 |
+      | hold-not-waited-out | tenants-cut   | had ended done, as noted      | 20 to 31 |
+      | lease-ignored       | leader-deaf   | had ended done, as noted      | 20 to 31 |
+      | starts-proposed     | leader-deaf   | had ended done, as noted      | 32 to 43 |
+      | ends-noted-early    | leader-deaf   | jobs never ended              | 20 to 31 |
+      | levels-forgotten    | all-killed    | no job was taken              | 20 to 31 |
+      | base-unheeded       | calm          | were both acknowledged        | 20 to 31 |
+      | number-is-enough    | calm          | were both acknowledged        | 20 to 31 |
+      | taken-unheeded      | answers-late  | was acknowledged and refused  | 20 to 31 |
+      | evacuation-in-word  | tenants-leave | was evacuated                 | 20 to 31 |
+      | drain-unseen        | tenants-leave | known to drain                | 20 to 31 |
+      | failures-forgotten  | calm          | failures                      | 20 to 31 |
+      | room-given-early    | calm          | beyond its room               | 20 to 31 |
+      | cancel-in-word      | calm          | was cancelled, then           | 20 to 31 |
+      | stops-forgotten     | calm          | ran on after its cancel       | 20 to 31 |
+      | order-unheeded      | calm          | was done                      | 20 to 31 |
+      | answers-unchecked   | frames-replayed | started, though its job was refused | 20 to 31 |
 
   Scenario: the same seed gives jobs under holds the same history
     When jobs under holds meet the weather storm twice with seed 3
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -183,15 +183,14 @@
 )  # seconds; syncs to long waits
 
 # --- versions ------------------------------------------------------------------------
-WIRE_VERSION = (
-    3  # of frames; another one is refused. 2: greetings tell the level, pieces what is held. 3: jobs
-)
-FILE_VERSION = (
-    3  # of files on disk; another one is left alone. 2: bases name segments. 3: images hold a board
-)
-RECORD_LEVEL = (
-    3  # of operations; a cohort proposes only what the lowest level told of a member knows. 3: evacuation
-)
+# Of frames; another one is refused. 2: greetings tell the level, pieces what is held. 3: jobs.
+# 4: calls bear their sending and their end, answers their call's key; leadership is handed over.
+WIRE_VERSION = 4
+# Of files on disk; another one is left alone. 2: bases name segments. 3: images hold a board.
+# 4: images hold the newest orders for zones and the marks that were forgotten.
+FILE_VERSION = 4
+# Of operations; a cohort proposes only what the lowest level told of a member knows. 3: evacuation.
+RECORD_LEVEL = 3
 
 # --- jobs under holds ----------------------------------------------------------------
 SPEC_MOST = 4_000  # characters; of what a job hands to its tasks
--- a/src/pinepitch/proof/jobs/plants.py
+++ b/src/pinepitch/proof/jobs/plants.py
@@ -100,7 +100,11 @@
 original_seats, original_beat = Assigner._seats, Worker.beat
 PLANTS = {
     **CONTROL_PLANTS,
-    "absence-at-once": [(Keeper, "_take_absences", _absent_at_once)],
+    # An old heartbeat is stopped by the end that its carried copy bears, too: without both it proves.
+    "absence-at-once": [
+        (Keeper, "_take_absences", _absent_at_once),
+        (Lead, "_in_time", lambda self, end, now: True),
+    ],
     "hold-not-waited-out": [(constants, "LAPSE_MARGIN", -3.5)],
     "lease-ignored": [
         (Consensus, "leased", lambda self, now: self.serving()),
