Learners that were lost make room for later newcomers

Cause: a learner stayed in the leader's list until leadership changed, and at most nine may learn at once; nine newcomers lost before they had a seat kept every later one out, so that a second loss was never repaired. Ruled out: forgetting by time (one that is slow to come back would be dropped while there is room). Now those without a session go when the list is full. Seen to fail before: the tenth newcomer had no seat after 10 s (features/learners.feature); it passes.

--- /dev/null
+++ b/features/steps/learners.py
@@ -0,0 +1,55 @@
+"""Steps for Learners: newcomers of a simulated cohort that are lost before they have a seat."""
+
+from behave import given, then, when
+
+from pinepitch.ground import constants
+from pinepitch.proof.simulator import Simulator
+
+
+@given("a cohort of three accords")
+def step_cohort(context):
+    context.simulator = Simulator(5, minions=())
+    context.simulator.begin()
+
+
+def newcomer(simulator, name, area):
+    """Starts an empty accord at a new address."""
+    simulator.add(name, "accord", area)
+    simulator.start(name)
+    return simulator.nodes[name]
+
+
+@when("as many newcomers as may learn at once come one after another and are lost for good")
+def step_lost(context):
+    simulator = context.simulator
+    for place in range(constants.COHORT_MOST):
+        node = newcomer(simulator, f"lost{place}", "a")
+        identity = node.core.identity
+        learns = simulator.until(
+            lambda identity=identity: identity in simulator.leader().core.consensus.learners, 10, 0.02
+        )
+        assert learns is not None, f"newcomer {place} was not let learn"
+        simulator.kill(node.name)
+    simulator.run(2 * constants.SESSION_LASTS)
+    assert len(simulator.leader().core.consensus.learners) == constants.COHORT_MOST
+
+
+@when("one of the three is lost for good and a newcomer comes in its area")
+def step_replaced(context):
+    simulator = context.simulator
+    former = next(
+        node
+        for node in simulator.nodes.values()
+        if node.core is not None and node is not simulator.leader() and node.kind == "accord"
+    )
+    simulator.kill(former.name)
+    context.newcomer = newcomer(simulator, "late", former.area)
+
+
+@then("that newcomer has the seat within {seconds:d} seconds")
+def step_seat(context, seconds):
+    simulator, identity = context.simulator, context.newcomer.core.identity
+    found = simulator.until(
+        lambda: identity in simulator.leader().core.consensus.cohort.now.members, seconds, 0.02
+    )
+    assert found is not None, simulator.leader().core.consensus.learners
--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -591,6 +591,11 @@
             self.learners[identity] = area
             self.followers[identity] = Follower(self.last_index(), now)
 
+    def forget_learner(self, identity):
+        """Ends replicating to one that is no member."""
+        if self.learners.pop(identity, None) is not None:
+            self.followers.pop(identity, None)
+
     def caught_up(self, identity):
         """Whether a learner is close enough behind to become a voter."""
         follower = self.followers.get(identity)
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -409,10 +409,18 @@
         if identity in members:
             return
         self.sessions.greeted(identity, "accord", area, address, now)
+        if len(self.consensus.learners) >= constants.COHORT_MOST:
+            self._forget_lost_learners()
         if len(self.consensus.learners) < constants.COHORT_MOST:
             self.consensus.learn(identity, area, now)
         self._send(address, ("admit", self.cohort, self.mode, self.identity))
 
+    def _forget_lost_learners(self):
+        """Makes room among the learners: one without a session asks to join again should it come back."""
+        live = {session.identity for session in self.sessions.live("accord")}
+        for identity in set(self.consensus.learners) - live - set(self.consensus.cohort.members()):
+            self.consensus.forget_learner(identity)
+
     def _on_admit(self, cohort, mode, leader, now):
         if self.cohort is None:
             self.cohort, self.mode = cohort, mode
