Metrics tell why tasks of jobs wait, how runs end and which room is free

Added: job_tasks_left (queue, why: no minion, no room, room is kept for other work, held back for more urgent work), worker_room (service, resource, taken or free), run_stop_orders_total (why); run_ends_total is by how. No placement changes by it. Test: jobs_api.feature, whose check of run_ends_total now also asks for how the runs ended.

--- a/features/steps/jobs_api.py
+++ b/features/steps/jobs_api.py
@@ -409,7 +409,13 @@
     )
     started = sum(len(worker.started) for worker in context.workers)
     assert found["run_starts_total"][()] >= started == 5, (found["run_starts_total"], started)
-    assert found["run_stops_total"][()] >= 3 and found["run_ends_total"][()] == 3
+    assert found["run_stops_total"][()] >= 3, found["run_stops_total"]
+    assert found["run_ends_total"] == {("stopped",): 3}, found["run_ends_total"]
+    assert found["job_tasks_left"] == {("plans", "no room"): 4}, found["job_tasks_left"]
+    whole = sum(worker.room[0] for worker in keeper.workers.values())
+    taken = sum(room[0] for room in board.taken.values())
+    room = {place[1:]: amount for place, amount in found["worker_room"].items() if place[1] == "cpu"}
+    assert room == {("cpu", "taken"): taken, ("cpu", "free"): whole - taken} and taken > 0, room
 
 
 # --- the command line --------------------------------------------------------------------------
--- a/src/pinepitch/accord/figures.py
+++ b/src/pinepitch/accord/figures.py
@@ -49,6 +49,34 @@
     return states
 
 
+def _left_waiting(core):
+    """(queue, why) -> tasks of jobs that the newest round of this leader left waiting."""
+    counts = {}
+    for key, why in core.keeper.assigner.why.items():
+        wave = core.record.board.ready.get(key)
+        if wave is not None:
+            place = (wave.job.queue, why)
+            counts[place] = counts.get(place, 0) + len(wave.waiting)
+    return counts
+
+
+RESOURCES = ("cpu", "memory", "accelerators")
+
+
+def _worker_room(core, now):
+    """(service, resource, "taken" or "free") -> room of the workers that are heard and ready."""
+    room = {}
+    for worker in core.keeper.workers.values():
+        if worker.silent(now) or worker.state != "ready":
+            continue
+        taken = core.record.board.taken.get(worker.identity, (0, 0, 0))
+        for resource, whole, used in zip(RESOURCES, worker.room, taken, strict=True):
+            for state, amount in (("taken", used), ("free", whole - used)):
+                place = (worker.service, resource, state)
+                room[place] = room.get(place, 0) + amount
+    return room
+
+
 def _of_jobs(core, now):
     """Figures of jobs under holds. What the record holds every accord tells alike; workers and
     the keeper's counts only a leader has."""
@@ -78,6 +106,20 @@
             ("queue",),
             [((queue,), waiting.get(queue, 0)) for queue in sorted({*waiting, *board.configuration.routes})],
         ),
+        (
+            "gauge",
+            "job_tasks_left",
+            "Tasks of jobs that the leader's newest round left waiting, by queue and why.",
+            ("queue", "why"),
+            sorted(_left_waiting(core).items()),
+        ),
+        (
+            "gauge",
+            "worker_room",
+            "Room of workers that are heard and ready: thousandths of a core, megabytes, accelerators.",
+            ("service", "resource", "state"),
+            sorted(_worker_room(core, now).items()),
+        ),
         (
             "gauge",
             "runs_placed",
@@ -130,9 +172,16 @@
         (
             "counter",
             "run_ends",
-            "Ends of runs agreed on while leading.",
-            (),
-            [((), core.keeper.counts["ends"])],
+            "Ends of runs agreed on while leading, by how.",
+            ("how",),
+            [((how,), count) for how, count in sorted(core.keeper.end_counts.items())],
+        ),
+        (
+            "counter",
+            "run_stop_orders",
+            "Runs that are to end while their jobs go on, by why.",
+            ("why",),
+            [((why,), count) for why, count in sorted(core.keeper.stop_counts.items())],
         ),
     ]
 
--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -4,6 +4,12 @@
 
 from ..ground import constants
 
+# Why a round left tasks waiting, as operators are told it.
+NO_WORKER = "no minion"
+NO_ROOM = "no room"
+ROOM_KEPT = "room is kept for other work"
+OVER_BUDGET = "held back for more urgent work"
+
 
 class Seat:
     """A worker that may get work in this round. Invariant: free is its room less that of every
@@ -59,7 +65,7 @@
                 break
             mine = seats.get(wave.job.service, ())
             if not mine:
-                self.why.setdefault(wave.key(), "no minion")
+                self.why.setdefault(wave.key(), NO_WORKER)
                 continue
             group = (
                 self._gang(wave, mine, now, time) if wave.step.gang else self._single(wave, mine, now, time)
@@ -69,7 +75,7 @@
                 items.append((wave.job.identity, wave.time, wave.number, tuple(group)))
             if len(group) < len(wave.waiting):
                 self.short.setdefault(wave.key(), now)
-                self.why.setdefault(wave.key(), "no room")
+                self.why.setdefault(wave.key(), self._why_left(wave, mine))
             else:
                 self.short.pop(wave.key(), None)
         for key in [key for key in self.short if key not in board.ready]:
@@ -313,6 +319,8 @@
         if step.near:
             self.hot[step.near] = max(self.hot.get(step.near, 0), len(wave.waiting) * max(step.room[0], 1))
         allowed = self._spend(wave, len(wave.waiting))
+        if allowed < len(wave.waiting):
+            self.why[wave.key()] = OVER_BUDGET
         if not allowed:
             return group
         order, patient = None, False
@@ -324,10 +332,18 @@
                 )
             seat = self._next(wave, order)
             if seat is None:
+                self.why.pop(wave.key(), None)  # what lacked was room
                 break
             group.append((index, seat.identity))
         return group
 
+    def _why_left(self, wave, seats):
+        """Why some of a wave found no seat."""
+        for seat in seats:
+            if seat.kept is not None and seat.kept is not wave and seat.fits(wave.step.room):
+                return ROOM_KEPT
+        return NO_ROOM
+
     def _order(self, wave, seats):
         """The seats that a wave's task may take, as a heap, the best first."""
         order = [
--- a/src/pinepitch/tenure/keeper.py
+++ b/src/pinepitch/tenure/keeper.py
@@ -47,7 +47,9 @@
         self.gone_at = {}  # minion -> when it said that it ends
         self.flushed = self.looked = self.placed_at = -1e9
         self.due = True
-        self.counts = {"beats": 0, "starts": 0, "stops": 0, "ends": 0}
+        self.counts = {"beats": 0, "starts": 0, "stops": 0}
+        self.end_counts = collections.Counter()  # how a run ended -> runs
+        self.stop_counts = collections.Counter()  # why a run is to end -> runs
 
     @property
     def board(self):
@@ -360,6 +362,7 @@
         if stops:
             self.stopping.update((reference, run) for _, reference, run, _ in stops)
             for minion, reference, run, why in stops:
+                self.stop_counts[why] += 1
                 self.core._event(183, minion=minion, task=reference, run=run, why=why)
             self.core.propose(("job-stop", self.core.epoch, stops), None, now)
 
@@ -367,8 +370,8 @@
     def ended(self, index, items, outcomes):
         """An entry of ends was applied."""
         self.due = True
-        self.counts["ends"] += len(items)
         for (minion, reference, run, how, _, heard), result in zip(items, outcomes, strict=False):
+            self.end_counts[how] += 1
             self.ending.discard((minion, reference, run))
             self.stopping.discard((reference, run))
             worker = self.workers.get(minion)
