--- a/src/pinepitch/proof/jobs/plants.py
+++ b/src/pinepitch/proof/jobs/plants.py
@@ -8,7 +8,7 @@
 from ...accord.lead import Lead
 from ...ground import constants
 from ...ground.carrier import Carrier
-from ...tenure.assigner import Assigner
+from ...tenure import assigner
 from ...tenure.board import Board
 from ...tenure.keeper import Keeper
 from ...tenure.worker import Worker
@@ -75,9 +75,9 @@
     return min((self.told_levels.get(one, 1) for one in self.consensus.cohort.members()), default=1)
 
 
-def _room_twice(self, board, workers, keeper, now):
+def _room_twice(board, workers, now):
     """Gives the room of runs that are to end away before they have ended."""
-    seats = original_seats(self, board, workers, keeper, now)
+    seats = original_seats(board, workers, now)
     for seat in itertools.chain(*seats.values()):
         for placement in board.placements.get(seat.identity, {}).values():
             if not board.wanted(placement):
@@ -97,7 +97,7 @@
 
 original_assign, original_orders = Keeper._assign, Keeper._orders
 original_ended, original_index = Board._ended, Board._index
-original_seats, original_beat = Assigner._seats, Worker.beat
+original_seats, original_beat = assigner.open_seats, Worker.beat
 PLANTS = {
     **CONTROL_PLANTS,
     # An old heartbeat is stopped by the end that its carried copy bears, too: without both it proves.
@@ -115,7 +115,7 @@
     "levels-forgotten": [(Lead, "common_level", _told_levels_alone)],
     "evacuation-in-word": [(Board, "evacuate", lambda self, *order: ("ok",))],
     "failures-forgotten": [(Board, "_ended", _failures_forgotten)],
-    "room-given-early": [(Assigner, "_seats", _room_twice)],
+    "room-given-early": [(assigner, "open_seats", _room_twice)],
     "cancel-in-word": [(Board, "cancel", _cancel_in_word)],
     "stops-forgotten": [(Board, "wanted", lambda self, placement: True)],
     "drain-unseen": [(Worker, "beat", _always_ready)],
--- /dev/null
+++ b/src/pinepitch/tenure/budgets.py
@@ -0,0 +1,69 @@
+"""How much of a service's room work of one urgency may take, so that more urgent work finds room
+when it comes."""
+
+from ..ground import constants
+
+NO_ROOM_USED = (0, 0, 0)
+RESOURCES = range(3)  # thousandths of a core, megabytes, accelerators
+
+
+class RoomBudgets:
+    """Invariant: left is the cap less what is used and what waves of this round were admitted for."""
+
+    def __init__(self):
+        self.peaks = {}  # (service, priority) -> the most room it used of late
+        self.learnt_at = None
+        self.left = {}  # (service, priority) -> room that waves of it may still take in this round
+
+    def learn(self, board, now):
+        """How much room the work of each urgency took at most of late."""
+        passed = 0 if self.learnt_at is None else now - self.learnt_at
+        self.learnt_at, left = now, 0.5 ** (passed / constants.PEAK_HALF)
+        for key in {*board.used, *self.peaks}:
+            used = board.used.get(key, NO_ROOM_USED)
+            before = self.peaks.get(key, NO_ROOM_USED)
+            self.peaks[key] = [max(one, other * left) for one, other in zip(used, before, strict=True)]
+
+    def clear(self):
+        """Nothing waits: there is no budget to speak of."""
+        self.left = {}
+
+    def open(self, board, seats):
+        """Begins a round: what waves may take is all the room but what more urgent work took at most of
+        late, never less than BUDGET_PART of it all. Gangs are not bound: they hold all they need at
+        once, and waiting costs them most."""
+        self.clear()
+        for service, mine in seats.items():
+            whole = [sum(seat.worker.room[kind] for seat in mine) for kind in RESOURCES]
+            waiting = {wave.job.priority for wave in board.ready.values() if wave.job.service == service}
+            for priority in waiting:
+                cap = self._cap(service, priority, whole)
+                used = self._used(board, service, priority)
+                self.left[(service, priority)] = [room - taken for room, taken in zip(cap, used, strict=True)]
+
+    def _cap(self, service, priority, whole):
+        """Room that work of an urgency and all less urgent work may take together."""
+        kept = [0, 0, 0]
+        for (name, level), peak in self.peaks.items():
+            if name == service and level < priority:
+                kept = [one + more for one, more in zip(kept, peak, strict=True)]
+        return [max(room * constants.BUDGET_PART, room - one) for room, one in zip(whole, kept, strict=True)]
+
+    def _used(self, board, service, priority):
+        """Room that work of an urgency and all less urgent work takes."""
+        used = [0, 0, 0]
+        for (name, level), taken in board.used.items():
+            if name == service and level >= priority:
+                used = [one + more for one, more in zip(used, taken, strict=True)]
+        return used
+
+    def spend(self, wave, wanted):
+        """How many of `wanted` tasks a wave's budget allows; they are taken from it."""
+        left, room = self.left[(wave.job.service, wave.job.priority)], wave.step.room
+        admitted = (max(0, int(left[kind] // room[kind])) for kind in RESOURCES if room[kind])
+        count = min((wanted, *admitted))
+        for (service, priority), other in self.left.items():
+            if service == wave.job.service and priority <= wave.job.priority:
+                for kind in RESOURCES:
+                    other[kind] -= count * room[kind]
+        return count
--- /dev/null
+++ b/src/pinepitch/tenure/seat.py
@@ -0,0 +1,89 @@
+"""A worker as one assigning round sees it."""
+
+from ..ground import constants
+
+
+def less(one, other):
+    """Room left: (thousandths of a core, megabytes, accelerators) of `one` without `other`."""
+    return (one[0] - other[0], one[1] - other[1], one[2] - other[2])
+
+
+class Seat:
+    """A worker that may get work in this round. Invariant: free is its room less that of every
+    placement there whose end is not proven, started or not."""
+
+    __slots__ = ("worker", "identity", "service", "labels", "rack", "free", "steps", "poor", "kept")
+
+    def __init__(self, worker, free, steps, poor):
+        self.worker, self.identity, self.service = worker, worker.identity, worker.service
+        self.labels, self.rack = worker.labels, worker.rack
+        self.free, self.steps, self.poor = free, steps, poor
+        self.kept = None  # the wave that its room is kept for
+
+    def fits(self, room):
+        """Whether one task of this room fits into what is free."""
+        free = self.free
+        return room[0] <= free[0] and room[1] <= free[1] and room[2] <= free[2]
+
+    def takes(self, wave):
+        """Whether one more task of a wave could run here, whomever the room is kept for."""
+        step = wave.step
+        return (
+            self.fits(step.room)
+            and (not step.needs or self.labels.issuperset(step.needs))
+            and (not step.apart or self.steps.get((wave.job.identity, wave.number), 0) < step.apart)
+        )
+
+    def allows(self, wave):
+        """Whether one more task of a wave may be placed here: what is kept is taken by its wave and by
+        more urgent ones only."""
+        kept = self.kept
+        if kept is not None and kept is not wave and kept.job.priority <= wave.job.priority:
+            return False
+        return self.takes(wave)
+
+    def take(self, wave):
+        """Places one task of a wave here."""
+        self.free = less(self.free, wave.step.room)
+        key = (wave.job.identity, wave.number)
+        self.steps[key] = self.steps.get(key, 0) + 1
+
+    def whole_members(self, wave):
+        """How many tasks of a wave this worker could run at once if all left it."""
+        step, room = wave.step, self.worker.room
+        members = min((room[kind] // step.room[kind] for kind in range(3) if step.room[kind]), default=1)
+        if members >= 1 and step.apart:
+            members = min(members, step.apart)
+        return int(members)
+
+    def free_share(self, step):
+        """The least part, 0 to 1, of this worker's room that is free, over what a step asks for."""
+        return min(
+            (self.free[kind] / self.worker.room[kind] for kind in range(3) if step.room[kind]), default=1
+        )
+
+
+def open_seats(board, workers, now):
+    """The workers that may get work in a round, as seats by service."""
+    seats = {}
+    for worker in workers.values():
+        held = board.placements.get(worker.identity, {})
+        if (
+            worker.beats < 2
+            or worker.state != "ready"
+            or worker.silent(now)
+            or worker.stale
+            or worker.zone in board.evacuated
+            or now < worker.wary_until
+            or any(key not in held for key in worker.running)
+        ):
+            continue
+        poor = worker.failing > constants.LIVENESS_POOR
+        if poor and held:
+            continue
+        free, steps = less(worker.room, board.taken.get(worker.identity, (0, 0, 0))), {}
+        for placement in held.values():
+            place = (placement.job, placement.number)
+            steps[place] = steps.get(place, 0) + 1
+        seats.setdefault(worker.service, []).append(Seat(worker, free, steps, poor))
+    return seats
