A wave's room budget is charged for what is placed, and kept room needs none

Now a wave takes what is kept for it without a budget, the rest is admitted by what is left, and only what was placed is charged.

--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -40,7 +40,8 @@
         items, count = [], 0
         self.budgets.open(board, seats)
         waves.sort(key=lambda wave: self._rank(wave, time))
-        stops = Reservations(board, keeper, seats, time).keep(waves, self.short, now)
+        reservations = Reservations(board, keeper, seats, time)
+        stops = reservations.keep(waves, self.short, now)
         for wave in waves:
             if count >= constants.ASSIGN_MOST:
                 break
@@ -48,9 +49,10 @@
             if not mine:
                 self.why.setdefault(wave.key(), NO_WORKER)
                 continue
-            group = (
-                self._gang(wave, mine, now, time) if wave.step.gang else self._single(wave, mine, now, time)
-            )
+            if wave.step.gang:
+                group = self._gang(wave, mine, time)
+            else:
+                group = self._single(wave, mine, reservations.kept.get(wave.key(), ()), time)
             if group:
                 count += len(group)
                 items.append((wave.job.identity, wave.time, wave.number, tuple(group)))
@@ -96,26 +98,35 @@
             seat.identity,
         )
 
-    def _single(self, wave, seats, now, time):
-        step, group = wave.step, []
+    def _single(self, wave, seats, kept, time):
+        """[(index, worker)] for tasks of a wave that is no gang: on the seats kept for it, and on others as
+        far as its budget goes."""
+        step, waiting = wave.step, sorted(wave.waiting)
         patience = self._patience(wave, seats, time) if step.near else 0
         if step.near:
-            self.hot[step.near] = max(self.hot.get(step.near, 0), len(wave.waiting) * max(step.room[0], 1))
-        allowed = self.budgets.spend(wave, len(wave.waiting))
-        if allowed < len(wave.waiting):
+            self.hot[step.near] = max(self.hot.get(step.near, 0), len(waiting) * max(step.room[0], 1))
+        group = self._take(wave, kept, waiting)
+        self.budgets.charge(wave, len(group))
+        waiting = waiting[len(group) :]
+        allowed = self.budgets.allowance(wave, len(waiting))
+        if allowed < len(waiting):
             self.why[wave.key()] = OVER_BUDGET
-        if not allowed:
-            return group
-        order, patient = None, False
-        for place, index in enumerate(sorted(wave.waiting)[:allowed]):
-            if order is None or patient and place >= patience:
-                patient = place < patience
-                order = self._order(
-                    wave, [seat for seat in seats if step.near in seat.labels] if patient else seats
-                )
+        near_by = [seat for seat in seats if step.near in seat.labels] if patience else ()
+        patient = max(0, min(allowed, patience - len(group)))
+        more = self._take(wave, near_by, waiting[:patient])
+        more += self._take(wave, seats, waiting[patient:allowed]) if len(more) == patient else []
+        if len(more) < allowed:
+            self.why.pop(wave.key(), None)  # what lacked was room
+        self.budgets.charge(wave, len(more))
+        return group + more
+
+    def _take(self, wave, seats, indices):
+        """[(index, worker)] for the first of some tasks, as many as find a seat."""
+        group = []
+        order = self._order(wave, seats) if indices else ()
+        for index in indices:
             seat = self._next(wave, order)
             if seat is None:
-                self.why.pop(wave.key(), None)  # what lacked was room
                 break
             group.append((index, seat.identity))
         return group
@@ -163,7 +174,7 @@
         self.near[wave.step.near] = ahead + len(wave.waiting)
         return max(0, int(turns * constants.NEAR_PART * (self.pace.far - 1)) - ahead)
 
-    def _gang(self, wave, seats, now, time):
+    def _gang(self, wave, seats, time):
         """Seats for all members, in one rack where the step asks for that and it may be had."""
         step = wave.step
         racks = {}
@@ -177,7 +188,7 @@
         for some in tries:
             group = self._fill(wave, some)
             if group is not None:
-                self.budgets.spend(wave, len(group))
+                self.budgets.charge(wave, len(group))
                 return group
         return []
 
--- a/src/pinepitch/tenure/budgets.py
+++ b/src/pinepitch/tenure/budgets.py
@@ -1,6 +1,8 @@
 """How much of a service's room work of one urgency may take, so that more urgent work finds room
 when it comes."""
 
+import math
+
 from ..ground import constants
 
 NO_ROOM_USED = (0, 0, 0)
@@ -8,7 +10,9 @@
 
 
 class RoomBudgets:
-    """Invariant: left is the cap less what is used and what waves of this round were admitted for."""
+    """Invariants: a budget is charged for what a round places, never for what waves ask for, so that
+    a wave that finds no seat takes nothing from those behind it; a budget that is not used up admits
+    one more task, however large."""
 
     def __init__(self):
         self.peaks = {}  # (service, priority) -> the most room it used of late
@@ -57,13 +61,16 @@
                 used = [one + more for one, more in zip(used, taken, strict=True)]
         return used
 
-    def spend(self, wave, wanted):
-        """How many of `wanted` tasks a wave's budget allows; they are taken from it."""
+    def allowance(self, wave, wanted):
+        """How many of `wanted` tasks a wave's budget admits."""
         left, room = self.left[(wave.job.service, wave.job.priority)], wave.step.room
-        admitted = (max(0, int(left[kind] // room[kind])) for kind in RESOURCES if room[kind])
-        count = min((wanted, *admitted))
-        for (service, priority), other in self.left.items():
+        admitted = (math.ceil(max(0, left[kind]) / room[kind]) for kind in RESOURCES if room[kind])
+        return min((wanted, *admitted))
+
+    def charge(self, wave, count):
+        """So many tasks of a wave were placed: what they take is gone for as urgent and more urgent work."""
+        room = wave.step.room
+        for (service, priority), left in self.left.items():
             if service == wave.job.service and priority <= wave.job.priority:
                 for kind in RESOURCES:
-                    other[kind] -= count * room[kind]
-        return count
+                    left[kind] -= count * room[kind]
--- a/src/pinepitch/tenure/reservations.py
+++ b/src/pinepitch/tenure/reservations.py
@@ -16,6 +16,7 @@
         self.seats, self.time = seats, time
         self.counts = {}  # service -> waves that seats are kept for
         self.taken = {}  # service -> seats kept
+        self.kept = {}  # key of a wave -> the seats kept for it
         self.waste = 0.0  # core-seconds that may still be thrown away for the wave looked at
 
     def keep(self, waves, short, now):
@@ -66,6 +67,7 @@
         self.counts[service] = self.counts.get(service, 0) + 1
         self.taken[service] = self.taken.get(service, 0) + len(chosen)
         stops, enough, self.waste = [], True, constants.YIELD_WASTE
+        self.kept[wave.key()] = [seat for seat, _ in chosen]
         for seat, members in chosen:
             seat.kept = wave
             found = self._victims(wave, seat, members)
