--- a/features/assigning.feature
+++ b/features/assigning.feature
@@ -10,5 +10,5 @@
     Then no worker has been empty for over 1 seconds while a task waited that it could take
 
   Scenario: by no seed does a job wait long beside two workers that could take it
-    When scans, gangs, inspections and work that lasts come by chance to 7 workers, by seeds 1 to 12
+    When scans, gangs, inspections and work that lasts come by chance to 7 workers, by seeds 1 to 24
     Then by no seed has a job with nothing running waited over 3 seconds beside ample room
--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -20,6 +20,7 @@
     def __init__(self, pace):
         self.pace = pace
         self.short = {}  # key of a wave -> since when it found no room
+        self.kept_since = {}  # key of a wave -> since when seats are kept for it without a break
         self.near = {}  # rack -> tasks of this round that want to be there
         self.budgets = RoomBudgets()
         self.hot_at = None
@@ -34,13 +35,14 @@
         waves = [wave for wave in board.ready.values() if wave.due <= time]
         if not waves:
             self.budgets.clear()
+            self.kept_since.clear()
             self.short = {key: since for key, since in self.short.items() if key in board.ready}
             return (), ()
         seats = open_seats(board, workers, now)
         items, count = [], 0
         self.budgets.open(board, seats)
         waves.sort(key=lambda wave: self._rank(wave, time))
-        reservations = Reservations(board, keeper, seats, time)
+        reservations = Reservations(board, keeper, self.budgets, seats, self.kept_since, time)
         stops = reservations.keep(waves, self.short, now)
         for wave in waves:
             if count >= constants.ASSIGN_MOST:
--- a/src/pinepitch/tenure/budgets.py
+++ b/src/pinepitch/tenure/budgets.py
@@ -17,6 +17,7 @@
     def __init__(self):
         self.peaks = {}  # (service, priority) -> the most room it used of late
         self.learnt_at = None
+        self.caps = {}  # (service, priority) -> room that it and less urgent work may take in all
         self.left = {}  # (service, priority) -> room that waves of it may still take in this round
 
     def learn(self, board, now):
@@ -30,7 +31,7 @@
 
     def clear(self):
         """Nothing waits: there is no budget to speak of."""
-        self.left = {}
+        self.caps, self.left = {}, {}
 
     def open(self, board, seats):
         """Begins a round: what waves may take is all the room but what more urgent work took at most of
@@ -43,6 +44,7 @@
             for priority in waiting:
                 cap = self._cap(service, priority, whole)
                 used = self._used(board, service, priority)
+                self.caps[(service, priority)] = cap
                 self.left[(service, priority)] = [room - taken for room, taken in zip(cap, used, strict=True)]
 
     def _cap(self, service, priority, whole):
@@ -74,3 +76,10 @@
             if service == wave.job.service and priority <= wave.job.priority:
                 for kind in RESOURCES:
                     left[kind] -= count * room[kind]
+
+    def may_keep(self, board, wave):
+        """Whether room may be kept for a wave: work of its own urgency takes less than the cap, so that
+        the wave can use what is kept for it."""
+        key = (wave.job.service, wave.job.priority)
+        used, room = board.used.get(key, NO_ROOM_USED), wave.step.room
+        return all(used[kind] < self.caps[key][kind] for kind in RESOURCES if room[kind])
--- a/src/pinepitch/tenure/reservations.py
+++ b/src/pinepitch/tenure/reservations.py
@@ -1,7 +1,7 @@
 """Room that is kept for waves which have found none for long, and what had better yield to them."""
 
 from ..ground import constants
-from .seat import less
+from .seat import in_use, less
 
 
 class Reservations:
@@ -9,19 +9,24 @@
     had better yield to them: those that save their progress lose nothing but a restart, of others no
     more work is thrown away for a wave than YIELD_WASTE.
 
-    Invariants: a seat is kept for one wave at most, and no more than RESERVE_PART of a service's seats."""
+    Invariants: a seat is kept for one wave at most, and only if the wave can take it once what runs
+    there has ended; no more than RESERVE_PART of a service's seats are kept. While under half of a
+    service's room is in use nothing is kept for over RESERVE_LASTS without a break: in the round
+    between, whatever waits may take what stood empty."""
 
-    def __init__(self, board, keeper, seats, time):
-        self.board, self.keeper = board, keeper
+    def __init__(self, board, keeper, budgets, seats, kept_since, time):
+        self.board, self.keeper, self.budgets = board, keeper, budgets
         self.seats, self.time = seats, time
+        self.kept_since = kept_since  # key of a wave -> since when seats are kept for it
         self.counts = {}  # service -> waves that seats are kept for
         self.taken = {}  # service -> seats kept
         self.kept = {}  # key of a wave -> the seats kept for it
+        self.lasting = {}  # worker -> room of what lasts there
         self.waste = 0.0  # core-seconds that may still be thrown away for the wave looked at
 
     def keep(self, waves, short, now):
         """Keeps seats for those of `waves`, the first in rank first, that have been short for long by
-        `short` (key of a wave -> since when); stops that make room on them."""
+        `short` (key of a wave -> since when); the stops that make room on them."""
         stops = []
         failed = set()  # shapes that found no seats since one was kept last: their like find none either
         for wave in waves:
@@ -36,28 +41,44 @@
                 continue
             failed.clear()
             stops.extend(self._keep(wave, chosen))
+        for key in self.kept_since.keys() - self.kept.keys():
+            del self.kept_since[key]
+        for key in self.kept:
+            self.kept_since.setdefault(key, now)
         return stops
 
     def _due(self, wave, short, now):
-        """Whether a wave has waited long enough, and room is not kept for too many already."""
+        """Whether a wave has waited long enough, and may have room kept for it."""
         service = wave.job.service
         patience = constants.RESERVE_AFTER * (1 if wave.job.priority else 0.5)
         return (
             now - short.get(wave.key(), now) >= patience
+            and service in self.seats
             and self.counts.get(service, 0) < constants.RESERVE_MOST
+            and self.budgets.may_keep(self.board, wave)
+            and not self._lapsed(wave, now)
         )
 
+    def _lapsed(self, wave, now):
+        """Whether room was kept for a wave for long while most of the service's room is idle."""
+        if now - self.kept_since.get(wave.key(), now) < constants.RESERVE_LASTS:
+            return False
+        return in_use(self.seats[wave.job.service]) < constants.RESERVE_BUSY
+
     def _shape(self, wave):
         """What decides which seats a wave may have: waves of one shape are refused alike."""
         step = wave.step
+        job = wave.job.identity if step.apart else None
         return (
             wave.job.service,
+            wave.job.priority,
             step.room,
             step.needs,
             step.near,
             step.apart,
             step.gang,
             step.tight,
+            job,
             len(wave.waiting),
         )
 
@@ -78,33 +99,45 @@
     def _choose(self, wave):
         """[(seat, members)] for the members of a wave by the whole room of workers, those with most
         of it free first: near its data if any stands there, of a gang that wants one rack in one, if
-        any rack is large enough. What is no gang may get fewer; None when more seats would be kept than
-        may be."""
+        any rack is large enough. A gang gets seats for all its members or none; other waves get fewer
+        when there are not enough, or not enough that may be kept."""
         step, wanted = wave.step, len(wave.waiting)
-        seats = self.seats.get(wave.job.service, ())
-        able = [one for seat in seats if (one := self._able(wave, seat))]
+        able = [one for seat in self.seats[wave.job.service] if (one := self._able(wave, seat))]
         able.sort(key=lambda one: one[:2])
         able = [one for one in able if step.near in one[2].labels] or able if step.near else able
         if step.gang and step.tight:
             able = self._one_rack(able, wanted)
         chosen, left = [], wanted
-        for _, _, seat, members in able:
+        for _, _, seat, members in able[: self._may_keep_more(wave.job.service)]:
             if left <= 0:
                 break
             chosen.append((seat, min(members, left)))
             left -= members
-        if left > 0 and step.gang:
-            return None
-        kept = self.taken.get(wave.job.service, 0) + len(chosen)
-        return chosen if kept <= max(1, len(seats) * constants.RESERVE_PART) else None
+        return chosen if left <= 0 or not step.gang else None
+
+    def _may_keep_more(self, service):
+        """How many more seats of a service may be kept."""
+        most = max(1, int(len(self.seats[service]) * constants.RESERVE_PART))
+        return max(0, most - self.taken.get(service, 0))
 
     def _able(self, wave, seat):
         """(rank, identity, seat, members) of a seat that may be kept for a wave, else None."""
         step = wave.step
         if seat.kept is not None or seat.poor or (step.needs and not seat.labels.issuperset(step.needs)):
             return None
-        members = seat.whole_members(wave)
-        return (-seat.free_share(step), seat.identity, seat, members) if members >= 1 else None
+        members = seat.whole_members(wave, self._lasting_on(seat))
+        return (-seat.free_share(step), seat.identity, seat, members) if members else None
+
+    def _lasting_on(self, seat):
+        """Room on a seat of runs that last, which no wait brings back."""
+        if seat.identity not in self.lasting:
+            room = (0, 0, 0)
+            for placement in self.board.placements.get(seat.identity, {}).values():
+                found = None if placement.stop else self.board.task(placement)
+                if found is not None and found[0].step.lasts:
+                    room = tuple(one + more for one, more in zip(room, placement.room, strict=True))
+            self.lasting[seat.identity] = room
+        return self.lasting[seat.identity]
 
     def _one_rack(self, able, wanted):
         """The able seats of the rack with most room free that is large enough, or all of them."""
--- a/src/pinepitch/tenure/seat.py
+++ b/src/pinepitch/tenure/seat.py
@@ -48,13 +48,14 @@
         key = (wave.job.identity, wave.number)
         self.steps[key] = self.steps.get(key, 0) + 1
 
-    def whole_members(self, wave):
-        """How many tasks of a wave this worker could run at once if all left it."""
-        step, room = wave.step, self.worker.room
+    def whole_members(self, wave, lasting):
+        """How many more tasks of a wave this worker could run at once if all left it but what lasts,
+        which takes the room `lasting`."""
+        step, room = wave.step, less(self.worker.room, lasting)
         members = min((room[kind] // step.room[kind] for kind in range(3) if step.room[kind]), default=1)
-        if members >= 1 and step.apart:
-            members = min(members, step.apart)
-        return int(members)
+        if step.apart:
+            members = min(members, step.apart - self.steps.get((wave.job.identity, wave.number), 0))
+        return int(max(0, members))
 
     def free_share(self, step):
         """The least part, 0 to 1, of this worker's room that is free, over what a step asks for."""
@@ -63,6 +64,16 @@
         )
 
 
+def in_use(seats):
+    """The part, 0 to 1, of the room of some seats that is taken, of the resource most taken."""
+    most = 0.0
+    for kind in range(3):
+        whole = sum(seat.worker.room[kind] for seat in seats)
+        if whole:
+            most = max(most, 1 - sum(seat.free[kind] for seat in seats) / whole)
+    return most
+
+
 def open_seats(board, workers, now):
     """The workers that may get work in a round, as seats by service."""
     seats = {}
