--- a/features/assigning.feature
+++ b/features/assigning.feature
@@ -12,3 +12,28 @@
   Scenario: by no seed does a job wait long beside two workers that could take it
     When scans, gangs, inspections and work that lasts come by chance to 7 workers, by seeds 1 to 24
     Then by no seed has a job with nothing running waited over 3 seconds beside ample room
+
+  Scenario: less urgent work is not starved by urgent work that asks for twice the room there is
+    Given 7 workers of 8 accelerators
+    When for 60 seconds scans come that ask for 2 times the room, and inspections for a tenth of it
+    Then of the inspections that came in the first 40 seconds 0.8 were done in time
+    And scans had 0.7 of the room
+
+  Scenario: room is not held back for work that can wait until what takes it is done
+    Given 7 workers of 8 accelerators
+    When scans of 5 seconds have just taken all the room
+    And inspections of 2 seconds come that ask for 3 times the room
+    Then within 1 seconds 0.9 of all accelerators are in use
+
+  Scenario: room is held back for work that can't wait until what takes it is done
+    Given 7 workers of 8 accelerators
+    When scans of 5 seconds have just taken all the room
+    And inspections of 20 seconds come that ask for 3 times the room
+    Then within 1 seconds 0.4 of all accelerators are in use
+    And after 1 seconds at most 0.55 of them
+
+  Scenario: a step that is wider than the room does not hold up narrow ones that are due before it
+    Given 7 workers of 8 accelerators
+    And inspections of 2 seconds fill 7 workers
+    When an inspection of 168 tasks of 2 seconds comes, and then 5 inspections of 2 tasks of 2 seconds
+    Then the 5 are done within 5 seconds
--- a/features/steps/assigning.py
+++ b/features/steps/assigning.py
@@ -16,6 +16,8 @@
 WORKER_ROOM = (32_000, 64_000, 8)  # thousandths of a core, megabytes, accelerators
 TASK_ROOM = {"cpu": 2_000, "mem_mb": 4_000}  # beside the accelerators that a task asks for
 HALF = 0.5
+AIM_MS, STRETCH = 4000, 3  # of both queues: a job is in time within its aim and so many times its length
+INSPECTION = 2.0  # seconds; of one task, where nothing else is said
 URGENCIES = {"scans": 1, "inspections": 2}  # queue -> urgency, 0 the most urgent
 
 
@@ -41,6 +43,8 @@
         self.longest_empty = 0.0  # seconds
         self.idle_since = {}  # job -> since when it waits with nothing running beside ample room
         self.longest_idle = 0.0  # seconds
+        self.came, self.done = {}, {}  # job -> when it came, when it was completed
+        self.room_used = {}  # queue -> accelerator-seconds that its runs have had
         self._configure(urgencies)
         for _ in range(2):
             self._beat()
@@ -55,8 +59,8 @@
                 "service": SERVICE,
                 "attempts": 3,
                 "priority": urgency,
-                "aim_ms": 4000,
-                "stretch": 3,
+                "aim_ms": AIM_MS,
+                "stretch": STRETCH,
             }
             for name, urgency in urgencies.items()
         ]
@@ -72,8 +76,14 @@
         identity = f"{self.made:016x}"
         self.lengths[identity] = seconds
         assert self.board.accept(self.now, identity, queue, plain) == ("accepted", identity)
+        self.came[identity] = self.now
         return identity
 
+    def in_use(self):
+        """The part of all accelerators that is taken."""
+        taken = sum(WORKER_ROOM[2] - self.free(identity)[2] for identity in self.workers)
+        return taken / (len(self.workers) * WORKER_ROOM[2])
+
     def run(self, seconds):
         end = self.now + seconds
         while self.now < end - 1e-9:
@@ -113,13 +123,22 @@
         for ends, how in ((self.ends_at, "done"), (self.stops_at, "stopped")):
             for key in [key for key, at in ends.items() if at <= self.now]:
                 del ends[key]
-                self.board.end(self.now, ((*key, how, "", True),))
+                minion, reference, run = key
+                job, time, number, _ = reference.split(".")
+                wave = (
+                    self.board.jobs[job].waves[(int(time), int(number))] if job in self.board.jobs else None
+                )
+                self.assigner.pace.end(self.workers[minion], wave, reference, run, how, self.now)
+                outcome = self.board.end(self.now, ((*key, how, "", True),))[1][0]
+                if outcome == "completed":
+                    self.done[job] = self.now
 
     def _round(self):
         items, stops = self.assigner.round(self.board, self.workers, self.keeper, self.now, self.now)
         for placement in self.board.assign(self.now, 1, items):
             key = (placement.minion, placement.reference(), placement.run)
             lasts = self.board.task(placement)[0].step.lasts
+            self.assigner.pace.start(*key, False, self.now)
             self.ends_at[key] = 1e9 if lasts else self.now + self.lengths[placement.job]
         self.board.stop(self.now, stops)
         for minion, reference, run, _ in stops:
@@ -142,6 +161,10 @@
 
     def _look(self):
         """Notes how long room and work have been idle beside each other."""
+        for held in self.board.placements.values():
+            for one in held.values():
+                queue = "scans" if one.priority == URGENCIES["scans"] else "inspections"
+                self.room_used[queue] = self.room_used.get(queue, 0.0) + one.room[2] * ROUND_EVERY
         waves = list(self.board.ready.values())
         singles = [wave for wave in waves if not wave.step.gang]
         for identity in self.workers:
@@ -229,3 +252,89 @@
     longest = {seed: round(fleet.longest_idle, 1) for seed, fleet in context.fleets.items()}
     bad = {seed: seconds for seed, seconds in longest.items() if seconds > most}
     assert not bad, f"seconds by seed: {bad}"
+
+
+# --- shares of the room ------------------------------------------------------------------
+@when(
+    "for {seconds:d} seconds scans come that ask for {share:d} times the room, "
+    "and inspections for a tenth of it"
+)
+def step_overload(context, seconds, share):
+    fleet, draw = context.fleet, random.Random(1)
+    room = len(fleet.workers) * WORKER_ROOM[2]
+    owed = {"scans": 0.0, "inspections": 0.0}
+    for _ in range(seconds * 2):
+        owed["scans"] += share * room * 0.5
+        owed["inspections"] += 0.1 * room * 0.5
+        while owed["scans"] > 0:
+            length = draw.uniform(2, 8)
+            fleet.put("scans", 1, 8, length)
+            owed["scans"] -= 8 * length
+        while owed["inspections"] > 0:
+            fleet.put("inspections", 4, 1, INSPECTION)
+            owed["inspections"] -= 4 * INSPECTION
+        fleet.run(0.5)
+
+
+@then("of the inspections that came in the first {seconds:d} seconds {part:g} were done in time")
+def step_in_time(context, seconds, part):
+    fleet = context.fleet
+    aim = AIM_MS / 1000 + STRETCH * INSPECTION
+    jobs_of = [
+        job
+        for job, came in fleet.came.items()
+        if came <= 100 + seconds and fleet.lengths[job] == INSPECTION and job not in fleet.board.ready
+    ]
+    good = sum(fleet.done.get(job, 1e9) - fleet.came[job] <= aim for job in jobs_of)
+    assert jobs_of and good >= part * len(jobs_of), f"{good} of {len(jobs_of)}"
+
+
+@then("scans had {part:g} of the room")
+def step_scans_share(context, part):
+    fleet = context.fleet
+    whole = (fleet.now - 100) * len(fleet.workers) * WORKER_ROOM[2]
+    assert fleet.room_used["scans"] >= part * whole, f"{fleet.room_used['scans'] / whole:.2f}"
+
+
+@when("scans of {seconds:d} seconds have just taken all the room")
+def step_burst(context, seconds):
+    fleet = context.fleet
+    fleet.put("scans", len(fleet.workers), 8, seconds)
+    fleet.run(seconds)
+    assert fleet.in_use() == 1.0, fleet.in_use()
+
+
+@when("inspections of {seconds:d} seconds come that ask for {share:d} times the room")
+def step_inspections(context, seconds, share):
+    fleet = context.fleet
+    fleet.put("inspections", share * len(fleet.workers) * WORKER_ROOM[2], 1, seconds)
+
+
+@then("within {seconds:d} seconds {part:g} of all accelerators are in use")
+def step_used(context, seconds, part):
+    context.fleet.run(seconds)
+    assert context.fleet.in_use() >= part, context.fleet.in_use()
+
+
+@then("after {seconds:d} seconds at most {part:g} of them")
+def step_held(context, seconds, part):
+    context.fleet.run(seconds)
+    assert context.fleet.in_use() <= part, context.fleet.in_use()
+
+
+@when(
+    "an inspection of {wide:d} tasks of {seconds:d} seconds comes, "
+    "and then {count:d} inspections of {narrow:d} tasks of {same:d} seconds"
+)
+def step_wide(context, wide, seconds, count, narrow, same):
+    fleet = context.fleet
+    fleet.put("inspections", wide, 1, seconds)
+    fleet.run(ROUND_EVERY)
+    context.narrow = [fleet.put("inspections", narrow, 1, same) for _ in range(count)]
+
+
+@then("the {count:d} are done within {seconds:d} seconds")
+def step_narrow(context, count, seconds):
+    context.fleet.run(seconds)
+    done = [job for job in context.narrow if job in context.fleet.done]
+    assert len(done) == count, f"{len(done)} of {count}"
