Room is held back for urgent work only from what would keep it longer than that can wait

Now less urgent work whose tasks are done within WAIT_PART of the slack of the more urgent may take that room: slack is what aim and stretch of the queue leave beyond the learnt length. Longer work is held back as before.

--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -268,6 +268,9 @@
 RESERVE_BUSY = 0.5  # of a service's room in use: from here on room is kept for as long as it takes
 PEAK_HALF = 10.0  # seconds; half life of what is remembered of the most room that urgent work took
 BUDGET_PART = 0.5  # of a service's room that work of any urgency may take
+WAIT_PART = (
+    0.5  # of the time that work can wait for room and be done in time: longer work is kept from its room
+)
 HOT_STEPS = 2  # steps; between racks much wanted for their data and others, for work that wants none
 YIELD_WASTE = 30.0  # core-seconds; of unsaved work that may be thrown away to make room for one wave
 YIELD_RUNS = 2  # runs; a task that was run more often yields no more unless it saves its progress
--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -22,7 +22,7 @@
         self.short = {}  # key of a wave -> since when it found no room
         self.kept_since = {}  # key of a wave -> since when seats are kept for it without a break
         self.near = {}  # rack -> tasks of this round that want to be there
-        self.budgets = RoomBudgets()
+        self.budgets = RoomBudgets(pace)
         self.hot_at = None
         self.hot = {}  # rack -> work of late that wanted to be there
         self.why = {}  # key of a wave -> why the newest round left some of it
@@ -34,7 +34,6 @@
         self.near, self.why = {}, {}
         waves = [wave for wave in board.ready.values() if wave.due <= time]
         if not waves:
-            self.budgets.clear()
             self.kept_since.clear()
             self.short = {key: since for key, since in self.short.items() if key in board.ready}
             return (), ()
--- a/src/pinepitch/tenure/reservations.py
+++ b/src/pinepitch/tenure/reservations.py
@@ -1,7 +1,7 @@
 """Room that is kept for waves which have found none for long, and what had better yield to them."""
 
 from ..ground import constants
-from .seat import in_use, less
+from .seat import in_use, less, more
 
 
 class Reservations:
@@ -55,7 +55,7 @@
             now - short.get(wave.key(), now) >= patience
             and service in self.seats
             and self.counts.get(service, 0) < constants.RESERVE_MOST
-            and self.budgets.may_keep(self.board, wave)
+            and self.budgets.may_keep(wave)
             and not self._lapsed(wave, now)
         )
 
@@ -135,7 +135,7 @@
             for placement in self.board.placements.get(seat.identity, {}).values():
                 found = None if placement.stop else self.board.task(placement)
                 if found is not None and found[0].step.lasts:
-                    room = tuple(one + more for one, more in zip(room, placement.room, strict=True))
+                    room = more(room, placement.room)
             self.lasting[seat.identity] = room
         return self.lasting[seat.identity]
 
--- a/src/pinepitch/tenure/seat.py
+++ b/src/pinepitch/tenure/seat.py
@@ -8,6 +8,11 @@
     return (one[0] - other[0], one[1] - other[1], one[2] - other[2])
 
 
+def more(one, other):
+    """Room added up: (thousandths of a core, megabytes, accelerators) of both."""
+    return (one[0] + other[0], one[1] + other[1], one[2] + other[2])
+
+
 class Seat:
     """A worker that may get work in this round. Invariant: free is its room less that of every
     placement there whose end is not proven, started or not."""
