Work that has waited as long as it well can is guaranteed a fifth of its service's room

Under an overload of urgent work each freed worker went to it, seats were kept for it and less urgent runs yielded to it, so that less urgent jobs earned nothing. Now each urgency whose waves have waited for WAIT_PART of their slack claims what it lacks of SHARE_LEAST of the room: more urgent work leaves that free when it is placed, keeps no seats of it, and nothing within it yields. Work that can still wait claims nothing, so that urgent work goes first as before outside overload.

--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -271,6 +271,9 @@
 WAIT_PART = (
     0.5  # of the time that work can wait for room and be done in time: longer work is kept from its room
 )
+SHARE_LEAST = (
+    0.2  # of a service's room that work of each urgency gets once it has waited as long as it well can
+)
 HOT_STEPS = 2  # steps; between racks much wanted for their data and others, for work that wants none
 YIELD_WASTE = 30.0  # core-seconds; of unsaved work that may be thrown away to make room for one wave
 YIELD_RUNS = 2  # runs; a task that was run more often yields no more unless it saves its progress
--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -5,7 +5,8 @@
 from ..ground import constants
 from .budgets import RoomBudgets
 from .reservations import Reservations
-from .seat import less, open_seats
+from .room import less
+from .seat import open_seats
 
 # Why a round left tasks waiting, as operators are told it.
 NO_WORKER = "no minion"
@@ -20,7 +21,7 @@
     def __init__(self, pace):
         self.pace = pace
         self.short = {}  # key of a wave -> since when it found no room
-        self.kept_since = {}  # key of a wave -> since when seats are kept for it without a break
+        self.kept_since = {}  # service -> since when some of its seats are kept without a break
         self.near = {}  # rack -> tasks of this round that want to be there
         self.budgets = RoomBudgets(pace)
         self.hot_at = None
@@ -39,8 +40,8 @@
             return (), ()
         seats = open_seats(board, workers, now)
         items, count = [], 0
-        self.budgets.open(board, seats)
-        waves.sort(key=lambda wave: self._rank(wave, time))
+        self.budgets.open(board, seats, waves, time)
+        waves.sort(key=self._rank)
         reservations = Reservations(board, keeper, self.budgets, seats, self.kept_since, time)
         stops = reservations.keep(waves, self.short, now)
         for wave in waves:
@@ -66,7 +67,7 @@
             del self.short[key]
         return tuple(items), tuple(stops)
 
-    def _rank(self, wave, time):
+    def _rank(self, wave):
         job = wave.job
         begun = wave.due if job.times else job.accepted
         return (job.priority, begun + job.aim_ms / 1000 + job.stretch * wave.step.est_ms / 1000, job.identity)
@@ -167,7 +168,7 @@
             return 0
         room = wave.step.room
         turns = sum(
-            min(seat.worker.room[kind] // room[kind] for kind in range(3) if room[kind])
+            min(seat.worker.room[kind] // room[kind] for kind in RESOURCES if room[kind])
             for seat in seats
             if wave.step.near in seat.labels and any(room)
         )
--- a/src/pinepitch/tenure/budgets.py
+++ b/src/pinepitch/tenure/budgets.py
@@ -4,10 +4,12 @@
 import math
 
 from ..ground import constants
-from .seat import less, more
+from .room import NO_ROOM, RESOURCES, less, lesser, more, tasks_in, times
 
-NO_ROOM = (0, 0, 0)
-RESOURCES = range(3)  # thousandths of a core, megabytes, accelerators
+
+def slack(aim_ms, stretch, length):
+    """Seconds that work of so many seconds can lose and still be in time by its queue's terms."""
+    return aim_ms / 1000 + (stretch - 1) * length
 
 
 class RoomBudgets:
@@ -16,6 +18,9 @@
     Room is held back for more urgent work by what it took at most of late, from work that would keep the
     room for longer than the urgent work can wait. What is sooner done than that holds nobody up.
 
+    And each urgency with work that has waited for as long as it well can is guaranteed SHARE_LEAST of a
+    service's room: more urgent work leaves free what it lacks of that, and makes nothing of it yield.
+
     Invariants: a budget is charged for what a round places, never for what waves ask for, so that
     a wave that finds no seat takes nothing from those behind it; a budget that is not used up admits
     one more task, however large."""
@@ -27,6 +32,7 @@
         self.whole = {}  # service -> room of all its seats
         self.used = {}  # (service, priority) -> room that its work takes, by this round's placements too
         self.waits = {}  # (service, priority) -> seconds that its work can well wait for room
+        self.claims = {}  # (service, priority) -> room that more urgent work leaves to it
 
     def learn(self, board, now):
         """How much room the work of each urgency took at most of late."""
@@ -37,14 +43,38 @@
             before = self.peaks.get(key, NO_ROOM)
             self.peaks[key] = [max(one, other * left) for one, other in zip(used, before, strict=True)]
 
-    def open(self, board, seats):
-        """Begins a round: seats by service."""
+    def open(self, board, seats, waves, time):
+        """Begins a round: seats by service, and the waves that wait at a record time."""
         self.whole = {
             service: [sum(seat.worker.room[kind] for seat in mine) for kind in RESOURCES]
             for service, mine in seats.items()
         }
         self.used = {key: list(taken) for key, taken in board.used.items()}
         self.waits = self._waits(board.configuration.routes)
+        self.claims = self._claims(waves, time)
+
+    def guaranteed(self, service):
+        """Room of a service that each urgency with work that waits has a right to."""
+        return [room * constants.SHARE_LEAST for room in self.whole.get(service, NO_ROOM)]
+
+    def _claims(self, waves, time):
+        """(service, priority) -> what an urgency lacks of its guaranteed room and has long waited for."""
+        asked = {}
+        for wave in waves:
+            if time - wave.since >= self._patience(wave):
+                key = (wave.job.service, wave.job.priority)
+                asked[key] = more(asked.get(key, NO_ROOM), times(wave.step.room, len(wave.waiting)))
+        return {key: self._claim(key, room) for key, room in asked.items()}
+
+    def _claim(self, key, asked):
+        """What of the room asked for lies within the guarantee of a (service, priority)."""
+        lacking = less(self.guaranteed(key[0]), self.used.get(key, NO_ROOM))
+        return [max(0, min(one, other)) for one, other in zip(lacking, asked, strict=True)]
+
+    def _patience(self, wave):
+        """Seconds that a wave can wait for room and still be in time."""
+        job = wave.job
+        return constants.WAIT_PART * slack(job.aim_ms, job.stretch, self.pace.expected(wave))
 
     def _waits(self, routes):
         """(service, priority) -> seconds that work of each urgency can wait for room and still be in time,
@@ -54,11 +84,23 @@
             route = routes.get(queue)
             if route is None:
                 continue
-            slack = route.get("aim_ms", 0) / 1000 + (route.get("stretch", 1) - 1) * length
+            wait = constants.WAIT_PART * slack(route.get("aim_ms", 0), route.get("stretch", 1), length)
             key = (route["service"], route.get("priority", 0))
-            waits[key] = min(waits.get(key, math.inf), slack * constants.WAIT_PART)
+            waits[key] = min(waits.get(key, math.inf), wait)
         return waits
 
+    def left_by_less_urgent(self, wave):
+        """Room that a wave may take without taking what less urgent work is guaranteed."""
+        service, priority = wave.job.service, wave.job.priority
+        left = self.whole[service]
+        for (name, _), used in self.used.items():
+            if name == service:
+                left = less(left, used)
+        for (name, level), claim in self.claims.items():
+            if name == service and level > priority:
+                left = less(left, claim)
+        return left
+
     def left(self, wave):
         """Room that a wave may still take: all but what is held back for more urgent work and what work as
         urgent as the wave, and less urgent work, takes; these may have BUDGET_PART of all room between
@@ -91,20 +133,36 @@
         return taken
 
     def allowance(self, wave, wanted):
-        """How many of `wanted` tasks a wave's budget admits."""
-        left, room = self.left(wave), wave.step.room
+        """How many of `wanted` tasks a wave may be given."""
+        left, room = lesser(self.left(wave), self.left_by_less_urgent(wave)), wave.step.room
         admitted = (math.ceil(max(0, left[kind]) / room[kind]) for kind in RESOURCES if room[kind])
         return min((wanted, *admitted))
 
     def charge(self, wave, count):
         """So many tasks of a wave were placed."""
         key = (wave.job.service, wave.job.priority)
-        placed = [count * room for room in wave.step.room]
-        self.used[key] = list(more(self.used.get(key, NO_ROOM), placed))
-
-    def may_keep(self, wave):
-        """Whether room may be kept for a wave: work of its own urgency takes less than the cap, so that
-        the wave can use what is kept for it."""
-        key = (wave.job.service, wave.job.priority)
-        used, cap, room = self.used.get(key, NO_ROOM), self._cap(wave), wave.step.room
+        self.used[key] = more(self.used.get(key, NO_ROOM), times(wave.step.room, count))
+
+    def keepable(self, wave, kept):
+        """For how many tasks of a wave room may be kept beside the room `kept` for waves as urgent: no
+        more than it may use, and not what less urgent work is guaranteed. A gang, which needs all its
+        room at once, is not asked what else of its urgency runs."""
+        service, priority = wave.job.service, wave.job.priority
+        own = kept if wave.step.gang else more(kept, self.used.get((service, priority), NO_ROOM))
+        allowed = self.whole[service]
+        for name, level in self.claims:
+            if name == service and level > priority:
+                allowed = less(allowed, self.guaranteed(service))
+        most = tasks_in(less(allowed, own), wave.step.room)
+        if not wave.step.gang and not self._below(own, self._cap(wave), wave.step.room):
+            return 0
+        return len(wave.waiting) if most is None else most
+
+    def _below(self, used, cap, room):
+        """Whether less than a cap is used of all that a room takes."""
         return all(used[kind] < cap[kind] for kind in RESOURCES if room[kind])
+
+    def is_guaranteed(self, key):
+        """Whether all the room that a (service, priority) takes is guaranteed to it."""
+        used, right = self.used.get(key, NO_ROOM), self.guaranteed(key[0])
+        return all(one <= other for one, other in zip(used, right, strict=True))
--- a/src/pinepitch/tenure/reservations.py
+++ b/src/pinepitch/tenure/reservations.py
@@ -1,7 +1,8 @@
 """Room that is kept for waves which have found none for long, and what had better yield to them."""
 
 from ..ground import constants
-from .seat import in_use, less, more
+from .room import NO_ROOM, less, more, times
+from .seat import in_use
 
 
 class Reservations:
@@ -17,10 +18,11 @@
     def __init__(self, board, keeper, budgets, seats, kept_since, time):
         self.board, self.keeper, self.budgets = board, keeper, budgets
         self.seats, self.time = seats, time
-        self.kept_since = kept_since  # key of a wave -> since when seats are kept for it
+        self.kept_since = kept_since  # service -> since when some of its seats are kept
         self.counts = {}  # service -> waves that seats are kept for
         self.taken = {}  # service -> seats kept
         self.kept = {}  # key of a wave -> the seats kept for it
+        self.kept_room = {}  # (service, priority) -> room kept for its waves
         self.lasting = {}  # worker -> room of what lasts there
         self.waste = 0.0  # core-seconds that may still be thrown away for the wave looked at
 
@@ -41,10 +43,10 @@
                 continue
             failed.clear()
             stops.extend(self._keep(wave, chosen))
-        for key in self.kept_since.keys() - self.kept.keys():
-            del self.kept_since[key]
-        for key in self.kept:
-            self.kept_since.setdefault(key, now)
+        for service in self.kept_since.keys() - self.counts.keys():
+            del self.kept_since[service]
+        for service in self.counts:
+            self.kept_since.setdefault(service, now)
         return stops
 
     def _due(self, wave, short, now):
@@ -55,15 +57,14 @@
             now - short.get(wave.key(), now) >= patience
             and service in self.seats
             and self.counts.get(service, 0) < constants.RESERVE_MOST
-            and self.budgets.may_keep(wave)
-            and not self._lapsed(wave, now)
+            and not self._lapsed(service, now)
         )
 
-    def _lapsed(self, wave, now):
-        """Whether room was kept for a wave for long while most of the service's room is idle."""
-        if now - self.kept_since.get(wave.key(), now) < constants.RESERVE_LASTS:
+    def _lapsed(self, service, now):
+        """Whether some of a service's room was kept for long while most of it is idle."""
+        if now - self.kept_since.get(service, now) < constants.RESERVE_LASTS:
             return False
-        return in_use(self.seats[wave.job.service]) < constants.RESERVE_BUSY
+        return in_use(self.seats[service]) < constants.RESERVE_BUSY
 
     def _shape(self, wave):
         """What decides which seats a wave may have: waves of one shape are refused alike."""
@@ -89,6 +90,8 @@
         self.taken[service] = self.taken.get(service, 0) + len(chosen)
         stops, enough, self.waste = [], True, constants.YIELD_WASTE
         self.kept[wave.key()] = [seat for seat, _ in chosen]
+        kept = times(wave.step.room, sum(members for _, members in chosen))
+        self.kept_room[self._level(wave)] = more(self.kept_room.get(self._level(wave), NO_ROOM), kept)
         for seat, members in chosen:
             seat.kept = wave
             found = self._victims(wave, seat, members)
@@ -102,6 +105,10 @@
         any rack is large enough. A gang gets seats for all its members or none; other waves get fewer
         when there are not enough, or not enough that may be kept."""
         step, wanted = wave.step, len(wave.waiting)
+        keepable = self.budgets.keepable(wave, self.kept_room.get(self._level(wave), NO_ROOM))
+        if not keepable or step.gang and keepable < wanted:
+            return None
+        wanted = min(wanted, keepable)
         able = [one for seat in self.seats[wave.job.service] if (one := self._able(wave, seat))]
         able.sort(key=lambda one: one[:2])
         able = [one for one in able if step.near in one[2].labels] or able if step.near else able
@@ -115,6 +122,10 @@
             left -= members
         return chosen if left <= 0 or not step.gang else None
 
+    def _level(self, wave):
+        """The (service, priority) of a wave."""
+        return (wave.job.service, wave.job.priority)
+
     def _may_keep_more(self, service):
         """How many more seats of a service may be kept."""
         most = max(1, int(len(self.seats[service]) * constants.RESERVE_PART))
@@ -131,7 +142,7 @@
     def _lasting_on(self, seat):
         """Room on a seat of runs that last, which no wait brings back."""
         if seat.identity not in self.lasting:
-            room = (0, 0, 0)
+            room = NO_ROOM
             for placement in self.board.placements.get(seat.identity, {}).values():
                 found = None if placement.stop else self.board.task(placement)
                 if found is not None and found[0].step.lasts:
@@ -174,6 +185,8 @@
         step = found[0].step
         if step.gang or step.lasts or found[0].job.priority <= wave.job.priority:
             return False
+        if self.budgets.is_guaranteed((placement.service, placement.priority)):
+            return False
         if step.saves:
             return True
         if placement.run > constants.YIELD_RUNS:
--- a/src/pinepitch/tenure/seat.py
+++ b/src/pinepitch/tenure/seat.py
@@ -1,16 +1,7 @@
 """A worker as one assigning round sees it."""
 
 from ..ground import constants
-
-
-def less(one, other):
-    """Room left: (thousandths of a core, megabytes, accelerators) of `one` without `other`."""
-    return (one[0] - other[0], one[1] - other[1], one[2] - other[2])
-
-
-def more(one, other):
-    """Room added up: (thousandths of a core, megabytes, accelerators) of both."""
-    return (one[0] + other[0], one[1] + other[1], one[2] + other[2])
+from .room import NO_ROOM, RESOURCES, less
 
 
 class Seat:
@@ -57,7 +48,7 @@
         """How many more tasks of a wave this worker could run at once if all left it but what lasts,
         which takes the room `lasting`."""
         step, room = wave.step, less(self.worker.room, lasting)
-        members = min((room[kind] // step.room[kind] for kind in range(3) if step.room[kind]), default=1)
+        members = min((room[kind] // step.room[kind] for kind in RESOURCES if step.room[kind]), default=1)
         if step.apart:
             members = min(members, step.apart - self.steps.get((wave.job.identity, wave.number), 0))
         return int(max(0, members))
@@ -65,14 +56,14 @@
     def free_share(self, step):
         """The least part, 0 to 1, of this worker's room that is free, over what a step asks for."""
         return min(
-            (self.free[kind] / self.worker.room[kind] for kind in range(3) if step.room[kind]), default=1
+            (self.free[kind] / self.worker.room[kind] for kind in RESOURCES if step.room[kind]), default=1
         )
 
 
 def in_use(seats):
     """The part, 0 to 1, of the room of some seats that is taken, of the resource most taken."""
     most = 0.0
-    for kind in range(3):
+    for kind in RESOURCES:
         whole = sum(seat.worker.room[kind] for seat in seats)
         if whole:
             most = max(most, 1 - sum(seat.free[kind] for seat in seats) / whole)
@@ -97,7 +88,7 @@
         poor = worker.failing > constants.LIVENESS_POOR
         if poor and held:
             continue
-        free, steps = less(worker.room, board.taken.get(worker.identity, (0, 0, 0))), {}
+        free, steps = less(worker.room, board.taken.get(worker.identity, NO_ROOM)), {}
         for placement in held.values():
             place = (placement.job, placement.number)
             steps[place] = steps.get(place, 0) + 1
