Within an urgency a wide step is ranked by the turns of the room that it takes

A step wider than a quarter of its service's room was due as if all its tasks ran at once, stood first and held up narrow jobs that were due sooner. Its due now counts the turns.

--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -274,6 +274,7 @@
 SHARE_LEAST = (
     0.2  # of a service's room that work of each urgency gets once it has waited as long as it well can
 )
+WIDE_PART = 0.25  # of a service's room; a step wider than that is expected to take several turns
 HOT_STEPS = 2  # steps; between racks much wanted for their data and others, for work that wants none
 YIELD_WASTE = 30.0  # core-seconds; of unsaved work that may be thrown away to make room for one wave
 YIELD_RUNS = 2  # runs; a task that was run more often yields no more unless it saves its progress
--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -5,7 +5,7 @@
 from ..ground import constants
 from .budgets import RoomBudgets
 from .reservations import Reservations
-from .room import less
+from .room import RESOURCES, less
 from .seat import open_seats
 
 # Why a round left tasks waiting, as operators are told it.
@@ -68,9 +68,23 @@
         return tuple(items), tuple(stops)
 
     def _rank(self, wave):
-        job = wave.job
+        """The more urgent first, then what is due sooner: a step wider than a part of its service's room
+        is expected to take several turns of it."""
+        job, step = wave.job, wave.step
         begun = wave.due if job.times else job.accepted
-        return (job.priority, begun + job.aim_ms / 1000 + job.stretch * wave.step.est_ms / 1000, job.identity)
+        wide = len(wave.waiting) * self._largest_share(step, self.budgets.whole.get(job.service))
+        turns = max(1.0, wide / constants.WIDE_PART)
+        return (
+            job.priority,
+            begun + job.aim_ms / 1000 + job.stretch * turns * step.est_ms / 1000,
+            job.identity,
+        )
+
+    def _largest_share(self, step, whole):
+        """The part of a service's room that one task of a step takes, of the resource it takes most of."""
+        if whole is None:
+            return 0.0
+        return max((step.room[kind] / whole[kind] for kind in RESOURCES if whole[kind]), default=0.0)
 
     def _forget_hot(self, now):
         """What racks were wanted for counts less with time."""
