Invariants of placing are checked in every round, counted, told and on in tests

IdleRoomCheck looks at each round's outcome (the second twice a second, only at waves that are short, only of idle services), counts (metric placing_violations) and tells event 184 (error). Simulated fleets that run jobs fail when an accord counted one.

--- a/features/assigning.feature
+++ b/features/assigning.feature
@@ -12,6 +12,7 @@
   Scenario: by no seed does a job wait long beside two workers that could take it
     When scans, gangs, inspections and work that lasts come by chance to 7 workers, by seeds 1 to 24
     Then by no seed has a job with nothing running waited over 3 seconds beside ample room
+    And by no seed has the code counted a broken invariant
 
   Scenario: less urgent work is not starved by urgent work that asks for twice the room there is
     Given 7 workers of 8 accelerators
@@ -37,3 +38,17 @@
     And inspections of 2 seconds fill 7 workers
     When an inspection of 168 tasks of 2 seconds comes, and then 5 inspections of 2 tasks of 2 seconds
     Then the 5 are done within 5 seconds
+
+  Scenario Outline: the code counts it when <what>
+    Given 7 workers of 8 accelerators
+    And an assigner in which <fault>
+    And inspections of 3 seconds fill <some> workers
+    And inspections of 30 seconds fill <others> workers
+    When a scan of 7 tasks comes, and scans of 1 and of 2 tasks, each task as large as a worker
+    And 9 seconds pass
+    Then it has counted that <what>, for each job once
+
+    Examples:
+      | fault                                   | some | others | what                                              |
+      | a wave may not take what is kept for it | 3    | 4      | kept room is not taken by the wave it is kept for |
+      | every budget is used up                 | 5    | 2      | a job waits beside ample idle room                |
--- a/features/steps/assigning.py
+++ b/features/steps/assigning.py
@@ -1,12 +1,14 @@
 """Steps for Assigning: rounds of the assigner over a board, workers and runs in virtual time."""
 
 import random
+from unittest import mock
 
 from behave import given, then, when
 
 from pinepitch.tenure import job as jobs
 from pinepitch.tenure.assigner import Assigner
 from pinepitch.tenure.board import Board
+from pinepitch.tenure.budgets import RoomBudgets
 from pinepitch.tenure.pace import Pace
 from pinepitch.tenure.worker import Worker
 
@@ -207,6 +209,9 @@
 
 @when("a scan of 7 tasks comes, and scans of 1 and of 2 tasks, each task as large as a worker")
 def step_scans(context):
+    if "fault" in context:
+        for patch in context.fault:
+            patch.start()
     for count in (7, 1, 2):
         context.fleet.put("scans", count, 8, 5)
 
@@ -338,3 +343,36 @@
     context.fleet.run(seconds)
     done = [job for job in context.narrow if job in context.fleet.done]
     assert len(done) == count, f"{len(done)} of {count}"
+
+
+# --- invariants that the code checks itself -------------------------------------------------
+@then("by no seed has the code counted a broken invariant")
+def step_counted_none(context):
+    counts = {seed: dict(fleet.assigner.idle_room.counts) for seed, fleet in context.fleets.items()}
+    assert not any(sum(one.values()) for one in counts.values()), counts
+
+
+def _nothing_kept(self, wave, seats, indices):
+    """Takes no seat that is kept for the wave."""
+    return original_take(self, wave, [seat for seat in seats if seat.kept is not wave], indices)
+
+
+original_take = Assigner._take
+FAULTS = {
+    "a wave may not take what is kept for it": [(Assigner, "_take", _nothing_kept)],
+    "every budget is used up": [
+        (RoomBudgets, "allowance", lambda self, wave, wanted: 0),
+        (RoomBudgets, "keepable", lambda self, wave, kept: 0),
+    ],
+}
+
+
+@given("an assigner in which {fault}")
+def step_fault(context, fault):
+    context.fault = [mock.patch.object(*patch) for patch in FAULTS[fault]]
+    context.add_cleanup(mock.patch.stopall)
+
+
+@then("it has counted that {what}, for each job once")
+def step_counted(context, what):
+    assert context.fleet.assigner.idle_room.counts[what] in range(1, context.fleet.made + 1)
--- a/src/pinepitch/accord/figures.py
+++ b/src/pinepitch/accord/figures.py
@@ -1,6 +1,7 @@
 """What an accord tells of itself: health and metrics."""
 
 from ..ground import metrics
+from ..tenure.idleroom import IDLE_BESIDE_WORK, KEPT_UNTAKEN
 
 
 def health(core, now):
@@ -113,6 +114,16 @@
             ("queue", "why"),
             sorted(_left_waiting(core).items()),
         ),
+        (
+            "counter",
+            "placing_violations",
+            "Invariants of placing found broken while leading, by which; always 0 but for a fault.",
+            ("invariant",),
+            [
+                ((invariant,), core.keeper.assigner.idle_room.counts[invariant])
+                for invariant in (KEPT_UNTAKEN, IDLE_BESIDE_WORK)
+            ],
+        ),
         (
             "gauge",
             "worker_room",
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -274,6 +274,8 @@
 SHARE_LEAST = (
     0.2  # of a service's room that work of each urgency gets once it has waited as long as it well can
 )
+IDLE_WAIT_MOST = 3.0  # seconds; that a job with nothing placed may wait beside ample idle room
+IDLE_LOOK_EVERY = 0.5  # seconds; between looks for such jobs
 WIDE_PART = 0.25  # of a service's room; a step wider than that is expected to take several turns
 HOT_STEPS = 2  # steps; between racks much wanted for their data and others, for work that wants none
 YIELD_WASTE = 30.0  # core-seconds; of unsaved work that may be thrown away to make room for one wave
--- a/src/pinepitch/ground/events.py
+++ b/src/pinepitch/ground/events.py
@@ -62,6 +62,7 @@
     181: ("configuration in force", "info"),
     182: ("settings read again", "info"),
     183: ("run to be stopped", "info"),
+    184: ("invariant of placing broken", "error"),
 }
 
 
--- a/src/pinepitch/proof/jobs/fleet.py
+++ b/src/pinepitch/proof/jobs/fleet.py
@@ -14,6 +14,7 @@
 from .operator_traffic import OperatorTraffic
 from .plans import FleetPlan
 
+PLACING_BROKEN = 184  # the event that tells of it
 ACKNOWLEDGED = ("job", "job-cancel", "configure", "amend", "evacuate")  # calls whose answer is a promise
 
 
@@ -231,11 +232,15 @@
             self.governor.faults.append(f"no job was taken within {within:.0f} s {why}")
 
     def agreement(self):
-        """Beside the record, the boards: alike where as much is applied, and as their image says."""
+        """Beside the record, the boards: alike where as much is applied, and as their image says; and
+        the invariants of placing, which each accord checks itself."""
         faults, boards = super().agreement(), {}
         for node in self.nodes.values():
             if node.kind != "accord" or node.core is None or node.core.consensus is None:
                 continue
+            broken = node.core.event_counts.get(PLACING_BROKEN, 0)
+            if broken:
+                faults.append(f"{node.name} found invariants of placing broken {broken} times")
             board, index = node.core.record.board, node.core.record.index
             image = json.dumps(
                 board.image()
--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -4,6 +4,7 @@
 
 from ..ground import constants
 from .budgets import RoomBudgets
+from .idleroom import IdleRoomCheck
 from .reservations import Reservations
 from .room import RESOURCES, less
 from .seat import open_seats
@@ -22,6 +23,8 @@
         self.pace = pace
         self.short = {}  # key of a wave -> since when it found no room
         self.kept_since = {}  # service -> since when some of its seats are kept without a break
+        self.idle_room = IdleRoomCheck()
+        self.violations = ()  # of the newest round
         self.near = {}  # rack -> tasks of this round that want to be there
         self.budgets = RoomBudgets(pace)
         self.hot_at = None
@@ -36,6 +39,7 @@
         waves = [wave for wave in board.ready.values() if wave.due <= time]
         if not waves:
             self.kept_since.clear()
+            self.violations = ()
             self.short = {key: since for key, since in self.short.items() if key in board.ready}
             return (), ()
         seats = open_seats(board, workers, now)
@@ -65,8 +69,19 @@
                 self.short.pop(wave.key(), None)
         for key in [key for key in self.short if key not in board.ready]:
             del self.short[key]
+        if count < constants.ASSIGN_MOST:
+            self._check(board, seats, reservations, items, now)
         return tuple(items), tuple(stops)
 
+    def _check(self, board, seats, reservations, items, now):
+        """Looks whether a whole round left work beside idle room."""
+        kept = {key: (board.ready[key], mine) for key, mine in reservations.kept.items()}
+        placed = {item[:3]: len(item[3]) for item in items}
+        self.violations = (
+            *self.idle_room.after_round(kept, placed, self.short, now),
+            *self.idle_room.look(board, seats, self.short, now),
+        )
+
     def _rank(self, wave):
         """The more urgent first, then what is due sooner: a step wider than a part of its service's room
         is expected to take several turns of it."""
--- /dev/null
+++ b/src/pinepitch/tenure/idleroom.py
@@ -0,0 +1,85 @@
+"""Invariants of placing: work does not wait beside room that stands idle."""
+
+import collections
+from typing import NamedTuple
+
+from ..ground import constants
+from .seat import in_use
+
+KEPT_UNTAKEN = "kept room is not taken by the wave it is kept for"
+IDLE_BESIDE_WORK = "a job waits beside ample idle room"
+
+
+class Violation(NamedTuple):
+    """One invariant, found broken for one job."""
+
+    invariant: str
+    job: str
+    queue: str
+    seconds: float  # that the wave looked at has been short of room
+
+
+class IdleRoomCheck:
+    """Looks at each round's outcome, and counts what must not be.
+
+    KEPT_UNTAKEN: after a round a wave, no gang, still waits although a seat kept for it would take one more
+    of its tasks. IDLE_BESIDE_WORK: for IDLE_WAIT_MOST seconds a job had nothing placed and waited for
+    room while its service had room for twice what it needs at once and under half of its room was in use.
+
+    Invariant: a violation is counted once for each wave and each time that it begins."""
+
+    def __init__(self):
+        self.counts = collections.Counter()  # invariant -> violations
+        self.broken = set()  # (invariant, key of a wave) that were counted and go on
+        self.since = {}  # key of a wave -> since when its job waits beside ample idle room
+        self.looked_at = None
+
+    def after_round(self, kept, placed, short, now):
+        """Violations of KEPT_UNTAKEN. Takes `kept` (key of a wave -> (wave, seats)), `placed` (key of a
+        wave -> tasks placed in this round) and `short` (key of a wave -> since when)."""
+        found = {}
+        for key, (wave, seats) in kept.items():
+            waits = len(wave.waiting) > placed.get(key, 0) and not wave.step.gang
+            if waits and any(seat.allows(wave) for seat in seats):
+                found[key] = wave
+        return self._counted(KEPT_UNTAKEN, found, short, now)
+
+    def look(self, board, seats, short, now):
+        """Violations of IDLE_BESIDE_WORK, looked for once in IDLE_LOOK_EVERY seconds."""
+        if self.looked_at is not None and now - self.looked_at < constants.IDLE_LOOK_EVERY:
+            return ()
+        self.looked_at = now
+        idle = [service for service, mine in seats.items() if in_use(mine) < constants.RESERVE_BUSY]
+        beside = {}
+        for key in short:
+            wave = board.ready.get(key)
+            if wave is not None and wave.job.service in idle and self._ample(wave, seats[wave.job.service]):
+                beside[key] = wave
+        self.since = {key: self.since.get(key, now) for key in beside}
+        found = {
+            key: wave for key, wave in beside.items() if now - self.since[key] > constants.IDLE_WAIT_MOST
+        }
+        return self._counted(IDLE_BESIDE_WORK, found, short, now)
+
+    def _ample(self, wave, seats):
+        """Whether nothing of a wave's job is placed, and there is room for twice what it needs at once."""
+        if any(task.state == "placed" for one in wave.job.waves.values() for task in one.tasks):
+            return False
+        wanted, room = 2 * (len(wave.waiting) if wave.step.gang else 1), 0
+        for seat in seats:
+            room += seat.members(wave)
+            if room >= wanted:
+                return True
+        return False
+
+    def _counted(self, invariant, found, short, now):
+        """The violations that are new, once counted."""
+        before = {key for name, key in self.broken if name == invariant}
+        self.broken -= {(invariant, key) for key in before - found.keys()}
+        new = [(key, wave) for key, wave in found.items() if key not in before]
+        self.broken |= {(invariant, key) for key, _ in new}
+        self.counts[invariant] += len(new)
+        return tuple(
+            Violation(invariant, wave.job.identity, wave.job.queue, round(now - short.get(key, now), 3))
+            for key, wave in new
+        )
--- a/src/pinepitch/tenure/keeper.py
+++ b/src/pinepitch/tenure/keeper.py
@@ -243,6 +243,8 @@
             return
         self.due, self.placed_at = False, now
         items, stops = self.assigner.round(self.board, self.workers, self, now, self.core._now(now))
+        for violation in self.assigner.violations:
+            self.core._event(184, **violation._asdict())
         if items:
             self.assigning += 1
             for _, _, _, group in items:
--- a/src/pinepitch/tenure/seat.py
+++ b/src/pinepitch/tenure/seat.py
@@ -1,7 +1,7 @@
 """A worker as one assigning round sees it."""
 
 from ..ground import constants
-from .room import NO_ROOM, RESOURCES, less
+from .room import NO_ROOM, RESOURCES, less, tasks_in
 
 
 class Seat:
@@ -30,6 +30,15 @@
             and (not step.apart or self.steps.get((wave.job.identity, wave.number), 0) < step.apart)
         )
 
+    def members(self, wave):
+        """How many more tasks of a wave could run here now, whomever the room is kept for."""
+        if not self.takes(wave):
+            return 0
+        step, count = wave.step, tasks_in(self.free, wave.step.room)
+        beside = self.steps.get((wave.job.identity, wave.number), 0)
+        counts = [one for one in (count, step.apart - beside if step.apart else None) if one is not None]
+        return min(counts, default=len(wave.waiting))
+
     def allows(self, wave):
         """Whether one more task of a wave may be placed here: what is kept is taken by its wave and by
         more urgent ones only."""
