--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -23,6 +23,7 @@
         self.pace = pace
         self.short = {}  # key of a wave -> since when it found no room
         self.kept_since = {}  # service -> since when some of its seats are kept without a break
+        self.exhausted = set()  # what waves ask of a seat that no seat has left in this round
         self.idle_room = IdleRoomCheck()
         self.violations = ()  # of the newest round
         self.near = {}  # rack -> tasks of this round that want to be there
@@ -35,7 +36,7 @@
         """(assign items, stop items)."""
         self.budgets.learn(board, now)
         self._forget_hot(now)
-        self.near, self.why = {}, {}
+        self.near, self.why, self.exhausted = {}, {}, set()
         waves = [wave for wave in board.ready.values() if wave.due <= time]
         if not waves:
             self.kept_since.clear()
@@ -64,7 +65,7 @@
                 items.append((wave.job.identity, wave.time, wave.number, tuple(group)))
             if len(group) < len(wave.waiting):
                 self.short.setdefault(wave.key(), now)
-                self.why.setdefault(wave.key(), self._why_left(wave, mine))
+                self.why.setdefault(wave.key(), self._why_left(wave, reservations))
             else:
                 self.short.pop(wave.key(), None)
         for key in [key for key in self.short if key not in board.ready]:
@@ -145,12 +146,30 @@
         near_by = [seat for seat in seats if step.near in seat.labels] if patience else ()
         patient = max(0, min(allowed, patience - len(group)))
         more = self._take(wave, near_by, waiting[:patient])
-        more += self._take(wave, seats, waiting[patient:allowed]) if len(more) == patient else []
+        if len(more) == patient:
+            more += self._take_anywhere(wave, seats, waiting[patient:allowed])
         if len(more) < allowed:
             self.why.pop(wave.key(), None)  # what lacked was room
         self.budgets.charge(wave, len(more))
         return group + more
 
+    def _take_anywhere(self, wave, seats, indices):
+        """As _take, on all seats; waves like one that found too few of them are not tried again."""
+        step = wave.step
+        alike = (
+            wave.job.service,
+            wave.job.priority,
+            step.room,
+            step.needs,
+            wave.job.identity if step.apart else None,
+        )
+        if alike in self.exhausted:
+            return []
+        group = self._take(wave, seats, indices)
+        if len(group) < len(indices):
+            self.exhausted.add(alike)
+        return group
+
     def _take(self, wave, seats, indices):
         """[(index, worker)] for the first of some tasks, as many as find a seat."""
         group = []
@@ -162,10 +181,10 @@
             group.append((index, seat.identity))
         return group
 
-    def _why_left(self, wave, seats):
+    def _why_left(self, wave, reservations):
         """Why some of a wave found no seat."""
-        for seat in seats:
-            if seat.kept is not None and seat.kept is not wave and seat.fits(wave.step.room):
+        for key, seats in reservations.kept.items():
+            if key != wave.key() and any(seat.takes(wave) for seat in seats):
                 return ROOM_KEPT
         return NO_ROOM
 
--- a/src/pinepitch/tenure/seat.py
+++ b/src/pinepitch/tenure/seat.py
@@ -25,7 +25,8 @@
         """Whether one more task of a wave could run here, whomever the room is kept for."""
         step = wave.step
         return (
-            self.fits(step.room)
+            self.service == wave.job.service
+            and self.fits(step.room)
             and (not step.needs or self.labels.issuperset(step.needs))
             and (not step.apart or self.steps.get((wave.job.identity, wave.number), 0) < step.apart)
         )
