--- /dev/null
+++ b/features/soak/__main__.py
@@ -0,0 +1,26 @@
+"""Soaks by seeds, one after another: python -m features.soak FIRST COUNT SECONDS."""
+
+import sys
+
+from .soak import soak
+
+
+def main(first="0", count="5", seconds="30"):
+    """Prints a line a seed, and what was found; exits 1 when anything was."""
+    found = 0
+    for seed in range(int(first), int(first) + int(count)):
+        one = soak(seed, float(seconds))
+        print(
+            f"seed {seed}: {len(one.troubles)} troubles, {one.most_at_once} at once, {one.jobs} jobs, "
+            f"{one.starts} starts, {len(one.faults)} faults",
+            flush=True,
+        )
+        for fault in one.faults[:10]:
+            print(f"   {fault}", flush=True)
+        found += bool(one.faults)
+    print(f"{found} of {count} soaks found a fault")
+    return 1 if found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(*sys.argv[1:]))
--- /dev/null
+++ b/features/soak/processes.py
@@ -0,0 +1,170 @@
+"""The daemons of a soak, as processes: their settings, folders, starts, stops and logs."""
+
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+ZONES = ("a", "b", "c")
+CORES, FRONTS = 3, 2
+INTERNAL_PORTS = 16  # kept free on every address for what the daemons say to each other
+GRACE = 6  # seconds; from SIGTERM to SIGKILL
+# Events that no trouble brought about here can excuse: broken invariants, answers to the wrong caller,
+# a disk that went back on a promise, two machines under one name.
+FORBIDDEN_EVENTS = (104, 128, 145, 146, 158, 184)
+
+
+class Ports:
+    """Ports that are free on all addresses of a soak, the same on each as the settings want it."""
+
+    def __init__(self, addresses, draw):
+        for _ in range(100):
+            self.first = draw.randrange(20_000, 30_000)
+            wanted = range(self.first, self.first + INTERNAL_PORTS + 3)
+            if all(_is_free(address, port) for address in addresses for port in wanted):
+                break
+        else:
+            raise OSError("no free ports")
+        self.last = self.first + INTERNAL_PORTS - 1
+        self.control, self.front, self.readiness = self.last + 1, self.last + 2, self.last + 3
+
+
+def _is_free(address, port):
+    with socket.socket() as one:
+        one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            one.bind((address, port))
+        except OSError:
+            return False
+    return True
+
+
+class Processes:
+    """Invariant: every process that runs is in `running`; a paused one is in `paused` too."""
+
+    def __init__(self, seed, folder):
+        self.folder = pathlib.Path(folder)
+        draw = random.Random(f"soak-{seed}-{os.getpid()}")
+        network = f"127.{draw.randrange(10, 250)}.{draw.randrange(250)}"
+        self.addresses = {f"core{place}": f"{network}.{place + 1}" for place in range(CORES)}
+        self.addresses |= {f"front{place}": f"{network}.{place + 101}" for place in range(FRONTS)}
+        self.ports = Ports(self.addresses.values(), draw)
+        self.running, self.paused, self.founded = {}, set(), set()
+
+    @property
+    def controls(self):
+        """Addresses where workers and the operator call."""
+        return [f"{self.addresses[f'core{place}']}:{self.ports.control}" for place in range(CORES)]
+
+    @property
+    def fronts(self):
+        """Addresses where callers hand jobs in."""
+        return [f"{self.addresses[f'front{place}']}:{self.ports.front}" for place in range(FRONTS)]
+
+    def names(self, kind):
+        """The daemons of a kind, "core" or "front"."""
+        return [name for name in self.addresses if name.startswith(kind)]
+
+    def _settings(self, name):
+        """Writes a daemon's settings file; its path."""
+        address, core, place = self.addresses[name], name.startswith("core"), int(name[-1])
+        lines = {
+            "nodeName": name,
+            "zone": ZONES[place],
+            "ipAddress": address,
+            "internalPortRange": f"{self.ports.first},{self.ports.last}",
+            "seedAddresses": ",".join(self.controls),
+            "firstStart": str(name not in self.founded).lower(),
+            "bounds.graceS": str(GRACE),
+            "bounds.holdMaxMs": "5000",
+            "bounds.catchUpS": "4",
+            "bounds.farFactor": "2",
+            "toleratedLosses.machines": "1",
+            "limits.memoryMb": "256",
+        }
+        if core:
+            lines["listenAddresses.control"] = f"{address}:{self.ports.control}"
+            lines["dataDirectory"] = str(self.folder / name)
+            lines["limits.diskMb"] = "128"
+        else:
+            lines["listenAddresses.front"] = f"{address}:{self.ports.front}"
+            lines["listenAddresses.readiness"] = f"{address}:{self.ports.readiness}"
+        path = self.folder / f"{name}.conf"
+        path.write_text("".join(f"{field}={value}\n" for field, value in lines.items()))
+        return path
+
+    def start(self, name):
+        """Starts a daemon that does not run."""
+        settings, program = self._settings(name), name.rstrip("0123456789")
+        (self.folder / name).mkdir(exist_ok=True)
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.running[name] = subprocess.Popen(
+                [sys.executable, str(ROOT / "platform" / f"{program}.py")],
+                env={**os.environ, "PINEPITCH_SETTINGS": str(settings)},
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+            )
+        self.founded.add(name)
+
+    def start_all(self):
+        for name in self.addresses:
+            self.start(name)
+
+    def kill(self, name):
+        """SIGKILL, whatever the process does."""
+        process = self.running.pop(name)
+        process.kill()
+        process.wait()
+        self.paused.discard(name)
+
+    def pause(self, name):
+        self.running[name].send_signal(signal.SIGSTOP)
+        self.paused.add(name)
+
+    def resume(self, name):
+        if name in self.paused:
+            self.paused.discard(name)
+            self.running[name].send_signal(signal.SIGCONT)
+
+    def wipe(self, name):
+        """Takes away the disk of a daemon that does not run."""
+        shutil.rmtree(self.folder / name)
+
+    def stop(self):
+        """SIGTERM to all; names of those that had to be killed."""
+        for name in list(self.running):
+            self.resume(name)
+            self.running[name].terminate()
+        late, until = [], time.monotonic() + GRACE
+        for name, process in self.running.items():
+            try:
+                process.wait(max(0.1, until - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+                late.append(name)
+        self.running = {}
+        return late
+
+    def forbidden_events(self):
+        """Lines of the daemons' logs that must not be there: events of FORBIDDEN_EVENTS, and what is no
+        event at all, such as a traceback."""
+        found = []
+        for path in sorted(self.folder.glob("*.log")):
+            for line in path.read_text(errors="replace").splitlines():
+                try:
+                    event = json.loads(line)
+                except ValueError:
+                    found.append(f"{path.stem}: {line}")
+                    continue
+                if event.get("number") in FORBIDDEN_EVENTS:
+                    found.append(f"{path.stem}: {line}")
+        return found
--- /dev/null
+++ b/features/soak/soak.py
@@ -0,0 +1,232 @@
+"""One soak: real daemons, stand-in workers and a stand-in caller in real time, under random troubles."""
+
+import random
+import shutil
+import tempfile
+import time
+from typing import NamedTuple
+
+from pinepitch.proof.jobs import checks, limits
+from pinepitch.proof.jobs.caller import Patron
+from pinepitch.proof.tenant import StandInTenant
+
+from . import wire
+from .processes import ZONES, Processes
+from .troubles import TROUBLES
+
+STEP = 0.02  # seconds; between two looks at workers, caller and troubles
+AT_ONCE = 3  # troubles; that go on at the same time at most
+PAUSE_MOST = 1.5  # seconds; between two begins of troubles
+WIPE_APART = 10.0  # seconds; a disk is lost only once the one lost before has been made up for
+READY_WITHIN = 20.0  # seconds; from the first start until the first configuration is taken
+ENDS_WITHIN = 60.0  # seconds; until every job has ended once troubles are over
+BEAT_TIMEOUT, CALL_TIMEOUT = 1.0, 3.0  # seconds
+RUNNING_AFTER_CANCEL = limits.HELD_ON + 2.0  # seconds; a cancelled run on a worker that hears nobody
+
+
+class Outcome(NamedTuple):
+    """What a soak found: faults in words, and counts that show what it went through."""
+
+    seed: int
+    faults: list
+    troubles: list  # (seconds, name of the trouble, whom it met)
+    most_at_once: int
+    jobs: int
+    starts: int
+
+
+class Soak:
+    """Invariant: faults are judged only by what callers were told, what workers did, and the logs."""
+
+    def __init__(self, seed, folder):
+        self.seed, self.draw = seed, random.Random(f"soak-{seed}")
+        self.processes, self.calls = Processes(seed, folder), wire.Caller()
+        self.history, gangs = [], {}
+        self.workers = {}
+        for place in range(limits.TENANTS):
+            self.workers[f"w{place}"] = StandInTenant(
+                f"w{place}",
+                ZONES[place % len(ZONES)],
+                f"10.0.0.{place + 1}:80",
+                limits.ROOM,
+                ["ab"[place // 2 % 2], f"r1-{place % 3}"],
+                place % 2 == 0,
+                seed,
+                self.history,
+                "bare" if place % 2 else "held",
+                self.processes.controls,
+                gangs,
+            )
+        self.patron = Patron(seed)
+        self.away, self.cut, self.answer_loss, self.wiped_at = set(), set(), 0.0, 0.0
+        self.open = {}  # whom a trouble meets -> (its name, when it ends)
+        self.next_trouble = 0.0
+        self.met, self.most_at_once, self.faults = [], 0, []
+
+    def clock(self):
+        """Seconds; the one clock of everything here."""
+        return time.time()
+
+    # --- stand-ins ------------------------------------------------------------------------
+    def finish_life(self, name):
+        """A worker that drained has ended, or ends now; another life takes its place."""
+        self.workers[name].crash(self.clock())
+        self.workers[name].begin()
+
+    def _step_workers(self, now):
+        for name, worker in self.workers.items():
+            if name in self.away:
+                continue
+            for effect in worker.step(("tick",), now):
+                self._say(name, worker, effect)
+
+    def _say(self, name, worker, effect):
+        life = worker.births
+        if effect[0] == "leave":
+            path, document, purpose = f"/api/Minions.Leave/{effect[2]}", {}, ("left", name, life, 0)
+        else:
+            _, _, number, identity, told = effect
+            path, document = f"/api/Minions.Heartbeat/{identity}", wire.beat_of(told)
+            purpose = ("beat", name, life, number)
+        if name not in self.cut:
+            request = wire.Request(effect[1], "POST", path, document, "", BEAT_TIMEOUT)
+            self.calls.send(purpose, request)
+
+    def _step_patron(self, now):
+        for _, draw, call, arguments, tag in self.patron.step(("tick",), now):
+            host, path, *rest = arguments
+            method = {"job": "POST", "job-read": "GET", "job-cancel": "DELETE"}[call]
+            document = wire.job_of(rest[0]) if rest else None
+            address = self.processes.fronts[draw % len(self.processes.fronts)]
+            request = wire.Request(address, method, path, document, host, CALL_TIMEOUT)
+            self.calls.send(("call", tag), request)
+
+    def _hear(self, now):
+        for purpose, status, document in self.calls.taken():
+            if self.draw.random() < self.answer_loss:
+                status, document = wire.NO_ANSWER, {}
+            if purpose[0] == "call":
+                self.patron.step(("answered", purpose[1], status, document), now)
+            elif purpose[0] == "beat":
+                _, name, life, number = purpose
+                worker = self.workers[name]
+                if worker.births == life and name not in self.cut and name not in self.away:
+                    worker.step(("told", number, status, wire.orders_of(document)), now)
+
+    # --- troubles --------------------------------------------------------------------------
+    def _whom(self, kind, now):
+        """Those of a kind that no trouble meets now."""
+        if not kind:
+            return [] if "" in self.open else [""]
+        names = list(self.workers) if kind == "worker" else self.processes.names(kind)
+        return [name for name in names if name not in self.open]
+
+    def _step_troubles(self, now, going):
+        for name, (trouble, until) in list(self.open.items()):
+            if now >= until or not going:
+                del self.open[name]
+                TROUBLES[trouble].end(self, name)
+        if not going or now < self.next_trouble or len(self.open) >= AT_ONCE:
+            return
+        self.next_trouble = now + self.draw.uniform(0, PAUSE_MOST)
+        trouble = self.draw.choice(sorted(TROUBLES))
+        whom = self._whom(TROUBLES[trouble].kind, now)
+        cores_met = any(name in self.open for name in self.processes.names("core"))
+        if not whom or trouble == "wipe-core" and (cores_met or now - self.wiped_at < WIPE_APART):
+            return
+        if TROUBLES[trouble].kind == "core" and now - self.wiped_at < WIPE_APART:
+            return  # one lost disk is all that may be lost until it has been made up for
+        name = self.draw.choice(whom)
+        self.open[name] = (trouble, now + self.draw.uniform(TROUBLES[trouble].least, TROUBLES[trouble].most))
+        TROUBLES[trouble].begin(self, name)
+        self.met.append((round(now - self.begun, 2), trouble, name))
+        self.most_at_once = max(self.most_at_once, len(self.open))
+
+    # --- the run ---------------------------------------------------------------------------
+    def _configure(self):
+        routes = [
+            {
+                "name": name,
+                "host": limits.HOST,
+                "prefix": f"/{name}/",
+                "service": name,
+                "timeout_ms": 4000,
+                "attempts": limits.ATTEMPTS,
+                "priority": 1,
+                "stretch": 3,
+                "aim_ms": 500,
+            }
+            for name in ("held", "bare")
+        ]
+        services = [{"name": "held", "guards": True}, {"name": "bare", "guards": False}]
+        document = wire.configuration_of({"version": 1, "routes": routes, "services": services})
+        until = time.monotonic() + READY_WITHIN
+        while time.monotonic() < until:
+            for address in self.processes.controls:
+                request = wire.Request(
+                    address, "POST", "/api/Configuration.Replace", document, "", CALL_TIMEOUT
+                )
+                if wire.exchange(request)[0] == 200:
+                    return
+            time.sleep(0.1)
+        raise AssertionError(f"no configuration was taken within {READY_WITHIN:.0f} s")
+
+    def _step(self, going):
+        now = self.clock()
+        self._hear(now)
+        self._step_troubles(now, going)
+        self._step_workers(now)
+        self._step_patron(now)
+        time.sleep(STEP)
+
+    def run(self, seconds):
+        """Plays so many seconds of troubles, then waits until every job has ended; an Outcome."""
+        self.processes.start_all()
+        try:
+            self._configure()
+            self.begun = self.clock()
+            while self.clock() < self.begun + seconds:
+                self._step(True)
+            self.patron.stopped = True
+            until = self.clock() + ENDS_WITHIN
+            while self.clock() < until and not self.patron.quiet():
+                self._step(False)
+            if not self.patron.quiet():
+                self.faults.append(f"not every job ended within {ENDS_WITHIN:.0f} s: {self._unended()}")
+        finally:
+            late = self.processes.stop()
+            self.calls.close()
+        self.faults += [f"{name} did not end in its grace" for name in late]
+        self.faults += self.processes.forbidden_events()
+        self.faults += self._judged()
+        starts = sum(event[0] == "start" for event in self.history)
+        return Outcome(self.seed, self.faults, self.met, self.most_at_once, len(self.patron.jobs), starts)
+
+    def _unended(self):
+        return [
+            (job["identity"], job["kind"], job["accepted"] is not None)
+            for job in self.patron.jobs.values()
+            if job["refused"] is None and job["final"] is None
+        ]
+
+    def _judged(self):
+        """Faults that the history checks of the simulated fleets find."""
+        jobs = self.patron.jobs
+        return [
+            *checks.never_twice(self.history),
+            *checks.steps_kept(self.history, jobs),
+            *checks.attempts_kept(self.history, jobs),
+            *checks.room_kept(self.history),
+            *checks.cancels_kept(self.history, jobs, RUNNING_AFTER_CANCEL),
+            *checks.told_truly(self.history, self.patron),
+        ]
+
+
+def soak(seed, seconds, keep=False):
+    """An Outcome; the folder with logs and disks is kept when something was found, or when asked."""
+    folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
+    outcome = Soak(seed, folder).run(seconds)
+    if outcome.faults or keep:
+        return outcome._replace(faults=[*outcome.faults, f"logs: {folder}"] if outcome.faults else [])
+    shutil.rmtree(folder)
+    return outcome
--- /dev/null
+++ b/features/soak/troubles.py
@@ -0,0 +1,85 @@
+"""The troubles of a soak. Each is begun and, some seconds later, ended; several go on at once."""
+
+from typing import NamedTuple
+
+
+class Trouble(NamedTuple):
+    """begin(soak, name) and end(soak, name) for a daemon or worker of `kind`."""
+
+    kind: str  # "core", "front", "worker", or "" for all of the soak
+    begin: object
+    end: object
+    least: float  # seconds that it goes on
+    most: float
+
+
+def _kill(soak, name):
+    soak.processes.kill(name)
+
+
+def _wipe(soak, name):
+    soak.processes.kill(name)
+    soak.processes.wipe(name)
+    soak.wiped_at = soak.clock()
+
+
+def _start(soak, name):
+    soak.processes.start(name)
+
+
+def _pause(soak, name):
+    soak.processes.pause(name)
+
+
+def _resume(soak, name):
+    soak.processes.resume(name)
+
+
+def _crash(soak, name):
+    """A worker dies; another life of it comes at its end."""
+    soak.away.add(name)
+    soak.workers[name].crash(soak.clock())
+
+
+def _reborn(soak, name):
+    soak.away.discard(name)
+    soak.workers[name].begin()
+
+
+def _cut(soak, name):
+    """A worker runs on and reaches nobody."""
+    soak.cut.add(name)
+
+
+def _join(soak, name):
+    soak.cut.discard(name)
+
+
+def _drain(soak, name):
+    soak.workers[name].drain(soak.clock())
+
+
+def _drained(soak, name):
+    """Its end came by itself; a new life takes its place."""
+    soak.finish_life(name)
+
+
+def _lose_answers(soak, name):
+    soak.answer_loss = 0.3
+
+
+def _keep_answers(soak, name):
+    soak.answer_loss = 0.0
+
+
+TROUBLES = {
+    "kill-core": Trouble("core", _kill, _start, 0.2, 3.0),
+    "kill-front": Trouble("front", _kill, _start, 0.2, 2.0),
+    "wipe-core": Trouble("core", _wipe, _start, 0.2, 2.0),
+    "pause-core": Trouble("core", _pause, _resume, 0.3, 4.0),
+    "pause-front": Trouble("front", _pause, _resume, 0.3, 3.0),
+    "crash-worker": Trouble("worker", _crash, _reborn, 0.5, 4.0),
+    "cut-worker": Trouble("worker", _cut, _join, 0.5, 7.0),
+    "drain-worker": Trouble("worker", _drain, _drained, 7.0, 9.0),
+    "lose-answers": Trouble("", _lose_answers, _keep_answers, 1.0, 4.0),
+}
--- /dev/null
+++ b/features/soak/wire.py
@@ -0,0 +1,123 @@
+"""What the stand-ins of a soak say on the wire: HTTP over real sockets, in the platform's words."""
+
+import http.client
+import json
+import queue
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
+
+from .processes import ROOT
+
+sys.path.insert(0, str(ROOT / "platform"))
+try:
+    import wording
+finally:
+    sys.path.remove(str(ROOT / "platform"))
+
+CALLS_AT_ONCE = 64
+NO_ANSWER = 0  # the status of a call that was cut, timed out or reached nobody
+
+
+class Request(NamedTuple):
+    """One call; `host` is the Host header, "" for the address itself."""
+
+    address: str
+    method: str
+    path: str
+    document: dict | None
+    host: str
+    timeout: float  # seconds
+
+
+class Answered(NamedTuple):
+    """A call's end: what it was sent for, its status or NO_ANSWER, and the document told."""
+
+    purpose: object
+    status: int
+    document: dict
+
+
+class Caller:
+    """Sends calls from threads of its own; answers wait in `answers` until they are taken."""
+
+    def __init__(self):
+        self.threads = ThreadPoolExecutor(CALLS_AT_ONCE)
+        self.answers = queue.SimpleQueue()
+
+    def send(self, purpose, request):
+        self.threads.submit(lambda: self.answers.put(Answered(purpose, *exchange(request))))
+
+    def taken(self):
+        """The answers that have come since."""
+        found = []
+        while not self.answers.empty():
+            found.append(self.answers.get())
+        return found
+
+    def close(self):
+        self.threads.shutdown(wait=True, cancel_futures=True)
+
+
+def exchange(request):
+    """(status, document) of one call on a connection of its own."""
+    connection = http.client.HTTPConnection(request.address, timeout=request.timeout)
+    try:
+        body = None if request.document is None else json.dumps(request.document)
+        headers = {"Content-Type": "application/json"}
+        if request.host:
+            headers["Host"] = request.host
+        headers["X-Deadline-Remaining"] = str(int(request.timeout * 1000))
+        if request.path == "/api/Configuration.Replace":
+            headers["X-Based-On-Version"] = "0"
+        connection.request(request.method, request.path, body, headers)
+        answer = connection.getresponse()
+        told = json.loads(answer.read() or b"{}")
+        return answer.status, told if isinstance(told, dict) else {}
+    except (OSError, http.client.HTTPException, ValueError):
+        return NO_ANSWER, {}
+    finally:
+        connection.close()
+
+
+def beat_of(document):
+    """A stand-in worker's beat in the platform's words."""
+    words = {ours: name for name, ours in wording.BEAT.items()}
+    told = {words[field]: document[field] for field in words}
+    cpu, memory, accelerators = document["room"]
+    told.update(
+        configVersion="v1",
+        freeSlots=8,
+        coldRemainingMs=0,
+        freeRoom={"cpuUnits": cpu, "taskMemoryMb": memory, "gpuCount": accelerators},
+        labels=document["labels"],
+        running=document["running"],
+        endedAt=document["ended"],
+    )
+    if document["leaves_ms"] is not None:
+        told["leavesAtMs"] = document["leaves_ms"]
+    return told
+
+
+def orders_of(told):
+    """The answer to a beat as the stand-in worker reads it."""
+    names = {
+        "holdMs": "hold_ms",
+        "lastSeen": "seen",
+        "fenceNumber": "fence",
+        "start": "start",
+        "stop": "stop",
+        "retryAfterMs": "again_ms",
+        "heartbeatAddress": "home",
+    }
+    return {ours: told[name] for name, ours in names.items() if name in told}
+
+
+def job_of(document):
+    """A job in the platform's words."""
+    return wording.original(document, wording.JOB)
+
+
+def configuration_of(document):
+    """A configuration in the platform's words."""
+    return wording.original(document, wording.CONFIGURATION)
