The guarantee holds on few workers, for gangs too, and not for work that no worker can take

Now urgent work is admitted by whole tasks beside claims, an urgency with nothing placed claims one task at least, gangs without seats kept for them leave claims free, seats are kept for a gang beside others of its urgency only while nobody lacks his fifth, and only waves that some worker could take claim.

--- a/features/assigning.feature
+++ b/features/assigning.feature
@@ -20,6 +20,26 @@
     Then of the inspections that came in the first 40 seconds 0.8 were done in time
     And scans had 0.7 of the room
 
+  Scenario Outline: with <count> workers less urgent work is not starved by urgent work as large as a worker
+    Given <count> workers of 8 accelerators
+    When for 90 seconds <urgent> come that ask for 2 times the room, and inspections <large> accelerators large
+    Then inspections had between 0.1 and 0.6 of the room, scans at least 0.2
+
+    Examples:
+      | count | urgent | large |
+      | 1     | scans  | 1     |
+      | 2     | scans  | 8     |
+      | 3     | scans  | 1     |
+      | 4     | scans  | 8     |
+      | 4     | gangs  | 1     |
+      | 7     | gangs  | 8     |
+
+  Scenario: less urgent work that no worker can take withholds nothing from urgent work
+    Given 7 workers of 8 accelerators
+    And 50 inspections that need a label that no worker has have waited for 60 seconds
+    When scans of 5 seconds have just taken all the room
+    Then all accelerators are in use
+
   Scenario: room is not held back for work that can wait until what takes it is done
     Given 7 workers of 8 accelerators
     When scans of 5 seconds have just taken all the room
--- a/features/steps/assigning.py
+++ b/features/steps/assigning.py
@@ -301,6 +301,41 @@
     assert fleet.room_used["scans"] >= part * whole, f"{fleet.room_used['scans'] / whole:.2f}"
 
 
+@when(
+    "for {seconds:d} seconds {urgent} come that ask for {share:d} times the room, "
+    "and inspections {large:d} accelerators large"
+)
+def step_large(context, seconds, urgent, share, large):
+    fleet = context.fleet
+    room = len(fleet.workers) * WORKER_ROOM[2]
+    count = 2 if urgent == "gangs" else 1
+    for _ in range(seconds // 4):
+        for _ in range(max(1, share * room * 4 // (8 * count * 4))):
+            fleet.put("scans", count, 8, 4, gang=urgent == "gangs")
+        fleet.put("inspections", max(1, room // large), large, INSPECTION)
+        fleet.run(4)
+
+
+@then("inspections had between {least:g} and {most:g} of the room, scans at least {scans:g}")
+def step_between(context, least, most, scans):
+    fleet = context.fleet
+    whole = (fleet.now - 100) * len(fleet.workers) * WORKER_ROOM[2]
+    had = {queue: used / whole for queue, used in fleet.room_used.items()}
+    assert least <= had.get("inspections", 0) <= most and had.get("scans", 0) >= scans, had
+
+
+@given("{count:d} inspections that need a label that no worker has have waited for {seconds:d} seconds")
+def step_impossible(context, count, seconds):
+    for _ in range(count):
+        context.fleet.put("inspections", 2, 8, INSPECTION, needs="unheard-of")
+    context.fleet.run(seconds)
+
+
+@then("all accelerators are in use")
+def step_all_used(context):
+    assert context.fleet.in_use() == 1.0, context.fleet.in_use()
+
+
 @when("scans of {seconds:d} seconds have just taken all the room")
 def step_burst(context, seconds):
     fleet = context.fleet
--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -13,7 +13,7 @@
 NO_WORKER = "no minion"
 NO_ROOM = "no room"
 ROOM_KEPT = "room is kept for other work"
-OVER_BUDGET = "held back for more urgent work"
+OVER_BUDGET = "held back for other work"
 
 
 class Assigner:
@@ -57,7 +57,7 @@
                 self.why.setdefault(wave.key(), NO_WORKER)
                 continue
             if wave.step.gang:
-                group = self._gang(wave, mine, time)
+                group = self._gang(wave, mine, wave.key() in reservations.kept, time)
             else:
                 group = self._single(wave, mine, reservations.kept.get(wave.key(), ()), time)
             if group:
@@ -224,9 +224,13 @@
         self.near[wave.step.near] = ahead + len(wave.waiting)
         return max(0, int(turns * constants.NEAR_PART * (self.pace.far - 1)) - ahead)
 
-    def _gang(self, wave, seats, time):
-        """Seats for all members, in one rack where the step asks for that and it may be had."""
+    def _gang(self, wave, seats, kept, time):
+        """Seats for all members, in one rack where the step asks for that and it may be had. Where none are
+        kept for it, a gang leaves free what less urgent work is guaranteed."""
         step = wave.step
+        if not kept and self.budgets.beside_claims(wave, len(wave.waiting)) < len(wave.waiting):
+            self.why[wave.key()] = OVER_BUDGET
+            return []
         racks = {}
         for seat in seats:
             racks.setdefault(seat.rack, []).append(seat)
--- a/src/pinepitch/tenure/budgets.py
+++ b/src/pinepitch/tenure/budgets.py
@@ -4,7 +4,7 @@
 import math
 
 from ..ground import constants
-from .room import NO_ROOM, RESOURCES, less, lesser, more, tasks_in, times
+from .room import NO_ROOM, RESOURCES, less, more, tasks_in, times
 
 
 def slack(aim_ms, stretch, length):
@@ -19,7 +19,8 @@
     room for longer than the urgent work can wait. What is sooner done than that holds nobody up.
 
     And each urgency with work that has waited for as long as it well can is guaranteed SHARE_LEAST of a
-    service's room: more urgent work leaves free what it lacks of that, and makes nothing of it yield.
+    service's room, and one task in any case: more urgent work leaves free what it lacks of that, and
+    makes nothing of it yield. Only work that some worker could take has such a claim.
 
     Invariants: a budget is charged for what a round places, never for what waves ask for, so that
     a wave that finds no seat takes nothing from those behind it; a budget that is not used up admits
@@ -51,25 +52,34 @@
         }
         self.used = {key: list(taken) for key, taken in board.used.items()}
         self.waits = self._waits(board.configuration.routes)
-        self.claims = self._claims(waves, time)
+        self.claims = self._claims(seats, waves, time)
 
     def guaranteed(self, service):
         """Room of a service that each urgency with work that waits has a right to."""
         return [room * constants.SHARE_LEAST for room in self.whole.get(service, NO_ROOM)]
 
-    def _claims(self, waves, time):
+    def _claims(self, seats, waves, time):
         """(service, priority) -> what an urgency lacks of its guaranteed room and has long waited for."""
-        asked = {}
+        claims, able = {}, {}
         for wave in waves:
-            if time - wave.since >= self._patience(wave):
-                key = (wave.job.service, wave.job.priority)
-                asked[key] = more(asked.get(key, NO_ROOM), times(wave.step.room, len(wave.waiting)))
-        return {key: self._claim(key, room) for key, room in asked.items()}
-
-    def _claim(self, key, asked):
-        """What of the room asked for lies within the guarantee of a (service, priority)."""
-        lacking = less(self.guaranteed(key[0]), self.used.get(key, NO_ROOM))
-        return [max(0, min(one, other)) for one, other in zip(lacking, asked, strict=True)]
+            key = (wave.job.service, wave.job.priority)
+            if key[0] not in seats or time - wave.since < self._patience(wave):
+                continue
+            asks = (key[0], wave.step.room, wave.step.needs, wave.job.identity if wave.step.apart else None)
+            if asks not in able:
+                able[asks] = any(seat.whole_members(wave, NO_ROOM) for seat in seats[key[0]])
+            if able[asks]:
+                claims[key] = self._claimed(key, wave, claims.get(key, NO_ROOM))
+        return claims
+
+    def _claimed(self, key, wave, claimed):
+        """The claim of an urgency that claims so much already, with one more wave that waits."""
+        had = more(claimed, self.used.get(key, NO_ROOM))
+        count = tasks_in(less(self.guaranteed(key[0]), had), wave.step.room)
+        if not any(had):
+            count = max(1, count or 0)
+        waiting = len(wave.waiting)
+        return more(claimed, times(wave.step.room, waiting if count is None else min(waiting, count)))
 
     def _patience(self, wave):
         """Seconds that a wave can wait for room and still be in time."""
@@ -134,9 +144,17 @@
 
     def allowance(self, wave, wanted):
         """How many of `wanted` tasks a wave may be given."""
-        left, room = lesser(self.left(wave), self.left_by_less_urgent(wave)), wave.step.room
+        left, room = self.left(wave), wave.step.room
         admitted = (math.ceil(max(0, left[kind]) / room[kind]) for kind in RESOURCES if room[kind])
-        return min((wanted, *admitted))
+        return min((wanted, self.beside_claims(wave, wanted), *admitted))
+
+    def beside_claims(self, wave, wanted):
+        """How many of `wanted` tasks of a wave leave free what less urgent work is guaranteed."""
+        service, priority = wave.job.service, wave.job.priority
+        if not any(name == service and level > priority for name, level in self.claims):
+            return wanted
+        count = tasks_in(self.left_by_less_urgent(wave), wave.step.room)
+        return wanted if count is None else min(wanted, count)
 
     def charge(self, wave, count):
         """So many tasks of a wave were placed."""
@@ -146,16 +164,15 @@
     def keepable(self, wave, kept):
         """For how many tasks of a wave room may be kept beside the room `kept` for waves as urgent: no
         more than it may use, and not what less urgent work is guaranteed. A gang, which needs all its
-        room at once, is not asked what else of its urgency runs."""
+        room at once, is not asked what else of its urgency runs, unless less urgent work lacks room now."""
         service, priority = wave.job.service, wave.job.priority
-        own = kept if wave.step.gang else more(kept, self.used.get((service, priority), NO_ROOM))
-        allowed = self.whole[service]
-        for name, level in self.claims:
-            if name == service and level > priority:
-                allowed = less(allowed, self.guaranteed(service))
-        most = tasks_in(less(allowed, own), wave.step.room)
+        claims = [room for (name, level), room in self.claims.items() if name == service and level > priority]
+        alone = wave.step.gang and not any(map(any, claims))
+        own = kept if alone else more(kept, self.used.get((service, priority), NO_ROOM))
         if not wave.step.gang and not self._below(own, self._cap(wave), wave.step.room):
             return 0
+        allowed = less(self.whole[service], times(self.guaranteed(service), len(claims)))
+        most = tasks_in(less(allowed, own), wave.step.room)
         return len(wave.waiting) if most is None else most
 
     def _below(self, used, cap, room):
--- a/src/pinepitch/tenure/reservations.py
+++ b/src/pinepitch/tenure/reservations.py
@@ -134,7 +134,7 @@
     def _able(self, wave, seat):
         """(rank, identity, seat, members) of a seat that may be kept for a wave, else None."""
         step = wave.step
-        if seat.kept is not None or seat.poor or (step.needs and not seat.labels.issuperset(step.needs)):
+        if seat.kept is not None or seat.poor:
             return None
         members = seat.whole_members(wave, self._lasting_on(seat))
         return (-seat.free_share(step), seat.identity, seat, members) if members else None
--- a/src/pinepitch/tenure/room.py
+++ b/src/pinepitch/tenure/room.py
@@ -14,11 +14,6 @@
     return (one[0] + other[0], one[1] + other[1], one[2] + other[2])
 
 
-def lesser(one, other):
-    """Of each resource the lesser amount."""
-    return (min(one[0], other[0]), min(one[1], other[1]), min(one[2], other[2]))
-
-
 def times(room, count):
     """Room of so many alike tasks."""
     return (room[0] * count, room[1] * count, room[2] * count)
--- a/src/pinepitch/tenure/seat.py
+++ b/src/pinepitch/tenure/seat.py
@@ -58,6 +58,8 @@
         """How many more tasks of a wave this worker could run at once if all left it but what lasts,
         which takes the room `lasting`."""
         step, room = wave.step, less(self.worker.room, lasting)
+        if step.needs and not self.labels.issuperset(step.needs):
+            return 0
         members = min((room[kind] // step.room[kind] for kind in RESOURCES if step.room[kind]), default=1)
         if step.apart:
             members = min(members, step.apart - self.steps.get((wave.job.identity, wave.number), 0))
