--- a/features/assigning.feature
+++ b/features/assigning.feature
@@ -40,6 +40,18 @@
     When scans of 5 seconds have just taken all the room
     Then all accelerators are in use
 
+  Scenario: workers that are lost with all they run take nothing of the others' room
+    Given 7 workers of 8 accelerators
+    And scans of 30 seconds fill 4 workers, which then fall silent
+    When a scan of 3 tasks comes, each as large as a worker
+    Then within 0.3 seconds all its tasks have started
+
+  Scenario: a task does not wait long for room near its data beside idle workers
+    Given 7 workers of 8 accelerators
+    And inspections of 30 seconds fill the 3 workers of one rack
+    When an inspection of 20 seconds comes whose data lies in that rack
+    Then within 2.5 seconds all its tasks have started
+
   Scenario: room is not held back for work that can wait until what takes it is done
     Given 7 workers of 8 accelerators
     When scans of 5 seconds have just taken all the room
--- a/features/steps/assigning.py
+++ b/features/steps/assigning.py
@@ -45,6 +45,7 @@
         self.longest_empty = 0.0  # seconds
         self.idle_since = {}  # job -> since when it waits with nothing running beside ample room
         self.longest_idle = 0.0  # seconds
+        self.silent = set()  # workers
         self.came, self.done = {}, {}  # job -> when it came, when it was completed
         self.room_used = {}  # queue -> accelerator-seconds that its runs have had
         self._configure(urgencies)
@@ -96,9 +97,11 @@
             self._look()
 
     def _beat(self):
-        """Every worker says what it runs."""
+        """Every worker that is not silent says what it runs."""
         self.sequence += 1
         for identity, worker in self.workers.items():
+            if identity in self.silent:
+                continue
             running = [
                 [reference, run, "", 50]
                 for minion, reference, run in (*self.ends_at, *self.stops_at)
@@ -336,6 +339,41 @@
     assert context.fleet.in_use() == 1.0, context.fleet.in_use()
 
 
+@given("scans of {seconds:d} seconds fill {count:d} workers, which then fall silent")
+def step_silent(context, seconds, count):
+    fleet = context.fleet
+    fleet.put("scans", count, 8, seconds)
+    fleet.run(0.5)
+    fleet.silent = set(fleet.board.placements)
+    assert len(fleet.silent) == count
+    fleet.run(1.5)
+
+
+@when("a scan of {count:d} tasks comes, each as large as a worker")
+def step_scan(context, count):
+    context.job = context.fleet.put("scans", count, 8, 5)
+
+
+@given("inspections of {seconds:d} seconds fill the 3 workers of one rack")
+def step_rack(context, seconds):
+    fleet = context.fleet
+    fleet.put("inspections", 24, 1, seconds, near="r0")
+    fleet.run(ROUND_EVERY)
+    assert [fleet.free(f"w{place}")[2] for place in range(3)] == [0, 0, 0]
+
+
+@when("an inspection of {seconds:d} seconds comes whose data lies in that rack")
+def step_near(context, seconds):
+    context.job = context.fleet.put("inspections", 2, 1, seconds, near="r0")
+
+
+@then("within {seconds:g} seconds all its tasks have started")
+def step_started(context, seconds):
+    context.fleet.run(seconds)
+    states = [task.state for task in context.fleet.board.jobs[context.job].waves[(0, 0)].tasks]
+    assert set(states) == {"placed"}, states
+
+
 @when("scans of {seconds:d} seconds have just taken all the room")
 def step_burst(context, seconds):
     fleet = context.fleet
--- a/src/pinepitch/tenure/assigner.py
+++ b/src/pinepitch/tenure/assigner.py
@@ -212,7 +212,7 @@
         """How many of a wave's tasks had better wait for room near their data than start far away:
         those that would be done there sooner, if what stands before them takes as long as they do."""
         length = self.pace.expected(wave)
-        if time - wave.since > (self.pace.far - 1) * length:
+        if time - wave.since > min((self.pace.far - 1) * length, constants.NEAR_WAIT_MOST):
             return 0
         room = wave.step.room
         turns = sum(
--- a/src/pinepitch/tenure/budgets.py
+++ b/src/pinepitch/tenure/budgets.py
@@ -50,10 +50,21 @@
             service: [sum(seat.worker.room[kind] for seat in mine) for kind in RESOURCES]
             for service, mine in seats.items()
         }
-        self.used = {key: list(taken) for key, taken in board.used.items()}
+        self.used = self._used_of(board, seats)
         self.waits = self._waits(board.configuration.routes)
         self.claims = self._claims(seats, waves, time)
 
+    def _used_of(self, board, seats):
+        """(service, priority) -> room that its work takes of these seats. What runs on workers that get no
+        work now, being silent or closed, takes nothing of the room that is shared out."""
+        used = {key: tuple(taken) for key, taken in board.used.items()}
+        shared = {seat.identity for mine in seats.values() for seat in mine}
+        for identity in board.placements.keys() - shared:
+            for placement in board.placements[identity].values():
+                key = (placement.service, placement.priority)
+                used[key] = less(used[key], placement.room)
+        return used
+
     def guaranteed(self, service):
         """Room of a service that each urgency with work that waits has a right to."""
         return [room * constants.SHARE_LEAST for room in self.whole.get(service, NO_ROOM)]
