Soak: a pause by the soak itself explains the library's word, too

Event 108 tells stops from 0.9 s on only; the soak knows whom it paused and for how long. Either, if at least as long as the delta, explains the word.

--- a/features/soak/processes.py
+++ b/features/soak/processes.py
@@ -50,7 +50,7 @@
 
 
 class Processes:
-    """Invariant: every process that runs is in `running`; a paused one is in `paused` too."""
+    """Invariant: every process that runs is in `running`; a paused one is in `paused` too, with when."""
 
     def __init__(self, seed, folder):
         self.folder = pathlib.Path(folder)
@@ -59,7 +59,8 @@
         self.addresses = {f"core{place}": f"{network}.{place + 1}" for place in range(CORES)}
         self.addresses |= {f"front{place}": f"{network}.{place + 101}" for place in range(FRONTS)}
         self.ports = Ports(self.addresses.values(), draw)
-        self.running, self.paused, self.founded = {}, set(), set()
+        self.running, self.paused, self.founded = {}, {}, set()
+        self.longest_pauses = {}  # name -> seconds
 
     @property
     def controls(self):
@@ -126,15 +127,16 @@
         process = self.running.pop(name)
         process.kill()
         process.wait()
-        self.paused.discard(name)
+        self.paused.pop(name, None)
 
     def pause(self, name):
         self.running[name].send_signal(signal.SIGSTOP)
-        self.paused.add(name)
+        self.paused[name] = time.monotonic()
 
     def resume(self, name):
         if name in self.paused:
-            self.paused.discard(name)
+            passed = time.monotonic() - self.paused.pop(name)
+            self.longest_pauses[name] = max(passed, self.longest_pauses.get(name, 0.0))
             self.running[name].send_signal(signal.SIGCONT)
 
     def wipe(self, name):
@@ -160,14 +162,11 @@
     def forbidden_events(self):
         """Lines of the daemons' logs that must not be there: events of FORBIDDEN_EVENTS, and what is no
         event at all, such as a traceback. The library's word that an operation outlasted its time-out is
-        let pass at a daemon that was stopped (STOPPED) for so long: no operation can end in time then."""
+        let pass at a daemon that was stopped for so long: no operation can end in time then."""
         found = []
         for path in sorted(self.folder.glob("*.log")):
             lines = path.read_text(errors="replace").splitlines()
-            events = [event for line in lines if (event := event_of(line)) is not None]
-            stopped = max(
-                (event["seconds"] for event in events if event.get("number") == STOPPED), default=0.0
-            )
+            stopped = self._longest_stop(path.stem, lines)
             for line in lines:
                 event = event_of(line)
                 if event is None:
@@ -179,6 +178,12 @@
                     found.append(f"{path.stem}: {line}")
         return found
 
+    def _longest_stop(self, name, lines):
+        """Seconds that a daemon did not run at most: paused by the soak, or by its own word."""
+        told = [event_of(line) or {} for line in lines]
+        own = [event["seconds"] for event in told if event.get("number") == STOPPED]
+        return max([self.longest_pauses.get(name, 0.0), *own])
+
 
 def event_of(line):
     """The event that a line of a log tells, or None when it is none."""
