--- /dev/null
+++ b/features/steps/round_fleet.py
@@ -0,0 +1,190 @@
+"""A fleet without daemons: rounds of the assigner over a board, workers and runs in virtual time."""
+
+from pinepitch.tenure import job as jobs
+from pinepitch.tenure.assigner import Assigner
+from pinepitch.tenure.board import Board
+from pinepitch.tenure.pace import Pace
+from pinepitch.tenure.worker import Worker
+
+SERVICE = "imaging"
+ROUND_EVERY = 0.1  # seconds; between rounds
+STOP_TAKES = 0.4  # seconds; from the order to stop a run to its end
+WORKER_ROOM = (32_000, 64_000, 8)  # thousandths of a core, megabytes, accelerators
+TASK_ROOM = {"cpu": 2_000, "mem_mb": 4_000}  # beside the accelerators that a task asks for
+HALF = 0.5
+AIM_MS, STRETCH = 4000, 3  # of both queues: a job is in time within its aim and so many times its length
+INSPECTION = 2.0  # seconds; of one task, where nothing else is said
+URGENCIES = {"scans": 1, "inspections": 2}  # queue -> urgency, 0 the most urgent
+
+
+class KeeperStandIn:
+    """What the assigner reads of a keeper. Invariant: nothing's stop is proposed but not agreed on."""
+
+    stopping = frozenset()
+
+
+class Fleet:
+    """A board whose runs take just as long as they are told to. Invariant: every run that is
+    placed starts at once, and its end is agreed on in the round after it."""
+
+    def __init__(self, count, urgencies=URGENCIES):
+        self.now, self.made, self.sequence = 100.0, 0, 0
+        self.board, self.keeper = Board(), KeeperStandIn()
+        self.assigner = Assigner(Pace(2.0))
+        self.lengths = {}  # job -> seconds that each of its tasks takes
+        self.ends_at = {}  # (minion, reference, run) -> when it ends
+        self.stops_at = {}  # the same of runs that are being stopped
+        self.workers = {f"w{place}": Worker(f"w{place}", self.now) for place in range(count)}
+        self.empty_since = {}  # worker -> since when it is empty while a waiting task would fit
+        self.longest_empty = 0.0  # seconds
+        self.idle_since = {}  # job -> since when it waits with nothing running beside ample room
+        self.longest_idle = 0.0  # seconds
+        self.silent = set()  # workers
+        self.came, self.done = {}, {}  # job -> when it came, when it was completed
+        self.room_used = {}  # queue -> accelerator-seconds that its runs have had
+        self._configure(urgencies)
+        for _ in range(2):
+            self._beat()
+
+    def _configure(self, urgencies):
+        """Puts a queue into force for each name and urgency, all with the same service."""
+        routes = [
+            {
+                "name": name,
+                "host": "a.example",
+                "prefix": f"/{name}/",
+                "service": SERVICE,
+                "attempts": 3,
+                "priority": urgency,
+                "aim_ms": AIM_MS,
+                "stretch": STRETCH,
+            }
+            for name, urgency in urgencies.items()
+        ]
+        document = {"version": 1, "services": [{"name": SERVICE}], "routes": routes}
+        assert self.board.configure(self.now, 0, document, "first") == ("configured", 1)
+
+    def put(self, queue, count, accelerators, seconds, **more):
+        """Hands in a job of one step; each task takes `seconds`."""
+        self.made += 1
+        step = {"count": count, "gpu": accelerators, "est_ms": seconds * 1000, **TASK_ROOM, **more}
+        plain, faults = jobs.checked({"steps": [step]})
+        assert not faults, faults
+        identity = f"{self.made:016x}"
+        self.lengths[identity] = seconds
+        assert self.board.accept(self.now, identity, queue, plain) == ("accepted", identity)
+        self.came[identity] = self.now
+        return identity
+
+    def in_use(self):
+        """The part of all accelerators that is taken."""
+        taken = sum(WORKER_ROOM[2] - self.free(identity)[2] for identity in self.workers)
+        return taken / (len(self.workers) * WORKER_ROOM[2])
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self.now += ROUND_EVERY
+            self._beat()
+            self._end_runs()
+            self._round()
+            self._look()
+
+    def _beat(self):
+        """Every worker that is not silent says what it runs."""
+        self.sequence += 1
+        for identity, worker in self.workers.items():
+            if identity in self.silent:
+                continue
+            running = [
+                [reference, run, "", 50]
+                for minion, reference, run in (*self.ends_at, *self.stops_at)
+                if minion == identity
+            ]
+            worker.beat(
+                {
+                    "sequence": self.sequence,
+                    "clock_ms": self.now * 1000,
+                    "service": SERVICE,
+                    "address": identity,
+                    "zone": "north",
+                    "state": "ready",
+                    "labels": ["a", f"r{int(identity[1:]) // 3}"],
+                    "room": WORKER_ROOM,
+                    "leaves_ms": None,
+                    "running": running,
+                    "ended": [],
+                },
+                self.now,
+            )
+
+    def _end_runs(self):
+        for ends, how in ((self.ends_at, "done"), (self.stops_at, "stopped")):
+            for key in [key for key, at in ends.items() if at <= self.now]:
+                del ends[key]
+                minion, reference, run = key
+                job, time, number, _ = reference.split(".")
+                wave = (
+                    self.board.jobs[job].waves[(int(time), int(number))] if job in self.board.jobs else None
+                )
+                self.assigner.pace.end(self.workers[minion], wave, reference, run, how, self.now)
+                outcome = self.board.end(self.now, ((*key, how, "", True),))[1][0]
+                if outcome == "completed":
+                    self.done[job] = self.now
+
+    def _round(self):
+        items, stops = self.assigner.round(self.board, self.workers, self.keeper, self.now, self.now)
+        for placement in self.board.assign(self.now, 1, items):
+            key = (placement.minion, placement.reference(), placement.run)
+            lasts = self.board.task(placement)[0].step.lasts
+            self.assigner.pace.start(*key, False, self.now)
+            self.ends_at[key] = 1e9 if lasts else self.now + self.lengths[placement.job]
+        self.board.stop(self.now, stops)
+        for minion, reference, run, _ in stops:
+            if (minion, reference, run) in self.ends_at:
+                del self.ends_at[(minion, reference, run)]
+                self.stops_at[(minion, reference, run)] = self.now + STOP_TAKES
+
+    # --- what is judged ---------------------------------------------------------------
+    def free(self, identity):
+        taken = self.board.taken.get(identity, (0, 0, 0))
+        return [whole - less for whole, less in zip(WORKER_ROOM, taken, strict=True)]
+
+    def _takes(self, identity, wave):
+        """How many tasks of a wave a worker has room for, by all that is placed there."""
+        free, step = self.free(identity), wave.step
+        fits = min(have // room for have, room in zip(free, step.room, strict=True) if room)
+        held = self.board.placements.get(identity, {}).values()
+        beside = sum((one.job, one.number) == (wave.job.identity, wave.number) for one in held)
+        return max(0, min(fits, step.apart - beside) if step.apart else fits)
+
+    def _look(self):
+        """Notes how long room and work have been idle beside each other."""
+        for held in self.board.placements.values():
+            for one in held.values():
+                queue = "scans" if one.priority == URGENCIES["scans"] else "inspections"
+                self.room_used[queue] = self.room_used.get(queue, 0.0) + one.room[2] * ROUND_EVERY
+        waves = list(self.board.ready.values())
+        singles = [wave for wave in waves if not wave.step.gang]
+        for identity in self.workers:
+            idle = identity not in self.board.placements and any(
+                self._takes(identity, wave) for wave in singles
+            )
+            since = self.empty_since.setdefault(identity, self.now) if idle else self.now
+            if not idle:
+                self.empty_since.pop(identity, None)
+            self.longest_empty = max(self.longest_empty, self.now - since)
+        waiting = {wave.job.identity: wave for wave in waves if self._ample(wave)}
+        self.idle_since = {job: self.idle_since.get(job, self.now) for job in waiting}
+        for since in self.idle_since.values():
+            self.longest_idle = max(self.longest_idle, self.now - since)
+
+    def _ample(self, wave):
+        """Whether nothing of a wave's job runs, all of it that must start together would fit twice, and
+        under half of the service's room is in use."""
+        placed = {one.job for held in self.board.placements.values() for one in held.values()}
+        wanted = len(wave.waiting) if wave.step.gang else 1
+        room = sum(self._takes(identity, wave) for identity in self.workers)
+        used = [sum(taken[kind] for taken in self.board.taken.values()) for kind in range(3)]
+        share = max(one / (whole * len(self.workers)) for one, whole in zip(used, WORKER_ROOM, strict=True))
+        return wave.job.identity not in placed and room >= 2 * wanted and share < HALF
