--- a/features/steps/assigning.py
+++ b/features/steps/assigning.py
@@ -6,8 +6,8 @@
 from behave import given, then, when
 from round_fleet import AIM_MS, INSPECTION, ROUND_EVERY, STRETCH, WORKER_ROOM, Fleet
 
-from pinepitch.tenure.assigner import Assigner
-from pinepitch.tenure.budgets import RoomBudgets
+from pinepitch.scheduling.assigner import Assigner
+from pinepitch.scheduling.budgets import RoomBudgets
 
 
 @given("{count:d} workers of 8 accelerators")
--- a/features/steps/board.py
+++ b/features/steps/board.py
@@ -8,9 +8,9 @@
 
 from pinepitch.accord.record import Record
 from pinepitch.ground import constants
-from pinepitch.tenure import configuration
-from pinepitch.tenure import job as jobs
-from pinepitch.tenure.board import Board
+from pinepitch.scheduling import configuration
+from pinepitch.scheduling import job as jobs
+from pinepitch.scheduling.board import Board
 
 QUEUE = "orders"
 NAMES = {letter: letter.lower() * 16 for letter in "ABC"}
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from pinepitch.accord.record import Record
-from pinepitch.tenure import calls
+from pinepitch.scheduling import calls
 
 
 class Core:
--- a/features/steps/doors.py
+++ b/features/steps/doors.py
@@ -14,8 +14,8 @@
 from pinepitch.accord.record import Record
 from pinepitch.ground import constants, wire
 from pinepitch.ground.http import Request, Response
-from pinepitch.tenure import calls, worker
-from pinepitch.tenure import job as jobs
+from pinepitch.scheduling import calls, worker
+from pinepitch.scheduling import job as jobs
 
 FOLDER = os.path.join(
     os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))), "platform"
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -25,7 +25,7 @@
 from pinepitch.ground.http import Request, Response, Server
 from pinepitch.proof import order_fleet, order_rules
 from pinepitch.proof.jobs import plants
-from pinepitch.tenure import calls
+from pinepitch.scheduling import calls
 
 FOLDER = os.path.join(
     os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))), "platform"
--- a/features/steps/round_fleet.py
+++ b/features/steps/round_fleet.py
@@ -1,10 +1,10 @@
 """A fleet without daemons: rounds of the assigner over a board, workers and runs in virtual time."""
 
-from pinepitch.tenure import job as jobs
-from pinepitch.tenure.assigner import Assigner
-from pinepitch.tenure.board import Board
-from pinepitch.tenure.pace import Pace
-from pinepitch.tenure.worker import Worker
+from pinepitch.scheduling import job as jobs
+from pinepitch.scheduling.assigner import Assigner
+from pinepitch.scheduling.board import Board
+from pinepitch.scheduling.pace import Pace
+from pinepitch.scheduling.worker import Worker
 
 SERVICE = "imaging"
 ROUND_EVERY = 0.1  # seconds; between rounds
--- a/src/pinepitch/accord/calls.py
+++ b/src/pinepitch/accord/calls.py
@@ -10,7 +10,7 @@
 
 from ..ground import constants
 from ..ground.carrier import INDEX_CALL
-from ..tenure import calls as tenure
+from ..scheduling import calls as job_calls
 from ..world import row as rows
 from ..world.minion import Report
 from ..world.task import reference
@@ -674,7 +674,7 @@
     "whence": Call(True, _whence),
     "live": Call(True, _live_tasks),
     INDEX_CALL: Call(True, _log_index),
-    **{name: Call(False, make) for name, make in tenure.CALLS.items()},
+    **{name: Call(False, make) for name, make in job_calls.CALLS.items()},
 }
 
 
@@ -701,5 +701,5 @@
     "setup": _setup_answer,
     "draft": _draft_answer,
     "dropped": _dropped_answer,
-    **tenure.SHAPES,
+    **job_calls.SHAPES,
 }
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -12,7 +12,7 @@
 from ..ground.confirmed import ConfirmedCalls
 from ..ground.leaderclock import LeaderClock, Reading
 from ..ground.packed import unpacked
-from ..tenure.keeper import Keeper
+from ..scheduling.keeper import Keeper
 from . import membership, rehearsal, rules
 from .calls import SHAPES
 from .consensus import Consensus
--- a/src/pinepitch/accord/lead.py
+++ b/src/pinepitch/accord/lead.py
@@ -4,12 +4,12 @@
 
 from ..ground import constants, metrics
 from ..ground.callkey import subject_of
-from ..tenure import calls as tenure
+from ..scheduling import calls as job_calls
 from ..world.minion import Minion
 from . import figures
 from .calls import CALLS
 
-KEPT = tuple(tenure.CALLS)  # calls that only a leader with its lease and epoch may answer
+KEPT = tuple(job_calls.CALLS)  # calls that only a leader with its lease and epoch may answer
 
 
 class InHand(NamedTuple):
@@ -51,7 +51,7 @@
         handler = CALLS.get(call)
         if handler is None:
             message = "whoever leads does not know this call"
-            self.answer(address, token, tenure.problem(400, "unknown_call", message))
+            self.answer(address, token, job_calls.problem(400, "unknown_call", message))
             return
         if not handler.reads:
             if not consensus.serving() or call in KEPT and (self.epoch <= 0 or not consensus.leased(now)):
--- a/src/pinepitch/accord/record.py
+++ b/src/pinepitch/accord/record.py
@@ -11,7 +11,7 @@
 import immutables
 
 from ..ground import constants
-from ..tenure.board import Board
+from ..scheduling.board import Board
 from ..world import row as rows
 from ..world.task import FINAL, Standing, Task, reference, unit_of
 from ..world.ticket import Ticket, tasks_from
--- a/src/pinepitch/proof/changes.py
+++ b/src/pinepitch/proof/changes.py
@@ -11,7 +11,7 @@
 from ..accord.transfer import Transfer
 from ..ground import constants
 from ..ground.limits import USUAL, Limits
-from ..tenure.configuration import Configuration
+from ..scheduling.configuration import Configuration
 from .simulator import Simulator
 
 BODY = 262_144  # bytes; of one configuration
--- a/src/pinepitch/proof/isolation/plants.py
+++ b/src/pinepitch/proof/isolation/plants.py
@@ -8,7 +8,7 @@
 from ...ground import confirmed, constants, stall
 from ...ground.carrier import Carrier
 from ...ground.leaderclock import LeaderClock, Reading
-from ...tenure.configuration import Configuration
+from ...scheduling.configuration import Configuration
 
 
 def _never_in_doubt(self, call):
--- a/src/pinepitch/proof/jobs/control_plants.py
+++ b/src/pinepitch/proof/jobs/control_plants.py
@@ -4,8 +4,8 @@
 from ...accord.quorum import Cohort
 from ...ground import constants
 from ...ground.cohorttime import CohortTime
-from ...tenure.board import Board
-from ...tenure.configuration import Configuration
+from ...scheduling.board import Board
+from ...scheduling.configuration import Configuration
 from ..simulator import Simulator
 
 
--- a/src/pinepitch/proof/jobs/fleet.py
+++ b/src/pinepitch/proof/jobs/fleet.py
@@ -4,7 +4,7 @@
 import json
 
 from ...ground import constants
-from ...tenure.board import Board
+from ...scheduling.board import Board
 from .. import simulator as simulators
 from ..simulator import START, Simulator
 from ..tenant import StandInTenant
--- a/src/pinepitch/proof/jobs/plants.py
+++ b/src/pinepitch/proof/jobs/plants.py
@@ -8,10 +8,10 @@
 from ...accord.lead import Lead
 from ...ground import constants
 from ...ground.carrier import Carrier
-from ...tenure import assigner
-from ...tenure.board import Board
-from ...tenure.keeper import Keeper
-from ...tenure.worker import Worker
+from ...scheduling import assigner
+from ...scheduling.board import Board
+from ...scheduling.keeper import Keeper
+from ...scheduling.worker import Worker
 from .. import order_plants
 from ..simulator import EFFECTS, Simulator
 from .control_plants import CONTROL_PLANTS
--- a/src/pinepitch/proof/order_fleet.py
+++ b/src/pinepitch/proof/order_fleet.py
@@ -8,7 +8,7 @@
 import json
 
 from ..ground import constants
-from ..tenure import calls
+from ..scheduling import calls
 from .jobs.fleet import Tenancy
 from .simulator import START, Simulator
 
--- a/src/pinepitch/proof/order_plants.py
+++ b/src/pinepitch/proof/order_plants.py
@@ -6,9 +6,9 @@
 from ..accord.lead import Lead
 from ..ground import constants
 from ..ground.confirmed import ConfirmedCalls
-from ..tenure import configuration
-from ..tenure.configuration import Configuration
-from ..tenure.evacuation import Evacuations
+from ..scheduling import configuration
+from ..scheduling.configuration import Configuration
+from ..scheduling.evacuation import Evacuations
 
 original_settled = Configuration._settled
 original_image = Configuration.image
--- a/src/pinepitch/proof/order_rules.py
+++ b/src/pinepitch/proof/order_rules.py
@@ -1,7 +1,7 @@
 """A plain reference of the rules of versioned changes, to which models compare the real thing.
 
 It speaks the platform's words, keeps every order that was ever taken and is written for
-reading, not for speed. Nothing of tenure/ is used here.
+reading, not for speed. Nothing of scheduling/ is used here.
 """
 
 import json
--- a/src/pinepitch/proof/scale/costs.py
+++ b/src/pinepitch/proof/scale/costs.py
@@ -13,8 +13,8 @@
 from ...accord.core import Accord
 from ...ground import constants, wire
 from ...ground.leaderclock import Reading
-from ...tenure.board import Board
-from ...tenure.job import checked
+from ...scheduling.board import Board
+from ...scheduling.job import checked
 from ..jobs import kinds, limits
 from .load import RACK
 
