--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -247,6 +247,7 @@
 STALLED_WARY = 6.0  # seconds; a worker whose runs stood still gets no new work this long
 GANG_PATIENCE = 3.0  # seconds; a gang's members may wait for each other this long
 SLOW = 4.0  # times; a worker whose runs take so much longer than their like is slow
+SLOW_WEIGHT = 0.5  # of such a ratio in what is known of a worker's speed
 SLOW_ALONE = 8.0  # times; the same where one run alone says so
 SLOW_LIKE = 2  # runs; of the same wave on other workers at least, to tell a slow worker from a long run
 SLOW_GAIN = 1.5  # times; what is left of a slow run must be longer than a new one by this
--- a/src/pinepitch/scheduling/keeper.py
+++ b/src/pinepitch/scheduling/keeper.py
@@ -3,26 +3,15 @@
 It keeps no promise in memory alone: what it decides goes through the log first.
 """
 
-import bisect
 import collections
 
 from ..ground import constants
 from .assigner import Assigner
 from .pace import Pace
 from .placement import parsed
+from .progress import ProgressWatch
 from .worker import Worker
 
-REST = ("stopped", "lapsed", "broken", "alone", "refused")
-
-
-def _at_without(values, left_out, place):
-    """The value at a place of sorted values once some of them are left out."""
-    for one in left_out:
-        if bisect.bisect_left(values, one) > place:
-            break
-        place += 1
-    return values[place]
-
 
 class Keeper:
     """Invariants: empty unless its accord leads; a start is answered only while the lease
@@ -41,6 +30,7 @@
         self.under_way = {}  # index of an entry of ends -> [(minion, number)]
         self.pace = Pace(core.far)
         self.assigner = Assigner(self.pace)
+        self.progress = ProgressWatch(self.pace)
         self.assigning = 0  # entries that assign and are not yet applied
         self.assigned = {}  # minion -> runs proposed for it
         self.stopping = set()  # (reference, run) whose stop is proposed
@@ -277,7 +267,7 @@
             if now - begun > span:
                 self._gone(identity, "hold lapsed")
         self._copy_what_may_run_twice(now)
-        self._look_at_progress(now)
+        self._stop(self.progress.look(self.workers, self.board, self.stopping, now), now)
         for identity in [
             one
             for one, worker in self.workers.items()
@@ -302,63 +292,6 @@
                     saved = worker.running.get((reference, run), ("", 0))[0]
                     self._propose_end(worker.identity, reference, run, "lapsed", saved, False)
 
-    def _look_at_progress(self, now):
-        """Runs that stand still, or go so slowly beside their like on other workers that a new
-        start elsewhere would be done sooner."""
-        stops, runs, waves = [], [], {}
-        for worker in self.workers.values():
-            if worker.silent(now) or worker.stale:
-                continue
-            held = self.board.placements.get(worker.identity, {})
-            for key, (percent, since, first) in worker.progress.items():
-                placement = held.get(key)
-                found = self.board.task(placement) if placement is not None and not placement.stop else None
-                if found is None or found[0].step.lasts or key in self.stopping:
-                    continue
-                wave = found[0]
-                step = max(self.pace.expected(wave), (since - first) * 100 / percent if percent else 0) / 100
-                waits = (
-                    constants.STALLED
-                    + constants.STALLED_STEPS * step
-                    + (constants.GANG_PATIENCE if wave.step.gang and not percent else 0)
-                )
-                if worker.heard_at - since > waits:
-                    worker.wary_until = max(worker.wary_until, now + constants.STALLED_WARY)
-                    stops.append((worker.identity, *key, "stalled"))
-                    continue
-                told = self.pace.projected(worker, key)
-                if told is not None and not wave.step.gang:
-                    whole = told[1] / (self.pace.far if self.pace.is_far(wave, worker) else 1)
-                    waves.setdefault(wave.key(), []).append((worker.identity, whole))
-                    runs.append((worker, key, wave, percent, told[0], whole))
-        ratios, alike = {}, {}
-        for worker, key, wave, percent, left, whole in runs:
-            if wave.key() not in alike:
-                known = self.pace.waves.get(wave.key())
-                ended = [known[0] / known[1]] * min(2, known[1]) if known and known[1] else ()
-                own = {}
-                for identity, one in waves[wave.key()]:
-                    own.setdefault(identity, []).append(one)
-                alike[wave.key()] = sorted([*(one for _, one in waves[wave.key()]), *ended]), own
-            all_of, own = alike[wave.key()]
-            left_out = own[worker.identity]
-            count = len(all_of) - len(left_out)
-            if count >= constants.SLOW_LIKE:
-                usual = _at_without(all_of, sorted(left_out), count // 2)
-                ratios.setdefault(worker.identity, []).append(
-                    (whole / usual, worker, key, wave, percent, left, usual)
-                )
-        for identity, found in ratios.items():
-            ratio = sorted(one[0] for one in found)[len(found) // 2]
-            if ratio <= (constants.SLOW if len(found) > 1 else constants.SLOW_ALONE):
-                continue
-            found[0][1].pace(ratio, 0.5)
-            for one, _worker, key, wave, percent, left, usual in found:
-                again = usual * (1 - percent / 100 if wave.step.saves else 1)
-                if one > constants.SLOW and left > constants.SLOW_GAIN * again + constants.SLOW_COST:
-                    stops.append((identity, *key, "slow"))
-        self._stop(tuple(stops), now)
-
     def _stop(self, stops, now):
         """Proposes that runs end; each is (minion, reference, run, why)."""
         if stops:
--- a/src/pinepitch/scheduling/pace.py
+++ b/src/pinepitch/scheduling/pace.py
@@ -2,6 +2,9 @@
 where work goes, never whether it may."""
 
 from ..ground import constants
+from .worker import Progress
+
+UNKNOWN = Progress(0, 0, 0)
 
 
 class Pace:
@@ -53,7 +56,7 @@
 
     def projected(self, worker, key):
         """(seconds left, seconds in all) of a run by its progress, or None while that says nothing."""
-        percent, _, first = worker.progress.get(key, (0, 0, 0))
+        percent, _, first = worker.progress.get(key, UNKNOWN)
         begun = self.started.get((worker.identity, *key), (first, False))[0]
         elapsed = worker.heard_at - begun
         if percent < constants.PROGRESS_LEAST or elapsed < constants.PROGRESS_AFTER:
--- a/src/pinepitch/scheduling/worker.py
+++ b/src/pinepitch/scheduling/worker.py
@@ -1,10 +1,19 @@
 """A minion as the leader has gathered it from its beats. Not stored: rebuilt from them."""
 
 import math
+from typing import NamedTuple
 
 from ..ground import constants
 
 
+class Progress(NamedTuple):
+    """How far a run is, and since when. Times are the leader's, seconds."""
+
+    percent: float
+    changed_at: float  # when a beat first told this percent
+    first_at: float  # when a beat first listed the run
+
+
 class Worker:
     """One life of a minion: after a crash it has another identity, and nothing of the old one runs.
 
@@ -33,7 +42,7 @@
         self.pending = set()
         self.blocked = set()  # numbers of ends that wait for another entry about the same run
         self.seen = 0  # the highest number of an end it has told
-        self.progress = {}  # (reference, run) -> (percent, since when, first seen)
+        self.progress = {}  # (reference, run) -> Progress
         self.wary_until = -1e9  # no new work before: it refused, stalled or failed some
         self.failing = 0.0  # failure rate of late, of ends that say something about it
         self.speed = 1.0  # times as long as usual that its work takes
@@ -72,8 +81,8 @@
         )
         for key, (_, percent) in self.running.items():
             known = self.progress.get(key)
-            if known is None or percent != known[0]:
-                self.progress[key] = (percent, now, known[2] if known else now)
+            if known is None or percent != known.percent:
+                self.progress[key] = Progress(percent, now, known.first_at if known else now)
         for key in [key for key in self.progress if key not in self.running]:
             del self.progress[key]
         return True
