A gang's member that waits for others to begin or to finish is not stalled

Cause: members of a gang begin and end together but go at their own pace; the quick ones stood at 100 % for over 2 s and were stopped, the gang broke at its very end, and their sound workers were passed over for 6 s. Judged now by the gang: a member waits until all are listed, and from 99 % until all are there. The fixed patience with gangs (GANG_PATIENCE) is gone with it. Event 185 and the metric runs_misjudged count stops of runs that were going.

--- /dev/null
+++ b/features/steps/progress.py
@@ -0,0 +1,209 @@
+"""Steps for Progress of runs: workers that tell how far their runs are, in virtual time, without daemons."""
+
+import random
+
+from behave import given, then, when
+
+from pinepitch.ground import constants
+from pinepitch.scheduling import job as jobs
+from pinepitch.scheduling.board import Board
+from pinepitch.scheduling.pace import Pace
+from pinepitch.scheduling.progress import ProgressWatch
+from pinepitch.scheduling.worker import Worker
+
+SERVICE = "web"
+JOB = "5c0e7a21d94b36f8"
+ROOM = [64_000, 64_000, 8]
+STEP = 0.1  # seconds; of virtual time
+SPEEDS = (0.8, 1.0, 1.25)
+LOOK_MARGIN = 0.4  # seconds; two steps of virtual time, and that beats fall between them
+
+
+class Member:
+    """One task on a worker of its own. Invariant: it goes on only once all of its gang have come."""
+
+    def __init__(self, length, speed, comes_at, beat_every):
+        self.length, self.speed = length, speed
+        self.comes_at, self.beat_every = comes_at, beat_every
+        self.done, self.next_beat = 0.0, comes_at
+        self.hangs_at = None  # part of its work
+        self.hung_since = None
+
+    def percent(self):
+        return int(100 * self.done / self.length)
+
+    def go_on(self, now):
+        most = self.length if self.hangs_at is None else self.hangs_at * self.length
+        self.done = min(most, self.done + STEP * self.speed)
+        if self.hangs_at is not None and self.done >= most and self.hung_since is None:
+            self.hung_since = now
+
+
+class Runs:
+    """One step of a job, each task on a worker of its own, watched as a leader watches it."""
+
+    def __init__(self, members, gang, guess):
+        self.members, self.gang, self.now = members, gang, 100.0
+        self.board, self.watch = Board(), ProgressWatch(Pace(2.0))
+        self.workers = {f"w{place}": Worker(f"w{place}", self.now) for place in range(len(members))}
+        self.sequence, self.stops = 0, {}  # worker -> when its run was stopped
+        self._place(gang, guess)
+
+    def _place(self, gang, guess):
+        route = {"name": "work", "host": "a", "prefix": "/w/", "service": SERVICE, "attempts": 3}
+        document = {"version": 1, "services": [{"name": SERVICE}], "routes": [route]}
+        assert self.board.configure(self.now, 0, document, "first") == ("configured", 1)
+        step = {"count": len(self.members), "cpu": 100, "est_ms": guess * 1000, "gang": gang}
+        plain, faults = jobs.checked({"steps": [step]})
+        assert not faults, faults
+        assert self.board.accept(self.now, JOB, "work", plain) == ("accepted", JOB)
+        group = tuple((place, f"w{place}") for place in range(len(self.members)))
+        assert len(self.board.assign(self.now, 1, ((JOB, 0, 0, group),))) == len(self.members)
+
+    def run(self, most):
+        """Until all is done, or `most` seconds have passed."""
+        begun = self.now
+        while self.now < begun + most and any(one.done < one.length for one in self._going()):
+            self.now += STEP
+            since = self.now - begun
+            here = [one for one in self.members if since >= one.comes_at]
+            for one in here:
+                if not self.gang or len(here) == len(self.members):
+                    one.go_on(self.now)
+            for place, one in enumerate(self.members):
+                if since >= one.next_beat:
+                    one.next_beat += one.beat_every
+                    self._beat(f"w{place}", place, one)
+            self._look()
+
+    def tell(self, place):
+        """One worker beats now, and is looked at."""
+        self.now += STEP
+        self._beat(f"w{place}", place, self.members[place])
+        self._look()
+
+    def _going(self):
+        """The members that are not stopped; with one, a gang stops whole."""
+        if self.gang and self.stops:
+            return []
+        return [one for place, one in enumerate(self.members) if f"w{place}" not in self.stops]
+
+    def _beat(self, identity, place, member):
+        self.sequence += 1
+        ended = not self.gang and member.done >= member.length
+        running = [] if ended else [[f"{JOB}.0.0.{place}", 1, "", member.percent()]]
+        beat = {
+            "sequence": self.sequence,
+            "clock_ms": self.now * 1000,
+            "service": SERVICE,
+            "address": identity,
+            "zone": "north",
+            "state": "ready",
+            "labels": ["a", "r1"],
+            "room": ROOM,
+            "leaves_ms": None,
+            "running": running,
+            "ended": [],
+        }
+        assert self.workers[identity].beat(beat, self.now)
+
+    def _look(self):
+        stopping = {(f"{JOB}.0.0.{identity[1:]}", 1) for identity in self.stops}
+        for stop in self.watch.look(self.workers, self.board, stopping, self.now):
+            if stop.why == "stalled":
+                self.stops.setdefault(stop.worker, self.now)
+
+
+def by_chance(seed, gang):
+    """Runs of one step, drawn by a seed."""
+    draw = random.Random(seed)
+    length = draw.choice((0.4, 1.0, 3.0, 8.0, 20.0, 60.0)) * draw.uniform(0.5, 2.0)
+    members = [
+        Member(length, draw.choice(SPEEDS), draw.uniform(0, 3.0) if gang else 0.0, draw.uniform(0.1, 0.9))
+        for _ in range(draw.randint(2, 12))
+    ]
+    return Runs(members, gang, length * draw.uniform(0.5, 2.0)), draw
+
+
+@when("runs of {what} go on at sound workers, by seeds {first:d} to {last:d}")
+def step_sound(context, what, first, last):
+    context.runs = {}
+    for seed in range(first, last + 1):
+        runs, _ = by_chance(seed, what == "gangs")
+        runs.run(400)
+        context.runs[seed] = runs
+
+
+@then("none was stopped as stalled")
+def step_none(context):
+    bad = {seed: runs.stops for seed, runs in context.runs.items() if runs.stops}
+    assert not bad, f"{len(bad)} of {len(context.runs)} seeds: {bad}"
+
+
+@when("one worker hangs while it runs {what}, by seeds {first:d} to {last:d}")
+def step_hung(context, what, first, last):
+    context.runs = {}
+    for seed in range(first, last + 1):
+        runs, draw = by_chance(seed, what == "gangs")
+        runs.hung = draw.randrange(len(runs.members))
+        runs.members[runs.hung].hangs_at = draw.uniform(0, 0.95)
+        runs.run(400)
+        context.runs[seed] = runs
+
+
+def patience(member):
+    """Seconds within which a hung run is to be found: its last progress is told a beat late."""
+    per_cent = 2 * member.length / min(SPEEDS) / 100
+    return constants.STALLED + constants.STALLED_STEPS * per_cent + 2 * member.beat_every + LOOK_MARGIN
+
+
+@then("each time its run was stopped in time, and no other")
+def step_found(context):
+    bad = {}
+    for seed, runs in context.runs.items():
+        member, identity = runs.members[runs.hung], f"w{runs.hung}"
+        found = runs.stops.get(identity, 1e9) - member.hung_since
+        if set(runs.stops) != {identity} or found > patience(member):
+            bad[seed] = (set(runs.stops), identity, round(found, 2), round(patience(member), 2))
+    assert not bad, f"{len(bad)} of {len(context.runs)} seeds: {bad}"
+
+
+@when("a gang of {count:d} tasks of {length:d} seconds runs, one of them {times:d} times as slow")
+def step_slow_member(context, count, length, times):
+    members = [Member(length, 1.0, 0.0, 0.2) for _ in range(count)]
+    members[0].speed /= times
+    context.runs = {0: Runs(members, True, length)}
+    context.runs[0].run(60)
+
+
+@when("a gang of {count:d} tasks of {length:d} seconds runs, one of them {late:d} seconds late")
+def step_late_member(context, count, length, late):
+    members = [Member(length, 1.0, 0.0, 0.2) for _ in range(count)]
+    members[0] = Member(length, 1.0, late, 0.2)
+    context.runs = {0: Runs(members, True, length)}
+    context.runs[0].run(60)
+
+
+@given("a run was stopped as stalled that had only paused")
+def step_paused(context):
+    members = [Member(10.0, 1.0, 0.0, 0.2) for _ in range(2)]
+    members[0].hangs_at = 0.5
+    context.paused = Runs(members, False, 10.0)
+    context.paused.run(9)
+    assert set(context.paused.stops) == {"w0"}, context.paused.stops
+
+
+@when("it tells that it {how}")
+def step_tells(context, how):
+    runs = context.paused
+    if how == "got on":
+        runs.members[0].done += 1.0
+        runs.tell(0)
+    else:
+        runs.watch.ended("w0", f"{JOB}.0.0.0", 1, {"was done": "done", "stopped": "stopped"}[how])
+
+
+@then("{count:d} run counts as misjudged")
+@then("{count:d} runs count as misjudged")
+def step_misjudged(context, count):
+    assert context.paused.watch.misjudged_count == count == len(context.paused.watch.take_misjudged())
--- a/src/pinepitch/accord/figures.py
+++ b/src/pinepitch/accord/figures.py
@@ -194,6 +194,13 @@
             ("why",),
             [((why,), count) for why, count in sorted(core.keeper.stop_counts.items())],
         ),
+        (
+            "counter",
+            "runs_misjudged",
+            "Runs stopped as stalled while leading that were going all the same.",
+            (),
+            [((), core.keeper.progress.misjudged_count)],
+        ),
     ]
 
 
--- a/src/pinepitch/ground/events.py
+++ b/src/pinepitch/ground/events.py
@@ -63,6 +63,7 @@
     182: ("settings read again", "info"),
     183: ("run to be stopped", "info"),
     184: ("invariant of placing broken", "error"),
+    185: ("run stopped as stalled was going", "warning"),
 }
 
 
--- a/src/pinepitch/scheduling/keeper.py
+++ b/src/pinepitch/scheduling/keeper.py
@@ -268,6 +268,8 @@
                 self._gone(identity, "hold lapsed")
         self._copy_what_may_run_twice(now)
         self._stop(self.progress.look(self.workers, self.board, self.stopping, now), now)
+        for minion, reference, run in self.progress.take_misjudged():
+            self.core._event(185, minion=minion, task=reference, run=run)
         for identity in [
             one
             for one, worker in self.workers.items()
@@ -309,6 +311,7 @@
             self.end_counts[how] += 1
             self.ending.discard((minion, reference, run))
             self.stopping.discard((reference, run))
+            self.progress.ended(minion, reference, run, how)
             worker = self.workers.get(minion)
             if worker is not None and heard:
                 if how in ("done", "failed"):
--- a/src/pinepitch/scheduling/progress.py
+++ b/src/pinepitch/scheduling/progress.py
@@ -31,6 +31,7 @@
     run: int
     wave: Wave
     progress: Progress
+    members: tuple = ()  # Progress of all of its gang, None for each that is not known to have begun
 
     @property
     def key(self):
@@ -87,20 +88,28 @@
 
 
 class ProgressWatch:
-    """Invariant: only a run that its worker listed in a fresh beat is judged, and each at most once while
+    """Members of a gang begin once all are there, go on at their own pace, and end together: one that waits
+    for others to begin or to finish does not stand still, and only one that holds them up is stopped.
+
+    Invariant: only a run that its worker listed in a fresh beat is judged, and each at most once while
     its stop is on the way."""
 
     def __init__(self, pace):
         self.pace = pace
+        self.judged = {}  # (worker, reference, run) of those stopped as stalled -> percent told by then
+        self.misjudged = []  # (worker, reference, run) that went on after all, not yet taken
+        self.misjudged_count = 0
 
     def look(self, workers, board, stopping, now):
         """The runs that are to end (tuple of RunStop): those that stand still, or go so slowly beside their
         like on other workers that a new start elsewhere would be done sooner. `stopping` holds the
         (reference, run) whose stop is on the way."""
+        self._look_back(workers)
         stops, projected = [], []
         for watched in self._watched(workers, board, stopping, now):
             if self._stalled(watched):
                 watched.worker.wary_until = max(watched.worker.wary_until, now + constants.STALLED_WARY)
+                self.judged[(watched.worker.identity, *watched.key)] = watched.progress.percent
                 stops.append(watched.stopped_as(STALLED))
                 continue
             told = self.pace.projected(watched.worker, watched.key)
@@ -109,8 +118,34 @@
                 projected.append(Projected(watched, told[0], told[1] / far))
         return (*stops, *self._slow(projected))
 
+    def ended(self, worker, reference, run, how):
+        """A run has ended; one that was stopped as stalled and is done all the same was going."""
+        known = self.judged.pop((worker, reference, run), None)
+        if known is not None and how == "done":
+            self._count_misjudged((worker, reference, run))
+
+    def take_misjudged(self):
+        """[(worker, reference, run)] found, since it was asked last, to have gone on after they were stopped
+        as stalled."""
+        found, self.misjudged = self.misjudged, []
+        return found
+
+    def _look_back(self, workers):
+        """Looks whether what was stopped as stalled has told more progress since."""
+        for key, percent in list(self.judged.items()):
+            worker = workers.get(key[0])
+            progress = worker.progress.get(key[1:]) if worker is not None else None
+            if progress is not None and progress.percent > percent:
+                del self.judged[key]
+                self._count_misjudged(key)
+
+    def _count_misjudged(self, key):
+        self.misjudged.append(key)
+        self.misjudged_count += 1
+
     def _watched(self, workers, board, stopping, now):
         """The runs that may be judged."""
+        gangs = {}
         for worker in workers.values():
             if worker.silent(now) or worker.stale:
                 continue
@@ -118,19 +153,41 @@
             for key, progress in worker.progress.items():
                 placement = held.get(key)
                 found = board.task(placement) if placement is not None and not placement.stop else None
-                if found is not None and not found[0].step.lasts and key not in stopping:
-                    yield WatchedRun(worker, *key, found[0], progress)
+                if found is None or found[0].step.lasts or key in stopping:
+                    continue
+                wave, members = found[0], ()
+                if wave.step.gang:
+                    members = gangs.get(wave.key()) or self._members(wave, workers)
+                    gangs[wave.key()] = members
+                yield WatchedRun(worker, *key, wave, progress, members)
+
+    def _members(self, wave, workers):
+        """The Progress of all members of a gang, None for each that no worker has listed."""
+        members = []
+        for index, task in enumerate(wave.tasks):
+            worker = workers.get(task.minion)
+            key = (wave.reference(index), task.run)
+            members.append(worker.progress.get(key) if worker is not None else None)
+        return tuple(members)
 
     def _stalled(self, watched):
         """Whether a run has stood still for longer than its next step of progress can take."""
-        wave, progress = watched.wave, watched.progress
-        told = progress.changed_at - progress.first_at
-        by_progress = told * 100 / progress.percent if progress.percent else 0
+        progress, wave = watched.progress, watched.wave
+        begun, still_since = progress.first_at, progress.changed_at
+        if wave.step.gang:
+            if None in watched.members:
+                return False  # it waits for the others to begin
+            begun = max(one.first_at for one in watched.members)
+            finished = [one for one in watched.members if one.percent >= constants.GANG_FINISHED]
+            if progress.percent >= constants.GANG_FINISHED:
+                if len(finished) < len(watched.members):
+                    return False  # it waits for the others to finish
+                still_since = max(one.changed_at for one in finished)
+            still_since = max(still_since, begun)
+        by_progress = (progress.changed_at - begun) * 100 / progress.percent if progress.percent else 0
         step = max(self.pace.expected(wave), by_progress) / 100
         patience = constants.STALLED + constants.STALLED_STEPS * step
-        if wave.step.gang and not progress.percent:
-            patience += constants.GANG_PATIENCE
-        return watched.worker.heard_at - progress.changed_at > patience
+        return watched.worker.heard_at - still_since > patience
 
     def _slow(self, projected):
         """Stops of runs on slow workers; what their slowness tells of the workers is learnt."""
