pinepitch timeline: where the time of jobs went, stage by stage, from logs at debug

Events 186 to 190 tell of a job's stages, at level debug only: the platform's core program logs at warning, and then they are not even made. Stops are judged by how the runs then ended.

--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -9,3 +9,12 @@
   Scenario: no daemon that answers ends a command with its own exit code
     When an operator lists tickets of a daemon that is not there
     Then the command ends with the exit code for no answer
+
+  Scenario: the timeline tells from logs where the time of a job went, and how runs that were stopped ended
+    Given the log of a job that waited 2 seconds for room and whose run was stopped as stalled
+    When the timeline of that log is asked for
+    Then it tells 2.000 seconds until placed, and 1 run stopped as stalled that ended stopped
+
+  Scenario: the timeline of a log without jobs says so
+    When the timeline of a log without jobs is asked for
+    Then it says that no job's handing in is told
--- a/features/steps/command_line.py
+++ b/features/steps/command_line.py
@@ -3,10 +3,13 @@
 import contextlib
 import inspect
 import io
+import json
+import os
 import socket
+import tempfile
 from unittest import mock
 
-from behave import then, when
+from behave import given, then, when
 
 from pinepitch.client import commands, overview, program
 
@@ -77,3 +80,60 @@
 @then("the command ends with the exit code for no answer")
 def step_no_answer(context):
     assert context.ended == commands.EXIT_UNREACHED, context.ended
+
+
+# --- the timeline of jobs ----------------------------------------------------------------
+JOB = "5c0e7a21d94b36f8"
+RUN = {"task": f"{JOB}.0.0.0", "run": 1}
+
+
+def timeline(lines):
+    """What the command prints about a log of these lines."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = os.path.join(folder, "log")
+        with open(path, "w") as file:
+            file.writelines(f"{line}\n" for line in lines)
+        code, told = run("timeline", path)
+    assert code == 0, told
+    return told
+
+
+@given("the log of a job that waited 2 seconds for room and whose run was stopped as stalled")
+def step_log(context):
+    told = (
+        (10.0, 186, {"job": JOB, "queue": "work"}),
+        (10.1, 187, {"job": JOB}),
+        (12.1, 188, {**RUN, "minion": "one"}),
+        (12.2, 189, {**RUN, "minion": "one"}),
+        (15.0, 183, {**RUN, "minion": "one", "why": "stalled"}),
+        (15.5, 155, {"task": RUN["task"], "attempt": 1, "how": "stopped", "result": "again"}),
+    )
+    context.lines = ["what is no event", "  -3.0 core-1 {broken"]
+    for second, number, fields in told:
+        stamp = f"2026-01-01T00:00:{second:09.6f}Z"
+        context.lines.append(
+            f"{second} core-1 " + json.dumps({"number": number, **fields, "timestamp": stamp})
+        )
+
+
+@when("the timeline of that log is asked for")
+def step_timeline(context):
+    context.told = timeline(context.lines)
+
+
+@then("it tells 2.000 seconds until placed, and 1 run stopped as stalled that ended stopped")
+def step_timeline_told(context):
+    lines = [line.split() for line in context.told.splitlines()]
+    by_queue = next(line for line in lines if line[:1] == ["work"])
+    assert by_queue[:8] == ["work", "1", "0.100", "/", "0.100", "2.000", "/", "2.000"], by_queue
+    assert ["stalled", "stopped", "1"] in lines, context.told
+
+
+@when("the timeline of a log without jobs is asked for")
+def step_timeline_empty(context):
+    context.told = timeline(["nothing"])
+
+
+@then("it says that no job's handing in is told")
+def step_timeline_none(context):
+    assert "no job's handing in is told" in context.told, context.told
--- a/features/steps/events.py
+++ b/features/steps/events.py
@@ -26,7 +26,7 @@
     told = set()
     for path in glob.glob(os.path.join(ROOT, "src", "pinepitch", "**", "*.py"), recursive=True):
         with open(path) as file:
-            for call in re.findall(r"(?:_event|emit)\(([^\n]*)", file.read()):
+            for call in re.findall(r"(?:_event|emit|trace)\(([^\n]*)", file.read()):
                 told.update(map(int, re.findall(r"\b1\d\d\b", call)))
     assert not set(events.CATALOGUE) - told, set(events.CATALOGUE) - told
 
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -71,6 +71,7 @@
         self.hold = constants.HOLD
         self.far = constants.FAR  # times as long that a task takes away from its data
         life = f"{identity}~{seed}"  # the seed is drawn anew in each life
+        self.tracing = False  # whether events for a timeline of jobs are written
         self.carrier = Carrier(life, address, self._event)
         self.confirmed_calls = ConfirmedCalls(self.carrier)
         self.leader_clock = LeaderClock()
@@ -174,6 +175,11 @@
             self.counts["sent"] += 1
             self.effects.append(("send", address, message))
 
+    def trace(self, number, **fields):
+        """An event for a timeline of jobs: there are many, so only where the log keeps them."""
+        if self.tracing:
+            self._event(number, **fields)
+
     def _event(self, number, **fields):
         self.event_counts[number] = self.event_counts.get(number, 0) + 1
         self.effects.append(("event", number, fields))
--- a/src/pinepitch/accord/lead.py
+++ b/src/pinepitch/accord/lead.py
@@ -474,10 +474,15 @@
             self.keeper.applied_assign(operation[2])
             if outcome[0] == "refused":
                 self._refused(outcome[1])
+            else:
+                for placement in outcome[1] if self.tracing else ():
+                    self.trace(188, task=placement.reference(), run=placement.run, minion=placement.minion)
         elif kind == "job-ended":
             self.keeper.ended(self.record.index, operation[1], outcome[1])
         elif kind in ("job", "job-cancel", "evacuate", "evacuation", "configure", "amend"):
             self.keeper.due = True
+            if outcome[0] == "accepted":
+                self.trace(187, job=outcome[1])
             if outcome[0] == "configured":
                 self._event(181, version=outcome[1])
                 self.news_serial += 1
--- a/src/pinepitch/client/commands.py
+++ b/src/pinepitch/client/commands.py
@@ -446,6 +446,20 @@
         """What one verge knows of itself."""
         Verged(verge, json)._get("/v1/health")
 
+    def timeline(self, *logs, window=2.0):
+        """Tells from control daemons' logs at level debug where the time of jobs went, stage by stage."""
+        from .timeline import report
+
+        lines = []
+        for log in logs:
+            try:
+                with open(log) as file:
+                    lines.extend(file)
+            except (OSError, UnicodeDecodeError) as fault:
+                print(f"pinepitch: {log}: {fault}", file=sys.stderr)
+                sys.exit(EXIT_USE)
+        print(report(lines, window))
+
     def fleet(self, plan="nkansah", seconds=20, rate=1.0, seed=0, folder=None, level="warning", disturb=""):
         """Runs a whole deployment on this machine, checks its histories."""
         from ..proof.fleet import fleet
--- a/src/pinepitch/ground/events.py
+++ b/src/pinepitch/ground/events.py
@@ -64,6 +64,11 @@
     183: ("run to be stopped", "info"),
     184: ("invariant of placing broken", "error"),
     185: ("run stopped as stalled was going", "warning"),
+    186: ("job handed in", "debug"),
+    187: ("job accepted", "debug"),
+    188: ("run placed", "debug"),
+    189: ("start told", "debug"),
+    190: ("job's final state shown", "debug"),
 }
 
 
--- a/src/pinepitch/scheduling/calls.py
+++ b/src/pinepitch/scheduling/calls.py
@@ -8,6 +8,8 @@
 from . import job as jobs
 from . import worker as workers
 
+UNFINISHED = ("queued", "running")  # states of a job
+
 
 def problem(status, code, message, retry=None, **more):
     """An answer that says no."""
@@ -55,6 +57,7 @@
     state = board.state(identity)
     if state is not None:
         return _answer(200, {"state": state}, None)
+    core.trace(186, job=identity, queue=route["name"])
     return ("agree", ("job", identity, route["name"], plain), "job", None)
 
 
@@ -84,6 +87,8 @@
     state = board.state(identity)
     if state is None:
         return ("answer", problem(410, "no_job", "no such job"))
+    if state not in UNFINISHED:
+        core.trace(190, job=identity, state=state)
     return _answer(200, {"state": state}, None)
 
 
@@ -96,7 +101,7 @@
     state = core.record.board.state(identity)
     if state is None:
         return ("answer", problem(410, "no_job", "no such job"))
-    if state not in ("queued", "running"):
+    if state not in UNFINISHED:
         return _answer(200, {"state": state}, None)
     return ("agree", ("job-cancel", identity), "job-cancel", None)
 
--- a/src/pinepitch/scheduling/keeper.py
+++ b/src/pinepitch/scheduling/keeper.py
@@ -187,6 +187,7 @@
             ):
                 wave, task = self.board.task(placement)
                 start.append((reference, run, wave.job.spec, task.saved))
+                self.core.trace(189, task=reference, run=run, minion=worker.identity)
                 self.pace.start(worker.identity, reference, run, self.pace.is_far(wave, worker), now)
         for reference, run in stop[:strays]:
             self.core._event(156, minion=worker.identity, task=reference, run=run)
