--- a/features/steps/doors.py
+++ b/features/steps/doors.py
@@ -153,6 +153,9 @@
     def __init__(self):
         self.record, self.index = Record(), 0
 
+    def trace(self, number, **fields):
+        """Keeps no timeline."""
+
     def answer(self, made):
         """The Response to what a door read, through frames and the record."""
         if isinstance(made, Response):
--- a/src/pinepitch/accord/quorum.py
+++ b/src/pinepitch/accord/quorum.py
@@ -3,8 +3,11 @@
 Sections named in comments are of "FlexiRaft: Flexible Quorums with Raft" (CIDR 2023).
 """
 
+import functools
 from typing import NamedTuple
 
+GROUPINGS_KEPT = 64  # of lists of members; a cluster has a few at a time
+
 
 class Reply(NamedTuple):
     """A vote reply as the election sees it.
@@ -29,6 +32,15 @@
 UNDECIDED = Result(False, True)
 
 
+@functools.lru_cache(maxsize=GROUPINGS_KEPT)
+def _groups(members, mode):
+    """group -> identities in it, for members as pairs. Kept: a leader asks for it at every call it takes."""
+    quorum, groups = Quorum(dict(members), mode), {}
+    for identity in sorted(quorum.members):
+        groups.setdefault(quorum.group_of(identity), set()).add(identity)
+    return {group: frozenset(inside) for group, inside in groups.items()}
+
+
 class Quorum(NamedTuple):
     """Who decides, for one list of members.
 
@@ -48,11 +60,8 @@
         return area
 
     def groups(self):
-        """group -> identities in it."""
-        groups = {}
-        for identity in sorted(self.members):
-            groups.setdefault(self.group_of(identity), set()).add(identity)
-        return groups
+        """group -> identities in it; not to be changed."""
+        return _groups(tuple(self.members.items()), self.mode)
 
     def commit_count(self):
         """c of 'majority in c of k groups': the largest that keeps both intersections."""
@@ -64,10 +73,9 @@
 
     def majorities(self, identities):
         """The groups in which `identities` hold a majority."""
+        identities = set(identities)
         return {
-            group
-            for group, inside in self.groups().items()
-            if 2 * len(inside & set(identities)) > len(inside)
+            group for group, inside in self.groups().items() if 2 * len(inside & identities) > len(inside)
         }
 
     def commits(self, identities, leader):
--- a/src/pinepitch/ground/document.py
+++ b/src/pinepitch/ground/document.py
@@ -21,29 +21,48 @@
     raise ValueError(text)
 
 
+def _unsound_text(text):
+    """Why a text can't be carried, or None."""
+    if text.isascii():
+        return None
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return "text with half a character"
+    return None
+
+
+def _unsound_scalar(value):
+    """Why a value that holds no others can't be carried, or None. Types as json makes them: told by
+    type(), as this is asked for every value of every heartbeat."""
+    kind = type(value)
+    if kind is str:
+        return _unsound_text(value)
+    if kind is int and not -constants.NUMBER_MOST <= value <= constants.NUMBER_MOST:
+        return "a number out of range"
+    if kind is float and not math.isfinite(value):
+        return "a number out of range"
+    return None
+
+
 def unsound(value):
     """Why a document can't be carried and handed on as it is, or None: numbers JSON or our
     frames can't say, text that is no text, deeper nesting than DEPTH_MOST."""
-    todo = [(value, 1)]
+    todo = [((value,), 1)]  # values beside each other, and how deep they stand
     while todo:
-        one, depth = todo.pop()
-        if depth > constants.DEPTH_MOST:
-            return f"nested deeper than {constants.DEPTH_MOST}"
-        if isinstance(one, dict):
-            todo.extend((member, depth) for member in one)
-            todo.extend((inner, depth + 1) for inner in one.values())
-        elif isinstance(one, list):
-            todo.extend((inner, depth + 1) for inner in one)
-        elif isinstance(one, str):
-            if not one.isascii():
-                try:
-                    one.encode()
-                except UnicodeEncodeError:
-                    return "text with half a character"
-        elif isinstance(one, float) and not math.isfinite(one):
-            return "a number out of range"
-        elif isinstance(one, int) and abs(one) > constants.NUMBER_MOST:
-            return "a number out of range"
+        values, depth = todo.pop()
+        for one in values:
+            kind = type(one)
+            if kind is list or kind is dict:
+                if depth >= constants.DEPTH_MOST and one:
+                    return f"nested deeper than {constants.DEPTH_MOST}"
+                todo.append((one.values() if kind is dict else one, depth + 1))
+                if kind is dict:
+                    todo.append((one, depth))
+            elif kind is str and one.isascii():
+                continue
+            elif why := _unsound_scalar(one):
+                return why
     return None
 
 
