A backlog is committed in slices, so that a new leader goes on beating

Commit now follows what is known to be committed by 250 entries or 256 KB a step, the rest by ticks; and a leader no longer does for older leaders' entries what only their proposer has to. Test: log.feature, counted in ticks and steps; with slices switched off it fails (3,001 entries in one step).

--- a/features/log.feature
+++ b/features/log.feature
@@ -104,3 +104,15 @@
     Given a lane that may hold 100,000 bytes and is not connected
     When 1 frames of 300,000 bytes are put into it
     Then the newest 1 wait
+
+  Scenario Outline: after a loss of power members apply <what> in slices, and the first leader goes on beating
+    Given 3 members that lost power with <count> entries of <size> bytes since their base
+    When they start again and one of them leads
+    Then no step applied more than a slice, and it took no more ticks than slices and 4
+    And the leader sent every heartbeat in its time, and nobody else stood for an election
+
+    Examples:
+      | what                  | count | size   |
+      | many small entries    | 3000  | 40     |
+      | a few large entries   | 24    | 150000 |
+      | less than a slice     | 200   | 40     |
--- /dev/null
+++ b/features/steps/backlog.py
@@ -0,0 +1,98 @@
+"""Steps for Log: members that start again with a backlog to apply, counted in steps and ticks."""
+
+import collections
+
+from behave import given, then, when
+
+from pinepitch.accord.consensus import Consensus
+from pinepitch.accord.log import measured
+from pinepitch.ground import constants
+
+NAMES = {"a": "north", "b": "south", "c": "west"}
+
+
+class Restarted:
+    """Members that hold one log, none of it known to be committed; messages and saves take no time."""
+
+    def __init__(self, count, size):
+        self.now, self.queue = 10.0, collections.deque()
+        self.applied = {name: [] for name in NAMES}  # entries of each commit of a step
+        self.beats, self.events = [], []  # when the leader sent heartbeats; (when, name, number)
+        entries = [(1, 0.0, ("filler", place, "x" * size)) for place in range(count)]
+        self.members = {}
+        for name in NAMES:
+            member = self.members[name] = Consensus(name, 5, NAMES, "static")
+            member.restore(None, [[[1, "a", 1, {}], None, 1, entries]])
+
+    def run(self, ticks):
+        for _ in range(ticks):
+            self.now += constants.TICK
+            for name, member in self.members.items():
+                self._take(name, member.tick(self.now))
+            self._deliver()
+
+    def _deliver(self):
+        while self.queue:
+            sender, receiver, message = self.queue.popleft()
+            self._take(receiver, self.members[receiver].step(sender, message, self.now))
+
+    def _take(self, name, effects):
+        for effect in effects:
+            if effect[0] == "send":
+                self.queue.append((name, effect[1], effect[2]))
+                if effect[2][0] == "append":
+                    self.beats.append(self.now)
+            elif effect[0] == "save":
+                self._take(name, self.members[name].saved(effect[1], self.now))
+            elif effect[0] == "commit":
+                self.applied[name].append(effect[2])
+            elif effect[0] == "event":
+                self.events.append((self.now, name, effect[1]))
+
+    def leader(self):
+        return next((one for one in self.members.values() if one.role == "leader"), None)
+
+
+@given("{count:d} members that lost power with {entries:d} entries of {size:d} bytes since their base")
+def step_lost(context, count, entries, size):
+    assert count == len(NAMES)
+    context.restarted = Restarted(entries, size)
+    by_bytes = max(1, constants.COMMIT_BYTES // size)
+    context.slices = -(-entries // min(constants.COMMIT_ENTRIES, by_bytes))
+
+
+@when("they start again and one of them leads")
+def step_start(context):
+    restarted = context.restarted
+    while restarted.leader() is None:
+        restarted.run(1)
+        assert restarted.now < 15, "nobody leads"
+    context.led_at = restarted.now
+    ticks = 0
+    while any(member.commit < member.last_index() for member in restarted.members.values()):
+        restarted.run(1)
+        ticks += 1
+        assert ticks < 500, "the backlog is never applied"
+    context.ticks = ticks
+
+
+@then("no step applied more than a slice, and it took no more ticks than slices and {more:d}")
+def step_slices(context, more):
+    restarted = context.restarted
+    # every slice but one of a single entry keeps both bounds
+    for applied in restarted.applied.values():
+        for entries in applied:
+            size = sum(measured(operation)[1] for _, _, operation in entries)
+            small = len(entries) <= constants.COMMIT_ENTRIES and size <= constants.COMMIT_BYTES
+            assert small or len(entries) == 1, (len(entries), size)
+    # followers hear of each slice with a heartbeat
+    beat = constants.HEARTBEAT / constants.TICK
+    assert context.ticks <= context.slices + more + beat, (context.ticks, context.slices)
+
+
+@then("the leader sent every heartbeat in its time, and nobody else stood for an election")
+def step_beats(context):
+    restarted = context.restarted
+    gaps = [later - earlier for earlier, later in zip(restarted.beats, restarted.beats[1:], strict=False)]
+    assert max(gaps, default=0) <= constants.HEARTBEAT + 2 * constants.TICK, max(gaps)
+    assert [number for at, _, number in restarted.events if at > context.led_at] == [], restarted.events
--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -83,7 +83,7 @@
     """One accord's part in the cohort.
 
     Invariants: term never falls; at most one vote a term, in history[term], durable before
-    it is told; commit <= last index; durable <= last
+    it is told; commit <= committed <= last index; durable <= last
     index and all up to it is on disk; history holds no term <= leader_term, since any
     candidate starts Algorithm 1 at the newest leader told with the histories, and this
     one's is told along; cohort is that of the newest members entry in the log or base."""
@@ -100,7 +100,7 @@
         self.base_cohort = Cohort(Quorum(dict(members or {}), mode))
         self.cohort, self.cohort_index = self.base_cohort, 0
         self.commit = 0
-        self.applied = 0
+        self.committed = 0  # the newest entry known to be committed: commit follows it in slices
         self.role = "follower"  # follower, prospect (pre-vote), candidate, leader
         self.following = None  # the leader of this term as heard, for ways
         self.followers = {}
@@ -150,7 +150,7 @@
             if entries:
                 self.log.cut(start)
                 self.log.append(entries)
-        self.commit = self.applied = self.base_index
+        self.commit = self.committed = self.base_index
         self.durable = self.last_index()
         self._find_cohort()
 
@@ -302,8 +302,10 @@
 
     # --- time -------------------------------------------------------------------------
     def tick(self, now):
-        """Lets time pass: beats, time-outs, stalled disks."""
+        """Lets time pass: beats, time-outs, stalled disks, the next slice of a backlog."""
         self._begin_life(now)
+        if self.commit < self.committed:
+            self._commit_slice(now)
         stalled = bool(self.saving) and now - self.saving[0][2] > constants.DISK_STALL
         if stalled:
             self.penance_until = now + constants.DISK_PENANCE
@@ -864,18 +866,29 @@
         }
         matches[self.identity] = self.durable
         for index in sorted(set(matches.values()), reverse=True):
-            if index <= self.commit or self.term_at(index) != self.term:
+            if index <= self.committed or self.term_at(index) != self.term:
                 break
             if self.cohort.commits({one for one, match in matches.items() if match >= index}, self.identity):
-                self._commit_to(index)
-                self._after_commit(now)
+                self._commit_to(index, now)
                 break
 
-    def _commit_to(self, index):
+    def _commit_to(self, index, now):
+        """Takes an entry and all before it for committed. A backlog that is under way goes on by ticks."""
+        under_way = self.commit < self.committed
+        self.committed = max(self.committed, index)
+        if not under_way:
+            self._commit_slice(now)
+
+    def _commit_slice(self, now):
+        """Commits as much as one step may take: a restarted member has all since its base to apply, and
+        must go on beating and answering meanwhile, or others take its place."""
         start = self.commit + 1
-        entries = self.log.entries[start - self.first : index + 1 - self.first]
-        self.commit = index
+        entries, _ = self.log.slice_from(start, constants.COMMIT_ENTRIES, constants.COMMIT_BYTES)
+        entries = entries[: self.committed - self.commit]
+        self.commit += len(entries)
         self.effects.append(("commit", start, entries))
+        if self.role == "leader" and self.commit == self.committed:
+            self._after_commit(now)
 
     def _after_commit(self, now):
         self._start_round(now)
@@ -938,7 +951,7 @@
             own = self.term_at(index)
             if own is None or own != entry[0]:
                 if own is not None:
-                    if index <= self.commit:
+                    if index <= self.committed:
                         raise AssertionError(f"entry {index} is committed and conflicts")
                     self._cut(index)
                 fresh = [(one[0], one[1], tuple(one[2])) for one in entries[place:]]
@@ -949,8 +962,8 @@
         else:
             self._send(sender, ("appended", term, True, min(last, self.durable), beat), self._hard_wait())
         upto = min(commit, last)
-        if upto > self.commit:
-            self._commit_to(upto)
+        if upto > self.committed:
+            self._commit_to(upto, now)
 
     def _hard_wait(self):
         return self._after_flush() if self.hard_dirty else self.hard_sequence
@@ -988,6 +1001,7 @@
         self.base_index, self.base_term = index, snapshot_term
         self.base_cohort = cohort_from(image)
         self.commit = index
+        self.committed = max(self.committed, index)
         self.truncate = self.dirty_from = None
         self._find_cohort()
         self.hard_dirty = False
--- a/src/pinepitch/accord/core.py
+++ b/src/pinepitch/accord/core.py
@@ -612,12 +612,13 @@
 
     def _apply(self, start, entries, now):
         consensus = self.consensus
-        for place, (_, time, operation) in enumerate(entries):
+        for place, (term, time, operation) in enumerate(entries):
             index = start + place
             operation = unpacked(operation)
             outcome = self.record.apply(index, time, operation)
             self.counts["applied"] += 1
-            if consensus.role == "leader" and consensus.commit >= index:
+            # of what older leaders proposed only the outcome counts: nobody waits for it here
+            if consensus.role == "leader" and consensus.commit >= index and term == consensus.term:
                 self._heed(operation, outcome, now)
                 for address, token, shape, extra in self.awaiting.pop(index, ()):
                     self._tell(address, token, shape, extra, outcome, now)
--- a/src/pinepitch/proof/model/faults.py
+++ b/src/pinepitch/proof/model/faults.py
@@ -39,8 +39,7 @@
         if index <= self.commit or self.term_at(index) != self.term:
             break
         if 2 * sum(match >= index for match in matches.values()) > len(self.cohort.now.members):
-            self._commit_to(index)
-            self._after_commit(now)
+            self._commit_to(index, now)
             break
 
 
@@ -59,8 +58,7 @@
         if index <= self.commit:
             break
         if self.cohort.commits({one for one, match in matches.items() if match >= index}, self.identity):
-            self._commit_to(index)
-            self._after_commit(now)
+            self._commit_to(index, now)
             break
 
 
