--- a/features/progress.feature
+++ b/features/progress.feature
@@ -41,3 +41,8 @@
     Given a run was stopped as stalled that had only paused
     When it tells that it stopped
     Then 0 runs count as misjudged
+
+  Scenario: a task that takes 20 times as long as its like is stopped as slow once, and then left to end
+    Given a step of 8 tasks of 2 seconds, one of them 20 times as long
+    When it goes on, each run that is stopped starting again on another worker
+    Then that task was stopped as slow once, no other was, and all are done
--- a/features/steps/progress.py
+++ b/features/steps/progress.py
@@ -46,7 +46,8 @@
         self.members, self.gang, self.now = members, gang, 100.0
         self.board, self.watch = Board(), ProgressWatch(Pace(2.0))
         self.workers = {f"w{place}": Worker(f"w{place}", self.now) for place in range(len(members))}
-        self.sequence, self.stops = 0, {}  # worker -> when its run was stopped
+        self.sequence, self.stops = 0, {}  # worker -> when its run was stopped as stalled
+        self.slow = []  # RunStop of runs stopped as slow
         self._place(gang, guess)
 
     def _place(self, gang, guess):
@@ -58,7 +59,9 @@
         assert not faults, faults
         assert self.board.accept(self.now, JOB, "work", plain) == ("accepted", JOB)
         group = tuple((place, f"w{place}") for place in range(len(self.members)))
-        assert len(self.board.assign(self.now, 1, ((JOB, 0, 0, group),))) == len(self.members)
+        placed = self.board.assign(self.now, 1, ((JOB, 0, 0, group),))
+        assert len(placed) == len(self.members)
+        return placed
 
     def run(self, most):
         """Until all is done, or `most` seconds have passed."""
@@ -112,6 +115,8 @@
         for stop in self.watch.look(self.workers, self.board, stopping, self.now):
             if stop.why == "stalled":
                 self.stops.setdefault(stop.worker, self.now)
+            else:
+                self.slow.append(stop)
 
 
 def by_chance(seed, gang):
@@ -207,3 +212,115 @@
 @then("{count:d} runs count as misjudged")
 def step_misjudged(context, count):
     assert context.paused.watch.misjudged_count == count == len(context.paused.watch.take_misjudged())
+
+
+# --- slow workers and long tasks -----------------------------------------------------------
+class Restarts:
+    """Tasks of one step that start again elsewhere when they are stopped; a worker may run several."""
+
+    def __init__(self, lengths, speeds):
+        """`lengths`: seconds of each task; `speeds`: of each worker, beside the usual 1."""
+        self.now, self.sequence, self.lengths, self.speeds = 100.0, 0, lengths, speeds
+        self.board, self.watch = Board(), ProgressWatch(Pace(2.0))
+        self.workers = {name: Worker(name, self.now) for name in speeds}
+        self.at, self.done, self.slow = {}, {}, []  # task -> worker; task -> seconds of work; RunStop
+        for placement in Runs._place(self, False, 2.0):
+            self._begin(placement)
+
+    @property
+    def members(self):
+        return self.lengths
+
+    def start(self, task, worker):
+        placed = self.board.assign(self.now, 1, ((JOB, 0, 0, ((task, worker),)),))
+        self._begin(placed[0])
+
+    def _begin(self, placement):
+        self.at[placement.index], self.done[placement.index] = placement.minion, 0.0
+        key = (placement.minion, placement.reference(), placement.run)
+        self.watch.pace.start(*key, False, self.now)
+
+    def run_of(self, task):
+        return self.board.jobs[JOB].waves[(0, 0)].tasks[task].run
+
+    def run(self, seconds, elsewhere):
+        end = self.now + seconds
+        while self.now < end and JOB in self.board.jobs:
+            self.now += STEP
+            for task, worker in self.at.items():
+                self.done[task] += STEP * self.speeds[worker]
+            self._end()
+            for worker in self.workers:
+                self._beat(worker)
+            for stop in self.watch.look(self.workers, self.board, set(), self.now):
+                self.slow.append(stop)
+                task = int(stop.reference.rpartition(".")[2])
+                self.board.end(self.now, ((stop.worker, stop.reference, stop.run, "stopped", "", True),))
+                self.start(task, elsewhere(task))
+
+    def _end(self):
+        for task in [one for one, done in self.done.items() if done >= self.lengths[one]]:
+            worker, reference, run = self.at.pop(task), f"{JOB}.0.0.{task}", self.run_of(task)
+            del self.done[task]
+            wave = self.board.jobs[JOB].waves[(0, 0)]
+            self.watch.pace.end(self.workers[worker], wave, reference, run, "done", self.now)
+            self.board.end(self.now, ((worker, reference, run, "done", "", True),))
+            self.watch.ended(worker, reference, run, "done")
+
+    def _beat(self, worker):
+        self.sequence += 1
+        running = [
+            [f"{JOB}.0.0.{task}", self.run_of(task), "", int(100 * self.done[task] / self.lengths[task])]
+            for task, at in self.at.items()
+            if at == worker
+        ]
+        told = {
+            "service": SERVICE,
+            "address": worker,
+            "zone": "north",
+            "state": "ready",
+            "labels": ["a", "r1"],
+        }
+        moment = {"sequence": self.sequence, "clock_ms": self.now * 1000, "leaves_ms": None}
+        beat = {**told, **moment, "room": ROOM, "running": running, "ended": []}
+        assert self.workers[worker].beat(beat, self.now)
+
+
+@given("a step of {count:d} tasks of {seconds:d} seconds, one of them {times:d} times as long")
+def step_long_task(context, count, seconds, times):
+    lengths = {task: float(seconds) for task in range(count)}
+    lengths[0] *= times
+    context.restarts = Restarts(lengths, {f"w{place}": 1.0 for place in range(2 * count)})
+
+
+@when("it goes on, each run that is stopped starting again on another worker")
+def step_goes_on(context):
+    restarts, fresh = context.restarts, iter(range(len(context.restarts.lengths), 99))
+    restarts.run(200, lambda task: f"w{next(fresh)}")
+
+
+@then("that task was stopped as slow once, no other was, and all are done")
+def step_once(context):
+    stopped = [(stop.reference, stop.why) for stop in context.restarts.slow]
+    assert stopped == [(f"{JOB}.0.0.0", "slow")], stopped
+    assert context.restarts.board.state(JOB) == "completed"
+
+
+@given(
+    "a step of {count:d} tasks of {seconds:d} seconds, on workers of which two are {times:d} times as slow"
+)
+def step_slow_workers(context, count, seconds, times):
+    speeds = {f"w{place}": 1.0 for place in range(count)}
+    speeds["w0"] = speeds["w1"] = 1 / times
+    context.restarts = Restarts({task: float(seconds) for task in range(count)}, speeds)
+
+
+@when("a run that was stopped on one slow worker starts again on the other beside a run of its like")
+def step_again_slow(context):
+    context.restarts.run(60, lambda task: "w1")
+
+
+@then("it is stopped there, too")
+def step_stopped_again(context):
+    found = [(stop.worker, stop.reference) for stop in context.restarts.slow]
+    assert ("w1", f"{JOB}.0.0.0") in found and ("w0", f"{JOB}.0.0.0") in found, found
--- a/src/pinepitch/scheduling/progress.py
+++ b/src/pinepitch/scheduling/progress.py
@@ -59,6 +59,10 @@
     def ratio(self):
         return self.projected.whole / self.usual
 
+    @property
+    def reference(self):
+        return self.projected.watched.reference
+
 
 def _median(values):
     return sorted(values)[len(values) // 2]
@@ -91,6 +95,8 @@
     """Members of a gang begin once all are there, go on at their own pace, and end together: one that waits
     for others to begin or to finish does not stand still, and only one that holds them up is stopped.
 
+    A task that was stopped as slow and is as slow elsewhere is long: it tells nothing of its next worker.
+
     Invariant: only a run that its worker listed in a fresh beat is judged, and each at most once while
     its stop is on the way."""
 
@@ -99,12 +105,14 @@
         self.judged = {}  # (worker, reference, run) of those stopped as stalled -> percent told by then
         self.misjudged = []  # (worker, reference, run) that went on after all, not yet taken
         self.misjudged_count = 0
+        self.stopped_slow = set()  # references of tasks not done, of which a run was stopped as slow
 
     def look(self, workers, board, stopping, now):
         """The runs that are to end (tuple of RunStop): those that stand still, or go so slowly beside their
         like on other workers that a new start elsewhere would be done sooner. `stopping` holds the
         (reference, run) whose stop is on the way."""
         self._look_back(workers)
+        self._forget_tasks(board)
         stops, projected = [], []
         for watched in self._watched(workers, board, stopping, now):
             if self._stalled(watched):
@@ -120,6 +128,8 @@
 
     def ended(self, worker, reference, run, how):
         """A run has ended; one that was stopped as stalled and is done all the same was going."""
+        if how == "done":
+            self.stopped_slow.discard(reference)
         known = self.judged.pop((worker, reference, run), None)
         if known is not None and how == "done":
             self._count_misjudged((worker, reference, run))
@@ -139,6 +149,11 @@
                 del self.judged[key]
                 self._count_misjudged(key)
 
+    def _forget_tasks(self, board):
+        """Forgets the tasks of jobs that are over."""
+        for reference in [one for one in self.stopped_slow if one.partition(".")[0] not in board.jobs]:
+            self.stopped_slow.discard(reference)
+
     def _count_misjudged(self, key):
         self.misjudged.append(key)
         self.misjudged_count += 1
@@ -199,10 +214,14 @@
                 by_worker[one.watched.worker.identity].append(Slowdown(one, usual))
         stops = []
         for slowdowns in by_worker.values():
-            ratio = _median([one.ratio for one in slowdowns])
-            if ratio > (constants.SLOW if len(slowdowns) > 1 else constants.SLOW_ALONE):
+            telling = [one.ratio for one in slowdowns if one.reference not in self.stopped_slow]
+            if not telling:
+                continue
+            ratio = _median(telling)
+            if ratio > (constants.SLOW if len(telling) > 1 else constants.SLOW_ALONE):
                 slowdowns[0].projected.watched.worker.pace(ratio, constants.SLOW_WEIGHT)
                 stops.extend(self._worth_a_new_start(slowdowns))
+        self.stopped_slow.update(stop.reference for stop in stops)
         return stops
 
     def _lengths(self, projected):
