--- a/features/steps/progress.py
+++ b/features/steps/progress.py
@@ -304,23 +304,3 @@
     stopped = [(stop.reference, stop.why) for stop in context.restarts.slow]
     assert stopped == [(f"{JOB}.0.0.0", "slow")], stopped
     assert context.restarts.board.state(JOB) == "completed"
-
-
-@given(
-    "a step of {count:d} tasks of {seconds:d} seconds, on workers of which two are {times:d} times as slow"
-)
-def step_slow_workers(context, count, seconds, times):
-    speeds = {f"w{place}": 1.0 for place in range(count)}
-    speeds["w0"] = speeds["w1"] = 1 / times
-    context.restarts = Restarts({task: float(seconds) for task in range(count)}, speeds)
-
-
-@when("a run that was stopped on one slow worker starts again on the other beside a run of its like")
-def step_again_slow(context):
-    context.restarts.run(60, lambda task: "w1")
-
-
-@then("it is stopped there, too")
-def step_stopped_again(context):
-    found = [(stop.worker, stop.reference) for stop in context.restarts.slow]
-    assert ("w1", f"{JOB}.0.0.0") in found and ("w0", f"{JOB}.0.0.0") in found, found
