--- a/features/soak/soak.py
+++ b/features/soak/soak.py
@@ -114,7 +114,7 @@
                     worker.step(("told", number, status, wire.orders_of(document)), now)
 
     # --- troubles --------------------------------------------------------------------------
-    def _whom(self, kind, now):
+    def _whom(self, kind):
         """Those of a kind that no trouble meets now."""
         if not kind:
             return [] if "" in self.open else [""]
@@ -130,7 +130,7 @@
             return
         self.next_trouble = now + self.draw.uniform(0, PAUSE_MOST)
         trouble = self.draw.choice(sorted(TROUBLES))
-        whom = self._whom(TROUBLES[trouble].kind, now)
+        whom = self._whom(TROUBLES[trouble].kind)
         cores_met = any(name in self.open for name in self.processes.names("core"))
         if not whom or trouble == "wipe-core" and (cores_met or now - self.wiped_at < WIPE_APART):
             return
--- a/features/steps/events.py
+++ b/features/steps/events.py
@@ -28,6 +28,7 @@
         with open(path) as file:
             for call in re.findall(r"(?:_event|emit|trace)\(([^\n]*)", file.read()):
                 told.update(map(int, re.findall(r"\b1\d\d\b", call)))
+                told.update(getattr(events, name) for name in re.findall(r"\bevents\.([A-Z_]+)", call))
     assert not set(events.CATALOGUE) - told, set(events.CATALOGUE) - told
 
 
--- a/src/pinepitch/ground/events.py
+++ b/src/pinepitch/ground/events.py
@@ -5,6 +5,8 @@
 
 import structlog
 
+PLACING_VIOLATED = 184
+
 # Invariant: a number is never used again for another meaning (102 was one); docs/events.md
 # lists the same.
 CATALOGUE = {
@@ -62,7 +64,7 @@
     181: ("configuration in force", "info"),
     182: ("settings read again", "info"),
     183: ("run to be stopped", "info"),
-    184: ("invariant of placing broken", "error"),
+    PLACING_VIOLATED: ("invariant of placing broken", "error"),
     185: ("run stopped as stalled was going", "warning"),
     186: ("job handed in", "debug"),
     187: ("job accepted", "debug"),
--- a/src/pinepitch/proof/jobs/fleet.py
+++ b/src/pinepitch/proof/jobs/fleet.py
@@ -3,7 +3,7 @@
 import itertools
 import json
 
-from ...ground import constants
+from ...ground import constants, events
 from ...scheduling.board import Board
 from .. import simulator as simulators
 from ..simulator import START, Simulator
@@ -14,7 +14,6 @@
 from .operator_traffic import OperatorTraffic
 from .plans import FleetPlan
 
-PLACING_BROKEN = 184  # the event that tells of it
 ACKNOWLEDGED = ("job", "job-cancel", "configure", "amend", "evacuate")  # calls whose answer is a promise
 
 
@@ -238,7 +237,7 @@
         for node in self.nodes.values():
             if node.kind != "accord" or node.core is None or node.core.consensus is None:
                 continue
-            broken = node.core.event_counts.get(PLACING_BROKEN, 0)
+            broken = node.core.event_counts.get(events.PLACING_VIOLATED, 0)
             if broken:
                 faults.append(f"{node.name} found invariants of placing broken {broken} times")
             board, index = node.core.record.board, node.core.record.index
--- a/src/pinepitch/scheduling/assigner.py
+++ b/src/pinepitch/scheduling/assigner.py
@@ -6,7 +6,7 @@
 from .budgets import RoomBudgets
 from .idleroom import IdleRoomCheck
 from .reservations import Reservations
-from .room import RESOURCES, less
+from .room import RESOURCES, less, tasks_in
 from .seat import open_seats
 
 # Why a round left tasks waiting, as operators are told it.
@@ -214,11 +214,8 @@
         length = self.pace.expected(wave)
         if time - wave.since > min((self.pace.far - 1) * length, constants.NEAR_WAIT_MOST):
             return 0
-        room = wave.step.room
         turns = sum(
-            min(seat.worker.room[kind] // room[kind] for kind in RESOURCES if room[kind])
-            for seat in seats
-            if wave.step.near in seat.labels and any(room)
+            tasks_in(seat.worker.room, wave.step.room) or 0 for seat in seats if wave.step.near in seat.labels
         )
         ahead = self.near.get(wave.step.near, 0)
         self.near[wave.step.near] = ahead + len(wave.waiting)
--- a/src/pinepitch/scheduling/budgets.py
+++ b/src/pinepitch/scheduling/budgets.py
@@ -34,6 +34,7 @@
         self.used = {}  # (service, priority) -> room that its work takes, by this round's placements too
         self.waits = {}  # (service, priority) -> seconds that its work can well wait for room
         self.claims = {}  # (service, priority) -> room that more urgent work leaves to it
+        self.sums = {}  # (service, priority) -> room of work as urgent and less; made anew after a charge
 
     def learn(self, board, now):
         """How much room the work of each urgency took at most of late."""
@@ -51,6 +52,7 @@
             for service, mine in seats.items()
         }
         self.used = self._used_of(board, seats)
+        self.sums = {}
         self.waits = self._waits(board.configuration.routes)
         self.claims = self._claims(seats, waves, time)
 
@@ -147,11 +149,14 @@
 
     def _taken(self, wave):
         """Room that work as urgent as a wave, and less urgent work, takes by now."""
-        taken = NO_ROOM
-        for (service, priority), used in self.used.items():
-            if service == wave.job.service and priority >= wave.job.priority:
-                taken = more(taken, used)
-        return taken
+        key = (wave.job.service, wave.job.priority)
+        if key not in self.sums:
+            taken = NO_ROOM
+            for (service, priority), used in self.used.items():
+                if service == key[0] and priority >= key[1]:
+                    taken = more(taken, used)
+            self.sums[key] = taken
+        return self.sums[key]
 
     def allowance(self, wave, wanted):
         """How many of `wanted` tasks a wave may be given."""
@@ -171,6 +176,7 @@
         """So many tasks of a wave were placed."""
         key = (wave.job.service, wave.job.priority)
         self.used[key] = more(self.used.get(key, NO_ROOM), times(wave.step.room, count))
+        self.sums.clear()
 
     def keepable(self, wave, kept):
         """For how many tasks of a wave room may be kept beside the room `kept` for waves as urgent: no
--- a/src/pinepitch/scheduling/keeper.py
+++ b/src/pinepitch/scheduling/keeper.py
@@ -5,7 +5,7 @@
 
 import collections
 
-from ..ground import constants
+from ..ground import constants, events
 from .assigner import Assigner
 from .pace import Pace
 from .placement import parsed
@@ -235,7 +235,7 @@
         self.due, self.placed_at = False, now
         items, stops = self.assigner.round(self.board, self.workers, self, now, self.core._now(now))
         for violation in self.assigner.violations:
-            self.core._event(184, **violation._asdict())
+            self.core._event(events.PLACING_VIOLATED, **violation._asdict())
         if items:
             self.assigning += 1
             for _, _, _, group in items:
--- a/src/pinepitch/scheduling/seat.py
+++ b/src/pinepitch/scheduling/seat.py
@@ -60,10 +60,11 @@
         step, room = wave.step, less(self.worker.room, lasting)
         if step.needs and not self.labels.issuperset(step.needs):
             return 0
-        members = min((room[kind] // step.room[kind] for kind in RESOURCES if step.room[kind]), default=1)
+        count = tasks_in(room, step.room)
+        members = 1 if count is None else count
         if step.apart:
             members = min(members, step.apart - self.steps.get((wave.job.identity, wave.number), 0))
-        return int(max(0, members))
+        return max(0, members)
 
     def free_share(self, step):
         """The least part, 0 to 1, of this worker's room that is free, over what a step asks for."""
