Each scheduling mechanism can be switched off by itself, for tests and trials

Policy is an option of the decision code (assigner, budgets, reservations, progress watch, keeper); a deployment has all on. Test: assigning.feature; without kept seats wide work starves, which is their rule, without any other nothing does.

--- a/features/assigning.feature
+++ b/features/assigning.feature
@@ -84,3 +84,7 @@
       | fault                                   | some | others | what                                              |
       | a wave may not take what is kept for it | 3    | 4      | kept room is not taken by the wave it is kept for |
       | every budget is used up                 | 5    | 2      | a job waits beside ample idle room                |
+
+  Scenario: each mechanism can be switched off by itself, and no rule depends on it
+    When the same comes to 8 workers with each mechanism switched off by itself
+    Then no worker ran more than it has room for, and work starves only where no room is kept for it
--- a/features/steps/assigning.py
+++ b/features/steps/assigning.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from round_fleet import AIM_MS, INSPECTION, ROUND_EVERY, STRETCH, WORKER_ROOM, Fleet
 
+from pinepitch.scheduling import policy as policies
 from pinepitch.scheduling.assigner import Assigner
 from pinepitch.scheduling.budgets import RoomBudgets
 
@@ -43,9 +44,9 @@
     assert context.fleet.longest_empty <= most + 1e-6, f"{context.fleet.longest_empty:.1f} s"
 
 
-def by_chance(seed, workers):
+def by_chance(seed, workers, policy=policies.DEFAULT):
     """A fleet that 60 seconds of work by chance have come to, and 30 seconds more have passed."""
-    fleet, draw = Fleet(workers), random.Random(seed)
+    fleet, draw = Fleet(workers, policy=policy), random.Random(seed)
     for _ in range(120):
         kind = draw.random()
         if kind < 0.25:
@@ -69,6 +70,24 @@
     context.fleets = {seed: by_chance(seed, count) for seed in range(first, last + 1)}
 
 
+@when("the same comes to {count:d} workers with each mechanism switched off by itself")
+def step_switched_off(context, count):
+    context.fleets = {}
+    for field in policies.Policy._fields:
+        context.fleets[field] = by_chance(1, count, policies.DEFAULT._replace(**{field: False}))
+
+
+@then("no worker ran more than it has room for, and work starves only where no room is kept for it")
+def step_room_kept(context):
+    starved = set()
+    for field, fleet in context.fleets.items():
+        assert min(min(fleet.free(identity)) for identity in fleet.workers) >= 0, field
+        for job in fleet.board.jobs.values():
+            if not any(step.lasts for step in job.steps) and fleet.now - job.accepted > 60:
+                starved.add(field)
+    assert starved <= {"keep_seats"}, starved
+
+
 @then("by no seed has a job with nothing running waited over {most:d} seconds beside ample room")
 def step_no_idle(context, most):
     longest = {seed: round(fleet.longest_idle, 1) for seed, fleet in context.fleets.items()}
--- a/features/steps/round_fleet.py
+++ b/features/steps/round_fleet.py
@@ -1,6 +1,7 @@
 """A fleet without daemons: rounds of the assigner over a board, workers and runs in virtual time."""
 
 from pinepitch.scheduling import job as jobs
+from pinepitch.scheduling import policy as policies
 from pinepitch.scheduling.assigner import Assigner
 from pinepitch.scheduling.board import Board
 from pinepitch.scheduling.pace import Pace
@@ -27,10 +28,10 @@
     """A board whose runs take just as long as they are told to. Invariant: every run that is
     placed starts at once, and its end is agreed on in the round after it."""
 
-    def __init__(self, count, urgencies=URGENCIES):
+    def __init__(self, count, urgencies=URGENCIES, policy=policies.DEFAULT):
         self.now, self.made, self.sequence = 100.0, 0, 0
         self.board, self.keeper = Board(), KeeperStandIn()
-        self.assigner = Assigner(Pace(2.0))
+        self.assigner = Assigner(Pace(2.0), policy)
         self.lengths = {}  # job -> seconds that each of its tasks takes
         self.ends_at = {}  # (minion, reference, run) -> when it ends
         self.stops_at = {}  # the same of runs that are being stopped
--- a/src/pinepitch/scheduling/assigner.py
+++ b/src/pinepitch/scheduling/assigner.py
@@ -3,6 +3,7 @@
 import heapq
 
 from ..ground import constants
+from . import policy as policies
 from .budgets import RoomBudgets
 from .idleroom import IdleRoomCheck
 from .reservations import Reservations
@@ -19,15 +20,15 @@
 class Assigner:
     """Invariant: a round gives no seat more than its free room, and a gang all its seats or none."""
 
-    def __init__(self, pace):
-        self.pace = pace
+    def __init__(self, pace, policy=policies.DEFAULT):
+        self.pace, self.policy = pace, policy
         self.short = {}  # key of a wave -> since when it found no room
         self.kept_since = {}  # service -> since when some of its seats are kept without a break
         self.exhausted = set()  # what waves ask of a seat that no seat has left in this round
         self.idle_room = IdleRoomCheck()
         self.violations = ()  # of the newest round
         self.near = {}  # rack -> tasks of this round that want to be there
-        self.budgets = RoomBudgets(pace)
+        self.budgets = RoomBudgets(pace, policy)
         self.hot_at = None
         self.hot = {}  # rack -> work of late that wanted to be there
         self.why = {}  # key of a wave -> why the newest round left some of it
@@ -47,8 +48,8 @@
         items, count = [], 0
         self.budgets.open(board, seats, waves, time)
         waves.sort(key=self._rank)
-        reservations = Reservations(board, keeper, self.budgets, seats, self.kept_since, time)
-        stops = reservations.keep(waves, self.short, now)
+        reservations = Reservations(board, keeper, self.budgets, seats, self.kept_since, time, self.policy)
+        stops = reservations.keep(waves, self.short, now) if self.policy.keep_seats else ()
         for wave in waves:
             if count >= constants.ASSIGN_MOST:
                 break
@@ -89,12 +90,9 @@
         job, step = wave.job, wave.step
         begun = wave.due if job.times else job.accepted
         wide = len(wave.waiting) * self._largest_share(step, self.budgets.whole.get(job.service))
-        turns = max(1.0, wide / constants.WIDE_PART)
-        return (
-            job.priority,
-            begun + job.aim_ms / 1000 + job.stretch * turns * step.est_ms / 1000,
-            job.identity,
-        )
+        turns = max(1.0, wide / constants.WIDE_PART) if self.policy.rank_by_turns else 1.0
+        aim = job.aim_ms / 1000 + job.stretch * turns * step.est_ms / 1000 if self.policy.rank_by_due else 0
+        return (job.priority, begun + aim, job.identity)
 
     def _largest_share(self, step, whole):
         """The part of a service's room that one task of a step takes, of the resource it takes most of."""
@@ -112,11 +110,11 @@
     def _score(self, wave, seat):
         """The better the lower: near its data, then where it leaves least room over."""
         step = wave.step
-        far = bool(step.near) and step.near not in seat.labels
+        far = self.policy.prefer_near and bool(step.near) and step.near not in seat.labels
         left = less(seat.free, step.room)
         hot = (
             0
-            if step.near
+            if step.near or not self.policy.avoid_hot_racks
             else round(constants.HOT_STEPS * self.hot.get(seat.rack, 0) / max(1, *self.hot.values(), 1))
         )
         return (
@@ -124,7 +122,7 @@
             seat.kept is not None and seat.kept is not wave,
             far,
             hot,
-            round(seat.worker.speed * constants.SPEED_STEPS),
+            round(seat.worker.speed * constants.SPEED_STEPS) if self.policy.prefer_fast_workers else 0,
             left[2],
             left[0],
             seat.identity,
@@ -134,7 +132,7 @@
         """[(index, worker)] for tasks of a wave that is no gang: on the seats kept for it, and on others as
         far as its budget goes."""
         step, waiting = wave.step, sorted(wave.waiting)
-        patience = self._patience(wave, seats, time) if step.near else 0
+        patience = self._patience(wave, seats, time) if step.near and self.policy.wait_near else 0
         if step.near:
             self.hot[step.near] = max(self.hot.get(step.near, 0), len(waiting) * max(step.room[0], 1))
         group = self._take(wave, kept, waiting)
@@ -232,9 +230,10 @@
         for seat in seats:
             racks.setdefault(seat.rack, []).append(seat)
         tries = []
-        if step.tight:
+        tight = step.tight and self.policy.gang_in_one_rack
+        if tight:
             tries = sorted(racks.values(), key=lambda one: sum(seat.free[0] for seat in one))
-        if not step.tight or time - wave.since >= constants.RACK_WAIT:
+        if not tight or time - wave.since >= constants.RACK_WAIT:
             tries.append(seats)
         for some in tries:
             group = self._fill(wave, some)
--- a/src/pinepitch/scheduling/budgets.py
+++ b/src/pinepitch/scheduling/budgets.py
@@ -4,6 +4,7 @@
 import math
 
 from ..ground import constants
+from . import policy as policies
 from .room import NO_ROOM, RESOURCES, less, more, tasks_in, times
 
 
@@ -26,8 +27,8 @@
     a wave that finds no seat takes nothing from those behind it; a budget that is not used up admits
     one more task, however large."""
 
-    def __init__(self, pace):
-        self.pace = pace
+    def __init__(self, pace, policy=policies.DEFAULT):
+        self.pace, self.policy = pace, policy
         self.peaks = {}  # (service, priority) -> the most room it used of late
         self.learnt_at = None
         self.whole = {}  # service -> room of all its seats
@@ -74,6 +75,8 @@
     def _claims(self, seats, waves, time):
         """(service, priority) -> what an urgency lacks of its guaranteed room and has long waited for."""
         claims, able = {}, {}
+        if not self.policy.guarantee_shares:
+            return claims
         for wave in waves:
             key = (wave.job.service, wave.job.priority)
             if key[0] not in seats or time - wave.since < self._patience(wave):
@@ -134,6 +137,8 @@
     def _cap(self, wave):
         """Room that work as urgent as a wave, and less urgent work, may take together."""
         service, lasts, held = wave.job.service, self._lasts(wave), NO_ROOM
+        if not self.policy.hold_back_room:
+            return self.whole[service]
         for key, peak in self.peaks.items():
             if key[0] == service and key[1] < wave.job.priority:
                 waits = lasts <= self.waits.get(key, 0)
--- a/src/pinepitch/scheduling/keeper.py
+++ b/src/pinepitch/scheduling/keeper.py
@@ -6,6 +6,7 @@
 import collections
 
 from ..ground import constants, events
+from . import policy as policies
 from .assigner import Assigner
 from .pace import Pace
 from .placement import parsed
@@ -19,8 +20,8 @@
     end is not being proposed; an absence proves that a run never started only in a fresh
     beat, of a placement of this leader's own epoch or once older leaders' answers are dead."""
 
-    def __init__(self, core, now):
-        self.core, self.since = core, now
+    def __init__(self, core, now, policy=policies.DEFAULT):
+        self.core, self.since, self.policy = core, now, policy
         self.workers = {}
         self.parked = {}  # identity -> (reply address, token, taken at) of beats to be answered
         self.look = {}  # of those, whose answer may be due
@@ -29,8 +30,8 @@
         self.waiting = []  # (minion, number) of the ends gathered
         self.under_way = {}  # index of an entry of ends -> [(minion, number)]
         self.pace = Pace(core.far)
-        self.assigner = Assigner(self.pace)
-        self.progress = ProgressWatch(self.pace)
+        self.assigner = Assigner(self.pace, policy)
+        self.progress = ProgressWatch(self.pace, policy)
         self.assigning = 0  # entries that assign and are not yet applied
         self.assigned = {}  # minion -> runs proposed for it
         self.stopping = set()  # (reference, run) whose stop is proposed
@@ -156,7 +157,8 @@
         """Whether nothing can be said to a worker that has nothing to say: where there are many its beat
         stays open, so that a start reaches it at once; what runs nothing has no end to tell meanwhile."""
         return (
-            self._pace() > constants.BEAT_AGAIN
+            self.policy.hold_idle_heartbeats
+            and self._pace() > constants.BEAT_AGAIN
             and worker.state == "ready"
             and not worker.running
             and not worker.listed
@@ -317,7 +319,7 @@
             if worker is not None and heard:
                 if how in ("done", "failed"):
                     worker.judge(how == "done")
-                elif how == "refused":
+                elif how == "refused" and self.policy.be_wary:
                     worker.wary_until = self.core.step_at + constants.WARY
             self.core._event(155, task=reference, attempt=run, how=how, result=result)
         for minion, number in self.under_way.pop(index, ()):
--- a/src/pinepitch/scheduling/progress.py
+++ b/src/pinepitch/scheduling/progress.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from ..ground import constants
+from . import policy as policies
 from .job import Wave
 from .worker import Progress, Worker
 
@@ -100,8 +101,8 @@
     Invariant: only a run that its worker listed in a fresh beat is judged, and each at most once while
     its stop is on the way."""
 
-    def __init__(self, pace):
-        self.pace = pace
+    def __init__(self, pace, policy=policies.DEFAULT):
+        self.pace, self.policy = pace, policy
         self.judged = {}  # (worker, reference, run) of those stopped as stalled -> percent told by then
         self.misjudged = []  # (worker, reference, run) that went on after all, not yet taken
         self.misjudged_count = 0
@@ -115,8 +116,9 @@
         self._forget_tasks(board)
         stops, projected = [], []
         for watched in self._watched(workers, board, stopping, now):
-            if self._stalled(watched):
-                watched.worker.wary_until = max(watched.worker.wary_until, now + constants.STALLED_WARY)
+            if self.policy.stop_stalled and self._stalled(watched):
+                if self.policy.be_wary:
+                    watched.worker.wary_until = max(watched.worker.wary_until, now + constants.STALLED_WARY)
                 self.judged[(watched.worker.identity, *watched.key)] = watched.progress.percent
                 stops.append(watched.stopped_as(STALLED))
                 continue
@@ -124,7 +126,7 @@
             if told is not None and not watched.wave.step.gang:
                 far = self.pace.far if self.pace.is_far(watched.wave, watched.worker) else 1
                 projected.append(Projected(watched, told[0], told[1] / far))
-        return (*stops, *self._slow(projected))
+        return (*stops, *(self._slow(projected) if self.policy.stop_slow else ()))
 
     def ended(self, worker, reference, run, how):
         """A run has ended; one that was stopped as stalled and is done all the same was going."""
--- a/src/pinepitch/scheduling/reservations.py
+++ b/src/pinepitch/scheduling/reservations.py
@@ -1,6 +1,7 @@
 """Room that is kept for waves which have found none for long, and what had better yield to them."""
 
 from ..ground import constants
+from . import policy as policies
 from .room import NO_ROOM, less, more, times
 from .seat import in_use
 
@@ -15,7 +16,8 @@
     service's room is in use nothing is kept for over RESERVE_LASTS without a break: in the round
     between, whatever waits may take what stood empty."""
 
-    def __init__(self, board, keeper, budgets, seats, kept_since, time):
+    def __init__(self, board, keeper, budgets, seats, kept_since, time, policy=policies.DEFAULT):
+        self.policy = policy
         self.board, self.keeper, self.budgets = board, keeper, budgets
         self.seats, self.time = seats, time
         self.kept_since = kept_since  # service -> since when some of its seats are kept
@@ -180,7 +182,7 @@
     def _yields(self, wave, seat, key, placement):
         """Whether a run may be stopped for a wave; what that throws away is taken from the waste allowed."""
         found = self.board.task(placement)
-        if found is None or key not in seat.worker.running:
+        if not self.policy.yielding or found is None or key not in seat.worker.running:
             return False
         step = found[0].step
         if step.gang or step.lasts or found[0].job.priority <= wave.job.priority:
