--- a/features/tenancy.feature
+++ b/features/tenancy.feature
@@ -14,6 +14,7 @@
       | leader-deaf   |
       | wiped         |
       | all-killed    |
+      | disks-lost-in-outage |
       | tenants-crash |
       | tenants-cut   |
       | tenants-leave |
@@ -44,6 +45,7 @@
       | absence-at-once     | beats-stale   | had ended done, as noted      | 20 to 31 |
       | hold-not-waited-out | tenants-cut   | had ended done, as noted      | 20 to 31 |
       | lease-ignored       | leader-deaf   | had ended done, as noted      | 20 to 31 |
+      | copies-told-early   | disks-lost-in-outage | is unknown             | 20 to 31 |
       | starts-proposed     | leader-deaf   | had ended done, as noted      | 32 to 43 |
       | ends-noted-early    | leader-deaf   | jobs never ended              | 20 to 31 |
       | levels-forgotten    | all-killed    | no job was taken              | 20 to 31 |
--- a/src/pinepitch/proof/jobs/plans.py
+++ b/src/pinepitch/proof/jobs/plans.py
@@ -22,7 +22,9 @@
     ]
     leader = simulator.leader()
     first = (
-        leader.name if leader is not None and simulator.draw.random() < 0.6 else simulator.draw.choice(names)
+        leader.name
+        if leader is not None and simulator.draw.random() < LEADER_PART
+        else simulator.draw.choice(names)
     )
     if plan.machines_lost == 0:
         area = simulator.nodes[first].area
--- a/src/pinepitch/proof/jobs/plants.py
+++ b/src/pinepitch/proof/jobs/plants.py
@@ -110,6 +110,7 @@
         (Consensus, "leased", lambda self, now: self.serving()),
         (constants, "CHECK_QUORUM", 15.0),
     ],
+    "copies-told-early": [(Consensus, "_after_flush", lambda self: self.saved_sequence)],
     "starts-proposed": [(Keeper, "_assign", _starts_proposed), (Keeper, "_orders", _orders_early)],
     "ends-noted-early": [(Worker, "acknowledged", lambda self: self.seen)],
     "levels-forgotten": [(Lead, "common_level", _told_levels_alone)],
--- a/src/pinepitch/proof/jobs/scenarios.py
+++ b/src/pinepitch/proof/jobs/scenarios.py
@@ -4,8 +4,11 @@
 import functools
 
 from ..simulator import GRACE, START
+from .plans import LEADER_PART
 from .replays import frames_replayed
 
+STILL_PART = 0.6  # of turns in which disks stand still before they are lost
+STILL_FOR = (0.1, 0.4)  # seconds; shorter than what makes a leader give up
 JOINS_WITHIN = 30.0  # seconds; until an empty control daemon is a member, no change under way
 
 
@@ -144,6 +147,47 @@
         simulator.run(3)
 
 
+def disks_still(simulator):
+    """The followers' disks stand still for a while, and are as they were before."""
+    leader = simulator.leader()
+    followers = [one for one in accord_names(simulator) if leader is None or one != leader.name]
+    for name in followers:
+        simulator.nodes[name].disk.stalled = True
+    simulator.run(simulator.draw.uniform(*STILL_FOR))
+
+
+def disks_lost_in_outage(simulator):
+    """As many control daemons as may lose their disks do, right after something was acknowledged, while
+    every other daemon loses power at the same moment, those without a disk too; jobs are taken soon after.
+    At times the followers' disks stand still before: nothing may be acknowledged then."""
+    for _ in range(3):
+        run_until_accepted(simulator)
+        if simulator.draw.random() < STILL_PART:
+            disks_still(simulator)
+        accords = accord_names(simulator)
+        leader = simulator.leader()
+        others = [name for name in accords if leader is None or name != leader.name]
+        lost = simulator.draw.sample(others, simulator.plan.machines_lost)
+        if leader is not None and simulator.draw.random() < LEADER_PART:
+            lost[0] = leader.name
+        daemons = [*accords, *(name for name, node in simulator.nodes.items() if node.kind == "verge")]
+        for name in daemons:
+            simulator.kill(name)
+        for name in accords:
+            simulator.nodes[name].disk.stalled = False
+        for name in lost:
+            simulator.wipe(name)
+        simulator.run(simulator.draw.choice((0.1, 1.0, 3.0)))
+        for name in simulator.draw.sample(daemons, len(daemons)):
+            simulator.start(name)
+            simulator.run(simulator.draw.uniform(0, 0.1))
+        simulator.served("after all lost power, and some their disks")
+        for name in lost:
+            if simulator.until(functools.partial(is_member, simulator.nodes[name]), JOINS_WITHIN) is None:
+                simulator.governor.faults.append(f"{name} came back empty and was not let in")
+        simulator.run(4)
+
+
 def tenants_crash(simulator):
     """Tenants crash and come back under new identities at their addresses; some while a frozen
     accord still holds beats of their former life."""
@@ -280,6 +324,7 @@
     "leader-deaf": leader_deaf,
     "wiped": wiped,
     "all-killed": all_killed,
+    "disks-lost-in-outage": disks_lost_in_outage,
     "tenants-crash": tenants_crash,
     "tenants-cut": tenants_cut,
     "tenants-leave": tenants_leave,
