--- a/features/log.feature
+++ b/features/log.feature
@@ -116,3 +116,8 @@
       | many small entries    | 3000  | 40     |
       | a few large entries   | 24    | 150000 |
       | less than a slice     | 200   | 40     |
+
+  Scenario: what comes between two bases is applied within 0.3 s of the first election after a restart
+    Given 3 members that lost power with as many small entries as come between two bases
+    When they start again and one of them leads
+    Then all was applied within 12 ticks
--- a/features/steps/backlog.py
+++ b/features/steps/backlog.py
@@ -61,6 +61,11 @@
     context.slices = -(-entries // min(constants.COMMIT_ENTRIES, by_bytes))
 
 
+@given("3 members that lost power with as many small entries as come between two bases")
+def step_lost_between(context):
+    context.restarted = Restarted(constants.SNAPSHOT_ENTRIES, 40)
+
+
 @when("they start again and one of them leads")
 def step_start(context):
     restarted = context.restarted
@@ -96,3 +101,8 @@
     gaps = [later - earlier for earlier, later in zip(restarted.beats, restarted.beats[1:], strict=False)]
     assert max(gaps, default=0) <= constants.HEARTBEAT + 2 * constants.TICK, max(gaps)
     assert [number for at, _, number in restarted.events if at > context.led_at] == [], restarted.events
+
+
+@then("all was applied within {most:d} ticks")
+def step_ticks(context, most):
+    assert context.ticks <= most, context.ticks
