--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -25,9 +25,7 @@
 DENIALS = 20  # answers in a row; a follower that lacks what it acknowledged has forgotten
 COMMIT_ENTRIES = 250  # entries; most applied in one step, some 50 ms of a slow core, well within a heartbeat
 COMMIT_BYTES = 262_144  # bytes; the same, as large entries take longer: one configuration or two
-SNAPSHOT_ENTRIES = (
-    1000  # entries; applied between two snapshots of the record, and so after a restart: some 0.1 s
-)
+SNAPSHOT_ENTRIES = 1000  # entries; applied between two snapshots, and so at most after a restart
 SNAPSHOT_TAIL = 1000  # entries; kept behind a snapshot for followers a little behind
 LAGGARD_TIMES = 10  # times the tail; entries kept at most for a follower that still needs them
 SNAPSHOT_PIECE = 262_144  # bytes; most in one piece of a snapshot on its way to a follower
