--- a/src/pinepitch/proof/jobs/plants.py
+++ b/src/pinepitch/proof/jobs/plants.py
@@ -26,7 +26,7 @@
                 or not self.board.wanted(placement)
                 or not self._open_for(worker)
             ):
-                self._propose_end(worker.identity, reference, run, "unsent", "", False)
+                self.ends.propose(worker.identity, reference, run, "unsent", "", False)
 
 
 def _starts_proposed(self, now):
--- a/src/pinepitch/scheduling/keeper.py
+++ b/src/pinepitch/scheduling/keeper.py
@@ -8,8 +8,9 @@
 from ..ground import constants, events
 from . import policy as policies
 from .assigner import Assigner
+from .ends import EndIntake
+from .holds import HoldWatch
 from .pace import Pace
-from .placement import parsed
 from .progress import ProgressWatch
 from .worker import Worker
 
@@ -26,16 +27,14 @@
         self.parked = {}  # identity -> (reply address, token, taken at) of beats to be answered
         self.look = {}  # of those, whose answer may be due
         self.open = collections.deque()  # (taken at, identity) of beats of idle workers, oldest first
-        self.ends, self.ending = [], set()  # gathered, and proposed or gathered: (minion, reference, run)
-        self.waiting = []  # (minion, number) of the ends gathered
-        self.under_way = {}  # index of an entry of ends -> [(minion, number)]
         self.pace = Pace(core.far)
+        self.ends = EndIntake(core, self.pace)
+        self.holds = HoldWatch(core, now)
         self.assigner = Assigner(self.pace, policy)
         self.progress = ProgressWatch(self.pace, policy)
         self.assigning = 0  # entries that assign and are not yet applied
         self.assigned = {}  # minion -> runs proposed for it
         self.stopping = set()  # (reference, run) whose stop is proposed
-        self.gone_at = {}  # minion -> when it said that it ends
         self.flushed = self.looked = self.placed_at = -1e9
         self.due = True
         self.counts = {"beats": 0, "starts": 0, "stops": 0}
@@ -59,7 +58,7 @@
         older = self.parked.pop(identity, None)
         if older is not None:
             self.core.answer(older[0], older[1], (200, {}, None))
-        self._take_ends(worker, beat["ended"])
+        self.ends.take(worker, beat["ended"])
         self._take_absences(worker, now)
         self.parked[identity] = (address, token, now)
         self.look[identity] = True
@@ -67,42 +66,7 @@
 
     def leave(self, identity, now):
         """A worker says that it ends now."""
-        self.gone_at.setdefault(identity, now)
-
-    def _take_ends(self, worker, ended):
-        held = self.board.placements.get(worker.identity, {})
-        blocked, worker.blocked = worker.blocked, set()
-        for number, reference, run, how, saved in ended:
-            if number in worker.pending or number <= worker.seen and number not in blocked:
-                continue
-            worker.seen = max(worker.seen, number)
-            if (worker.identity, reference, run) in self.ending:
-                worker.blocked.add(number)  # what is agreed on now may leave the run's end open
-                continue
-            if (reference, run) in held or self._open(reference, run):
-                if self._propose_end(worker.identity, reference, run, how, saved, True):
-                    self.pace.end(worker, self._wave(reference), reference, run, how, worker.heard_at)
-                    worker.pending.add(number)
-                    self.waiting.append((worker.identity, number))
-
-    def _wave(self, reference):
-        """The wave of a task, or None when its job is over or unknown."""
-        found = parsed(reference)
-        job = self.board.jobs.get(found[0]) if found else None
-        return job.waves.get(found[1:3]) if job else None
-
-    def _open(self, reference, run):
-        """Whether a run was let go without its end being heard."""
-        wave, found = self._wave(reference), parsed(reference)
-        return wave is not None and found[3] < len(wave.tasks) and run in wave.tasks[found[3]].open_runs
-
-    def _propose_end(self, minion, reference, run, how, saved, heard):
-        key = (minion, reference, run)
-        if key in self.ending:
-            return False
-        self.ending.add(key)
-        self.ends.append((minion, reference, run, how, saved, heard))
-        return True
+        self.holds.leave(identity, now)
 
     def _take_absences(self, worker, now):
         """A run neither running nor ended in a fresh beat never started from an earlier answer."""
@@ -114,7 +78,7 @@
             if placement.epoch != self.core.epoch and now - self.since < constants.GATHER:
                 continue
             if not self.board.wanted(placement) or not self._open_for(worker):
-                self._propose_end(worker.identity, reference, run, "unsent", "", False)
+                self.ends.propose(worker.identity, reference, run, "unsent", "", False)
 
     def _open_for(self, worker):
         """Whether a worker may be told to start anything."""
@@ -128,7 +92,7 @@
             self.core.answer(parked[0], parked[1], (200, {}, None))
         for (reference, run), _placement in self.board.placements.get(identity, {}).items():
             saved = worker.running.get((reference, run), ("", 0))[0] if worker else ""
-            self._propose_end(identity, reference, run, "lapsed", saved, False)
+            self.ends.propose(identity, reference, run, "lapsed", saved, False)
         self.core._event(180, minion=identity, why=why)
 
     # --- answers ----------------------------------------------------------------------
@@ -185,7 +149,7 @@
                 and wanted
                 and self._open_for(worker)
                 and not worker.stale
-                and (worker.identity, reference, run) not in self.ending
+                and (worker.identity, reference, run) not in self.ends.proposed
             ):
                 wave, task = self.board.task(placement)
                 start.append((reference, run, wave.job.spec, task.saved))
@@ -216,12 +180,7 @@
     def tick(self, now):
         """Proposes what was gathered, places, and lets go of what has lapsed."""
         self.flushed = now
-        if self.ends:
-            ends, waiting = tuple(self.ends), self.waiting
-            self.ends, self.waiting = [], []
-            index = self.core.propose_at(("job-ended", ends), now)
-            if index is not None:
-                self.under_way[index] = waiting
+        self.ends.flush(now)
         if now - self.looked >= constants.WATCH_EVERY:
             self.looked = now
             self._watch(now)
@@ -248,27 +207,8 @@
 
     def _watch(self, now):
         """Holds that have lapsed, workers that said they end, and those long silent."""
-        for identity, at in list(self.gone_at.items()):
-            if now - at >= constants.LEAVE_MARGIN:
-                del self.gone_at[identity]
-                self._gone(identity, "left")
-        span = self.core.hold * (1 + constants.CLOCK_DRIFT) + constants.LAPSE_MARGIN
-        for identity, held in list(self.board.placements.items()):
-            if all((identity, *key) in self.ending for key in held):
-                continue
-            worker = self.workers.get(identity)
-            if worker is not None and worker.held_from is not None:
-                begun = worker.held_from
-            elif worker is not None and all(
-                one.epoch == self.core.epoch for one in self.board.placements[identity].values()
-            ):
-                begun = (
-                    worker.heard_at + constants.BEAT_SILENT - span
-                )  # no answer ever told it of any of these
-            else:
-                begun = self.since + constants.ELECTION_TIMEOUT
-            if now - begun > span:
-                self._gone(identity, "hold lapsed")
+        for identity, why in self.holds.over(self.workers, self.ends, now):
+            self._gone(identity, why)
         self._copy_what_may_run_twice(now)
         self._stop(self.progress.look(self.workers, self.board, self.stopping, now), now)
         for minion, reference, run in self.progress.take_misjudged():
@@ -295,7 +235,7 @@
                     and not found[0].step.lasts
                 ):
                     saved = worker.running.get((reference, run), ("", 0))[0]
-                    self._propose_end(worker.identity, reference, run, "lapsed", saved, False)
+                    self.ends.propose(worker.identity, reference, run, "lapsed", saved, False)
 
     def _stop(self, stops, now):
         """Proposes that runs end; each is (minion, reference, run, why)."""
@@ -312,7 +252,6 @@
         self.due = True
         for (minion, reference, run, how, _, heard), result in zip(items, outcomes, strict=False):
             self.end_counts[how] += 1
-            self.ending.discard((minion, reference, run))
             self.stopping.discard((reference, run))
             self.progress.ended(minion, reference, run, how)
             worker = self.workers.get(minion)
@@ -322,9 +261,7 @@
                 elif how == "refused" and self.policy.be_wary:
                     worker.wary_until = self.core.step_at + constants.WARY
             self.core._event(155, task=reference, attempt=run, how=how, result=result)
-        for minion, number in self.under_way.pop(index, ()):
-            if minion in self.workers:
-                self.workers[minion].pending.discard(number)
+        self.ends.applied(index, items, self.workers)
 
     def applied_assign(self, items):
         self.due = True
