--- a/src/pinepitch/accord/consensus.py
+++ b/src/pinepitch/accord/consensus.py
@@ -887,7 +887,7 @@
         entries = entries[: self.committed - self.commit]
         self.commit += len(entries)
         self.effects.append(("commit", start, entries))
-        if self.role == "leader" and self.commit == self.committed:
+        if self.commit == self.committed and self.serving():
             self._after_commit(now)
 
     def _after_commit(self, now):
