--- a/src/pinepitch/accord/lead.py
+++ b/src/pinepitch/accord/lead.py
@@ -474,8 +474,8 @@
             self.keeper.applied_assign(operation[2])
             if outcome[0] == "refused":
                 self._refused(outcome[1])
-            else:
-                for placement in outcome[1] if self.tracing else ():
+            elif self.tracing:
+                for placement in outcome[1]:
                     self.trace(188, task=placement.reference(), run=placement.run, minion=placement.minion)
         elif kind == "job-ended":
             self.keeper.ended(self.record.index, operation[1], outcome[1])
--- a/src/pinepitch/accord/program.py
+++ b/src/pinepitch/accord/program.py
@@ -98,6 +98,7 @@
         found.mode,
         seed=secrets.token_hex(4),
     )
+    core.tracing = found.level == "debug"
     core.rules = judged
     core.limits = Limits(found.memory, found.disk)
     core.begun_at = lock.since
