--- a/features/steps/round_fleet.py
+++ b/features/steps/round_fleet.py
@@ -1,5 +1,7 @@
 """A fleet without daemons: rounds of the assigner over a board, workers and runs in virtual time."""
 
+from heartbeats import heartbeat
+
 from pinepitch.scheduling import job as jobs
 from pinepitch.scheduling import policy as policies
 from pinepitch.scheduling.assigner import Assigner
@@ -102,22 +104,9 @@
                 for minion, reference, run in (*self.ends_at, *self.stops_at)
                 if minion == identity
             ]
-            worker.beat(
-                {
-                    "sequence": self.sequence,
-                    "clock_ms": self.now * 1000,
-                    "service": SERVICE,
-                    "address": identity,
-                    "zone": "north",
-                    "state": "ready",
-                    "labels": ["a", f"r{int(identity[1:]) // 3}"],
-                    "room": WORKER_ROOM,
-                    "leaves_ms": None,
-                    "running": running,
-                    "ended": [],
-                },
-                self.now,
-            )
+            labels = ["a", f"r{int(identity[1:]) // 3}"]
+            beat = heartbeat(self.sequence, self.now, SERVICE, identity, labels, WORKER_ROOM, running)
+            worker.beat(beat, self.now)
 
     def _end_runs(self):
         for ends, how in ((self.ends_at, "done"), (self.stops_at, "stopped")):
--- a/src/pinepitch/client/timeline.py
+++ b/src/pinepitch/client/timeline.py
@@ -56,7 +56,6 @@
     def __init__(self, found):
         self.queues, self.first = {}, collections.defaultdict(dict)
         self.ends = collections.Counter()  # how a run ended -> runs
-        self.stops = collections.Counter()  # why a run was stopped -> runs
         self.outcomes = collections.Counter()  # (why it was stopped, how it ended) -> runs
         self.misjudged = 0
         self.why = {}  # (task, run) -> why it was stopped
@@ -74,7 +73,6 @@
         elif number == ENDED:
             self._take_end(at, event)
         elif number == STOPPED:
-            self.stops[event["why"]] += 1
             self.why[(event["task"], event["run"])] = event["why"]
         elif number == MISJUDGED:
             self.misjudged += 1
@@ -99,9 +97,8 @@
 def _row(name, jobs):
     """One row of a table: how many jobs, and of each stage the median and the 95th of 100."""
     row = {"of": name, "jobs": len(jobs)}
-    for place, stage in enumerate(STAGES):
-        spans = sorted(one.spans()[place] for one in jobs if one.spans()[place] is not None)
-        row[stage] = _spread(spans)
+    for stage, spans in zip(STAGES, zip(*(one.spans() for one in jobs), strict=True), strict=True):
+        row[stage] = _spread(sorted(one for one in spans if one is not None))
     return row
 
 
--- a/src/pinepitch/ground/document.py
+++ b/src/pinepitch/ground/document.py
@@ -21,23 +21,15 @@
     raise ValueError(text)
 
 
-def _unsound_text(text):
-    """Why a text can't be carried, or None."""
-    if text.isascii():
-        return None
-    try:
-        text.encode()
-    except UnicodeEncodeError:
-        return "text with half a character"
-    return None
-
-
 def _unsound_scalar(value):
     """Why a value that holds no others can't be carried, or None. Types as json makes them: told by
     type(), as this is asked for every value of every heartbeat."""
     kind = type(value)
     if kind is str:
-        return _unsound_text(value)
+        try:
+            value.encode()
+        except UnicodeEncodeError:
+            return "text with half a character"
     if kind is int and not -constants.NUMBER_MOST <= value <= constants.NUMBER_MOST:
         return "a number out of range"
     if kind is float and not math.isfinite(value):
@@ -59,9 +51,7 @@
                 todo.append((one.values() if kind is dict else one, depth + 1))
                 if kind is dict:
                     todo.append((one, depth))
-            elif kind is str and one.isascii():
-                continue
-            elif why := _unsound_scalar(one):
+            elif (kind is not str or not one.isascii()) and (why := _unsound_scalar(one)):
                 return why
     return None
 
--- a/src/pinepitch/proof/jobs/scenarios.py
+++ b/src/pinepitch/proof/jobs/scenarios.py
@@ -4,7 +4,7 @@
 import functools
 
 from ..simulator import GRACE, START
-from .plans import LEADER_PART
+from .plans import tolerated
 from .replays import frames_replayed
 
 STILL_PART = 0.6  # of turns in which disks stand still before they are lost
@@ -165,11 +165,7 @@
         if simulator.draw.random() < STILL_PART:
             disks_still(simulator)
         accords = accord_names(simulator)
-        leader = simulator.leader()
-        others = [name for name in accords if leader is None or name != leader.name]
-        lost = simulator.draw.sample(others, simulator.plan.machines_lost)
-        if leader is not None and simulator.draw.random() < LEADER_PART:
-            lost[0] = leader.name
+        lost = tolerated(simulator.plan, simulator)
         daemons = [*accords, *(name for name, node in simulator.nodes.items() if node.kind == "verge")]
         for name in daemons:
             simulator.kill(name)
