A run stopped as slow before still counts beside a fresh one of its worker

Cause: such runs were left out of the count, too, so that a worker with one of them and one of its own was asked for 8 times, as if it ran alone, where 4 are enough. What they tell of its speed stays left out. Test: progress.feature, a worker 6 times as slow; before, it was not found. The steps share one heartbeat document and one way to place a step.

--- a/features/progress.feature
+++ b/features/progress.feature
@@ -46,3 +46,8 @@
     Given a step of 8 tasks of 2 seconds, one of them 20 times as long
     When it goes on, each run that is stopped starting again on another worker
     Then that task was stopped as slow once, no other was, and all are done
+
+  Scenario: a slow worker is found by a run that was stopped on another, beside one of its own
+    Given a step of 8 tasks of 8 seconds, two of them on one worker that is 6 times as slow, one on another
+    When one that was stopped on the first starts again on the second
+    Then both that run there are stopped, too, and all are done
--- a/features/steps/progress.py
+++ b/features/steps/progress.py
@@ -3,6 +3,7 @@
 import random
 
 from behave import given, then, when
+from heartbeats import heartbeat
 
 from pinepitch.ground import constants
 from pinepitch.scheduling import job as jobs
@@ -14,6 +15,8 @@
 SERVICE = "web"
 JOB = "5c0e7a21d94b36f8"
 ROOM = [64_000, 64_000, 8]
+LABELS = ["a", "r1"]
+GUESS = 2.0  # seconds; that a task of a step with long tasks is guessed to take
 STEP = 0.1  # seconds; of virtual time
 SPEEDS = (0.8, 1.0, 1.25)
 LOOK_MARGIN = 0.4  # seconds; two steps of virtual time, and that beats fall between them
@@ -39,29 +42,32 @@
             self.hung_since = now
 
 
+def one_step(now, workers, gang, guess):
+    """(board, placements) of a job of one step; `workers`: whom each of its tasks is placed at."""
+    board = Board()
+    route = {"name": "work", "host": "a", "prefix": "/w/", "service": SERVICE, "attempts": 3}
+    document = {"version": 1, "services": [{"name": SERVICE}], "routes": [route]}
+    assert board.configure(now, 0, document, "first") == ("configured", 1)
+    step = {"count": len(workers), "cpu": 100, "est_ms": guess * 1000, "gang": gang}
+    plain, faults = jobs.checked({"steps": [step]})
+    assert not faults, faults
+    assert board.accept(now, JOB, "work", plain) == ("accepted", JOB)
+    placements = board.assign(now, 1, ((JOB, 0, 0, tuple(enumerate(workers))),))
+    assert len(placements) == len(workers)
+    return board, placements
+
+
 class Runs:
     """One step of a job, each task on a worker of its own, watched as a leader watches it."""
 
     def __init__(self, members, gang, guess):
         self.members, self.gang, self.now = members, gang, 100.0
-        self.board, self.watch = Board(), ProgressWatch(Pace(2.0))
-        self.workers = {f"w{place}": Worker(f"w{place}", self.now) for place in range(len(members))}
+        names = [f"w{place}" for place in range(len(members))]
+        self.board, _ = one_step(self.now, names, gang, guess)
+        self.watch = ProgressWatch(Pace(2.0))
+        self.workers = {name: Worker(name, self.now) for name in names}
         self.sequence, self.stops = 0, {}  # worker -> when its run was stopped as stalled
         self.slow = []  # RunStop of runs stopped as slow
-        self._place(gang, guess)
-
-    def _place(self, gang, guess):
-        route = {"name": "work", "host": "a", "prefix": "/w/", "service": SERVICE, "attempts": 3}
-        document = {"version": 1, "services": [{"name": SERVICE}], "routes": [route]}
-        assert self.board.configure(self.now, 0, document, "first") == ("configured", 1)
-        step = {"count": len(self.members), "cpu": 100, "est_ms": guess * 1000, "gang": gang}
-        plain, faults = jobs.checked({"steps": [step]})
-        assert not faults, faults
-        assert self.board.accept(self.now, JOB, "work", plain) == ("accepted", JOB)
-        group = tuple((place, f"w{place}") for place in range(len(self.members)))
-        placed = self.board.assign(self.now, 1, ((JOB, 0, 0, group),))
-        assert len(placed) == len(self.members)
-        return placed
 
     def run(self, most):
         """Until all is done, or `most` seconds have passed."""
@@ -95,19 +101,7 @@
         self.sequence += 1
         ended = not self.gang and member.done >= member.length
         running = [] if ended else [[f"{JOB}.0.0.{place}", 1, "", member.percent()]]
-        beat = {
-            "sequence": self.sequence,
-            "clock_ms": self.now * 1000,
-            "service": SERVICE,
-            "address": identity,
-            "zone": "north",
-            "state": "ready",
-            "labels": ["a", "r1"],
-            "room": ROOM,
-            "leaves_ms": None,
-            "running": running,
-            "ended": [],
-        }
+        beat = heartbeat(self.sequence, self.now, SERVICE, identity, LABELS, ROOM, running)
         assert self.workers[identity].beat(beat, self.now)
 
     def _look(self):
@@ -218,19 +212,17 @@
 class Restarts:
     """Tasks of one step that start again elsewhere when they are stopped; a worker may run several."""
 
-    def __init__(self, lengths, speeds):
-        """`lengths`: seconds of each task; `speeds`: of each worker, beside the usual 1."""
+    def __init__(self, lengths, speeds, placed_at=None):
+        """`lengths`: seconds of each task; `speeds`: of each worker, beside the usual 1; `placed_at`: the
+        worker of each task, one of its own where nothing is said."""
         self.now, self.sequence, self.lengths, self.speeds = 100.0, 0, lengths, speeds
-        self.board, self.watch = Board(), ProgressWatch(Pace(2.0))
+        self.board, placements = one_step(self.now, placed_at or list(speeds)[: len(lengths)], False, GUESS)
+        self.watch = ProgressWatch(Pace(2.0))
         self.workers = {name: Worker(name, self.now) for name in speeds}
         self.at, self.done, self.slow = {}, {}, []  # task -> worker; task -> seconds of work; RunStop
-        for placement in Runs._place(self, False, 2.0):
+        for placement in placements:
             self._begin(placement)
 
-    @property
-    def members(self):
-        return self.lengths
-
     def start(self, task, worker):
         placed = self.board.assign(self.now, 1, ((JOB, 0, 0, ((task, worker),)),))
         self._begin(placed[0])
@@ -274,15 +266,7 @@
             for task, at in self.at.items()
             if at == worker
         ]
-        told = {
-            "service": SERVICE,
-            "address": worker,
-            "zone": "north",
-            "state": "ready",
-            "labels": ["a", "r1"],
-        }
-        moment = {"sequence": self.sequence, "clock_ms": self.now * 1000, "leaves_ms": None}
-        beat = {**told, **moment, "room": ROOM, "running": running, "ended": []}
+        beat = heartbeat(self.sequence, self.now, SERVICE, worker, LABELS, ROOM, running)
         assert self.workers[worker].beat(beat, self.now)
 
 
@@ -304,3 +288,30 @@
     stopped = [(stop.reference, stop.why) for stop in context.restarts.slow]
     assert stopped == [(f"{JOB}.0.0.0", "slow")], stopped
     assert context.restarts.board.state(JOB) == "completed"
+
+
+@given("a step of 8 tasks of 8 seconds, two of them on one worker that is 6 times as slow, one on another")
+def step_two_slow(context):
+    speeds = {f"w{place}": 1.0 for place in range(12)}
+    speeds["w0"] = speeds["w1"] = 1 / 6
+    placed_at = ["w0", "w0", "w1", "w2", "w3", "w4", "w5", "w6"]
+    context.restarts = Restarts(dict.fromkeys(range(8), 8.0), speeds, placed_at)
+
+
+@when("one that was stopped on the first starts again on the second")
+def step_second_slow(context):
+    sound = iter(("w7", "w8", "w9", "w10"))
+    first = []
+
+    def elsewhere(task):
+        first.append(task)
+        return "w1" if first == [0] else next(sound)
+
+    context.restarts.run(60, elsewhere)
+
+
+@then("both that run there are stopped, too, and all are done")
+def step_both_stopped(context):
+    stopped = sorted((stop.worker, stop.reference.rpartition(".")[2]) for stop in context.restarts.slow)
+    assert stopped == [("w0", "0"), ("w0", "1"), ("w1", "0"), ("w1", "2")], stopped
+    assert context.restarts.board.state(JOB) == "completed"
--- a/src/pinepitch/scheduling/progress.py
+++ b/src/pinepitch/scheduling/progress.py
@@ -187,20 +187,24 @@
             members.append(worker.progress.get(key) if worker is not None else None)
         return tuple(members)
 
+    def _waits_for_others(self, watched):
+        """Whether a gang's member waits for others to begin, or, being done, to finish."""
+        if None in watched.members:
+            return True
+        done = [one.percent >= constants.GANG_FINISHED for one in watched.members]
+        return watched.progress.percent >= constants.GANG_FINISHED and not all(done)
+
     def _stalled(self, watched):
         """Whether a run has stood still for longer than its next step of progress can take."""
         progress, wave = watched.progress, watched.wave
         begun, still_since = progress.first_at, progress.changed_at
         if wave.step.gang:
-            if None in watched.members:
-                return False  # it waits for the others to begin
+            if self._waits_for_others(watched):
+                return False
             begun = max(one.first_at for one in watched.members)
-            finished = [one for one in watched.members if one.percent >= constants.GANG_FINISHED]
-            if progress.percent >= constants.GANG_FINISHED:
-                if len(finished) < len(watched.members):
-                    return False  # it waits for the others to finish
-                still_since = max(one.changed_at for one in finished)
-            still_since = max(still_since, begun)
+            finished = progress.percent >= constants.GANG_FINISHED
+            moved = [one.changed_at for one in watched.members] if finished else [still_since]
+            still_since = max(begun, *moved)
         by_progress = (progress.changed_at - begun) * 100 / progress.percent if progress.percent else 0
         step = max(self.pace.expected(wave), by_progress) / 100
         patience = constants.STALLED + constants.STALLED_STEPS * step
@@ -220,7 +224,7 @@
             if not telling:
                 continue
             ratio = _median(telling)
-            if ratio > (constants.SLOW if len(telling) > 1 else constants.SLOW_ALONE):
+            if ratio > (constants.SLOW if len(slowdowns) > 1 else constants.SLOW_ALONE):
                 slowdowns[0].projected.watched.worker.pace(ratio, constants.SLOW_WEIGHT)
                 stops.extend(self._worth_a_new_start(slowdowns))
         self.stopped_slow.update(stop.reference for stop in stops)
