--- a/features/steps/command_line.py
+++ b/features/steps/command_line.py
@@ -11,15 +11,15 @@
 
 from behave import given, then, when
 
-from pinepitch.client import commands, overview, program
+from pinepitch.client import asking, commands, jobs, overview, program, setups
 
 GROUPS = (
     commands.Area,
-    commands.Configuration,
-    commands.Job,
+    jobs.Configuration,
+    jobs.Job,
     commands.Minion,
-    commands.Setup,
-    commands.Table,
+    setups.Setup,
+    setups.Table,
     commands.Ticket,
 )
 
@@ -79,7 +79,7 @@
 
 @then("the command ends with the exit code for no answer")
 def step_no_answer(context):
-    assert context.ended == commands.EXIT_UNREACHED, context.ended
+    assert context.ended == asking.EXIT_UNREACHED, context.ended
 
 
 # --- the timeline of jobs ----------------------------------------------------------------
--- a/src/pinepitch/proof/model/faults.py
+++ b/src/pinepitch/proof/model/faults.py
@@ -9,9 +9,9 @@
 from ...accord.quorum import Cohort, Quorum
 from ...ground import constants
 from . import invariants
-from .replica import Replica
+from .replica import Replica, machine_of
 from .timed import QUANTUM, TimedWorld
-from .world import World, machine_of
+from .world import World
 
 original_advance = Consensus._advance
 original_appended = Consensus._on_appended
--- a/src/pinepitch/proof/model/replica.py
+++ b/src/pinepitch/proof/model/replica.py
@@ -228,3 +228,13 @@
             if one.incoming is None
             else (one.incoming.index, one.incoming.total, bytes(one.incoming.data)),
         )
+
+
+def machine_of(identity):
+    """The machine that a daemon runs on; a wiped one's newcomer runs on the same."""
+    return identity.rstrip("'")
+
+
+def identity_in(consensus):
+    """Whether a replica is a member by its own log."""
+    return consensus.identity in consensus.cohort.members()
--- a/src/pinepitch/proof/model/timed.py
+++ b/src/pinepitch/proof/model/timed.py
@@ -8,7 +8,8 @@
 from typing import NamedTuple
 
 from .invariants import Violation
-from .world import Action, World, machine_of
+from .replica import machine_of
+from .world import Action, World
 
 QUANTUM = 0.1  # seconds; of real time, as long as a heartbeat
 BEGIN = 1000.0  # seconds; what every clock reads at first
--- a/src/pinepitch/proof/model/world.py
+++ b/src/pinepitch/proof/model/world.py
@@ -10,7 +10,7 @@
 from ...ground import constants
 from . import invariants
 from .invariants import Violation
-from .replica import SHORTEST, Job, Replica, frozen
+from .replica import SHORTEST, Job, Replica, frozen, identity_in
 
 NOW = 1000.0  # seconds; the one reading of every clock
 STALE_ANSWERS = ("voted", "appended", "pieced")  # answers that mean nothing in a later term
@@ -397,13 +397,3 @@
     "beat": World._beat,
     "compact": World._compact,
 }
-
-
-def machine_of(identity):
-    """The machine that a daemon runs on; a wiped one's newcomer runs on the same."""
-    return identity.rstrip("'")
-
-
-def identity_in(consensus):
-    """Whether a replica is a member by its own log."""
-    return consensus.identity in consensus.cohort.members()
