What is known of lengths is bounded by the jobs that are open

Cause: Pace.drop was never called, so that a leader kept the lengths of every wave it ever saw, and the start of every run whose end nobody heard. Dropped once they have doubled. Test: progress.feature, 20,000 waves.

--- a/features/progress.feature
+++ b/features/progress.feature
@@ -51,3 +51,7 @@
     Given a step of 8 tasks of 8 seconds, two of them on one worker that is 6 times as slow, one on another
     When one that was stopped on the first starts again on the second
     Then both that run there are stopped, too, and all are done
+
+  Scenario: what is known of lengths is bounded by the jobs that are open
+    When 20000 waves of jobs that end soon after are learnt, 50 of them open at a time
+    Then no more than 2100 of them are known at any time, and all that are open are
--- a/features/steps/progress.py
+++ b/features/steps/progress.py
@@ -1,5 +1,6 @@
 """Steps for Progress of runs: workers that tell how far their runs are, in virtual time, without daemons."""
 
+import collections
 import random
 
 from behave import given, then, when
@@ -315,3 +316,29 @@
     stopped = sorted((stop.worker, stop.reference.rpartition(".")[2]) for stop in context.restarts.slow)
     assert stopped == [("w0", "0"), ("w0", "1"), ("w1", "0"), ("w1", "2")], stopped
     assert context.restarts.board.state(JOB) == "completed"
+
+
+# --- what is known of lengths --------------------------------------------------------------
+@when("{count:d} waves of jobs that end soon after are learnt, {most:d} of them open at a time")
+def step_learnt(context, count, most):
+    pace, board = Pace(2.0), one_step(100.0, ["w0"], False, GUESS)[0]
+    wave = board.jobs[JOB].waves[(0, 0)]
+    jobs_open, context.most, context.lost = collections.deque(), 0, []
+    for place in range(count):
+        wave.job.identity = f"{place:016x}"
+        jobs_open.append(wave.job.identity)
+        reference = f"{wave.job.identity}.0.0.0"
+        pace.start("w0", reference, 1, False, 100.0)
+        if place % 2:
+            pace.end(Worker("w0", 100.0), wave, reference, 1, "done", 101.0)
+        if len(jobs_open) > most:
+            jobs_open.popleft()
+        pace.forget(jobs_open)
+        context.most = max(context.most, len(pace.waves) + len(pace.started))
+    known = {key[0] for key in pace.waves} | {key[1].partition(".")[0] for key in pace.started}
+    context.lost = set(jobs_open) - known
+
+
+@then("no more than {most:d} of them are known at any time, and all that are open are")
+def step_bounded(context, most):
+    assert context.most <= most and not context.lost, (context.most, context.lost)
--- a/src/pinepitch/ground/constants.py
+++ b/src/pinepitch/ground/constants.py
@@ -241,6 +241,7 @@
 SPEED_STEPS = 4  # steps; from usual to twice as slow, within which workers count as alike
 NEAR_PART = 0.7  # of a rack's room that work near its data can count on, beside all else there
 NEAR_WAIT_MOST = 2.0  # seconds; that a task waits for room near its data, less than IDLE_WAIT_MOST
+LENGTHS_KEPT = 1_000  # waves and runs; of jobs that are over, known before they are dropped
 LENGTH_WEIGHT = 0.1  # of one run in what is known of a queue's lengths
 PROGRESS_LEAST = 5  # per cent; progress below this says nothing of a run's length
 PROGRESS_AFTER = 0.5  # seconds; nor does that of a younger run
--- a/src/pinepitch/scheduling/keeper.py
+++ b/src/pinepitch/scheduling/keeper.py
@@ -209,6 +209,7 @@
         """Holds that have lapsed, workers that said they end, and those long silent."""
         for identity, why in self.holds.over(self.workers, self.ends, now):
             self._gone(identity, why)
+        self.pace.forget(self.board.jobs)
         self._copy_what_may_run_twice(now)
         self._stop(self.progress.look(self.workers, self.board, self.stopping, now), now)
         for minion, reference, run in self.progress.take_misjudged():
--- a/src/pinepitch/scheduling/pace.py
+++ b/src/pinepitch/scheduling/pace.py
@@ -16,6 +16,7 @@
         self.lengths = {}  # queue -> seconds a task takes, weighted to the newest
         self.waves = {}  # key of a wave -> [seconds in sum, runs]
         self.started = {}  # (minion, reference, run) -> (when its start was answered, whether far)
+        self.swept = 0  # waves and runs known when those of jobs that are over were dropped last
 
     def start(self, minion, reference, run, far, now):
         """A start is answered; the first answer counts."""
@@ -37,9 +38,17 @@
         before = self.lengths.get(queue, usual)
         self.lengths[queue] = before + (usual - before) * constants.LENGTH_WEIGHT
 
-    def drop(self, key):
-        """A wave is over."""
-        self.waves.pop(key, None)
+    def forget(self, jobs):
+        """Drops what is known of jobs that are over; `jobs`: those that are not. Once what is held has
+        doubled, so that it costs little for each job."""
+        held = len(self.waves) + len(self.started)
+        if held < 2 * max(constants.LENGTHS_KEPT, self.swept):
+            return
+        self.waves = {key: known for key, known in self.waves.items() if key[0] in jobs}
+        self.started = {
+            key: started for key, started in self.started.items() if key[1].partition(".")[0] in jobs
+        }
+        self.swept = len(self.waves) + len(self.started)
 
     def expected(self, wave):
         """Seconds that a task of a wave is likely to take on a usual worker near its data."""
