One watch for a stopped process tells the host and the decider

Two places watched for a process that was stopped: the host (over 0.9 s, refuses calls that waited in sockets) and IndexedForwarder, by the decider's own steps (over 0.1 s, takes the time off a confirmation). Now StallDetector of the runtime is the only one; the decider is told of each pause over CONFIRM_PAUSE by an input "paused", before the message that ended it. The simulator runs the same class. What could differ: after a stall over 0.9 s the forwarder's watch ended with the first message that was not refused, a few ms later than the host's; until STALL_AFTERMATH is over the host refuses such calls anyway.

--- a/features/contact.feature
+++ b/features/contact.feature
@@ -96,6 +96,18 @@
       | ready | 2       | taken there                             | once that it was stopped |
       | call  | 0.4     | taken there                             | nothing                 |
 
+  Scenario Outline: one watch tells the decider of each pause that requests may have lain unread for: <seconds> seconds
+    Given a host that ticks
+    When it is stopped for <seconds> seconds, and then reads a ready
+    Then the decider is told of <pause>
+
+    Examples:
+      | seconds | pause       |
+      | 0.05    | no pause    |
+      | 0.09    | no pause    |
+      | 0.3     | 0.3 seconds |
+      | 2       | 2.0 seconds |
+
   Scenario: calls that come once a host runs again are taken
     Given a host that ticks
     When it is stopped for 2 seconds, and goes on for a while
--- a/features/steps/contact.py
+++ b/features/steps/contact.py
@@ -246,12 +246,15 @@
 
 
 class Recorder:
-    """A decider that keeps what it is stepped with."""
+    """A decider that keeps what it is stepped with, and of which pauses it is told."""
 
     def __init__(self):
-        self.messages = []
+        self.messages, self.pauses = [], []
 
     def step(self, message, now, clock):
+        if message[0] == "paused":
+            self.pauses.append(message[1])
+            return []
         self.messages.append(message)
         return [Reply(message[1], 200, {})] if message[0] != "tick" else []
 
@@ -322,6 +325,13 @@
     assert not context.log.method_calls, context.log.method_calls
 
 
+@then("the decider is told of {pause}")
+def step_told_pause(context, pause):
+    tick(context, 0.5)
+    told = [round(one, 3) for one in context.core.pauses]
+    assert told == ([] if pause == "no pause" else [float(pause.split()[0])]), told
+
+
 @then("what is read from then on is taken")
 def step_read_on(context):
     for kind in ("call", "http"):
--- a/src/pinepitch/control/daemon.py
+++ b/src/pinepitch/control/daemon.py
@@ -297,6 +297,7 @@
             "elsewhere": self.outside_requests.on_not_taken,
             "unsure": self.outside_requests.on_in_doubt,
             "undelivered": self.outside_requests.on_undelivered,
+            "paused": self.outside_requests.on_paused,
             "seeds": self._on_seeds,
             "seat": self._on_seat,
             "stop": self._on_stop,
@@ -308,7 +309,6 @@
         """
         self.time.hear(self.identity, clock, now)
         self.step_at = now
-        self.indexed_forwarder.turn(now)
         kind, *rest = message
         handler = self.inputs.get(kind)
         if handler is not None:
--- a/src/pinepitch/control/outside_requests.py
+++ b/src/pinepitch/control/outside_requests.py
@@ -81,6 +81,10 @@
         """An attempt of a request reached nobody: no connection could be made."""
         self.core.forwarder.not_taken(token, attempt)
 
+    def on_paused(self, seconds: float, now: float) -> None:
+        """This daemon's process did not run for so long, until now."""
+        self.core.indexed_forwarder.paused(seconds, now)
+
     def on_in_doubt(self, token: str, now: float) -> None:
         """Whom a request was sent to may have taken it, and can't say."""
         self.core.forwarder.in_doubt(token)
--- a/src/pinepitch/front/daemon.py
+++ b/src/pinepitch/front/daemon.py
@@ -61,7 +61,6 @@
         """Takes one message; returns the effects. The wall clock is not looked at."""
         if self.begun_at is None:
             self.begun_at = now
-        self.indexed_forwarder.turn(now)
         handler = INPUTS.get(message[0])
         if handler is not None:
             handler(self, *message[1:], now)
@@ -247,6 +246,10 @@
         elif leader is None and self.leader == found.to:
             self.leader = None
 
+    def _on_paused(self, seconds: float, now: float) -> None:
+        """This daemon's process did not run for so long, until now."""
+        self.indexed_forwarder.paused(seconds, now)
+
     def _on_undelivered(self, token: str, attempt: int, now: float) -> None:
         """That attempt under `token` reached nobody: no connection could be made."""
         if token == self.updates_token:
@@ -392,6 +395,7 @@
     "call": FrontDaemon._on_call,
     "unsure": FrontDaemon._on_in_doubt,
     "undelivered": FrontDaemon._on_undelivered,
+    "paused": FrontDaemon._on_paused,
     "seeds": FrontDaemon._on_seeds,
     "posted": FrontDaemon._on_posted,
     "stop": FrontDaemon._on_stop,
--- a/src/pinepitch/runtime/host.py
+++ b/src/pinepitch/runtime/host.py
@@ -65,7 +65,7 @@
         self.frame_port = FramePort(self.inbox, log)
         self.http_port = HttpPort(self.exchange, DirectHandler(self.exchange))
         self.ticking = False  # whether a tick waits in the inbox
-        self.stall_guard = stall_detector.StallGuard()
+        self.stall_detector = stall_detector.StallDetector()
 
     async def run(self) -> None:
         """Serves until told to stop."""
@@ -98,12 +98,18 @@
 
     async def _step(self, message: Sequence[Any]) -> None:
         now = steady_clock()
-        stalled = self.stall_guard.turn(now)
-        if stalled:
-            events.emit(self.log, 108, seconds=round(stalled, 3))
-        if self.stall_guard.refuses(message, now):
+        paused = self.stall_detector.turn(now)
+        if paused > constants.STALL:
+            events.emit(self.log, 108, seconds=round(paused, 3))
+        if paused:
+            await self._decide(("paused", paused), now)
+        if self.stall_detector.refuses(message, now):
             await self.exchange.reply(Reply(message[1], *stall_detector.PAUSED))
             return
+        await self._decide(message, now)
+
+    async def _decide(self, message: Sequence[Any], now: float) -> None:
+        """Steps the decider with one message and carries out what it decides."""
         for effect in self.core.step(message, now, wall_clock()):
             await EFFECTS[type(effect)](self, effect)
 
--- a/src/pinepitch/runtime/stall_detector.py
+++ b/src/pinepitch/runtime/stall_detector.py
@@ -1,4 +1,4 @@
-"""Requests that waited while their daemon was stopped, and answers that were kept back too long."""
+"""The one watch for a process that was stopped, what it refuses, and answers that were kept back too long."""
 
 from collections.abc import Sequence
 from typing import Any
@@ -20,9 +20,12 @@
 )
 
 
-class StallGuard:
-    """Notices by its own steady clock that the process did not run. Invariant: `until` is
-    STALL_AFTERMATH past the end of the newest stall.
+class StallDetector:
+    """Notices by the daemon's steady clock that its process did not run.
+
+    Two bounds go by it: the decider is told of every pause longer than CONFIRM_PAUSE, as requests may
+    have lain unread meanwhile, and after one longer than STALL such requests are refused. Invariant:
+    `until` is STALL_AFTERMATH past the end of the newest pause longer than STALL.
     """
 
     def __init__(self) -> None:
@@ -30,15 +33,14 @@
         self.until = -1e9
 
     def turn(self, now: float) -> float:
-        """Notes one turn of the daemon's loop, which ticks at the least; the seconds of the stall
-        that it ends, 0.0 if there was none.
+        """Notes one turn of the daemon's loop, which ticks at the least; the seconds of the pause that it
+        ends, 0.0 where that was no longer than CONFIRM_PAUSE.
         """
         passed = 0.0 if self.last_turn is None else now - self.last_turn
         self.last_turn = now
-        if passed <= constants.STALL:
-            return 0.0
-        self.until = now + constants.STALL_AFTERMATH
-        return passed
+        if passed > constants.STALL:
+            self.until = now + constants.STALL_AFTERMATH
+        return passed if passed > constants.CONFIRM_PAUSE else 0.0
 
     def refuses(self, message: Sequence[Any], now: float) -> bool:
         """Whether a message is a request that may have waited since before the stall: its caller
--- a/src/pinepitch/simulation/isolation/injected_faults.py
+++ b/src/pinepitch/simulation/isolation/injected_faults.py
@@ -63,7 +63,7 @@
     ],
     "late-answers-written": [(stall_detector, "timely", lambda reply, until, now: reply)],
     "waited-calls-taken": [
-        (stall_detector.StallGuard, "refuses", lambda self, message, now: False),
+        (stall_detector.StallDetector, "refuses", lambda self, message, now: False),
         UNCONFIRMED_ORDERS,
     ],
     "lease-ignored": [
--- a/src/pinepitch/simulation/machines.py
+++ b/src/pinepitch/simulation/machines.py
@@ -57,6 +57,6 @@
         self.frozen = self.down = False
         self.deferred_messages, self.unwritten = [], []
         self.stops_at = None  # says of each effect whether the process is stopped just before it
-        self.stall_guard = stall_detector.StallGuard()
+        self.stall_detector = stall_detector.StallDetector()
         self.skew = 0.0
         self.disk: Any = Disk() if kind == "accord" else None  # a Disk, where it is of a control daemon
--- a/src/pinepitch/simulation/simulator.py
+++ b/src/pinepitch/simulation/simulator.py
@@ -160,7 +160,7 @@
         node = self.nodes[name]
         node.incarnation += 1
         node.frozen, node.down, node.deferred_messages, node.unwritten = False, False, [], []
-        node.stall_guard = stall_detector.StallGuard()
+        node.stall_detector = stall_detector.StallDetector()
         if node.kind == "accord":
             self._start_control_daemon(node)
         elif node.kind == "verge":
@@ -333,10 +333,16 @@
             self._worker_effects(node, node.core.step(message, START + self.now), message)
             return
         now = self.steady()
-        node.stall_guard.turn(now)
-        if node.stall_guard.refuses(message, now):
+        paused = node.stall_detector.turn(now)
+        if paused:
+            self.decide(node, ("paused", paused), now)
+        if node.stall_detector.refuses(message, now):
             self._reply(node, message[1], *stall_detector.PAUSED)
             return
+        self.decide(node, message, now)
+
+    def decide(self, node, message, now):
+        """Steps a daemon with one message and carries out what it decides, until it is stopped in it."""
         for effect in node.core.step(message, now, self.clock(node)):
             if node.stops_at is not None and node.stops_at(effect):
                 node.stops_at = None
--- a/src/pinepitch/transport/indexed_forwarder.py
+++ b/src/pinepitch/transport/indexed_forwarder.py
@@ -15,7 +15,7 @@
 CALLS = frozenset(("evacuate",))  # that are forwarded so: they bear no version of their own
 
 
-class Waiting(NamedTuple):
+class AwaitingIndex(NamedTuple):
     """A request whose index is being asked for, and until when the whole may take."""
 
     call: str
@@ -25,24 +25,21 @@
 
 class IndexedForwarder:
     """Invariants: a request in `waiting` has been sent to nobody; `pause` is how long (seconds) the
-    daemon was stopped last, if that was longer than CONFIRM_PAUSE, and `paused` when it went on.
+    daemon was stopped last, and `paused_at` when it went on.
     """
 
     def __init__(self, forwarder: Forwarder) -> None:
         self.forwarder = forwarder
-        self.waiting: dict[str, Waiting] = {}  # by the token of the request for the index
-        self.last_turn: float | None = None
-        self.pause, self.paused = 0.0, -1e9
+        self.waiting: dict[str, AwaitingIndex] = {}  # by the token of the request for the index
+        self.pause, self.paused_at = 0.0, -1e9
 
-    def turn(self, now: float) -> None:
-        """Notes one turn of the daemon, which has a tick at the least."""
-        if self.last_turn is not None and now - self.last_turn > constants.CONFIRM_PAUSE:
-            self.pause, self.paused = now - self.last_turn, now
-        self.last_turn = now
+    def paused(self, seconds: float, now: float) -> None:
+        """Notes that the daemon was stopped, until now, for longer than CONFIRM_PAUSE."""
+        self.pause, self.paused_at = seconds, now
 
     def _unread(self, now: float) -> float:
         """How long a request that is read now may have waited in its socket."""
-        return self.pause if now < self.paused + constants.STALL_AFTERMATH else 0.0
+        return self.pause if now < self.paused_at + constants.STALL_AFTERMATH else 0.0
 
     def begin(self, request: int, call: str, arguments: Sequence[Any], now: float, patience: float) -> str:
         """Takes any request; the token of what is to be forwarded first."""
@@ -53,7 +50,7 @@
         until = now + min(patience, constants.CALL_PATIENCE)
         within = min(patience, constants.CONFIRM_WITHIN - self._unread(now))
         token = self.forwarder.begin(request, LOG_INDEX_REQUEST, (), now, within)
-        self.waiting[token] = Waiting(call, tuple(arguments), until)
+        self.waiting[token] = AwaitingIndex(call, tuple(arguments), until)
         return token
 
     def answered(
