An order for a zone is dropped once its caller hung up, until it is forwarded

Cause: a Begin that the network itself held back, to a daemon that ran on, looked new: its index was confirmed after a Finish was acknowledged, and it undid that Finish. An order bears no version and no time, and a caller's clock can't be compared. But bytes of one connection arrive in order: the end of the caller's connection, which it closed as it gave up, comes right behind the order. While an order waits for its index or to be forwarded (a round trip and up to a tick), the daemon now reads that end, and gives the order up as not taken. Only orders for zones are watched, so no other call pays for it; what a caller sends ahead is kept for its turn. Ruled out: an end by the time of day (clocks step), a number of the caller's own (the platform's orders have none). Seen to fail first: orders.feature, "kept by the network, its caller gone", both endings, undoes the Finish with hang-ups-unseen injected, which is the code as it was; ten ways for a late Begin now leave the zone free. connections.feature: closed and reset connections over real sockets, and requests one behind the other.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -24,6 +24,22 @@
     When a caller breaks its connection before it is answered, and another calls
     Then the other gets its own answer
 
+  Scenario Outline: the decider is <told> that a caller has <gone> with <call> under way
+    Given a daemon's port whose decider answers when it is told to
+    When a caller asks for <call> and has <gone> before it is answered
+    Then the decider is <told>, and nothing waits any more
+
+    Examples:
+      | call                    | gone                     | told             |
+      | an order without number | closed its connection    | told once        |
+      | an order without number | reset its connection     | told once        |
+      | a job                   | closed its connection    | not told         |
+
+  Scenario: what a caller sends behind an order that is under way is answered in its turn
+    Given a daemon's port whose decider answers when it is told to
+    When three orders come one behind the other, and are answered in their turn
+    Then each answer stands in its order's place, and no end of a connection was told
+
   Scenario Outline: a connection that is cut <place> stops nothing
     Given a daemon's port whose decider answers when it is told to
     When connections are reset <place>, at every byte
--- a/features/orders.feature
+++ b/features/orders.feature
@@ -60,6 +60,8 @@
       | read 0.8 s late by one that is cut off     | sent again elsewhere, acknowledged  |
       | carried by a daemon that is cut off        | given up                            |
       | confirmed by a daemon that then is cut off | given up                            |
+      | kept by the network, its caller gone       | sent again elsewhere, acknowledged  |
+      | kept by the network, its caller gone       | given up                            |
 
   Scenario Outline: the injected fault <injected> lets a Begin that was <held>, <ending>, undo a Finish
     Given the injected fault <injected>
@@ -75,6 +77,8 @@
       | orders-confirmed-late  | carried by a daemon that freezes           | sent again elsewhere, acknowledged |
       | pauses-unseen          | read 0.8 s late by one that is cut off     | sent again elsewhere, acknowledged |
       | holding-orders-unnoted | confirmed by a daemon that then is cut off | given up                           |
+      | hang-ups-unseen        | kept by the network, its caller gone       | sent again elsewhere, acknowledged |
+      | hang-ups-unseen        | kept by the network, its caller gone       | given up                           |
 
   Scenario: an order for a zone is acknowledged within a second in calm times
     Given a cluster that takes orders
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -10,6 +10,7 @@
 from pinepitch.common import constants
 from pinepitch.common.effects import Reply
 from pinepitch.runtime.host import Host
+from pinepitch.runtime.http_port import AdapterHandler, HttpPort
 from pinepitch.transport import http
 
 PATIENCE = 5.0  # seconds; a step that takes longer has failed
@@ -90,20 +91,34 @@
 
     def __init__(self):
         self.requests = []
+        self.hung_up = []  # numbers of requests whose callers have gone
 
     def step(self, message, now, clock):
-        if message[0] == "http":
+        if message[0] == "hung-up":
+            self.hung_up.append(message[1])
+        if message[0] in ("http", "call"):
             self.requests.append(message[1:])
             return []
         return message[1] if message[0] == "replies" else []
 
 
+class Translator:
+    """An adapter that takes the path of a request for the name of the call."""
+
+    def read(self, request):
+        return request.target.strip("/"), ("zone",), PATIENCE
+
+    def write(self, call, response):
+        return response
+
+
 class Port:
     """A host's HTTP port on a free port of this machine, its decider in the steps' hands."""
 
     def __init__(self):
         self.decider = Decider()
         self.host = Host(self.decider, "127.0.0.1:1", None)
+        self.http_port = self.host.http_port
         self.listener = sockets.create_server(("127.0.0.1", 0))
         self.address = self.listener.getsockname()
 
@@ -129,7 +144,7 @@
 
     async def _serve(self, client, address):
         async with client:
-            await self.host.http_port.serve(client, address)
+            await self.http_port.serve(client, address)
 
     async def _decide(self):
         while True:
@@ -210,6 +225,60 @@
     context.port.run(act)
 
 
+CALLS = {"an order without number": "/evacuate", "a job": "/job"}
+
+
+def behind_adapter(port):
+    """Has the port speak through an adapter."""
+    port.http_port = HttpPort(port.host.exchange, AdapterHandler(port.host.exchange, Translator()))
+
+
+@when("a caller asks for {call} and has {gone} before it is answered")
+def step_gone(context, call, gone):
+    async def act(port):
+        socket = await port.connect()
+        await socket.sendall(request_of(CALLS[call]))
+        await port.requested(1)
+        await (reset(socket) if gone.startswith("reset") else socket.close())
+        if call != "a job":
+            while not port.decider.hung_up:
+                await curio.sleep(0)
+        await port.reply(1)
+        while port.host.exchange.connections:
+            await curio.sleep(0)
+
+    behind_adapter(context.port)
+    context.port.run(act)
+
+
+@then("the decider is {told}, and nothing waits any more")
+def step_hung_up(context, told):
+    assert context.port.decider.hung_up == ([1] if told == "told once" else []), context.port.decider.hung_up
+    assert not context.port.host.exchange.waiting
+
+
+@when("three orders come one behind the other, and are answered in their turn")
+def step_orders(context):
+    async def act(port):
+        socket = await port.connect()
+        for _ in range(3):
+            await socket.sendall(request_of("/evacuate"))
+        for number in (1, 2, 3):
+            await port.requested(number)
+            await port.reply(number)
+        context.numbers = await read_numbers(socket, 3)
+        await socket.close()
+
+    behind_adapter(context.port)
+    context.port.run(act)
+
+
+@then("each answer stands in its order's place, and no end of a connection was told")
+def step_orders_in_place(context):
+    assert context.numbers == [1, 2, 3], context.numbers
+    assert not context.port.decider.hung_up
+
+
 @then("the other gets its own answer")
 def step_other_own(context):
     assert context.numbers == [2], context.numbers
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -24,6 +24,7 @@
 from pinepitch.model.decisions import Answer
 from pinepitch.scheduling import requests
 from pinepitch.simulation import order_fleet, order_rules
+from pinepitch.simulation.daemon_calls import send_call
 from pinepitch.simulation.jobs import injected_faults
 from pinepitch.state.cluster_state import ClusterState
 from pinepitch.transport.http import Request, Response, Server
@@ -299,6 +300,8 @@
 
 # --- orders that come late ---------------------------------------------------------------
 CONFIRMING = 0.03  # seconds; until a daemon has confirmed an order, and not yet sent it on
+KEPT_FOR = 6.0  # seconds; that the network keeps an order, longer than any order after it takes
+BEHIND = 0.0024  # seconds; by which the end of a connection comes behind the request on it, at most
 
 
 @given("a cluster that takes orders")
@@ -320,13 +323,37 @@
     return fleet.heal
 
 
+def keep_in_network(fleet, name):
+    """Has the network keep a Begin on its way to a daemon, and the end of its connection behind it; what
+    waits until both have come.
+    """
+    send_call(
+        fleet,
+        "operator",
+        0,
+        fleet.nodes[name],
+        "evacuate",
+        ("a", True),
+        constants.CALL_PATIENCE,
+        lambda status, document: None,
+        late=KEPT_FOR,
+    )
+    came = fleet.now + KEPT_FOR
+    hung_up = ("hung-up", fleet.request_count)
+    fleet.at(KEPT_FOR + BEHIND, "give", name, fleet.nodes[name].incarnation, hung_up)
+    return lambda: fleet.run(max(0.0, came + BEHIND - fleet.now))
+
+
 @when("a Begin is {delay}, {ending} and finished, and then let go on")
 def step_late(context, delay, ending):
     fleet = context.fleet
     by_leader = "leader" in delay
     name = fleet.leader().name if by_leader else fleet.followers()[0]
     operator = context.operator = order_fleet.ZoneOperator(fleet, "a")
-    if "read 0.8 s late" in delay:
+    if "kept by the network" in delay:
+        go_on = keep_in_network(fleet, name)
+        operator.give(True, next(one for one in fleet.names() if one != name))
+    elif "read 0.8 s late" in delay:
         fleet.freeze(name)
         operator.give(True, name)
         fleet.run(0.8)
--- a/src/pinepitch/control/daemon.py
+++ b/src/pinepitch/control/daemon.py
@@ -297,6 +297,7 @@
             "elsewhere": self.outside_requests.on_not_taken,
             "unsure": self.outside_requests.on_in_doubt,
             "undelivered": self.outside_requests.on_undelivered,
+            "hung-up": self.outside_requests.on_hung_up,
             "paused": self.outside_requests.on_paused,
             "seeds": self._on_seeds,
             "seat": self._on_seat,
--- a/src/pinepitch/control/outside_requests.py
+++ b/src/pinepitch/control/outside_requests.py
@@ -81,8 +81,12 @@
         """An attempt of a request reached nobody: no connection could be made."""
         self.core.forwarder.not_taken(token, attempt)
 
+    def on_hung_up(self, request: Any, now: float) -> None:
+        """The caller of a request has closed its connection."""
+        self.core.effects.extend(self.core.indexed_forwarder.hung_up(request))
+
     def on_paused(self, seconds: float, now: float) -> None:
-        """This daemon's process did not run for so long, until now."""
+        """The process of this daemon did not run for so many seconds, until now."""
         self.core.indexed_forwarder.paused(seconds, now)
 
     def on_in_doubt(self, token: str, now: float) -> None:
--- a/src/pinepitch/front/daemon.py
+++ b/src/pinepitch/front/daemon.py
@@ -246,8 +246,12 @@
         elif leader is None and self.leader == found.to:
             self.leader = None
 
+    def _on_hung_up(self, request: int, now: float) -> None:
+        """The caller of a request has closed its connection."""
+        self.effects.extend(self.indexed_forwarder.hung_up(request))
+
     def _on_paused(self, seconds: float, now: float) -> None:
-        """This daemon's process did not run for so long, until now."""
+        """The process of this daemon did not run for so many seconds, until now."""
         self.indexed_forwarder.paused(seconds, now)
 
     def _on_undelivered(self, token: str, attempt: int, now: float) -> None:
@@ -395,6 +399,7 @@
     "call": FrontDaemon._on_call,
     "unsure": FrontDaemon._on_in_doubt,
     "undelivered": FrontDaemon._on_undelivered,
+    "hung-up": FrontDaemon._on_hung_up,
     "paused": FrontDaemon._on_paused,
     "seeds": FrontDaemon._on_seeds,
     "posted": FrontDaemon._on_posted,
--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -9,7 +9,7 @@
 
 from ..common import constants
 from ..common.effects import Reply
-from ..transport import http
+from ..transport import http, indexed_forwarder
 from . import stall_detector
 from .clocks import steady_clock
 
@@ -37,11 +37,31 @@
 
     async def ask(self, answers: Any, kind: str, *fields: Any) -> http.Response:
         """The decider's reply to a request of one connection, which reads the queue `answers`."""
-        self.count += 1
-        self.waiting[self.count] = answers
-        await self.inbox.put((kind, self.count, *fields))
+        await self._begin(answers, kind, *fields)
         return await timely_response(answers)
 
+    async def ask_watched(self, server: http.Server, answers: Any, kind: str, *fields: Any) -> http.Response:
+        """The same; the decider is told as well once the caller has closed its connection."""
+        request = await self._begin(answers, kind, *fields)
+        watch = await curio.spawn(self._tell_hung_up, server, request, daemon=True)
+        try:
+            return await timely_response(answers)
+        finally:
+            await watch.cancel()
+
+    async def _begin(self, answers: Any, kind: str, *fields: Any) -> int:
+        """Hands a request to the decider; its number."""
+        self.count += 1
+        request = self.count
+        self.waiting[request] = answers
+        await self.inbox.put((kind, request, *fields))
+        return request
+
+    async def _tell_hung_up(self, server: http.Server, request: int) -> None:
+        """Tells the decider that the caller of a request has closed its connection, once it has."""
+        await server.hung_up()
+        await self.inbox.put(("hung-up", request))
+
     async def reply(self, effect: Reply) -> None:
         """Hands a reply to the connection that waits for it, if one does."""
         answers = self.waiting.pop(effect.request, None)
@@ -71,8 +91,8 @@
 class Handler(Protocol):
     """What a port does with a request."""
 
-    async def response(self, request: http.Request, answers: Any) -> http.Response:
-        """The Response to one request of the connection that reads the queue `answers`."""
+    async def response(self, request: http.Request, answers: Any, server: http.Server) -> http.Response:
+        """The Response to one request of the connection of `server`, which reads the queue `answers`."""
 
 
 class DirectHandler:
@@ -81,7 +101,7 @@
     def __init__(self, exchange: Exchange) -> None:
         self.exchange = exchange
 
-    async def response(self, request: http.Request, answers: Any) -> http.Response:
+    async def response(self, request: http.Request, answers: Any, server: http.Server) -> http.Response:
         """The decider's reply."""
         return await self.exchange.ask(
             answers, "http", request.method, request.target, request.headers, request.body
@@ -96,11 +116,14 @@
     def __init__(self, exchange: Exchange, adapter: Adapter) -> None:
         self.exchange, self.adapter = exchange, adapter
 
-    async def response(self, request: http.Request, answers: Any) -> http.Response:
+    async def response(self, request: http.Request, answers: Any, server: http.Server) -> http.Response:
         """The decider's reply in the callers' terms, or the adapter's own to what it can't read."""
         made = self.adapter.read(request)
         if isinstance(made, http.Response):
             response = made
+        elif made[0] in indexed_forwarder.CALLS:
+            reply = await self.exchange.ask_watched(server, answers, "call", *made)
+            response = self.adapter.write(made[0], reply)
         else:
             response = self.adapter.write(made[0], await self.exchange.ask(answers, "call", *made))
         if self.exchange.stopping:
@@ -127,5 +150,5 @@
                 if isinstance(request, http.Fault):
                     await server.refuse(request)
                     return
-                if not await server.answer(await self.handler.response(request, answers)):
+                if not await server.answer(await self.handler.response(request, answers, server)):
                     return
--- a/src/pinepitch/simulation/order_injected_faults.py
+++ b/src/pinepitch/simulation/order_injected_faults.py
@@ -69,6 +69,11 @@
     return 0.0
 
 
+def _hang_ups_unseen(self, request):
+    """Goes on with an order whose caller has gone."""
+    return ()
+
+
 LATE_ORDERS = ((Evacuations, "take", _late_orders_taken),)
 INJECTED_FAULTS = {
     "base-unheeded": [(Configuration, "_earlier_outcome", _base_unheeded)],
@@ -84,6 +89,7 @@
         (ForwardedRequests, "_in_time", lambda self, end, now: True),
     ],
     "holding-orders-unnoted": [(Evacuations, "take", _holding_orders_unnoted)],
+    "hang-ups-unseen": [(IndexedForwarder, "hung_up", _hang_ups_unseen)],
     "pauses-unseen": [(IndexedForwarder, "_unread", _pauses_unseen)],
     "orders-confirmed-late": [(constants, "CONFIRM_WITHIN", constants.CALL_PATIENCE)],
 }
--- a/src/pinepitch/transport/http.py
+++ b/src/pinepitch/transport/http.py
@@ -121,6 +121,22 @@
         data: bytes | None = await curio.ignore_after(max(0.0, patience), self.socket.recv(RECEIVE_BYTES))
         return data
 
+    async def hung_up(self) -> None:
+        """Returns once the caller has closed its connection while its request is under way. What it sends
+        meanwhile is kept for the next request; with RECEIVE_BYTES of that its end is no longer looked for.
+        """
+        ahead = 0
+        while ahead < RECEIVE_BYTES:
+            try:
+                data: bytes = await self.socket.recv(RECEIVE_BYTES)
+            except OSError:
+                data = b""
+            self.connection.receive_data(data)
+            if not data:
+                return
+            ahead += len(data)
+        await curio.Event().wait()  # which nobody sets: this ends by being cancelled
+
     async def answer(self, response: Response) -> bool:
         """Sends one Response, its keys in order; True if another request may follow."""
         if isinstance(response.document, str):
--- a/src/pinepitch/transport/indexed_forwarder.py
+++ b/src/pinepitch/transport/indexed_forwarder.py
@@ -3,14 +3,15 @@
 First the index is asked for, then the request is forwarded with it as its last argument. The index is
 asked for only while the caller surely still waits, and never anew for the same request: what the
 caller does after it gave up has a higher one. A request may have lain unread for as long as its daemon
-was stopped just before; that time is subtracted.
+was stopped just before; that time is subtracted. One that the network held back looks new, but the end of
+its caller's connection comes right behind it: until it is forwarded, such a request is dropped.
 """
 
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 from ..common import constants
-from .forwarder import LOG_INDEX_REQUEST, Effect, Forwarder
+from .forwarder import LOG_INDEX_REQUEST, Call, Effect, Forwarder
 
 CALLS = frozenset(("evacuate",))  # that are forwarded so: they bear no version of their own
 
@@ -70,3 +71,18 @@
         following = self.forwarder.begin(question.request, waiting.call, arguments, now, waiting.until - now)
         self.forwarder.calls[following].retry_at = now
         return ()
+
+    def hung_up(self, request: int) -> tuple[Effect, ...]:
+        """Effects of the end of the connection that a request came by: an order that was sent to nobody
+        yet is given up, as not taken. Its caller may have given it up long before it was read here.
+        """
+        for token, call in self.forwarder.calls.items():
+            if call.request == request and (token in self.waiting or self._unsent_order(call)):
+                self.waiting.pop(token, None)
+                return self.forwarder.give_up(token)
+        return ()
+
+    @staticmethod
+    def _unsent_order(call: Call) -> bool:
+        """Whether a request is an order whose index is known, and which was sent to nobody yet."""
+        return call.call in CALLS and call.attempts == 0
