--- a/src/pinepitch/consensus/snapshot_receiver.py
+++ b/src/pinepitch/consensus/snapshot_receiver.py
@@ -31,17 +31,17 @@
     incoming = replica.incoming
     assert incoming is not None
     taken = incoming.take(message.offset, message.total, message.chunk)
-    if not taken or len(incoming.data) < message.total:
-        _answer(replica, sender, message, len(incoming.data), stored, replica.hard_wait())
+    if not taken or len(incoming.received) < message.total:
+        _answer(replica, sender, message, len(incoming.received), stored, replica.hard_wait())
         return
     received = incoming.complete(stored)
     if received is None:
         _begin_anew(replica, sender, message, stored)
         return
     replica.incoming = None
-    replica.base_image, replica.base_segments, segments = received
+    replica.base_image, replica.base_segments = received.image, received.segments_span
     _replace_log(replica, message)
-    _save_base(replica, message.last_index, segments, now)
+    _save_base(replica, message.last_index, received.segments, now)
     _answer(replica, sender, message, message.total, stored, replica.sequence)
 
 
--- a/src/pinepitch/consensus/snapshot_sender.py
+++ b/src/pinepitch/consensus/snapshot_sender.py
@@ -7,10 +7,9 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-import cbor2
-
 from ..common import constants
 from .messages import ChunkReply, SnapshotChunk
+from .snapshot_payload import SnapshotPayload
 from .snapshot_transfer import ASK_WHAT_IS_STORED, COMPLETE_OFFSET, Snapshot, Transfer
 
 if TYPE_CHECKING:
@@ -40,7 +39,8 @@
     if transfer.in_flight:
         return
     chunk = transfer.chunk(min(constants.SNAPSHOT_CHUNK, follower.flow.budget))
-    snapshot, total = transfer.snapshot, len(transfer.payload or b"")
+    snapshot = transfer.snapshot
+    total = 0 if transfer.payload is None else len(transfer.payload)
     message = SnapshotChunk(replica.term, *snapshot, transfer.offset, total, chunk, replica.heartbeat)
     replica.send(identity, message)
     transfer.in_flight = True
@@ -94,7 +94,7 @@
     follower.probing = False
 
 
-def _shared_payload(replica: Consensus, transfer: Transfer) -> bytes | None:
+def _shared_payload(replica: Consensus, transfer: Transfer) -> SnapshotPayload | None:
     """What another follower that lacks the same is being sent already, or None."""
     for follower in replica.followers.values():
         other = follower.transfer
@@ -106,11 +106,12 @@
     return None
 
 
-def snapshot_payload(replica: Consensus, stored: int) -> bytes:
+def snapshot_payload(replica: Consensus, stored: int) -> SnapshotPayload:
     """The base's image with the segments from `stored` + 1 on that it stands on."""
     first, last = replica.base_segments
     segments = {}
     for number in range(max(first, stored + 1), last + 1):
         assert replica.archive is not None
         segments[number] = replica.archive.segment(number)
-    return cbor2.dumps([replica.base_image, [first, last], segments])
+    assert replica.base_image is not None
+    return SnapshotPayload(replica.base_image, (first, last), segments)
--- a/src/pinepitch/consensus/snapshot_transfer.py
+++ b/src/pinepitch/consensus/snapshot_transfer.py
@@ -2,7 +2,7 @@
 
 from typing import Any, NamedTuple
 
-import cbor2
+from .snapshot_payload import ReceivedPayload, SnapshotParts, SnapshotPayload
 
 ASK_WHAT_IS_STORED = -1  # the offset of a chunk without bytes: asks which segments the follower stores
 COMPLETE_OFFSET = 1 << 40  # the offset that a follower tells which needs nothing of a snapshot
@@ -24,7 +24,7 @@
     def __init__(self, snapshot: Snapshot) -> None:
         self.snapshot = snapshot
         self.stored_segment: int | None = None  # newest segment that the follower stores
-        self.payload: bytes | None = None
+        self.payload: SnapshotPayload | None = None
         self.offset = ASK_WHAT_IS_STORED
         self.awaited: int | None = None  # the offset that the answer to the newest chunk will tell
         self.in_flight = False
@@ -45,7 +45,7 @@
         if self.offset < 0:
             return b""
         assert self.payload is not None
-        return self.payload[self.offset : self.offset + most]
+        return self.payload.chunk(self.offset, most)
 
 
 class IncomingSnapshot:
@@ -56,22 +56,22 @@
     def __init__(self, last_index: int) -> None:
         self.last_index = last_index
         self.total: int | None = None  # bytes, as told with the first chunk
-        self.data = bytearray()
+        self.received = ReceivedPayload()
 
     def take(self, offset: int, total: int, chunk: bytes) -> bool:
         """Adds a chunk; False when it isn't the next one."""
         if offset == 0:
-            self.data.clear()
+            self.received.clear()
             self.total = total
-        if offset != len(self.data):
+        if offset != len(self.received):
             return False
-        self.data.extend(chunk)
+        self.received.add(chunk)
         return True
 
-    def complete(self, stored: int) -> tuple[bytes, tuple[int, int], dict[int, bytes]] | None:
-        """(image, span, segments), or None if some segment neither came nor is stored."""
-        image, span, segments = cbor2.loads(bytes(self.data))
-        first, last = span
-        if any(number not in segments for number in range(max(first, stored + 1), last + 1)):
+    def complete(self, stored: int) -> SnapshotParts | None:
+        """The snapshot, or None if some segment neither came nor is stored."""
+        parts = self.received.parts()
+        first, last = parts.segments_span
+        if any(number not in parts.segments for number in range(max(first, stored + 1), last + 1)):
             return None
-        return image, (first, last), segments
+        return parts
--- a/src/pinepitch/simulation/model_checker/replica.py
+++ b/src/pinepitch/simulation/model_checker/replica.py
@@ -110,7 +110,7 @@
 
 def _copy_of_incoming(incoming: IncomingSnapshot) -> IncomingSnapshot:
     twin = IncomingSnapshot(incoming.last_index)
-    twin.total, twin.data = incoming.total, bytearray(incoming.data)
+    twin.total, twin.received = incoming.total, incoming.received.copy()
     return twin
 
 
@@ -254,7 +254,7 @@
             ),
             None
             if one.incoming is None
-            else (one.incoming.last_index, one.incoming.total, bytes(one.incoming.data)),
+            else (one.incoming.last_index, one.incoming.total, one.incoming.received.buffer.getvalue()),
         )
 
 
