Images: one sequence of bytes, compared by digest, bounded in bytes

Bytes: images and segments were encoded in the order of hash maps, so that replicas wrote other bytes for one state. They are written by key now. Found on the way: the hook that should have encoded such maps was never called, cbor2 takes them natively; and voluptuous fills defaults in the order of a set, so that every replica held the queue configuration in an order of its own (no decision went by it): filled by name now. Ruled out: cbor's canonical form, which sorts plain dicts too and would have a restored replica iterate in another order. Digest: members make images at the same indexes (multiples of 1,000, looked at after each entry and not after each batch) and followers compare digests with the leader's: event 135, image_differences. Ruled out: a chain of digests (dear on each commit), a new kind of message and a new level (an earlier version could not come back). Bound: 1/16 of memory, 1/8 of disk; then ticket, job, setup, draft, approve are told 429 state_full at once. Also: segments that went while an image that names them was being encoded were forgotten with it, so that a follower would have been sent none of them: forget_retired keeps what the newest base stands on.

--- a/features/same_bytes.feature
+++ b/features/same_bytes.feature
@@ -19,9 +19,10 @@
     When all golden bytes are decoded and encoded again
     Then nothing is other than it was
 
-  Scenario: answers are the same bytes whatever the order of hashes is
+  Scenario: answers, files, images and frames are the same bytes whatever the order of hashes is
     When the runs are recorded by two processes with different orders of hashes
     Then every answer has the same bytes in both
+    And so has every file, image, segment, entry and frame
     And the keys of every answer are in order
 
   Scenario Outline: one altered byte is seen
--- a/features/steps/same_bytes.py
+++ b/features/steps/same_bytes.py
@@ -64,7 +64,8 @@
 
 @when("the runs are recorded by two processes with different orders of hashes")
 def step_two_orders(context):
-    context.recorded = [golden.in_process("record", seed)["answers"] for seed in (0, 1)]
+    context.sections = [golden.in_process("record", seed) for seed in (0, 1)]
+    context.recorded = [one["answers"] for one in context.sections]
 
 
 @then("every answer has the same bytes in both")
@@ -75,6 +76,15 @@
     assert not other, other[:3]
 
 
+@then("so has every file, image, segment, entry and frame")
+def step_same_sections(context):
+    first, second = context.sections
+    assert any(name.startswith("segment-") for name in first["folder"]["files"])
+    assert "base with image" in first["files"]
+    for section in golden.SECTIONS:
+        assert first[section] == second[section], section
+
+
 @then("the keys of every answer are in order")
 def step_keys_in_order(context):
     bodies = [body for _, _, head, body in context.recorded[0] if "application/json" in head]
--- a/features/steps/stored_folders.py
+++ b/features/steps/stored_folders.py
@@ -107,7 +107,7 @@
                 elif isinstance(effect, WriteSegment):
                     self.store.write_segment(effect.number, effect.data)
                 elif isinstance(effect, EncodeSnapshot):
-                    encoded = type(self.core.cluster_state).encode(effect.image)
+                    encoded = type(self.core.cluster_state).encode_with_digest(effect.image)
                     waiting.append(("encoded", effect.applied_index, encoded))
                 elif isinstance(effect, WriteBase):
                     self.store.write_base(effect.payload, self.store.version)
--- a/src/pinepitch/common/effects.py
+++ b/src/pinepitch/common/effects.py
@@ -66,7 +66,7 @@
 
 class EncodeSnapshot(NamedTuple):
     """An image of the cluster state, to be encoded beside the decider, which is then told
-    ("encoded", index, bytes).
+    ("encoded", index, encoded image).
     """
 
     applied_index: int  # of the last entry that the image holds
--- a/src/pinepitch/common/events.py
+++ b/src/pinepitch/common/events.py
@@ -38,6 +38,8 @@
     132: ("member change done", "info"),
     133: ("operation held back: a member does not know it", "warning"),
     134: ("operation held back: the log is full", "warning"),
+    135: ("image differs from the leader's at the same index", "critical"),
+    136: ("operation refused: the cluster state is full", "warning"),
     140: ("session opened", "info"),
     141: ("session fell", "info"),
     144: ("answer to nobody dropped", "debug"),
--- a/src/pinepitch/common/limits.py
+++ b/src/pinepitch/common/limits.py
@@ -21,6 +21,14 @@
             min(self.memory // constants.LOG_PART_OF_MEMORY, self.disk // constants.LOG_PART_OF_DISK),
         )
 
+    @property
+    def image(self) -> int:
+        """Bytes of an image of the cluster state, from which on operations that enlarge it are refused."""
+        return max(
+            constants.MIN_IMAGE_BYTES,
+            min(self.memory // constants.IMAGE_PART_OF_MEMORY, self.disk // constants.IMAGE_PART_OF_DISK),
+        )
+
     @property
     def since_base(self) -> int:
         """Bytes of entries applied since the last snapshot base that make a new one due."""
--- a/src/pinepitch/consensus/log.py
+++ b/src/pinepitch/consensus/log.py
@@ -106,6 +106,10 @@
         """Drops all; the next entry has the index `first`."""
         self.first, self.entries, self.sizes, self.size = first, [], [], 0
 
+    def size_of(self, index: int) -> int:
+        """Bytes of one entry that is held."""
+        return self.sizes[index - self.first]
+
     def bytes_between(self, start: int, end: int) -> int:
         """Bytes of the entries from `start` to `end`, both included."""
         return sum(self.sizes[max(0, start - self.first) : max(0, end + 1 - self.first)])
--- a/src/pinepitch/control/agreement.py
+++ b/src/pinepitch/control/agreement.py
@@ -17,6 +17,7 @@
     SendMessage,
     StepDown,
 )
+from ..state.image_codec import EncodedImage, digest_of
 from .proposals import Waiting
 from .requests import OUTCOME_ANSWERS
 
@@ -33,6 +34,10 @@
         self.core = core
         self.snapshotting = False
         self.since_base = 0  # bytes of entries applied since the newest snapshot was begun
+        self.before_snapshot = (
+            0  # bytes of those applied before, and after the base; 0 with no snapshot under way
+        )
+        self._due_bytes: int | None = None  # of these, that make a snapshot due; None until it is asked for
         self.snapshot_segments = (1, 0)  # of the archive, that the snapshot under way stands on
 
     def on_raft(
@@ -61,13 +66,15 @@
         if self.core.consensus is not None:
             self.run(self.core.consensus.disk_failed(now), now)
 
-    def on_encoded(self, index: int, data: bytes, now: float) -> None:
+    def on_encoded(self, index: int, encoded: EncodedImage, now: float) -> None:
         """A snapshot is encoded: the log is compacted up to it, unless it is out of date."""
-        core = self.core
+        core, data = self.core, encoded.data
         self.snapshotting = False
+        self.before_snapshot, self._due_bytes = 0, None
+        core.image_digests.encoded(index, encoded.digest)
         if index > core.consensus.base_index and core.consensus.term_at(index) is not None:
             payload = core.consensus.compact(index, data, self.snapshot_segments)
-            core.cluster_state.archive.retired.clear()
+            core.cluster_state.archive.forget_retired(before=self.snapshot_segments[0])
             core.effects.append(WriteBase(None, core.base(payload)))
             core._event(126, index=index, bytes=len(data))
 
@@ -87,8 +94,9 @@
                     core.effects.append(WriteBase(sequence, core.base(payload)))
                 case CommitEntries(first, entries):
                     self._apply(first, entries, now)
-                case InstallSnapshot(_, image, segments):
+                case InstallSnapshot(index, image, segments):
                     self._install(image, segments)
+                    core.image_digests.installed(index, digest_of(image), core.consensus.following)
                 case BecomeLeader():
                     core.clear_leadership(now)
                     core.leadership.leader_since = now
@@ -99,7 +107,7 @@
 
     def _install(self, image: Any, segments: dict[int, bytes]) -> None:
         """Takes the cluster state from a snapshot of the leader's, with segments that came beside it."""
-        self.since_base = 0
+        self.since_base, self.before_snapshot, self._due_bytes = 0, 0, None
         archive = self.core.cluster_state.archive
         self.core.take_cluster_state(image, {**archive.retired, **archive.segments, **segments})
         for number, data in sorted(segments.items()):
@@ -125,33 +133,59 @@
                 core.applied_entries.react(operation, outcome, now)
                 for waiting in core.proposals.awaiting.pop(index, ()):
                     self._tell(waiting, outcome, now)
-        for number, data in core.cluster_state.sealed:
-            core.effects.append(WriteSegment(number, data))
-        core.cluster_state.sealed.clear()
-        if entries:
-            self.since_base += consensus.log.bytes_between(start, start + len(entries) - 1)
-        if not self.snapshotting and self._snapshot_due():
-            self._begin_snapshot()
+            self.since_base += consensus.log.size_of(index)
+            if not self.snapshotting and self._snapshot_due(index):
+                self._begin_snapshot()
+        self._write_sealed()
+
+    def _write_sealed(self) -> None:
+        """Has the segments written that were sealed just now."""
+        state = self.core.cluster_state
+        for number, data in state.sealed:
+            self.core.effects.append(WriteSegment(number, data))
+        state.sealed.clear()
 
     def _begin_snapshot(self) -> None:
-        """Has an image of the cluster state encoded."""
+        """Has an image of the cluster state encoded, once the segments that it names are being written."""
+        self._write_sealed()
         state = self.core.cluster_state
         self.snapshotting = True
-        self.since_base = 0
+        self.since_base, self.before_snapshot, self._due_bytes = 0, self.since_base, None
         self.snapshot_segments = state.archive.range()
         self.core.effects.append(EncodeSnapshot(state.index, state.image()))
 
-    def _snapshot_due(self) -> bool:
-        """Whether so many entries, or so many bytes of them, were applied since the last base. A
-        large image is made more rarely, so that writing it costs no more than the entries did.
+    def _snapshot_due(self, index: int) -> bool:
+        """Whether a snapshot is to be made at `index`, the entry applied last: at each multiple of
+        SNAPSHOT_ENTRIES, which members share, or once so many bytes were applied since the last base.
         """
-        consensus = self.core.consensus
-        if self.core.cluster_state.index - consensus.base_index >= constants.SNAPSHOT_ENTRIES:
+        if index % constants.SNAPSHOT_ENTRIES == 0:
             return True
-        least = min(
-            max(self.core.limits.since_base, len(consensus.base_image or b"")), self.core.limits.log // 2
-        )
-        return self.since_base >= least
+        overdue = constants.SNAPSHOT_OVERDUE * constants.SNAPSHOT_ENTRIES
+        if index - self.core.consensus.base_index >= overdue:
+            return True
+        if self._due_bytes is None:
+            self._due_bytes = self._bytes_between_snapshots()
+        return self.since_base >= self._due_bytes
+
+    def _bytes_between_snapshots(self) -> int:
+        """Bytes of entries that make a snapshot due. A large image is made more rarely, so that writing it
+        costs no more than the entries did; near the bound of images more often, so that it is known how
+        much of it is free.
+        """
+        limits, size = self.core.limits, self._base_size()
+        if size > limits.image // 2:
+            return limits.image // constants.IMAGE_STEP
+        return min(max(limits.since_base, size), limits.log // 2)
+
+    def _base_size(self) -> int:
+        """Bytes of the newest image."""
+        return len(self.core.consensus.base_image or b"")
+
+    def image_size(self) -> int:
+        """About how many bytes an image would have now: those of the newest one and of the entries applied
+        since, most of which it would hold.
+        """
+        return self._base_size() + self.before_snapshot + self.since_base
 
     def _tell(self, waiting: Waiting, outcome: tuple[Any, ...], now: float) -> None:
         """Tells one who waits the outcome."""
--- a/src/pinepitch/control/daemon.py
+++ b/src/pinepitch/control/daemon.py
@@ -26,6 +26,7 @@
 from .forwarded_requests import ForwardedRequests
 from .front_updates import FrontUpdates
 from .greetings import Greetings
+from .image_digests import ImageDigests
 from .leader import Leadership
 from .membership_changes import Members, MembershipChanges
 from .outside_requests import OutsideRequests
@@ -107,6 +108,7 @@
     def _make_parts(self) -> None:
         """The parts, each of which reaches the others through this daemon."""
         self.agreement = Agreement(self)
+        self.image_digests = ImageDigests(self)
         self.greetings = Greetings(self)
         self.cluster_entry = ClusterEntry(self)
         self.rehearsal_role = RehearsalRole(self)
@@ -357,6 +359,7 @@
         if self.consensus.role == "leader":
             self.leadership.tick(now)
         self.rehearsal_role.maintain(now)
+        self.image_digests.tick(now)
 
     def _may_campaign(self) -> bool:
         """Whether the cluster is founded: something was agreed on, or all who found it have consented."""
--- /dev/null
+++ b/src/pinepitch/control/image_digests.py
@@ -0,0 +1,106 @@
+"""Members compare the digests of their images: replicas at one index must hold the same bytes.
+
+Each member notes the digest of every image that it encodes, and of each snapshot that it installs. One that
+does not lead asks the leader for its digests once it has a new one, and tells event 135 where two of one
+index differ. Images are made at the same indexes by all members (control/agreement.py), so that most meet.
+An installed snapshot is compared with its sender alone: an earlier version encodes other bytes for the same
+state. A leader of an earlier version does not know the request and refuses it, which compares nothing.
+"""
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from ..common import constants
+from ..transport.request_key import key_of
+
+if TYPE_CHECKING:
+    from .daemon import ControlDaemon
+
+CALL = "image-digests"
+ATTEMPT = 1  # of a request: it is never sent again under its token
+
+
+class UncomparedDigest(NamedTuple):
+    """A digest that the leader was not yet seen to share."""
+
+    digest: str
+    sender: str | None  # of the snapshot that it is of, by identity; None for an image encoded here
+    asked: int  # how often the leader was asked and had none of that index
+
+
+class ImageDigests:
+    """Invariants: `own` holds the digests of the newest DIGESTS_KEPT images by index; `uncompared` those of
+    them that are still to be compared; one request at a time waits for its answer.
+    """
+
+    def __init__(self, core: "ControlDaemon") -> None:
+        self.core = core
+        self.own: dict[int, str] = {}  # index -> digest
+        self.uncompared: dict[int, UncomparedDigest] = {}  # by index
+        self.token: str | None = None  # of the request that waits
+        self.asked_leader: str | None = None  # its identity
+        self.asked_at = -1e9  # seconds of the steady clock
+        self.count = 0  # of requests
+        self.compared = self.differences = 0  # images, in this incarnation
+
+    def encoded(self, index: int, digest: str) -> None:
+        """Notes an image that was encoded here."""
+        self.own[index] = digest
+        self.uncompared[index] = UncomparedDigest(digest, None, 0)
+        self._forget_oldest()
+
+    def installed(self, index: int, digest: str, sender: str | None) -> None:
+        """Notes a snapshot that was installed; it is compared with its sender's digest alone."""
+        self.uncompared[index] = UncomparedDigest(digest, sender, 0)
+        self._forget_oldest()
+
+    def _forget_oldest(self) -> None:
+        for kept in (self.own, self.uncompared):
+            for index in sorted(kept)[: -constants.DIGESTS_KEPT]:
+                del kept[index]
+
+    def tick(self, now: float) -> None:
+        """Asks the leader for its digests, now and then while some are to be compared."""
+        if not self.uncompared or now - self.asked_at < constants.DIGEST_ASK_EVERY:
+            return
+        consensus = self.core.consensus
+        if consensus.role == "leader":
+            self.uncompared.clear()  # the others compare theirs with these
+            return
+        address = self.core._leader_address()
+        end = self.core.leader_clock.end(now + constants.FORWARD_TIMEOUT, now)
+        if address is None or end is None:
+            return
+        self.asked_at, self.asked_leader = now, consensus.following
+        self.count += 1
+        self.token = f"{self.core.forwarder.incarnation}~digests~{self.count}"
+        self.core.send(address, ("ask", self.core.address, self.token, CALL, (), ATTEMPT, end))
+
+    def take_answer(self, token: str, answer: tuple[Any, ...], key: tuple[Any, ...]) -> bool:
+        """Takes the leader's answer; False for one to another request."""
+        if token != self.token or tuple(key) != key_of(CALL, ()):
+            return False
+        self.token = None
+        status, document, _ = answer
+        if status == 200:
+            self._compare(dict(document["digests"]))
+        return True
+
+    def _compare(self, digests: Mapping[int, str]) -> None:
+        """Compares what is left with the leader's digests, by index."""
+        for index, found in list(self.uncompared.items()):
+            if found.sender not in (None, self.asked_leader):
+                del self.uncompared[index]
+            elif index in digests:
+                del self.uncompared[index]
+                self.compared += 1
+                if digests[index] != found.digest:
+                    self._tell_difference(index, found.digest, digests[index])
+            elif found.asked + 1 >= constants.DIGEST_ASKS:
+                del self.uncompared[index]
+            else:
+                self.uncompared[index] = found._replace(asked=found.asked + 1)
+
+    def _tell_difference(self, index: int, own: str, leaders: str) -> None:
+        self.differences += 1
+        self.core._event(135, index=index, digest=own, leader=self.asked_leader, leader_digest=leaders)
--- a/src/pinepitch/control/metrics_text.py
+++ b/src/pinepitch/control/metrics_text.py
@@ -79,6 +79,18 @@
         _single("gauge", "term", "The newest term known.", consensus.term if consensus else 0),
         _single("gauge", "commit_index", "Entries known to be committed.", commit),
         _single("gauge", "disk_waiting", "Saves not yet durable.", saving),
+        *_images(daemon),
+    ]
+
+
+def _images(daemon: ControlDaemon) -> list[Family]:
+    size = daemon.agreement.image_size() if daemon.consensus else 0
+    largest = "Bytes of an image from which on what enlarges it is refused."
+    differences = "Images that differ from the leader's at the same index."
+    return [
+        _single("gauge", "image_bytes", "About how many bytes an image of the record has.", size),
+        _single("gauge", "image_bytes_most", largest, daemon.limits.image),
+        _single("counter", "image_differences", differences, daemon.image_digests.differences),
     ]
 
 
--- a/src/pinepitch/control/outside_requests.py
+++ b/src/pinepitch/control/outside_requests.py
@@ -55,6 +55,8 @@
 
     def on_answer(self, token: str, answer: tuple[Any, ...], key: tuple[Any, ...], now: float) -> None:
         """The leader answers a request."""
+        if self.core.image_digests.take_answer(token, answer, key):
+            return
         call = self.core.forwarder.waiting(token, key)
         if call is None:
             return
--- a/src/pinepitch/control/proposals.py
+++ b/src/pinepitch/control/proposals.py
@@ -2,6 +2,10 @@
 
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from ..common import constants
+from ..model.decisions import problem
+from ..state.registry import GROWING
+
 if TYPE_CHECKING:
     from .daemon import ControlDaemon
 
@@ -55,6 +59,9 @@
             if waiting is not None:
                 self.core.forwarded_requests.not_taken(waiting.address, waiting.token, None, now)
             return
+        if waiting is not None and operation[0] in GROWING and self._is_state_full():
+            self._refuse_growth(operation, waiting)
+            return
         if waiting is not None and self.core.consensus.log.size > self.core.limits.log:
             self.core._event(134, operation=operation[0], bytes=self.core.consensus.log.size)
             self.core.forwarded_requests.not_taken(waiting.address, waiting.token, None, now)
@@ -64,3 +71,14 @@
             self.awaiting.setdefault(start, []).append(waiting)
         result = self.core.consensus.propose([operation], self.core._now(now), now)
         self.core.agreement.run(result[1], now)
+
+    def _is_state_full(self) -> bool:
+        """Whether an image of the cluster state would be as large as it may be."""
+        return self.core.agreement.image_size() >= self.core.limits.image
+
+    def _refuse_growth(self, operation: tuple[Any, ...], waiting: Waiting) -> None:
+        """Tells a caller at once that what it asks for would enlarge a state that is full."""
+        self.core._event(136, operation=operation[0], bytes=self.core.agreement.image_size())
+        message = "the cluster state is as large as it may be; nothing was taken"
+        refusal = problem(429, "state_full", message, constants.RETRY_AFTER)
+        self.core.forwarded_requests.answer(waiting.address, waiting.token, refusal)
--- a/src/pinepitch/control/requests/cluster.py
+++ b/src/pinepitch/control/requests/cluster.py
@@ -135,3 +135,8 @@
 def read_log_index(leader: ControlDaemon, token: str, arguments: tuple[Any, ...], now: float) -> Answer:
     """How far the log is, confirmed: what was acknowledged before has no higher index."""
     return Answer(200, {"index": leader.cluster_state.index})
+
+
+def read_image_digests(leader: ControlDaemon, token: str, arguments: tuple[Any, ...], now: float) -> Answer:
+    """The digests of the newest images that the leader encoded, as [index, digest]."""
+    return Answer(200, {"digests": [list(one) for one in sorted(leader.image_digests.own.items())]})
--- a/src/pinepitch/control/requests/registry.py
+++ b/src/pinepitch/control/requests/registry.py
@@ -13,6 +13,7 @@
 from ...model.decisions import Answer, Decision
 from ...scheduling import requests as leased_jobs
 from ...transport.forwarder import LOG_INDEX_REQUEST
+from .. import image_digests
 from . import cluster, drafts, explanations, push_workers, pushed_jobs, queue_configuration
 
 
@@ -53,6 +54,7 @@
     "whence": Request(True, explanations.explain),
     "live": Request(True, cluster.list_placed_tasks),
     LOG_INDEX_REQUEST: Request(True, cluster.read_log_index),
+    image_digests.CALL: Request(True, cluster.read_image_digests),
     **{name: Request(False, make) for name, make in leased_jobs.CALLS.items()},
 }
 
--- a/src/pinepitch/model/contract.py
+++ b/src/pinepitch/model/contract.py
@@ -143,6 +143,7 @@
     "configuration": (),
     "evacuate": (str, bool, int),
     "log-index": (),
+    "image-digests": (),
     "job-explain": (str,),
     "workers": (),
     "evacuations": (),
--- a/src/pinepitch/model/validation.py
+++ b/src/pinepitch/model/validation.py
@@ -43,11 +43,26 @@
 def shaped(shape: voluptuous.Schema, document: object) -> tuple[Any, Faults]:
     """(the document with its defaults, ()) or (None, the faults that voluptuous finds)."""
     try:
-        return shape(document), ()
+        return _defaults_in_order(shape(document), document), ()
     except voluptuous.MultipleInvalid as several:
         return None, tuple((".".join(map(str, one.path)), one.msg) for one in _in_order(several.errors))
 
 
+def _defaults_in_order(filled: Any, given: object) -> Any:
+    """A filled document with its own keys in the order given and those of defaults by name behind them:
+    voluptuous fills them in the order of a set, which differs from process to process.
+    """
+    if filled is given:
+        return filled
+    if isinstance(filled, dict):
+        own = given if isinstance(given, dict) else {}
+        keys = [*(key for key in filled if key in own), *sorted(key for key in filled if key not in own)]
+        return {key: _defaults_in_order(filled[key], own.get(key)) for key in keys}
+    if isinstance(filled, list) and isinstance(given, list) and len(filled) == len(given):
+        return [_defaults_in_order(*both) for both in zip(filled, given, strict=True)]
+    return filled
+
+
 def _in_order(errors: Iterable[voluptuous.Invalid]) -> list[voluptuous.Invalid]:
     """The errors in their order, but missing keys beside each other by name: voluptuous tells
     these in the order of a set, which differs from process to process.
--- a/src/pinepitch/runtime/host.py
+++ b/src/pinepitch/runtime/host.py
@@ -129,8 +129,8 @@
         await done.wait()
 
     def _encoded(self, image: Any) -> Any:
-        """The encoded form of an image, in whatever way the decider's state has it."""
-        return type(self.core.cluster_state).encode(image)
+        """The encoded form of an image with its digest, in whatever way the decider's state has it."""
+        return type(self.core.cluster_state).encode_with_digest(image)
 
     async def _rehearse(self, effect: Rehearse) -> None:
         await curio.spawn(self._rehearse_apart, *effect, daemon=True)
--- a/src/pinepitch/simulation/agreement.py
+++ b/src/pinepitch/simulation/agreement.py
@@ -40,11 +40,11 @@
         cluster_state.audit()
     except AssertionError as broken:
         yield f"{node.name}: {broken}"
-    plain = plain_image(cluster_state)
     encoded = cluster_state.encode(cluster_state.image())
-    if plain_image(type(cluster_state).decode(encoded, cluster_state.archive.segments)) != plain:
+    restored = type(cluster_state).decode(encoded, cluster_state.archive.segments)
+    if restored.encode(restored.image()) != encoded:
         yield f"{node.name} would restart with another record than it holds"
-    image = (plain, cluster_state.archive.segments)
+    image = (encoded, cluster_state.archive.segments)
     other_name, other_image = images.setdefault(cluster_state.index, (node.name, image))
     if other_image != image:
         yield f"{node.name} and {other_name} differ at {cluster_state.index}"
--- a/src/pinepitch/simulation/simulator.py
+++ b/src/pinepitch/simulation/simulator.py
@@ -405,7 +405,7 @@
             "give",
             node.name,
             node.incarnation,
-            ("encoded", index, node.core.cluster_state.encode(image)),
+            ("encoded", index, node.core.cluster_state.encode_with_digest(image)),
         )
 
     def _rehearse(self, node, epoch, draft, asked, *rest):
--- a/src/pinepitch/state/archive.py
+++ b/src/pinepitch/state/archive.py
@@ -15,6 +15,7 @@
 import immutables
 
 from ..common import constants
+from ..common.canonical import sorted_by_key
 from ..model.pushed_job import PushedJob
 
 
@@ -36,7 +37,7 @@
     """The segments that the cluster state stands on.
 
     Invariants: segments has every one from the first of lines to the last, and `retired` those
-    that went since the newest snapshot base, which may still be asked for;
+    that went and that the newest snapshot base stands on, which may still be asked for;
     place[number of a job - place_from] is the number of the segment that holds the job, 0 for
     none; keys maps the hash of a client's key to a segment; count and states are of all jobs in
     the segments.
@@ -79,7 +80,7 @@
         ]
         chunks = [
             zlib.compress(
-                cbor2.dumps([_flat(job) for job in plain[place : place + constants.SEGMENT_CHUNK]]),
+                cbor2.dumps([plain_job(job) for job in plain[place : place + constants.SEGMENT_CHUNK]]),
                 constants.SEGMENT_PRESS,
             )
             for place in range(0, len(plain), constants.SEGMENT_CHUNK)
@@ -156,6 +157,11 @@
             if self.keys.get(found) == number:
                 del self.keys[found]
 
+    def forget_retired(self, before: int) -> None:
+        """Forgets the segments that went and that no base stands on any more, those before a number."""
+        for number in [one for one in self.retired if one < before]:
+            del self.retired[number]
+
     def segment(self, number: int) -> bytes | None:
         """The bytes of a segment held or retired, or None."""
         return self.segments.get(number) or self.retired.get(number)
@@ -203,6 +209,6 @@
         yield int.from_bytes(data[start : start + 8], "big")
 
 
-def _flat(job: PushedJob) -> list[Any]:
-    """A job as plain values."""
-    return [dict(value) if isinstance(value, immutables.Map) else value for value in job]
+def plain_job(job: PushedJob) -> list[Any]:
+    """A job as plain values, which every replica encodes to the same bytes."""
+    return [sorted_by_key(value) if isinstance(value, immutables.Map) else value for value in job]
--- a/src/pinepitch/state/cluster_state.py
+++ b/src/pinepitch/state/cluster_state.py
@@ -21,7 +21,7 @@
 from .archive import Archive
 from .change_watermarks import ChangeWatermarks
 from .configuration_history import ConfigurationHistory
-from .image_codec import Image
+from .image_codec import EncodedImage, Image
 from .job_progress import JobProgress
 from .outcomes import Outcome
 from .ready_queue import Entry, ReadyQueue, Shape, Slot, waiting_members
@@ -98,6 +98,11 @@
         """The bytes of an image."""
         return image_codec.encode(image)
 
+    @staticmethod
+    def encode_with_digest(image: Image) -> EncodedImage:
+        """The bytes of an image with their digest."""
+        return image_codec.encode_with_digest(image)
+
     @classmethod
     def decode(cls, data: bytes, segments: dict[int, bytes] | None = None) -> Self:
         """The state of an image and the archive's segments that it stands on."""
--- a/src/pinepitch/state/image_codec.py
+++ b/src/pinepitch/state/image_codec.py
@@ -1,17 +1,22 @@
 """The image: the encoded form of the cluster state in a snapshot.
 
-The order of the fields is that of stored data: fields are neither moved nor taken out.
+The order of the fields is that of stored data: fields are neither moved nor taken out. Replicas that applied
+the same entries encode the same bytes: hash maps (`immutables.Map`), whose order each process decides for
+itself, are written in the order of their keys; plain dicts, whose order is that of the entries that filled
+them and is kept by decoding, in their own.
 """
 
-from typing import TYPE_CHECKING, Any
+import hashlib
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import cbor2
 import immutables
 
+from ..common.canonical import sorted_by_key
 from ..model.pushed_job import PushedJob
 from ..model.task import Standing, Task
 from ..scheduling.leased_job_state import LeasedJobState
-from .archive import Archive
+from .archive import Archive, plain_job
 from .change_watermarks import ChangeWatermarks
 from .configuration_history import ConfigurationHistory
 from .traffic_sample import Sample
@@ -22,6 +27,13 @@
 Image = tuple[Any, ...]
 
 
+class EncodedImage(NamedTuple):
+    """The bytes of an image, and the digest by which members compare theirs."""
+
+    data: bytes
+    digest: str
+
+
 def image_of(state: "ClusterState") -> Image:
     """The image of a state, as a value that later changes leave alone."""
     return (
@@ -51,10 +63,31 @@
 
 def encode(image: Image) -> bytes:
     """The bytes of an image."""
-    data: bytes = cbor2.dumps(image, default=_encode_map)
+    data: bytes = cbor2.dumps([_ordered(field) for field in image])
     return data
 
 
+def _ordered(field: Any) -> Any:
+    """A field of an image with its hash maps, and those of the jobs in it, in the order of their keys."""
+    if not isinstance(field, immutables.Map):
+        return field
+    return {
+        key: plain_job(value) if isinstance(value, PushedJob) else value
+        for key, value in sorted_by_key(field).items()
+    }
+
+
+def digest_of(data: bytes) -> str:
+    """The digest of an encoded image: SHA-256, in hexadecimal digits."""
+    return hashlib.sha256(data).hexdigest()
+
+
+def encode_with_digest(image: Image) -> EncodedImage:
+    """The bytes of an image with their digest."""
+    data = encode(image)
+    return EncodedImage(data, digest_of(data))
+
+
 def decode_into(state: "ClusterState", data: bytes, segments: dict[int, bytes] | None) -> None:
     """Fills a new state from the bytes of an image and the archive's segments it stands on."""
     (
@@ -112,12 +145,5 @@
     return job._replace(tasks=tasks, standings=immutables.Map(standings))
 
 
-def _encode_map(encoder: cbor2.CBOREncoder, value: object) -> None:
-    """cbor2's hook for what it can't encode itself."""
-    if not isinstance(value, immutables.Map):
-        raise TypeError(type(value).__name__)
-    encoder.encode(dict(value))
-
-
 def _pairs(lists: Any) -> tuple[tuple[Any, ...], ...]:
     return tuple(tuple(one) for one in lists)
--- a/src/pinepitch/state/registry.py
+++ b/src/pinepitch/state/registry.py
@@ -77,3 +77,6 @@
     "evacuate": 2,
     "evacuation": 3,
 }
+# Operations of callers that enlarge the image for long; they are refused once it is full. Those that end,
+# cancel or replace something never are.
+GROWING = frozenset(("ticket", "job", "setup", "draft", "approve"))
