--- a/src/pinepitch/simulation/simulator.py
+++ b/src/pinepitch/simulation/simulator.py
@@ -693,15 +693,16 @@
     "stopping": Simulator._stopping,
     "later": lambda simulator, function: function(),
 }
+# What is looked up at the simulator is what its kinds do in their own way.
 EFFECTS = {
     Send: Simulator._send,
     SaveChange: Simulator._save,
     WriteBase: Simulator._base,
-    WriteSegment: Simulator._segment,
+    WriteSegment: lambda simulator, *rest: simulator._segment(*rest),
     WriteNote: Simulator._note,
-    EncodeSnapshot: Simulator._snapshot,
+    EncodeSnapshot: lambda simulator, *rest: simulator._snapshot(*rest),
     Rehearse: Simulator._rehearse,
-    Event: lambda simulator, *rest: simulator._event(*rest),  # kinds of simulators add to it
+    Event: lambda simulator, *rest: simulator._event(*rest),
     Reply: Simulator._reply,
     PostOrder: Simulator._post,
 }
--- a/src/pinepitch/storage/store.py
+++ b/src/pinepitch/storage/store.py
@@ -3,16 +3,15 @@
 A file holds the SHA-256 digest (32 bytes) of the rest, which is the cbor of (FILE_VERSION, payload).
 """
 
-import contextlib
 import hashlib
-import os
 import re
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import cbor2
 
 from ..common import constants, packed_operations
+from .files import Files, FolderFiles
 
 NAME = re.compile(r"^(base|step|segment)-(\d{16})$")
 DIGEST_BYTES = 32
@@ -56,8 +55,9 @@
     the last returned write_step is promised; a promised version is never rewritten.
     """
 
-    def __init__(self, folder: str) -> None:
+    def __init__(self, folder: str, files: Files | None = None) -> None:
         self.folder = folder
+        self.files = FolderFiles(folder) if files is None else files
         self.version = 0
         self.syncs = 0  # files made durable so far
 
@@ -65,7 +65,7 @@
         """What the folder, which is made if there is none, holds. Each step passes through `shrunk`
         before the next one is read.
         """
-        os.makedirs(self.folder, exist_ok=True)
+        self.files.make()
         found = self._names()
         base_version = max(found["base"], default=0)
         try:
@@ -82,12 +82,12 @@
     def _names(self) -> dict[str, dict[int, str]]:
         """Kind -> number -> name of each file; what was never finished is removed."""
         found: dict[str, dict[int, str]] = {"base": {}, "step": {}, "segment": {}}
-        for name in os.listdir(self.folder):
+        for name in self.files.names():
             match = NAME.match(name)
             if match:
                 found[match[1]][int(match[2])] = name
             elif name.endswith(".aside"):
-                os.unlink(os.path.join(self.folder, name))
+                self.files.remove(name)
         return found
 
     def _load_segments(self, base: Any, names: dict[int, str]) -> dict[int, Any]:
@@ -132,34 +132,30 @@
         first, _ = payload[-1]
         # file kind -> the first number that is kept
         kept = {"segment": first, "base": version, "step": version + 1}
-        for name in os.listdir(self.folder):
+        for name in self.files.names():
             match = NAME.match(name)
             if match and int(match[2]) < kept[match[1]]:
-                os.unlink(os.path.join(self.folder, name))
+                self.files.remove(name)
 
     def wipe(self) -> None:
         """Forgets everything: what is left of a damaged store is set aside by name."""
-        for name in os.listdir(self.folder):
+        for name in self.files.names():
             if NAME.match(name):
-                os.replace(os.path.join(self.folder, name), os.path.join(self.folder, "damaged-" + name))
+                self.files.rename(name, "damaged-" + name)
         self.version = 0
 
     def _write(self, name: str, payload: Any) -> None:
         """Makes a file durable under its final name."""
         body = packed_operations.dumps((constants.FILE_VERSION, payload))
-        aside = os.path.join(self.folder, name + ".aside")
-        if os.path.exists(aside):
+        aside = name + ".aside"
+        if self.files.exists(aside):
             # after a failed sync what a file holds can't be trusted: never the same one again
-            os.unlink(aside)
-        with _opened(aside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC) as descriptor:
-            for part in (hashlib.sha256(body).digest(), body):  # apart: no second copy of a large body
-                rest = memoryview(part)
-                while rest:
-                    rest = rest[os.write(descriptor, rest) :]
-            os.fsync(descriptor)
-        os.replace(aside, os.path.join(self.folder, name))
-        with _opened(self.folder, os.O_RDONLY | os.O_DIRECTORY) as descriptor:
-            os.fsync(descriptor)
+            self.files.remove(aside)
+        self.files.write(
+            aside, (hashlib.sha256(body).digest(), body)
+        )  # apart: no second copy of a large body
+        self.files.rename(aside, name)
+        self.files.sync()
         self.syncs += 1
 
     def _read_sound(self, name: str) -> Any:
@@ -171,8 +167,7 @@
 
     def _read(self, name: str) -> Any:
         """The payload of a file, or Damaged."""
-        with open(os.path.join(self.folder, name), "rb") as file:
-            content = file.read()
+        content = self.files.read(name)
         # no second copy of a large body
         digest, body = content[:DIGEST_BYTES], memoryview(content)[DIGEST_BYTES:]
         if len(digest) < DIGEST_BYTES or hashlib.sha256(body).digest() != digest:
@@ -182,13 +177,3 @@
             known = constants.FILE_VERSION
             return Foreign(f"{name} has file version {version}, this program reads {known}")
         return payload
-
-
-@contextlib.contextmanager
-def _opened(path: str, flags: int) -> Iterator[int]:
-    """A descriptor of a file or folder, closed at the end."""
-    descriptor = os.open(path, flags, 0o644)
-    try:
-        yield descriptor
-    finally:
-        os.close(descriptor)
