A leader stopped between its last check and the append: simulated, with retries

The scenario stopped-at-append stops the leader within a step that takes an evacuation, a configuration or a job: the clocks are read, nothing is done yet; it goes on 0.3 to 4 s later, half of the time with no other elected meanwhile. Operators send again what they got no clear answer to.

--- a/features/contact.feature
+++ b/features/contact.feature
@@ -15,6 +15,7 @@
       | frozen           | 0 to 1 |
       | stopped-at-write | 0 to 0 |
       | stopped-at-send  | 1 to 1 |
+      | stopped-at-append | 0 to 5 |
 
   Scenario Outline: the injected fault <injected> is found when a machine meets <scenario>
     Given the injected fault <injected>
@@ -30,6 +31,7 @@
       | lease-ignored        | cut-both         | 0 to 0 | was read after a newer one               |
       | doubt-unsaid         | cut-in           | 6 to 6 | is in force, though it was answered [503] |
       | taken-forgotten      | cut-in           | 1 to 1 | is refused when it is sent again         |
+      | taken-forgotten      | stopped-at-append | 0 to 5 | is refused when it is sent again         |
       | refused-at-will      | cut-in           | 1 to 1 | still in force                           |
 
   Scenario: an end on the leader's clock comes no later than the patience it is for
--- a/src/pinepitch/simulation/isolation/fleet.py
+++ b/src/pinepitch/simulation/isolation/fleet.py
@@ -18,6 +18,9 @@
 
     def __init__(self, seed):
         self.holding, self.kept = False, []
+        self.interrupts = None  # (node, says of a message whether the node is stopped in its step)
+        self.late_steps = []  # (kind of the request, whether its daemon led on) of each interrupted step
+        self.interrupted = {}  # name of a node -> (message, readings of its clocks) of the step it stopped in
         super().__init__(seed)
         self.client_stand_in.rate = 0.5  # jobs are not what these trials are about
         self.operators = None
@@ -52,6 +55,30 @@
         for place, (name, incarnation, message) in enumerate(kept):
             self.at(self.latency() + place * 1e-5, "give", name, incarnation, message)
 
+    def give(self, node, message):
+        """As ever, but for a process that is to be stopped within the step of a message: it has read its
+        clocks and done nothing yet.
+        """
+        if self.interrupts is not None and self.interrupts[0] is node and not node.frozen:
+            if self.interrupts[1](message):
+                self.interrupts = None
+                node.stall_detector.turn(self.steady())
+                self.interrupted[node.name] = (message, self.steady(), self.clock(node))
+                self.freeze(node.name)
+                return
+        super().give(node, message)
+
+    def thaw(self, name):
+        """Lets a stopped process go on, with the step that it was stopped in first."""
+        node = self.nodes[name]
+        message, now, clock = self.interrupted.pop(name, (None, None, None))
+        if message is not None:
+            node.frozen = False
+            for effect in node.core.step(message, now, clock):
+                self.carry_out(node, effect)
+            self.late_steps.append((message[3], node.core.consensus.role == "leader"))
+        super().thaw(name)
+
     def begin(self):
         """Waits for service and lets the operators begin."""
         super().begin()
--- a/src/pinepitch/simulation/isolation/orders.py
+++ b/src/pinepitch/simulation/isolation/orders.py
@@ -16,6 +16,7 @@
     sent: float
     strict: bool = False  # a read that the leader itself decided and was stopped before it wrote it
     base: int = 0
+    arguments: tuple = ()
     answered: float | None = None
     status: int | None = None
     document: object = None
@@ -77,6 +78,21 @@
         zone = f"zone{self.zones}"
         self._send(node, "evacuate", zone, (zone, True))
 
+    def ask_again(self):
+        """Every change and evacuation that was answered unclearly or not at all is sent again as it was, to
+        any daemon, as its operator would.
+        """
+        draw = self.simulator.draw
+        unclear = {}  # the newest attempt of each order that none was clearly answered of
+        for order in self.orders:
+            if order.call in ("configure", "evacuate"):
+                key = (order.call, order.subject)
+                unclear[key] = None if order.status not in (None, 504) else order
+        for order in [one for one in unclear.values() if one is not None]:
+            if self.now() - order.sent > 1.0:
+                node = draw.choice(self.simulator.control_nodes())
+                self._send(node, order.call, order.subject, order.arguments, base=order.base)
+
     def read(self, node, strict=False):
         """Reads the configuration from a daemon."""
         return self._send(node, "configuration", None, (), strict=strict)
@@ -86,7 +102,7 @@
         return self._send(node, "evacuations", None, ())
 
     def _send(self, node, call, subject, arguments, **more):
-        order = Order(call, subject, self.now(), **more)
+        order = Order(call, subject, self.now(), arguments=arguments, **more)
         self.orders.append(order)
 
         def on_answer(status, document):
--- a/src/pinepitch/simulation/isolation/scenarios.py
+++ b/src/pinepitch/simulation/isolation/scenarios.py
@@ -2,6 +2,7 @@
 
 from ...common.effects import Reply, Send
 
+NOBODY_ELECTED = 0.5  # of turns in which the others can't elect a leader meanwhile
 ISOLATED = 20.0  # seconds; a machine is cut off or stopped this long
 
 
@@ -102,6 +103,38 @@
     _stopped_before(simulator, wanted, simulator.draw.choice((3.0, 5.0, ISOLATED)))
 
 
+def stopped_at_append(simulator):
+    """The leader has taken a call as being in time and is stopped before it appends what it decides, three
+    times; it goes on before or after another was elected, and callers ask again what they got no clear
+    answer to.
+    """
+    for call in ("evacuate", "configure", "job"):
+        leader = simulator.leader()
+        if leader is None:
+            simulator.run(1)
+            continue
+
+        def wanted(message, call=call):
+            return message[0] == "ask" and message[3] == call
+
+        simulator.interrupts = (leader, wanted)
+        simulator.run(1)  # such calls come all the time
+        followers = [node.name for node in simulator.control_nodes() if node is not leader]
+        alone = simulator.draw.random() < NOBODY_ELECTED
+        if alone:
+            simulator.partition(followers[:1], followers[1:])
+        simulator.run(simulator.draw.choice((0.3, 0.55, 1.5, 4.0)))
+        simulator.heal()
+        if leader.frozen:
+            simulator.thaw(leader.name)
+        simulator.interrupts = None
+        simulator.run(1)
+        simulator.operators.ask_again()
+        simulator.run(2)
+    if not simulator.late_steps:
+        raise AssertionError("no step was interrupted")
+
+
 # The registry of scenarios: name -> what it does to the fleet.
 SCENARIOS = {
     "cut-both": partition_both,
@@ -111,4 +144,5 @@
     "frozen": frozen,
     "stopped-at-write": stopped_at_write,
     "stopped-at-send": stopped_at_send,
+    "stopped-at-append": stopped_at_append,
 }
