In dynamic mode a leader counts as known once it has committed; models of archives and late appends

Random schedules of the model checker had neither dynamic mode nor archives. Cause: every replica that had heard a leader took it for the last one, and Algorithm 1 asks for that leader's group alone; a leader that crashes before its first commit has left no copy of what its predecessor's group had committed on the others of its own group. Now a leader is known once an entry of its term is known to be committed (consensus/known_leader.py, flexiraft.md change 9); until then its votes stay in the histories and the walk adds its group. Ruled out: known once its entry is in the own log, since a refused vote tells of it too. Static and single mode, wire and stored data are as they were. The model also gets an order that a stopped leader appends late, and its retry at any leader: entries may be doubled, effects never (late-append, late-append-deposed; names-forgotten is found).

--- a/features/models.feature
+++ b/features/models.feature
@@ -27,3 +27,18 @@
   Scenario: a joint change that stands still is found
     When 25 schedules drawn from seeds run with the fault "coming-voter-ignored"
     Then some fleet doesn't serve again though enough is left
+
+  Scenario: fleets with archives, half of them in dynamic mode, keep every invariant under random schedules
+    When 20 schedules of fleets with archives drawn from seeds run
+    Then none breaks an invariant, and some are in each of the modes static, single and dynamic
+    And segments were sealed in all of them, and sent with snapshots in some
+    And once all but one machine are well again a proposal is committed, unless too much was lost
+
+  Scenario Outline: schedules of fleets with archives find the injected fault <fault>
+    When 20 schedules of fleets with archives drawn from seeds run with the fault "<fault>"
+    Then some of them finds that a daemon <found>
+
+    Examples:
+      | fault                | found                                      |
+      | leader-known-at-once | can be elected and lacks committed entry   |
+      | segments-left-out    | installs a snapshot without segment        |
--- a/features/steps/models.py
+++ b/features/steps/models.py
@@ -4,13 +4,22 @@
 from hypothesis import HealthCheck, Phase, settings, strategies
 from hypothesis import given as drawn
 
+from pinepitch.consensus.messages import SnapshotChunk
 from pinepitch.simulation.model_checker import fleets, script, search
 from pinepitch.simulation.model_checker.actions import Budget
 from pinepitch.simulation.model_checker.explore import Found
 from pinepitch.simulation.model_checker.faults import FAULTS, conditions, injected
 from pinepitch.simulation.model_checker.fleets import FAST, MODELS, SLOW, THREE
 from pinepitch.simulation.model_checker.model import Fleet, started
-from pinepitch.simulation.model_checker.schedule import BEGINNING, EVENTS, SHAPES, Event, Run, drawn_run
+from pinepitch.simulation.model_checker.schedule import (
+    BEGINNING,
+    EVENTS,
+    SHAPES,
+    Event,
+    Run,
+    drawn_archive_run,
+    drawn_run,
+)
 
 STATES_LEAST = 10_000  # states; what all brief searches see together, so that none became empty
 REPLACING = (("a", "north"), ("b", "south"), ("d", "west"))
@@ -168,3 +177,46 @@
 @then("some fleet doesn't serve again though enough is left")
 def step_not_served(context):
     assert False in context.served, context.served
+
+
+@when("{count:d} schedules of fleets with archives drawn from seeds run")
+def step_archives(context, count):
+    context.runs, context.served, context.broken = [], [], []
+    for seed in range(count):
+        try:
+            run = drawn_archive_run(seed)
+            context.served.append(run.serves_again(seed))
+            context.runs.append(run)
+        except AssertionError as broken:
+            context.broken.append(f"seed {seed}: {broken}")
+
+
+@when('{count:d} schedules of fleets with archives drawn from seeds run with the fault "{fault}"')
+def step_archives_faulty(context, count, fault):
+    with injected(fault):
+        step_archives(context, count)
+
+
+@then("none breaks an invariant, and some are in each of the modes static, single and dynamic")
+def step_archives_hold(context):
+    assert not context.broken, context.broken
+    modes = {replica.mode for run in context.runs for replica in run.state.replicas.values()}
+    assert modes == {"static", "single", "dynamic"}, modes
+
+
+@then("segments were sealed in all of them, and sent with snapshots in some")
+def step_segments(context):
+    for run in context.runs:
+        assert max(replica.archive.sealed for replica in run.state.replicas.values()) > 1
+    sent = sum(1 for run in context.runs for message in run.state.post.messages if is_chunk(message.message))
+    assert sent > 10, sent
+
+
+def is_chunk(message):
+    """Whether a message carries a part of a snapshot."""
+    return isinstance(message, SnapshotChunk) and bool(message.chunk)
+
+
+@then("some of them finds that a daemon {found}")
+def step_archives_find(context, found):
+    assert any(found in one for one in context.broken), context.broken
--- a/src/pinepitch/consensus/commitment.py
+++ b/src/pinepitch/consensus/commitment.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..common import constants
-from . import log_changes, reads, replication
+from . import known_leader, log_changes, reads, replication
 from .effects import CommitEntries
 from .quorum import Membership, Quorum
 
@@ -27,6 +27,7 @@
         holders = {identity for identity, match in matches.items() if match >= index}
         if replica.membership.commits(holders, replica.identity):
             commit_to(replica, index, now)
+            known_leader.remember(replica, replica.identity, replica.term)
             break
 
 
--- a/src/pinepitch/consensus/election.py
+++ b/src/pinepitch/consensus/election.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from ..common import constants
-from . import log_changes, membership_change, replication
+from . import known_leader, log_changes, membership_change, replication
 from .effects import BecomeLeader
 from .follower import Follower
 from .messages import (
@@ -90,8 +90,8 @@
     """Leads the present term: begins with an entry of its own, which commits all before it."""
     replica.role = LEADER
     replica.following = replica.identity
-    replica.leader, replica.leader_term = replica.identity, replica.term
-    replica.history = {}
+    if known_leader.counts_at_once(replica):
+        known_leader.remember(replica, replica.identity, replica.term)
     replica.hard_dirty = True
     replica.followers = {
         identity: Follower(replica.last_index(), now)
@@ -189,7 +189,7 @@
     if term < replica.term:
         replica.send(sender, NewerTerm(replica.term), replica.hard_sequence)
         return
-    if replica.leader_near(now) and replica.leader_term > released:
+    if replica.leader_near(now) and known_leader.newest_term(replica) > released:
         return
     _answer_vote(replica, sender, term, last_index, last_term, now)
 
@@ -200,9 +200,8 @@
     if term > replica.term:
         replica.follow(term, now, "newer term")
     choice = replica.history.get(term)
-    granted = (
-        replica.leader_term < term and is_current(replica, last_index, last_term) and choice in (None, sender)
-    )
+    led = known_leader.newest_term(replica) >= term
+    granted = not led and is_current(replica, last_index, last_term) and choice in (None, sender)
     if granted and choice is None:
         replica.history[term] = sender
         replica.hard_dirty = True
--- a/src/pinepitch/consensus/following.py
+++ b/src/pinepitch/consensus/following.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from . import commitment, log_changes
+from . import commitment, known_leader, log_changes
 from .messages import AppendEntries, AppendReply, NewerTerm
 from .roles import FOLLOWER
 
@@ -13,19 +13,16 @@
 
 
 def hear_leader(replica: Consensus, sender: str, term: int, now: float) -> None:
-    """Takes `sender` for the leader of `term`. Votes of terms up to this one are needed no more
-    (docs/flexiraft.md, change 6).
-    """
+    """Takes `sender` for the leader of `term`."""
     if term > replica.term or replica.role != FOLLOWER:
         replica.follow(term, now, "leader heard")
     replica.following = sender
     replica.removed = False
     replica.heard_leader = now
     replica.reset_election(now)
-    if replica.leader_term < term:
-        replica.leader, replica.leader_term = sender, term
-        replica.history = {past: choice for past, choice in replica.history.items() if past > term}
-        replica.hard_dirty = True
+    replica.heard_term = term
+    if known_leader.counts_at_once(replica):
+        known_leader.remember(replica, sender, term)
 
 
 def on_append(replica: Consensus, sender: str, message: AppendEntries, now: float) -> None:
@@ -57,6 +54,7 @@
     up_to = min(commit, last)
     if up_to > replica.committed:
         commitment.commit_to(replica, up_to, now)
+    known_leader.remember_committed(replica, sender, term)
 
 
 def _acknowledge(replica: Consensus, sender: str, last: int, heartbeat: int) -> None:
--- /dev/null
+++ b/src/pinepitch/consensus/known_leader.py
@@ -0,0 +1,44 @@
+"""The last leader that a replica knows, of the extra state of section 5.1: what its votes tell of it.
+
+In dynamic mode an election needs the group of the last leader known. A leader that was elected and has
+committed nothing yet does not count: what was committed before it lies on its predecessor's group, and may
+lie on no other member of its own (docs/flexiraft.md, change 9). Once an entry of its term is committed, its
+group holds that entry and so all before it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .replica import Consensus
+
+
+def counts_at_once(replica: Consensus) -> bool:
+    """Whether a leader counts as known once it is elected or heard, as in all modes but the dynamic one."""
+    return replica.membership.now.mode != "dynamic"
+
+
+def remember(replica: Consensus, leader: str, term: int) -> None:
+    """Notes the leader of a term. Votes of terms up to this one are needed no more (change 6)."""
+    if replica.leader_term < term:
+        replica.leader, replica.leader_term = leader, term
+        replica.history = {past: choice for past, choice in replica.history.items() if past > term}
+        replica.hard_dirty = True
+
+
+def remember_committed(replica: Consensus, leader: str, term: int) -> None:
+    """The same, if an entry of that term is known to be committed."""
+    if replica.leader_term < term and replica.term_at(replica.committed) == term:
+        remember(replica, leader, term)
+
+
+def newest_term(replica: Consensus) -> int:
+    """The term of the newest leader heard or known."""
+    return max(replica.leader_term, replica.heard_term)
+
+
+def is_newest(replica: Consensus, leader: str, term: int) -> bool:
+    """Whether that is the newest leader heard or known."""
+    newest = replica.following if replica.heard_term > replica.leader_term else replica.leader
+    return term == newest_term(replica) and leader == newest
--- a/src/pinepitch/consensus/leadership_transfer.py
+++ b/src/pinepitch/consensus/leadership_transfer.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from ..common import constants
-from . import election, replication
+from . import election, known_leader, replication
 from .messages import LeadershipTransfer
 from .roles import CANDIDATE, FOLLOWER
 
@@ -62,7 +62,7 @@
 
 def on_transfer(replica: Consensus, sender: str, message: LeadershipTransfer, now: float) -> None:
     """The leader of this term gave up its lease and names this voter its successor."""
-    newest = message.term == replica.term == replica.leader_term and sender == replica.leader
-    if newest and replica.may_campaign(now) and replica.role == FOLLOWER:
+    newest = known_leader.is_newest(replica, sender, message.term)
+    if message.term == replica.term and newest and replica.may_campaign(now) and replica.role == FOLLOWER:
         replica.inherited_learners = dict(message.learners)
         election.campaign(replica, CANDIDATE, now, released=message.term)
--- a/src/pinepitch/consensus/replica.py
+++ b/src/pinepitch/consensus/replica.py
@@ -74,7 +74,7 @@
     def _init_hard_state(self) -> None:
         self.term = 0
         self.history: dict[int, str] = {}  # term -> whom it voted for
-        self.leader: str | None = None  # the newest leader known, of leader_term
+        self.leader: str | None = None  # the last leader known, of leader_term (known_leader)
         self.leader_term = 0
 
     def _init_log(self, membership: Membership) -> None:
@@ -100,6 +100,7 @@
     def _init_elections(self) -> None:
         self.role = FOLLOWER
         self.following: str | None = None  # the leader of this term as heard
+        self.heard_term = 0  # of the newest leader heard in this incarnation
         self.replies: dict[str, Reply] = {}
         self.heard_leader = LONG_AGO
         self.begun_at: float | None = None  # when this incarnation began, after any earlier one had ended
--- a/src/pinepitch/consensus/snapshot_receiver.py
+++ b/src/pinepitch/consensus/snapshot_receiver.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from . import following, log_changes, snapshot_base
+from . import following, known_leader, log_changes, snapshot_base
 from .effects import InstallSnapshot, SaveBase
 from .messages import ChunkReply, NewerTerm, SnapshotChunk
 from .pending_save import PendingSave
@@ -41,6 +41,7 @@
     replica.incoming = None
     replica.base_image, replica.base_segments = received.image, received.segments_span
     _replace_log(replica, message)
+    known_leader.remember_committed(replica, sender, message.term)
     _save_base(replica, message.last_index, received.segments, now)
     _answer(replica, sender, message, message.total, stored, replica.sequence)
 
--- a/src/pinepitch/simulation/model_checker/actions.py
+++ b/src/pinepitch/simulation/model_checker/actions.py
@@ -32,6 +32,8 @@
     repeats: int = 0
     handovers: int = 0
     reads: int = 0  # a leader is asked for what is committed
+    late_appends: int = 0  # a stopped leader goes on with the append that it was stopped before
+    retries: int = 0  # the caller of that append asks again, under the same name
 
 
 class Action(NamedTuple):
--- a/src/pinepitch/simulation/model_checker/faults.py
+++ b/src/pinepitch/simulation/model_checker/faults.py
@@ -8,13 +8,24 @@
 from unittest import mock
 
 from ...common import constants
-from ...consensus import acknowledgements, commitment, election, leadership_transfer, log_changes, reads
+from ...consensus import (
+    acknowledgements,
+    commitment,
+    election,
+    known_leader,
+    leadership_transfer,
+    log_changes,
+    reads,
+    snapshot_sender,
+)
 from ...consensus.effects import Effect, ReadConfirmed, SendMessage
 from ...consensus.handlers import ANSWERS, HANDLERS
 from ...consensus.messages import AppendReply, LeadershipTransfer, VoteReply, VoteRequest
 from ...consensus.quorum import Membership, Quorum, Replies, Result
 from ...consensus.replica import Consensus
 from ...consensus.roles import LEADER
+from ...consensus.snapshot_payload import SnapshotParts, SnapshotPayload
+from ...consensus.snapshot_transfer import IncomingSnapshot
 from . import invariants
 from .actions import Action
 from .model import Fleet
@@ -181,6 +192,22 @@
     self.stopped = {**self.stopped, **stopped}
 
 
+def _effects_by_entries(committed: invariants.Committed) -> tuple[Any, ...]:
+    """Has every entry take effect, whatever its name."""
+    return tuple(operation[1] for _, operation in committed if operation[0] == "put")
+
+
+def _segments_left_out(replica: Consensus, stored: int) -> SnapshotPayload:
+    """Sends a snapshot without the segments that its image stands on."""
+    assert replica.base_image is not None
+    return SnapshotPayload(replica.base_image, replica.base_segments, {})
+
+
+def _complete_unseen(self: IncomingSnapshot, stored: int) -> SnapshotParts:
+    """Installs whatever came."""
+    return self.received.parts()
+
+
 class Fault(NamedTuple):
     """A fault: what it replaces, and the models that must find it."""
 
@@ -214,6 +241,20 @@
     "clock-stops-in-suspend": Fault(
         ((TimedModelState, "_wait", _wait_while_suspended),), ("lease-suspended",)
     ),
+    "leader-known-at-once": Fault(
+        ((known_leader, "counts_at_once", lambda replica: True),),
+        (),  # of models: schedules of fleets in dynamic mode find it
+    ),
+    "segments-left-out": Fault(
+        (
+            (snapshot_sender, "snapshot_payload", _segments_left_out),
+            (IncomingSnapshot, "complete", _complete_unseen),
+        ),
+        (),  # of models: schedules of fleets with archives find it
+    ),
+    "names-forgotten": Fault(
+        ((invariants, "effects_of", _effects_by_entries),), ("late-append", "late-append-deposed")
+    ),
     "read-without-round": Fault(((reads, "check_round", _check_round_at_once),), ("reads",)),
     "handover-keeps-lease": Fault(
         ((leadership_transfer, "try_handover", _hands_over_and_leads),), ("lease-handover",)
--- a/src/pinepitch/simulation/model_checker/fleets.py
+++ b/src/pinepitch/simulation/model_checker/fleets.py
@@ -30,6 +30,11 @@
 THREE = {"a": "north", "b": "south", "c": "west"}
 FOUR = {"a": "north", "b": "south", "c": "west", "d": "west"}
 FIVE = {"a": "north", "b": "north", "c": "south", "d": "south", "e": "west"}
+NINE = {
+    **dict.fromkeys("abc", "north"),
+    **dict.fromkeys("def", "south"),
+    **dict.fromkeys("ghi", "west"),
+}
 LEARNT = (
     elect("a"),
     act_until_quiet("propose", "a"),
@@ -78,6 +83,7 @@
     act_until_quiet("propose", "c"),
     act("thaw", "a"),
 )
+STOPPED = (*SERVING, act("freeze", "a"))  # a leader, between its look at an order and the append
 CLOCKS = {"a": SLOW, "b": FAST, "c": FAST}
 
 # The registry of models: name -> what is searched.
@@ -352,4 +358,26 @@
         Bounds(10, 1_000_000),
         "a wiped voter's newcomer is becoming a voter while leases stand, another disk may be lost",
     ),
+    "late-append": Model(
+        Fleet(
+            THREE,
+            budget=TimedBudget(waits=2, late_appends=1, retries=2, restarts=1),
+            script=(*STOPPED, wait_without(3, "a")),
+            rates=CLOCKS,
+        ),
+        Bounds(6, 700),
+        Bounds(12, 1_000_000),
+        "a leader appends an order late, before anyone else was elected; its caller asks again",
+    ),
+    "late-append-deposed": Model(
+        Fleet(
+            THREE,
+            budget=TimedBudget(waits=2, late_appends=1, retries=2, restarts=1),
+            script=(*STOPPED, wait_without(6, "a"), elect("c"), act("propose", "c")),
+            rates=CLOCKS,
+        ),
+        Bounds(6, 700),
+        Bounds(12, 1_000_000),
+        "a leader appends an order late, beside its successor; the caller asks either again",
+    ),
 }
--- a/src/pinepitch/simulation/model_checker/invariants.py
+++ b/src/pinepitch/simulation/model_checker/invariants.py
@@ -81,6 +81,19 @@
         remembered.cache_clear()
 
 
+def effects_of(committed: Committed) -> tuple[Any, ...]:
+    """What took effect, in order: an entry under a name that had one changes nothing."""
+    names = [operation[1] for _, operation in committed if operation[0] == "put"]
+    return tuple(dict.fromkeys(names))
+
+
+def check_effects(committed: Committed) -> None:
+    """Nothing takes effect twice, however often it was appended."""
+    effects = effects_of(committed)
+    if len(set(effects)) < len(effects):
+        raise Violation(f"an order takes effect twice: {effects}")
+
+
 def check_change(former: Image, latter: Image) -> None:
     """Successive memberships have quorums that meet."""
     for first, second in ((former, latter), (latter, latter)):
@@ -110,10 +123,23 @@
         last_term = candidate.term_at(last)
         assert last_term is not None
         voters = frozenset(voter.identity for voter in logs if election.is_current(voter, last, last_term))
-        if wins(frozen(candidate.membership.image()), voters):
+        if _can_win(candidate, [voter for voter in logs if voter.identity in voters]):
             raise Violation(f"{candidate.identity} can be elected and lacks committed entry {index}")
 
 
+def _can_win(candidate: Consensus, voters: list[Consensus]) -> bool:
+    """Whether the votes of these, with what they tell of leaders and votes, elect a candidate."""
+    membership = candidate.membership
+    if membership.now.mode != "dynamic":
+        return wins(frozen(membership.image()), frozenset(one.identity for one in voters))
+    replies = {one.identity: Reply(True, one.leader, one.leader_term, one.history) for one in voters}
+    newest = max(one.term for one in (candidate, *voters))
+    return any(
+        membership.elects(replies, term, candidate.leader, candidate.leader_term).satisfied
+        for term in (newest + 1, newest + 2)
+    )
+
+
 def check_commit_of_members(logs: list[Consensus], image: Image, committed: Committed) -> None:
     """All that is committed by now lies, durable, on every quorum that may elect from now on, and on
     every one that may commit, where any two of these meet (with 2 or 4 groups they need not).
--- a/src/pinepitch/simulation/model_checker/model.py
+++ b/src/pinepitch/simulation/model_checker/model.py
@@ -25,6 +25,7 @@
     slow_disks: bool = False  # whether a write becomes durable in a step of its own
     append_entries: int = constants.APPEND_ENTRIES  # most in one append, so that an append may be in parts
     draws: dict[str, Draw] = {}  # daemon -> its random numbers; always the shortest spread where left out
+    segments: bool = False  # whether cluster states have archives, with a segment for every few entries
     rates: dict[str, float] | None = None  # seconds of each clock per second; None for a model without time
 
 
--- a/src/pinepitch/simulation/model_checker/replica.py
+++ b/src/pinepitch/simulation/model_checker/replica.py
@@ -16,6 +16,7 @@
 from ...consensus.messages import encode
 from ...consensus.replica import Consensus
 from ...consensus.snapshot_transfer import IncomingSnapshot, Transfer
+from .archive import ModelArchive, span_of
 
 LONG_AGO = -1e9
 SCALARS = (int, str, bool, float, bytes, type(None))
@@ -152,15 +153,26 @@
 
 class Replica:
     """A daemon of the model. Invariants: `disk` is the payload of a base file that holds all
-    that is durable; `queue` are the writes under way; a wiped daemon has another identity.
+    that is durable; `queue` are the writes under way; a wiped daemon has another identity; where the model
+    has segments, `disk_segments` are those in the data folder.
     """
 
     def __init__(
-        self, identity: str, zone: str, members: dict[str, str], mode: str, draw: Draw = SHORTEST
+        self,
+        identity: str,
+        zone: str,
+        members: dict[str, str],
+        mode: str,
+        draw: Draw = SHORTEST,
+        archived: bool = False,
     ) -> None:
         self.identity, self.zone = identity, zone
         self.members, self.mode, self.draw = members, mode, draw
         self.consensus = fresh_consensus(identity, members, mode, draw)
+        self.archived = archived
+        self.disk_segments: dict[int, bytes] = {}
+        if archived:
+            self.consensus.archive = ModelArchive()
         self.disk = self.consensus.bootstrap_base()
         self.queue: tuple[Write, ...] = ()
         self._key: int | None = None
@@ -171,15 +183,27 @@
         twin = Replica.__new__(Replica)
         twin.__dict__.update(self.__dict__)
         twin.consensus = copy_of(self.consensus)
+        if self.archived:
+            twin.consensus.archive = self.archive.copy()
+            twin.disk_segments = dict(self.disk_segments)
         twin._key = None
         return twin
 
+    @property
+    def archive(self) -> ModelArchive:
+        """The archive that its cluster state stands on, where the model has segments."""
+        archive = self.consensus.archive
+        assert isinstance(archive, ModelArchive)
+        return archive
+
     def complete(self) -> Write:
         """Makes the next write durable; the write."""
         write, self.queue = self.queue[0], self.queue[1:]
         self._disk_key = None
         if write.replaces:
             self.disk = write.payload
+            first, _ = self.disk[1][4]
+            self.disk_segments = {one: data for one, data in self.disk_segments.items() if one >= first}
         else:
             self.disk = self.stored([write.payload]).base_payload()
         return write
@@ -194,6 +218,10 @@
         """Ends the process and starts it again from what was durable."""
         self.queue = ()
         self.consensus = self.stored()
+        if self.archived:
+            span = self.consensus.base_segments
+            segments = {number: self.disk_segments[number] for number in span_of(span)}
+            self.consensus.archive = ModelArchive(segments, span[1])
 
     def forget_times(self, now: float) -> None:
         """Takes time out of the state: any time-out may have passed, any wait may be over."""
@@ -212,7 +240,8 @@
     def key(self) -> int:
         """A fingerprint: replicas with equal keys behave alike from here on."""
         if self._key is None:
-            self._key = hash((self.identity, self._state(), self._durable_state()))
+            archive = (self.archive.key(), tuple(sorted(self.disk_segments))) if self.archived else None
+            self._key = hash((self.identity, self._state(), self._durable_state(), archive))
         return self._key
 
     def _durable_state(self) -> Any:
@@ -238,7 +267,8 @@
             for identity, follower in sorted(one.followers.items())
         )
         return (
-            (one.term, one.role, one.following, one.leader, one.leader_term, one.commit, one.removed),
+            (one.term, one.role, one.following, one.leader, one.leader_term, one.heard_term),
+            (one.commit, one.removed),
             (one.first, one.base_index, one.base_term, one.durable, one.membership_index),
             frozen(one.history),
             frozen_entries(one.entries),
--- a/src/pinepitch/simulation/model_checker/schedule.py
+++ b/src/pinepitch/simulation/model_checker/schedule.py
@@ -13,7 +13,7 @@
 from . import invariants
 from .actions import Action, TimedBudget
 from .faults import conditions
-from .fleets import FAST, FIVE, SLOW, THREE
+from .fleets import FAST, FIVE, NINE, SLOW, THREE
 from .model import Fleet
 from .replica import Draw, frozen, machine_of
 from .timed import TimedModelState
@@ -38,10 +38,16 @@
     """A schedule under way. Invariants: `seed` decides all spreads; every state was checked."""
 
     def __init__(
-        self, members: dict[str, str], spares: dict[str, str], mode: str, rates: dict[str, float], seed: int
+        self,
+        members: dict[str, str],
+        spares: dict[str, str],
+        mode: str,
+        rates: dict[str, float],
+        seed: int,
+        segments: bool = False,
     ) -> None:
         draws: dict[str, Draw] = {one: random.Random(f"{one}-{seed}") for one in (*members, *spares)}
-        fleet = Fleet(members, spares, mode, ENDLESS, draws=draws, rates=rates)
+        fleet = Fleet(members, spares, mode, ENDLESS, draws=draws, segments=segments, rates=rates)
         self.state = TimedModelState(fleet, rates)
         self.partitions: set[frozenset[str]] = set()  # (machine, machine) whose messages wait
         self.leased = 0  # states, one a wait, in which a leader had its lease
@@ -193,14 +199,21 @@
                 self.step("hand over", leader, self.identity(event.first))
 
     def _replace(self, event: Event) -> None:
-        """A leader swaps a member for a spare that follows."""
+        """A leader swaps a member for a spare that follows; in dynamic mode one of its zone, as a control
+        daemon does: a group of two needs both votes.
+        """
         for leader in self.state.leaders_by_themselves():
             consensus = self.state.replicas[leader].consensus
-            members = sorted(consensus.membership.members())
+            zones = consensus.membership.members()
+            members = sorted(zones)
             ready = [one for one in sorted(consensus.learners) if consensus.caught_up(one)]
             ready = [one for one in ready if one in self.state.replicas]
             if ready and leader not in self.state.frozen:
-                self.change(leader, members[event.first % len(members)], ready[event.second % len(ready)])
+                newcomer = ready[event.second % len(ready)]
+                if consensus.membership.now.mode == "dynamic":
+                    zone = self.state.replicas[newcomer].zone
+                    members = [one for one in members if zones[one] == zone]
+                self.change(leader, members[event.first % len(members)], newcomer)
 
     def _compact(self, event: Event) -> None:
         identity = self.identity(event.first)
@@ -249,3 +262,31 @@
             kind = draw.choice(list(EVENTS))
             run.happen(Event(kind, draw.randrange(6), draw.randrange(6), draw.randrange(8)))
     return run
+
+
+ARCHIVE_SHAPES: tuple[tuple[dict[str, str], dict[str, str], str], ...] = (
+    (THREE, {"d": "west"}, "static"),
+    (FIVE, {"f": "west"}, "single"),
+    (NINE, {}, "dynamic"),
+    (NINE, {"j": "west"}, "dynamic"),
+)
+# What archives live by, entries, images and followers that lack both, comes more often.
+ARCHIVE_EVENTS = (*EVENTS, *("propose", "propose", "compact", "cut off", "heal anew"))
+ARCHIVE_EVENTS_EACH = 30  # events; of a schedule, so that segments are sealed, sent and retired
+
+
+def drawn_archive_run(seed: int) -> Run:
+    """A schedule of a fleet whose cluster states have archives, drawn from a seed, run to its end. Half of
+    the fleets are in dynamic mode.
+    """
+    draw = random.Random(f"archive-schedule-{seed}")
+    members, spares, mode = draw.choice(ARCHIVE_SHAPES)
+    rates = {one: draw.choice((SLOW, 1.0, FAST)) for one in (*members, *spares)}
+    machines = len(members) + len(spares)
+    with conditions(Fleet(members)):
+        run = Run(members, spares, mode, rates, seed, segments=True)
+        run.happen(BEGINNING)
+        for _ in range(ARCHIVE_EVENTS_EACH):
+            kind = draw.choice(ARCHIVE_EVENTS)
+            run.happen(Event(kind, draw.randrange(machines), draw.randrange(machines), draw.randrange(6)))
+    return run
--- a/src/pinepitch/simulation/model_checker/search.py
+++ b/src/pinepitch/simulation/model_checker/search.py
@@ -6,15 +6,20 @@
 import contextlib
 import gc
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from . import fleets
 from .explore import Found, Outcome, breadth_first, random_walks
 from .faults import FAULTS, conditions, injected
 from .model import Bounds, started
-from .schedule import drawn_run
+from .schedule import Run, drawn_archive_run, drawn_run
 from .state import ModelState
 
+# Random schedules of fleets with clocks: name -> what draws one from a seed.
+SCHEDULES: dict[str, Callable[[int], Run]] = {
+    "schedules": drawn_run,
+    "archive-schedules": drawn_archive_run,
+}
 WALKS, WALK_LENGTH = 12, 60  # random schedules after the exhaustive part, and steps of each
 FAULT_STATES = 6_500  # states; seen at most before walks are to find an injected fault
 
@@ -51,12 +56,12 @@
 def explore(model: str = "all", states: int = 0, walks: int = 1_000, fault: str = "") -> None:
     """Searches models at length and prints what was seen; the steps to whatever breaks.
 
-    `model` is a name of the registry, "all", or "schedules": random ones of fleets with clocks,
-    as many as `walks`.
+    `model` is a name of the registry, "all", or "schedules" or "archive-schedules": random ones of fleets
+    with clocks, as many as `walks`, the latter with archives and half of them in dynamic mode.
     """
-    if model == "schedules":
+    if model in SCHEDULES:
         with injected(fault):
-            _print_schedules(walks)
+            _print_schedules(walks, SCHEDULES[model])
         return
     names = list(fleets.MODELS) if model == "all" else [model]
     if fault and model == "all":
@@ -81,13 +86,13 @@
             print(f"    {start.describe(action)}")
 
 
-def _print_schedules(count: int) -> None:
+def _print_schedules(count: int, drawn: Callable[[int], Run]) -> None:
     begun = time.monotonic()
     outcomes: collections.Counter[str] = collections.Counter()
     leased = terms = 0
     for seed in range(count):
         try:
-            run = drawn_run(seed)
+            run = drawn(seed)
             served = run.serves_again(seed)
         except AssertionError as broken:
             print(f"  BROKEN, seed {seed}: {broken}")
--- a/src/pinepitch/simulation/model_checker/state.py
+++ b/src/pinepitch/simulation/model_checker/state.py
@@ -35,6 +35,7 @@
 from ...consensus.roles import CANDIDATE, LEADER
 from . import invariants
 from .actions import Action
+from .archive import SEGMENT_EVERY, ModelArchive, content_of, span_of
 from .invariants import Violation
 from .post import Post, PostedMessage
 from .replica import SHORTEST, Replica, Write, frozen, identity_in
@@ -65,10 +66,11 @@
         self.replicas: dict[str, Replica] = {}
         for identity, zone in fleet.members.items():
             draw = fleet.draws.get(identity, SHORTEST)
-            self.replicas[identity] = Replica(identity, zone, dict(fleet.members), fleet.mode, draw)
+            members = dict(fleet.members)
+            self.replicas[identity] = Replica(identity, zone, members, fleet.mode, draw, fleet.segments)
         for identity, zone in fleet.spares.items():
             draw = fleet.draws.get(identity, SHORTEST)
-            self.replicas[identity] = Replica(identity, zone, {}, fleet.mode, draw)
+            self.replicas[identity] = Replica(identity, zone, {}, fleet.mode, draw, fleet.segments)
         self.messages: frozenset[int] = frozenset()
         self.budget: Any = fleet.budget  # a Budget or TimedBudget
         self.slow_disks = fleet.slow_disks
@@ -213,7 +215,9 @@
         identity = action.subject
         former = self.replicas.pop(identity)
         newcomer = identity + "'"
-        self.replicas[newcomer] = Replica(newcomer, former.zone, {}, former.mode, former.draw)
+        self.replicas[newcomer] = Replica(
+            newcomer, former.zone, {}, former.mode, former.draw, former.archived
+        )
         self.wiped |= {identity}
         self.logs = {one: log for one, log in self.logs.items() if one != identity}
         self.logs[newcomer] = self.replicas[newcomer].stored()
@@ -273,7 +277,10 @@
         self._spend("compactions")
         replica = self._touch(action.subject)
         consensus = replica.consensus
-        payload = consensus.compact(consensus.commit, b"record")
+        segments = replica.archive.span() if replica.archived else (1, 0)
+        payload = consensus.compact(consensus.commit, b"record", segments)
+        if replica.archived:
+            replica.archive.forget_retired(before=segments[0])
         self._apply_effects(replica, [SaveBase(None, payload)])
 
     # --- effects ----------------------------------------------------------------------
@@ -288,8 +295,8 @@
                     replica.queue += (Write(True, sequence, payload),)
                 case CommitEntries(first, entries):
                     self._commit(replica, first, entries)
-                case InstallSnapshot():
-                    self._install(replica)
+                case InstallSnapshot(_, _, segments):
+                    self._install(replica, segments)
                 case BecomeLeader():
                     self._become_leader(replica)
         self._forget_times(replica)
@@ -324,18 +331,44 @@
             if index <= len(self.committed):
                 if self.committed[index - 1] != found:
                     raise Violation(f"{replica.identity} commits {found} at {index}, others another entry")
+                if replica.archived:
+                    self._seal(replica, index)
                 continue
             if index != len(self.committed) + 1:
                 raise Violation(f"{replica.identity} commits {index} before what precedes it")
             self.committed += (found,)
+            invariants.check_effects(self.committed)
+            if replica.archived:
+                self._seal(replica, index)
             if replica.consensus.role == LEADER and entry[2][0] == "members":
                 logs = list(self.logs.values())
                 invariants.check_commit_of_members(logs, frozen(entry[2][1]), self.committed)
 
-    def _install(self, replica: Replica) -> None:
+    def _install(self, replica: Replica, segments: dict[int, bytes]) -> None:
         index, term = replica.consensus.base_index, replica.consensus.base_term
         if index > len(self.committed) or self.committed[index - 1][0] != term:
             raise Violation(f"{replica.identity} installs a snapshot of {index} that is not committed")
+        if replica.archived:
+            self._install_segments(replica, segments)
+
+    def _install_segments(self, replica: Replica, sent: dict[int, bytes]) -> None:
+        """Takes the archive of a snapshot: what was sent, and what the replica stored already."""
+        span = replica.consensus.base_segments
+        found = {number: sent.get(number) or replica.archive.segment(number) for number in span_of(span)}
+        for number, data in found.items():
+            if data is None:
+                raise Violation(f"{replica.identity} installs a snapshot without segment {number}")
+            if data != content_of(number, self.committed[number * SEGMENT_EVERY - 1]):
+                raise Violation(f"{replica.identity} installs another segment {number} than was sealed")
+        replica.disk_segments.update(sent)
+        kept = {number: data for number, data in found.items() if data is not None}
+        replica.consensus.archive = ModelArchive(kept, span[1])
+
+    def _seal(self, replica: Replica, index: int) -> None:
+        """Applies a committed entry to the archive; a segment is durable before any later base."""
+        number = replica.archive.apply(index, self.committed[index - 1])
+        if number is not None:
+            replica.disk_segments[number] = replica.archive.segments[number]
 
     def _become_leader(self, replica: Replica) -> None:
         consensus = replica.consensus
--- a/src/pinepitch/simulation/model_checker/timed.py
+++ b/src/pinepitch/simulation/model_checker/timed.py
@@ -13,6 +13,7 @@
 from ...consensus.effects import Effect, ReadConfirmed
 from ...consensus.flow_control import Flow
 from ...consensus.roles import LEADER
+from . import invariants
 from .actions import Action
 from .invariants import Violation
 from .replica import Replica, machine_of
@@ -22,6 +23,7 @@
     from .model import Fleet
 
 QUANTUM = 0.1  # seconds; of real time, as long as a heartbeat
+ORDER = "order"  # the name under which a caller asks, and asks again
 BEGIN = 1000.0  # seconds; what every clock reads at first
 
 
@@ -39,6 +41,7 @@
         self.time = 0.0
         self.rates = dict(rates or {})  # daemon -> seconds of its clock per second; 1 where left out
         self.frozen: frozenset[str] = frozenset()
+        self.frozen_at: dict[str, float] = {}  # frozen daemon -> what its clock read as it was stopped
         self.stopped: dict[
             str, float
         ] = {}  # machine -> seconds that its clock stood still, which a steady clock never does
@@ -54,7 +57,10 @@
         """A fingerprint, times included."""
         times = tuple(self._times(self.replicas[one]) for one in sorted(self.replicas))
         stopped = tuple(sorted(self.stopped.items()))
-        return hash((super().key(), round(self.time, 3), self.frozen, stopped, times))
+        frozen_at: tuple[tuple[str, float], ...] = ()
+        if self.budget.late_appends:  # nothing else goes by it
+            frozen_at = tuple((one, round(at, 3)) for one, at in sorted(self.frozen_at.items()))
+        return hash((super().key(), round(self.time, 3), self.frozen, frozen_at, stopped, times))
 
     def _times(self, replica: Replica) -> Any:
         consensus = replica.consensus
@@ -89,6 +95,12 @@
         if self.budget.freezes:
             found += [Action("freeze", one) for one in sorted(self.replicas) if one not in self.frozen]
         found += [Action("thaw", one) for one in sorted(self.frozen)]
+        if self.budget.late_appends:
+            leading = [one for one in self.leaders_by_themselves() if one in self.frozen]
+            found += [Action("append late", one) for one in leading]
+        if self.budget.retries:
+            awake = [one for one in self.leaders_by_themselves() if one not in self.frozen]
+            found += [Action("retry", one) for one in awake]
         if self.budget.reads:
             found += [Action("read", one) for one in self.leaders_by_themselves() if one not in self.frozen]
         return found
@@ -119,20 +131,52 @@
     def _freeze(self, action: Action) -> None:
         self._spend("freezes")
         self.frozen |= {action.subject}
+        self.frozen_at = {**self.frozen_at, action.subject: self.now(action.subject)}
 
     def _thaw(self, action: Action) -> None:
         """Goes on; what came meanwhile is still under way, and may be read before the next tick or after."""
-        self.frozen -= {action.subject}
+        self._go_on(action.subject)
+
+    def _go_on(self, identity: str) -> None:
+        self.frozen -= {identity}
+        self.frozen_at = {one: at for one, at in self.frozen_at.items() if one != identity}
+
+    def _append_late(self, action: Action) -> None:
+        """A leader was stopped between its last look at an order and the append; it goes on with that,
+        by the clock that it had read, before it takes anything else.
+        """
+        self._spend("late_appends")
+        now = self.frozen_at[action.subject]
+        self._go_on(action.subject)
+        self._propose_order(action.subject, now)
+
+    def _retry(self, action: Action) -> None:
+        """The caller asks a leader again: one that has applied the order says so, others append it."""
+        self._spend("retries")
+        identity = action.subject
+        consensus, now = self.replicas[identity].consensus, self.now(identity)
+        known = ORDER in invariants.effects_of(self.committed[: consensus.commit])
+        if consensus.leased(now) and consensus.serving():
+            if not known and ORDER in invariants.effects_of(self.committed):
+                raise Violation(f"{identity} has its lease and does not know an order that is committed")
+        if not known:
+            self._propose_order(identity, now)
+
+    def _propose_order(self, identity: str, now: float) -> None:
+        replica = self._touch(identity)
+        proposed = replica.consensus.propose([("put", ORDER)], 0.0, now)
+        assert proposed is not None
+        self._apply_effects(replica, proposed[1])
 
     def _restart(self, action: Action) -> None:
         """Starts anew at once; the first input of the new incarnation may come any time later."""
         super()._restart(action)
         self.replicas[action.subject].consensus.begun_at = self.now(action.subject)
-        self.frozen -= {action.subject}
+        self._go_on(action.subject)
 
     def _wipe(self, action: Action) -> None:
         super()._wipe(action)
-        self.frozen -= {action.subject}
+        self._go_on(action.subject)
 
     def _read(self, action: Action) -> None:
         """Asks a leader for a read; its token is what had been committed by then, anywhere."""
@@ -172,6 +216,8 @@
     "freeze": TimedModelState._freeze,
     "thaw": TimedModelState._thaw,
     "read": TimedModelState._read,
+    "append late": TimedModelState._append_late,
+    "retry": TimedModelState._retry,
     "restart": TimedModelState._restart,
     "wipe": TimedModelState._wipe,
 }
