pinepitch cluster says since when the leader leads, and how many more machines may be lost

Two questions of on call had no command. The answer of GET /v1/cohort gets leads_since (cluster's clock) and may_lose (machines, zone, obstacles: voters not heard within check-quorum, voters that lack much of the log, a change of members or a handover under way; while members change both lists must bear the loss). The command prints both, the moment also as a time of day by the cluster's clock; an earlier leader's answer is printed without them. Pauses over 0.1 s are counted by control daemons (pauses, paused_seconds), from the one watch.

--- a/src/pinepitch/cli/commands.py
+++ b/src/pinepitch/cli/commands.py
@@ -1,5 +1,6 @@
 """The commands of `pinepitch`, but those with a program of their own (program.PROGRAMS)."""
 
+from .cluster_text import cluster_text
 from .exit_codes import ExitCode, leave
 from .front_commands import FrontCommands, front_address
 from .leased_jobs import LeasedJobCommands, RouteConfigurationCommands, workers_text
@@ -35,8 +36,8 @@
         FrontCommands(front, json)._get("/v1/pending", lambda document: table(document["queues"]))
 
     def cluster(self, front: str | None = None, json: bool = False) -> None:
-        """The control daemons, their leader and every session."""
-        FrontCommands(front, json)._get("/v1/cohort")
+        """The control daemons, their leader and since when it leads, what may be lost, every session."""
+        FrontCommands(front, json)._get("/v1/cohort", cluster_text)
 
     def counts(self, front: str | None = None, json: bool = False) -> None:
         """Counts of the cluster state."""
--- a/src/pinepitch/control/daemon.py
+++ b/src/pinepitch/control/daemon.py
@@ -98,7 +98,8 @@
 
     def _begin_counts(self) -> None:
         """What the metrics tell of this life."""
-        self.counts = {"applied": 0, "sent": 0, "syncs": 0}
+        self.counts = {"applied": 0, "sent": 0, "syncs": 0, "pauses": 0}
+        self.paused_seconds = 0.0  # that the process did not run, in pauses over CONFIRM_PAUSE
         self.event_counts: dict[int, int] = {}  # number of an event -> how often
         self.refusals: dict[str, int] = {}  # why a placement was refused -> how often
         self.end_counts: dict[str, int] = {}  # how an attempt ended -> how often
--- /dev/null
+++ b/src/pinepitch/control/loss_tolerance.py
@@ -0,0 +1,59 @@
+"""How many more control machines the cluster may lose now, and what keeps it from bearing more."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from ..common import constants
+from . import membership
+
+if TYPE_CHECKING:
+    from .daemon import ControlDaemon
+
+
+class LossTolerance(NamedTuple):
+    """What may be lost next while the cluster still commits and elects.
+
+    Invariants: -1 machines says that it can't even without another loss; any_zone says whether any one
+    whole zone may be lost; each obstacle is a sentence for people.
+    """
+
+    machines: int  # any so many
+    any_zone: bool
+    obstacles: tuple[str, ...]
+
+
+def loss_tolerance(leader: ControlDaemon, now: float) -> LossTolerance:
+    """As the leader sees it: voters that are not heard, or lack more of the log than a newcomer may, count
+    as lost already; while the members change both lists must bear the loss.
+    """
+    consensus = leader.consensus
+    obstacles = {identity: why for identity in _voters(leader) if (why := _obstacle(leader, identity, now))}
+    ready = set(_voters(leader)) - set(obstacles)
+    lists = [membership.tolerance(quorum, ready) for quorum in consensus.membership.quorums()]
+    sentences = list(obstacles.values())
+    if consensus.changing():
+        sentences.append("a change of members is under way")
+    if consensus.handover is not None:
+        sentences.append("the leader is handing leadership over")
+    machines = min(one.machines for one in lists)
+    if machines < 1 and not sentences:
+        sentences.append(f"{len(_voters(leader))} voters are too few to bear a loss")
+    return LossTolerance(machines, all(one.zones for one in lists), tuple(sentences))
+
+
+def _voters(leader: ControlDaemon) -> list[str]:
+    return sorted(leader.consensus.membership.members())
+
+
+def _obstacle(leader: ControlDaemon, identity: str, now: float) -> str:
+    """Why a voter can't be counted on now, or ''."""
+    if identity == leader.identity:
+        return ""
+    name = f"voter {identity} in zone {leader.consensus.membership.members()[identity]}"
+    follower = leader.consensus.followers.get(identity)
+    if follower is None or now - follower.heard_at > constants.CHECK_QUORUM:
+        return f"{name} is not heard"
+    if not leader.consensus.caught_up(identity):
+        return f"{name} lacks much of the log"
+    return ""
--- a/src/pinepitch/control/metrics_text.py
+++ b/src/pinepitch/control/metrics_text.py
@@ -98,10 +98,13 @@
     counts = daemon.counts
     sessions = {kind: len(daemon.sessions.live(kind)) for kind in ("accord", "verge")}
     synced = "From a save's begin to its being durable."
+    paused = "Times that this process did not run for over 0.1 s, while its machine did."
     return [
         _single("counter", "syncs", "Saves made durable.", counts["syncs"]),
         _single("counter", "messages_sent", "Messages sent to other daemons.", counts["sent"]),
         _single("counter", "entries_applied", "Entries applied to the record.", counts["applied"]),
+        _single("counter", "pauses", paused, counts["pauses"]),
+        _single("counter", "paused_seconds", "Seconds of these pauses in sum.", daemon.paused_seconds),
         _single("histogram", "sync_seconds", synced, daemon.sync_histogram),
         _by_label("gauge", "sessions", "Sessions held, by kind of daemon.", "kind", sessions),
     ]
--- a/src/pinepitch/control/outside_requests.py
+++ b/src/pinepitch/control/outside_requests.py
@@ -89,6 +89,8 @@
 
     def on_paused(self, seconds: float, now: float) -> None:
         """The process of this daemon did not run for so many seconds, until now."""
+        self.core.counts["pauses"] += 1
+        self.core.paused_seconds += seconds
         self.core.indexed_forwarder.paused(seconds, now)
 
     def on_in_doubt(self, token: str, now: float) -> None:
--- a/src/pinepitch/control/requests/cluster.py
+++ b/src/pinepitch/control/requests/cluster.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ...model.decisions import Answer
+from ..loss_tolerance import loss_tolerance
 
 if TYPE_CHECKING:
     from ...state.cluster_state import ClusterState
@@ -76,6 +77,8 @@
         "elect_groups": quorum.elect_count(),
         "groups": len(quorum.groups()),
         "time": leader._now(now),
+        "leads_since": _leads_since(leader, now),
+        "may_lose": _may_lose(leader, now),
         "epochs": {role: list(one) for role, one in leader.cluster_state.epochs.items()},
         "members": _members(leader),
         "daemons": _daemons(leader),
@@ -83,6 +86,18 @@
     return Answer(200, document)
 
 
+def _leads_since(leader: ControlDaemon, now: float) -> float:
+    """When this leader began to lead, in seconds of the cluster's clock."""
+    begun = now if leader.leader_since is None else leader.leader_since
+    return leader._now(now) - (now - begun)
+
+
+def _may_lose(leader: ControlDaemon, now: float) -> dict[str, Any]:
+    """How many more control machines may be lost now, and what stands in the way of more."""
+    machines, any_zone, obstacles = loss_tolerance(leader, now)
+    return {"machines": machines, "zone": any_zone, "obstacles": list(obstacles)}
+
+
 def _members(leader: ControlDaemon) -> list[dict[str, Any]]:
     return [
         {
