--- a/features/steps/images.py
+++ b/features/steps/images.py
@@ -121,13 +121,13 @@
         self.address = "10.0.0.9:7000"
         self.sent, self.events = [], []
 
-    def _leader_address(self):
+    def leader_address(self):
         return "10.0.0.1:7000"
 
     def send(self, address, message):
         self.sent.append(message)
 
-    def _event(self, number, **fields):
+    def event(self, number, **fields):
         self.events.append((number, fields))
 
 
--- a/features/steps/incarnations.py
+++ b/features/steps/incarnations.py
@@ -57,7 +57,7 @@
         self.simulator.kill(self.follower.name)
         self.simulator.start(self.follower.name)
         found = self.simulator.until(
-            lambda: self.follower.core._leader_address() == self.leader.address, 10, 0.02
+            lambda: self.follower.core.leader_address() == self.leader.address, 10, 0.02
         )
         assert found is not None, "the follower heard of no leader"
 
--- a/features/steps/input.py
+++ b/features/steps/input.py
@@ -375,14 +375,21 @@
     context.capacity = known.capacity
     if how == "a new start at another address":
         changed = known._replace(
-            incarnation="other", address="10.9.9.9:1", running=(), ended=(), counter=1, heard=core._now(now)
+            incarnation="other",
+            address="10.9.9.9:1",
+            running=(),
+            ended=(),
+            counter=1,
+            heard=core.cluster_time(now),
         )
         core.push_workers[context.worker_name].heard_at = now - 60.0  # the first one fell silent meanwhile
     elif how == "less room than is reserved":
-        changed = known._replace(counter=known.counter + 1, capacity=1, heard=core._now(now))
+        changed = known._replace(counter=known.counter + 1, capacity=1, heard=core.cluster_time(now))
         context.capacity = 1
     else:
-        changed = known._replace(counter=known.counter - 1, running=(), ended=(), heard=core._now(now))
+        changed = known._replace(
+            counter=known.counter - 1, running=(), ended=(), heard=core.cluster_time(now)
+        )
     context.ends, _, _ = core.take_report(changed, now)
 
 
--- a/src/pinepitch/control/agreement.py
+++ b/src/pinepitch/control/agreement.py
@@ -46,7 +46,7 @@
         """A message of another member's consensus."""
         core = self.core
         if core.consensus is None or cluster != core.cluster or receiver != core.identity:
-            core._event(147, kind="raft", cohort=cluster, receiver=receiver)
+            core.event(147, kind="raft", cohort=cluster, receiver=receiver)
             return
         self.run(core.consensus.step(sender, consensus_messages.decode(message), now), now)
 
@@ -60,9 +60,9 @@
     def on_disk(self, why: str | None, now: float) -> None:
         """The disk refused to write, or (why is None) writes again."""
         if why is None:
-            self.core._event(107)
+            self.core.event(107)
             return
-        self.core._event(106, why=why)
+        self.core.event(106, why=why)
         if self.core.consensus is not None:
             self.run(self.core.consensus.disk_failed(now), now)
 
@@ -76,7 +76,7 @@
             payload = core.consensus.compact(index, data, self.snapshot_segments)
             core.cluster_state.archive.forget_retired(before=self.snapshot_segments[0])
             core.effects.append(WriteBase(None, core.base(payload)))
-            core._event(126, index=index, bytes=len(data))
+            core.event(126, index=index, bytes=len(data))
 
     def run(self, effects: Iterable[Any], now: float) -> None:
         """Carries out what consensus decided."""
@@ -89,7 +89,7 @@
                 case SaveChange():
                     core.effects.append(effect)
                 case LogEvent(number, fields):
-                    core._event(number, **fields)
+                    core.event(number, **fields)
                 case SaveBase(sequence, payload):
                     core.effects.append(WriteBase(sequence, core.base(payload)))
                 case CommitEntries(first, entries):
--- a/src/pinepitch/control/applied_entries.py
+++ b/src/pinepitch/control/applied_entries.py
@@ -29,8 +29,8 @@
             return
         leadership.epoch = outcome[1]
         if leadership.epoch == 1:
-            self.core._event(110, cohort=self.core.cluster)
-        self.core._event(150, epoch=leadership.epoch)
+            self.core.event(110, cohort=self.core.cluster)
+        self.core.event(150, epoch=leadership.epoch)
         self.core.front_updates.resend_orders(now)
 
     def _place(self, operation: tuple[Any, ...], outcome: tuple[Any, ...], now: float) -> None:
@@ -55,7 +55,7 @@
             self.core.worker_reports.proposed_ends.discard((ref, attempt))
             self.core.front_updates.kills.pop(ref, None)
             self.core.end_counts[how] = self.core.end_counts.get(how, 0) + 1
-            self.core._event(155, task=ref, attempt=attempt, how=how, result=result)
+            self.core.event(155, task=ref, attempt=attempt, how=how, result=result)
             found = self.core.cluster_state.find(ref)
             if found is not None and how in ("done", "failed"):
                 self._judge(found[2].worker, how == "done")
@@ -66,7 +66,7 @@
         if worker is not None:
             worker.judge(done)
             if worker.poor():
-                self.core._event(157, minion=name)
+                self.core.event(157, minion=name)
 
     def _leased_job_assigned(self, operation: tuple[Any, ...], outcome: tuple[Any, ...], now: float) -> None:
         """Runs were placed under leases."""
@@ -89,7 +89,7 @@
         if outcome[0] == "accepted":
             self.core.trace(187, job=outcome[1])
         if outcome[0] == "configured":
-            self.core._event(181, version=outcome[1])
+            self.core.event(181, version=outcome[1])
             self._in_force_changed(now)
 
     def _queues_or_workers_changed(
@@ -97,12 +97,12 @@
     ) -> None:
         """The queue configuration, or which workers and zones are open, has changed."""
         if outcome[0] == "setup":
-            self.core._event(160, version=outcome[1])
+            self.core.event(160, version=outcome[1])
             if operation[0] == "approve":
-                self.core._event(163, draft=operation[2], version=outcome[1], who=operation[3])
+                self.core.event(163, draft=operation[2], version=outcome[1], who=operation[3])
             else:
                 why = operation[6] or "unstated"
-                self.core._event(161, version=outcome[1], who=operation[5], why=why)
+                self.core.event(161, version=outcome[1], who=operation[5], why=why)
         self._in_force_changed(now)
 
     def _in_force_changed(self, now: float) -> None:
@@ -117,7 +117,7 @@
     def _refused(self, why: str, **fields: Any) -> None:
         """Counts and tells why a placement was not taken."""
         self.core.refusals[why] = self.core.refusals.get(why, 0) + 1
-        self.core._event(151, why=why, **fields)
+        self.core.event(151, why=why, **fields)
 
     def _waited(self, ref: str) -> None:
         """Notes how long a task just placed was ready."""
--- a/src/pinepitch/control/cluster_entry.py
+++ b/src/pinepitch/control/cluster_entry.py
@@ -69,7 +69,7 @@
         self.core.bootstrap_members = tuple(sorted(members))
         self.core.begin_consensus(members)
         self.core.effects.append(WriteNote(["consent", cluster, dict(members), self.core.mode]))
-        self.core._event(111, cohort=cluster, members=sorted(members))
+        self.core.event(111, cohort=cluster, members=sorted(members))
 
     def _zone_of(self, identity: str) -> str | None:
         """The zone of a control daemon, if it is known."""
@@ -85,7 +85,7 @@
         self.join_at = now
         if self.core.cluster is None and now - self.join_deferred_at >= constants.JOIN_AGAIN:
             self.join_deferred_at = now
-            self.core._event(112, cohort=self.core.bootstrap.veto(now))
+            self.core.event(112, cohort=self.core.bootstrap.veto(now))
         for session in self.core.sessions.live("accord"):
             self.core.send(session.address, ("join", self.core.identity, self.core.zone, self.core.address))
 
@@ -95,4 +95,4 @@
             self.core.cluster, self.core.mode = cluster, mode
             self.core.begin_consensus({})
             self.core.effects.append(WriteNote(["joined", cluster, mode]))
-            self.core._event(113, cohort=cluster)
+            self.core.event(113, cohort=cluster)
--- a/src/pinepitch/control/daemon.py
+++ b/src/pinepitch/control/daemon.py
@@ -75,7 +75,7 @@
         self._set_usual_settings()
         self._begin_counts()
         incarnation = f"{identity}~{seed}"  # the seed is drawn anew in each life
-        self.forwarder = Forwarder(incarnation, address, self._event)
+        self.forwarder = Forwarder(incarnation, address, self.event)
         self.indexed_forwarder = IndexedForwarder(self.forwarder)
         self.leader_clock = LeaderClock()
         self._make_parts()
@@ -195,9 +195,9 @@
     def trace(self, number: int, **fields: Any) -> None:
         """An event for a timeline of jobs: there are many, so only where the log keeps them."""
         if self.tracing:
-            self._event(number, **fields)
+            self.event(number, **fields)
 
-    def _event(self, number: int, **fields: Any) -> None:
+    def event(self, number: int, **fields: Any) -> None:
         """Tells a numbered event."""
         self.event_counts[number] = self.event_counts.get(number, 0) + 1
         self.effects.append(Event(number, fields))
@@ -213,9 +213,9 @@
         if self.consensus.role == "leader":
             self.inputs[message[0]](*message[1:], now)
         else:
-            self.send(self._leader_address(), message)
+            self.send(self.leader_address(), message)
 
-    def _leader_address(self) -> str | None:
+    def leader_address(self) -> str | None:
         """Where the leader is, as far as this daemon knows."""
         if self.consensus is None or self.consensus.following is None:
             return None
@@ -223,13 +223,13 @@
             return self.address
         return self.sessions.address(self.consensus.following)
 
-    def _leader_reading(self, now: float) -> Reading | None:
+    def leader_reading(self, now: float) -> Reading | None:
         """The Reading that the leader's steady clock has passed, as far as this daemon knows."""
         if self.consensus is not None and self.consensus.role == "leader":
             return Reading(self.consensus.term, now)
         return self.leader_clock.floor(now)
 
-    def _now(self, now: float) -> float:
+    def cluster_time(self, now: float) -> float:
         """Cluster time in seconds: the clocks' median, never behind the cluster state."""
         members = self.consensus.membership.members() if self.consensus is not None else ()
         return self.time.read(now, self.cluster_state.time, len(members) // 2 + 1)
@@ -318,7 +318,7 @@
         if handler is not None:
             handler(*rest, now)
         else:
-            self._event(147, kind=kind)
+            self.event(147, kind=kind)
         if not self.stopping:  # what was not agreed on by then is the successor's to decide
             self._decide_due(now)
         effects, self.effects = self.effects, []
@@ -342,7 +342,7 @@
         if self.first_tick_at is None:
             self.first_tick_at = now
         for identity in self.sessions.expire(now):
-            self._event(141, daemon=identity)
+            self.event(141, daemon=identity)
         if now - self.greetings.greet_at >= constants.GREET_EVERY and not self.stopping:
             self.greetings.greet_at = now
             self.greetings.greet(now)
@@ -373,7 +373,7 @@
     def _on_seeds(self, seeds: Iterable[str], now: float) -> None:
         """The settings name other seeds."""
         self.seeds = tuple(seeds)
-        self._event(182, seeds=list(seeds))
+        self.event(182, seeds=list(seeds))
 
     # --- stopping ---------------------------------------------------------------------
     def _on_seat(self, kept: bool, now: float) -> None:
@@ -385,7 +385,7 @@
         """SIGTERM: hands leadership to a voter that holds all, leaves the session, finishes nothing new."""
         self.stopping = True
         self.departure = membership.Departure(now, self.leave_within)
-        self._event(101)
+        self.event(101)
         if self.consensus is not None:
             live = {session.identity for session in self.sessions.live("accord")}
             able = live - set(self.membership_changes.leaving)
--- a/src/pinepitch/control/forwarded_requests.py
+++ b/src/pinepitch/control/forwarded_requests.py
@@ -81,13 +81,13 @@
         """
         consensus = self.core.consensus
         if consensus is None or consensus.role != "leader" or self.core.stopping:
-            self.refuse(address, token, self.core._leader_address(), attempt, now)
+            self.refuse(address, token, self.core.leader_address(), attempt, now)
             return
         taken = PendingRequest(call, subject_of(call, arguments), attempt)
         current = self.pending_requests.get(token)
         if current is not None:
             if current.key != taken.key:
-                self.core._event(146, token=token, held=list(current.key), asked=list(taken.key))
+                self.core.event(146, token=token, held=list(current.key), asked=list(taken.key))
             return
         if not self._in_time(end, now):
             self.refuse(address, token, self.core.address, attempt, now)
@@ -168,7 +168,7 @@
         if address == self.core.address:
             self.core.forwarder.not_taken(token, attempt)
         else:
-            self.core.send(address, ("elsewhere", token, leader, attempt, self.core._leader_reading(now)))
+            self.core.send(address, ("elsewhere", token, leader, attempt, self.core.leader_reading(now)))
 
     def in_doubt(self, address: str, token: str) -> None:
         """A call that may have been taken, though this daemon can't say."""
--- a/src/pinepitch/control/front_updates.py
+++ b/src/pinepitch/control/front_updates.py
@@ -53,7 +53,7 @@
         """A front daemon asks for updates and says how its orders went."""
         consensus = self.core.consensus
         if consensus is None or consensus.role != "leader" or not consensus.serving():
-            self.core.forwarded_requests.refuse(address, token, self.core._leader_address(), 0, now)
+            self.core.forwarded_requests.refuse(address, token, self.core.leader_address(), 0, now)
             return
         session = self.core.sessions.by_identity.get(front)
         self.core.sessions.greeted(front, "verge", session.zone if session else "", address, now)
@@ -101,7 +101,7 @@
             body,
             orders,
             kills,
-            self.core._now(now),
+            self.core.cluster_time(now),
             waited,
             self.core.sessions.known_control_daemons(),
             self.core.cluster,
@@ -121,7 +121,7 @@
 
     def _due_orders(self, front: str, now: float) -> tuple[Order, ...]:
         """Orders a front daemon has not yet taken; what was called off meanwhile is dropped."""
-        box, time = self.outbox.get(front, {}), self.core._now(now)
+        box, time = self.outbox.get(front, {}), self.core.cluster_time(now)
         for (ref, attempt), order in list(box.items()):
             found = self.core.cluster_state.find(ref)
             standing = found[2] if found else None
@@ -177,7 +177,7 @@
 
     def resend_orders(self, now: float) -> None:
         """A new leader tells again what may still be sent; front daemons send each only once."""
-        time = self.core._now(now)
+        time = self.core.cluster_time(now)
         for current in list(self.core.cluster_state.reserved.values()):
             for ref in current:
                 standing = self.core.cluster_state.find_known(ref)[2]
--- a/src/pinepitch/control/greetings.py
+++ b/src/pinepitch/control/greetings.py
@@ -50,7 +50,7 @@
             return
         core.membership_changes.leaving.pop(identity, None)
         if core.sessions.greeted(identity, greeting.kind, greeting.zone, greeting.address, now):
-            core._event(140, daemon=identity, kind=greeting.kind, address=greeting.address)
+            core.event(140, daemon=identity, kind=greeting.kind, address=greeting.address)
         core.sessions.vouched(greeting.control_daemons)
         if greeting.kind == "accord":
             core.advertised_levels[identity] = greeting.level
@@ -67,7 +67,7 @@
         greeting = Greeting(*fields)
         self._hear(greeting, now)
         if not self.core.stopping:
-            notice = (self.core._leader_address(), self.core._now(now), self.core._leader_reading(now))
+            notice = (self.core.leader_address(), self.core.cluster_time(now), self.core.leader_reading(now))
             self.core.send(greeting.address, ("greeted", *self._greeting(now), *notice))
 
     def on_greeted(self, *fields_and_now: Any) -> None:
--- a/src/pinepitch/control/image_digests.py
+++ b/src/pinepitch/control/image_digests.py
@@ -67,7 +67,7 @@
         if consensus.role == "leader":
             self.uncompared.clear()  # the others compare theirs with these
             return
-        address = self.core._leader_address()
+        address = self.core.leader_address()
         end = self.core.leader_clock.end(now + constants.FORWARD_TIMEOUT, now)
         if address is None or end is None:
             return
@@ -103,4 +103,4 @@
 
     def _tell_difference(self, index: int, own: str, leaders: str) -> None:
         self.differences += 1
-        self.core._event(135, index=index, digest=own, leader=self.asked_leader, leader_digest=leaders)
+        self.core.event(135, index=index, digest=own, leader=self.asked_leader, leader_digest=leaders)
--- a/src/pinepitch/control/leader.py
+++ b/src/pinepitch/control/leader.py
@@ -84,7 +84,11 @@
         self.rounds += 1
         fronts = [(one.identity, one.zone) for one in self.core.sessions.live("verge")]
         items, yields = self.placer.round(
-            self.core.cluster_state, self.core.worker_reports.push_workers, fronts, now, self.core._now(now)
+            self.core.cluster_state,
+            self.core.worker_reports.push_workers,
+            fronts,
+            now,
+            self.core.cluster_time(now),
         )
         if items:
             self.placing_busy += 1
@@ -96,7 +100,7 @@
 
     def _watch(self, now: float) -> None:
         """Overruns, feeds to be moved, withdrawals come due, workers long unresponsive."""
-        time = self.core._now(now)
+        time = self.core.cluster_time(now)
         for worker, (due, gone) in sorted(self.core.cluster_state.withdrawn.items()):
             if not gone and time >= due:
                 self.core.proposals.propose(("gone", worker), None, now)
@@ -141,11 +145,11 @@
         }
         for alert, why in holding.items():
             if alert not in self.core.cluster_state.approval_pauses:
-                self.core._event(164, alert=alert, why=why)
+                self.core.event(164, alert=alert, why=why)
                 self.core.proposals.propose(("hold", self.epoch, alert, why), None, now)
         for alert in self.core.cluster_state.approval_pauses:
             if alert not in holding:
-                self.core._event(165, alert=alert)
+                self.core.event(165, alert=alert)
                 self.core.proposals.propose(("hold", self.epoch, alert, None), None, now)
 
     def _can_move(self, task: Any) -> bool:
--- a/src/pinepitch/control/membership_changes.py
+++ b/src/pinepitch/control/membership_changes.py
@@ -132,7 +132,7 @@
 
     def _propose_members(self, members: Members, now: float) -> None:
         """Begins a joint change to these members."""
-        result = self.core.consensus.change_members(members, self.core._now(now), now)
+        result = self.core.consensus.change_members(members, self.core.cluster_time(now), now)
         if result is not None:
             self.change_begun = now
             self.core.agreement.run(result[1], now)
@@ -161,6 +161,6 @@
     def on_leave(self, identity: str, now: float) -> None:
         """A daemon ends its session itself."""
         if self.core.sessions.by_identity.pop(identity, None):
-            self.core._event(141, daemon=identity)
+            self.core.event(141, daemon=identity)
         if self.core.consensus is not None and identity in self.core.consensus.membership.members():
             self.leaving[identity] = membership.Leave(now, None)
--- a/src/pinepitch/control/metrics_text.py
+++ b/src/pinepitch/control/metrics_text.py
@@ -60,12 +60,12 @@
         "address": daemon.address,
         "role": consensus.role if consensus else "outside",
         "term": consensus.term if consensus else 0,
-        "leader": daemon._leader_address(),
+        "leader": daemon.leader_address(),
         "commit": consensus.commit if consensus else 0,
         "applied": daemon.cluster_state.index,
         "setup_version": daemon.cluster_state.version,
         "disk_waiting": len(consensus.saving) if consensus else 0,
-        "time": daemon._now(now),
+        "time": daemon.cluster_time(now),
     }
 
 
--- a/src/pinepitch/control/outside_requests.py
+++ b/src/pinepitch/control/outside_requests.py
@@ -40,7 +40,7 @@
                 core.address, token, call.call, call.arguments, attempt, end, now
             )
         else:
-            address = core._leader_address()
+            address = core.leader_address()
             end = core.leader_clock.end(call.until, now)
             attempt = core.forwarder.sent(token, address, now, end)
             core.send(address, ("ask", core.address, token, call.call, call.arguments, attempt, end))
--- a/src/pinepitch/control/proposals.py
+++ b/src/pinepitch/control/proposals.py
@@ -55,7 +55,7 @@
         does not know yet is held back.
         """
         if self.core.cluster_state.levels.get(operation[0], 1) > self.common_level():
-            self.core._event(133, operation=operation[0], level=self.common_level())
+            self.core.event(133, operation=operation[0], level=self.common_level())
             if waiting is not None:
                 self.core.forwarded_requests.not_taken(waiting.address, waiting.token, None, now)
             return
@@ -63,13 +63,13 @@
             self._refuse_growth(operation, waiting)
             return
         if waiting is not None and self.core.consensus.log.size > self.core.limits.log:
-            self.core._event(134, operation=operation[0], bytes=self.core.consensus.log.size)
+            self.core.event(134, operation=operation[0], bytes=self.core.consensus.log.size)
             self.core.forwarded_requests.not_taken(waiting.address, waiting.token, None, now)
             return
         start = self.core.consensus.last_index() + 1
         if waiting is not None:
             self.awaiting.setdefault(start, []).append(waiting)
-        result = self.core.consensus.propose([operation], self.core._now(now), now)
+        result = self.core.consensus.propose([operation], self.core.cluster_time(now), now)
         self.core.agreement.run(result[1], now)
 
     def _is_state_full(self) -> bool:
@@ -78,7 +78,7 @@
 
     def _refuse_growth(self, operation: tuple[Any, ...], waiting: Waiting) -> None:
         """Tells a caller at once that what it asks for would enlarge a state that is full."""
-        self.core._event(136, operation=operation[0], bytes=self.core.agreement.image_size())
+        self.core.event(136, operation=operation[0], bytes=self.core.agreement.image_size())
         message = "the cluster state is as large as it may be; nothing was taken"
         refusal = problem(429, "state_full", message, constants.RETRY_AFTER)
         self.core.forwarded_requests.answer(waiting.address, waiting.token, refusal)
--- a/src/pinepitch/control/rehearsal_role.py
+++ b/src/pinepitch/control/rehearsal_role.py
@@ -58,7 +58,7 @@
     def on_rehearsed(self, epoch: int, draft: str, asked: int, measure: dict[str, Any], now: float) -> None:
         """The measuring is done; its result is agreed on under the epoch it was begun in."""
         self.rehearsing = None
-        self.core._event(162, draft=draft, verdict=measure["verdict"])
+        self.core.event(162, draft=draft, verdict=measure["verdict"])
         if self.core.consensus is not None:
             self.core.to_leader(("measured", epoch, draft, asked, measure), now)
 
--- a/src/pinepitch/control/requests/cluster.py
+++ b/src/pinepitch/control/requests/cluster.py
@@ -76,7 +76,7 @@
         "commit_groups": quorum.commit_count(),
         "elect_groups": quorum.elect_count(),
         "groups": len(quorum.groups()),
-        "time": leader._now(now),
+        "time": leader.cluster_time(now),
         "leads_since": _leads_since(leader, now),
         "may_lose": _may_lose(leader, now),
         "epochs": {role: list(one) for role, one in leader.cluster_state.epochs.items()},
@@ -89,7 +89,7 @@
 def _leads_since(leader: ControlDaemon, now: float) -> float:
     """When this leader began to lead, in seconds of the cluster's clock."""
     begun = now if leader.leader_since is None else leader.leader_since
-    return leader._now(now) - (now - begun)
+    return leader.cluster_time(now) - (now - begun)
 
 
 def _may_lose(leader: ControlDaemon, now: float) -> dict[str, Any]:
--- a/src/pinepitch/control/requests/explanations.py
+++ b/src/pinepitch/control/requests/explanations.py
@@ -98,7 +98,7 @@
     if undone:
         return "waits for " + ", ".join(undone)
     begins = max(task.not_before, standing.earliest)
-    if leader._now(now) < begins:
+    if leader.cluster_time(now) < begins:
         return f"not before {begins:.3f}"
     if reference(job.identity, task.name) in leader.placer.proposed:
         return "proposed, not yet agreed"
--- a/src/pinepitch/control/requests/push_workers.py
+++ b/src/pinepitch/control/requests/push_workers.py
@@ -19,7 +19,7 @@
     for reference, attempt in strays:
         leader.kills.setdefault(reference, now)
         if leader.cluster_state.find(reference) is None:
-            leader._event(156, task=reference, attempt=attempt, minion=read.worker)
+            leader.event(156, task=reference, attempt=attempt, minion=read.worker)
     fresh = [one for one in ends if one[:2] not in leader.proposed_ends]
     reported = [one[:2] for one in fresh if one[2] not in ("never", "lost")]
     if fresh:
@@ -44,7 +44,7 @@
         {
             "acknowledged": [list(one) for one in (*acknowledged, *ends)],
             "kill": [list(one) for one in strays],
-            "time": leader._now(now),
+            "time": leader.cluster_time(now),
         },
     )
 
--- a/src/pinepitch/control/requests/pushed_jobs.py
+++ b/src/pinepitch/control/requests/pushed_jobs.py
@@ -27,7 +27,7 @@
     if refusal is None:
         return Propose(("ticket", key, digest, plain, unplaceable), "submit")
     if refusal[0] == "shed":
-        leader._event(170, queue=plain["queue"], why=refusal[1])
+        leader.event(170, queue=plain["queue"], why=refusal[1])
     return submit_answer(leader, refusal)
 
 
--- a/src/pinepitch/control/worker_reports.py
+++ b/src/pinepitch/control/worker_reports.py
@@ -66,7 +66,7 @@
             newest = report.counter > known.report.counter
         elif report.address != known.report.address and not known.unresponsive(now):
             newest = False  # another machine under a name that is taken
-            self.core._event(158, minion=report.worker, address=report.address, known=known.report.address)
+            self.core.event(158, minion=report.worker, address=report.address, known=known.report.address)
         else:
             newest = report.heard >= known.report.heard or known.unresponsive(now)
             if newest:
--- a/src/pinepitch/scheduling/assignment_manager.py
+++ b/src/pinepitch/scheduling/assignment_manager.py
@@ -142,7 +142,7 @@
         for reference, run in self.leased_jobs.placements.get(identity, {}):
             saved = worker.running.get((reference, run), ("", 0))[0] if worker else ""
             self.ends.propose(identity, reference, run, RUN_LAPSED, saved, False)
-        self.core._event(180, minion=identity, why=why)
+        self.core.event(180, minion=identity, why=why)
 
     # --- answers ----------------------------------------------------------------------
     def flush(self, now: float) -> None:
@@ -191,7 +191,7 @@
         strays = [key for key in worker.running if key not in placements]
         start, unwanted = self._starts_and_stops(worker, placements, not strays, now)
         for reference, run in strays:
-            self.core._event(156, minion=worker.identity, task=reference, run=run)
+            self.core.event(156, minion=worker.identity, task=reference, run=run)
         stop = (*strays, *unwanted)
         worker.leased_from = taken
         self.counts["starts"] += len(start)
@@ -268,9 +268,11 @@
         if self.assigning:
             return
         self.due, self.placed_at = False, now
-        items, stops = self.assigner.round(self.leased_jobs, self.workers, self, now, self.core._now(now))
+        items, stops = self.assigner.round(
+            self.leased_jobs, self.workers, self, now, self.core.cluster_time(now)
+        )
         for violation in self.assigner.violations:
-            self.core._event(events.PLACING_VIOLATED, **violation._asdict())
+            self.core.event(events.PLACING_VIOLATED, **violation._asdict())
         if items:
             self.assigning += 1
             for _, _, _, group in items:
@@ -289,7 +291,7 @@
         self._copy_what_may_run_twice(now)
         self._stop(self.progress.look(self.workers, self.leased_jobs, self.stopping, now), now)
         for worker_id, reference, run in self.progress.take_misjudged():
-            self.core._event(185, minion=worker_id, task=reference, run=run)
+            self.core.event(185, minion=worker_id, task=reference, run=run)
         for identity in [
             one
             for one, worker in self.workers.items()
@@ -322,7 +324,7 @@
             self.stopping.update((reference, run) for _, reference, run, _ in stops)
             for worker_id, reference, run, why in stops:
                 self.stop_counts[why] += 1
-                self.core._event(183, minion=worker_id, task=reference, run=run, why=why)
+                self.core.event(183, minion=worker_id, task=reference, run=run, why=why)
             self.core.propose(("job-stop", self.core.epoch, stops), None, now)
 
     # --- what was agreed --------------------------------------------------------------
@@ -339,7 +341,7 @@
                     worker.judge(how == RUN_DONE)
                 elif how == RUN_REFUSED and self.policy.avoid_troubled_workers:
                     worker.avoided_until = self.core.step_at + constants.AVOID_AFTER_REFUSAL
-            self.core._event(155, task=reference, attempt=run, how=how, result=result)
+            self.core.event(155, task=reference, attempt=run, how=how, result=result)
         self.ends.applied(index, items, self.workers)
 
     def applied_assign(self, items: Sequence[WaveAssignment]) -> None:
--- a/src/pinepitch/scheduling/daemon_interface.py
+++ b/src/pinepitch/scheduling/daemon_interface.py
@@ -41,7 +41,7 @@
     def epoch(self) -> int:
         """Of its claim to place; 0 without one. It fences out orders of earlier leaders."""
 
-    def _now(self, now: float) -> float:
+    def cluster_time(self, now: float) -> float:
         """The cluster's time, seconds: the median of the members' clocks, never behind the cluster state."""
 
     def leased(self, now: float) -> bool:
@@ -61,7 +61,7 @@
     def answer(self, address: str, token: Any, answer: Answer) -> None:
         """Answers a request that is pending; nothing happens if it is not pending any more."""
 
-    def _event(self, number: int, **fields: Any) -> None:
+    def event(self, number: int, **fields: Any) -> None:
         """Logs a numbered event (common/events.py)."""
 
     def trace(self, number: int, **fields: Any) -> None:
--- a/src/pinepitch/scheduling/explain.py
+++ b/src/pinepitch/scheduling/explain.py
@@ -62,7 +62,7 @@
 
 def _open_job(core: Daemon, found: LeasedJob, now: float) -> Document:
     """A job that is not over."""
-    time = core._now(now)
+    time = core.cluster_time(now)
     # what is not done comes first, so that a page's bound leaves out what is of least interest
     waves = sorted(found.waves.values(), key=lambda wave: (not wave.left, wave.time, wave.number))
     listed_waves = [_wave(core, wave, time, now) for wave in waves[: constants.MAX_PAGE_ROWS]]
--- a/src/pinepitch/simulation/scale/costs.py
+++ b/src/pinepitch/simulation/scale/costs.py
@@ -222,7 +222,7 @@
             alone.hand_in(5, cpu=9000, queue="more")  # more than any worker has: they wait for ever
         results["round"][f"{size}, {waves} waves wait"] = _best(
             lambda: assignments.assigner.round(
-                leased_jobs, assignments.workers, assignments, alone.now, alone.core._now(alone.now)
+                leased_jobs, assignments.workers, assignments, alone.now, alone.core.cluster_time(alone.now)
             )
         )
 
@@ -250,7 +250,7 @@
             scratch.accept(alone.now, f"{place:016x}", "held", plain)
         found[name] = _best(
             lambda scratch=scratch: assignments.assigner.round(
-                scratch, assignments.workers, assignments, alone.now, alone.core._now(alone.now)
+                scratch, assignments.workers, assignments, alone.now, alone.core.cluster_time(alone.now)
             )
         )
     return found
