--- a/src/pinepitch/control/forwarded_requests.py
+++ b/src/pinepitch/control/forwarded_requests.py
@@ -97,7 +97,7 @@
         if handler is None:
             message = "whoever leads does not know this call"
             self.answer(address, token, problem(400, "unknown_call", message))
-        elif handler.reads:
+        elif handler.confirm_by_round:
             self.read_count += 1
             self.reading[self.read_count] = PendingRead(address, token, handler, arguments)
             self.core.agreement.run(consensus.read(self.read_count, now), now)
