--- a/src/pinepitch/control/applied_entries.py
+++ b/src/pinepitch/control/applied_entries.py
@@ -83,7 +83,9 @@
         """Runs under leases have ended."""
         self.core.assignments.ended(self.core.cluster_state.index, operation[1], outcome[1])
 
-    def _assignments_due(self, operation: tuple[Any, ...], outcome: tuple[Any, ...], now: float) -> None:
+    def _leased_jobs_or_routes_changed(
+        self, operation: tuple[Any, ...], outcome: tuple[Any, ...], now: float
+    ) -> None:
         """What is asked of the assignments of leased jobs has changed."""
         self.core.assignments.due = True
         if outcome[0] == "accepted":
@@ -135,7 +137,8 @@
     "job-assign": AppliedEntries._leased_job_assigned,
     "job-ended": AppliedEntries._leased_job_ended,
     **dict.fromkeys(
-        ("job", "job-cancel", "evacuate", "evacuation", "configure", "amend"), AppliedEntries._assignments_due
+        ("job", "job-cancel", "evacuate", "evacuation", "configure", "amend"),
+        AppliedEntries._leased_jobs_or_routes_changed,
     ),
     **dict.fromkeys(
         ("setup", "drain", "area", "withdraw", "gone", "approve"), AppliedEntries._queues_or_workers_changed
--- a/src/pinepitch/control/daemon.py
+++ b/src/pinepitch/control/daemon.py
@@ -349,7 +349,7 @@
         if self.consensus is None:
             self.cluster_entry.seek_cluster(now)
             return
-        if self._may_campaign() and (self.consensus.role == "leader" or not self.stopping):
+        if self._bootstrapped() and (self.consensus.role == "leader" or not self.stopping):
             self.agreement.run(self.consensus.tick(now), now)
         if self.stopping:
             if self.departure is not None and self.departure.due(now):
@@ -362,7 +362,7 @@
         self.rehearsal_role.maintain(now)
         self.image_digests.tick(now)
 
-    def _may_campaign(self) -> bool:
+    def _bootstrapped(self) -> bool:
         """Whether the cluster is founded: something was agreed on, or all who found it have consented."""
         return (
             self.consensus.last_index() > 0
