--- a/src/pinepitch/control/startup.py
+++ b/src/pinepitch/control/startup.py
@@ -9,20 +9,20 @@
 Opened = tuple[Store, Any, list[Any], dict[int, Any], str | None]
 
 
-class Tolerance(NamedTuple):
+class ClusterPlan(NamedTuple):
     """How a cluster is made to serve on after the loss of so many machines."""
 
     mode: str  # quorum mode, as consensus.quorum has them
     voters: int  # members wanted
 
 
-def tolerance_of(machines_lost: int) -> Tolerance:
+def cluster_plan_of(machines_lost: int) -> ClusterPlan:
     """What serves on after any `machines_lost` machines are lost at once: a majority of 2 n + 1 voters
     is left after n. For one machine zones are the groups ("static", FlexiRaft's quorums, with the
     usual three voters); for more each voter is a group of its own ("single"), as no zone may hold a
     majority.
     """
-    return Tolerance("single" if machines_lost > 1 else "static", 2 * machines_lost + 1)
+    return ClusterPlan("single" if machines_lost > 1 else "static", 2 * machines_lost + 1)
 
 
 def open_store(folder: str) -> Opened:
