--- a/src/pinepitch/control/requests/cluster.py
+++ b/src/pinepitch/control/requests/cluster.py
@@ -119,7 +119,7 @@
 
 
 # --- counts --------------------------------------------------------------------------
-def read_metrics(leader: ControlDaemon, token: str, arguments: tuple[Any, ...], now: float) -> Answer:
+def read_counts(leader: ControlDaemon, token: str, arguments: tuple[Any, ...], now: float) -> Answer:
     """Counts of jobs, entries and messages, for the command line and for soaks."""
     cluster_state, consensus = leader.cluster_state, leader.consensus
     document = {
--- a/src/pinepitch/control/requests/registry.py
+++ b/src/pinepitch/control/requests/registry.py
@@ -50,7 +50,7 @@
     "drop": Request(False, drafts.drop),
     "pending": Request(True, cluster.pending),
     "cohort": Request(True, cluster.read_cluster),
-    "figures": Request(True, cluster.read_metrics),
+    "figures": Request(True, cluster.read_counts),
     "holds": Request(True, cluster.list_approval_pauses),
     "whence": Request(True, explanations.explain),
     "live": Request(True, cluster.list_placed_tasks),
