--- a/src/pinepitch/control/agreement.py
+++ b/src/pinepitch/control/agreement.py
@@ -18,7 +18,7 @@
     StepDown,
 )
 from ..state.image_codec import EncodedImage, digest_of
-from .proposals import Waiting
+from .proposals import OutcomeListener
 from .requests import OUTCOME_ANSWERS
 
 if TYPE_CHECKING:
@@ -187,7 +187,7 @@
         """
         return self._base_size() + self.before_snapshot + self.since_base
 
-    def _tell(self, waiting: Waiting, outcome: tuple[Any, ...], now: float) -> None:
+    def _tell(self, waiting: OutcomeListener, outcome: tuple[Any, ...], now: float) -> None:
         """Tells one who waits the outcome."""
         answer = OUTCOME_ANSWERS[waiting.shape](self.core, outcome, waiting.extra, now)
         self.core.forwarded_requests.answer(waiting.address, waiting.token, answer)
--- a/src/pinepitch/control/daemon.py
+++ b/src/pinepitch/control/daemon.py
@@ -31,7 +31,7 @@
 from .membership_changes import Members, MembershipChanges
 from .outside_requests import OutsideRequests
 from .placement import Placer
-from .proposals import Proposals, Waiting
+from .proposals import Proposals, OutcomeListener
 from .rehearsal_role import RehearsalRole
 from .sessions import Sessions
 from .worker_reports import WorkerReports
@@ -176,7 +176,7 @@
         """Answers a pending request, until `until` at the latest."""
         self.forwarded_requests.answer(address, token, answer, until)
 
-    def propose(self, operation: tuple[Any, ...], waiting: Waiting | None, now: float) -> None:
+    def propose(self, operation: tuple[Any, ...], waiting: OutcomeListener | None, now: float) -> None:
         """Puts one operation into the log; `waiting` is told the outcome."""
         self.proposals.propose(operation, waiting, now)
 
--- a/src/pinepitch/control/forwarded_requests.py
+++ b/src/pinepitch/control/forwarded_requests.py
@@ -7,7 +7,7 @@
 from ..model.decisions import Answer, DeferHeartbeat, ProposeEnds, problem
 from ..scheduling import requests as job_calls
 from ..transport.request_key import subject_of
-from .proposals import Waiting
+from .proposals import OutcomeListener
 from .requests import REQUESTS
 
 if TYPE_CHECKING:
@@ -55,7 +55,7 @@
         self.read_count = 0
         self.pending_requests: dict[str, PendingRequest] = {}  # by token
 
-    def step_down(self, waiting: list[Waiting], now: float) -> None:
+    def step_down(self, waiting: list[OutcomeListener], now: float) -> None:
         """Tells all who wait that this daemon leads no more. What was proposed for those in `waiting`
         may still be agreed on; whatever else was asked is not taken.
         """
@@ -129,11 +129,11 @@
             else:  # what stands in the state here may be old
                 self.not_taken(address, token, None, now)
         elif isinstance(decision, ProposeEnds):
-            waiting = Waiting(address, token, "report", decision.context)
+            waiting = OutcomeListener(address, token, "report", decision.context)
             self.core.worker_reports.propose_ends(decision.ends, waiting, now)
         else:
             operation, outcome_answer, context = decision
-            waiting = Waiting(address, token, outcome_answer, context)
+            waiting = OutcomeListener(address, token, outcome_answer, context)
             self.core.proposals.propose(operation, waiting, now)
 
     def answer_read(self, read: int, now: float) -> None:
--- a/src/pinepitch/control/proposals.py
+++ b/src/pinepitch/control/proposals.py
@@ -10,7 +10,7 @@
     from .daemon import ControlDaemon
 
 
-class Waiting(NamedTuple):
+class OutcomeListener(NamedTuple):
     """Who is told the outcome of an operation, and what the answer is made of."""
 
     address: str  # of the daemon that forwarded the request
@@ -30,7 +30,7 @@
 
     def clear(self) -> None:
         """Forgets all, as a term begins or ends."""
-        self.awaiting: dict[int, list[Waiting]] = {}  # index of an entry -> who is told its outcome
+        self.awaiting: dict[int, list[OutcomeListener]] = {}  # index of an entry -> who is told its outcome
 
     def propose_at(self, operation: tuple[Any, ...], now: float) -> int | None:
         """Proposes, and says at which index; None when it is held back."""
@@ -50,7 +50,7 @@
         )
         return max(self.core.cluster_state.level, advertised)
 
-    def propose(self, operation: tuple[Any, ...], waiting: Waiting | None, now: float) -> None:
+    def propose(self, operation: tuple[Any, ...], waiting: OutcomeListener | None, now: float) -> None:
         """Puts one operation into the log; `waiting` is told the outcome. One that a member
         does not know yet is held back.
         """
@@ -76,7 +76,7 @@
         """Whether an image of the cluster state would be as large as it may be."""
         return self.core.agreement.image_size() >= self.core.limits.image
 
-    def _refuse_growth(self, operation: tuple[Any, ...], waiting: Waiting) -> None:
+    def _refuse_growth(self, operation: tuple[Any, ...], waiting: OutcomeListener) -> None:
         """Tells a caller at once that what it asks for would enlarge a state that is full."""
         self.core.event(136, operation=operation[0], bytes=self.core.agreement.image_size())
         message = "the cluster state is as large as it may be; nothing was taken"
--- a/src/pinepitch/control/worker_reports.py
+++ b/src/pinepitch/control/worker_reports.py
@@ -5,7 +5,7 @@
 
 from ..common import constants
 from ..model.push_worker import PushWorker, Report
-from .proposals import Waiting
+from .proposals import OutcomeListener
 
 if TYPE_CHECKING:
     from .daemon import ControlDaemon
@@ -25,7 +25,7 @@
         self.push_workers: dict[str, PushWorker] = {}
         self.proposed_ends: set[tuple[str, int]] = set()  # (reference, attempt)
         self.ends: list[tuple[Any, ...]] = []  # (reference, attempt, how) to be proposed together
-        self.ends_waiting: list[Waiting] = []  # who is told once they are agreed on
+        self.ends_waiting: list[OutcomeListener] = []  # who is told once they are agreed on
 
     def take_report(self, report: Report, now: float) -> tuple[list[Any], list[Any], list[Any]]:
         """Gathers a worker's report; (ends to agree on, ends that are known, strays: runs that nobody
@@ -91,7 +91,7 @@
                 yield (ref, standing.attempt, "never" if same else "lost")
 
     def propose_ends(
-        self, items: Iterable[tuple[Any, ...]], waiting: Waiting | None, now: float
+        self, items: Iterable[tuple[Any, ...]], waiting: OutcomeListener | None, now: float
     ) -> list[tuple[Any, ...]]:
         """Gathers proven ends; those of one tick become one entry and so one sync."""
         fresh = [one for one in items if one[:2] not in self.proposed_ends]
