--- a/src/pinepitch/control/sessions.py
+++ b/src/pinepitch/control/sessions.py
@@ -31,7 +31,7 @@
         return now - self.heard > lasts
 
 
-class KnownDaemon(NamedTuple):
+class KnownEndpoint(NamedTuple):
     """Where a control daemon was last known, and when it was last heard; its session may have expired."""
 
     zone: str
@@ -44,14 +44,14 @@
 
     def __init__(self) -> None:
         self.by_identity: dict[str, Session] = {}
-        self.control_daemons: dict[str, KnownDaemon] = {}
+        self.control_daemons: dict[str, KnownEndpoint] = {}
 
     def greeted(self, identity: str, kind: str, zone: str, address: str, now: float) -> bool:
         """A daemon renews its session here; True when it is new."""
         fresh = identity not in self.by_identity or bool(self.by_identity[identity].relayed_by)
         self.by_identity[identity] = Session(identity, kind, zone, address, now, "")
         if kind == CONTROL_DAEMON:
-            self.control_daemons[identity] = KnownDaemon(zone, address, now)
+            self.control_daemons[identity] = KnownEndpoint(zone, address, now)
         return fresh
 
     def relayed(self, teller: str, sessions: Iterable[SessionEntry], now: float) -> None:
@@ -62,14 +62,14 @@
                 self.by_identity[identity] = Session(identity, kind, zone, address, now, teller)
             if kind == CONTROL_DAEMON:
                 # the teller may not have heard it for as long as a session lasts
-                known = self.control_daemons.get(identity, KnownDaemon(zone, address, NEVER))
+                known = self.control_daemons.get(identity, KnownEndpoint(zone, address, NEVER))
                 heard = max(known.heard, now - constants.SESSION_LASTS)
-                self.control_daemons[identity] = KnownDaemon(zone, known.address, heard)
+                self.control_daemons[identity] = KnownEndpoint(zone, known.address, heard)
 
     def vouched(self, control_daemons: Iterable[Endpoint]) -> None:
         """Control daemons that somebody knows of; an address heard directly is not overwritten."""
         for identity, zone, address in control_daemons:
-            self.control_daemons.setdefault(identity, KnownDaemon(zone, address, NEVER))
+            self.control_daemons.setdefault(identity, KnownEndpoint(zone, address, NEVER))
 
     def expire(self, now: float) -> list[str]:
         """Drops the sessions that have expired; their daemons' identities."""
--- a/src/pinepitch/front/control_daemons.py
+++ b/src/pinepitch/front/control_daemons.py
@@ -8,7 +8,7 @@
 NEVER = -1e9  # seconds of the steady clock, before all others
 
 
-class KnownDaemon(NamedTuple):
+class HeardControlDaemon(NamedTuple):
     """A control daemon that was heard of: where it is, and when it was heard itself (or NEVER)."""
 
     zone: str
@@ -20,11 +20,11 @@
     """Invariant: one that was heard itself stays known for ADDRESS_FORGET after it."""
 
     def __init__(self) -> None:
-        self.known: dict[str, KnownDaemon] = {}  # by identity
+        self.known: dict[str, HeardControlDaemon] = {}  # by identity
 
     def heard(self, identity: str, zone: str, address: str, now: float) -> None:
         """One was heard itself."""
-        self.known[identity] = KnownDaemon(zone, address, now)
+        self.known[identity] = HeardControlDaemon(zone, address, now)
 
     def greeted(self, others: Iterable[tuple[str, str, str]], now: float) -> None:
         """Takes what a greeting tells of others, where none is known under that identity, and forgets
@@ -32,7 +32,7 @@
         """
         for identity, zone, address in others:
             if identity not in self.known:
-                self.known[identity] = KnownDaemon(zone, address, NEVER)
+                self.known[identity] = HeardControlDaemon(zone, address, NEVER)
         stale = [
             identity
             for identity, found in self.known.items()
@@ -45,7 +45,7 @@
         """Takes what the leader tells of all of them: it knows better where they are."""
         for identity, zone, address in others:
             found = self.known.get(identity)
-            self.known[identity] = KnownDaemon(zone, address, found.heard if found else NEVER)
+            self.known[identity] = HeardControlDaemon(zone, address, found.heard if found else NEVER)
 
     def endpoints(self) -> tuple[tuple[str, str, str], ...]:
         """(identity, zone, address) of each, as a greeting tells them."""
