--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -25,7 +25,7 @@
         operation, shape, extra = made
         self.index += 1
         outcome = self.cluster_state.apply(self.index, float(self.index), cbor2.loads(cbor2.dumps(operation)))
-        return requests.SHAPES[shape](self, outcome, extra, 0.0)
+        return requests.OUTCOME_ANSWERS[shape](self, outcome, extra, 0.0)
 
 
 def route(name, host, prefix, service="web", **more):
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -97,7 +97,7 @@
         operation, shape, extra = made
         self.index += 1
         outcome = self.cluster_state.apply(self.index, float(self.index), json.loads(json.dumps(operation)))
-        return requests.SHAPES[shape](self, outcome, extra, 0.0)
+        return requests.OUTCOME_ANSWERS[shape](self, outcome, extra, 0.0)
 
     def restart(self):
         self.cluster_state = ClusterState.decode(ClusterState.encode(self.cluster_state.image()))
--- a/features/steps/platform_adapters.py
+++ b/features/steps/platform_adapters.py
@@ -172,7 +172,7 @@
             self.index += 1
             operation = framed(operation)
             outcome = self.cluster_state.apply(self.index, float(self.index), operation)
-            status, document, retry = requests.SHAPES[shape](self, outcome, extra, 0.0)
+            status, document, retry = requests.OUTCOME_ANSWERS[shape](self, outcome, extra, 0.0)
         headers = () if retry is None else (("Retry-After", str(retry)),)
         adapter = (
             adapters.Control(CONTROL) if call in ("configure", "amend", "configuration") else adapters.Front()
--- a/src/pinepitch/control/requests/registry.py
+++ b/src/pinepitch/control/requests/registry.py
@@ -68,5 +68,5 @@
     "setup": queue_configuration.change_answer,
     "draft": drafts.draft_answer,
     "dropped": drafts.dropped_answer,
-    **leased_jobs.SHAPES,
+    **leased_jobs.OUTCOME_ANSWERS,
 }
--- a/src/pinepitch/scheduling/requests.py
+++ b/src/pinepitch/scheduling/requests.py
@@ -180,4 +180,9 @@
     "evacuate": evacuate,
     **explain.CALLS,
 }
-SHAPES = {"job": submitted, "job-cancel": cancelled, "configured": configured, "evacuated": evacuated}
+OUTCOME_ANSWERS = {
+    "job": submitted,
+    "job-cancel": cancelled,
+    "configured": configured,
+    "evacuated": evacuated,
+}
