--- a/src/pinepitch/control/daemon.py
+++ b/src/pinepitch/control/daemon.py
@@ -332,7 +332,7 @@
         if leadership.epoch == 0 and self.consensus is not None and self.consensus.role == "leader":
             leadership.claim_placing(now)
         elif leadership.epoch > 0 and self.consensus.serving():
-            if now - self.assignments.flushed >= constants.HEARTBEAT_BATCH_DELAY:
+            if now - self.assignments.ticked_at >= constants.HEARTBEAT_BATCH_DELAY:
                 self.assignments.tick(now)
             self.assignments.flush(now)
 
--- a/src/pinepitch/scheduling/assignment_manager.py
+++ b/src/pinepitch/scheduling/assignment_manager.py
@@ -77,7 +77,7 @@
         self.assigning = 0  # entries that assign and are not yet applied
         self.assigned: dict[str, int] = {}  # worker -> runs proposed for it
         self.stopping: set[RunKey] = set()  # (reference, run) whose stop is proposed
-        self.flushed = self.looked = self.placed_at = -1e9
+        self.ticked_at = self.watched_at = self.placed_at = -1e9
         self.due = True
         self.counts = {"beats": 0, "starts": 0, "stops": 0}
         self.end_counts: collections.Counter[str] = collections.Counter()  # how a run ended -> runs
@@ -253,10 +253,10 @@
     # --- time -------------------------------------------------------------------------
     def tick(self, now: float) -> None:
         """Proposes what was gathered, places, and lets go of what has lapsed."""
-        self.flushed = now
+        self.ticked_at = now
         self.ends.flush(now)
-        if now - self.looked >= constants.WATCH_EVERY:
-            self.looked = now
+        if now - self.watched_at >= constants.WATCH_EVERY:
+            self.watched_at = now
             self._watch(now)
         rest = constants.ROUND_REST * (len(self.leased_jobs.ready) + len(self.workers))
         if now - self.placed_at >= (
