--- a/features/steps/snapshot_incarnations.py
+++ b/features/steps/snapshot_incarnations.py
@@ -30,7 +30,7 @@
 def member(identity, sealed):
     consensus = Consensus(identity, 1, MEMBERS)
     consensus.archive = Segments(sealed)
-    consensus.term = consensus.leader_term = TERM
+    consensus.term = consensus.last_known_term = TERM
     return consensus
 
 
--- a/features/steps/stored_folders.py
+++ b/features/steps/stored_folders.py
@@ -154,7 +154,7 @@
                 "cohort": self.core.cluster,
                 "term": consensus.term,
                 "votes": {str(term): vote for term, vote in sorted(consensus.history.items())},
-                "leader of the newest term known": [consensus.leader_term, consensus.leader],
+                "leader of the newest term known": [consensus.last_known_term, consensus.last_known_leader],
                 "members": dict(sorted(consensus.membership.members().items())),
                 "change of members under way": consensus.membership.coming is not None,
                 "snapshot at": consensus.base_index,
--- a/src/pinepitch/consensus/election.py
+++ b/src/pinepitch/consensus/election.py
@@ -73,7 +73,9 @@
     own vote is durable.
     """
     term = replica.term if replica.role == CANDIDATE else replica.term + 1
-    result = replica.membership.elects(replica.replies, term, replica.leader, replica.leader_term)
+    result = replica.membership.elects(
+        replica.replies, term, replica.last_known_leader, replica.last_known_term
+    )
     if result.satisfied:
         if replica.role == PRE_CANDIDATE:
             campaign(replica, CANDIDATE, now)
@@ -145,7 +147,7 @@
 
 # --- the voter's part -----------------------------------------------------------------
 def _reply(replica: Consensus, granted: bool) -> Reply:
-    return Reply(granted, replica.leader, replica.leader_term, dict(replica.history))
+    return Reply(granted, replica.last_known_leader, replica.last_known_term, dict(replica.history))
 
 
 def is_current(replica: Consensus, last_index: int, last_term: int) -> bool:
--- a/src/pinepitch/consensus/replica.py
+++ b/src/pinepitch/consensus/replica.py
@@ -74,8 +74,8 @@
     def _init_hard_state(self) -> None:
         self.term = 0
         self.history: dict[int, str] = {}  # term -> whom it voted for
-        self.leader: str | None = None  # the last leader known, of leader_term (known_leader)
-        self.leader_term = 0
+        self.last_known_leader: str | None = None  # the last leader known, of last_known_term (known_leader)
+        self.last_known_term = 0
 
     def _init_log(self, membership: Membership) -> None:
         self.log = Log()
--- a/src/pinepitch/consensus/snapshot_base.py
+++ b/src/pinepitch/consensus/snapshot_base.py
@@ -42,13 +42,13 @@
 
 
 def _take_hard_state(replica: Consensus, hard: list[Any]) -> None:
-    replica.term, replica.leader, replica.leader_term, history = hard
+    replica.term, replica.last_known_leader, replica.last_known_term, history = hard
     replica.history = dict(history)
 
 
 def hard_state(replica: Consensus) -> list[Any]:
     """The hard state as it is saved."""
-    return [replica.term, replica.leader, replica.leader_term, dict(replica.history)]
+    return [replica.term, replica.last_known_leader, replica.last_known_term, dict(replica.history)]
 
 
 def bootstrap_payload(replica: Consensus) -> list[Any]:
--- a/src/pinepitch/control/daemon.py
+++ b/src/pinepitch/control/daemon.py
@@ -366,7 +366,7 @@
         """Whether the cluster is founded: something was agreed on, or all who found it have consented."""
         return (
             self.consensus.last_index() > 0
-            or self.consensus.leader_term > 0
+            or self.consensus.last_known_term > 0
             or set(self.bootstrap_members) <= self.consented | {self.identity}
         )
 
--- a/src/pinepitch/simulation/injected_faults.py
+++ b/src/pinepitch/simulation/injected_faults.py
@@ -131,7 +131,7 @@
 
 def _votes_again(replica, sender, message, now):
     replica.history.pop(message.term, None)
-    replica.leader_term = min(replica.leader_term, message.term - 1)
+    replica.last_known_term = min(replica.last_known_term, message.term - 1)
     original_vote(replica, sender, message, now)
 
 
--- a/src/pinepitch/simulation/model_checker/invariants.py
+++ b/src/pinepitch/simulation/model_checker/invariants.py
@@ -132,10 +132,12 @@
     membership = candidate.membership
     if membership.now.mode != "dynamic":
         return wins(frozen(membership.image()), frozenset(one.identity for one in voters))
-    replies = {one.identity: Reply(True, one.leader, one.leader_term, one.history) for one in voters}
+    replies = {
+        one.identity: Reply(True, one.last_known_leader, one.last_known_term, one.history) for one in voters
+    }
     newest = max(one.term for one in (candidate, *voters))
     return any(
-        membership.elects(replies, term, candidate.leader, candidate.leader_term).satisfied
+        membership.elects(replies, term, candidate.last_known_leader, candidate.last_known_term).satisfied
         for term in (newest + 1, newest + 2)
     )
 
--- a/src/pinepitch/simulation/model_checker/replica.py
+++ b/src/pinepitch/simulation/model_checker/replica.py
@@ -267,7 +267,7 @@
             for identity, follower in sorted(one.followers.items())
         )
         return (
-            (one.term, one.role, one.following, one.leader, one.leader_term, one.heard_term),
+            (one.term, one.role, one.following, one.last_known_leader, one.last_known_term, one.heard_term),
             (one.commit, one.removed),
             (one.first, one.base_index, one.base_term, one.durable, one.membership_index),
             frozen(one.history),
