--- a/src/pinepitch/control/daemon.py
+++ b/src/pinepitch/control/daemon.py
@@ -31,9 +31,10 @@
 from .membership_changes import Members, MembershipChanges
 from .outside_requests import OutsideRequests
 from .placement import Placer
-from .proposals import Proposals, OutcomeListener
+from .proposals import OutcomeListener, Proposals
 from .rehearsal_role import RehearsalRole
 from .sessions import Sessions
+from .stopping import Stopping
 from .worker_reports import WorkerReports
 
 
@@ -121,6 +122,7 @@
         self.proposals = Proposals(self)
         self.applied_entries = AppliedEntries(self)
         self.leadership = Leadership(self)
+        self.stopping_part = Stopping(self)
 
     def clear_leadership(self, now: float) -> None:
         """Forgets what exists only while leading, as a term begins or ends."""
@@ -303,8 +305,8 @@
             "hung-up": self.outside_requests.on_hung_up,
             "paused": self.outside_requests.on_paused,
             "seeds": self._on_seeds,
-            "seat": self._on_seat,
-            "stop": self._on_stop,
+            "seat": self.stopping_part.on_seat,
+            "stop": self.stopping_part.on_stop,
         }
 
     def step(self, message: tuple[Any, ...], now: float, clock: float) -> list[Any]:
@@ -353,7 +355,7 @@
             self.agreement.run(self.consensus.tick(now), now)
         if self.stopping:
             if self.departure is not None and self.departure.due(now):
-                self._tell_leave()
+                self.stopping_part.tell_leave()
             return
         if self.consensus.removed or self.identity not in self.consensus.membership.members():
             self.cluster_entry.ask_to_join(now)
@@ -375,33 +377,6 @@
         self.seeds = tuple(seeds)
         self.event(182, seeds=list(seeds))
 
-    # --- stopping ---------------------------------------------------------------------
-    def _on_seat(self, kept: bool, now: float) -> None:
-        """The leader says whether this stopping voter's seat is kept for it or goes to a spare."""
-        if self.departure is not None:
-            self.departure.kept = kept
-
-    def _on_stop(self, now: float) -> None:
-        """SIGTERM: hands leadership to a voter that holds all, leaves the session, finishes nothing new."""
-        self.stopping = True
-        self.departure = membership.Departure(now, self.leave_within)
-        self.event(101)
-        if self.consensus is not None:
-            live = {session.identity for session in self.sessions.live("accord")}
-            able = live - set(self.membership_changes.leaving)
-            self.agreement.run(self.consensus.transfer_leadership(able, now), now)
-        self.departure.due(now)
-        self._tell_leave()
-
-    def _tell_leave(self) -> None:
-        """Tells the other control daemons that this one stops."""
-        for session in self.sessions.live("accord"):
-            self.send(session.address, ("leave", self.identity))
-
     def may_end(self, now: float) -> bool:
         """Whether a stopping process may end as far as its seat and its leadership go."""
-        if self.departure is None or self.consensus is None:
-            return True
-        members = self.consensus.membership.members()
-        voting = self.identity in members and len(members) > 1
-        return self.departure.over(now, voting, self.consensus.role == "leader")
+        return self.stopping_part.may_end(now)
--- a/src/pinepitch/control/requests/registry.py
+++ b/src/pinepitch/control/requests/registry.py
@@ -19,7 +19,8 @@
 
 class Request(NamedTuple):
     """How one request is handled. Invariant: one that is confirmed by a round of
-    heartbeats changes nothing and always has an Answer; leased reads are confirmed by the lease."""
+    heartbeats changes nothing and always has an Answer; leased reads are confirmed by the lease.
+    """
 
     confirm_by_round: bool
     make: Callable[..., Decision]  # of (leader, token, arguments, now)
