A worker that leaves without having drained keeps what it runs until its ends or its lease tell

Now only a worker known to drain ends with its leave; another gets no more work, whatever its heartbeats say, and its ends or its lapsed lease prove what ended, as with one that this leader has not heard yet. Seen to fail first: leased_job_trials.feature, tenants-leave-first (new, the stand-in leaves so) with leaves-are-ends injected, which is the code as it was, breaks "never twice"; assignments.feature, four scenarios. The scenario of the margin says that the worker has drained, which its step does now.

--- a/features/assignments.feature
+++ b/features/assignments.feature
@@ -246,12 +246,30 @@
       | a run with a name that is none   |
       | a run with a name of odd digits  |
 
-  Scenario: a worker that says it ends has what it ran started elsewhere, after a margin
+  Scenario: a worker that has drained and says it ends has what it ran started elsewhere, after a margin
     Given worker one runs run 1 of a job of 1 task
-    When worker one says that it ends
+    When worker one heartbeats in a state of draining, and says that it ends
     And only worker two heartbeats until it is told a start
     Then it is told to start run 2 of the task from "s1"
 
+  Scenario Outline: a worker that leaves without having drained keeps what it runs <until>
+    Given worker one runs run 1 of a job of 1 task
+    When worker one says that it leaves, <times>, and <goes on>
+    Then nobody is told a start of the task within 3 seconds
+    When 5 seconds more have passed in which only worker two heartbeats
+    Then run 2 of the task was told to worker two
+
+    Examples:
+      | times | goes on                        | until             |
+      | once  | is heard no more               | its lease is over |
+      | twice | is heard no more               | its lease is over |
+      | once  | heartbeats on for 3 seconds    | its lease is over |
+
+  Scenario: a worker that leaves without having drained gets no more work
+    Given worker one runs run 1 of a job of 1 task
+    When worker one says that it leaves, and another job of 1 task comes
+    Then worker one is told no start by its next heartbeats, though it says that it is ready
+
   Scenario: a heartbeat that can't be read is refused
     When worker one sends a heartbeat without a zone
     Then the heartbeat is answered with 400
--- a/features/leased_job_trials.feature
+++ b/features/leased_job_trials.feature
@@ -23,6 +23,7 @@
       | lives-mixed   |
       | frames-replayed |
       | storm         |
+      | tenants-leave-first |
 
   Scenario Outline: <scenario> breaks no rule of jobs while the log is compacted all the time
     Given the condition frequent-snapshots
@@ -54,6 +55,7 @@
       | taken-unheeded      | answers-late  | was acknowledged and refused  | 20 to 31 |
       | evacuation-in-word  | tenants-leave | was evacuated                 | 20 to 31 |
       | drain-unseen        | tenants-leave | known to drain                | 20 to 31 |
+      | leaves-are-ends     | tenants-leave-first | had ended done, as noted | 20 to 31 |
       | failures-forgotten  | calm          | failures                      | 20 to 31 |
       | room-given-early    | calm          | beyond its room               | 20 to 31 |
       | cancel-in-word      | calm          | was cancelled, then           | 20 to 31 |
--- a/features/steps/assignments.py
+++ b/features/steps/assignments.py
@@ -345,6 +345,61 @@
     until_start(context, "two")
 
 
+@when("worker one heartbeats in a state of draining, and says that it ends")
+def step_drains_and_leaves(context):
+    context.simulated_workers["one"].state = "draining"
+    heartbeat(context, "one")
+    step_leaves(context)
+
+
+@when("worker one says that it leaves, {times}, and {goes_on}")
+def step_leaves_first(context, times, goes_on):
+    context.goes_on = goes_on
+    for _ in range(2 if times == "twice" else 1):
+        step_leaves(context)
+
+
+@then("nobody is told a start of the task within {seconds:d} seconds")
+def step_nobody_starts(context, seconds):
+    end = context.cluster.now + seconds
+    while context.cluster.now < end:
+        for name in ("one", "two") if context.goes_on.startswith("heartbeats") else ("two",):
+            heartbeat(context, name)
+            assert not context.simulated_worker.told.get("start"), context.simulated_worker.told
+    assert ("one", TASK, 1) in context.cluster.placed()
+
+
+@when("{seconds:d} seconds more have passed in which only worker two heartbeats")
+def step_only_two_for(context, seconds):
+    end = context.cluster.now + seconds
+    while context.cluster.now < end:
+        heartbeat(context, "two")
+
+
+@then("run {run:d} of the task was told to worker two")
+def step_two_told(context, run):
+    starts = {tuple(one[:2]) for one in context.simulated_workers["two"].starts}
+    assert starts == {(TASK, run)}, starts
+
+
+@when("worker one says that it leaves, and another job of 1 task comes")
+def step_leaves_and_job(context):
+    step_leaves(context)
+    path = f"{PREFIX}{'b' * 16}"
+    assert (
+        context.cluster.told("job", HOST, path, {"spec": "(text)", "steps": [{"count": 1, "cpu": 100}]})[0]
+        == 200
+    )
+
+
+@then("worker one is told no start by its next heartbeats, though it says that it is ready")
+def step_gets_nothing(context):
+    for _ in range(20):
+        heartbeat(context, "one")
+        assert context.simulated_worker.state == "ready"
+        assert not context.simulated_worker.told.get("start"), context.simulated_worker.told
+
+
 @when("worker one says that it ends")
 def step_leaves(context):
     assert context.cluster.told("beat-leave", "one")[0] == 200
--- a/src/pinepitch/scheduling/assignment_manager.py
+++ b/src/pinepitch/scheduling/assignment_manager.py
@@ -116,8 +116,13 @@
             self.core.answer(older.address, older.token, Answer(200, {}))
 
     def leave(self, identity: str, now: float) -> None:
-        """A worker says that it ends now."""
-        self.leases.leave(identity, now)
+        """A worker says that it leaves. Of one that this leader has not heard, and of one that never drained,
+        only ends or the lease prove that what it ran has ended.
+        """
+        worker = self.workers.get(identity)
+        if worker is not None and worker.leave():
+            self.leases.leave(identity, now)
+        self.due = True
 
     def _take_absences(self, worker: Worker, now: float) -> None:
         """A run neither running nor ended in a fresh heartbeat never started from an earlier answer."""
--- a/src/pinepitch/scheduling/leases.py
+++ b/src/pinepitch/scheduling/leases.py
@@ -11,7 +11,7 @@
 from .worker import Worker
 
 # Why a worker is let go, as event 180 tells it.
-LEFT = "left"  # it said that it ends
+LEFT = "left"  # it drained, and said that it ends
 LAPSED = "hold lapsed"
 
 
@@ -25,7 +25,7 @@
         self.left_at: dict[str, float] = {}  # worker -> when it said that it ends
 
     def leave(self, identity: str, now: float) -> None:
-        """A worker says that it ends now."""
+        """A worker that has drained says that it ends now."""
         self.left_at.setdefault(identity, now)
 
     def over(self, workers: dict[str, Worker], ends: EndIntake, now: float) -> Iterator[tuple[str, str]]:
--- a/src/pinepitch/scheduling/worker.py
+++ b/src/pinepitch/scheduling/worker.py
@@ -8,6 +8,7 @@
 from .plain_types import Document
 
 READY = "ready"  # the state of a worker that takes new work; in any other it takes none
+DRAINING = "draining"
 
 
 class Progress(NamedTuple):
@@ -52,6 +53,7 @@
         # all it has, whatever runs: thousandths of a core, megabytes, accelerators
         self.capacity: tuple[float, ...] = (0, 0, 0)
         self.leaves_at: float | None = None
+        self.left = False  # whether it said that it leaves, and not before that it drains
         self.running: dict[RunKey, tuple[str, float]] = {}  # (reference, run) -> (saved, percent)
         self.listed: set[RunKey] = set()  # (reference, run) of all it listed as ended
         self.pending: set[int] = set()
@@ -62,6 +64,15 @@
         self.failing = 0.0  # failure rate of late, of ends that say something about it
         self.speed = 1.0  # times as long as usual that its work takes
 
+    def leave(self) -> bool:
+        """Takes its word that it leaves; whether that proves that it ends now. One that never said that it
+        drains serves on for as long as if it had: it gets no more work, and what it runs goes on.
+        """
+        if self.state != READY and not self.left:
+            return True
+        self.left, self.state = True, DRAINING
+        return False
+
     def take_heartbeat(self, heartbeat: Document, now: float) -> bool:
         """Takes a heartbeat, checked, that arrived at `now`; False when it is older than one taken."""
         if heartbeat["sequence"] <= self.sequence:
@@ -76,7 +87,7 @@
         self.offset, self.offset_at = min(self.offset + slack, offset), now
         self.stale = offset - self.offset > constants.HEARTBEAT_STALE * 1000
         self.service, self.address, self.zone = heartbeat["service"], heartbeat["address"], heartbeat["zone"]
-        self.state = heartbeat["state"]
+        self.state = DRAINING if self.left else heartbeat["state"]
         self.labels = frozenset(heartbeat["labels"])
         self.rack = heartbeat["labels"][-1] if heartbeat["labels"] else ""
         self.capacity = tuple(heartbeat["room"])
--- a/src/pinepitch/simulation/jobs/fleet.py
+++ b/src/pinepitch/simulation/jobs/fleet.py
@@ -88,9 +88,18 @@
     def _lateness(self):
         return self.draw.uniform(0, self.late_most) if self.draw.random() < self.late_part else 0.0
 
+    def _worker_over(self, node):
+        """A worker's process has ended."""
+        node.down = True
+        node.incarnation += 1
+        self._mark_absent(node.name)
+
     def _worker_effects(self, node, effects, message):
         for effect in effects:
             target = self.by_address[effect[1]]
+            if effect[0] == "end":
+                self._worker_over(node)
+                continue
             if effect[0] == "leave":
                 self.send_call(
                     node.name,
@@ -101,9 +110,8 @@
                     HEARTBEAT_PATIENCE,
                     lambda *answered: None,
                 )
-                node.down = True
-                node.incarnation += 1
-                self._mark_absent(node.name)
+                if node.core.over:  # else it serves on
+                    self._worker_over(node)
                 continue
             _, _, number, identity, document = effect
             if node.name in self.delayed:
--- a/src/pinepitch/simulation/jobs/injected_faults.py
+++ b/src/pinepitch/simulation/jobs/injected_faults.py
@@ -127,6 +127,7 @@
     "room-given-early": [(assigner, "candidate_workers", _capacity_twice)],
     "cancel-in-word": [(LeasedJobState, "cancel", _cancel_in_word)],
     "stops-forgotten": [(LeasedJobState, "wanted", lambda self, placement: True)],
+    "leaves-are-ends": [(Worker, "leave", lambda self: True)],
     "drain-unseen": [(Worker, "take_heartbeat", _always_ready)],
     "order-unheeded": [(LeasedJobState, "_index", _after_unheeded)],
     "answers-unchecked": [(Forwarder, "waiting", lambda self, token, key: self.calls.get(token))],
--- a/src/pinepitch/simulation/jobs/scenarios.py
+++ b/src/pinepitch/simulation/jobs/scenarios.py
@@ -250,6 +250,17 @@
             simulator.operator_stand_in.restore(span)
 
 
+def workers_leave_first(simulator):
+    """Tenants say that they leave without having drained, serve on for as long, and end."""
+    for _ in range(6):
+        for name in simulator.draw.sample(tenant_names(simulator), 3):
+            simulator.nodes[name].core.leave_first(START + simulator.now)
+        simulator.run(simulator.draw.uniform(3, 5))
+        for name, node in simulator.nodes.items():
+            if node.kind == "minion" and node.down:
+                simulator.start(name)
+
+
 def answers_late(simulator):
     """Heartbeats and answers get lost or late, while tenants drain and zones are evacuated."""
     simulator.answer_loss, simulator.late_part, simulator.late_most = 0.1, 0.3, 3.0
@@ -347,4 +358,5 @@
     "lives-mixed": incarnations_mixed,
     "frames-replayed": frames_replayed,
     "storm": storm,
+    "tenants-leave-first": workers_leave_first,
 }
--- a/src/pinepitch/simulation/stand_in_lease_worker.py
+++ b/src/pinepitch/simulation/stand_in_lease_worker.py
@@ -62,6 +62,7 @@
         self.lease_until = None
         self.state, self.leaves_at, self.drained_at, self.over = "ready", None, None, False
         self.ticked = None
+        self.says_leave = False  # whether it is to say that it leaves, with no word of draining before
 
     def own(self, now):
         """Its own steady clock."""
@@ -79,6 +80,11 @@
         if self.state == "ready":
             self.state, self.leaves_at, self.next_at = "draining", now + DRAIN_UNHEARD, now
 
+    def leave_first(self, now):
+        """A planned end is near: it says that it leaves, never that it drains, and serves on for as long."""
+        if self.state == "ready" and self.leaves_at is None:
+            self.says_leave, self.leaves_at = True, now + DRAIN + DRAIN_BEYOND
+
     def step(self, message, now):
         """Takes a message at a time in seconds of the simulator; returns effects."""
         kind, *rest = message
@@ -102,6 +108,9 @@
         if self.leaves_at is not None and now >= self.leaves_at:
             self.over = True
             self.crash(now)
+            return [("end" if self.state == "ready" else "leave", self._target(), self.identity)]
+        if self.says_leave:
+            self.says_leave = False
             return [("leave", self._target(), self.identity)]
         if self.out is not None and own - self.out[2] > MAX_ANSWER_BYTES:
             self._move_on(now)
