Histories: scenarios that came later stand behind all others

tenants-leave-first is recorded as a history of its own, behind those that were there, so that these keep their labels and seeds.

--- a/features/same_histories.py
+++ b/features/same_histories.py
@@ -43,6 +43,16 @@
 SCHEDULES = 32  # seeds of schedules of the consensus model
 SEARCH_BOUNDS = model_fleets.Bounds(4, 200)  # depth and states of each search of a model
 SEARCH_WALKS = 2  # random schedules after each search
+# Scenarios that came later stand behind all others, so that those keep their seeds.
+LATER_JOB_SCENARIOS = ("tenants-leave-first",)
+JOB_SCENARIOS = [
+    *(
+        name
+        for name in (*leased_job_trial.SCENARIOS, *leased_job_trial.CONTROL_SCENARIOS)
+        if name not in LATER_JOB_SCENARIOS
+    ),
+    *LATER_JOB_SCENARIOS,
+]
 SCALARS = (int, float, str, bool, type(None))
 CONTAINERS = (4, 5)  # major types of cbor: arrays and maps
 PARTS = ("times", "frames", "documents", "disks", "events", "images")
@@ -246,8 +256,8 @@
     "jobs": (
         _job_history,
         _in_turn(
-            [*leased_job_trial.SCENARIOS, *leased_job_trial.CONTROL_SCENARIOS],
-            len(leased_job_trial.SCENARIOS) + len(leased_job_trial.CONTROL_SCENARIOS),
+            JOB_SCENARIOS,
+            len(JOB_SCENARIOS),
         ),
     ),
     "second-losses": (
