An accepted job pays nothing for ordered defaults and for the bound of images

Defaults are put in order for documents that are kept as they are filled (queue configurations, pushed jobs); how many bytes are free is worked out once an image.

--- a/src/pinepitch/control/agreement.py
+++ b/src/pinepitch/control/agreement.py
@@ -37,6 +37,7 @@
         self.before_snapshot = (
             0  # bytes of those applied before, and after the base; 0 with no snapshot under way
         )
+        self._free_bytes: int | None = None  # until images are full; None until it is asked for
         self._due_bytes: int | None = None  # of these, that make a snapshot due; None until it is asked for
         self.snapshot_segments = (1, 0)  # of the archive, that the snapshot under way stands on
 
@@ -70,7 +71,7 @@
         """A snapshot is encoded: the log is compacted up to it, unless it is out of date."""
         core, data = self.core, encoded.data
         self.snapshotting = False
-        self.before_snapshot, self._due_bytes = 0, None
+        self.before_snapshot, self._due_bytes, self._free_bytes = 0, None, None
         core.image_digests.encoded(index, encoded.digest)
         if index > core.consensus.base_index and core.consensus.term_at(index) is not None:
             payload = core.consensus.compact(index, data, self.snapshot_segments)
@@ -107,7 +108,8 @@
 
     def _install(self, image: Any, segments: dict[int, bytes]) -> None:
         """Takes the cluster state from a snapshot of the leader's, with segments that came beside it."""
-        self.since_base, self.before_snapshot, self._due_bytes = 0, 0, None
+        self.since_base, self.before_snapshot = 0, 0
+        self._due_bytes = self._free_bytes = None
         archive = self.core.cluster_state.archive
         self.core.take_cluster_state(image, {**archive.retired, **archive.segments, **segments})
         for number, data in sorted(segments.items()):
@@ -150,7 +152,8 @@
         self._write_sealed()
         state = self.core.cluster_state
         self.snapshotting = True
-        self.since_base, self.before_snapshot, self._due_bytes = 0, self.since_base, None
+        self.since_base, self.before_snapshot = 0, self.before_snapshot + self.since_base
+        self._due_bytes = self._free_bytes = None
         self.snapshot_segments = state.archive.range()
         self.core.effects.append(EncodeSnapshot(state.index, state.image()))
 
@@ -181,6 +184,12 @@
         """Bytes of the newest image."""
         return len(self.core.consensus.base_image or b"")
 
+    def is_full(self) -> bool:
+        """Whether an image would have as many bytes by now as it may have."""
+        if self._free_bytes is None:
+            self._free_bytes = self.core.limits.image - self._base_size() - self.before_snapshot
+        return self.since_base >= self._free_bytes
+
     def image_size(self) -> int:
         """About how many bytes an image would have now: those of the newest one and of the entries applied
         since, most of which it would hold.
--- a/src/pinepitch/control/proposals.py
+++ b/src/pinepitch/control/proposals.py
@@ -59,7 +59,7 @@
             if waiting is not None:
                 self.core.forwarded_requests.not_taken(waiting.address, waiting.token, None, now)
             return
-        if waiting is not None and operation[0] in GROWING and self._is_state_full():
+        if waiting is not None and operation[0] in GROWING and self.core.agreement.is_full():
             self._refuse_growth(operation, waiting)
             return
         if waiting is not None and self.core.consensus.log.size > self.core.limits.log:
@@ -72,10 +72,6 @@
         result = self.core.consensus.propose([operation], self.core.cluster_time(now), now)
         self.core.agreement.run(result[1], now)
 
-    def _is_state_full(self) -> bool:
-        """Whether an image of the cluster state would be as large as it may be."""
-        return self.core.agreement.image_size() >= self.core.limits.image
-
     def _refuse_growth(self, operation: tuple[Any, ...], waiting: OutcomeListener) -> None:
         """Tells a caller at once that what it asks for would enlarge a state that is full."""
         self.core.event(136, operation=operation[0], bytes=self.core.agreement.image_size())
--- a/src/pinepitch/model/pushed_job.py
+++ b/src/pinepitch/model/pushed_job.py
@@ -12,7 +12,7 @@
 
 from ..common import constants
 from .task import Standing, Task
-from .validation import Fault, Faults, name, number, shaped, whole_number
+from .validation import Fault, Faults, name, number, shaped_in_order, whole_number
 
 
 class PushedJob(NamedTuple):
@@ -73,7 +73,7 @@
 
 def checked(document: object) -> tuple[dict[str, Any] | None, Faults]:
     """(the document with its defaults, ()) or (None, faults), every fault named by its path."""
-    plain, shape_faults = shaped(SHAPE, document)
+    plain, shape_faults = shaped_in_order(SHAPE, document)
     if shape_faults:
         return None, shape_faults
     tasks = plain["tasks"]
--- a/src/pinepitch/model/queue_settings.py
+++ b/src/pinepitch/model/queue_settings.py
@@ -8,7 +8,7 @@
 import voluptuous
 
 from ..common import constants
-from .validation import Faults, name, number, shaped, whole_number
+from .validation import Faults, name, number, shaped_in_order, whole_number
 
 
 class QueueSettings(NamedTuple):
@@ -108,7 +108,7 @@
     are those of the configuration `known`, checked before, are not checked again.
     """
     same = _same_settings(document, known)
-    plain, shape_faults = shaped(SHAPE, _without_queues(document, same))
+    plain, shape_faults = shaped_in_order(SHAPE, _without_queues(document, same))
     if shape_faults:
         return None, shape_faults
     if same:
--- a/src/pinepitch/model/validation.py
+++ b/src/pinepitch/model/validation.py
@@ -41,13 +41,21 @@
 
 
 def shaped(shape: voluptuous.Schema, document: object) -> tuple[Any, Faults]:
-    """(the document with its defaults, ()) or (None, the faults that voluptuous finds)."""
+    """(the document with its defaults, ()) or (None, the faults that voluptuous finds). The defaults come
+    in any order: for what is kept as it is filled there is shaped_in_order.
+    """
     try:
-        return _defaults_in_order(shape(document), document), ()
+        return shape(document), ()
     except voluptuous.MultipleInvalid as several:
         return None, tuple((".".join(map(str, one.path)), one.msg) for one in _in_order(several.errors))
 
 
+def shaped_in_order(shape: voluptuous.Schema, document: object) -> tuple[Any, Faults]:
+    """As shaped, the defaults in an order that is the same in every process."""
+    filled, faults = shaped(shape, document)
+    return (filled, faults) if faults else (_defaults_in_order(filled, document), faults)
+
+
 def _defaults_in_order(filled: Any, given: object) -> Any:
     """A filled document with its own keys in the order given and those of defaults by name behind them:
     voluptuous fills them in the order of a set, which differs from process to process.
