Keys of tenants are checked by the leader: 401 for an unknown one, 403 for another's job

Cause: `Api-Key` and `tenants` were nowhere read; the class of fault is a part of the configuration that is stored, read back and not enforced.

Change: a call at a queue ends with its key; the leader looks its tenant up in the configuration in force, and the entry of the log names the tenant, which is looked at again when it is applied. New operations of level 4 (tenant-job, configure-tenants, amend-tenants), so that members of an earlier version never apply other rules than the rest. A key is part of no request key, event, metric or answer.

--- a/features/steps/platform_adapters.py
+++ b/features/steps/platform_adapters.py
@@ -158,6 +158,10 @@
     def trace(self, number, **fields):
         """Keeps no timeline."""
 
+    def common_level(self):
+        """All members are of this version."""
+        return constants.RECORD_LEVEL
+
     def answer(self, made):
         """The Response to what a door read, through frames and the record."""
         if isinstance(made, Response):
--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -202,7 +202,8 @@
 # 4: images hold the newest orders for zones and the change watermarks that were forgotten.
 FILE_VERSION = 4
 # Of operations; a cluster proposes only what the lowest level reported by a member knows. 3: evacuation.
-RECORD_LEVEL = 3
+# 4: jobs of tenants, configurations whose tenants are checked.
+RECORD_LEVEL = 4
 
 # --- jobs under leases ---------------------------------------------------------------
 MAX_SPEC_LENGTH = 4_000  # characters; of the specification a job hands to its tasks
@@ -215,6 +216,7 @@
 MAX_FINAL_JOBS = 60_000  # jobs; final ones kept readable at most
 FINAL_SWEEP = 20  # jobs; looked at for dropping whenever one becomes final
 MAX_PREFIX_LENGTH = 512  # characters; of a route's prefix
+MAX_KEY_LENGTH = 512  # characters; of a tenant's key
 # Raised only with a new level: a full list tells that older versions were forgotten.
 CONFIGURATIONS_KEPT = 1_000  # versions; whose call is remembered, so that sent again it is answered alike
 # zones; evacuated at once, and of others as many whose newest order is remembered
--- a/src/pinepitch/control/applied_entries.py
+++ b/src/pinepitch/control/applied_entries.py
@@ -137,7 +137,17 @@
     "job-assign": AppliedEntries._leased_job_assigned,
     "job-ended": AppliedEntries._leased_job_ended,
     **dict.fromkeys(
-        ("job", "job-cancel", "evacuate", "evacuation", "configure", "amend"),
+        (
+            "job",
+            "tenant-job",
+            "job-cancel",
+            "evacuate",
+            "evacuation",
+            "configure",
+            "configure-tenants",
+            "amend",
+            "amend-tenants",
+        ),
         AppliedEntries._leased_jobs_or_routes_changed,
     ),
     **dict.fromkeys(
--- a/src/pinepitch/model/contract.py
+++ b/src/pinepitch/model/contract.py
@@ -1,7 +1,7 @@
 """Contracts: what each message between our processes must look like.
 
 A pattern is a type, a tuple of patterns (an array of just these), a one-element list
-(an array of any length), MAYBE(pattern), PAIRS(key, value) for a map, or ANY.
+(an array of any length), MAYBE(pattern), ONE_OF(patterns), PAIRS(key, value) for a map, or ANY.
 """
 
 from typing import Any, NamedTuple
@@ -25,6 +25,12 @@
 ANY = object()
 
 
+class OneOf(NamedTuple):
+    """What one of several patterns says."""
+
+    patterns: tuple[Any, ...]
+
+
 class Number:
     """A float or whole number, no bool."""
 
@@ -47,6 +53,8 @@
         return isinstance(value, str) and bool(daemon_settings.is_address(value))
     if pattern is Operation:
         return isinstance(value, (list, tuple)) and bool(value) and isinstance(value[0], str)
+    if isinstance(pattern, OneOf):
+        return any(fits(value, one) for one in pattern.patterns)
     if isinstance(pattern, Maybe):
         return value is None or fits(value, pattern.pattern)
     if isinstance(pattern, Pairs):
@@ -114,8 +122,9 @@
         Maybe(str),
     ),
 }
-# What a forwarded request's arguments must look like, by the request's name.
-ARGUMENTS: dict[str, tuple[Any, ...]] = {
+# What a forwarded request's arguments must look like, by the request's name. Calls at queues end with the
+# caller's key where it has one.
+ARGUMENTS: dict[str, tuple[Any, ...] | OneOf] = {
     "submit": (str, str, dict),
     "ticket": (str,),
     "tickets": (int, int, str, str, str),
@@ -133,9 +142,9 @@
     "approve": (str, str, str),
     "drop": (str,),
     "whence": (str,),
-    "job": (str, str, dict),
-    "job-read": (str, str),
-    "job-cancel": (str, str),
+    "job": OneOf(((str, str, dict), (str, str, dict, str))),
+    "job-read": OneOf(((str, str), (str, str, str))),
+    "job-cancel": OneOf(((str, str), (str, str, str))),
     "beat": (str, dict),
     "beat-leave": (str,),
     "configure": (int, dict),
--- a/src/pinepitch/scheduling/configuration.py
+++ b/src/pinepitch/scheduling/configuration.py
@@ -13,6 +13,7 @@
 from ..model.validation import shaped
 from ..model.validation import whole_number as _whole_number
 from .plain_types import Document, Faults, Image, Outcome
+from .tenants import TENANT, Tenants, shared_keys
 
 _NAME = voluptuous.All(str, voluptuous.Length(min=1, max=constants.MAX_NAME_LENGTH))
 _PREFIX = voluptuous.All(
@@ -44,17 +45,30 @@
     }
 )
 LISTS = ("routes", "services")
+TENANTS_SHAPE = voluptuous.Schema(
+    {
+        voluptuous.Optional("tenants"): [TENANT],
+        voluptuous.Required("routes"): [{voluptuous.Optional("public"): bool, voluptuous.Extra: object}],
+        voluptuous.Extra: object,
+    }
+)
 
 
-def checked(document: Any) -> Faults:
-    """Faults of a whole configuration, () when it may come into force."""
+def checked(document: Any, with_tenants: bool = False) -> Faults:
+    """Faults of a whole configuration, () when it may come into force. Tenants are looked at only where the
+    entry of the log says so: what older versions took without a look stays taken.
+    """
     faults: Faults = shaped(SHAPE, document)[1]
+    if not faults and with_tenants:
+        faults = shaped(TENANTS_SHAPE, document)[1]
     if faults:
         return faults
     found: list[tuple[str, str]] = []
     places: dict[tuple[str, str], str] = {}
     services = {service["name"] for service in document["services"]}
-    for kind in LISTS:
+    tenants = document.get("tenants", ()) if with_tenants else ()
+    found.extend(shared_keys(tenants))
+    for kind in (*LISTS, "tenants") if tenants else LISTS:
         counts = collections.Counter(item["name"] for item in document[kind])
         found.extend((f"{kind}.{name}", "named twice") for name in sorted(counts) if counts[name] > 1)
     for route in document["routes"]:
@@ -128,6 +142,7 @@
             for places in self.places.values():
                 places.sort(key=lambda one: -len(one[0]))
             self.services = {service["name"]: service for service in document["services"]}
+        self.tenants = Tenants(document)
 
     def image(self) -> Image:
         """A value of which the same is made again."""
@@ -158,7 +173,7 @@
             return ("forgotten", version)
         return ("stale", self.version)
 
-    def take(self, base: int, document: Document, digest: str) -> Outcome:
+    def take(self, base: int, document: Document, digest: str, with_tenants: bool = False) -> Outcome:
         """Brings a whole configuration into force in place of version `base`: ("configured", version). Else
         ("stale", version in force), ("forgotten", version) or ("invalid", faults).
         """
@@ -166,7 +181,7 @@
         earlier_outcome = self._earlier_outcome(base, version, digest)
         if earlier_outcome is not None and earlier_outcome[0] != "forgotten":
             return earlier_outcome
-        faults = checked(document)
+        faults = checked(document, with_tenants)
         if not faults and earlier_outcome is not None:
             return earlier_outcome
         if not faults and version <= self.version:
@@ -180,7 +195,13 @@
         return ("configured", version)
 
     def amend(
-        self, base: int, version: Any, upserts: dict[str, Any], removes: dict[str, Any], digest: str
+        self,
+        base: int,
+        version: Any,
+        upserts: dict[str, Any],
+        removes: dict[str, Any],
+        digest: str,
+        with_tenants: bool = False,
     ) -> Outcome:
         """The same for named items: `upserts` by list, `removes` names by list (the users' page on
         configuration).
@@ -191,4 +212,4 @@
         if self.document is None:
             return ("invalid", (("version", "there is no configuration to change yet"),))
         document, faults = amended(self.document, version, upserts, removes)
-        return ("invalid", faults) if faults else self.take(base, document, digest)
+        return ("invalid", faults) if faults else self.take(base, document, digest, with_tenants)
--- a/src/pinepitch/scheduling/leased_job.py
+++ b/src/pinepitch/scheduling/leased_job.py
@@ -254,12 +254,16 @@
         "spec",
         "steps",
         "stretch",
+        "tenant",
         "times",
         "waves",
     )
 
-    def __init__(self, identity: str, queue: str, terms: Terms, plain: PlainJob, accepted: float) -> None:
+    def __init__(
+        self, identity: str, queue: str, terms: Terms, plain: PlainJob, accepted: float, tenant: str = ""
+    ) -> None:
         self.identity, self.queue, self.accepted = identity, queue, accepted
+        self.tenant = tenant  # its name, "" for a job of none
         self.service, self.attempts, self.priority, self.latency_target_ms, self.stretch = terms
         self.plain = plain
         self.spec, steps, self.first_ms, self.every_ms, self.times = plain
@@ -278,8 +282,8 @@
         return (self.service, self.attempts, self.priority, self.latency_target_ms, self.stretch)
 
     def image(self) -> Image:
-        """A value of which the same is made again."""
-        return (
+        """A value of which the same is made again; a job of no tenant has none, as before there were any."""
+        image: Image = (
             self.identity,
             self.queue,
             self.terms(),
@@ -288,12 +292,13 @@
             self.begun,
             tuple((*key, wave.image()) for key, wave in self.waves.items()),
         )
+        return (*image, self.tenant) if self.tenant else image
 
     @classmethod
     def from_image(cls, image: Image) -> Self:
         """The job that an image was made of."""
-        identity, queue, terms, plain, accepted, begun, waves = image
-        job = cls(identity, queue, tuple(terms), tuple(plain), accepted)
+        identity, queue, terms, plain, accepted, begun, waves, *tenant = image
+        job = cls(identity, queue, tuple(terms), tuple(plain), accepted, *tenant)
         job.begun = begun
         for time, number, (failed_runs, since, tasks) in waves:
             wave = job.waves[(time, number)]
--- a/src/pinepitch/scheduling/leased_job_state.py
+++ b/src/pinepitch/scheduling/leased_job_state.py
@@ -17,6 +17,7 @@
 from .plain_types import Document, Image, Outcome
 from .resources import NO_RESOURCES, Level, less, more
 from .run_stop import StopItem
+from .tenants import Tenants
 
 # The state of a job, as callers are told it.
 JOB_QUEUED = "queued"  # no task was ever placed
@@ -45,6 +46,11 @@
     ended: float  # time of the cluster state, seconds
     queue: str
     digest: str  # tells two jobs under one name apart
+    tenant: str = ""  # its name, "" for a job of none
+
+    def image(self) -> Image:
+        """A value of which the same is made again; as LeasedJob.image for a job of no tenant."""
+        return tuple(self) if self.tenant else tuple(self)[:-1]
 
 
 class LeasedJobState:
@@ -71,7 +77,7 @@
         """A value of which the same is made again."""
         return (
             tuple(job.image() for job in self.jobs.values()),
-            tuple((identity, *rest) for identity, rest in self.final.items()),
+            tuple((identity, *final.image()) for identity, final in self.final.items()),
             tuple(one.image() for placements in self.placements.values() for one in placements.values()),
             self.configuration.image(),
             self.evacuations.image(),
@@ -102,6 +108,11 @@
         """The zones that are evacuated, and since when."""
         return self.evacuations.since
 
+    @property
+    def tenants(self) -> Tenants:
+        """The tenants of the configuration in force."""
+        return self.configuration.tenants
+
     def _index(self, wave: Wave) -> None:
         """Puts a wave among the ready, or takes it out."""
         if wave.waiting and not wave.blocked and not wave.breaking():
@@ -133,6 +144,11 @@
         return placement
 
     # --- reading ----------------------------------------------------------------------
+    def tenant_of(self, identity: str) -> str | None:
+        """The name of the tenant of a job, "" for a job of none, or None when there is no such job."""
+        job = self.jobs.get(identity) or self.final.get(identity)
+        return job.tenant if job is not None else None
+
     def state(self, identity: str) -> str | None:
         """The state of a job, or None when there is none."""
         job = self.jobs.get(identity)
@@ -160,13 +176,19 @@
         return found is not None and not found[0].breaking()
 
     # --- operations -------------------------------------------------------------------
-    def accept(self, now: float, identity: str, queue: str, plain: PlainJob) -> Outcome:
+    def accept(
+        self, now: float, identity: str, queue: str, plain: PlainJob, tenant: str | None = None
+    ) -> Outcome:
         """A job is handed in at a queue: ("accepted", identity), ("known", identity), ("missing", queue)
-        where no such route is in force, or ("full", queue) at MAX_LEASED_JOBS.
+        where no such route is in force, or ("full", queue) at MAX_LEASED_JOBS. With the name of the tenant
+        that hands it in also ("foreign", identity) where the job is another's, and ("unknown_tenant", tenant)
+        where it is not in force any more.
         """
-        job = self.jobs.get(identity)
-        if job is not None or identity in self.final:
-            return ("known", identity)
+        owner = self.tenant_of(identity)
+        if owner is not None:
+            return ("known", identity) if tenant in (None, owner) else ("foreign", identity)
+        if tenant and tenant not in self.tenants.by_name:
+            return ("unknown_tenant", tenant)
         route = self.configuration.routes.get(queue)
         if route is None:
             return ("missing", queue)
@@ -179,7 +201,7 @@
             route.get("aim_ms", 0),
             route.get("stretch", 1),
         )
-        job = self.jobs[identity] = LeasedJob(identity, queue, terms, plain, now)
+        job = self.jobs[identity] = LeasedJob(identity, queue, terms, plain, now, tenant or "")
         self.counts[queue] = self.counts.get(queue, 0) + 1
         for wave in job.waves.values():
             wave.since = max(wave.due, now)
@@ -203,7 +225,7 @@
             self.counts[job.queue] -= 1
         for wave in job.waves.values():
             self.ready.pop(wave.key(), None)
-        self.final[job.identity] = FinalJob(state, now, job.queue, job.digest)
+        self.final[job.identity] = FinalJob(state, now, job.queue, job.digest, job.tenant)
         for identity, final in list(itertools.islice(self.final.items(), constants.FINAL_SWEEP)):
             if final.ended + constants.FINAL_LASTS > now and len(self.final) <= constants.MAX_FINAL_JOBS:
                 break
@@ -366,9 +388,11 @@
                 return END_COMPLETED
         return END_DONE
 
-    def configure(self, now: float, base: int, document: Document, digest: str) -> Outcome:
+    def configure(
+        self, now: float, base: int, document: Document, digest: str, with_tenants: bool = False
+    ) -> Outcome:
         """A whole configuration, as Configuration.take has it."""
-        return self.configuration.take(base, document, digest)
+        return self.configuration.take(base, document, digest, with_tenants)
 
     def amend(
         self,
@@ -378,9 +402,10 @@
         upserts: dict[str, Any],
         removes: dict[str, Any],
         digest: str,
+        with_tenants: bool = False,
     ) -> Outcome:
         """Named items of the configuration, as Configuration.amend has them."""
-        return self.configuration.amend(base, version, upserts, removes, digest)
+        return self.configuration.amend(base, version, upserts, removes, digest, with_tenants)
 
     def evacuate(
         self, now: float, zone: str, begun: bool, index: int, confirmed: int | None = None
--- a/src/pinepitch/scheduling/requests.py
+++ b/src/pinepitch/scheduling/requests.py
@@ -3,6 +3,7 @@
 Each is answered by a leader whose lease stands, so that what it reads is the newest.
 """
 
+from collections.abc import Sequence
 from typing import Any
 
 from ..common import constants
@@ -11,6 +12,7 @@
 from . import leased_job as jobs
 from . import worker as workers
 from .daemon_interface import Daemon
+from .leased_job_state import LeasedJobState
 from .plain_types import Arguments, Document
 
 UNFINISHED = ("queued", "running")  # states of a job
@@ -27,24 +29,74 @@
     return core.cluster_state.leased_jobs.configuration.find(host, path)
 
 
-def submit(core: Daemon, token: Any, arguments: Arguments, now: float) -> Decision:
-    """Hands a job in at the queue whose route fits; one that is known already is answered with its state."""
-    host, path, document = arguments
+def _caller(leased_jobs: LeasedJobState, route: Document, key: Sequence[str]) -> str | None:
+    """The name of the tenant that calls at a route with a key or none, "" for nobody's call that may pass;
+    None where it may not.
+    """
+    tenants = leased_jobs.tenants
+    owner = tenants.owner(key[0]) if key else None
+    if owner is None and (not tenants.keys_required or route.get("public", False)):
+        return ""
+    return owner
+
+
+def _unknown_key() -> Answer:
+    return problem(401, "unknown_key", "the key is missing, or no tenant's")
+
+
+def _foreign() -> Answer:
+    return problem(403, "foreign_job", "the job is another tenant's")
+
+
+def _admitted(core: Daemon, host: str, path: str, key: Sequence[str]) -> tuple[Document, str] | Answer:
+    """(route, rest of the path) of a call at a queue that may pass, or the answer that refuses it."""
     found = _route(core, host, path)
     if found is None:
         return _unready(core) or problem(404, "no_queue", "no route fits")
+    leased_jobs = core.cluster_state.leased_jobs
+    caller = _caller(leased_jobs, found[0], key)
+    if caller is None:
+        return _unknown_key()
+    owner = leased_jobs.tenant_of(found[1])
+    # a job that was taken before keys were asked for belongs to whoever names it
+    return _foreign() if owner and owner != caller else found
+
+
+def submit(core: Daemon, token: Any, arguments: Arguments, now: float) -> Decision:
+    """Hands a job in at the queue whose route fits; one that is known already is answered with its state."""
+    host, path, document, *key = arguments
+    found = _admitted(core, host, path, key)
+    if isinstance(found, Answer):
+        return found
     route, identity = found
     if not jobs_name(identity):
         return problem(400, "name", "a job is named by 16 hex digits")
     plain, faults = jobs.checked(document)
     if faults:
         return faulty(faults, "the job has faults")
+    assert plain is not None, "a job without faults is plain"
     leased_jobs = core.cluster_state.leased_jobs
     state = leased_jobs.state(identity)
     if state is not None:
         return Answer(200, {"state": state})
     core.trace(186, job=identity, queue=route["name"])
-    return Propose(("job", identity, route["name"], plain), "job")
+    return Propose(_submission(core, identity, route, plain, key), "job")
+
+
+def _submission(
+    core: Daemon, identity: str, route: Document, plain: jobs.PlainJob, key: Sequence[str]
+) -> tuple[Any, ...]:
+    """The operation that takes a job in; a tenant's only once all members know of tenants."""
+    operation: tuple[Any, ...] = ("job", identity, route["name"], plain)
+    leased_jobs = core.cluster_state.leased_jobs
+    if not leased_jobs.tenants.keys_required or not _known_to_all(core, "tenant-job"):
+        return operation
+    return ("tenant-job", *operation[1:], _caller(leased_jobs, route, key))
+
+
+def _known_to_all(core: Daemon, operation: str) -> bool:
+    """Whether every member knows an operation."""
+    return core.cluster_state.levels[operation] <= core.common_level()
 
 
 def jobs_name(identity: str) -> bool:
@@ -58,15 +110,19 @@
         return Answer(200, {"state": core.cluster_state.leased_jobs.state(outcome[1]) or "completed"})
     if outcome[0] == "missing":
         return problem(404, "no_queue", "the route is gone")
+    if outcome[0] == "unknown_tenant":
+        return _unknown_key()
+    if outcome[0] == "foreign":
+        return _foreign()
     return problem(429, "full", "too many jobs are open", constants.RETRY_AFTER)
 
 
 def read(core: Daemon, token: Any, arguments: Arguments, now: float) -> Decision:
     """The state of a job, or with an empty name how many wait at the queue."""
-    host, path = arguments
-    found = _route(core, host, path)
-    if found is None:
-        return _unready(core) or problem(404, "no_queue", "no route fits")
+    host, path, *key = arguments
+    found = _admitted(core, host, path, key)
+    if isinstance(found, Answer):
+        return found
     route, identity = found
     leased_jobs = core.cluster_state.leased_jobs
     if not identity:
@@ -81,10 +137,10 @@
 
 def cancel(core: Daemon, token: Any, arguments: Arguments, now: float) -> Decision:
     """Cancels a job; one that is over is answered with its state."""
-    host, path = arguments
-    found = _route(core, host, path)
-    if found is None:
-        return _unready(core) or problem(404, "no_queue", "no route fits")
+    host, path, *key = arguments
+    found = _admitted(core, host, path, key)
+    if isinstance(found, Answer):
+        return found
     identity = found[1]
     state = core.cluster_state.leased_jobs.state(identity)
     if state is None:
@@ -120,14 +176,19 @@
     base, document = arguments
     if not isinstance(document, dict):
         return problem(400, "invalid", "expected an object")
-    return Propose(("configure", base, document, configuration.digest_of([base, document])), "configured")
+    fields = (base, document, configuration.digest_of([base, document]))
+    if _known_to_all(core, "configure-tenants"):
+        return Propose(("configure-tenants", *fields, True), "configured")
+    return Propose(("configure", *fields), "configured")
 
 
 def amend(core: Daemon, token: Any, arguments: Arguments, now: float) -> Decision:
     """Changes named items of the configuration."""
     base, version, upserts, removes = arguments
-    digest = configuration.digest_of([base, version, upserts, removes])
-    return Propose(("amend", base, version, upserts, removes, digest), "configured")
+    fields = (base, version, upserts, removes, configuration.digest_of([base, version, upserts, removes]))
+    if _known_to_all(core, "amend-tenants"):
+        return Propose(("amend-tenants", *fields, True), "configured")
+    return Propose(("amend", *fields), "configured")
 
 
 def configured(core: Daemon, outcome: tuple[Any, ...], extra: Any, now: float) -> Answer:
--- a/src/pinepitch/state/leased_job_operations.py
+++ b/src/pinepitch/state/leased_job_operations.py
@@ -20,7 +20,7 @@
 
 def accept_leased_job(state: "ClusterState", operation: AcceptLeasedJob) -> Outcome:
     """Takes in a leased job."""
-    return state.leased_jobs.accept(state.time, operation.identity, operation.queue, operation.document)
+    return state.leased_jobs.accept(state.time, *operation)
 
 
 def cancel_leased_job(state: "ClusterState", operation: CancelLeasedJob) -> Outcome:
@@ -49,7 +49,7 @@
 
 def configure_routes(state: "ClusterState", operation: ConfigureRoutes) -> Outcome:
     """Takes a whole configuration of the routes."""
-    return state.leased_jobs.configure(state.time, operation.base, operation.document, operation.digest)
+    return state.leased_jobs.configure(state.time, *operation)
 
 
 def amend_routes(state: "ClusterState", operation: AmendRoutes) -> Outcome:
--- a/src/pinepitch/state/operations.py
+++ b/src/pinepitch/state/operations.py
@@ -175,6 +175,7 @@
     identity: str
     queue: str
     document: tuple[Any, ...]  # as scheduling.leased_job.checked() made it
+    tenant: str | None = None  # name of the one that hands it in, "" for none; since level 4
 
 
 class CancelLeasedJob(NamedTuple):
@@ -209,6 +210,7 @@
     base: int
     document: dict[str, Any]
     digest: str
+    with_tenants: bool = False  # whether its tenants are checked; since level 4
 
 
 class AmendRoutes(NamedTuple):
@@ -219,6 +221,7 @@
     upserts: dict[str, Any]
     removes: dict[str, Any]
     digest: str
+    with_tenants: bool = False  # as in ConfigureRoutes
 
 
 class EvacuateZone(NamedTuple):
--- a/src/pinepitch/state/registry.py
+++ b/src/pinepitch/state/registry.py
@@ -63,6 +63,9 @@
     "amend": Action(operations.AmendRoutes, leased_job_operations.amend_routes),
     "evacuate": Action(operations.EvacuateZone, leased_job_operations.evacuate_zone),
     "evacuation": Action(operations.EvacuateZone, leased_job_operations.evacuate_zone),
+    "tenant-job": Action(operations.AcceptLeasedJob, leased_job_operations.accept_leased_job),
+    "configure-tenants": Action(operations.ConfigureRoutes, leased_job_operations.configure_routes),
+    "amend-tenants": Action(operations.AmendRoutes, leased_job_operations.amend_routes),
 }
 # The level that knows an operation, for those above level 1.
 LEVELS = {
@@ -76,7 +79,10 @@
     "amend": 2,
     "evacuate": 2,
     "evacuation": 3,
+    "tenant-job": 4,
+    "configure-tenants": 4,
+    "amend-tenants": 4,
 }
 # Operations of callers that enlarge the image for long; they are refused once it is full. Those that end,
 # cancel or replace something never are.
-GROWING = frozenset(("ticket", "job", "setup", "draft", "approve"))
+GROWING = frozenset(("ticket", "job", "tenant-job", "setup", "draft", "approve"))
--- a/src/pinepitch/transport/request_key.py
+++ b/src/pinepitch/transport/request_key.py
@@ -30,10 +30,19 @@
     return f"{base} {document.get('version') if isinstance(document, dict) else None}"
 
 
+def _queue_subject(arguments: Sequence[Any]) -> str:
+    """Host and path: a caller's key, if there is one, is told to nobody."""
+    host, path, *_ = arguments
+    return f"{host} {path}"
+
+
 # call -> how its subject is read, where it is not all texts and numbers among its arguments
 SUBJECTS: dict[str, Callable[[Sequence[Any]], str]] = {
     "beat": _worker_subject,
     "configure": _configured_subject,
+    "job": _queue_subject,
+    "job-read": _queue_subject,
+    "job-cancel": _queue_subject,
 }
 
 
