A tenant never has more running than its maximum: checked by the round and by the state

Change: the state sums the placements of each tenant and refuses one that goes over its maximum, gangs whole; a single task larger than the maximum runs where nothing else of its tenant does. The leader's round asks the same sums, so that waves of a tenant at its maximum keep no worker and count as short of nothing. What an unresponsive worker runs under `runTwice` is not let go before its end is proven where its tenant is limited: it may still run, and would count twice.

--- a/src/pinepitch/scheduling/assigner.py
+++ b/src/pinepitch/scheduling/assigner.py
@@ -15,9 +15,10 @@
 from .leased_job import Step, Wave, WaveKey
 from .leased_job_state import LeasedJobState, WaveAssignment
 from .reservations import PendingStops, Reservations
-from .resources import RESOURCE_KINDS, Amount, Resources, less, tasks_in
+from .resources import RESOURCE_KINDS, Amount, Resources, less, tasks_in, times
 from .run_speed import Pace
 from .run_stop import StopItem
+from .tenants import TenantCapacity, Tenants
 from .worker import Worker
 
 # Why a round left tasks waiting, as operators are told it.
@@ -25,6 +26,7 @@
 REASON_NO_CAPACITY = "no room"
 REASON_CAPACITY_KEPT = "room is kept for other work"
 REASON_OVER_BUDGET = "held back for other work"
+REASON_TENANT_AT_MAXIMUM = "its tenant is at its maximum"
 
 # (index of a task, identity of the worker that it is placed on) for some tasks of a wave.
 Group = list[tuple[int, str]]
@@ -54,6 +56,7 @@
         self.hot_at: float | None = None
         self.hot: dict[str, float] = {}  # rack -> work of late that wanted to be there
         self.why: dict[WaveKey, str] = {}  # key of a wave -> why the newest round left some of it
+        self.tenant_capacity = TenantCapacity(Tenants(None), {})  # of the round under way
 
     def round(
         self,
@@ -69,7 +72,8 @@
         self.budgets.learn(leased_jobs, now)
         self._forget_hot(now)
         self.near, self.why, self.exhausted = {}, {}, set()
-        waves = [wave for wave in leased_jobs.ready.values() if wave.due <= time]
+        self.tenant_capacity = TenantCapacity(leased_jobs.tenants, leased_jobs.used_by_tenant)
+        waves = [wave for wave in leased_jobs.ready.values() if wave.due <= time and self._admitted(wave)]
         if not waves:
             self.kept_since.clear()
             self.violations = ()
@@ -88,6 +92,17 @@
             self._check(leased_jobs, candidates, reservations, items, now)
         return tuple(items), tuple(stop.plain() for stop in stops)
 
+    def _admitted(self, wave: Wave) -> bool:
+        """Whether a wave's tenant may have more of it running, all of a gang; what it may not is not short of
+        capacity, and has none kept for it.
+        """
+        least = len(wave.waiting) if wave.step.gang else 1
+        if self.tenant_capacity.allowance(wave.job.tenant, wave.step.resources, least) >= least:
+            return True
+        self.why[wave.key()] = REASON_TENANT_AT_MAXIMUM
+        self.short.pop(wave.key(), None)
+        return False
+
     def _place_waves(
         self,
         waves: list[Wave],
@@ -108,6 +123,7 @@
             group = self._group_for(wave, mine, reservations, time)
             if group:
                 count += len(group)
+                self.tenant_capacity.charge(wave.job.tenant, times(wave.step.resources, len(group)))
                 items.append((wave.job.identity, wave.time, wave.number, tuple(group)))
             self._remember_short(wave, len(group), reservations, now)
         return items, count < constants.MAX_ASSIGNED_TASKS
@@ -116,13 +132,20 @@
         self, wave: Wave, candidates: Sequence[CandidateWorker], reservations: Reservations, time: float
     ) -> Group:
         """[(index, worker)] for the tasks of a wave that find a worker."""
+        if not self._admitted(wave):
+            return []
         if wave.step.gang:
             return self._gang(wave, candidates, wave.key() in reservations.kept, time)
         return self._single(wave, candidates, reservations.kept.get(wave.key(), ()), time)
 
     def _remember_short(self, wave: Wave, placed: int, reservations: Reservations, now: float) -> None:
         """Remembers since when, and why, a wave of which so many tasks were placed is short of capacity."""
-        if placed < len(wave.waiting):
+        left = len(wave.waiting) - placed
+        least = left if wave.step.gang else 1
+        if left and self.tenant_capacity.allowance(wave.job.tenant, wave.step.resources, least) < least:
+            self.why[wave.key()] = REASON_TENANT_AT_MAXIMUM
+            self.short.pop(wave.key(), None)
+        elif left:
             self.short.setdefault(wave.key(), now)
             self.why.setdefault(wave.key(), self._why_left(wave, reservations))
         else:
@@ -209,6 +232,7 @@
         others as far as its budget goes.
         """
         step, waiting = wave.step, sorted(wave.waiting)
+        waiting = waiting[: self.tenant_capacity.allowance(wave.job.tenant, step.resources, len(waiting))]
         patience = self._patience(wave, candidates, time) if step.near and self.policy.wait_near else 0
         if step.near:
             self.hot[step.near] = max(self.hot.get(step.near, 0), len(waiting) * max(step.resources[0], 1))
--- a/src/pinepitch/scheduling/assignment_manager.py
+++ b/src/pinepitch/scheduling/assignment_manager.py
@@ -307,7 +307,8 @@
 
     def _copy_what_may_run_twice(self, now: float) -> None:
         """What an unresponsive worker runs is let go at once where the step says that a second run does no
-        harm; should the first be done before, its late end still counts.
+        harm; should the first be done before, its late end still counts. What counts against a tenant's
+        maximum is let go only once it has ended.
         """
         for worker in self.workers.values():
             if not worker.unresponsive(now):
@@ -316,6 +317,7 @@
                 found = self.leased_jobs.task(placement)
                 if (
                     found is not None
+                    and self.leased_jobs.tenants.limited(placement.tenant) is None
                     and found[0].step.twice
                     and not found[0].step.gang
                     and not found[0].step.lasts
--- a/src/pinepitch/scheduling/leased_job_state.py
+++ b/src/pinepitch/scheduling/leased_job_state.py
@@ -15,7 +15,7 @@
 from .leased_job import DONE, PLACED, WAITING, LeasedJob, PlainJob, Task, Wave, WaveKey
 from .placement import RUN_DONE, RUN_FAILED, RUN_NEVER_STARTED, Placement, Placements, RunEndItem, RunKey
 from .plain_types import Document, Image, Outcome
-from .resources import NO_RESOURCES, Level, less, more
+from .resources import NO_RESOURCES, Amount, Level, Resources, less, more, times
 from .run_stop import StopItem
 from .tenants import Tenants
 
@@ -55,7 +55,8 @@
 
 class LeasedJobState:
     """Invariants: jobs holds those not final, final the state of those that are, oldest end
-    first; taken and used are the sums of the placements' resources; ready holds every wave with
+    first; taken, used and used_by_tenant are the sums of the placements' resources, and no placement takes
+    a tenant over its maximum (Tenant.admits_task); ready holds every wave with
     waiting tasks whose earlier steps are all done and that is not breaking;
     placements[worker] holds each run given to it whose end is not proven.
     """
@@ -67,6 +68,7 @@
         # worker -> [thousandths of a core, megabytes, accelerators] of its placements
         self.taken: dict[str, list[float]] = {}
         self.used: dict[Level, list[float]] = {}  # (service, priority) -> the same of all placements
+        self.used_by_tenant: dict[str, Amount] = {}  # name of a tenant -> the same of its placements
         self.configuration = Configuration()
         self.evacuations = Evacuations()
         self.ready: dict[WaveKey, Wave] = {}  # by key
@@ -128,6 +130,9 @@
         worker_id, level = placement.worker_id, (placement.service, placement.priority)
         self.taken[worker_id] = list(more(self.taken.get(worker_id, NO_RESOURCES), placement.resources))
         self.used[level] = list(more(self.used.get(level, NO_RESOURCES), placement.resources))
+        if placement.tenant:
+            used = self.used_by_tenant.get(placement.tenant, NO_RESOURCES)
+            self.used_by_tenant[placement.tenant] = more(used, placement.resources)
 
     def _remove_placement(self, worker_id: str, key: RunKey) -> Placement | None:
         """A run takes nothing any more; its placement, or None when there was none."""
@@ -137,12 +142,22 @@
             return None
         level = (placement.service, placement.priority)
         self.used[level] = list(less(self.used[level], placement.resources))
+        if placement.tenant:
+            self._take_back(placement.tenant, placement.resources)
         if placements:
             self.taken[worker_id] = list(less(self.taken[worker_id], placement.resources))
         else:
             del self.placements[worker_id], self.taken[worker_id]
         return placement
 
+    def _take_back(self, tenant: str, resources: Resources) -> None:
+        """A tenant uses so much less; one that uses nothing is not listed."""
+        left = less(self.used_by_tenant[tenant], resources)
+        if any(left):
+            self.used_by_tenant[tenant] = left
+        else:
+            del self.used_by_tenant[tenant]
+
     # --- reading ----------------------------------------------------------------------
     def tenant_of(self, identity: str) -> str | None:
         """The name of the tenant of a job, "" for a job of none, or None when there is no such job."""
@@ -242,7 +257,7 @@
             if wave is None or wave.blocked or wave.breaking() or now < wave.due:
                 continue
             group = [(index, worker_id) for index, worker_id in dict(pairs).items() if index in wave.waiting]
-            if wave.step.gang and len(group) != wave.left:
+            if wave.step.gang and (len(group) != wave.left or not self._admits(wave, len(group))):
                 continue
             placed.extend(self._place(now, epoch, wave, group))
             if not job.begun and group:
@@ -261,6 +276,8 @@
             task = wave.tasks[index]
             if not step.lasts and not step.gang and task.failures >= job.attempts:
                 continue
+            if not step.gang and not self._admits(wave, 1):
+                break
             task.run = gang_run if step.gang else task.run + 1
             task.state, task.worker_id = PLACED, worker_id
             wave.waiting.discard(index)
@@ -276,11 +293,22 @@
                 job.priority,
                 now,
                 epoch,
+                tenant=job.tenant,
             )
             self._add_placement(placement)
             placed.append(placement)
         return placed
 
+    def _admits(self, wave: Wave, count: int) -> bool:
+        """Whether a wave's tenant may have so many more of its tasks running, all of a gang at once."""
+        tenant = self.tenants.limited(wave.job.tenant)
+        if tenant is None:
+            return True
+        used = self.used_by_tenant.get(tenant.name, NO_RESOURCES)
+        if wave.step.gang:
+            return tenant.admits(used, times(wave.step.resources, count))
+        return tenant.admits_task(used, wave.step.resources)
+
     def stop(self, now: float, items: Sequence[StopItem]) -> Outcome:
         """Runs that are to end. Items: (worker, reference, run, why)."""
         for worker_id, reference, run, why in items:
--- a/src/pinepitch/scheduling/placement.py
+++ b/src/pinepitch/scheduling/placement.py
@@ -35,6 +35,7 @@
         "service",
         "since",
         "stop",
+        "tenant",
         "time",
         "worker_id",
     )
@@ -53,18 +54,20 @@
         since: float,
         epoch: int,
         stop: str = "",
+        tenant: str = "",
     ) -> None:
         self.job, self.time, self.number, self.index = job, time, number, index
         self.run, self.worker_id, self.resources, self.service = run, worker_id, tuple(resources), service
         self.priority, self.since, self.epoch, self.stop = priority, since, epoch, stop
+        self.tenant = tenant  # of its job; kept here as the job may be over before the run is
 
     def reference(self) -> str:
         """The reference of its task, as Wave.reference has it."""
         return f"{self.job}.{self.time}.{self.number}.{self.index}"
 
     def image(self) -> Image:
-        """A value of which the same is made again."""
-        return (
+        """A value of which the same is made again; as LeasedJob.image for a job of no tenant."""
+        image: Image = (
             self.job,
             self.time,
             self.number,
@@ -78,6 +81,7 @@
             self.epoch,
             self.stop,
         )
+        return (*image, self.tenant) if self.tenant else image
 
 
 # the placements at one worker
--- a/src/pinepitch/scheduling/tenants.py
+++ b/src/pinepitch/scheduling/tenants.py
@@ -10,7 +10,7 @@
 from ..common import constants
 from ..model.validation import number as _number
 from .plain_types import Document, Faults
-from .resources import Amount
+from .resources import NO_RESOURCES, RESOURCE_KINDS, Amount, Resources, more
 
 _NAME = voluptuous.All(str, voluptuous.Length(min=1, max=constants.MAX_NAME_LENGTH))
 _KEY = voluptuous.All(str, voluptuous.Length(min=1, max=constants.MAX_KEY_LENGTH))
@@ -38,6 +38,20 @@
     weight: float  # jobs a second; also its share once a service is full. 0 where it has none
     maximum: Amount  # thousandths of a core, megabytes, accelerators
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether anything that it may have running is limited."""
+        return any(math.isfinite(one) for one in self.maximum)
+
+    def admits(self, used: Resources, asked: Resources) -> bool:
+        """Whether it may have `asked` running beside what it uses already."""
+        after = more(used, asked)
+        return all(after[kind] <= self.maximum[kind] or not asked[kind] for kind in RESOURCE_KINDS)
+
+    def admits_task(self, used: Resources, task: Resources) -> bool:
+        """The same for a single task; one that is larger than the maximum runs where nothing else does."""
+        return self.admits(used, task) or not any(used)
+
 
 def shared_keys(tenants: Iterable[Document]) -> Faults:
     """A fault for each tenant with a key that an earlier one has. No key is named in it."""
@@ -71,6 +85,11 @@
         """The name of the tenant that a key belongs to, or None."""
         return self._names.get(_digest(key))
 
+    def limited(self, name: str) -> Tenant | None:
+        """The tenant of that name if it is limited in what it may have running, else None."""
+        tenant = self.by_name.get(name)
+        return tenant if tenant is not None and tenant.is_limited else None
+
 
 def _digest(key: str) -> bytes:
     return hashlib.sha256(key.encode("utf-8", "surrogatepass")).digest()
@@ -93,3 +112,33 @@
     limits = document.get("maximum") or {}
     cpu, memory, accelerators = (limits.get(one) or math.inf for one in LIMITED_RESOURCES)
     return Tenant(document["name"], document.get("weight", 0), (cpu, memory, accelerators))
+
+
+class TenantCapacity:
+    """What tenants may still be given in the round under way. Invariant: what is charged is never more than
+    what the state admits.
+    """
+
+    def __init__(self, tenants: Tenants, used: dict[str, Amount]) -> None:
+        self.tenants = tenants
+        self.used = dict(used)  # name of a tenant -> resources of its placements
+
+    def allowance(self, name: str, task: Resources, wanted: int) -> int:
+        """How many of `wanted` alike tasks a tenant may be given."""
+        tenant = self.tenants.limited(name)
+        if tenant is None:
+            return wanted
+        used = self.used.get(name, NO_RESOURCES)
+        if not any(used) and not tenant.admits(used, task):
+            return min(wanted, 1)
+        counts = [
+            max(0, int((tenant.maximum[kind] - used[kind]) // task[kind]))
+            for kind in RESOURCE_KINDS
+            if task[kind] and math.isfinite(tenant.maximum[kind])
+        ]
+        return min(wanted, *counts)
+
+    def charge(self, name: str, resources: Resources) -> None:
+        """Resources of placements that the round gave to a tenant."""
+        if name:
+            self.used[name] = more(self.used.get(name, NO_RESOURCES), resources)
