A change beside tenants of an earlier form is taken, and such tenants stop no daemon

Cause: the check looked at the whole document that a change makes, and the tenants in force were read without the check that newer configurations pass.

Change: tenants in force that do not have the checked form ask for no key, as before the update, and are kept by a change that names no tenants; a change that names some is checked whole, so a whole configuration must be sent once. Two tenants that share a key are refused by either call, also when an earlier version took them.

Tests: features/configuration.feature holds every form of tenants that is refused or taken by both calls, keys that move, and configurations of earlier versions.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -64,6 +64,118 @@
       | that adds items to a list of numbers           |
       | that removes items from a list of numbers      |
 
+  Scenario Outline: a configuration in which <fault> is refused by both calls, tells no key and changes nothing
+    Given version 5 is in force with tenants
+    When the operator replaces version 5 by 7, in which <fault>
+    Then the configuration is answered with 400
+    And no key is told, and all is as it was before
+    When the operator changes version 5 to 7, in which <fault>
+    Then the configuration is answered with 400
+    And no key is told, and all is as it was before
+
+    Examples:
+      | fault                                      |
+      | two tenants share a key                    |
+      | two tenants share a key among others       |
+      | three tenants share a key                  |
+      | a tenant is named twice                    |
+      | a tenant is named twice, with the same key |
+      | a tenant has no name                       |
+      | a tenant's name is empty                   |
+      | a tenant has no list of keys               |
+      | a tenant is a text                         |
+      | the tenants are an object                  |
+      | the keys are a text                        |
+      | a key is empty                             |
+      | a key is a number                          |
+      | a key is longer than any may be            |
+      | a weight is a text                         |
+      | a weight is below 0                        |
+      | a maximum is a list                        |
+      | a maximum holds a text                     |
+      | a maximum is below 0                       |
+
+  Scenario Outline: a route that is public <fault> is refused by both calls and changes nothing
+    Given version 5 is in force with tenants
+    When the operator replaces version 5 by 7, with a route public <fault>
+    Then the configuration is answered with 400
+    And no key is told, and all is as it was before
+    When the operator changes version 5 to 7, with a route public <fault>
+    Then the configuration is answered with 400
+    And no key is told, and all is as it was before
+
+    Examples:
+      | fault       |
+      | as a text   |
+      | as a number |
+      | as null     |
+
+  Scenario Outline: a configuration in which <form> is taken by both calls and read back as it was sent
+    Given version 5 is in force with tenants
+    When the operator replaces version 5 by 7, in which <form>
+    Then the configuration is answered with 200
+    And it is read back as it was sent, also from an image
+    And <told>
+    When the operator replaces version 7 by 9, which is version 5 but for its number
+    And the operator changes version 9 to 11, in which <form>
+    Then the configuration is answered with 200
+    And <told>
+
+    Examples:
+      | form                                | told                                              |
+      | a tenant lists a key twice          | that key is tenant c's                            |
+      | a tenant has an empty list of keys  | tenant c has no key, and keys are asked for       |
+      | a tenant has no maximum             | tenant c is not limited                           |
+      | a maximum is null                   | tenant c is not limited                           |
+      | a maximum is empty                  | tenant c is not limited                           |
+      | a maximum is 0 throughout           | tenant c is not limited                           |
+      | a maximum is 0 but for memory       | tenant c is limited in memory alone               |
+      | a tenant has members nobody knows   | that key is tenant c's                            |
+
+  Scenario: keys go from one tenant to another in one change, and stay where only one end is told
+    Given version 5 is in force with tenants
+    When the operator changes version 5 to 7, which gives a key of a to b and leaves it to a
+    Then the configuration is answered with 400
+    And no key is told, and all is as it was before
+    When the operator changes version 5 to 7, which gives a key of a to b and takes it from a
+    Then the configuration is answered with 200
+    And the first key of a is tenant b's
+    When the operator changes version 7 to 9, which takes out b
+    Then the configuration is answered with 200
+    And the first key of a is nobody's
+    When the operator changes version 9 to 11, which takes out every tenant
+    Then the configuration is answered with 200
+    And no key is anybody's, and keys are asked for
+
+  Scenario Outline: a configuration taken before keys were checked, its tenants <form>, asks for none and can be changed
+    Given a cluster state with a configuration of an earlier version, its tenants <form>
+    Then it is read back as it was sent, also from an image
+    And no key is anybody's, and none is asked for
+    When a change to version 7 on top of 5 is sent that adds a route
+    Then the configuration is answered with 200
+    And path /fresh/1 of host a.example leads to route fresh and 1
+    And no key is anybody's, and none is asked for
+    When the operator changes version 7 to 9, in which a tenant has no maximum
+    Then the configuration is answered with 400
+    When the operator replaces version 7 by 9, which is version 5 but for its number
+    Then each key is that of its tenant
+
+    Examples:
+      | form                                  |
+      | with their keys under another name    |
+      | as an object                          |
+      | as numbers                            |
+      | with keys that are numbers            |
+      | without names                         |
+      | with a maximum that is a text         |
+      | with a weight that is a text          |
+
+  Scenario: a configuration taken before keys were checked, in which two tenants share a key, is not kept by a change
+    Given a cluster state with a configuration of an earlier version, its tenants sharing a key
+    Then it is read back as it was sent, also from an image
+    When a change to version 7 on top of 5 is sent that adds a route
+    Then the configuration is answered with 400
+
   Scenario: a change before any configuration is refused
     Given no configuration is in force
     When a change to version 7 on top of 0 is sent that adds a route
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -1,10 +1,13 @@
 """Steps for Configuration: calls of an operator, applied to a cluster state of their own."""
 
 import copy
+import json
+import math
 
 import cbor2
 from behave import given, then, when
 
+from pinepitch.common import constants
 from pinepitch.model.decisions import Answer
 from pinepitch.scheduling import requests
 from pinepitch.state.cluster_state import ClusterState
@@ -16,6 +19,10 @@
     def __init__(self):
         self.cluster_state, self.index = ClusterState(), 0
 
+    def common_level(self):
+        """All members are of this version."""
+        return constants.RECORD_LEVEL
+
     def call(self, name, *arguments):
         """(status, document, retry) as the leader would answer."""
         # what comes over the wire and through the log comes as lists
@@ -263,3 +270,210 @@
     step_but(context, 1000)
     step_again(context)
     assert context.answer[:2] == (200, {"version": version}), context.answer
+
+
+# --- tenants --------------------------------------------------------------------------
+KEYS = {"a": ["key-of-a-1", "key-of-a-2"], "b": ["key-of-b-1"]}
+SPARE_KEY = "key-of-c-1"
+
+
+def tenant(name, keys, **more):
+    return {"name": name, "keys": list(keys), "weight": 5, "maximum": {"cpu": 64000}, **more}
+
+
+def tenants_document(version):
+    return {**complete_document(version), "tenants": [tenant(name, keys) for name, keys in KEYS.items()]}
+
+
+def without(document, member):
+    return {name: value for name, value in document.items() if name != member}
+
+
+C = tenant("c", [SPARE_KEY])
+TENANT_FORMS = {  # what stands beside tenants a and b
+    "two tenants share a key": [tenant("c", KEYS["a"][:1])],
+    "two tenants share a key among others": [tenant("c", [SPARE_KEY, KEYS["a"][1], "key-of-c-2"])],
+    "three tenants share a key": [tenant(name, KEYS["b"]) for name in ("c", "d")],
+    "a tenant is named twice": [C, tenant("c", ["key-of-c-2"])],
+    "a tenant is named twice, with the same key": [C, C],
+    "a tenant has no name": [without(C, "name")],
+    "a tenant's name is empty": [{**C, "name": ""}],
+    "a tenant is a text": ["c"],
+    "the tenants are an object": {"c": C},
+    "the keys are a text": [{**C, "keys": SPARE_KEY}],
+    "a key is empty": [tenant("c", [SPARE_KEY, ""])],
+    "a key is a number": [tenant("c", [SPARE_KEY, 7])],
+    "a key is longer than any may be": [tenant("c", [SPARE_KEY * constants.MAX_KEY_LENGTH])],
+    "a weight is a text": [{**C, "weight": "5"}],
+    "a weight is below 0": [{**C, "weight": -1}],
+    "a maximum is a list": [{**C, "maximum": [64000]}],
+    "a maximum holds a text": [{**C, "maximum": {"cpu": "64000"}}],
+    "a maximum is below 0": [{**C, "maximum": {"mem_mb": -1}}],
+    "a tenant lists a key twice": [tenant("c", [SPARE_KEY, "key-of-c-2", SPARE_KEY])],
+    "a tenant has an empty list of keys": [tenant("c", [])],
+    "a tenant has no list of keys": [without(C, "keys")],
+    "a tenant has no maximum": [without(C, "maximum")],
+    "a maximum is null": [{**C, "maximum": None}],
+    "a maximum is empty": [{**C, "maximum": {}}],
+    "a maximum is 0 throughout": [{**C, "maximum": {"cpu": 0, "mem_mb": 0, "gpu": 0}}],
+    "a maximum is 0 but for memory": [{**C, "maximum": {"cpu": 0, "mem_mb": 512, "gpu": 0}}],
+    "a tenant has members nobody knows": [{**C, "priority": 1, "news": {"keys": [1]}, "public": True}],
+}
+PUBLIC_FORMS = {"as a text": "true", "as a number": 1, "as null": None}
+
+
+def all_keys():
+    return [*(key for keys in KEYS.values() for key in keys), "key-of-"]
+
+
+def tenants_in_force(context):
+    return context.core.cluster_state.leased_jobs.tenants
+
+
+@given("version 5 is in force with tenants")
+def step_five_with_tenants(context):
+    context.core = Core()
+    send(context, "configure", 0, tenants_document(5))
+    assert context.answer[0] == 200, context.answer
+
+
+@when("the operator replaces version {base:d} by {version:d}, in which {form}")
+def step_replace_form(context, base, version, form):
+    context.document = tenants_document(version)
+    beside = copy.deepcopy(TENANT_FORMS[form])
+    if isinstance(beside, list):
+        context.document["tenants"] += beside
+    else:
+        context.document["tenants"] = beside
+    send(context, "configure", base, context.document)
+
+
+@when("the operator changes version {base:d} to {version:d}, in which {form}")
+def step_change_form(context, base, version, form):
+    send(context, "amend", base, version, {"tenants": copy.deepcopy(TENANT_FORMS[form])}, {})
+
+
+@when("the operator replaces version {base:d} by {version:d}, with a route public {form}")
+def step_replace_public(context, base, version, form):
+    document = tenants_document(version)
+    document["routes"][1]["public"] = PUBLIC_FORMS[form]
+    send(context, "configure", base, document)
+
+
+@when("the operator changes version {base:d} to {version:d}, with a route public {form}")
+def step_change_public(context, base, version, form):
+    send(context, "amend", base, version, {"routes": [{**FRESH, "public": PUBLIC_FORMS[form]}]}, {})
+
+
+@when("the operator replaces version {base:d} by {version:d}, which is version 5 but for its number")
+def step_replace_back(context, base, version):
+    send(context, "configure", base, tenants_document(version))
+    assert context.answer[0] == 200, context.answer
+
+
+TENANT_CHANGES = {  # what is put in, what is taken out
+    "gives a key of a to b and leaves it to a": ({"tenants": [tenant("b", [*KEYS["b"], KEYS["a"][0]])]}, {}),
+    "gives a key of a to b and takes it from a": (
+        {"tenants": [tenant("a", KEYS["a"][1:]), tenant("b", [*KEYS["b"], KEYS["a"][0]])]},
+        {},
+    ),
+    "takes out b": ({}, {"tenants": ["b"]}),
+    "takes out every tenant": ({}, {"tenants": ["a", "b"]}),
+}
+
+
+@when("the operator changes version {base:d} to {version:d}, which {change}")
+def step_change_tenants(context, base, version, change):
+    send(context, "amend", base, version, *copy.deepcopy(TENANT_CHANGES[change]))
+
+
+@then("no key is told, and all is as it was before")
+def step_same_with_tenants(context):
+    told = json.dumps(context.answer)
+    assert not [key for key in all_keys() if key in told], told
+    assert context.core.cluster_state.leased_jobs.configuration.image() == context.before
+    assert context.core.call("configuration") == (200, tenants_document(5), None)
+    for name, keys in KEYS.items():
+        assert [tenants_in_force(context).owner(key) for key in keys] == [name] * len(keys)
+    assert tenants_in_force(context).owner(SPARE_KEY) is None
+
+
+@then("it is read back as it was sent, also from an image")
+def step_read_back(context):
+    for _ in range(2):
+        status, document, _ = context.core.call("configuration")
+        assert status == 200 and json.dumps(document) == json.dumps(context.document), document
+        state = context.core.cluster_state
+        context.core.cluster_state = ClusterState.decode(ClusterState.encode(state.image()))
+
+
+@then("that key is tenant c's")
+def step_key_of_c(context):
+    assert tenants_in_force(context).owner(SPARE_KEY) == "c"
+
+
+@then("tenant c has no key, and keys are asked for")
+def step_no_key_of_c(context):
+    tenants = tenants_in_force(context)
+    assert tenants.keys_required and tenants.by_name.keys() == {"a", "b", "c"}
+    assert tenants.owner(SPARE_KEY) is None and tenants.owner(KEYS["a"][0]) == "a"
+
+
+@then("tenant c is not limited")
+def step_not_limited(context):
+    tenants = tenants_in_force(context)
+    assert "c" in tenants.by_name and tenants.limited("c") is None, tenants.by_name
+
+
+@then("tenant c is limited in memory alone")
+def step_limited_in_memory(context):
+    limited = tenants_in_force(context).limited("c")
+    assert limited is not None and limited.maximum == (math.inf, 512, math.inf), limited
+
+
+@then("the first key of a is tenant b's")
+def step_key_of_b(context):
+    assert tenants_in_force(context).owner(KEYS["a"][0]) == "b"
+
+
+@then("the first key of a is nobody's")
+def step_key_of_nobody(context):
+    assert tenants_in_force(context).owner(KEYS["a"][0]) is None
+
+
+@then("no key is anybody's, and keys are asked for")
+def step_no_keys(context):
+    tenants = tenants_in_force(context)
+    assert tenants.keys_required and not any(tenants.owner(key) for key in all_keys())
+
+
+EARLIER_FORMS = {
+    "with their keys under another name": [{"name": name, "apiKeys": keys} for name, keys in KEYS.items()],
+    "as an object": KEYS,
+    "as numbers": [1, 2],
+    "with keys that are numbers": [{"name": "a", "keys": [1, 2]}],
+    "without names": [{"keys": KEYS["a"]}],
+    "with a maximum that is a text": [tenant("odd", KEYS["a"], maximum={"cpu": "64000"})],
+    "with a weight that is a text": [tenant("odd", KEYS["a"], weight="5")],
+    "sharing a key": [tenant(name, KEYS["a"]) for name in KEYS],
+}
+
+
+@given("a cluster state with a configuration of an earlier version, its tenants {form}")
+def step_earlier_form(context, form):
+    context.core = Core()
+    context.document = {**complete_document(5), "tenants": copy.deepcopy(EARLIER_FORMS[form])}
+    operation = ("configure", 0, context.document, "a digest")
+    assert context.core.cluster_state.apply(1, 1.0, operation) == ("configured", 5)
+
+
+@then("no key is anybody's, and none is asked for")
+def step_none_asked(context):
+    tenants = tenants_in_force(context)
+    assert not tenants.keys_required and not any(tenants.owner(key) for key in all_keys())
+
+
+@then("each key is that of its tenant")
+def step_each_key(context):
+    for name, keys in KEYS.items():
+        assert [tenants_in_force(context).owner(key) for key in keys] == [name] * len(keys)
--- a/src/pinepitch/scheduling/configuration.py
+++ b/src/pinepitch/scheduling/configuration.py
@@ -13,7 +13,7 @@
 from ..model.validation import shaped
 from ..model.validation import whole_number as _whole_number
 from .plain_types import Document, Faults, Image, Outcome
-from .tenants import TENANT, Tenants, shared_keys
+from .tenants import TENANT, Tenants, shared_keys, with_keys
 
 _NAME = voluptuous.All(str, voluptuous.Length(min=1, max=constants.MAX_NAME_LENGTH))
 _PREFIX = voluptuous.All(
@@ -45,20 +45,24 @@
     }
 )
 LISTS = ("routes", "services")
-TENANTS_SHAPE = voluptuous.Schema(
+PUBLIC_SHAPE = voluptuous.Schema(
     {
-        voluptuous.Optional("tenants"): [TENANT],
         voluptuous.Required("routes"): [{voluptuous.Optional("public"): bool, voluptuous.Extra: object}],
         voluptuous.Extra: object,
     }
 )
+TENANTS_SHAPE = voluptuous.Schema({voluptuous.Optional("tenants"): [TENANT], voluptuous.Extra: object})
 
 
-def checked(document: Any, with_tenants: bool = False) -> Faults:
-    """Faults of a whole configuration, () when it may come into force. Tenants are looked at only where the
-    entry of the log says so: what older versions took without a look stays taken.
+def checked(document: Any, with_tenants: bool = False, keeps_tenants: bool = False) -> Faults:
+    """Faults of a whole configuration, () when it may come into force. Tenants, and which routes are public,
+    are looked at only where the entry of the log says so: what older versions took without a look stays
+    taken, also by a change that keeps the tenants in force.
     """
     faults: Faults = shaped(SHAPE, document)[1]
+    if not faults and with_tenants:
+        faults = shaped(PUBLIC_SHAPE, document)[1]
+    with_tenants = with_tenants and not keeps_tenants
     if not faults and with_tenants:
         faults = shaped(TENANTS_SHAPE, document)[1]
     if faults:
@@ -173,7 +177,14 @@
             return ("forgotten", version)
         return ("stale", self.version)
 
-    def take(self, base: int, document: Document, digest: str, with_tenants: bool = False) -> Outcome:
+    def take(
+        self,
+        base: int,
+        document: Document,
+        digest: str,
+        with_tenants: bool = False,
+        keeps_tenants: bool = False,
+    ) -> Outcome:
         """Brings a whole configuration into force in place of version `base`: ("configured", version). Else
         ("stale", version in force), ("forgotten", version) or ("invalid", faults).
         """
@@ -181,7 +192,7 @@
         earlier_outcome = self._earlier_outcome(base, version, digest)
         if earlier_outcome is not None and earlier_outcome[0] != "forgotten":
             return earlier_outcome
-        faults = checked(document, with_tenants)
+        faults = checked(document, with_tenants, keeps_tenants)
         if not faults and earlier_outcome is not None:
             return earlier_outcome
         if not faults and version <= self.version:
@@ -212,4 +223,8 @@
         if self.document is None:
             return ("invalid", (("version", "there is no configuration to change yet"),))
         document, faults = amended(self.document, version, upserts, removes)
-        return ("invalid", faults) if faults else self.take(base, document, digest, with_tenants)
+        if faults:
+            return ("invalid", faults)
+        names_tenants = "tenants" in upserts or "tenants" in removes
+        keeps_tenants = not names_tenants and with_keys(self.document) is None
+        return self.take(base, document, digest, with_tenants, keeps_tenants)
--- a/src/pinepitch/scheduling/tenants.py
+++ b/src/pinepitch/scheduling/tenants.py
@@ -3,12 +3,13 @@
 import hashlib
 import math
 from collections.abc import Iterable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import voluptuous
 
 from ..common import constants
 from ..model.validation import number as _number
+from ..model.validation import shaped
 from .plain_types import Document, Faults
 from .resources import NO_RESOURCES, RESOURCE_KINDS, Amount, Resources, more
 
@@ -28,6 +29,7 @@
     voluptuous.Optional("maximum"): voluptuous.Any(None, MAXIMUM),
     voluptuous.Extra: object,
 }
+TENANTS = voluptuous.Schema([TENANT])
 LIMITED_RESOURCES = ("cpu", "mem_mb", "gpu")  # in the order of resources.Resources
 
 
@@ -73,7 +75,7 @@
     """
 
     def __init__(self, document: Document | None) -> None:
-        listed = _with_keys(document)
+        listed = with_keys(document)
         self.keys_required = listed is not None
         self.by_name: dict[str, Tenant] = {}
         self._names: dict[bytes, str] = {}  # digest of a key -> name of its tenant
@@ -95,16 +97,12 @@
     return hashlib.sha256(key.encode("utf-8", "surrogatepass")).digest()
 
 
-def _with_keys(document: Document | None) -> list[Document] | None:
+def with_keys(document: Document | None) -> list[Document] | None:
     """The tenants that a configuration lists with their keys; None where it lists none, or in a form that
     was taken before keys were checked.
     """
-    tenants: Any = (document or {}).get("tenants")
-    if not isinstance(tenants, list):
-        return None
-    if not all(isinstance(one, dict) and isinstance(one.get("keys"), list) for one in tenants):
-        return None
-    return tenants
+    tenants: list[Document] | None = (document or {}).get("tenants")
+    return None if shaped(TENANTS, tenants)[1] else tenants
 
 
 def _tenant_of(document: Document) -> Tenant:
