Once a route is public, the jobs of that route are answered without a key

Cause: whose job it is was looked at on public routes too.

Change: at a public route, jobs that were handed in there are named by anyone; at another route, public or not, they stay their tenant's. The leader and the state ask the same question (may_name), so that a job of no tenant counts alike in both.

--- a/src/pinepitch/scheduling/leased_job_state.py
+++ b/src/pinepitch/scheduling/leased_job_state.py
@@ -159,10 +159,14 @@
             del self.used_by_tenant[tenant]
 
     # --- reading ----------------------------------------------------------------------
-    def tenant_of(self, identity: str) -> str | None:
-        """The name of the tenant of a job, "" for a job of none, or None when there is no such job."""
+    def may_name(self, tenant: str, identity: str, route: Document | None) -> bool:
+        """Whether a tenant, or nobody as "", may name a job at a route: its own, one of no tenant (handed in
+        where no key was asked for), or one of this very route where it is public.
+        """
         job = self.jobs.get(identity) or self.final.get(identity)
-        return job.tenant if job is not None else None
+        if job is None or job.tenant in ("", tenant):
+            return True
+        return route is not None and bool(route.get("public")) and route["name"] == job.queue
 
     def state(self, identity: str) -> str | None:
         """The state of a job, or None when there is none."""
@@ -199,12 +203,12 @@
         that hands it in also ("foreign", identity) where the job is another's, and ("unknown_tenant", tenant)
         where it is not in force any more.
         """
-        owner = self.tenant_of(identity)
-        if owner is not None:
-            return ("known", identity) if tenant in (None, owner) else ("foreign", identity)
+        route = self.configuration.routes.get(queue)
+        if identity in self.jobs or identity in self.final:
+            is_known = tenant is None or self.may_name(tenant, identity, route)
+            return ("known" if is_known else "foreign", identity)
         if tenant and tenant not in self.tenants.by_name:
             return ("unknown_tenant", tenant)
-        route = self.configuration.routes.get(queue)
         if route is None:
             return ("missing", queue)
         if len(self.jobs) >= constants.MAX_LEASED_JOBS:
--- a/src/pinepitch/scheduling/requests.py
+++ b/src/pinepitch/scheduling/requests.py
@@ -53,13 +53,12 @@
     found = _route(core, host, path)
     if found is None:
         return _unready(core) or problem(404, "no_queue", "no route fits")
+    route, identity = found
     leased_jobs = core.cluster_state.leased_jobs
-    caller = _caller(leased_jobs, found[0], key)
+    caller = _caller(leased_jobs, route, key)
     if caller is None:
         return _unknown_key()
-    owner = leased_jobs.tenant_of(found[1])
-    # a job that was taken before keys were asked for belongs to whoever names it
-    return _foreign() if owner and owner != caller else found
+    return found if leased_jobs.may_name(caller, identity, route) else _foreign()
 
 
 def submit(core: Daemon, token: Any, arguments: Arguments, now: float) -> Decision:
