Versions: a member that knows no tenants beside members that do

The class of fault that this guards against is states that differ: nothing of level 4 (tenant-job, configure-tenants, amend-tenants) may be agreed before the last member has told that it knows it, and an entry "configure" in which two tenants share a key is applied as it was then, also by members that know better.

No change of logic.

The made-up earlier member of the test knows no operation of tenants, but runs the request handlers of this version: what a real earlier leader answers to a call with a key is not shown by it.

--- a/features/versions.feature
+++ b/features/versions.feature
@@ -16,3 +16,15 @@
     Given a simulated fleet under traffic
     When all control daemons have the next version, something new is agreed, and one is set back
     Then it stops with a broken invariant that names the operation, and the others serve on
+
+  Scenario: a member that knows no tenants, beside members that do
+    Given a simulated fleet under traffic whose last control daemon knows no tenants
+    When a configuration in which two tenants share a key is sent, and jobs with their keys
+    Then both are taken as they were then, and nothing about tenants is agreed
+    And the cluster states of all control daemons are equal
+    When the last control daemon is restarted as one that knows tenants
+    Then the configuration in force is the one in which two tenants share a key
+    When a configuration in which two tenants share a key is sent, and jobs with their keys
+    Then the configuration is refused, and each job is its tenant's
+    And the cluster states of all control daemons are equal, also after each was restarted
+    And the histories check clean
