The round survives work that asks for nothing its tenant is limited in; tests of maxima

What callers would have seen: the leader's round raised TypeError ('int' object is not iterable) as soon as a task waited that asks for none of the resources which its tenant's `maximum` names, for instance one without accelerators where only accelerators are limited.

Cause: `min(wanted, *counts)` with no counts. Also found by the tests of this commit: - a gang of one task larger than its tenant's maximum was placed by every round and refused by the state each time, an entry of the log each: the state now takes a gang of one as a single task. - tenants in a form that versions took which did not look at tenants (keys or names that are numbers, a maximum that is a list or a text) raised while the entry or image was read, at every control daemon; they now count as none. - capacity was kept, runs were stopped and shares were claimed for more tasks of a wave than its tenant may have running, and for each wave of the tenant anew: Reservations and CapacityBudgets now charge a copy of TenantCapacity. - event 184 (kept room is not taken) was counted for waves whose tenant is at its maximum.

Tests: scenarios of maxima in features/leased_jobs.feature (by hand, images old and new, long random histories of tenants compared with sums made anew) and features/assigning.feature (rounds; more by chance, seeds 1 to 8).

--- a/features/assigning.feature
+++ b/features/assigning.feature
@@ -88,3 +88,62 @@
   Scenario: each mechanism can be switched off by itself, and no rule depends on it
     When the same comes to 8 workers with each mechanism switched off by itself
     Then no worker ran more than it has capacity for, and work starves without keep_seats and yielding, no other
+
+  Scenario: a task that asks for nothing that its tenant is limited in is placed
+    Given 2 workers of 8 accelerators, and tenant acme that may run 4 accelerators
+    When 1 scans of acme come, each of 3 tasks of 0 accelerators for 5 seconds
+    Then all tasks that came last have started
+
+  Scenario: waves of one tenant in one round get together what is left to it, and what waits is told why
+    Given 3 workers of 8 accelerators, and tenant acme that may run 10 accelerators
+    When 5 scans of acme come, each of 4 tasks of 1 accelerators for 5 seconds
+    Then 10 accelerators of acme are in use, and no more ever were
+    And what waits is told that its tenant is at its maximum, and is short of nothing
+    And the leased job state took all that rounds placed
+    When 1 scans of free come, each of 14 tasks of 1 accelerators for 5 seconds
+    Then all tasks that came last have started
+
+  Scenario Outline: a gang of <tasks> tasks, each larger than its tenant may run
+    Given 3 workers of 8 accelerators, and tenant acme that may run 7 accelerators
+    When a gang of <tasks> tasks of 8 accelerators of acme comes
+    Then <what>
+    And the leased job state took all that rounds placed
+
+    Examples:
+      | tasks | what                                                                              |
+      | 1     | all tasks that came last have started                                             |
+      | 2     | what waits is told that its tenant is at its maximum, and is short of nothing     |
+
+  Scenario: a tenant at its maximum keeps no worker from others
+    Given 4 workers of 8 accelerators, and tenant acme that may run 8 accelerators
+    When 1 scans of acme come, each of 1 tasks of 8 accelerators for 60 seconds
+    And 3 scans of acme come, each of 2 tasks of 8 accelerators for 60 seconds
+    And inspections of free that ask for more than all capacity come for 20 seconds
+    Then 0.95 of all accelerators were in use meanwhile
+    And 8 accelerators of acme are in use, and no more ever were
+    And what waits is told that its tenant is at its maximum, and is short of nothing
+
+  Scenario Outline: no more runs are stopped for waves than their tenant may use, <waves> of <tasks> tasks
+    Given 6 workers of 8 accelerators, and tenant acme that may run 8 accelerators
+    When 1 inspections of free that save come, each of 48 tasks of 1 accelerators for 60 seconds
+    And <waves> scans of acme come, each of <tasks> tasks of 8 accelerators for 5 seconds
+    And 0.6 seconds of rounds pass
+    Then 8 runs of free are being stopped
+
+    Examples:
+      | waves | tasks |
+      | 1     | 12    |
+      | 3     | 1     |
+
+  Scenario: work claims no more of the capacity than its tenant may use
+    Given 4 workers of 8 accelerators, and tenant acme that may run 2 accelerators
+    When 1 scans of free come, each of 4 tasks of 8 accelerators for 60 seconds
+    And 3 inspections of acme come, each of 8 tasks of 1 accelerators for 2 seconds
+    And 20 seconds of rounds pass
+    Then inspections claim 2 accelerators
+
+  Scenario: by no seed has a tenant more than its maximum, or waits work of others beside idle capacity
+    When work of limited tenants and of others comes by chance to 7 workers, by seeds 1 to 8
+    Then by no seed had a tenant more than its maximum and one task, and the state took all that rounds placed
+    And by no seed has a job with nothing running waited over 3 seconds beside ample capacity
+    And by no seed has the code counted a broken invariant
--- a/features/leased_jobs.feature
+++ b/features/leased_jobs.feature
@@ -284,3 +284,146 @@
       | 4    |
       | 5    |
       | 6    |
+
+  Scenario Outline: a tenant's tasks start up to its maximum of <resource>, and another once one has ended
+    Given a leased job state in which tenant acme may run "<resource>=<most>"
+    When the leased job state takes job A of tenant acme with steps "3 <resource>=<each>"
+    And the leased job state takes job B of tenant free with steps "3 <resource>=<each>"
+    And the leased job state takes job C with steps "3 <resource>=<each>"
+    And the leased job state places "0.0.0 0.0.1 0.0.2" of A on one
+    Then run 1 was placed 2 times
+    When the leased job state places "0.0.0 0.0.1 0.0.2" of B on one
+    Then run 1 was placed 3 times
+    When the leased job state places "0.0.0 0.0.1 0.0.2" of C on two
+    Then run 1 was placed 3 times
+    When the leased job state places "0.0.2" of A on two
+    Then nothing was placed
+    When the leased job state hears that run 1 of "0.0.0" of A ended done
+    And the leased job state places "0.0.2" of A on two
+    Then run 1 was placed
+
+    Examples:
+      | resource | most | each |
+      | cpu      | 250  | 100  |
+      | mem_mb   | 200  | 100  |
+      | gpu      | 2    | 1    |
+
+  Scenario: a gang of a tenant starts whole within its maximum or not at all
+    Given a leased job state in which tenant acme may run "cpu=350"
+    When the leased job state takes job A of tenant acme with steps "2; 3 gang"
+    And the leased job state places "0.0.0" of A on one
+    And the leased job state places "0.1.0 0.1.1 0.1.2" of A on two
+    Then nothing was placed
+    When the leased job state hears that run 1 of "0.0.0" of A ended done
+    And the leased job state places "0.1.0 0.1.1 0.1.2" of A on two
+    Then run 1 was placed 3 times
+    When the leased job state places "0.0.1" of A on one
+    Then nothing was placed
+
+  Scenario Outline: a task larger than its tenant's maximum runs where nothing else of the tenant does, <kind>
+    Given a leased job state in which tenant acme may run "cpu=150 gpu=1"
+    When the leased job state takes job A of tenant acme with steps "1 cpu=100"
+    And the leased job state takes job B of tenant acme with steps "<steps>"
+    And the leased job state places "0.0.0" of A on one
+    And the leased job state places "0.0.0" of B on two
+    Then nothing was placed
+    When the leased job state hears that run 1 of "0.0.0" of A ended done
+    And the leased job state places "0.0.0" of B on two
+    Then run 1 was placed
+
+    Examples:
+      | kind         | steps             |
+      | by itself    | 1 cpu=900         |
+      | a gang of it | 1 cpu=900 gang    |
+
+  Scenario: of tasks larger than their tenant's maximum one runs at a time
+    Given a leased job state in which tenant acme may run "cpu=150"
+    When the leased job state takes job A of tenant acme with steps "2 cpu=900"
+    And the leased job state places "0.0.0 0.0.1" of A on one
+    Then only "0.0.0" was placed
+
+  Scenario: a maximum that is lowered below what runs stops nothing, and nothing starts until there is room
+    Given a leased job state in which tenant acme may run "cpu=400"
+    When the leased job state takes job A of tenant acme with steps "5"
+    And the leased job state places "0.0.0 0.0.1 0.0.2 0.0.3" of A on one
+    And the maximum of tenant acme becomes "cpu=200"
+    Then run 1 of "0.0.3" of A is held and wanted
+    When the leased job state hears that run 1 of "0.0.0 0.0.1" of A ended done
+    And the leased job state places "0.0.4" of A on one
+    Then nothing was placed
+    When the leased job state hears that run 1 of "0.0.2" of A ended done
+    And the leased job state places "0.0.4" of A on one
+    Then run 1 was placed
+
+  Scenario Outline: what runs of a job that is over counts against its tenant's maximum until it has ended, <read>
+    Given a leased job state in which tenant acme may run "cpu=200"
+    When the leased job state takes job A of tenant acme with steps "2"
+    And the leased job state takes job B of tenant acme with steps "1"
+    And the leased job state places "0.0.0 0.0.1" of A on one
+    And the leased job state cancels A
+    And <read>
+    Then tenant acme uses "200 0 0"
+    When the leased job state places "0.0.0" of B on one
+    Then nothing was placed
+    When the leased job state hears that run 1 of "0.0.0" of A ended stopped
+    Then the leased job state answers late
+    When the leased job state places "0.0.0" of B on one
+    Then run 1 was placed
+    When the leased job state hears that run 1 of "0.0.1" of A ended stopped
+    And the leased job state hears that run 1 of "0.0.0" of B ended done
+    Then no tenant uses anything
+
+    Examples:
+      | read                                      |
+      | 1 seconds have passed on the leased job state |
+      | the leased job state is read from its image |
+
+  Scenario Outline: an image in which <part> know no tenant is read
+    Given a leased job state in which tenant acme may run "cpu=200"
+    When the leased job state takes job A of tenant acme with steps "2"
+    And the leased job state takes job B of tenant acme with steps "1"
+    And the leased job state places "0.0.0" of A on one
+    And the leased job state cancels B
+    And the leased job state is read from an image in which "<part>" know no tenant
+    Then run 1 of "0.0.0" of A is held and wanted
+    And the leased job state shows B as cancelled
+    When the leased job state hears that run 1 of "0.0.0" of A ended done
+    And the leased job state places "0.0.1" of A on one
+    Then run 1 was placed
+
+    Examples:
+      | part               |
+      | jobs               |
+      | jobs that are over |
+      | placements         |
+
+  Scenario Outline: no tenant has more placed than its maximum whatever comes, seed <seed>
+    Given three cluster states that apply the same 800 random operations of tenants of seed <seed>
+    Then all along their images are equal, whichever of them was taken from an image between
+    And the same waves are ready in each, namely those that may start
+    And no tenant ever had more placed than its maximum, and the sums were those of its placements
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 5    |
+
+  Scenario Outline: a configuration whose tenants have <form>, taken before they were looked at, breaks nothing
+    Given a leased job state whose queue allows 3 attempts
+    When a version that does not look at tenants takes a configuration whose tenants have <form>
+    And the leased job state is read from its image
+    Then no key is asked for and no tenant is limited
+    When the leased job state takes job A with steps "1"
+    And the leased job state places "0.0.0" of A on one
+    Then run 1 was placed
+
+    Examples:
+      | form                     |
+      | no list                  |
+      | a name that is a number  |
+      | keys that are numbers    |
+      | no keys                  |
+      | a maximum that is a list |
+      | a maximum in words       |
--- a/features/steps/leased_jobs.py
+++ b/features/steps/leased_jobs.py
@@ -1,5 +1,6 @@
 """Steps for Leased job state: operations by hand, and long random histories at several cluster states."""
 
+import collections
 import random
 from unittest import mock
 
@@ -33,7 +34,7 @@
 
 
 def steps_of(text):
-    """The steps of "2; 3 gang; 1 after 0 1"."""
+    """The steps of "2; 3 gang; 1 gpu=2 after 0 1"."""
     steps = []
     for part in text.split(";"):
         count, *words = part.split()
@@ -42,10 +43,16 @@
             step["after"] = [int(one) for one in words[words.index("after") + 1 :]]
         for word in ("gang", "lasts"):
             step[word] = word in words
+        step.update(resources_of([word for word in words if "=" in word]))
         steps.append(step)
     return steps
 
 
+def resources_of(words):
+    """The resources of "cpu=200" and "gpu=1"."""
+    return {name: int(amount) for name, amount in (word.split("=") for word in words)}
+
+
 def tasks_of(text):
     """(time, step, index) of each of "0.0.1 0.1.0"."""
     return [tuple(map(int, one.split("."))) for one in text.split()]
@@ -239,6 +246,84 @@
     assert rest and not any(map(context.leased_jobs.wanted, rest)), [one.image() for one in rest]
 
 
+# --- tenants -------------------------------------------------------------------------
+def tenant(name, maximum):
+    return {"name": name, "keys": [f"key-{name}"], "maximum": maximum}
+
+
+def put_tenants(context, tenants):
+    version = context.leased_jobs.configuration.version
+    changed = {**document(version=version + 1), "tenants": tenants}
+    outcome = context.leased_jobs.configure(context.now, version, changed, f"{version}", True)
+    assert outcome == ("configured", version + 1), outcome
+
+
+@given('a leased job state in which tenant {name:w} may run "{maximum}"')
+def step_tenants(context, name, maximum):
+    step_leased_jobs(context, 3)
+    step_maximum(context, name, maximum)
+
+
+@when('the maximum of tenant {name:w} becomes "{maximum}"')
+def step_maximum(context, name, maximum):
+    put_tenants(context, [tenant(name, resources_of(maximum.split())), tenant("free", None)])
+
+
+@when('the leased job state takes job {job_letter:w} of tenant {name:w} with steps "{steps}"')
+def step_take_of(context, job_letter, name, steps):
+    plain = plain_of(steps=steps_of(steps))
+    outcome = context.leased_jobs.accept(context.now, NAMES[job_letter], QUEUE, plain, name)
+    assert outcome[0] == "accepted", outcome
+
+
+@when("the leased job state is read from its image")
+def step_read_again(context):
+    context.leased_jobs = LeasedJobState.from_image(cbor2.loads(cbor2.dumps(context.leased_jobs.image())))
+
+
+@then('tenant {name:w} uses "{amounts}"')
+def step_uses(context, name, amounts):
+    expected = tuple(int(one) for one in amounts.split())
+    assert context.leased_jobs.used_by_tenant[name] == expected, context.leased_jobs.used_by_tenant
+
+
+@then("no tenant uses anything")
+def step_none_used(context):
+    assert not context.leased_jobs.used_by_tenant, context.leased_jobs.used_by_tenant
+
+
+@when('the leased job state is read from an image in which "{part}" know no tenant')
+def step_read_old(context, part):
+    """The image as versions without tenants made it: the last field of each item is left out."""
+    image = list(cbor2.loads(cbor2.dumps(context.leased_jobs.image())))
+    place = {"jobs": 0, "jobs that are over": 1, "placements": 2}[part]
+    assert image[place], "nothing to read"
+    image[place] = [one[:-1] for one in image[place]]
+    context.leased_jobs = LeasedJobState.from_image(image)
+
+
+FORMS = {
+    "no list": {"acme": ["key-acme"]},
+    "a name that is a number": [{"name": 1, "keys": ["key-acme"]}],
+    "keys that are numbers": [{"name": "acme", "keys": [1]}],
+    "no keys": [{"name": "acme", "maximum": {"cpu": 1}}],
+    "a maximum that is a list": [{"name": "acme", "keys": ["key-acme"], "maximum": [1]}],
+    "a maximum in words": [{"name": "acme", "keys": ["key-acme"], "maximum": {"cpu": "one"}}],
+}
+
+
+@when("a version that does not look at tenants takes a configuration whose tenants have {form}")
+def step_take_any(context, form):
+    changed = {**document(version=2), "tenants": FORMS[form]}
+    assert context.leased_jobs.configure(context.now, 1, changed, "any") == ("configured", 2)
+
+
+@then("no key is asked for and no tenant is limited")
+def step_no_tenants(context):
+    tenants = context.leased_jobs.tenants
+    assert not tenants.keys_required and not tenants.by_name, tenants.by_name
+
+
 # --- placing epochs ------------------------------------------------------------------
 @given("a cluster state whose leased job state holds a job, and a placing epoch followed by another")
 def step_epochs(context):
@@ -419,6 +504,98 @@
         return ("duty", "placing", self.random.choice(("one", "two")))
 
 
+class TenantChance(Chance):
+    """The same with jobs of three tenants, whose maxima change, and with jobs of none."""
+
+    NAMES = ("small", "large", "free", "")
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.tenant_of = {}  # job -> name of its tenant
+
+    def take(self, leased_jobs, record):
+        _, identity, queue, plain = super().take(leased_jobs, record)
+        spec, steps, *when = plain
+        place = jobs.FIELDS.index("mem_mb")
+        changed = []
+        for step in steps:
+            fields = list(step)
+            fields[place - 1 : place + 2] = self.random.choice(
+                ((100, 0, 0), (100, 50, 0), (0, 0, 1), (200, 100, 2), (900, 0, 0))
+            )
+            changed.append(tuple(fields))
+        name = self.random.choice(self.NAMES)
+        self.tenant_of.setdefault(identity, name)
+        return ("tenant-job", identity, queue, (spec, tuple(changed), *when), name)
+
+    def configure(self, leased_jobs, record):
+        base = leased_jobs.configuration.version
+        return self.configure_whole(base, base + self.random.choice((1, 2, 5)))
+
+    def configure_whole(self, base, version):
+        """A whole configuration in which each tenant may run more or less than before."""
+        small = {"cpu": self.random.choice((0, 100, 300, 800)), "gpu": self.random.choice((0, 1, 3))}
+        large = {"cpu": self.random.choice((600, 2000)), "mem_mb": self.random.choice((0, 120, 400))}
+        tenants = [tenant("small", small), tenant("large", large), tenant("free", None)]
+        changed = {**document(2, version), "tenants": tenants}
+        return ("configure-tenants", base, changed, configuration.digest_of([base, changed]), True)
+
+
+class TenantUsage:
+    """What tenants have running, added up anew from the placements and from who handed each job in.
+
+    Invariant: apart from the code that it checks; `starts` counts the starts of limited tenants that were
+    judged, `at_maximum` those that left no room for another of the same.
+    """
+
+    RESOURCES = ("cpu", "mem_mb", "gpu")
+
+    def __init__(self, tenant_of):
+        self.tenant_of = tenant_of
+        self.faults, self.starts, self.at_maximum = [], 0, 0
+
+    def look(self, records, operation, outcome):
+        """Compares the sums after an operation, and judges what it placed."""
+        used = self._used(records[0].leased_jobs)
+        for record in records:
+            told = {name: list(amount) for name, amount in record.leased_jobs.used_by_tenant.items()}
+            if told != {name: amount for name, amount in used.items() if any(amount)}:
+                self.faults.append((operation, told, used))
+        if operation[0] == "job-assign" and outcome[0] == "assigned":
+            self._judge(records[0].leased_jobs, used, outcome[1])
+
+    def _used(self, leased_jobs):
+        used = {}
+        for placements in leased_jobs.placements.values():
+            for one in placements.values():
+                name = self.tenant_of[one.job]
+                if name:
+                    sums = used.setdefault(name, [0, 0, 0])
+                    for kind in range(3):
+                        sums[kind] += one.resources[kind]
+        return used
+
+    def _judge(self, leased_jobs, used, placed):
+        limits = {one["name"]: one["maximum"] or {} for one in leased_jobs.configuration.document["tenants"]}
+        running = collections.Counter(
+            (self.tenant_of[one.job], kind)
+            for placements in leased_jobs.placements.values()
+            for one in placements.values()
+            for kind in range(3)
+            if one.resources[kind]
+        )
+        for one in placed:
+            name = self.tenant_of[one.job]
+            for kind, resource in enumerate(self.RESOURCES):
+                most = limits.get(name, {}).get(resource, 0)
+                if not most or not one.resources[kind]:
+                    continue
+                self.starts += 1
+                if used[name][kind] > most and running[(name, kind)] > 1:
+                    self.faults.append((name, resource, used[name][kind], most, one.reference()))
+                self.at_maximum += used[name][kind] + one.resources[kind] > most
+
+
 def may_start(leased_jobs):
     """The waves that may start, counted anew from the tasks alone."""
     found = set()
@@ -437,9 +614,22 @@
 
 @given("three cluster states that apply the same {count:d} random operations of seed {seed:d}")
 def step_histories(context, count, seed):
+    apply_histories(context, count, Chance(seed), [("configure", 0, document(2), "first")])
+
+
+@given("three cluster states that apply the same {count:d} random operations of tenants of seed {seed:d}")
+def step_tenant_histories(context, count, seed):
+    chance = TenantChance(seed)
+    context.usage = TenantUsage(chance.tenant_of)
+    apply_histories(context, count, chance, [chance.configure_whole(0, 1)])
+
+
+def apply_histories(context, count, chance, operations):
+    """Applies what `chance` draws after some first operations to three cluster states, two of which are
+    taken from images on the way.
+    """
     records = [ClusterState(), ClusterState(), ClusterState()]
-    chance = Chance(seed)
-    operations = [("configure", 0, document(2), "first"), ("duty", "placing", "one")]
+    operations = [*operations, ("duty", "placing", "one")]
     context.unequal, context.ready, context.given, context.parts = [], [], set(), []
     context.outcomes, context.states = {}, set()
     for index in range(1, count + 1):
@@ -471,6 +661,8 @@
         context.states.update(one[0] for one in records[0].leased_jobs.final.values())
         if operation[0] == "job-assign" and reported[0][0] == "assigned":
             watch_placed(context, records[0].leased_jobs, reported[0][1])
+        if "usage" in context:
+            context.usage.look(records, operation, reported[0])
     context.records = records
 
 
@@ -512,3 +704,13 @@
 def step_runs_once(context):
     assert len(context.given) > 100, len(context.given)
     assert not context.parts, context.parts
+
+
+@then("no tenant ever had more placed than its maximum, and the sums were those of its placements")
+def step_usage(context):
+    assert not context.usage.faults, context.usage.faults[0]
+    assert context.usage.starts > 50 and context.usage.at_maximum > 10, (
+        "the history was too tame",
+        context.usage.starts,
+        context.usage.at_maximum,
+    )
--- a/features/steps/round_fleet.py
+++ b/features/steps/round_fleet.py
@@ -31,9 +31,10 @@
 
 class Fleet:
     """A board whose runs take just as long as they are told to. Invariant: every run that is
-    placed starts at once, and its end is agreed on in the round after it."""
+    placed starts at once, and its end is agreed on in the round after it. `maxima` says of each tenant by
+    name what it may have running, as a configuration has it."""
 
-    def __init__(self, count, urgencies=URGENCIES, policy=policies.DEFAULT):
+    def __init__(self, count, urgencies=URGENCIES, policy=policies.DEFAULT, maxima=None):
         self.now, self.made, self.sequence = 100.0, 0, 0
         self.leased_jobs, self.assignments = LeasedJobState(), AssignmentsStandIn()
         self.assigner = Assigner(Pace(2.0), policy)
@@ -48,6 +49,9 @@
         self.silent = set()  # workers
         self.came, self.done = {}, {}  # job -> when it came, when it was completed
         self.capacity_used = {}  # queue -> accelerator-seconds that its runs have had
+        self.refused = 0  # tasks that a round placed and the leased job state did not
+        self.maxima = maxima or {}
+        self.most_used = {}  # tenant -> the most accelerators that its runs had at once
         self._configure(urgencies)
         for _ in range(2):
             self._beat()
@@ -68,17 +72,23 @@
             for name, urgency in urgencies.items()
         ]
         document = {"version": 1, "services": [{"name": SERVICE}], "routes": routes}
-        assert self.leased_jobs.configure(self.now, 0, document, "first") == ("configured", 1)
+        if self.maxima:
+            document["tenants"] = [
+                {"name": name, "keys": [f"key-{name}"], "maximum": maximum}
+                for name, maximum in self.maxima.items()
+            ]
+        assert self.leased_jobs.configure(self.now, 0, document, "first", True) == ("configured", 1)
 
-    def put(self, queue, count, accelerators, seconds, **more):
-        """Hands in a job of one step; each task takes `seconds`."""
+    def put(self, queue, count, accelerators, seconds, tenant=None, **more):
+        """Hands in a job of one step, for a tenant or none; each task takes `seconds`."""
         self.made += 1
         step = {"count": count, "gpu": accelerators, "est_ms": seconds * 1000, **TASK_REQUEST, **more}
         plain, faults = jobs.checked({"steps": [step]})
         assert not faults, faults
         identity = f"{self.made:016x}"
         self.lengths[identity] = seconds
-        assert self.leased_jobs.accept(self.now, identity, queue, plain) == ("accepted", identity)
+        outcome = self.leased_jobs.accept(self.now, identity, queue, plain, tenant)
+        assert outcome == ("accepted", identity), outcome
         self.came[identity] = self.now
         return identity
 
@@ -133,7 +143,9 @@
         items, stops = self.assigner.round(
             self.leased_jobs, self.workers, self.assignments, self.now, self.now
         )
-        for placement in self.leased_jobs.assign(self.now, 1, items):
+        placed = self.leased_jobs.assign(self.now, 1, items)
+        self.refused += sum(len(group) for *_, group in items) - len(placed)
+        for placement in placed:
             key = (placement.worker_id, placement.reference(), placement.run)
             lasts = self.leased_jobs.task(placement)[0].step.lasts
             self.assigner.pace.start(*key, False, self.now)
@@ -165,7 +177,8 @@
                 self.capacity_used[queue] = (
                     self.capacity_used.get(queue, 0.0) + one.resources[2] * ROUND_EVERY
                 )
-        waves = list(self.leased_jobs.ready.values())
+        used = self._note_tenants()
+        waves = [wave for wave in self.leased_jobs.ready.values() if self._may_run(wave, used)]
         singles = [wave for wave in waves if not wave.step.gang]
         for identity in self.workers:
             idle = identity not in self.leased_jobs.placements and any(
@@ -180,6 +193,27 @@
         for since in self.idle_since.values():
             self.longest_idle = max(self.longest_idle, self.now - since)
 
+    def _note_tenants(self):
+        """Tenant -> what its runs have now, added up from the placements; notes the most accelerators."""
+        used = {}
+        for placed_here in self.leased_jobs.placements.values():
+            for one in placed_here.values():
+                sums = used.setdefault(one.tenant, [0, 0, 0])
+                used[one.tenant] = [had + asked for had, asked in zip(sums, one.resources, strict=True)]
+        for tenant, amount in used.items():
+            self.most_used[tenant] = max(self.most_used.get(tenant, 0), amount[2])
+        return used
+
+    def _may_run(self, wave, used):
+        """Whether a wave's tenant may have running what of it must start together."""
+        maximum = self.maxima.get(wave.job.tenant) or {}
+        count = len(wave.waiting) if wave.step.gang else 1
+        has = used.get(wave.job.tenant, (0, 0, 0))
+        return all(
+            not maximum.get(name) or had + count * asked <= maximum[name]
+            for name, had, asked in zip(("cpu", "mem_mb", "gpu"), has, wave.step.resources, strict=True)
+        )
+
     def _ample(self, wave):
         """Whether nothing of a wave's job runs, all of it that must start together would fit twice, and
         under half of the service's room is in use."""
--- a/src/pinepitch/scheduling/assigner.py
+++ b/src/pinepitch/scheduling/assigner.py
@@ -80,10 +80,17 @@
             self._forget_short(leased_jobs)
             return (), ()
         candidates = candidate_workers(leased_jobs, workers, now)
-        self.budgets.open(leased_jobs, candidates, waves, time)
+        self.budgets.open(leased_jobs, candidates, waves, self.tenant_capacity, time)
         waves.sort(key=self._rank)
         reservations = Reservations(
-            leased_jobs, assignments, self.budgets, candidates, self.kept_since, time, self.policy
+            leased_jobs,
+            assignments,
+            self.budgets,
+            candidates,
+            self.kept_since,
+            self.tenant_capacity,
+            time,
+            self.policy,
         )
         stops = reservations.keep(waves, self.short, now) if self.policy.keep_seats else ()
         items, complete = self._place_waves(waves, candidates, reservations, now, time)
--- a/src/pinepitch/scheduling/budgets.py
+++ b/src/pinepitch/scheduling/budgets.py
@@ -13,6 +13,7 @@
 from .plain_types import Document
 from .resources import NO_RESOURCES, RESOURCE_KINDS, Amount, Level, Resources, less, more, tasks_in, times
 from .run_speed import Pace
+from .tenants import TenantCapacity
 
 
 def slack(latency_target_ms: float, stretch: float, length: float) -> float:
@@ -64,9 +65,12 @@
         leased_jobs: LeasedJobState,
         candidates: dict[str, list[CandidateWorker]],
         waves: list[Wave],
+        tenant_capacity: TenantCapacity,
         time: float,
     ) -> None:
-        """Begins a round: candidates by service, and the waves that wait at a time of the cluster state."""
+        """Begins a round: candidates by service, the waves that wait at a time of the cluster state, and what
+        their tenants may still be given.
+        """
         self.total_capacity = {
             service: [sum(candidate.worker.capacity[kind] for candidate in mine) for kind in RESOURCE_KINDS]
             for service, mine in candidates.items()
@@ -74,7 +78,7 @@
         self.used = self._used_of(leased_jobs, candidates)
         self.sums = {}
         self.waits = self._waits(leased_jobs.configuration.routes)
-        self.claims = self._claims(candidates, waves, time)
+        self.claims = self._claims(candidates, waves, tenant_capacity.copy(), time)
 
     def _used_of(
         self, leased_jobs: LeasedJobState, candidates: dict[str, list[CandidateWorker]]
@@ -99,9 +103,15 @@
         ]
 
     def _claims(
-        self, candidates: dict[str, list[CandidateWorker]], waves: list[Wave], time: float
+        self,
+        candidates: dict[str, list[CandidateWorker]],
+        waves: list[Wave],
+        tenant_capacity: TenantCapacity,
+        time: float,
     ) -> dict[Level, Resources]:
-        """(service, priority) -> what an urgency lacks of its guaranteed capacity and has long waited for."""
+        """(service, priority) -> what an urgency lacks of its guaranteed capacity and has long waited for.
+        Tenants claim no more than they may have running; their capacity is charged for it.
+        """
         claims: dict[Level, Resources] = {}
         able: dict[tuple[Any, ...], bool] = {}
         if not self.policy.guarantee_shares:
@@ -121,17 +131,20 @@
                     candidate.potential_members(wave, NO_RESOURCES) for candidate in candidates[key[0]]
                 )
             if able[asks]:
-                claims[key] = self._claimed(key, wave, claims.get(key, NO_RESOURCES))
+                claimed = claims.get(key, NO_RESOURCES)
+                claim = self._claim(key, wave, claimed, tenant_capacity)
+                tenant_capacity.charge(wave.job.tenant, claim)
+                claims[key] = more(claimed, claim)
         return claims
 
-    def _claimed(self, key: Level, wave: Wave, claimed: Resources) -> Amount:
-        """The claim of an urgency that claims so much already, with one more wave that waits."""
+    def _claim(self, key: Level, wave: Wave, claimed: Resources, tenant_capacity: TenantCapacity) -> Amount:
+        """What one more wave that waits adds to the claim of an urgency that claims so much already."""
         had = more(claimed, self.used.get(key, NO_RESOURCES))
         count = tasks_in(less(self.guaranteed(key[0]), had), wave.step.resources)
         if not any(had):
             count = max(1, count or 0)
-        waiting = len(wave.waiting)
-        return more(claimed, times(wave.step.resources, waiting if count is None else min(waiting, count)))
+        waiting = tenant_capacity.allowance(wave.job.tenant, wave.step.resources, len(wave.waiting))
+        return times(wave.step.resources, waiting if count is None else min(waiting, count))
 
     def _patience(self, wave: Wave) -> float:
         """Seconds that a wave can wait for capacity and still be in time."""
--- a/src/pinepitch/scheduling/idle_capacity.py
+++ b/src/pinepitch/scheduling/idle_capacity.py
@@ -25,10 +25,10 @@
 class IdleCapacityCheck:
     """Looks at each round's outcome, and counts what must not be.
 
-    KEPT_UNTAKEN: after a round a wave, no gang, still waits although a candidate kept for it would take
-    one more of its tasks. IDLE_BESIDE_WORK: for MAX_IDLE_WAIT seconds a job had nothing placed and waited
-    for capacity while its service had capacity for twice what it needs at once and under half of its
-    capacity was in use.
+    KEPT_UNTAKEN: after a round a wave, no gang, is short of capacity although a candidate kept for it would
+    take one more of its tasks. IDLE_BESIDE_WORK: for MAX_IDLE_WAIT seconds a job had nothing placed and
+    waited for capacity while its service had capacity for twice what it needs at once and under half of its
+    capacity was in use. A wave whose tenant is at its maximum is not short of capacity.
 
     Invariant: a violation is counted once for each wave and each time that it begins.
     """
@@ -53,7 +53,7 @@
         """
         found = {}
         for key, (wave, candidates) in kept.items():
-            waits = len(wave.waiting) > placed.get(key, 0) and not wave.step.gang
+            waits = len(wave.waiting) > placed.get(key, 0) and key in short and not wave.step.gang
             if waits and any(candidate.may_place(wave) for candidate in candidates):
                 found[key] = wave
         return self._counted(KEPT_UNTAKEN, found, short, now)
--- a/src/pinepitch/scheduling/leased_job_state.py
+++ b/src/pinepitch/scheduling/leased_job_state.py
@@ -300,12 +300,12 @@
         return placed
 
     def _admits(self, wave: Wave, count: int) -> bool:
-        """Whether a wave's tenant may have so many more of its tasks running, all of a gang at once."""
+        """Whether a wave's tenant may have so many more of its tasks running at once."""
         tenant = self.tenants.limited(wave.job.tenant)
         if tenant is None:
             return True
         used = self.used_by_tenant.get(tenant.name, NO_RESOURCES)
-        if wave.step.gang:
+        if count > 1:
             return tenant.admits(used, times(wave.step.resources, count))
         return tenant.admits_task(used, wave.step.resources)
 
--- a/src/pinepitch/scheduling/reservations.py
+++ b/src/pinepitch/scheduling/reservations.py
@@ -12,6 +12,7 @@
 from .placement import Placement, RunKey
 from .resources import NO_RESOURCES, Level, Resources, less, more, times
 from .run_stop import YIELDS, RunStop
+from .tenants import TenantCapacity
 
 
 class PendingStops(Protocol):
@@ -44,7 +45,8 @@
     more work is thrown away for a wave than YIELD_WASTE.
 
     Invariants: a candidate is kept for one wave at most, and only if the wave can take it once what runs
-    there has ended; no more than RESERVE_PART of a service's candidates are kept. While under half of a
+    there has ended; for a tenant's waves no more is kept than it may have running; no more than RESERVE_PART
+    of a service's candidates are kept. While under half of a
     service's capacity is in use nothing is kept for over RESERVE_LASTS without a break: in the round
     between, whatever waits may take what stood empty.
     """
@@ -56,12 +58,14 @@
         budgets: CapacityBudgets,
         candidates: dict[str, list[CandidateWorker]],
         kept_since: dict[str, float],
+        tenant_capacity: TenantCapacity,
         time: float,
         policy: policies.Policy = policies.DEFAULT,
     ) -> None:
         self.policy = policy
         self.leased_jobs, self.assignments, self.budgets = leased_jobs, assignments, budgets
         self.candidates, self.time = candidates, time
+        self.tenant_capacity = tenant_capacity.copy()  # charged for what is kept
         self.kept_since = kept_since  # service -> since when some of its candidates are kept
         self.counts: dict[str, int] = {}  # service -> waves that candidates are kept for
         self.taken: dict[str, int] = {}  # service -> candidates kept
@@ -117,6 +121,7 @@
         job = wave.job.identity if step.apart else None
         return (
             wave.job.service,
+            wave.job.tenant,
             wave.job.priority,
             step.resources,
             step.needs,
@@ -137,6 +142,7 @@
         enough, self.waste = True, constants.YIELD_WASTE
         self.kept[wave.key()] = [one.candidate for one in chosen]
         kept = times(wave.step.resources, sum(one.members for one in chosen))
+        self.tenant_capacity.charge(wave.job.tenant, kept)
         self.kept_resources[self._level(wave)] = more(
             self.kept_resources.get(self._level(wave), NO_RESOURCES), kept
         )
@@ -151,10 +157,10 @@
         """Candidates for the members of a wave by the whole capacity of workers, those with most
         of it free first: near its data if any stands there, of a gang that wants one rack in one, if
         any rack is large enough. A gang gets candidates for all its members or none; other waves get fewer
-        when there are not enough, or not enough that may be kept.
+        when there are not enough, or not enough that may be kept, or that their tenant may use.
         """
         step, wanted = wave.step, len(wave.waiting)
-        keepable = self.budgets.keepable(wave, self.kept_resources.get(self._level(wave), NO_RESOURCES))
+        keepable = self._keepable(wave)
         if not keepable or (step.gang and keepable < wanted):
             return None
         wanted = min(wanted, keepable)
@@ -174,6 +180,11 @@
             left -= one.members
         return chosen if left <= 0 or not step.gang else None
 
+    def _keepable(self, wave: Wave) -> int:
+        """For how many tasks of a wave capacity may be kept."""
+        keepable = self.budgets.keepable(wave, self.kept_resources.get(self._level(wave), NO_RESOURCES))
+        return self.tenant_capacity.allowance(wave.job.tenant, wave.step.resources, keepable)
+
     def _level(self, wave: Wave) -> Level:
         """The (service, priority) of a wave."""
         return (wave.job.service, wave.job.priority)
--- a/src/pinepitch/scheduling/tenants.py
+++ b/src/pinepitch/scheduling/tenants.py
@@ -3,12 +3,13 @@
 import hashlib
 import math
 from collections.abc import Iterable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Self
 
 import voluptuous
 
 from ..common import constants
 from ..model.validation import number as _number
+from ..model.validation import shaped
 from .plain_types import Document, Faults
 from .resources import NO_RESOURCES, RESOURCE_KINDS, Amount, Resources, more
 
@@ -28,6 +29,7 @@
     voluptuous.Optional("maximum"): voluptuous.Any(None, MAXIMUM),
     voluptuous.Extra: object,
 }
+_TENANTS = voluptuous.Schema([TENANT])
 LIMITED_RESOURCES = ("cpu", "mem_mb", "gpu")  # in the order of resources.Resources
 
 
@@ -97,14 +99,10 @@
 
 def _with_keys(document: Document | None) -> list[Document] | None:
     """The tenants that a configuration lists with their keys; None where it lists none, or in a form that
-    was taken before keys were checked.
+    only versions took which did not look at tenants.
     """
     tenants: Any = (document or {}).get("tenants")
-    if not isinstance(tenants, list):
-        return None
-    if not all(isinstance(one, dict) and isinstance(one.get("keys"), list) for one in tenants):
-        return None
-    return tenants
+    return tenants if not shaped(_TENANTS, tenants)[1] else None
 
 
 def _tenant_of(document: Document) -> Tenant:
@@ -115,8 +113,8 @@
 
 
 class TenantCapacity:
-    """What tenants may still be given in the round under way. Invariant: what is charged is never more than
-    what the state admits.
+    """What tenants may still be given in the round under way. Invariant: as long as no more is charged than
+    was allowed, the state admits it.
     """
 
     def __init__(self, tenants: Tenants, used: dict[str, Amount]) -> None:
@@ -136,9 +134,13 @@
             for kind in RESOURCE_KINDS
             if task[kind] and math.isfinite(tenant.maximum[kind])
         ]
-        return min(wanted, *counts)
+        return min([wanted, *counts])
+
+    def copy(self) -> Self:
+        """The same, to be charged by itself."""
+        return type(self)(self.tenants, self.used)
 
     def charge(self, name: str, resources: Resources) -> None:
-        """Resources of placements that the round gave to a tenant."""
+        """Resources that a tenant is given."""
         if name:
             self.used[name] = more(self.used.get(name, NO_RESOURCES), resources)
