--- a/src/pinepitch/scheduling/tenants.py
+++ b/src/pinepitch/scheduling/tenants.py
@@ -3,7 +3,7 @@
 import hashlib
 import math
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import NamedTuple, Self
 
 import voluptuous
 
@@ -99,7 +99,7 @@
 
 def with_keys(document: Document | None) -> list[Document] | None:
     """The tenants that a configuration lists with their keys; None where it lists none, or in a form that
-    was taken before keys were checked.
+    only versions took which did not look at tenants.
     """
     tenants: list[Document] | None = (document or {}).get("tenants")
     return None if shaped(TENANTS, tenants)[1] else tenants
@@ -113,8 +113,8 @@
 
 
 class TenantCapacity:
-    """What tenants may still be given in the round under way. Invariant: what is charged is never more than
-    what the state admits.
+    """What tenants may still be given in the round under way. Invariant: as long as no more is charged than
+    was allowed, the state admits it.
     """
 
     def __init__(self, tenants: Tenants, used: dict[str, Amount]) -> None:
@@ -134,9 +134,13 @@
             for kind in RESOURCE_KINDS
             if task[kind] and math.isfinite(tenant.maximum[kind])
         ]
-        return min(wanted, *counts)
+        return min([wanted, *counts])
+
+    def copy(self) -> Self:
+        """The same, to be charged by itself."""
+        return type(self)(self.tenants, self.used)
 
     def charge(self, name: str, resources: Resources) -> None:
-        """Resources of placements that the round gave to a tenant."""
+        """Resources that a tenant is given."""
         if name:
             self.used[name] = more(self.used.get(name, NO_RESOURCES), resources)
