Jobs beyond their tenant's weight rank behind all others and run in what is left over

Callers saw: nothing yet used `weight`.

Cause: the order of a round knew urgencies and due times, no tenants.

Change: scheduling/tenant_shares.py judges each job once, by the virtual scheduling algorithm (GCRA, ITU-T I.371) on the agreed time of its acceptance, with a tolerance of 1 s. It is the leader's guess; a new leader judges the open jobs again. Excess jobs count as the least urgent work: they come last in a round, have no workers kept, claim no guarantee, make nothing yield, feed no peak of an urgency, and yield to work within a weight. Without tenants or weights all jobs conform, and everything is as before.

--- a/features/steps/round_fleet.py
+++ b/features/steps/round_fleet.py
@@ -33,7 +33,7 @@
     """A board whose runs take just as long as they are told to. Invariant: every run that is
     placed starts at once, and its end is agreed on in the round after it."""
 
-    def __init__(self, count, urgencies=URGENCIES, policy=policies.DEFAULT):
+    def __init__(self, count, urgencies=URGENCIES, policy=policies.DEFAULT, tenants=()):
         self.now, self.made, self.sequence = 100.0, 0, 0
         self.leased_jobs, self.assignments = LeasedJobState(), AssignmentsStandIn()
         self.assigner = Assigner(Pace(2.0), policy)
@@ -48,12 +48,12 @@
         self.silent = set()  # workers
         self.came, self.done = {}, {}  # job -> when it came, when it was completed
         self.capacity_used = {}  # queue -> accelerator-seconds that its runs have had
-        self._configure(urgencies)
+        self._configure(urgencies, list(tenants))
         for _ in range(2):
             self._beat()
 
-    def _configure(self, urgencies):
-        """Puts a queue into force for each name and urgency, all with the same service."""
+    def _configure(self, urgencies, tenants):
+        """Puts a queue into force for each name and urgency, all of one service, and tenants if any."""
         routes = [
             {
                 "name": name,
@@ -68,17 +68,20 @@
             for name, urgency in urgencies.items()
         ]
         document = {"version": 1, "services": [{"name": SERVICE}], "routes": routes}
-        assert self.leased_jobs.configure(self.now, 0, document, "first") == ("configured", 1)
+        if tenants:
+            document["tenants"] = tenants
+        taken = self.leased_jobs.configure(self.now, 0, document, "first", bool(tenants))
+        assert taken == ("configured", 1), taken
 
-    def put(self, queue, count, accelerators, seconds, **more):
-        """Hands in a job of one step; each task takes `seconds`."""
+    def put(self, queue, count, accelerators, seconds, tenant=None, **more):
+        """Hands in a job of one step, of a tenant or none; each task takes `seconds`."""
         self.made += 1
         step = {"count": count, "gpu": accelerators, "est_ms": seconds * 1000, **TASK_REQUEST, **more}
         plain, faults = jobs.checked({"steps": [step]})
         assert not faults, faults
         identity = f"{self.made:016x}"
         self.lengths[identity] = seconds
-        assert self.leased_jobs.accept(self.now, identity, queue, plain) == ("accepted", identity)
+        assert self.leased_jobs.accept(self.now, identity, queue, plain, tenant) == ("accepted", identity)
         self.came[identity] = self.now
         return identity
 
--- a/src/pinepitch/scheduling/assigner.py
+++ b/src/pinepitch/scheduling/assigner.py
@@ -18,6 +18,7 @@
 from .resources import RESOURCE_KINDS, Amount, Resources, less, tasks_in, times
 from .run_speed import Pace
 from .run_stop import StopItem
+from .tenant_shares import TenantShares
 from .tenants import TenantCapacity, Tenants
 from .worker import Worker
 
@@ -52,7 +53,8 @@
         self.idle_capacity = IdleCapacityCheck()
         self.violations: tuple[Violation, ...] = ()  # of the newest round
         self.near: dict[str, int] = {}  # rack -> tasks of this round that want to be there
-        self.budgets = CapacityBudgets(pace, policy)
+        self.shares = TenantShares()
+        self.budgets = CapacityBudgets(pace, policy, self.shares)
         self.hot_at: float | None = None
         self.hot: dict[str, float] = {}  # rack -> work of late that wanted to be there
         self.why: dict[WaveKey, str] = {}  # key of a wave -> why the newest round left some of it
@@ -69,6 +71,8 @@
         """Places what is due. Returns (assign items, stop items): those of the operations "job-assign" and
         "job-stop". `now` is the daemon's clock, `time` that of the cluster state, both in seconds.
         """
+        if self.policy.heed_weights:
+            self.shares.learn(leased_jobs)
         self.budgets.learn(leased_jobs, now)
         self._forget_hot(now)
         self.near, self.why, self.exhausted = {}, {}, set()
@@ -172,9 +176,9 @@
             *self.idle_capacity.look(leased_jobs, candidates, self.short, now),
         )
 
-    def _rank(self, wave: Wave) -> tuple[int, float, str]:
-        """The more urgent first, then what is due sooner: a step wider than a part of its service's capacity
-        is expected to take several turns of it.
+    def _rank(self, wave: Wave) -> tuple[bool, int, float, str]:
+        """What lies within its tenant's weight first, then the more urgent, then what is due sooner: a step
+        wider than a part of its service's capacity is expected to take several turns of it.
         """
         job, step = wave.job, wave.step
         begun = wave.due if job.times else job.accepted
@@ -185,7 +189,7 @@
             if self.policy.rank_by_due
             else 0
         )
-        return (job.priority, begun + time_allowed, job.identity)
+        return (self.shares.is_excess(job), job.priority, begun + time_allowed, job.identity)
 
     def _largest_share(self, step: Step, total: Resources | None) -> float:
         """The part of a service's capacity that one task of a step takes, of the resource it takes most
@@ -258,8 +262,7 @@
         """As _take, of all candidates; waves like one that found too few of them are not tried again."""
         step = wave.step
         alike = (
-            wave.job.service,
-            wave.job.priority,
+            *self.shares.level(wave.job),
             step.resources,
             step.needs,
             wave.job.identity if step.apart else None,
@@ -291,10 +294,11 @@
 
     def _order(self, wave: Wave, candidates: Sequence[CandidateWorker]) -> list[RankedCandidate]:
         """The candidates that a wave's task may take, as a heap, the best first."""
+        priority = self.shares.priority(wave.job)
         order = [
             (self._score(wave, candidate), place, candidate)
             for place, candidate in enumerate(candidates)
-            if candidate.may_place(wave)
+            if candidate.may_place(wave, priority)
         ]
         heapq.heapify(order)
         return order
@@ -305,7 +309,7 @@
             return None
         _, place, candidate = order[0]
         candidate.place(wave)
-        if candidate.may_place(wave):
+        if candidate.may_place(wave, self.shares.priority(wave.job)):
             heapq.heapreplace(order, (self._score(wave, candidate), place, candidate))
         else:
             heapq.heappop(order)
--- a/src/pinepitch/scheduling/budgets.py
+++ b/src/pinepitch/scheduling/budgets.py
@@ -13,6 +13,7 @@
 from .plain_types import Document
 from .resources import NO_RESOURCES, RESOURCE_KINDS, Amount, Level, Resources, less, more, tasks_in, times
 from .run_speed import Pace
+from .tenant_shares import EXCESS_PRIORITY, TenantShares
 
 
 def slack(latency_target_ms: float, stretch: float, length: float) -> float:
@@ -31,13 +32,18 @@
     what it lacks of that, and makes nothing of it yield. Only work that some worker could
     take has such a claim.
 
+    Jobs beyond the weight of their tenant count as the least urgent work, which is guaranteed nothing.
+
     Invariants: a budget is charged for what a round places, never for what waves ask for, so that
     a wave that finds no candidate takes nothing from those behind it; a budget that is not used up admits
     one more task, however large.
     """
 
-    def __init__(self, pace: Pace, policy: policies.Policy = policies.DEFAULT) -> None:
+    def __init__(
+        self, pace: Pace, policy: policies.Policy = policies.DEFAULT, shares: TenantShares | None = None
+    ) -> None:
         self.pace, self.policy = pace, policy
+        self.shares = shares or TenantShares()
         self.peaks: dict[Level, list[float]] = {}  # (service, priority) -> the most capacity it used of late
         self.learnt_at: float | None = None
         self.total_capacity: dict[str, list[float]] = {}  # service -> capacity of all its candidates
@@ -54,8 +60,9 @@
         """How much capacity the work of each urgency took at most of late."""
         passed = 0 if self.learnt_at is None else now - self.learnt_at
         self.learnt_at, left = now, 0.5 ** (passed / constants.PEAK_HALF)
-        for key in {*leased_jobs.used, *self.peaks}:
-            used = leased_jobs.used.get(key, NO_RESOURCES)
+        used_by_level = self.shares.used(leased_jobs)
+        for key in {*used_by_level, *self.peaks}:
+            used = used_by_level.get(key, NO_RESOURCES)
             before = self.peaks.get(key, NO_RESOURCES)
             self.peaks[key] = [max(one, other * left) for one, other in zip(used, before, strict=True)]
 
@@ -83,11 +90,11 @@
         that get no work now, being unresponsive or closed, takes nothing of the capacity that is shared
         out.
         """
-        used = {key: more(taken, NO_RESOURCES) for key, taken in leased_jobs.used.items()}
+        used = {key: more(taken, NO_RESOURCES) for key, taken in self.shares.used(leased_jobs).items()}
         shared = {candidate.identity for mine in candidates.values() for candidate in mine}
         for identity in leased_jobs.placements.keys() - shared:
             for placement in leased_jobs.placements[identity].values():
-                key = (placement.service, placement.priority)
+                key = self.shares.level_of(placement)
                 used[key] = less(used[key], placement.resources)
         return used
 
@@ -107,8 +114,12 @@
         if not self.policy.guarantee_shares:
             return claims
         for wave in waves:
-            key = (wave.job.service, wave.job.priority)
-            if key[0] not in candidates or time - wave.since < self._patience(wave):
+            key = self.shares.level(wave.job)
+            if (
+                key[1] == EXCESS_PRIORITY
+                or key[0] not in candidates
+                or time - wave.since < self._patience(wave)
+            ):
                 continue
             asks = (
                 key[0],
@@ -154,7 +165,7 @@
 
     def left_by_less_urgent(self, wave: Wave) -> Resources:
         """Capacity that a wave may take without taking what less urgent work is guaranteed."""
-        service, priority = wave.job.service, wave.job.priority
+        service, priority = self.shares.level(wave.job)
         left: Resources = self.total_capacity[service]
         for (name, _), used in self.used.items():
             if name == service:
@@ -174,12 +185,13 @@
 
     def _cap(self, wave: Wave) -> Resources:
         """Capacity that work as urgent as a wave, and less urgent work, may take together."""
-        service, lasts = wave.job.service, self._lasts(wave)
+        lasts = self._lasts(wave)
+        service, priority = self.shares.level(wave.job)
         reserved: Resources = NO_RESOURCES
         if not self.policy.reserve_for_urgent:
             return self.total_capacity[service]
         for key, peak in self.peaks.items():
-            if key[0] == service and key[1] < wave.job.priority:
+            if key[0] == service and key[1] < priority:
                 waits = lasts <= self.waits.get(key, 0)
                 reserved = more(reserved, self.used.get(key, NO_RESOURCES) if waits else peak)
         total = self.total_capacity[service]
@@ -196,7 +208,7 @@
 
     def _taken(self, wave: Wave) -> Resources:
         """Capacity that work as urgent as a wave, and less urgent work, takes by now."""
-        key = (wave.job.service, wave.job.priority)
+        key = self.shares.level(wave.job)
         if key not in self.sums:
             taken: Resources = NO_RESOURCES
             for (service, priority), used in self.used.items():
@@ -215,7 +227,7 @@
 
     def beside_claims(self, wave: Wave, wanted: int) -> int:
         """How many of `wanted` tasks of a wave leave free what less urgent work is guaranteed."""
-        service, priority = wave.job.service, wave.job.priority
+        service, priority = self.shares.level(wave.job)
         if not any(name == service and level > priority for name, level in self.claims):
             return wanted
         count = tasks_in(self.left_by_less_urgent(wave), wave.step.resources)
@@ -223,7 +235,7 @@
 
     def charge(self, wave: Wave, count: int) -> None:
         """So many tasks of a wave were placed."""
-        key = (wave.job.service, wave.job.priority)
+        key = self.shares.level(wave.job)
         self.used[key] = more(self.used.get(key, NO_RESOURCES), times(wave.step.resources, count))
         self.sums.clear()
 
@@ -233,7 +245,7 @@
         all its capacity at once, is not asked what else of its urgency runs, unless less urgent work
         lacks capacity now.
         """
-        service, priority = wave.job.service, wave.job.priority
+        service, priority = self.shares.level(wave.job)
         claims = [
             resources
             for (name, level), resources in self.claims.items()
@@ -253,5 +265,7 @@
 
     def is_guaranteed(self, key: Level) -> bool:
         """Whether all the capacity that a (service, priority) takes is guaranteed to it."""
+        if key[1] == EXCESS_PRIORITY:
+            return False
         used, right = self.used.get(key, NO_RESOURCES), self.guaranteed(key[0])
         return all(one <= other for one, other in zip(used, right, strict=True))
--- a/src/pinepitch/scheduling/candidate_workers.py
+++ b/src/pinepitch/scheduling/candidate_workers.py
@@ -49,12 +49,12 @@
         counts = [one for one in (count, step.apart - beside if step.apart else None) if one is not None]
         return min(counts, default=len(wave.waiting))
 
-    def may_place(self, wave: Wave) -> bool:
-        """Whether one more task of a wave may be placed here: what is kept is taken by its wave and by
-        more urgent ones only.
+    def may_place(self, wave: Wave, priority: int) -> bool:
+        """Whether one more task of a wave that shares capacity by a priority may be placed here: what is kept
+        is taken by its wave and by more urgent ones only.
         """
         kept = self.kept
-        if kept is not None and kept is not wave and kept.job.priority <= wave.job.priority:
+        if kept is not None and kept is not wave and kept.job.priority <= priority:
             return False
         return self.can_run(wave)
 
--- a/src/pinepitch/scheduling/idle_capacity.py
+++ b/src/pinepitch/scheduling/idle_capacity.py
@@ -54,7 +54,7 @@
         found = {}
         for key, (wave, candidates) in kept.items():
             waits = len(wave.waiting) > placed.get(key, 0) and not wave.step.gang
-            if waits and any(candidate.may_place(wave) for candidate in candidates):
+            if waits and any(candidate.may_place(wave, wave.job.priority) for candidate in candidates):
                 found[key] = wave
         return self._counted(KEPT_UNTAKEN, found, short, now)
 
--- a/src/pinepitch/scheduling/policy.py
+++ b/src/pinepitch/scheduling/policy.py
@@ -9,6 +9,7 @@
     """Invariant: no field bears on whether a run may start, only on which does, where and when."""
 
     reserve_for_urgent: bool = True  # from work that would keep it for longer than more urgent work can wait
+    heed_weights: bool = True  # jobs beyond their tenant's weight come after all others
     guarantee_shares: bool = True  # to each urgency whose work has waited as long as it well can
     keep_seats: bool = True  # for the first waves that have been short of capacity for long
     yielding: bool = True  # less urgent runs end for a wave that candidates are kept for
--- a/src/pinepitch/scheduling/reservations.py
+++ b/src/pinepitch/scheduling/reservations.py
@@ -41,7 +41,8 @@
 class Reservations:
     """Keeps candidates for the first waves that have been short for long, and says which less urgent runs
     had better yield to them: those that save their progress lose nothing but a restart, of others no
-    more work is thrown away for a wave than YIELD_WASTE.
+    more work is thrown away for a wave than YIELD_WASTE. Jobs beyond the weight of their tenant are less
+    urgent than all others, and have nothing kept for them.
 
     Invariants: a candidate is kept for one wave at most, and only if the wave can take it once what runs
     there has ended; no more than RESERVE_PART of a service's candidates are kept. While under half of a
@@ -61,6 +62,7 @@
     ) -> None:
         self.policy = policy
         self.leased_jobs, self.assignments, self.budgets = leased_jobs, assignments, budgets
+        self.shares = budgets.shares
         self.candidates, self.time = candidates, time
         self.kept_since = kept_since  # service -> since when some of its candidates are kept
         self.counts: dict[str, int] = {}  # service -> waves that candidates are kept for
@@ -99,7 +101,8 @@
         service = wave.job.service
         patience = constants.RESERVE_AFTER * (1 if wave.job.priority else 0.5)
         return (
-            now - short.get(wave.key(), now) >= patience
+            not self.shares.is_excess(wave.job)
+            and now - short.get(wave.key(), now) >= patience
             and service in self.candidates
             and self.counts.get(service, 0) < constants.MAX_RESERVED_WAVES
             and not self._lapsed(service, now)
@@ -240,9 +243,9 @@
         if not self.policy.yielding or found is None or key not in candidate.worker.running:
             return False
         step = found[0].step
-        if step.gang or step.lasts or found[0].job.priority <= wave.job.priority:
+        if step.gang or step.lasts or self.shares.priority(found[0].job) <= wave.job.priority:
             return False
-        if self.budgets.is_guaranteed((placement.service, placement.priority)):
+        if self.budgets.is_guaranteed(self.shares.level_of(placement)):
             return False
         if step.saves:
             return True
