Operators read tenants: commands, API, explanations and metrics; no key is shown

Callers saw: nothing told what a tenant may have, has running, or waits for; a job that waited for its tenant's maximum said so without figures.

Change: the reading calls `tenants` and `tenant` (scheduling/tenant_calls.py), GET /v1/tenants and /v1/tenants/{tenant}, `pinepitch tenant list|show`. Keys are counted, and each told by eight digits of its digest. A job's explanation names its tenant and whether it lies beyond the tenant's weight, and gives figures where the tenant is at its maximum. Metrics tenants_at_maximum, and tenant_used for the 20 tenants that use most of their maxima.

Tests: two scenarios in features/jobs_api.feature.

--- a/features/jobs_api.feature
+++ b/features/jobs_api.feature
@@ -63,3 +63,16 @@
     When a job runs whose name looks like a number
     Then "pinepitch job show" and "pinepitch explain" name its placements, and "workers" and "configuration show" what there is
     And a job that never was ends the command with 1
+
+  Scenario: operators read what tenants may have and have running, and never a key
+    Given a simulated fleet with three workers, and tenants "osu/east" with 2 cores and "007" in force
+    When "osu/east" hands in a job of 3 tasks of a core, and the workers heartbeat until 2 of them run
+    Then the job tells its tenant, and that it waits for the tenant's maximum of 2000, all of which is used
+    And "pinepitch tenant list" tells both tenants, the first at its maximum with 1 job open and waiting
+    And "pinepitch tenant show" tells a fingerprint of each of its keys, and none of these commands a key
+    And a tenant that never was ends the command with 1
+    And the leader's metrics tell one tenant at its maximum, which uses all its cores
+
+  Scenario: metrics tell the 20 tenants that use most of their maxima, and no more
+    Given a control daemon with 30 tenants of which each uses one hundredth more than the one before
+    Then its metrics tell those numbered 10 to 29
--- a/features/steps/command_line.py
+++ b/features/steps/command_line.py
@@ -25,6 +25,7 @@
     pushed_jobs,
     queue_configuration,
     queue_table,
+    tenants,
     workers,
 )
 from pinepitch.transport.http import Response
@@ -35,6 +36,7 @@
     "pushed_job": pushed_jobs.PushedJobCommands,
     "queue_configuration": queue_configuration.QueueConfigurationCommands,
     "queue_table": queue_table.QueueTableCommands,
+    "tenant": tenants.TenantCommands,
     "worker": workers.WorkerCommands,
     "zone": workers.ZoneCommands,
 }
--- a/features/steps/jobs_api.py
+++ b/features/steps/jobs_api.py
@@ -1,6 +1,7 @@
 """Steps for Jobs Api: jobs of a simulated fleet, whose workers are stand-ins that heartbeat."""
 
 import contextlib
+import hashlib
 import io
 import json
 from unittest import mock
@@ -12,6 +13,8 @@
 from pinepitch.cli import commands, explain, front_commands
 from pinepitch.common import constants
 from pinepitch.common.effects import Reply
+from pinepitch.control import metrics_text
+from pinepitch.scheduling.configuration import Configuration
 from pinepitch.simulation.simulator import Simulator
 from pinepitch.transport.http import Response
 
@@ -477,3 +480,105 @@
 def step_command_unknown(context, code):
     shown, got = answered(context, commands.Commands, "job", "show", "0000000000000000")
     assert got == code and "unknown_job" in shown, (shown, got)
+
+
+# --- tenants ----------------------------------------------------------------------------------
+LIMITED, NUMERIC = "osu/east", "007"  # names of tenants that a path and a command line must carry unchanged
+KEYS = {LIMITED: ["first secret", "second secret"], NUMERIC: ["third secret"]}
+CORE = 1000  # thousandths
+
+
+@given('a simulated fleet with three workers, and tenants "osu/east" with 2 cores and "007" in force')
+def step_tenants(context):
+    step_workers(context)
+    tenants = [
+        {"name": LIMITED, "keys": KEYS[LIMITED], "weight": 2, "maximum": {"cpu": 2 * CORE, "gpu": 0}},
+        {"name": NUMERIC, "keys": KEYS[NUMERIC]},
+    ]
+    document = {**CONFIGURATION, "version": 4, "tenants": tenants}
+    assert call(context.simulator, "configure", (3, document)) == (200, {"version": 4})
+
+
+@when('"osu/east" hands in a job of 3 tasks of a core, and the workers heartbeat until 2 of them run')
+def step_tenant_job(context):
+    document = {"spec": "work", "steps": [{"count": 3, "cpu": CORE}]}
+    for key, status in (("first", 401), ("first secret", 200)):
+        got = call(context.simulator, "job", (HOST, PREFIX + ID, document, key))
+        assert got[0] == status, got
+    heartbeats_until(context, lambda: len(all_running(context)) == 2)
+    send_heartbeats(context, rounds=3)
+    assert len(all_running(context)) == 2
+
+
+@then("the job tells its tenant, and that it waits for the tenant's maximum of 2000, all of which is used")
+def step_at_maximum(context):
+    for place in range(context.fronts):
+        document = explained(context, front=place)
+        assert (document["tenant"], document["beyond_weight"]) == (LIMITED, False), document
+        why = "its tenant is at its maximum (cpu 2000 of 2000 used, 1000 more asked for)"
+        assert document["waves"][0]["why"] == why, document["waves"]
+
+
+@then('"pinepitch tenant list" tells both tenants, the first at its maximum with 1 job open and waiting')
+def step_tenant_list(context):
+    shown, code = answered(context, commands.Commands, "tenant", "list")
+    rows = [line.split() for line in shown.splitlines()]
+    assert code == 0 and rows == [
+        ["tenant", "weight", "maximum", "used", "open", "waiting", "excess", "at_maximum", "keys"],
+        [NUMERIC, "0", "-/-/-", "0/0/0", "0", "0", "0", "False", "1"],
+        [LIMITED, "2", "2000/-/-", "2000/0/0", "1", "1", "0", "True", "2"],
+    ], shown
+    context.shown = [shown, answered(context, commands.Commands, "tenant", "list", "--json")[0]]
+
+
+@then('"pinepitch tenant show" tells a fingerprint of each of its keys, and none of these commands a key')
+def step_tenant_show(context):
+    for name, keys in KEYS.items():
+        shown, code = answered(context, commands.Commands, "tenant", "show", name, "--json")
+        digests = sorted(hashlib.sha256(key.encode()).hexdigest()[:8] for key in keys)
+        assert code == 0 and json.loads(shown)["tenant"] == name, shown
+        assert json.loads(shown)["fingerprints"] == digests, shown
+        context.shown += [shown, answered(context, commands.Commands, "tenant", "show", name)[0]]
+    for text in (*context.shown, json.dumps(explained(context))):
+        assert "secret" not in text, text
+
+
+@then("a tenant that never was ends the command with {code:d}")
+def step_tenant_unknown(context, code):
+    shown, got = answered(context, commands.Commands, "tenant", "show", "nobody")
+    assert got == code and "unknown_tenant" in shown, (shown, got)
+
+
+def samples(daemon, now):
+    """The metrics of a control daemon: {name: {values of the labels, by their names: value}}."""
+    found = {}
+    for family in text_string_to_metric_families(metrics_text.text(daemon, now)):
+        for sample in family.samples:
+            name = sample.name.removeprefix("pinepitch_")
+            found.setdefault(name, {})[tuple(sample.labels.values())] = sample.value
+    return found
+
+
+@then("the leader's metrics tell one tenant at its maximum, which uses all its cores")
+def step_tenant_metrics(context):
+    found = samples(context.simulator.leader().core, context.simulator.now)
+    assert found["tenants_at_maximum"] == {(): 1}, found["tenants_at_maximum"]
+    assert found["tenant_used"] == {("cpu", LIMITED): 1}, found["tenant_used"]
+
+
+@given("a control daemon with {count:d} tenants of which each uses one hundredth more than the one before")
+def step_many_tenants(context, count):
+    step_fleet(context)
+    context.daemon = context.simulator.leader().core
+    leased_jobs = context.daemon.cluster_state.leased_jobs
+    tenants = [
+        {"name": f"t{place}", "keys": [f"key {place}"], "maximum": {"cpu": 100}} for place in range(count)
+    ]
+    leased_jobs.configuration = Configuration({**CONFIGURATION, "tenants": tenants})
+    leased_jobs.used_by_tenant = {f"t{place}": (place, 0, 0) for place in range(count)}
+
+
+@then("its metrics tell those numbered {first:d} to {last:d}")
+def step_largest_tenants(context, first, last):
+    found = samples(context.daemon, context.simulator.now)["tenant_used"]
+    assert found == {("cpu", f"t{place}"): place / 100 for place in range(first, last + 1)}, found
--- a/src/pinepitch/cli/commands.py
+++ b/src/pinepitch/cli/commands.py
@@ -7,6 +7,7 @@
 from .pushed_jobs import PushedJobCommands
 from .queue_configuration import QueueConfigurationCommands
 from .queue_table import QueueTableCommands
+from .tenants import TenantCommands
 from .text_tables import table
 from .workers import WorkerCommands, ZoneCommands
 
@@ -21,6 +22,7 @@
         self.queue_configuration = QueueConfigurationCommands
         self.queue_table = QueueTableCommands
         self.job = LeasedJobCommands
+        self.tenant = TenantCommands
         self.configuration = RouteConfigurationCommands
 
     def workers(self, front: str | None = None, json: bool = False) -> None:
--- a/src/pinepitch/control/metrics_text.py
+++ b/src/pinepitch/control/metrics_text.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -21,6 +22,7 @@
 Sample = tuple[Labels, Any]  # label values, and a number or a histogram
 
 RESOURCES = ("cpu", "memory", "accelerators")  # as in a worker's capacity
+MAX_TENANTS_TOLD = 20  # tenants; each has up to a label for each resource
 
 
 class Family(NamedTuple):
@@ -233,6 +235,35 @@
     )
 
 
+def _tenants(daemon: ControlDaemon, now: float) -> list[Family]:
+    """What tenants use of their maxima, of the largest users alone: the number of labels stays bounded."""
+    leased_jobs = daemon.cluster_state.leased_jobs
+    at_maximum = daemon.assignments.assigner.tenants_at_maximum(leased_jobs)
+    help_at_maximum = "Tenants with work that the leader's newest round left waiting for their maximum."
+    help_used = f"Part of its maximum that a tenant uses, of the {MAX_TENANTS_TOLD} that use most."
+    samples: list[Sample] = [
+        ((name, resource), part)
+        for name, parts in _largest_tenants(leased_jobs)
+        for resource, part in sorted(parts.items())
+    ]
+    return [
+        _single("gauge", "tenants_at_maximum", help_at_maximum, len(at_maximum)),
+        Family("gauge", "tenant_used", help_used, ("tenant", "resource"), samples),
+    ]
+
+
+def _largest_tenants(leased_jobs: LeasedJobState) -> list[tuple[str, dict[str, float]]]:
+    """(name, resource -> used part of its maximum) of the limited tenants that use most, by name."""
+    parts: dict[str, dict[str, float]] = {}
+    for name, used in leased_jobs.used_by_tenant.items():
+        tenant = leased_jobs.tenants.limited(name)
+        if tenant is not None:
+            limits = zip(RESOURCES, used, tenant.maximum, strict=True)
+            parts[name] = {one: taken / most for one, taken, most in limits if math.isfinite(most)}
+    largest = sorted(parts, key=lambda name: (-max(parts[name].values()), name))[:MAX_TENANTS_TOLD]
+    return [(name, parts[name]) for name in sorted(largest)]
+
+
 def _lease_workers(daemon: ControlDaemon, now: float) -> list[Family]:
     leased_jobs = daemon.cluster_state.leased_jobs
     capacity_help = (
@@ -302,6 +333,7 @@
     _push_workers,
     _placing,
     _leased_jobs,
+    _tenants,
     _lease_workers,
     _runs,
 )
--- a/src/pinepitch/front/routes.py
+++ b/src/pinepitch/front/routes.py
@@ -52,6 +52,8 @@
     ("DELETE", "/v1/drafts/{draft}", _named("drop")),
     ("GET", "/v1/jobs/{job}", _named("job-explain")),
     ("GET", "/v1/workers", _named("workers")),
+    ("GET", "/v1/tenants", _named("tenants")),
+    ("GET", "/v1/tenants/{tenant}", _named("tenant")),
     ("GET", "/v1/configuration", _named("configuration")),
     ("GET", "/v1/evacuations", _named("evacuations")),
     ("GET", "/v1/pending", _named("pending")),
--- a/src/pinepitch/model/contract.py
+++ b/src/pinepitch/model/contract.py
@@ -156,6 +156,8 @@
     "job-explain": (str,),
     "workers": (),
     "evacuations": (),
+    "tenants": (),
+    "tenant": (str,),
 }
 
 
--- a/src/pinepitch/scheduling/assigner.py
+++ b/src/pinepitch/scheduling/assigner.py
@@ -142,6 +142,11 @@
             return self._gang(wave, candidates, wave.key() in reservations.kept, time)
         return self._single(wave, candidates, reservations.kept.get(wave.key(), ()), time)
 
+    def tenants_at_maximum(self, leased_jobs: LeasedJobState) -> set[str]:
+        """The tenants of whose work the newest round left some waiting for their maximum."""
+        waiting = [key for key, why in self.why.items() if why == REASON_TENANT_AT_MAXIMUM]
+        return {leased_jobs.ready[key].job.tenant for key in waiting if key in leased_jobs.ready}
+
     def _remember_short(self, wave: Wave, placed: int, reservations: Reservations, now: float) -> None:
         """Remembers since when, and why, a wave of which so many tasks were placed is short of capacity."""
         left = len(wave.waiting) - placed
--- a/src/pinepitch/scheduling/explain.py
+++ b/src/pinepitch/scheduling/explain.py
@@ -6,12 +6,13 @@
 
 from ..common import constants
 from ..model.decisions import Answer, problem
+from .assigner import REASON_TENANT_AT_MAXIMUM
 from .daemon_interface import Daemon
 from .leased_job import DONE, PLACED, WAITING, LeasedJob, Wave
 from .leased_job_state import FinalJob, LeasedJobState
 from .placement import Placements
 from .plain_types import Arguments, Document
-from .resources import NO_RESOURCES, Amount, Resources, less, more
+from .resources import NO_RESOURCES, RESOURCE_KINDS, Amount, Resources, less, more, times
 from .worker import READY, Worker
 
 RESOURCE_NAMES = ("cpu", "mem_mb", "gpu")
@@ -53,6 +54,7 @@
         "job": identity,
         "state": final.state,
         "queue": final.queue,
+        **_tenant(final.tenant),
         "ended": final.ended,
         "waves": [],
         "more_waves": 0,
@@ -70,6 +72,8 @@
         "job": found.identity,
         "state": core.cluster_state.leased_jobs.state(found.identity),
         "queue": found.queue,
+        **_tenant(found.tenant),
+        **_beyond_weight(core, found),
         "service": found.service,
         "priority": found.priority,
         "attempts": found.attempts,
@@ -81,6 +85,16 @@
     }
 
 
+def _tenant(name: str) -> Document:
+    """The tenant of a job, as part of its explanation; nothing for a job of none."""
+    return {"tenant": name} if name else {}
+
+
+def _beyond_weight(core: Daemon, found: LeasedJob) -> Document:
+    """Whether a job of a tenant lies beyond the tenant's weight, as this leader judges it."""
+    return {"beyond_weight": core.assignments.assigner.shares.is_excess(found)} if found.tenant else {}
+
+
 def _wave(core: Daemon, wave: Wave, time: float, now: float) -> Document:
     states = {WAITING: 0, PLACED: 0, DONE: 0}
     for task in wave.tasks:
@@ -113,7 +127,24 @@
         return f"not before {wave.due:.3f}"
     if wave.breaking():
         return "waits for the ends of the rest of its gang"
-    return core.assignments.assigner.why.get(wave.key(), "not yet looked at by a round")
+    why = core.assignments.assigner.why.get(wave.key(), "not yet looked at by a round")
+    return why + _over_maximum(core, wave) if why == REASON_TENANT_AT_MAXIMUM else why
+
+
+def _over_maximum(core: Daemon, wave: Wave) -> str:
+    """What a tenant uses and may use of each resource of which a wave asks for too much."""
+    leased_jobs, step = core.cluster_state.leased_jobs, wave.step
+    tenant = leased_jobs.tenants.limited(wave.job.tenant)
+    if tenant is None:
+        return ""
+    used = leased_jobs.used_by_tenant.get(tenant.name, NO_RESOURCES)
+    asked = times(step.resources, len(wave.waiting) if step.gang else 1)
+    figures = [
+        f"{RESOURCE_NAMES[kind]} {used[kind]} of {tenant.maximum[kind]} used, {asked[kind]} more asked for"
+        for kind in RESOURCE_KINDS
+        if asked[kind] and used[kind] + asked[kind] > tenant.maximum[kind]
+    ]
+    return f" ({'; '.join(figures)})" if figures else ""
 
 
 def _candidates(core: Daemon, wave: Wave, now: float) -> dict[str, int]:
--- a/src/pinepitch/scheduling/requests.py
+++ b/src/pinepitch/scheduling/requests.py
@@ -8,7 +8,7 @@
 
 from ..common import constants
 from ..model.decisions import Answer, Decision, DeferHeartbeat, Propose, faulty, problem
-from . import configuration, explain
+from . import configuration, explain, tenant_calls
 from . import leased_job as jobs
 from . import worker as workers
 from .daemon_interface import Daemon
@@ -240,6 +240,7 @@
     "configuration": configuration_read,
     "evacuate": evacuate,
     **explain.CALLS,
+    **tenant_calls.CALLS,
 }
 OUTCOME_ANSWERS = {
     "job": submitted,
--- a/src/pinepitch/scheduling/tenants.py
+++ b/src/pinepitch/scheduling/tenants.py
@@ -28,6 +28,7 @@
     voluptuous.Optional("maximum"): voluptuous.Any(None, MAXIMUM),
     voluptuous.Extra: object,
 }
+FINGERPRINT_DIGITS = 8  # hexadecimal digits of a key's digest
 LIMITED_RESOURCES = ("cpu", "mem_mb", "gpu")  # in the order of resources.Resources
 
 
@@ -85,6 +86,11 @@
         """The name of the tenant that a key belongs to, or None."""
         return self._names.get(_digest(key))
 
+    def fingerprints(self, name: str) -> list[str]:
+        """The first digits of the digest of each key of a tenant: they tell keys apart, and are none."""
+        digests = [digest for digest, owner in self._names.items() if owner == name]
+        return sorted(digest.hex()[:FINGERPRINT_DIGITS] for digest in digests)
+
     def limited(self, name: str) -> Tenant | None:
         """The tenant of that name if it is limited in what it may have running, else None."""
         tenant = self.by_name.get(name)
