--- a/features/steps/round_fleet.py
+++ b/features/steps/round_fleet.py
@@ -34,7 +34,7 @@
     placed starts at once, and its end is agreed on in the round after it. `maxima` says of each tenant by
     name what it may have running, as a configuration has it."""
 
-    def __init__(self, count, urgencies=URGENCIES, policy=policies.DEFAULT, maxima=None):
+    def __init__(self, count, urgencies=URGENCIES, policy=policies.DEFAULT, maxima=None, tenants=()):
         self.now, self.made, self.sequence = 100.0, 0, 0
         self.leased_jobs, self.assignments = LeasedJobState(), AssignmentsStandIn()
         self.assigner = Assigner(Pace(2.0), policy)
@@ -52,12 +52,16 @@
         self.refused = 0  # tasks that a round placed and the leased job state did not
         self.maxima = maxima or {}
         self.most_used = {}  # tenant -> the most accelerators that its runs had at once
-        self._configure(urgencies)
+        limited = [
+            {"name": name, "keys": [f"key-{name}"], "maximum": maximum}
+            for name, maximum in self.maxima.items()
+        ]
+        self._configure(urgencies, [*tenants, *limited])
         for _ in range(2):
             self._beat()
 
-    def _configure(self, urgencies):
-        """Puts a queue into force for each name and urgency, all with the same service."""
+    def _configure(self, urgencies, tenants):
+        """Puts a queue into force for each name and urgency, all of one service, and tenants if any."""
         routes = [
             {
                 "name": name,
@@ -72,15 +76,13 @@
             for name, urgency in urgencies.items()
         ]
         document = {"version": 1, "services": [{"name": SERVICE}], "routes": routes}
-        if self.maxima:
-            document["tenants"] = [
-                {"name": name, "keys": [f"key-{name}"], "maximum": maximum}
-                for name, maximum in self.maxima.items()
-            ]
-        assert self.leased_jobs.configure(self.now, 0, document, "first", True) == ("configured", 1)
+        if tenants:
+            document["tenants"] = tenants
+        taken = self.leased_jobs.configure(self.now, 0, document, "first", bool(tenants))
+        assert taken == ("configured", 1), taken
 
     def put(self, queue, count, accelerators, seconds, tenant=None, **more):
-        """Hands in a job of one step, for a tenant or none; each task takes `seconds`."""
+        """Hands in a job of one step, of a tenant or none; each task takes `seconds`."""
         self.made += 1
         step = {"count": count, "gpu": accelerators, "est_ms": seconds * 1000, **TASK_REQUEST, **more}
         plain, faults = jobs.checked({"steps": [step]})
