Simulated fleet with tenants: keys change while daemons fail, and every call is checked

Callers saw on a shared deployment that a job with a key that no configuration ever held was answered 200 (ROUTE), and one with a key taken away seconds before as well (CONFIG). No simulated fleet sent keys, so no trial could see either.

KeyedTenancy is the fleet that runs jobs, with four tenants of two keys each in the first configuration. Its caller sends a key of the job's tenant with job, job-read and job-cancel, and probes with unknown, missing, revoked and other tenants' keys, at fronts and control daemons. Its operator adds, moves and takes away keys and tenants by amend and configure. key_checks.py judges every answered call by what the operator sent and was told: ROUTE, CONFIG, and jobs of other tenants. Scenarios: keys-calm, keys-leaders-fail (killed, frozen, restarted), keys-leader-deaf, keys-answers-lost; five injected faults.

--- a/src/pinepitch/simulation/jobs/fleet.py
+++ b/src/pinepitch/simulation/jobs/fleet.py
@@ -145,9 +145,13 @@
 
         return answered
 
+    def _called_daemons(self, tag):
+        """The daemons of which a caller calls one."""
+        return [node for node in self.nodes.values() if node.kind == "verge"]
+
     def _send_client_calls(self, name, effects):
         for _, draw, call, arguments, tag in effects:
-            fronts = [node for node in self.nodes.values() if node.kind == "verge"]
+            daemons = self._called_daemons(tag)
 
             def answered(status, document, tag=tag):
                 if self.draw.random() < self.answer_loss:
@@ -157,7 +161,7 @@
                 )
 
             self.send_call(
-                name, 0, fronts[draw % len(fronts)], call, arguments, constants.CALL_PATIENCE, answered
+                name, 0, daemons[draw % len(daemons)], call, arguments, constants.CALL_PATIENCE, answered
             )
 
     def persist_call(self, kind, call, arguments, decided, seconds):
--- a/src/pinepitch/simulation/jobs/injected_faults.py
+++ b/src/pinepitch/simulation/jobs/injected_faults.py
@@ -17,6 +17,7 @@
 from .. import order_injected_faults
 from ..simulator import EFFECTS, Simulator
 from .control_injected_faults import CONTROL_INJECTED_FAULTS
+from .key_injected_faults import KEY_INJECTED_FAULTS
 
 
 def _absent_at_once(self, worker, now):
@@ -105,6 +106,7 @@
 original_seats, original_heartbeat = assigner.candidate_workers, Worker.take_heartbeat
 INJECTED_FAULTS = {
     **CONTROL_INJECTED_FAULTS,
+    **KEY_INJECTED_FAULTS,
     # An old heartbeat is stopped by the end that its carried copy bears, too: without both it proves.
     "absence-at-once": [
         (AssignmentManager, "_take_absences", _absent_at_once),
--- a/src/pinepitch/simulation/jobs/stand_in_operator.py
+++ b/src/pinepitch/simulation/jobs/stand_in_operator.py
@@ -21,7 +21,7 @@
 
 class Change:
     """A change of the configuration. Invariants: document is what is in force once it is taken;
-    answers holds what was clearly answered, (sent, answered, status).
+    answers holds what was clearly answered, (sent, answered, status); given is when it was first sent.
     """
 
     def __init__(self, call, base, document, arguments):
@@ -29,6 +29,7 @@
         self.version = document["version"]
         self.answers = []
         self.pending = 0
+        self.given = None
 
     def acknowledged(self):
         """When it was acknowledged first, or None."""
@@ -70,6 +71,13 @@
     # --- changes ------------------------------------------------------------------------
     def found(self):
         """The first configuration, sent until it is taken."""
+        document = self._first_document()
+        change = self._give(Change("configure", 0, document, (0, document)))
+        if self.simulator.until(lambda: change.answers, 30, 0.02) is None:
+            raise AssertionError("the first configuration was not taken within 30 s")
+
+    def _first_document(self):
+        """The first configuration."""
         routes = [
             {
                 "name": name,
@@ -84,17 +92,15 @@
             }
             for name in ("held", "bare")
         ]
-        document = {
+        return {
             "version": 3,
             "routes": routes,
             "limits": {"anything": 1},
             "services": [{"name": "held", "guards": True}, {"name": "bare", "guards": False}],
         }
-        change = self._give(Change("configure", 0, document, (0, document)))
-        if self.simulator.until(lambda: change.answers, 30, 0.02) is None:
-            raise AssertionError("the first configuration was not taken within 30 s")
 
     def _give(self, change):
+        change.given = self.now()
         self.changes.append(change)
         self._send(change)
         return change
--- a/src/pinepitch/simulation/leased_job_trial.py
+++ b/src/pinepitch/simulation/leased_job_trial.py
@@ -13,6 +13,10 @@
 from .jobs.control_scenarios.registry import CONTROL_SCENARIOS
 from .jobs.fleet import Tenancy
 from .jobs.injected_faults import injected
+from .jobs.key_checks import key_faults
+from .jobs.key_injected_faults import KEY_INJECTED_FAULTS
+from .jobs.key_scenarios import KEY_SCENARIOS
+from .jobs.keyed_fleet import KeyedTenancy
 from .jobs.limits import (
     CONTROL_RUSHES,
     ENDS_WITHIN,
@@ -30,26 +34,29 @@
 
 def trial(scenario, seed, injected_fault=""):
     """(faults, simulator) of one trial, with an injected fault if one is named."""
+    cut_short = injected_fault in CONTROL_INJECTED_FAULTS or injected_fault in KEY_INJECTED_FAULTS
     with injected(injected_fault):
-        return _trial(
-            scenario, seed, FAILED_ENDS_WITHIN if injected_fault in CONTROL_INJECTED_FAULTS else ENDS_WITHIN
-        )
+        return _trial(scenario, seed, FAILED_ENDS_WITHIN if cut_short else ENDS_WITHIN)
 
 
 def _fleet(scenario, seed):
-    """The fleet of a trial: those of control scenarios are of every plan in turn."""
+    """The fleet of a trial: those of control scenarios are of every plan in turn, those of keys have
+    tenants.
+    """
+    if scenario in KEY_SCENARIOS:
+        return KeyedTenancy(seed)
     return Tenancy(seed, plan_for(seed) if scenario in CONTROL_SCENARIOS else None)
 
 
 def _strike(scenario, simulator):
-    """Plays a fault scenario; under one of the control daemons, orders come all the time."""
+    """Plays a fault scenario; under one of the control daemons or of keys, orders come all the time."""
     for turn in range(RUSHES if scenario in SCENARIOS else CONTROL_RUSHES):
         simulator.at(simulator.draw.uniform(0, 3) + 3 * turn, "later", simulator.operator_stand_in.rush)
     if scenario in SCENARIOS:
         SCENARIOS[scenario](simulator)
         return
     simulator.orders.begin()
-    CONTROL_SCENARIOS[scenario](simulator)
+    {**CONTROL_SCENARIOS, **KEY_SCENARIOS}[scenario](simulator)
     simulator.orders.end()
     simulator.until(simulator.orders.quiet, ORDERS_END_WITHIN)
 
@@ -88,6 +95,7 @@
         checks.gangs_met(history, client.jobs) if scenario == "calm" else [],
         checks.refused_without_rival(simulator.operator_stand_in.changes),
         simulator.agreement(),
+        key_faults(simulator) if scenario in KEY_SCENARIOS else [],
     ):
         faults.extend(found)
     if not any(job["final"] and job["final"][0] == "completed" for job in client.jobs.values()):
@@ -113,7 +121,11 @@
 
 def main(scenario="all", first="0", seeds="5", injected_fault=""):
     """Runs trials over seeds and prints how to replay each that fails."""
-    groups = {"all": (*SCENARIOS, *CONTROL_SCENARIOS), "control": tuple(CONTROL_SCENARIOS)}
+    groups = {
+        "all": (*SCENARIOS, *CONTROL_SCENARIOS, *KEY_SCENARIOS),
+        "control": tuple(CONTROL_SCENARIOS),
+        "keys": tuple(KEY_SCENARIOS),
+    }
     names = groups.get(scenario, scenario.split(","))
     work = [
         (name, seed, injected_fault) for seed in range(int(first), int(first) + int(seeds)) for name in names
