--- a/features/steps/guarantees.py
+++ b/features/steps/guarantees.py
@@ -6,6 +6,7 @@
 from behave import then
 
 from pinepitch.simulation import checks, guarantees, pushed_job_trial
+from pinepitch.simulation.jobs import key_checks
 from pinepitch.simulation.simulator import Simulator
 from pinepitch.simulation.stand_in_operator import Operator
 
@@ -45,3 +46,5 @@
             if re.fullmatch(r"[A-Za-z_.]+", name):
                 found = name.rpartition(".")[2]
                 assert any(hasattr(one, found) for one in owners), name
+    for rule in guarantees.KEY_RULES:
+        assert hasattr(key_checks, rule.check), rule.check
--- a/src/pinepitch/simulation/guarantees.py
+++ b/src/pinepitch/simulation/guarantees.py
@@ -8,6 +8,8 @@
 from .injected_faults import INJECTED_FAULTS
 from .jobs.control_injected_faults import CONTROL_INJECTED_FAULTS
 from .jobs.control_scenarios.registry import CONTROL_SCENARIOS
+from .jobs.key_injected_faults import KEY_INJECTED_FAULTS
+from .jobs.key_scenarios import KEY_SCENARIOS
 
 
 class Guarantee(NamedTuple):
@@ -161,6 +163,39 @@
 )
 
 
+class KeyRule(NamedTuple):
+    """One rule of tenants' keys, checked under every fault scenario of keys."""
+
+    line: str  # what must never happen
+    check: str
+    injected_faults: tuple[str, ...]  # that the check finds
+
+
+KEY_RULES = (
+    KeyRule(
+        "a call with no key, or one that no configuration ever held, is answered with success",
+        "never_held_refused",
+        ("key-unchecked", "missing-key-unchecked"),
+    ),
+    KeyRule(
+        "a call is handled as only a configuration allows that was replaced before it was sent",
+        "configuration_heeded",
+        ("keys-not-renewed", "keys-one-version-late"),
+    ),
+    KeyRule(
+        "a job is read, cancelled or handed in again by another tenant",
+        "jobs_kept_apart",
+        ("owner-unheeded",),
+    ),
+)
+KEY_FAULTS = (
+    ControlFault("keys-calm", "nothing, while keys change", "keys-not-renewed"),
+    ControlFault("keys-leaders-fail", "the leader is killed, frozen or restarted amid changes of keys"),
+    ControlFault("keys-leader-deaf", "the leader is cut off, callers reach it", "lease-ignored"),
+    ControlFault("keys-answers-lost", "answers lost, connections reset amid changes of keys"),
+)
+
+
 def missing():
     """What stands in no row: fault scenarios of both kinds and injected faults, named."""
     shown = {fault_scenario for _, scenarios_listed in FAILURES for fault_scenario in scenarios_listed}
@@ -168,11 +203,15 @@
         injected_fault for guarantee in GUARANTEES for injected_fault in guarantee.injected_faults
     } | set(CONDITIONS)
     scenarios = {fault.scenario for fault in CONTROL_FAULTS}
+    key_scenarios = {fault.scenario for fault in KEY_FAULTS}
+    key_injected = {injected_fault for rule in KEY_RULES for injected_fault in rule.injected_faults}
     unseen = set(CONTROL_INJECTED_FAULTS) - {fault.injected_fault for fault in CONTROL_FAULTS}
     return sorted(
         (set(FAULT_SCENARIOS) ^ shown)
         | (set(INJECTED_FAULTS) ^ injected)
         | (set(CONTROL_SCENARIOS) ^ scenarios)
+        | (set(KEY_SCENARIOS) ^ key_scenarios)
+        | (set(KEY_INJECTED_FAULTS) ^ key_injected)
         | unseen
     )
 
@@ -199,12 +238,24 @@
     lines += [
         f"({chr(97 + place)}) {guarantee.why}." for place, guarantee in enumerate(GUARANTEES) if guarantee.why
     ]
-    lines += ["", "| fault scenario of control daemons | what fails | an injected fault that it finds |"]
+    lines += _fault_rows("control daemons", CONTROL_FAULTS)
+    lines += ["", "| of tenants' keys must never happen | check | injected faults that it finds |"]
     lines.append("| --- | --- | --- |")
-    for fault in CONTROL_FAULTS:
+    for rule in KEY_RULES:
+        found_faults = ", ".join(f"`{one}`" for one in rule.injected_faults)
+        lines.append(f"| {rule.line} | `{rule.check}` | {found_faults} |")
+    lines += _fault_rows("tenants' keys", KEY_FAULTS)
+    return "\n".join(lines)
+
+
+def _fault_rows(of_what, faults):
+    """The lines of a table of fault scenarios."""
+    lines = ["", f"| fault scenario of {of_what} | what fails | an injected fault that it finds |"]
+    lines.append("| --- | --- | --- |")
+    for fault in faults:
         injected_fault = f"`{fault.injected_fault}`" if fault.injected_fault else ""
         lines.append(f"| `{fault.scenario}` | {fault.fails} | {injected_fault} |")
-    return "\n".join(lines)
+    return lines
 
 
 BEGIN, END = "<!-- tables: pinepitch proof -->", "<!-- end of tables -->"
