Rounds of a large fleet share orders and rack counts; progress is looked at per heartbeat

Cause: what the leader does between heartbeats grew with the fleet times what waits. Each waiting gang had every rack ranked and filled in each round, each wave ranked all workers anew, each wave with capacity kept for it measured all of them, and all runs were judged ten times a second though a large fleet tells progress twice.

Change: a round ranks the candidates once (CandidateOrder) and counts members by rack and by what gangs ask (RackIndex), kept up as it places; a gang that asks for as much as one that found nothing is refused without a look; reservations share the workers able to take alike waves; progress is looked at once for each heartbeat interval, which is 0.1 s as before in fleets of up to 125 workers.

--- a/features/steps/round_fleet.py
+++ b/features/steps/round_fleet.py
@@ -1,5 +1,7 @@
 """A fleet without daemons: rounds of the assigner over leased jobs, workers and runs in virtual time."""
 
+import collections
+
 from heartbeats import heartbeat
 
 from pinepitch.scheduling import leased_job as jobs
@@ -33,7 +35,8 @@
     """A board whose runs take just as long as they are told to. Invariant: every run that is
     placed starts at once, and its end is agreed on in the round after it."""
 
-    def __init__(self, count, urgencies=URGENCIES, policy=policies.DEFAULT):
+    def __init__(self, count, urgencies=URGENCIES, policy=policies.DEFAULT, rack_size=3, zone_size=None):
+        self.rack_size, self.zone_size = rack_size, zone_size  # workers; all are in one zone where None
         self.now, self.made, self.sequence = 100.0, 0, 0
         self.leased_jobs, self.assignments = LeasedJobState(), AssignmentsStandIn()
         self.assigner = Assigner(Pace(2.0), policy)
@@ -99,20 +102,23 @@
     def _beat(self):
         """Every worker that is not silent says what it runs."""
         self.sequence += 1
+        runs = collections.defaultdict(list)
+        for worker_name, reference, run in (*self.ends_at, *self.stops_at):
+            runs[worker_name].append([reference, run, "", 50])
         for identity, worker in self.workers.items():
             if identity in self.silent:
                 continue
-            running = [
-                [reference, run, "", 50]
-                for worker_name, reference, run in (*self.ends_at, *self.stops_at)
-                if worker_name == identity
-            ]
-            labels = ["a", f"r{int(identity[1:]) // 3}"]
+            labels = ["a", f"r{int(identity[1:]) // self.rack_size}"]
             heartbeat_arguments = heartbeat(
-                self.sequence, self.now, SERVICE, identity, labels, WORKER_CAPACITY, running
+                self.sequence, self.now, SERVICE, identity, labels, WORKER_CAPACITY, runs[identity]
             )
+            heartbeat_arguments["zone"] = self.zone_of(identity)
             worker.take_heartbeat(heartbeat_arguments, self.now)
 
+    def zone_of(self, identity):
+        """The zone that a worker stands in."""
+        return "north" if self.zone_size is None else f"zone-{int(identity[1:]) // self.zone_size}"
+
     def _end_runs(self):
         for ends, how in ((self.ends_at, "done"), (self.stops_at, "stopped")):
             for key in [key for key, at in ends.items() if at <= self.now]:
--- a/src/pinepitch/scheduling/assigner.py
+++ b/src/pinepitch/scheduling/assigner.py
@@ -3,19 +3,19 @@
 The rules and what was weighed for them: docs/design/sharing.md.
 """
 
-import heapq
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 from ..common import constants
 from . import policy as policies
 from .budgets import CapacityBudgets
-from .candidate_workers import CandidateWorker, StepKey, candidate_workers
+from .candidate_order import CandidateIndex, Rank, fill
+from .candidate_workers import CandidateWorker, candidate_workers
 from .idle_capacity import IdleCapacityCheck, Violation
 from .leased_job import Step, Wave, WaveKey
 from .leased_job_state import LeasedJobState, WaveAssignment
 from .reservations import PendingStops, Reservations
-from .resources import RESOURCE_KINDS, Amount, Resources, less, tasks_in, times
+from .resources import RESOURCE_KINDS, Resources, tasks_in, times
 from .run_speed import Pace
 from .run_stop import StopItem
 from .tenants import TenantCapacity, Tenants
@@ -30,8 +30,6 @@
 
 # (index of a task, identity of the worker that it is placed on) for some tasks of a wave.
 Group = list[tuple[int, str]]
-# A candidate in a heap: (score, place among the candidates, candidate); the least score first.
-RankedCandidate = tuple[tuple[Any, ...], int, CandidateWorker]
 
 
 class Assigner:
@@ -55,8 +53,11 @@
         self.budgets = CapacityBudgets(pace, policy)
         self.hot_at: float | None = None
         self.hot: dict[str, float] = {}  # rack -> work of late that wanted to be there
+        self.hottest = 1.0  # the most work that wanted to be in one rack, 1 or more
         self.why: dict[WaveKey, str] = {}  # key of a wave -> why the newest round left some of it
-        self.tenant_capacity = TenantCapacity(Tenants(None), {})  # of the round under way
+        # of the round under way
+        self.tenant_capacity = TenantCapacity(Tenants(None), {})
+        self.indices: dict[str, CandidateIndex] = {}  # by service
 
     def round(
         self,
@@ -86,6 +87,9 @@
             leased_jobs, assignments, self.budgets, candidates, self.kept_since, time, self.policy
         )
         stops = reservations.keep(waves, self.short, now) if self.policy.keep_seats else ()
+        self.indices = {
+            service: CandidateIndex(mine, self._suitability) for service, mine in candidates.items()
+        }
         items, complete = self._place_waves(waves, candidates, reservations, now, time)
         self._forget_short(leased_jobs)
         if complete:
@@ -203,28 +207,36 @@
         self.hot_at, left = now, 0.5 ** (passed / constants.PEAK_HALF)
         for rack in self.hot:
             self.hot[rack] *= left
+        self.hottest = max((1, *self.hot.values()))
 
-    def _score(self, wave: Wave, candidate: CandidateWorker) -> tuple[Any, ...]:
-        """The better the lower: near its data, then where it leaves least capacity over."""
-        step = wave.step
-        far = self.policy.prefer_near and bool(step.near) and step.near not in candidate.labels
-        left = less(candidate.free, step.resources)
-        hot = (
-            0
-            if step.near or not self.policy.avoid_hot_racks
-            else round(constants.HOT_STEPS * self.hot.get(candidate.rack, 0) / max(1, *self.hot.values(), 1))
-        )
+    def _suitability(self, candidate: CandidateWorker, wave: Wave | None = None) -> Rank:
+        """The better the lower, for a task of a wave, or for one of any that has neither data near a rack nor
+        capacity kept: near its data, then where it leaves least capacity over.
+        """
+        near = wave.step.near if wave is not None else ""
         return (
             candidate.unreliable,
             candidate.kept is not None and candidate.kept is not wave,
-            far,
-            hot,
-            round(candidate.worker.speed * constants.SPEED_STEPS) if self.policy.prefer_fast_workers else 0,
-            left[2],
-            left[0],
+            self.policy.prefer_near and bool(near) and near not in candidate.labels,
+            0 if near else self._heat_of(candidate.rack),
+            self._slowness_of(candidate),
+            candidate.free[2],
+            candidate.free[0],
             candidate.identity,
         )
 
+    def _heat_of(self, rack: str) -> int:
+        """How much a rack is wanted for its data, in steps beside the rack most wanted."""
+        if not self.hot or not self.policy.avoid_hot_racks:
+            return 0
+        return round(constants.HOT_STEPS * self.hot.get(rack, 0) / self.hottest)
+
+    def _slowness_of(self, candidate: CandidateWorker) -> int:
+        """A candidate's speed, in steps within which candidates count as alike."""
+        if not self.policy.prefer_fast_workers:
+            return 0
+        return round(candidate.worker.speed * constants.SPEED_STEPS)
+
     def _single(
         self, wave: Wave, candidates: Sequence[CandidateWorker], kept: Sequence[CandidateWorker], time: float
     ) -> Group:
@@ -235,7 +247,7 @@
         waiting = waiting[: self.tenant_capacity.allowance(wave.job.tenant, step.resources, len(waiting))]
         patience = self._patience(wave, candidates, time) if step.near and self.policy.wait_near else 0
         if step.near:
-            self.hot[step.near] = max(self.hot.get(step.near, 0), len(waiting) * max(step.resources[0], 1))
+            self._heat(wave, len(waiting))
         group = self._take(wave, kept, waiting)
         self.budgets.charge(wave, len(group))
         waiting = waiting[len(group) :]
@@ -246,16 +258,27 @@
         patient = max(0, min(allowed, patience - len(group)))
         more = self._take(wave, near_by, waiting[:patient])
         if len(more) == patient:
-            more += self._take_anywhere(wave, candidates, waiting[patient:allowed])
+            more += self._take_anywhere(wave, candidates, waiting[patient:allowed], usual=not kept)
         if len(more) < allowed:
             self.why.pop(wave.key(), None)  # what lacked was capacity
         self.budgets.charge(wave, len(more))
         return group + more
 
+    def _heat(self, wave: Wave, count: int) -> None:
+        """So many tasks of a wave want to be in the rack of their data."""
+        near, wanted = wave.step.near, count * max(wave.step.resources[0], 1)
+        if wanted > self.hot.get(near, 0):
+            self.hot[near] = wanted
+            self.hottest = max(self.hottest, wanted)
+            for index in self.indices.values():
+                index.forget_order()
+
     def _take_anywhere(
-        self, wave: Wave, candidates: Sequence[CandidateWorker], indices: Sequence[int]
+        self, wave: Wave, candidates: Sequence[CandidateWorker], indices: Sequence[int], usual: bool
     ) -> Group:
-        """As _take, of all candidates; waves like one that found too few of them are not tried again."""
+        """As _take, of all candidates; waves like one that found too few of them are not tried again.
+        `usual`: whether no capacity is kept for the wave.
+        """
         step = wave.step
         alike = (
             wave.job.service,
@@ -266,21 +289,30 @@
         )
         if alike in self.exhausted:
             return []
-        group = self._take(wave, candidates, indices)
+        if usual and not step.near:
+            group = self._place(wave, self.indices[wave.job.service].order.with_free(step.resources), indices)
+        else:
+            group = self._take(wave, candidates, indices)
         if len(group) < len(indices):
             self.exhausted.add(alike)
         return group
 
     def _take(self, wave: Wave, candidates: Sequence[CandidateWorker], indices: Sequence[int]) -> Group:
         """[(index, worker)] for the first of some tasks, as many as find a candidate."""
-        group = []
-        order = self._order(wave, candidates) if indices else []
-        for index in indices:
-            candidate = self._next(wave, order)
-            if candidate is None:
-                break
-            group.append((index, candidate.identity))
-        return group
+        if not indices:
+            return []
+        return self._place(wave, self._ranked(wave, candidates), indices)
+
+    def _place(self, wave: Wave, ranked: Iterable[CandidateWorker], indices: Sequence[int]) -> Group:
+        """As _take, of candidates in the order in which they are preferred."""
+        chosen = fill(wave, ranked, len(indices))
+        self.indices[wave.job.service].placed(chosen)
+        return [(index, one.identity) for index, one in zip(indices, chosen, strict=False)]
+
+    def _ranked(self, wave: Wave, candidates: Iterable[CandidateWorker]) -> list[CandidateWorker]:
+        """The candidates that a wave's task may take, the best first."""
+        able = [candidate for candidate in candidates if candidate.may_place(wave)]
+        return sorted(able, key=lambda candidate: self._suitability(candidate, wave))
 
     def _why_left(self, wave: Wave, reservations: Reservations) -> str:
         """Why some of a wave found no candidate."""
@@ -289,28 +321,6 @@
                 return REASON_CAPACITY_KEPT
         return REASON_NO_CAPACITY
 
-    def _order(self, wave: Wave, candidates: Sequence[CandidateWorker]) -> list[RankedCandidate]:
-        """The candidates that a wave's task may take, as a heap, the best first."""
-        order = [
-            (self._score(wave, candidate), place, candidate)
-            for place, candidate in enumerate(candidates)
-            if candidate.may_place(wave)
-        ]
-        heapq.heapify(order)
-        return order
-
-    def _next(self, wave: Wave, order: list[RankedCandidate]) -> CandidateWorker | None:
-        """The best candidate, taken for one task, or None. Only the score of the candidate taken changes."""
-        if not order:
-            return None
-        _, place, candidate = order[0]
-        candidate.place(wave)
-        if candidate.may_place(wave):
-            heapq.heapreplace(order, (self._score(wave, candidate), place, candidate))
-        else:
-            heapq.heappop(order)
-        return candidate
-
     def _patience(self, wave: Wave, candidates: Sequence[CandidateWorker], time: float) -> int:
         """How many of a wave's tasks had better wait for capacity near their data than start far away:
         those that would be done there sooner, if what stands before them takes as long as they do.
@@ -331,38 +341,30 @@
         """Places all members of a gang, in one rack where the step asks for that and it may be had. Where
         none are kept for it, a gang leaves free what less urgent work is guaranteed.
         """
-        step = wave.step
-        if not kept and self.budgets.beside_claims(wave, len(wave.waiting)) < len(wave.waiting):
+        wanted = len(wave.waiting)
+        if not kept and self.budgets.beside_claims(wave, wanted) < wanted:
             self.why[wave.key()] = REASON_OVER_BUDGET
             return []
-        racks: dict[str, list[CandidateWorker]] = {}
-        for candidate in candidates:
-            racks.setdefault(candidate.rack, []).append(candidate)
-        tries: list[Sequence[CandidateWorker]] = []
-        tight = step.tight and self.policy.gang_in_one_rack
-        if tight:
-            tries = sorted(racks.values(), key=lambda one: sum(candidate.free[0] for candidate in one))
-        if not tight or time - wave.since >= constants.RACK_WAIT:
-            tries.append(candidates)
-        for some in tries:
-            group = self._fill(wave, some)
-            if group is not None:
-                self.budgets.charge(wave, len(group))
-                return group
-        return []
-
-    def _fill(self, wave: Wave, candidates: Sequence[CandidateWorker]) -> Group | None:
-        """A candidate for each member of a gang, or None with all as it was."""
-        order, group = self._order(wave, candidates), []
-        before: dict[str, tuple[CandidateWorker, Amount, dict[StepKey, int]]] = {}
-        for index in sorted(wave.waiting):
-            if order:
-                best = order[0][2]
-                before.setdefault(best.identity, (best, best.free, dict(best.steps)))
-            candidate = self._next(wave, order)
-            if candidate is None:
-                for used, free, steps in before.values():
-                    used.free, used.steps = free, steps
-                return None
-            group.append((index, candidate.identity))
+        ranked = self._ranked_for_gang(wave, candidates, kept, time)
+        if ranked is None:
+            return []
+        group = self._place(wave, ranked, sorted(wave.waiting))
+        self.budgets.charge(wave, wanted)
         return group
+
+    def _ranked_for_gang(
+        self, wave: Wave, candidates: Sequence[CandidateWorker], kept: bool, time: float
+    ) -> Iterable[CandidateWorker] | None:
+        """Candidates that take all of a gang between them, the best first, or None."""
+        index = self.indices[wave.job.service]
+        tight = wave.step.tight and self.policy.gang_in_one_rack
+        rack = index.racks.fullest_for(wave, kept) if tight else None
+        if rack is not None:
+            return self._ranked(wave, rack)
+        if tight and time - wave.since < constants.RACK_WAIT:
+            return None
+        if not index.racks.have_all(wave, kept):
+            return None
+        if kept or wave.step.near:
+            return self._ranked(wave, candidates)
+        return index.order.with_free(wave.step.resources)
--- a/src/pinepitch/scheduling/assignment_manager.py
+++ b/src/pinepitch/scheduling/assignment_manager.py
@@ -77,7 +77,7 @@
         self.assigning = 0  # entries that assign and are not yet applied
         self.assigned: dict[str, int] = {}  # worker -> runs proposed for it
         self.stopping: set[RunKey] = set()  # (reference, run) whose stop is proposed
-        self.ticked_at = self.watched_at = self.placed_at = -1e9
+        self.ticked_at = self.watched_at = self.progress_at = self.placed_at = -1e9
         self.due = True
         self.counts = {"beats": 0, "starts": 0, "stops": 0}
         self.end_counts: collections.Counter[str] = collections.Counter()  # how a run ended -> runs
@@ -294,9 +294,9 @@
             self._gone(identity, why)
         self.pace.forget(self.leased_jobs.jobs)
         self._copy_what_may_run_twice(now)
-        self._stop(self.progress.look(self.workers, self.leased_jobs, self.stopping, now), now)
-        for worker_id, reference, run in self.progress.take_misjudged():
-            self.core.event(185, minion=worker_id, task=reference, run=run)
+        if now - self.progress_at >= self._pace():
+            self.progress_at = now
+            self._watch_progress(now)
         for identity in [
             one
             for one, worker in self.workers.items()
@@ -305,6 +305,14 @@
         ]:
             del self.workers[identity]
 
+    def _watch_progress(self, now: float) -> None:
+        """Stops runs that stand still or are slow. Progress is told by heartbeats alone, so it is looked at
+        once for each that a worker with capacity sends.
+        """
+        self._stop(self.progress.look(self.workers, self.leased_jobs, self.stopping, now), now)
+        for worker_id, reference, run in self.progress.take_misjudged():
+            self.core.event(185, minion=worker_id, task=reference, run=run)
+
     def _copy_what_may_run_twice(self, now: float) -> None:
         """What an unresponsive worker runs is let go at once where the step says that a second run does no
         harm; should the first be done before, its late end still counts. What counts against a tenant's
--- a/src/pinepitch/scheduling/progress.py
+++ b/src/pinepitch/scheduling/progress.py
@@ -175,7 +175,7 @@
         """The runs that may be judged."""
         gangs: dict[WaveKey, tuple[Progress | None, ...]] = {}
         for worker in workers.values():
-            if worker.unresponsive(now) or worker.stale:
+            if not worker.progress or worker.unresponsive(now) or worker.stale:
                 continue
             placements = leased_jobs.placements.get(worker.identity, {})
             for key, progress in worker.progress.items():
@@ -184,9 +184,13 @@
                 if found is None or found[0].step.lasts or key in stopping:
                     continue
                 wave = found[0]
-                if wave.step.gang and wave.key() not in gangs:
-                    gangs[wave.key()] = self._members(wave, workers)
-                members = gangs[wave.key()] if wave.step.gang else ()
+                members: tuple[Progress | None, ...] = ()
+                if wave.step.gang:
+                    if self._moved_of_late(worker, progress):
+                        continue  # it is not judged by its like, so there is nothing to find
+                    if wave.key() not in gangs:
+                        gangs[wave.key()] = self._members(wave, workers)
+                    members = gangs[wave.key()]
                 yield WatchedRun(worker, key[0], key[1], wave, progress, members)
 
     def _members(self, wave: Wave, workers: dict[str, Worker]) -> tuple[Progress | None, ...]:
@@ -206,9 +210,15 @@
         finished = [one.percent >= constants.GANG_FINISHED for one in begun]
         return watched.progress.percent >= constants.GANG_FINISHED and not all(finished)
 
+    def _moved_of_late(self, worker: Worker, progress: Progress) -> bool:
+        """Whether a run told progress so lately that it can't have stood still for too long."""
+        return worker.heard_at - progress.changed_at <= constants.STALLED
+
     def _stalled(self, watched: WatchedRun) -> bool:
         """Whether a run has stood still for longer than its next step of progress can take."""
         progress, wave = watched.progress, watched.wave
+        if self._moved_of_late(watched.worker, progress):
+            return False
         begun, still_since = progress.first_at, progress.changed_at
         if wave.step.gang:
             if self._waits_for_others(watched):
--- a/src/pinepitch/scheduling/reservations.py
+++ b/src/pinepitch/scheduling/reservations.py
@@ -68,6 +68,9 @@
         self.kept: dict[WaveKey, list[CandidateWorker]] = {}  # key of a wave -> the candidates kept for it
         self.kept_resources: dict[Level, Resources] = {}  # (service, priority) -> capacity kept for its waves
         self.lasting: dict[str, Resources] = {}  # worker -> capacity of what lasts there
+        self.some_last: bool | None = None  # whether any open job has a step that lasts, once it was asked
+        self.able: dict[tuple[Any, ...], list[AbleCandidate]] = {}  # what a wave asks -> who could take it
+        self.busy: dict[str, float] = {}  # service -> part of its capacity that is in use
         self.waste = 0.0  # core-seconds that may still be thrown away for the wave looked at
 
     def keep(self, waves: list[Wave], short: dict[WaveKey, float], now: float) -> list[RunStop]:
@@ -109,7 +112,9 @@
         """Whether some of a service's capacity was kept for long while most of it is idle."""
         if now - self.kept_since.get(service, now) < constants.RESERVE_LASTS:
             return False
-        return in_use(self.candidates[service]) < constants.RESERVE_BUSY
+        if service not in self.busy:
+            self.busy[service] = in_use(self.candidates[service])
+        return self.busy[service] < constants.RESERVE_BUSY
 
     def _shape(self, wave: Wave) -> tuple[Any, ...]:
         """What decides which candidates a wave may have: waves of one shape are refused alike."""
@@ -158,10 +163,7 @@
         if not keepable or (step.gang and keepable < wanted):
             return None
         wanted = min(wanted, keepable)
-        able = [
-            one for candidate in self.candidates[wave.job.service] if (one := self._able(wave, candidate))
-        ]
-        able.sort(key=lambda one: one[:2])
+        able = [one for one in self._able_for(wave) if one.candidate.kept is None]
         if step.near:
             able = [one for one in able if step.near in one.candidate.labels] or able
         if step.gang and step.tight:
@@ -183,18 +185,43 @@
         most = max(1, int(len(self.candidates[service]) * constants.RESERVE_PART))
         return max(0, most - self.taken.get(service, 0))
 
+    def _able_for(self, wave: Wave) -> list[AbleCandidate]:
+        """The candidates that could be kept for a wave, kept for another or not, in the order of preference.
+        Nothing is placed while candidates are kept, so waves that ask alike share them.
+        """
+        step = wave.step
+        asked = (
+            wave.job.service,
+            step.resources,
+            step.needs,
+            (wave.job.identity, wave.number) if step.apart else None,
+        )
+        if asked not in self.able:
+            candidates = self.candidates[wave.job.service]
+            found = [one for candidate in candidates if (one := self._able(wave, candidate))]
+            self.able[asked] = sorted(found, key=lambda one: one[:2])
+        return self.able[asked]
+
     def _able(self, wave: Wave, candidate: CandidateWorker) -> AbleCandidate | None:
-        """A candidate as one that may be kept for a wave, or None."""
+        """A candidate as one that could be kept for a wave, or None."""
         step = wave.step
-        if candidate.kept is not None or candidate.unreliable:
+        if candidate.unreliable:
             return None
         members = candidate.potential_members(wave, self._lasting_on(candidate))
         if not members:
             return None
         return AbleCandidate(-candidate.free_share(step), candidate.identity, candidate, members)
 
+    def _some_last(self) -> bool:
+        """Whether any open job has a step that lasts."""
+        if self.some_last is None:
+            self.some_last = any(step.lasts for job in self.leased_jobs.jobs.values() for step in job.steps)
+        return self.some_last
+
     def _lasting_on(self, candidate: CandidateWorker) -> Resources:
         """Capacity on a candidate of runs that last, which no wait brings back."""
+        if not self._some_last():
+            return NO_RESOURCES
         if candidate.identity not in self.lasting:
             resources: Resources = NO_RESOURCES
             for placement in self.leased_jobs.placements.get(candidate.identity, {}).values():
--- a/src/pinepitch/scheduling/resources.py
+++ b/src/pinepitch/scheduling/resources.py
@@ -31,5 +31,9 @@
     """How many whole tasks that ask for `task` fit into `resources`, 0 or more; None where nothing is asked
     for, so that any number fits.
     """
-    counts = [max(0, resources[kind]) // task[kind] for kind in RESOURCE_KINDS if task[kind]]
-    return int(min(counts)) if counts else None
+    fewest: float | None = None
+    for kind in RESOURCE_KINDS:
+        if task[kind]:
+            count = max(0, resources[kind]) // task[kind]
+            fewest = count if fewest is None or count < fewest else fewest
+    return None if fewest is None else int(fewest)
