--- a/features/same_bytes/runs.py
+++ b/features/same_bytes/runs.py
@@ -289,6 +289,8 @@
     ask("/v1/jobs/{job}", "GET", "/v1/jobs/none")
     ask("/v1/nowhere", "GET", "/v1/nowhere")
     ask("/v1/setup", "DELETE", "/v1/setup")
+    ask("/v1/tenants", "GET", "/v1/tenants")
+    ask("/v1/tenants/{tenant}", "GET", "/v1/tenants/none")
 
 
 def _drafts_script(simulator, ask):
--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -293,7 +293,7 @@
 WAIT_PART = 0.5
 # of a service's capacity that work of each urgency gets once it has waited as long as it well can
 MIN_GUARANTEED_SHARE = 0.2
-TENANT_BURST = 1.0  # seconds; that jobs of a tenant may come before its weight has them due
+TENANT_BURST = 1.0  # seconds; that jobs may come before their tenant's weight has them due, unless told
 MAX_IDLE_WAIT = 3.0  # seconds; that a job with nothing placed may wait beside ample idle capacity
 IDLE_LOOK_EVERY = 0.5  # seconds; between looks for such jobs
 WIDE_PART = 0.25  # of a service's capacity; a step wider than that is expected to take several turns
--- a/src/pinepitch/control/daemon.py
+++ b/src/pinepitch/control/daemon.py
@@ -95,6 +95,8 @@
         self.rules: tuple[Any, ...] = ()  # alert rules of this machine's file
         self.lease_duration = constants.LEASE_DURATION  # seconds
         self.far = constants.FAR  # times as long that a task takes away from its data
+        # seconds that jobs may come before the weight of their tenant has them due
+        self.tenant_burst = constants.TENANT_BURST
         self.tracing = False  # whether events for a timeline of jobs are written
 
     def _begin_counts(self) -> None:
--- a/src/pinepitch/scheduling/assigner.py
+++ b/src/pinepitch/scheduling/assigner.py
@@ -41,7 +41,12 @@
     all.
     """
 
-    def __init__(self, pace: Pace, policy: policies.Policy = policies.DEFAULT) -> None:
+    def __init__(
+        self,
+        pace: Pace,
+        policy: policies.Policy = policies.DEFAULT,
+        tenant_burst: float = constants.TENANT_BURST,
+    ) -> None:
         self.pace, self.policy = pace, policy
         self.short: dict[WaveKey, float] = {}  # key of a wave -> since when it found no capacity
         # service -> since when some of its candidates are kept without a break
@@ -51,7 +56,7 @@
         self.idle_capacity = IdleCapacityCheck()
         self.violations: tuple[Violation, ...] = ()  # of the newest round
         self.near: dict[str, int] = {}  # rack -> tasks of this round that want to be there
-        self.shares = TenantShares()
+        self.shares = TenantShares(tenant_burst)
         self.budgets = CapacityBudgets(pace, policy, self.shares)
         self.hot_at: float | None = None
         self.hot: dict[str, float] = {}  # rack -> work of late that wanted to be there
--- a/src/pinepitch/scheduling/assignment_manager.py
+++ b/src/pinepitch/scheduling/assignment_manager.py
@@ -72,7 +72,7 @@
         self.pace = Pace(core.far)
         self.ends = EndIntake(core, self.pace)
         self.leases = LeaseWatch(core, now)
-        self.assigner = Assigner(self.pace, policy)
+        self.assigner = Assigner(self.pace, policy, core.tenant_burst)
         self.progress = ProgressWatch(self.pace, policy)
         self.assigning = 0  # entries that assign and are not yet applied
         self.assigned: dict[str, int] = {}  # worker -> runs proposed for it
--- a/src/pinepitch/scheduling/daemon_interface.py
+++ b/src/pinepitch/scheduling/daemon_interface.py
@@ -31,6 +31,7 @@
     address: str  # where its clients reach it
     lease_duration: float  # seconds that a worker may go on after the heartbeat that its lease answers
     far: float  # times as long that a task takes away from its data
+    tenant_burst: float  # seconds that jobs may come before the weight of their tenant has them due
     step_at: float  # `now` of the message that is being handled
 
     @property
--- a/src/pinepitch/scheduling/tenant_shares.py
+++ b/src/pinepitch/scheduling/tenant_shares.py
@@ -23,7 +23,8 @@
     A new leader starts with none of it, and judges the jobs that are open then.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, burst: float = constants.TENANT_BURST) -> None:
+        self.burst = burst  # seconds that jobs may come before the weight of their tenant has them due
         # name of a tenant -> theoretical arrival time of its next job, by the time of the cluster state
         self._arrivals: dict[str, float] = {}
         self._judged_until = float("-inf")  # when the newest job that was judged was accepted
@@ -57,7 +58,7 @@
         if tenant is None or tenant.weight <= 0:
             return True
         expected = self._arrivals.get(job.tenant, job.accepted)
-        if job.accepted < expected - constants.TENANT_BURST:
+        if job.accepted < expected - self.burst:
             return False
         self._arrivals[job.tenant] = max(job.accepted, expected) + 1 / tenant.weight
         return True
