Calls: a tenant's job, its cancel and configurations of tenants take effect once

No change of logic. Nine examples more in features/calls.feature: calls with keys and configurations with tenants, asked again at once and after the leader fell, and a tenant's job asked twice in one moment. `behave features/calls.feature`: 33 scenarios pass (24 before); none of the new ones failed on the code as it stands.

--- a/features/calls.feature
+++ b/features/calls.feature
@@ -23,6 +23,14 @@
       | a job's cancel              | after the leader fell | alike           |
       | a configuration             | at once               | alike           |
       | a configuration             | after the leader fell | alike           |
+      | a tenant's job              | at once               | alike           |
+      | a tenant's job              | after the leader fell | alike           |
+      | a tenant's cancel           | at once               | alike           |
+      | a tenant's cancel           | after the leader fell | alike           |
+      | a configuration of tenants  | at once               | alike           |
+      | a configuration of tenants  | after the leader fell | alike           |
+      | named tenants of one        | at once               | alike           |
+      | named tenants of one        | after the leader fell | alike           |
       | named items of one          | at once               | alike           |
       | named items of one          | after the leader fell | alike           |
       | an evacuation               | after the leader fell | alike           |
@@ -39,6 +47,7 @@
       | a change of the setup |
       | a draft               |
       | a job                 |
+      | a tenant's job        |
 
   Scenario: every call that changes something has a row on its page
     Then docs/design/control/calls.md has one row for each call that is no mere reading
--- a/features/steps/calls.py
+++ b/features/steps/calls.py
@@ -23,7 +23,15 @@
 }
 JOB_BODY = {"spec": "(text)", "steps": [{"count": 2, "cpu": 500, "mem_mb": 256, "est_ms": 900}]}
 PUSHED_JOB = {"queue": "default", "tasks": [{"name": "a", "work": {"seconds": 60.0}}]}
+TENANTS = [{"name": "one", "keys": ["key-1"]}, {"name": "two", "keys": ["key-2"]}]
+OF_TENANTS = {  # calls that need tenants in force, on top of version 2
+    "a tenant's job": ("job", (HOST, JOB, JOB_BODY, "key-1")),
+    "a tenant's cancel": ("job-cancel", (HOST, JOB, "key-1")),
+    "a configuration of tenants": ("configure", (2, {**CONFIGURATION, "version": 3, "tenants": TENANTS[:1]})),
+    "named tenants of one": ("amend", (2, 3, {"tenants": [{"name": "two", "keys": []}]}, {})),
+}
 ASKED = {
+    **OF_TENANTS,
     "a ticket": ("submit", None),  # its arguments are made by the product's own checks
     "a change of the setup": ("change", (None, "merge", {"notes": {"words": "one"}}, "operator", "a reason")),
     "a draft": ("draft", (2, {"notes": {"words": "one"}}, "operator", "a reason")),
@@ -136,8 +144,12 @@
 
 def prepared(context, call):
     """What must be there before a call can take effect."""
-    if call == "a job's cancel":
-        assert context.control_daemons.ask(*arguments_of("a job"))[0] == 200
+    if call in OF_TENANTS:
+        document = {**CONFIGURATION, "version": 2, "tenants": TENANTS}
+        assert context.control_daemons.ask("configure", (1, document))[0] == 200
+    handed_in = {"a job's cancel": "a job", "a tenant's cancel": "a tenant's job"}.get(call)
+    if handed_in:
+        assert context.control_daemons.ask(*arguments_of(handed_in))[0] == 200
     context.before = context.control_daemons.standing()
     return arguments_of(call)
 
