--- a/features/jobs_api.feature
+++ b/features/jobs_api.feature
@@ -70,6 +70,7 @@
     Then the job tells its tenant, and that it waits for the tenant's maximum of 2000, all of which is used
     And "pinepitch tenant list" tells both tenants, the first at its maximum with 1 job open and waiting
     And "pinepitch tenant show" tells a fingerprint of each of its keys, and none of these commands a key
+    And "pinepitch configuration show" tells the same fingerprints and no key, the platform the keys
     And a tenant that never was ends the command with 1
     And the leader's metrics tell one tenant at its maximum, which uses all its cores
 
--- a/features/steps/jobs_api.py
+++ b/features/steps/jobs_api.py
@@ -543,6 +543,18 @@
         assert "secret" not in text, text
 
 
+@then('"pinepitch configuration show" tells the same fingerprints and no key, the platform the keys')
+def step_configuration_without_keys(context):
+    shown, code = answered(context, commands.Commands, "configuration", "show")
+    listed = {one["name"]: one["keys"] for one in json.loads(shown)["tenants"]}
+    digests = {
+        name: [hashlib.sha256(key.encode()).hexdigest()[:8] for key in keys] for name, keys in KEYS.items()
+    }
+    assert code == 0 and listed == digests and "secret" not in shown, shown
+    read = call(context.simulator, "configuration", ())[1]
+    assert {one["name"]: one["keys"] for one in read["tenants"]} == KEYS, read
+
+
 @then("a tenant that never was ends the command with {code:d}")
 def step_tenant_unknown(context, code):
     shown, got = answered(context, commands.Commands, "tenant", "show", "nobody")
--- a/src/pinepitch/front/routes.py
+++ b/src/pinepitch/front/routes.py
@@ -54,7 +54,7 @@
     ("GET", "/v1/workers", _named("workers")),
     ("GET", "/v1/tenants", _named("tenants")),
     ("GET", "/v1/tenants/{tenant}", _named("tenant")),
-    ("GET", "/v1/configuration", _named("configuration")),
+    ("GET", "/v1/configuration", _named("configuration-shown")),
     ("GET", "/v1/evacuations", _named("evacuations")),
     ("GET", "/v1/pending", _named("pending")),
     ("GET", "/v1/cohort", _named("cohort")),
--- a/src/pinepitch/model/contract.py
+++ b/src/pinepitch/model/contract.py
@@ -157,6 +157,7 @@
     "workers": (),
     "evacuations": (),
     "tenants": (),
+    "configuration-shown": (),
     "tenant": (str,),
 }
 
--- a/src/pinepitch/scheduling/tenant_calls.py
+++ b/src/pinepitch/scheduling/tenant_calls.py
@@ -5,12 +5,13 @@
 from collections.abc import Set
 from typing import Any
 
+from ..common import constants
 from ..model.decisions import Answer, problem
 from .daemon_interface import Daemon
 from .leased_job_state import LeasedJobState
 from .plain_types import Arguments, Document
 from .resources import NO_RESOURCES, Resources
-from .tenants import LIMITED_RESOURCES, Tenant
+from .tenants import LIMITED_RESOURCES, Tenant, without_keys
 
 
 class _JobCounts:
@@ -86,5 +87,13 @@
     return Answer(200, {**reading.figures(name), "fingerprints": reading.fingerprints(name)})
 
 
+def configuration_shown(core: Daemon, token: Any, arguments: Arguments, now: float) -> Answer:
+    """The configuration in force, with fingerprints in place of keys."""
+    document = core.cluster_state.leased_jobs.configuration.document
+    if document is None:
+        return problem(503, "unconfigured", "no configuration is in force yet", constants.RETRY_AFTER)
+    return Answer(200, without_keys(document))
+
+
 # name on the wire -> how it is handled; part of control/requests/registry.py
-CALLS = {"tenants": tenants, "tenant": tenant}
+CALLS = {"tenants": tenants, "tenant": tenant, "configuration-shown": configuration_shown}
--- a/src/pinepitch/scheduling/tenants.py
+++ b/src/pinepitch/scheduling/tenants.py
@@ -90,8 +90,7 @@
 
     def fingerprints(self, name: str) -> list[str]:
         """The first digits of the digest of each key of a tenant: they tell keys apart, and are none."""
-        digests = [digest for digest, owner in self._names.items() if owner == name]
-        return sorted(digest.hex()[:FINGERPRINT_DIGITS] for digest in digests)
+        return sorted(_fingerprint(digest) for digest, owner in self._names.items() if owner == name)
 
     def limited(self, name: str) -> Tenant | None:
         """The tenant of that name if it is limited in what it may have running, else None."""
@@ -99,6 +98,19 @@
         return tenant if tenant is not None and tenant.is_limited else None
 
 
+def without_keys(document: Document) -> Document:
+    """A configuration with the fingerprint of each key in the key's place."""
+    listed = with_keys(document)
+    if listed is None:
+        return document
+    tenants = [{**one, "keys": [_fingerprint(_digest(key)) for key in one["keys"]]} for one in listed]
+    return {**document, "tenants": tenants}
+
+
+def _fingerprint(digest: bytes) -> str:
+    return digest.hex()[:FINGERPRINT_DIGITS]
+
+
 def _digest(key: str) -> bytes:
     return hashlib.sha256(key.encode("utf-8", "surrogatepass")).digest()
 
