--- a/features/steps/calls.py
+++ b/features/steps/calls.py
@@ -199,6 +199,14 @@
 def step_page(context):
     with open(os.path.join(ROOT, "docs", "design", "control", "calls.md")) as file:
         queue_settings = re.findall(r"^\| `([a-z-]+)` \|", file.read(), re.M)
-    readings = {"job-read", "configuration", "job-explain", "workers", "evacuations"}  # under the lease
+    readings = {
+        "job-read",
+        "configuration",
+        "job-explain",
+        "workers",
+        "evacuations",
+        "tenants",
+        "tenant",
+    }  # under the lease
     wanted = {name for name, call in REQUESTS.items() if not call.confirm_by_round} - readings
     assert sorted(queue_settings) == sorted(wanted), (set(queue_settings) ^ wanted, queue_settings)
