--- a/features/tenant_keys.feature
+++ b/features/key_trials.feature
@@ -1,4 +1,4 @@
-Feature: Keys of tenants
+Feature: Trials of keys of tenants
   While keys of tenants are added, replaced and taken away and daemons fail, no call runs with a key that no
   configuration holds, none in force is refused, and no tenant gets at another's job.
 
--- a/features/steps/tenant_keys.py
+++ b/features/steps/key_trials.py
@@ -1,4 +1,4 @@
-"""Steps for Keys of tenants: what the calls of a seeded trial were answered, and by whom."""
+"""Steps for Trials of keys of tenants: what the calls of a seeded trial were answered, and by whom."""
 
 from behave import then, when
 
