No start goes above a maximum that was lowered meanwhile; trials of tenants with a check of their own

Cause: the maximum was asked as a run was placed, not as its start was told. Change: the leader tells no start of a placement whose tenant has more placed than it may have running by now; as for a closed worker, a fresh heartbeat that does not list the run proves that it never started, and its task waits again. What runs is not stopped.

Also: a task that asks for more of a resource than the maximum runs where nothing else takes of that resource. Before it waited until its tenant used nothing of any kind, so beside lasting work of the tenant it never started.

Tests: simulation/jobs/quota_checks.py adds up what each tenant has running by the workers' histories alone; quota_trial.py drives the simulated fleet with keys, tenants whose maxima change, and `twice` steps.

--- a/features/leased_jobs.feature
+++ b/features/leased_jobs.feature
@@ -320,7 +320,7 @@
     When the leased job state places "0.0.1" of A on one
     Then nothing was placed
 
-  Scenario Outline: a task larger than its tenant's maximum runs where nothing else of the tenant does, <kind>
+  Scenario Outline: a task larger than its tenant's maximum runs where nothing else takes of that, <kind>
     Given a leased job state in which tenant acme may run "cpu=150 gpu=1"
     When the leased job state takes job A of tenant acme with steps "1 cpu=100"
     And the leased job state takes job B of tenant acme with steps "<steps>"
@@ -336,6 +336,14 @@
       | by itself    | 1 cpu=900         |
       | a gang of it | 1 cpu=900 gang    |
 
+  Scenario: a task larger than its tenant's maximum does not wait for what takes other resources
+    Given a leased job state in which tenant acme may run "cpu=150 gpu=1"
+    When the leased job state takes job A of tenant acme with steps "1 cpu=100 lasts"
+    And the leased job state takes job B of tenant acme with steps "2 cpu=0 gpu=2"
+    And the leased job state places "0.0.0" of A on one
+    And the leased job state places "0.0.0 0.0.1" of B on two
+    Then only "0.0.0" was placed
+
   Scenario: of tasks larger than their tenant's maximum one runs at a time
     Given a leased job state in which tenant acme may run "cpu=150"
     When the leased job state takes job A of tenant acme with steps "2 cpu=900"
@@ -346,8 +354,10 @@
     Given a leased job state in which tenant acme may run "cpu=400"
     When the leased job state takes job A of tenant acme with steps "5"
     And the leased job state places "0.0.0 0.0.1 0.0.2 0.0.3" of A on one
-    And the maximum of tenant acme becomes "cpu=200"
+    Then run 1 of "0.0.3" of A may start
+    When the maximum of tenant acme becomes "cpu=200"
     Then run 1 of "0.0.3" of A is held and wanted
+    And run 1 of "0.0.3" of A may not start any more
     When the leased job state hears that run 1 of "0.0.0 0.0.1" of A ended done
     And the leased job state places "0.0.4" of A on one
     Then nothing was placed
--- a/features/steps/leased_jobs.py
+++ b/features/steps/leased_jobs.py
@@ -276,6 +276,16 @@
     assert outcome[0] == "accepted", outcome
 
 
+@then('run {run:d} of "{task}" of {job_letter:w} may start')
+def step_may_start(context, run, task, job_letter):
+    assert not context.leased_jobs.over_maximum(placement_of(context, job_letter, tasks_of(task)[0], run))
+
+
+@then('run {run:d} of "{task}" of {job_letter:w} may not start any more')
+def step_may_not_start(context, run, task, job_letter):
+    assert context.leased_jobs.over_maximum(placement_of(context, job_letter, tasks_of(task)[0], run))
+
+
 @when("the leased job state is read from its image")
 def step_read_again(context):
     context.leased_jobs = LeasedJobState.from_image(cbor2.loads(cbor2.dumps(context.leased_jobs.image())))
--- a/src/pinepitch/scheduling/assignment_manager.py
+++ b/src/pinepitch/scheduling/assignment_manager.py
@@ -133,9 +133,19 @@
                 continue
             if placement.epoch != self.core.epoch and now - self.since < constants.REPORT_GATHERING:
                 continue
-            if not self.leased_jobs.wanted(placement) or not self._open_for(worker):
+            if not self._may_start(worker, placement):
                 self.ends.propose(worker.identity, reference, run, RUN_NEVER_STARTED, "", False)
 
+    def _may_start(self, worker: Worker, placement: Placement) -> bool:
+        """Whether a worker may be told to start what is placed there: still, as a maximum may have been
+        lowered, and its tenant may have no more started.
+        """
+        return (
+            self.leased_jobs.wanted(placement)
+            and self._open_for(worker)
+            and not self.leased_jobs.over_maximum(placement)
+        )
+
     def _open_for(self, worker: Worker) -> bool:
         """Whether a worker may be told to start anything."""
         return worker.state == READY and worker.zone not in self.leased_jobs.evacuated
@@ -217,15 +227,13 @@
         """What of its placements a worker is to start, and which (reference, run) it is to stop."""
         start, stop = [], []
         for key, placement in placements.items():
-            wanted = self.leased_jobs.wanted(placement)
             if key in worker.running:
-                if not wanted:
+                if not self.leased_jobs.wanted(placement):
                     stop.append(key)
             elif (
                 may_start
                 and key not in worker.listed
-                and wanted
-                and self._open_for(worker)
+                and self._may_start(worker, placement)
                 and not worker.stale
                 and (worker.identity, *key) not in self.ends.proposed
             ):
--- a/src/pinepitch/scheduling/leased_job_state.py
+++ b/src/pinepitch/scheduling/leased_job_state.py
@@ -190,6 +190,16 @@
         found = self.task(placement)
         return found is not None and not found[0].breaking()
 
+    def over_maximum(self, placement: Placement) -> bool:
+        """Whether a placement's tenant has more placed of what the placement takes than it may have running
+        by now, its maximum having been lowered.
+        """
+        tenant = self.tenants.limited(placement.tenant)
+        if tenant is None:
+            return False
+        others = less(self.used_by_tenant[tenant.name], placement.resources)
+        return not tenant.admits_task(others, placement.resources)
+
     # --- operations -------------------------------------------------------------------
     def accept(
         self, now: float, identity: str, queue: str, plain: PlainJob, tenant: str | None = None
--- a/src/pinepitch/scheduling/tenants.py
+++ b/src/pinepitch/scheduling/tenants.py
@@ -51,8 +51,13 @@
         return all(after[kind] <= self.maximum[kind] or not asked[kind] for kind in RESOURCE_KINDS)
 
     def admits_task(self, used: Resources, task: Resources) -> bool:
-        """The same for a single task; one that is larger than the maximum runs where nothing else does."""
-        return self.admits(used, task) or not any(used)
+        """The same for a single task; one that asks for more of a resource than the maximum runs where
+        nothing else takes of that resource.
+        """
+        return all(
+            used[kind] + task[kind] <= self.maximum[kind] or not (task[kind] and used[kind])
+            for kind in RESOURCE_KINDS
+        )
 
 
 def shared_keys(tenants: Iterable[Document]) -> Faults:
@@ -127,7 +132,7 @@
         if tenant is None:
             return wanted
         used = self.used.get(name, NO_RESOURCES)
-        if not any(used) and not tenant.admits(used, task):
+        if tenant.admits_task(used, task) and not tenant.admits(used, task):
             return min(wanted, 1)
         counts = [
             max(0, int((tenant.maximum[kind] - used[kind]) // task[kind]))
--- /dev/null
+++ b/src/pinepitch/simulation/jobs/quota_trial.py
@@ -0,0 +1,319 @@
+"""Trials of tenants that are limited in what they may have running: the simulated fleet that runs jobs under
+a fault scenario, while the maxima change. A trial is replayed by its scenario and seed.
+"""
+
+import contextlib
+import json
+import sys
+import time as clocks
+import traceback
+from unittest import mock
+
+from ...scheduling import tenants as tenant_rules
+from ...scheduling.assignment_manager import AssignmentManager
+from ...scheduling.leased_job_state import LeasedJobState
+from .. import leased_job_trial
+from . import checks, injected_faults, quota_checks
+from .fleet import Tenancy
+from .limits import IN_FLIGHT, LEASE_LONGEST
+from .scenarios import SCENARIOS, control_daemon_names, tenant_names
+from .stand_in_client import StandInClient
+from .stand_in_operator import Change, StandInOperator
+
+STOP_TAKES = 0.6  # seconds; a stop takes a worker at most this long
+CHANGE_EVERY = 2.5  # seconds; between two changes of a maximum
+CHANGES = 6  # of a maximum in one trial
+RATE = 2.0  # times the jobs of the usual trials
+TWICE_PART = 0.5  # of jobs whose steps a second run does no harm
+MAXIMA = {
+    "small": {"cpu": 4000, "gpu": 1},
+    "large": {"cpu": 7000, "mem_mb": 4000},
+    "free": None,
+}
+LOWERED = {  # what the maxima are lowered to for a while
+    "small": ({"cpu": 1000, "gpu": 1}, {"cpu": 2500}),
+    "large": ({"cpu": 2000}, {"mem_mb": 1000}),
+    "free": ({"cpu": 1500}, {"cpu": 0}),
+}
+
+
+def _tenant(name, maximum):
+    return {"name": name, "keys": [_key(name)], "weight": 5, "maximum": maximum}
+
+
+def _key(name):
+    return f"key-of-{name}"
+
+
+class QuotaClient(StandInClient):
+    """The stand-in caller with jobs of several tenants, each named by its key."""
+
+    def _make(self, kind, now):
+        super()._make(kind, now)
+        job = list(self.jobs.values())[-1]
+        job["tenant"] = self.random.choice(list(MAXIMA))
+        if self.random.random() < TWICE_PART:
+            for step in job["document"]["steps"]:
+                step["twice"] = True
+
+    def _on_tick(self, now):
+        return [
+            ("call", draw, call, (*arguments, _key(self.jobs[tag[0]]["tenant"])), tag)
+            for _, draw, call, arguments, tag in super()._on_tick(now)
+        ]
+
+
+class QuotaOperator(StandInOperator):
+    """The stand-in operators with tenants in every configuration, whose maxima they change.
+
+    Invariant: given_at holds when each change was sent first.
+    """
+
+    def __init__(self, simulator):
+        super().__init__(simulator)
+        self.given_at = {}  # id of a change -> seconds
+
+    def _give(self, change):
+        change.document.setdefault("tenants", [_tenant(*one) for one in MAXIMA.items()])
+        self.given_at[id(change)] = self.now()
+        return super()._give(change)
+
+    def change_maximum(self, name, maximum):
+        """Sends another maximum of a tenant, on top of what is in force as it is read now."""
+
+        def change(before):
+            version = self._next_version(before)
+            tenant = _tenant(name, maximum)
+            tenants = [tenant if one["name"] == name else one for one in before["tenants"]]
+            document = {**before, "version": version, "tenants": tenants}
+            arguments = (before["version"], version, {"tenants": [tenant]}, {})
+            self._give(Change("amend", before["version"], document, arguments))
+
+        self._ask_read(change)
+
+    def lower_some(self):
+        """Lowers the maximum of some tenant, or gives it back."""
+        name = self.random.choice(list(MAXIMA))
+        self.change_maximum(name, self.random.choice((MAXIMA[name], *LOWERED[name])))
+
+    def maxima_spans(self):
+        """When each configuration may have been in force: from its first sending until a newer one was
+        acknowledged, and for as long as an answer may be under way.
+        """
+        taken = [one for one in self.changes if one.acknowledged() is not None]
+        spans = []
+        for change in self.changes:
+            if change.acknowledged() is None and change.was_refused():
+                continue
+            newer = [one.acknowledged() for one in taken if one.version > change.version]
+            maxima = {one["name"]: one["maximum"] for one in change.document["tenants"]}
+            ended = min(newer) + IN_FLIGHT if newer else None
+            spans.append(quota_checks.Span(self.given_at[id(change)], ended, maxima))
+        return spans
+
+
+class QuotaFleet(Tenancy):
+    """The simulated fleet that runs jobs, with tenants."""
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.client_stand_in, self.operator_stand_in = QuotaClient(seed), QuotaOperator(self)
+        self.client_stand_in.rate = RATE
+
+
+def unresponsive_workers(simulator):
+    """Workers are cut off one after another for less than a lease, and run on."""
+    for _ in range(8):
+        names = simulator.draw.sample(tenant_names(simulator), 3)
+        simulator.partition(names, [one for one in simulator.nodes if one not in names])
+        simulator.run(simulator.draw.uniform(1.5, 4.0))
+        simulator.heal()
+        simulator.run(simulator.draw.uniform(0.2, 1.0))
+
+
+def leader_restarts(simulator):
+    """All control daemons are killed and read their images again, while workers run on."""
+    for _ in range(4):
+        simulator.run(simulator.draw.uniform(1, 3))
+        names = control_daemon_names(simulator)
+        for name in names:
+            simulator.kill(name)
+        simulator.run(simulator.draw.uniform(0.1, 0.5))
+        for name in names:
+            simulator.start(name)
+        simulator.run(simulator.draw.uniform(1, 3))
+
+
+QUOTA_SCENARIOS = {
+    **{
+        name: SCENARIOS[name]
+        for name in (
+            "calm",
+            "leader-killed",
+            "leader-deaf",
+            "all-killed",
+            "tenants-crash",
+            "tenants-cut",
+            "tenants-leave",
+            "tenants-leave-first",
+            "answers-late",
+            "beats-stale",
+            "lives-mixed",
+            "storm",
+        )
+    },
+    "workers-unresponsive": unresponsive_workers,
+    "leader-restarts": leader_restarts,
+}
+
+
+def _admits_all(self, wave, count):
+    return True
+
+
+def _over_nothing(self, placement):
+    return False
+
+
+def _allows_all(self, name, task, wanted):
+    return wanted
+
+
+def _unlimited_to_the_watch(self, now):
+    """Lets what an unresponsive worker runs go, whatever its tenant."""
+    with mock.patch.object(tenant_rules.Tenants, "limited", return_value=None):
+        original_copy(self, now)
+
+
+def _finish_uncounted(self, now, job, state):
+    """Counts the runs of a job that is over as nobody's."""
+    original_finish(self, now, job, state)
+    for placements in self.placements.values():
+        for placement in placements.values():
+            if placement.job == job.identity and placement.tenant:
+                self._take_back(placement.tenant, placement.resources)
+                placement.tenant = ""
+
+
+def _from_image_uncounted(cls, image):
+    """Reads an image without what tenants use."""
+    leased_jobs = original_from_image.__func__(cls, image)
+    for placements in leased_jobs.placements.values():
+        for placement in placements.values():
+            placement.tenant = ""
+    leased_jobs.used_by_tenant.clear()
+    return leased_jobs
+
+
+FREQUENT_SNAPSHOTS = injected_faults.INJECTED_FAULTS["frequent-snapshots"]
+original_copy, original_finish = AssignmentManager._copy_what_may_run_twice, LeasedJobState._finish
+original_from_image = LeasedJobState.from_image
+INJECTED_FAULTS = {
+    "maximum-unchecked": [
+        (LeasedJobState, "_admits", _admits_all),
+        (LeasedJobState, "over_maximum", _over_nothing),
+        (tenant_rules.TenantCapacity, "allowance", _allows_all),
+    ],
+    "twice-let-go": [(AssignmentManager, "_copy_what_may_run_twice", _unlimited_to_the_watch)],
+    "cancelled-uncounted": [(LeasedJobState, "_finish", _finish_uncounted)],
+    "lowered-unheeded": [(LeasedJobState, "over_maximum", _over_nothing)],
+    "counts-lost-on-restart": [
+        (LeasedJobState, "from_image", classmethod(_from_image_uncounted)),
+        *FREQUENT_SNAPSHOTS,
+    ],
+    # No fault but a condition under which nothing may break: the log is compacted all the time.
+    "frequent-snapshots": FREQUENT_SNAPSHOTS,
+}
+
+
+@contextlib.contextmanager
+def injected(name):
+    """The fault of that name in place; "" for none."""
+    with contextlib.ExitStack() as stack:
+        for owner, attribute, replacement in INJECTED_FAULTS[name] if name else ():
+            stack.enter_context(mock.patch.object(owner, attribute, replacement))
+        yield
+
+
+def owners_kept(simulator):
+    """Every job that is known is known as its tenant's."""
+    faults, leader = [], simulator.leader()
+    leased_jobs = leader.core.cluster_state.leased_jobs if leader is not None else LeasedJobState()
+    for identity, job in simulator.client_stand_in.jobs.items():
+        owner = leased_jobs.tenant_of(identity)
+        if owner not in (None, job["tenant"]):
+            faults.append(f"{identity} of {job['tenant']} is known as of {owner!r}")
+    return faults
+
+
+def trial(scenario, seed, injected_fault=""):
+    """(faults, simulator, usage) of one trial, with an injected fault if one is named."""
+    with injected(injected_fault):
+        return _trial(scenario, seed)
+
+
+def _trial(scenario, seed):
+    simulator, faults = QuotaFleet(seed), []
+    operator, client = simulator.operator_stand_in, simulator.client_stand_in
+    try:
+        simulator.begin()
+        simulator.run(2)
+        for turn in range(CHANGES):
+            simulator.at(CHANGE_EVERY * turn + simulator.draw.uniform(0, 1), "later", operator.lower_some)
+        QUOTA_SCENARIOS[scenario](simulator)
+        for name, maximum in MAXIMA.items():
+            operator.change_maximum(name, maximum)
+            simulator.run(1)
+        if not simulator.finish():
+            faults.append("jobs never ended")
+        faults.extend(operator.check())
+    except Exception as broken:  # a trial reports whatever ends it, to be replayed
+        place = traceback.extract_tb(broken.__traceback__)[-1]
+        faults.append(f"{type(broken).__name__} at {place.name}:{place.lineno}: {broken}")
+    tenants = {identity: job["tenant"] for identity, job in client.jobs.items()}
+    usage = quota_checks.usage(simulator.worker_history, tenants, operator.maxima_spans())
+    faults.extend(one.text() for one in usage.excesses)
+    running_most = IN_FLIGHT + LEASE_LONGEST + STOP_TAKES
+    faults.extend(checks.capacity_kept(simulator.worker_history))
+    faults.extend(checks.cancels_kept(simulator.worker_history, client.jobs, running_most))
+    faults.extend(checks.outcomes_true(simulator.worker_history, client))
+    faults.extend(owners_kept(simulator))
+    faults.extend(simulator.agreement())
+    return faults, simulator, usage
+
+
+def _one(arguments):
+    faults, simulator, usage = trial(*arguments)
+    return arguments, faults, (simulator.now, usage.limited_starts, usage.at_maximum)
+
+
+def many(work):
+    """Yields (arguments, faults, (virtual seconds, starts of limited tenants, those at a maximum)) of trials
+    run side by side.
+    """
+    yield from leased_job_trial.many(work, _one)
+
+
+def replay(scenario, seed, injected_fault=""):
+    """The command that runs one trial again."""
+    return f"python -m pinepitch.simulation.jobs.quota_trial {scenario} {seed} 1 {injected_fault}".strip()
+
+
+def main(scenario="all", first="0", seeds="5", injected_fault=""):
+    """Runs trials over seeds and prints how to replay each that fails."""
+    names = tuple(QUOTA_SCENARIOS) if scenario == "all" else scenario.split(",")
+    seeds_tried = range(int(first), int(first) + int(seeds))
+    work = [(name, seed, injected_fault) for seed in seeds_tried for name in names]
+    begun, failed, limited, at_maximum = clocks.monotonic(), 0, 0, 0
+    for arguments, faults, told in many(work):
+        limited, at_maximum = limited + told[1], at_maximum + told[2]
+        if faults:
+            failed += 1
+            print(replay(*arguments) + "\n   " + "\n   ".join(faults[:5]), flush=True)
+    summary = {"trials": len(work), "failed": failed, "limited_starts": limited, "at_maximum": at_maximum}
+    print(json.dumps({**summary, "seconds": round(clocks.monotonic() - begun, 1)}))
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(*sys.argv[1:]))
