--- a/features/steps/calls.py
+++ b/features/steps/calls.py
@@ -206,6 +206,7 @@
         "workers",
         "evacuations",
         "tenants",
+        "configuration-shown",
         "tenant",
     }  # under the lease
     wanted = {name for name, call in REQUESTS.items() if not call.confirm_by_round} - readings
--- a/src/pinepitch/scheduling/tenants.py
+++ b/src/pinepitch/scheduling/tenants.py
@@ -104,10 +104,12 @@
 
 
 def without_keys(document: Document) -> Document:
-    """A configuration with the fingerprint of each key in the key's place."""
+    """A configuration with the fingerprint of each key in the key's place; without its tenants where they are
+    in a form in which keys can't be told.
+    """
     listed = with_keys(document)
     if listed is None:
-        return document
+        return {part: one for part, one in document.items() if part != "tenants"}
     tenants = [{**one, "keys": [_fingerprint(_digest(key)) for key in one["keys"]]} for one in listed]
     return {**document, "tenants": tenants}
 
