--- a/src/pinepitch/simulation/jobs/control_injected_faults.py
+++ b/src/pinepitch/simulation/jobs/control_injected_faults.py
@@ -20,15 +20,15 @@
     return node.disk.full or original_durable(self, node, what, job, incarnation)
 
 
-def _sent_again_unknown(self, base, document, digest):
+def _sent_again_unknown(self, *change):
     """Forgets which call brought a version."""
     self.taken.clear()
-    return original_take(self, base, document, digest)
+    return original_take(self, *change)
 
 
-def _amended_again_unknown(self, base, version, upserts, removes, digest):
+def _amended_again_unknown(self, *change):
     self.taken.clear()
-    return original_amend(self, base, version, upserts, removes, digest)
+    return original_amend(self, *change)
 
 
 def _own_clock(self, now, agreed=0.0, needed=1):
