--- a/src/pinepitch/simulation/isolation/injected_faults.py
+++ b/src/pinepitch/simulation/isolation/injected_faults.py
@@ -39,10 +39,10 @@
 def _refusing(take):
     """Refuses some changes on the version in force, as a daemon with an old record would."""
 
-    def refusing(self, base, document, digest):
+    def refusing(self, base, document, *rest):
         if base == self.version and document["version"] % 5 == 0:
             return ("stale", self.version + 1)
-        return take(self, base, document, digest)
+        return take(self, base, document, *rest)
 
     return refusing
 
