--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -90,6 +90,10 @@
     def __init__(self):
         self.cluster_state, self.index = ClusterState(), 0
 
+    def common_level(self):
+        """All members are of this version."""
+        return constants.RECORD_LEVEL
+
     def call(self, name, *arguments):
         made = requests.CALLS[name](self, "token", arguments, 0.0)
         if isinstance(made, Answer):
@@ -825,7 +829,7 @@
     context.old.make = None
     fleet.start(context.old.name)
     assert (
-        fleet.until(lambda: fleet.leader() and fleet.leader().core.cluster_state.level == 3, 20) is not None
+        fleet.until(lambda: fleet.leader() and fleet.leader().core.cluster_state.level >= 3, 20) is not None
     )
 
 
--- a/src/pinepitch/simulation/jobs/quota_trial.py
+++ b/src/pinepitch/simulation/jobs/quota_trial.py
@@ -240,7 +240,8 @@
     faults, leader = [], simulator.leader()
     leased_jobs = leader.core.cluster_state.leased_jobs if leader is not None else LeasedJobState()
     for identity, job in simulator.client_stand_in.jobs.items():
-        owner = leased_jobs.tenant_of(identity)
+        known = leased_jobs.jobs.get(identity) or leased_jobs.final.get(identity)
+        owner = known.tenant if known is not None else None
         if owner not in (None, job["tenant"]):
             faults.append(f"{identity} of {job['tenant']} is known as of {owner!r}")
     return faults
--- a/src/pinepitch/simulation/order_fleet.py
+++ b/src/pinepitch/simulation/order_fleet.py
@@ -8,7 +8,7 @@
 import json
 
 from ..common import constants
-from ..scheduling import requests
+from ..scheduling import configuration
 from .daemon_calls import send_call
 from .simulator import START, Simulator
 
@@ -141,8 +141,7 @@
 
     def digest(self):
         """What the cluster state would remember it by."""
-        plain = json.loads(json.dumps(self.arguments))
-        return requests.CALLS[self.call](None, "", plain, 0.0).operation[-1]
+        return configuration.digest_of(json.loads(json.dumps(self.arguments)))
 
     def statuses(self):
         """The statuses that it was answered with."""
--- a/src/pinepitch/transport/request_key.py
+++ b/src/pinepitch/transport/request_key.py
@@ -32,8 +32,7 @@
 
 def _queue_subject(arguments: Sequence[Any]) -> str:
     """Host and path: a caller's key, if there is one, is told to nobody."""
-    host, path, *_ = arguments
-    return f"{host} {path}"
+    return _plain_subject(arguments[:2])
 
 
 # call -> how its subject is read, where it is not all texts and numbers among its arguments
