--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -829,7 +829,10 @@
     context.old.make = None
     fleet.start(context.old.name)
     assert (
-        fleet.until(lambda: fleet.leader() and fleet.leader().core.cluster_state.level >= 3, 20) is not None
+        fleet.until(
+            lambda: fleet.leader() and fleet.leader().core.cluster_state.level == constants.RECORD_LEVEL, 20
+        )
+        is not None
     )
 
 
