Metrics: what waiting work can still reach, room by priority, room kept idle

New gauges job_tasks_outlook, priority_room, room_kept; the outlook comes from scheduling/timeliness.py, which decides nothing yet.

--- a/features/steps/jobs_api.py
+++ b/features/steps/jobs_api.py
@@ -418,10 +418,14 @@
     assert found["run_stops_total"][()] >= 3, found["run_stops_total"]
     assert found["run_ends_total"] == {("stopped",): 3}, found["run_ends_total"]
     assert found["job_tasks_left"] == {("plans", "no room"): 4}, found["job_tasks_left"]
+    outlook = found["job_tasks_outlook"]
+    assert sum(outlook.values()) == 4 and all("plans" in labels for labels in outlook), outlook
     total = sum(worker.capacity[0] for worker in assignments.workers.values())
     taken = sum(capacity[0] for capacity in leased_jobs.used_by_worker.values())
     capacity = {place: amount for place, amount in found["worker_room"].items() if "cpu" in place}
     assert sorted(capacity.values()) == sorted((taken, total - taken)) and 0 < taken < total, capacity
+    by_priority = {labels: amount for labels, amount in found["priority_room"].items() if "cpu" in labels}
+    assert sum(amount for labels, amount in by_priority.items() if "taken" in labels) == taken, by_priority
 
 
 # --- the command line --------------------------------------------------------------------------
--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -342,6 +342,7 @@
 IDLE_LOOK_EVERY = 0.5  # seconds; interval between searches for such jobs
 # fraction of a service's capacity; a step that needs more is expected to run in several batches
 WIDE_PART = 0.25
+LATE_TARGETS = 3  # targets; a job that ends later than so many times its target is of no use to its caller
 # steps; from a rack without demand for its data to the one most in demand, for work that needs none
 HOT_STEPS = 2
 YIELD_WASTE = 30.0  # core-seconds; the most unsaved work that may be discarded to free capacity for one batch
--- a/src/pinepitch/control/leased_job_metrics.py
+++ b/src/pinepitch/control/leased_job_metrics.py
@@ -71,6 +71,60 @@
     return counts
 
 
+def _sharing(daemon: ControlDaemon, now: float) -> list[Family]:
+    """How the leader shares capacity among priorities, and what waiting work can still reach."""
+    by_outlook = "Tasks left waiting whose jobs can still be in time, late, or only too late, by queue."
+    by_priority = "Room that the work of a priority has taken, and room it claims as guaranteed."
+    reserved = "Free room of workers that are kept for work short of room."
+    return [
+        Family("gauge", "job_tasks_outlook", by_outlook, ("queue", "outlook"), _by_outlook(daemon, now)),
+        Family(
+            "gauge",
+            "priority_room",
+            by_priority,
+            ("service", "priority", "resource", "state"),
+            _by_priority(daemon),
+        ),
+        Family("gauge", "room_kept", reserved, ("service", "resource"), _reserved(daemon)),
+    ]
+
+
+def _by_outlook(daemon: ControlDaemon, now: float) -> list[Sample]:
+    """(queue, outlook) -> number of tasks that the newest scheduling round of this leader left waiting."""
+    assigner, leased_jobs = daemon.assignments.assigner, daemon.cluster_state.leased_jobs
+    time, counts = daemon.cluster_time(now), dict[Labels, int]()
+    for key in assigner.waiting_reasons:
+        batch = leased_jobs.ready.get(key)
+        if batch is not None:
+            labels = (batch.job.queue, assigner.outlook(batch, time).text)
+            counts[labels] = counts.get(labels, 0) + len(batch.waiting)
+    return sorted(counts.items())
+
+
+def _by_priority(daemon: ControlDaemon) -> list[Sample]:
+    """(service, priority, resource, "taken" or "claimed") -> amount, for the priorities that have any."""
+    budgets = daemon.assignments.assigner.budgets
+    samples: list[Sample] = []
+    for state, amounts in (
+        ("claimed", budgets.claims),
+        ("taken", daemon.cluster_state.leased_jobs.used_by_priority_class),
+    ):
+        for (service, priority), resources in amounts.items():
+            for resource, amount in zip(RESOURCES, resources, strict=True):
+                if amount:
+                    samples.append(((service, str(priority), resource, state), amount))
+    return sorted(samples)
+
+
+def _reserved(daemon: ControlDaemon) -> list[Sample]:
+    """(service, resource) -> free capacity of the candidates that the newest round reserved."""
+    return sorted(
+        ((service, resource), amount)
+        for service, free in daemon.assignments.assigner.reserved_free.items()
+        for resource, amount in zip(RESOURCES, free, strict=True)
+    )
+
+
 def _placing_violations(daemon: ControlDaemon) -> Family:
     counts = daemon.assignments.assigner.idle_capacity.counts
     return Family(
@@ -177,6 +231,7 @@
 # one collector for each subject, in output order
 COLLECTORS: tuple[Callable[[ControlDaemon, float], list[Family]], ...] = (
     _leased_jobs,
+    _sharing,
     _tenants,
     _lease_workers,
     _runs,
--- a/src/pinepitch/scheduling/assigner.py
+++ b/src/pinepitch/scheduling/assigner.py
@@ -8,14 +8,15 @@
 
 from ..common import constants
 from . import policy as policies
+from . import timeliness
 from .budgets import CapacityBudgets
 from .candidate_order import CandidateIndex, Rank, fill
 from .candidate_workers import CandidateWorker, candidate_workers
 from .idle_capacity import IdleCapacityCheck, Violation
-from .leased_job import Step, TaskBatch, TaskBatchKey
+from .leased_job import TaskBatch, TaskBatchKey
 from .leased_job_state import LeasedJobState, TaskBatchAssignment
 from .reservations import PendingStops, Reservations
-from .resources import RESOURCE_KINDS, Resources, fitting_tasks, multiply
+from .resources import NO_RESOURCES, Amount, add, fitting_tasks, multiply
 from .run_speed import RunTimeEstimator
 from .run_stop import StopItem
 from .tenant_shares import TenantShares
@@ -63,6 +64,8 @@
         self.highest_demand = 1.0  # the highest demand for any rack, at least 1
         # key of a batch -> why the newest round left tasks of it waiting
         self.waiting_reasons: dict[TaskBatchKey, str] = {}
+        # service -> free capacity of its reserved candidates when the newest round had placed its work
+        self.reserved_free: dict[str, Amount] = {}
         # state of the current round
         self.tenant_capacity = TenantCapacity(Tenants(None), {})
         self.indices: dict[str, CandidateIndex] = {}  # by service
@@ -90,6 +93,7 @@
         ]
         if not batches:
             self.reserved_since.clear()
+            self.reserved_free, self.budgets.claims = {}, {}
             self.violations = ()
             self._drop_old_shortages(leased_jobs)
             return (), ()
@@ -115,6 +119,7 @@
         }
         items, complete = self._place_batches(batches, candidates, reservations, now, time)
         self._drop_old_shortages(leased_jobs)
+        self._sum_reserved_free(reservations)
         if complete:
             self._check_idle_capacity(leased_jobs, candidates, reservations, items, now)
         return tuple(items), tuple(stop.plain() for stop in stops)
@@ -172,6 +177,13 @@
         waiting = [key for key, reason in self.waiting_reasons.items() if reason == REASON_TENANT_AT_MAXIMUM]
         return {leased_jobs.ready[key].job.tenant for key in waiting if key in leased_jobs.ready}
 
+    def outlook(self, batch: TaskBatch, time: float) -> timeliness.Timeliness:
+        """What a batch's job can still reach if its waiting tasks start at `time`, the time of the cluster
+        state in seconds.
+        """
+        total = self.budgets.total_capacity.get(batch.job.service)
+        return timeliness.outlook(self.estimator, batch, total, time)
+
     def _record_shortage(self, batch: TaskBatch, placed: int, reservations: Reservations, now: float) -> None:
         """Records why a batch has tasks left after `placed` of them were placed, and since when it is short
         of capacity.
@@ -192,6 +204,14 @@
         for key in [key for key in self.short_since if key not in leased_jobs.ready]:
             del self.short_since[key]
 
+    def _sum_reserved_free(self, reservations: Reservations) -> None:
+        """Sums the free capacity of the reserved candidates, by service."""
+        self.reserved_free = {}
+        for reserved in reservations.reserved.values():
+            for candidate in reserved:
+                free = self.reserved_free.get(candidate.service, NO_RESOURCES)
+                self.reserved_free[candidate.service] = add(free, candidate.free)
+
     def _check_idle_capacity(
         self,
         leased_jobs: LeasedJobState,
@@ -217,25 +237,15 @@
         that capacity, so it is due later.
         """
         job, step = batch.job, batch.step
-        ready_at = batch.due if job.times else job.accepted
-        width = len(batch.waiting) * self._largest_share(step, self.budgets.total_capacity.get(job.service))
-        passes = max(1.0, width / constants.WIDE_PART) if self.policy.rank_by_step_width else 1.0
+        total = self.budgets.total_capacity.get(job.service)
+        passes = timeliness.passes(step, len(batch.waiting), total) if self.policy.rank_by_step_width else 1.0
         time_allowed = (
             job.latency_target_ms / 1000 + job.stretch * passes * step.est_ms / 1000
             if self.policy.rank_by_due_time
             else 0
         )
-        return (self.shares.is_excess(job), job.priority, ready_at + time_allowed, job.identity)
-
-    def _largest_share(self, step: Step, total: Resources | None) -> float:
-        """The fraction of a service's capacity that one task of a step needs, of the resource of which it
-        needs the largest fraction.
-        """
-        if total is None:
-            return 0.0
-        return max(
-            (step.resources[kind] / total[kind] for kind in RESOURCE_KINDS if total[kind]), default=0.0
-        )
+        due = timeliness.ready_at(batch) + time_allowed
+        return (self.shares.is_excess(job), job.priority, due, job.identity)
 
     def _decay_rack_demand(self, now: float) -> None:
         """Decays the recorded demand for each rack, with a half life of PEAK_HALF seconds."""
--- a/src/pinepitch/scheduling/leased_job.py
+++ b/src/pinepitch/scheduling/leased_job.py
@@ -242,12 +242,22 @@
         )
 
 
+def _chain_lengths(steps: list[Step]) -> list[int]:
+    """For each step the number of steps in the longest chain of dependent steps that starts with it."""
+    lengths = [1] * len(steps)
+    for number in range(len(steps) - 1, -1, -1):
+        for earlier in steps[number].after:
+            lengths[earlier] = max(lengths[earlier], lengths[number] + 1)
+    return lengths
+
+
 class LeasedJob:
     """A job that was accepted and is not over.
 
     Invariants: if `times` is below 1, the job runs once, with time index 0. `batches` has one entry for each
     time and step. `begun` is whether any of its tasks was ever placed. `open_batches` is the number of
-    entries of `batches` that are not done.
+    entries of `batches` that are not done. `chain_lengths` has for each step the number of steps in the
+    longest chain that starts with it.
     """
 
     __slots__ = (
@@ -255,6 +265,7 @@
         "attempts",
         "batches",
         "begun",
+        "chain_lengths",
         "digest",
         "every_ms",
         "first_ms",
@@ -287,6 +298,7 @@
         self.plain = plain
         self.spec, steps, self.first_ms, self.every_ms, self.times = plain
         self.steps = [Step(step) for step in steps]
+        self.chain_lengths = _chain_lengths(self.steps)
         self.begun = False
         self.batches: dict[tuple[int, int], TaskBatch] = {}
         for time in range(max(1, self.times)):
