--- a/features/steps/overload.py
+++ b/features/steps/overload.py
@@ -15,8 +15,8 @@
 
 
 @when(
-    "urgent gangs come to 7 workers in bursts of {times:g} times the usual, {seconds:g} s each, at {first:g} s"
-    " and {second:g} s, and of the workers {trouble}, by seeds {least:d} to {most:d}"
+    "urgent gangs come to 7 workers in bursts of {times:g} times the usual, {seconds:g} s each, at {first:g} "
+    "s and {second:g} s, and of the workers {trouble}, by seeds {least:d} to {most:d}"
 )
 def step_bursts(context, times, seconds, first, second, trouble, least, most):
     bursts = [Burst(begins, seconds, times) for begins in (first, second)]
