Less urgent work is guaranteed two fifths of a service's capacity, not a fifth

The guarantee did not depend on how many priorities share it. Change: GUARANTEED_SHARE, 0.4, in equal parts for the less urgent priorities that have work. With three priorities the parts are what they were; the most urgent keeps 0.6 whatever their number.

--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -334,8 +334,9 @@
 # fraction of the time that work can wait for capacity and still finish in time; longer work must not use
 # its slots
 WAIT_PART = 0.5
-# fraction of a service's capacity that work of each urgency gets once it has waited as long as it can
-MIN_GUARANTEED_SHARE = 0.2
+# fraction of a service's capacity that its less urgent work gets, in equal parts for each urgency, once it
+# has waited as long as it can
+GUARANTEED_SHARE = 0.4
 # seconds; jobs may arrive this far ahead of the rate due to their tenant's weight, unless set otherwise
 TENANT_BURST = 1.0
 MAX_IDLE_WAIT = 3.0  # seconds; a job with nothing placed may wait this long while ample capacity is idle
--- a/src/pinepitch/scheduling/budgets.py
+++ b/src/pinepitch/scheduling/budgets.py
@@ -39,9 +39,11 @@
     would occupy the capacity for longer than the urgent work can wait. Work that finishes sooner delays no
     urgent work and is not limited.
 
-    Each priority with work that has waited for as long as it can is guaranteed MIN_GUARANTEED_SHARE of a
-    service's capacity, and one task in any case. More urgent work leaves free what the priority lacks of that
-    guarantee, and preempts nothing within it. Only work that some worker could run claims the guarantee.
+    The less urgent priorities of a service, all but the most urgent one that has work, are guaranteed
+    GUARANTEED_SHARE of its capacity in equal parts, and each of them one task in any case. A priority claims
+    its part once it has work that has waited for as long as it can. More urgent work leaves free what the
+    priority lacks of that guarantee, and preempts nothing within it. Only work that some worker could run
+    claims the guarantee.
 
     Jobs beyond their tenant's weight count as the least urgent work, to which nothing is guaranteed.
 
@@ -68,6 +70,8 @@
         self.longest_waits: dict[PriorityClass, float] = {}
         # (service, priority) -> capacity that more urgent work must leave to it
         self.claims: dict[PriorityClass, Resources] = {}
+        # service -> the number of priorities that share GUARANTEED_SHARE of its capacity
+        self.less_urgent_count: dict[str, int] = {}
         # (service, priority) -> capacity used by work of this and lower urgency; recomputed after a charge
         self.cumulative_used: dict[PriorityClass, Resources] = {}
 
@@ -105,9 +109,20 @@
         }
         self.used = self._used_on(leased_jobs, candidates)
         self.cumulative_used = {}
+        self.less_urgent_count = self._count_less_urgent(batches)
         self.longest_waits = self._compute_longest_waits(leased_jobs.configuration.routes)
         self.claims = self._compute_claims(candidates, batches, tenant_capacity.copy(), time)
 
+    def _count_less_urgent(self, batches: list[TaskBatch]) -> dict[str, int]:
+        """Service -> the number of priorities with waiting or running work, besides the most urgent one."""
+        priority_classes = {key for key, used in self.used.items() if any(used)}
+        priority_classes.update(self.shares.priority_class(batch.job) for batch in batches)
+        counts: dict[str, int] = {}
+        for service, priority in priority_classes:
+            if priority != EXCESS_PRIORITY:
+                counts[service] = counts.get(service, -1) + 1
+        return counts
+
     def _used_on(
         self, leased_jobs: LeasedJobState, candidates: dict[str, list[CandidateWorker]]
     ) -> dict[PriorityClass, Amount]:
@@ -127,11 +142,9 @@
         return used
 
     def guaranteed(self, service: str) -> list[float]:
-        """The capacity of a service that is guaranteed to each priority with waiting work."""
-        return [
-            resources * constants.MIN_GUARANTEED_SHARE
-            for resources in self.total_capacity.get(service, NO_RESOURCES)
-        ]
+        """The capacity of a service that is guaranteed to each of its less urgent priorities."""
+        share = constants.GUARANTEED_SHARE / max(1, self.less_urgent_count.get(service, 1))
+        return [resources * share for resources in self.total_capacity.get(service, NO_RESOURCES)]
 
     def _compute_claims(
         self,
