Within a priority, jobs that can still be in time come before those that can't

Cause: by due alone, arrears are worked off oldest first: capacity goes to jobs that end late whatever is done, and those that could still be in time become late in their turn. The same for the urgent class. Change: within a priority jobs are ranked by what they can still reach (scheduling/timeliness.py), then by due as before.

--- a/src/pinepitch/scheduling/assigner.py
+++ b/src/pinepitch/scheduling/assigner.py
@@ -99,7 +99,7 @@
             return (), ()
         candidates = candidate_workers(leased_jobs, workers, now)
         self.budgets.begin_round(leased_jobs, candidates, batches, self.tenant_capacity, time)
-        batches.sort(key=self._rank)
+        batches.sort(key=lambda batch: self._rank(batch, time))
         reservations = Reservations(
             leased_jobs,
             assignments,
@@ -231,10 +231,11 @@
             *self.idle_capacity.check_waiting_jobs(leased_jobs, candidates, self.short_since, now),
         )
 
-    def _rank(self, batch: TaskBatch) -> tuple[bool, int, float, str]:
-        """Sort key of a batch: jobs within their tenant's weight first, then by priority, then by due time. A
-        step that needs more than WIDE_PART of its service's capacity is expected to take several passes over
-        that capacity, so it is due later.
+    def _rank(self, batch: TaskBatch, time: float) -> tuple[bool, int, int, float, str]:
+        """Sort key of a batch: jobs within their tenant's weight first, then by priority, then jobs that can
+        still be in time before those that can only be late, then by due time. A step that needs more than
+        WIDE_PART of its service's capacity is expected to take several passes over that capacity, so it is
+        due later.
         """
         job, step = batch.job, batch.step
         total = self.budgets.total_capacity.get(job.service)
@@ -245,7 +246,8 @@
             else 0
         )
         due = timeliness.ready_at(batch) + time_allowed
-        return (self.shares.is_excess(job), job.priority, due, job.identity)
+        outlook = self.outlook(batch, time) if self.policy.rank_by_outlook else timeliness.Timeliness.IN_TIME
+        return (self.shares.is_excess(job), job.priority, outlook, due, job.identity)
 
     def _decay_rack_demand(self, now: float) -> None:
         """Decays the recorded demand for each rack, with a half life of PEAK_HALF seconds."""
--- a/src/pinepitch/scheduling/policy.py
+++ b/src/pinepitch/scheduling/policy.py
@@ -17,6 +17,7 @@
     reserve_for_waiting: bool = True  # reserve workers for batches that have long been short of capacity
     preempt: bool = True  # stop less urgent runs for a batch that candidates are reserved for
     rank_by_due_time: bool = True  # within a priority; otherwise by the time of acceptance
+    rank_by_outlook: bool = True  # within a priority, jobs that can still be in time come first
     rank_by_step_width: bool = True  # a step that needs much of its service's capacity is due later
     prefer_data_locality: bool = True  # prefer workers near the data
     wait_for_data_locality: bool = True  # wait for capacity near the data rather than start far from it
