Soak: callers keep connections open; SIGTERM, SIGHUP and changes of the configuration overlap

The stand-in callers opened a connection for each call, daemons were only killed or paused, and the configuration never changed. Callers now use a connection again until its server closes it; troubles are joined by planned stops with a restart (a daemon that outlives its grace period is a fault), SIGHUP, and changes of the configuration; at the end the version in force must be no older than the last acknowledged one. The number of front daemons is an argument, for runs with as many processes as the machine bears.

--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -1,15 +1,16 @@
-"""Soaks by seeds, one after another: python -m features.soak FIRST COUNT SECONDS."""
+"""Soaks by seeds, one after another: python -m features.soak FIRST COUNT SECONDS [FRONTS]."""
 
 import sys
 
+from .processes import FRONTS
 from .soak import soak
 
 
-def main(first="0", count="5", seconds="30"):
+def main(first="0", count="5", seconds="30", fronts=FRONTS):
     """Prints a line a seed, and what was found; exits 1 when anything was."""
     found = 0
     for seed in range(int(first), int(first) + int(count)):
-        one = soak(seed, float(seconds))
+        one = soak(seed, float(seconds), int(fronts))
         print(
             f"seed {seed}: {len(one.fault_log)} troubles, {one.most_at_once} at once, {one.jobs} jobs, "
             f"{one.starts} starts, {len(one.faults)} faults",
--- a/features/soak/processes.py
+++ b/features/soak/processes.py
@@ -52,12 +52,12 @@
 class Processes:
     """Invariant: every process that runs is in `running`; a paused one is in `paused` too, with when."""
 
-    def __init__(self, seed, folder):
+    def __init__(self, seed, folder, fronts=FRONTS):
         self.folder = pathlib.Path(folder)
         draw = random.Random(f"soak-{seed}-{os.getpid()}")
         network = f"127.{draw.randrange(10, 250)}.{draw.randrange(250)}"
         self.addresses = {f"core{place}": f"{network}.{place + 1}" for place in range(CORES)}
-        self.addresses |= {f"front{place}": f"{network}.{place + 101}" for place in range(FRONTS)}
+        self.addresses |= {f"front{place}": f"{network}.{place + 101}" for place in range(fronts)}
         self.ports = Ports(self.addresses.values(), draw)
         self.running, self.paused, self.founded = {}, {}, set()
         self.longest_pauses = {}  # name -> seconds
@@ -70,7 +70,10 @@
     @property
     def fronts(self):
         """Addresses where callers hand jobs in."""
-        return [f"{self.addresses[f'front{place}']}:{self.ports.front}" for place in range(FRONTS)]
+        return [
+            f"{self.addresses[f'front{place}']}:{self.ports.front}"
+            for place in range(len(self.names("front")))
+        ]
 
     def names(self, kind):
         """The daemons of a kind, "core" or "front"."""
@@ -78,10 +81,10 @@
 
     def _settings(self, name):
         """Writes a daemon's settings file; its path."""
-        address, core, place = self.addresses[name], name.startswith("core"), int(name[-1])
+        address, core, place = self.addresses[name], name.startswith("core"), int(name.strip("corefnt"))
         lines = {
             "nodeName": name,
-            "zone": ZONES[place],
+            "zone": ZONES[place % len(ZONES)],
             "ipAddress": address,
             "internalPortRange": f"{self.ports.first},{self.ports.last}",
             "seedAddresses": ",".join(self.controls),
@@ -139,6 +142,21 @@
             self.longest_pauses[name] = max(passed, self.longest_pauses.get(name, 0.0))
             self.running[name].send_signal(signal.SIGCONT)
 
+    def signal(self, name, number):
+        """Sends a signal to a daemon that runs."""
+        self.running[name].send_signal(number)
+
+    def wait_stopped(self, name):
+        """Waits until a daemon that was sent SIGTERM has ended; whether it ended in time."""
+        process = self.running.pop(name)
+        try:
+            process.wait(GRACE)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+            return False
+        return True
+
     def wipe(self, name):
         """Takes away the disk of a daemon that does not run."""
         shutil.rmtree(self.folder / name)
--- a/features/soak/soak.py
+++ b/features/soak/soak.py
@@ -11,7 +11,7 @@
 from pinepitch.simulation.stand_in_lease_worker import StandInLeaseWorker
 
 from . import wire
-from .processes import ZONES, Processes
+from .processes import FRONTS, ZONES, Processes
 from .troubles import FAULTS
 
 STEP = 0.02  # seconds; between two looks at workers, caller and troubles
@@ -38,9 +38,10 @@
 class Soak:
     """Invariant: faults are judged only by what callers were told, what workers did, and the logs."""
 
-    def __init__(self, seed, folder):
+    def __init__(self, seed, folder, fronts=FRONTS):
         self.seed, self.draw = seed, random.Random(f"soak-{seed}")
-        self.processes, self.calls = Processes(seed, folder), wire.Caller()
+        self.processes, self.calls = Processes(seed, folder, fronts), wire.Caller()
+        self.version = self.version_sent = 0  # of the configuration: acknowledged, and sent last
         self.history, gangs = [], {}
         self.workers = {}
         for place in range(limits.TENANTS):
@@ -103,6 +104,9 @@
 
     def _hear(self, now):
         for purpose, status, document in self.calls.taken():
+            if purpose[0] == "change":
+                self._hear_change(purpose[1], status)
+                continue
             if self.draw.random() < self.answer_loss:
                 status, document = wire.NO_ANSWER, {}
             if purpose[0] == "call":
@@ -143,7 +147,8 @@
         self.most_at_once = max(self.most_at_once, len(self.open))
 
     # --- the run ---------------------------------------------------------------------------
-    def _configure(self):
+    def _configuration(self, version):
+        """The configuration under a version; versions differ in their latency target alone."""
         routes = [
             {
                 "name": name,
@@ -154,23 +159,55 @@
                 "attempts": limits.ATTEMPTS,
                 "priority": 1,
                 "stretch": 3,
-                "aim_ms": 500,
+                "aim_ms": 500 + version,
             }
             for name in ("held", "bare")
         ]
         services = [{"name": "held", "guards": True}, {"name": "bare", "guards": False}]
-        document = wire.configuration_of({"version": 1, "routes": routes, "services": services})
+        return wire.configuration_of({"version": version, "routes": routes, "services": services})
+
+    def _configure(self):
         until = time.monotonic() + READY_WITHIN
         while time.monotonic() < until:
             for address in self.processes.controls:
-                request = wire.Request(
-                    address, "POST", "/api/Configuration.Replace", document, "", CALL_TIMEOUT
-                )
-                if wire.exchange(request)[0] == 200:
+                if wire.exchange(self._change_request(address, 1))[0] == 200:
+                    self.version = self.version_sent = 1
                     return
             time.sleep(0.1)
         raise AssertionError(f"no configuration was taken within {READY_WITHIN:.0f} s")
 
+    def _change_request(self, address, version):
+        document = self._configuration(version)
+        return wire.Request(
+            address, "POST", "/api/Configuration.Replace", document, "", CALL_TIMEOUT, self.version
+        )
+
+    def change_configuration(self):
+        """Sends the next version to one control daemon, once; what it says is heard later."""
+        self.version_sent += 1
+        address = self.draw.choice(self.processes.controls)
+        self.calls.send(("change", self.version_sent), self._change_request(address, self.version_sent))
+
+    def _hear_change(self, version, status):
+        if status == 200:
+            self.version = max(self.version, version)
+
+    def _check_configuration(self):
+        """What is in force at the end is no older than what was acknowledged last."""
+        until, found = time.monotonic() + READY_WITHIN, None
+        while time.monotonic() < until:
+            for address in self.processes.controls:
+                request = wire.Request(address, "GET", "/api/Configuration.Read", None, "", CALL_TIMEOUT)
+                status, document = wire.exchange(request)
+                if status == 200:
+                    found = document["configVersion"]
+                    if found >= self.version:
+                        return
+                    self.faults.append(f"version {found} is in force, {self.version} was acknowledged")
+                    return
+            time.sleep(0.1)
+        self.faults.append("no control daemon tells the configuration")
+
     def _step(self, going):
         now = self.clock()
         self._hear(now)
@@ -193,6 +230,7 @@
                 self._step(False)
             if not self.client_stand_in.quiet():
                 self.faults.append(f"not every job ended within {ENDS_WITHIN:.0f} s: {self._unended()}")
+            self._check_configuration()
         finally:
             late = self.processes.stop()
             self.calls.close()
@@ -224,10 +262,10 @@
         ]
 
 
-def soak(seed, seconds, keep=False):
+def soak(seed, seconds, fronts=FRONTS, keep=False):
     """An Outcome; the folder with logs and disks is kept when something was found, or when asked."""
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
-    outcome = Soak(seed, folder).run(seconds)
+    outcome = Soak(seed, folder, fronts).run(seconds)
     if outcome.faults or keep:
         return outcome._replace(faults=[*outcome.faults, f"logs: {folder}"] if outcome.faults else [])
     shutil.rmtree(folder)
--- a/features/soak/troubles.py
+++ b/features/soak/troubles.py
@@ -1,5 +1,6 @@
 """The troubles of a soak. Each is begun and, some seconds later, ended; several go on at once."""
 
+import signal
 from typing import NamedTuple
 
 
@@ -35,6 +36,29 @@
     soak.processes.resume(name)
 
 
+def _terminate(soak, name):
+    """A planned stop: the daemon finishes what it has taken, while callers go on using its connections."""
+    soak.processes.signal(name, signal.SIGTERM)
+
+
+def _restart(soak, name):
+    if not soak.processes.wait_stopped(name):
+        soak.faults.append(f"{name} did not end within its grace period after SIGTERM")
+    soak.processes.start(name)
+
+
+def _reread(soak, name):
+    soak.processes.signal(name, signal.SIGHUP)
+
+
+def _change(soak, name):
+    soak.change_configuration()
+
+
+def _nothing(soak, name):
+    """What was begun ends by itself."""
+
+
 def _crash(soak, name):
     """A worker dies; another life of it comes at its end."""
     soak.away.add(name)
@@ -78,6 +102,11 @@
     "wipe-core": SoakFault("core", _wipe, _start, 0.2, 2.0),
     "pause-core": SoakFault("core", _pause, _resume, 0.3, 4.0),
     "pause-front": SoakFault("front", _pause, _resume, 0.3, 3.0),
+    "term-core": SoakFault("core", _terminate, _restart, 0.5, 3.0),
+    "term-front": SoakFault("front", _terminate, _restart, 0.2, 3.0),
+    "hup-core": SoakFault("core", _reread, _nothing, 0.0, 0.2),
+    "hup-front": SoakFault("front", _reread, _nothing, 0.0, 0.2),
+    "change-configuration": SoakFault("", _change, _nothing, 0.0, 0.5),
     "crash-worker": SoakFault("worker", _crash, _reborn, 0.5, 4.0),
     "cut-worker": SoakFault("worker", _partition, _join, 0.5, 7.0),
     "drain-worker": SoakFault("worker", _drain, _drained, 7.0, 9.0),
--- a/features/soak/wire.py
+++ b/features/soak/wire.py
@@ -1,9 +1,11 @@
 """What the stand-ins of a soak say on the wire: HTTP over real sockets, in the platform's words."""
 
+import collections
 import http.client
 import json
 import queue
 import sys
+import threading
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
@@ -28,6 +30,7 @@
     document: dict | None
     host: str
     timeout: float  # seconds
+    based_on: int = 0  # the version that a change of the configuration builds on
 
 
 class Answered(NamedTuple):
@@ -38,15 +41,44 @@
     document: dict
 
 
+class Connections:
+    """Open connections by address. A connection is used again and again until its server closes it."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.idle = collections.defaultdict(list)
+
+    def exchange(self, request):
+        """(status, document) of one call on an open connection, or on a new one where none is idle."""
+        with self.lock:
+            idle = self.idle[request.address]
+            connection = idle.pop() if idle else None
+        if connection is None:
+            connection = http.client.HTTPConnection(request.address)
+        status, document = exchange_on(connection, request)
+        if status == NO_ANSWER or connection.sock is None:
+            connection.close()
+        else:
+            with self.lock:
+                self.idle[request.address].append(connection)
+        return status, document
+
+    def close(self):
+        for connections in self.idle.values():
+            for connection in connections:
+                connection.close()
+
+
 class Caller:
     """Sends calls from threads of its own; answers wait in `answers` until they are taken."""
 
     def __init__(self):
         self.threads = ThreadPoolExecutor(CALLS_AT_ONCE)
         self.answers = queue.SimpleQueue()
+        self.connections = Connections()
 
     def send(self, purpose, request):
-        self.threads.submit(lambda: self.answers.put(Answered(purpose, *exchange(request))))
+        self.threads.submit(lambda: self.answers.put(Answered(purpose, *self.connections.exchange(request))))
 
     def taken(self):
         """The answers that have come since."""
@@ -57,27 +89,37 @@
 
     def close(self):
         self.threads.shutdown(wait=True, cancel_futures=True)
+        self.connections.close()
 
 
 def exchange(request):
     """(status, document) of one call on a connection of its own."""
-    connection = http.client.HTTPConnection(request.address, timeout=request.timeout)
+    connection = http.client.HTTPConnection(request.address)
     try:
+        return exchange_on(connection, request)
+    finally:
+        connection.close()
+
+
+def exchange_on(connection, request):
+    """(status, document) of one call on a connection, which http.client opens if it isn't open."""
+    connection.timeout = request.timeout
+    try:
+        if connection.sock is not None:
+            connection.sock.settimeout(request.timeout)
         body = None if request.document is None else json.dumps(request.document)
         headers = {"Content-Type": "application/json"}
         if request.host:
             headers["Host"] = request.host
         headers["X-Deadline-Remaining"] = str(int(request.timeout * 1000))
         if request.path == "/api/Configuration.Replace":
-            headers["X-Based-On-Version"] = "0"
+            headers["X-Based-On-Version"] = str(request.based_on)
         connection.request(request.method, request.path, body, headers)
         answer = connection.getresponse()
         content = json.loads(answer.read() or b"{}")
         return answer.status, content if isinstance(content, dict) else {}
     except (OSError, http.client.HTTPException, ValueError):
         return NO_ANSWER, {}
-    finally:
-        connection.close()
 
 
 def heartbeat_of(document):
