--- a/features/soak/processes.py
+++ b/features/soak/processes.py
@@ -1,4 +1,4 @@
-"""The daemons of a soak, as processes: their settings, folders, starts, stops and logs."""
+"""The daemons of a soak as processes: settings, data folders, starts, stops and logs."""
 
 import json
 import os
@@ -17,15 +17,15 @@
 CORES, FRONTS = 3, 2
 INTERNAL_PORTS = 16  # kept free on every address for what the daemons say to each other
 GRACE = 6  # seconds; from SIGTERM to SIGKILL
-STOPPED = 108  # the event by which a daemon tells that it was stopped, and for how many seconds
+STOPPED = 108  # the event that reports that a daemon did not run, and for how many seconds
 OUTLASTED = re.compile(r"took longer than an enclosing timeout\. Badness delta=([0-9]+\.[0-9]+)")
-# Events that no trouble brought about here can excuse: broken invariants, answers to the wrong caller,
-# a disk that went back on a promise, two machines under one name.
+# Events that none of the injected faults can cause: broken invariants, answers to the wrong caller, a disk
+# that lost what was acknowledged, two machines under one name.
 FORBIDDEN_EVENTS = (104, 128, 145, 146, 158, 184)
 
 
 class Ports:
-    """Ports that are free on all addresses of a soak, the same on each as the settings want it."""
+    """Ports that are free on all addresses of a soak; the settings need the same ports on each."""
 
     def __init__(self, addresses, draw):
         for _ in range(100):
@@ -50,7 +50,9 @@
 
 
 class Processes:
-    """Invariant: every process that runs is in `running`; a paused one is in `paused` too, with when."""
+    """The processes of a soak. Invariant: every process that runs is in `running`; a paused one is also in
+    `paused`, with the time of the pause.
+    """
 
     def __init__(self, seed, folder, fronts=FRONTS):
         self.folder = pathlib.Path(folder)
@@ -64,12 +66,12 @@
 
     @property
     def controls(self):
-        """Addresses where workers and the operator call."""
+        """Addresses that workers and the operator call."""
         return [f"{self.addresses[f'core{place}']}:{self.ports.control}" for place in range(CORES)]
 
     @property
     def fronts(self):
-        """Addresses where callers hand jobs in."""
+        """Addresses that clients submit jobs to."""
         return [
             f"{self.addresses[f'front{place}']}:{self.ports.front}"
             for place in range(len(self.names("front")))
@@ -80,7 +82,7 @@
         return [name for name in self.addresses if name.startswith(kind)]
 
     def _settings(self, name):
-        """Writes a daemon's settings file; its path."""
+        """Writes a daemon's settings file and returns its path."""
         address, core, place = self.addresses[name], name.startswith("core"), int(name.strip("corefnt"))
         lines = {
             "nodeName": name,
@@ -126,7 +128,7 @@
             self.start(name)
 
     def kill(self, name):
-        """SIGKILL, whatever the process does."""
+        """Kills a daemon with SIGKILL."""
         process = self.running.pop(name)
         process.kill()
         process.wait()
@@ -158,11 +160,11 @@
         return True
 
     def wipe(self, name):
-        """Takes away the disk of a daemon that does not run."""
+        """Deletes the data folder of a daemon that does not run."""
         shutil.rmtree(self.folder / name)
 
     def stop(self):
-        """SIGTERM to all; names of those that had to be killed."""
+        """Sends SIGTERM to all daemons; returns the names of those that had to be killed."""
         for name in list(self.running):
             self.resume(name)
             self.running[name].terminate()
@@ -178,9 +180,10 @@
         return late
 
     def forbidden_events(self):
-        """Lines of the daemons' logs that must not be there: events of FORBIDDEN_EVENTS, and what is no
-        event at all, such as a traceback. The library's word that an operation outlasted its time-out is
-        let pass at a daemon that was stopped for so long: no operation can end in time then."""
+        """Lines of the daemons' logs that must not occur: events of FORBIDDEN_EVENTS, and lines that are no
+        events, such as a traceback. The library's warning that an operation exceeded its time-out is allowed
+        for a daemon that did not run for that long: no operation can end in time then.
+        """
         found = []
         for path in sorted(self.folder.glob("*.log")):
             lines = path.read_text(errors="replace").splitlines()
@@ -197,14 +200,14 @@
         return found
 
     def _longest_stop(self, name, lines):
-        """Seconds that a daemon did not run at most: paused by the soak, or by its own word."""
+        """The longest time in seconds that a daemon did not run: paused by the soak, or by its own report."""
         events = [event_of(line) or {} for line in lines]
         own = [event["seconds"] for event in events if event.get("number") == STOPPED]
         return max([self.longest_pauses.get(name, 0.0), *own])
 
 
 def event_of(line):
-    """The event that a line of a log tells, or None when it is none."""
+    """The event in a line of a log, or None if the line is none."""
     try:
         event = json.loads(line)
     except ValueError:
--- a/features/soak/soak.py
+++ b/features/soak/soak.py
@@ -1,4 +1,4 @@
-"""One soak: real daemons, stand-in workers and a stand-in caller in real time, under random troubles."""
+"""One soak: real daemons, stand-in workers and a stand-in client in real time, under random faults."""
 
 import random
 import shutil
@@ -14,29 +14,29 @@
 from .processes import FRONTS, ZONES, Processes
 from .troubles import FAULTS
 
-STEP = 0.02  # seconds; between two looks at workers, caller and troubles
-AT_ONCE = 3  # troubles; that go on at the same time at most
-PAUSE_MOST = 1.5  # seconds; between two begins of troubles
-WIPE_APART = 10.0  # seconds; a disk is lost only once the one lost before has been made up for
-READY_WITHIN = 20.0  # seconds; from the first start until the first configuration is taken
-ENDS_WITHIN = 60.0  # seconds; until every job has ended once troubles are over
+STEP = 0.02  # seconds; between two steps of the workers, the client and the faults
+AT_ONCE = 3  # faults; the most at the same time
+PAUSE_MOST = 1.5  # seconds; the longest between the starts of two faults
+WIPE_APART = 10.0  # seconds; a second disk is lost only after the first one was replicated again
+READY_WITHIN = 20.0  # seconds; from the first start until the first configuration is acknowledged
+ENDS_WITHIN = 60.0  # seconds; until every job has ended after the last fault
 HEARTBEAT_TIMEOUT, CALL_TIMEOUT = 1.0, 3.0  # seconds
-RUNNING_AFTER_CANCEL = limits.LEASE_LONGEST + 2.0  # seconds; a cancelled run on a worker that hears nobody
+RUNNING_AFTER_CANCEL = limits.LEASE_LONGEST + 2.0  # seconds; a cancelled run on a worker that is cut off
 
 
 class Outcome(NamedTuple):
-    """What a soak found: faults in words, and counts that show what it went through."""
+    """What a soak found: violations in words, and counts of what was injected."""
 
     seed: int
     faults: list
-    fault_log: list  # (seconds, name of the trouble, whom it met)
+    fault_log: list  # (seconds, name of the fault, the daemon or worker)
     most_at_once: int
     jobs: int
     starts: int
 
 
 class Soak:
-    """Invariant: faults are judged only by what callers were told, what workers did, and the logs."""
+    """One soak. Invariant: violations are judged by answers to clients, runs of workers and logs alone."""
 
     def __init__(self, seed, folder, fronts=FRONTS):
         self.seed, self.draw = seed, random.Random(f"soak-{seed}")
@@ -60,17 +60,17 @@
             )
         self.client_stand_in = StandInClient(seed)
         self.away, self.cut, self.answer_loss, self.wiped_at = set(), set(), 0.0, 0.0
-        self.open = {}  # whom a trouble meets -> (its name, when it ends)
+        self.open = {}  # daemon or worker -> (name of its fault, when it ends)
         self.next_fault = 0.0
         self.met, self.most_at_once, self.faults = [], 0, []
 
     def clock(self):
-        """Seconds; the one clock of everything here."""
+        """The clock of the soak, in seconds."""
         return time.time()
 
     # --- stand-ins ------------------------------------------------------------------------
     def finish_incarnation(self, name):
-        """A worker that drained has ended, or ends now; another life takes its place."""
+        """Ends a drained worker, and starts its next incarnation."""
         self.workers[name].crash(self.clock())
         self.workers[name].begin()
 
@@ -117,9 +117,9 @@
                 if worker.births == incarnation and name not in self.cut and name not in self.away:
                     worker.step(("told", number, status, wire.orders_of(document)), now)
 
-    # --- troubles --------------------------------------------------------------------------
+    # --- faults --------------------------------------------------------------------------
     def _whom(self, kind):
-        """Those of a kind that no trouble meets now."""
+        """The daemons or workers of a kind without a fault now."""
         if not kind:
             return [] if "" in self.open else [""]
         names = list(self.workers) if kind == "worker" else self.processes.names(kind)
@@ -139,7 +139,7 @@
         if not whom or (fault == "wipe-core" and (cores_met or now - self.wiped_at < WIPE_APART)):
             return
         if FAULTS[fault].kind == "core" and now - self.wiped_at < WIPE_APART:
-            return  # one lost disk is all that may be lost until it has been made up for
+            return  # nothing else may be lost until the lost disk was replicated again
         name = self.draw.choice(whom)
         self.open[name] = (fault, now + self.draw.uniform(FAULTS[fault].least, FAULTS[fault].most))
         FAULTS[fault].begin(self, name)
@@ -217,7 +217,7 @@
         time.sleep(STEP)
 
     def run(self, seconds):
-        """Plays so many seconds of troubles, then waits until every job has ended; an Outcome."""
+        """Injects faults for so many seconds, then waits until every job has ended; returns an Outcome."""
         self.processes.start_all()
         try:
             self._configure()
@@ -250,7 +250,7 @@
         ]
 
     def _judged(self):
-        """Faults that the history checks of the simulated fleets find."""
+        """The violations that the history checks of the simulated fleets find."""
         jobs = self.client_stand_in.jobs
         return [
             *checks.never_twice(self.history),
@@ -263,7 +263,7 @@
 
 
 def soak(seed, seconds, fronts=FRONTS, keep=False):
-    """An Outcome; the folder with logs and disks is kept when something was found, or when asked."""
+    """Runs one soak. The folder with logs and disks is kept if something was found, or if asked for."""
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     outcome = Soak(seed, folder, fronts).run(seconds)
     if outcome.faults or keep:
--- a/features/soak/troubles.py
+++ b/features/soak/troubles.py
@@ -1,4 +1,4 @@
-"""The troubles of a soak. Each is begun and, some seconds later, ended; several go on at once."""
+"""The faults that a soak injects. Each begins and ends some seconds later; several overlap."""
 
 import signal
 from typing import NamedTuple
@@ -10,7 +10,7 @@
     kind: str  # "core", "front", "worker", or "" for all of the soak
     begin: object
     end: object
-    least: float  # seconds that it goes on
+    least: float  # seconds that it lasts
     most: float
 
 
@@ -60,7 +60,7 @@
 
 
 def _crash(soak, name):
-    """A worker dies; another life of it comes at its end."""
+    """A worker crashes; its next incarnation starts when the fault ends."""
     soak.away.add(name)
     soak.workers[name].crash(soak.clock())
 
@@ -71,7 +71,7 @@
 
 
 def _partition(soak, name):
-    """A worker runs on and reaches nobody."""
+    """A worker goes on running but is cut off from all daemons."""
     soak.cut.add(name)
 
 
@@ -84,7 +84,7 @@
 
 
 def _drained(soak, name):
-    """Its end came by itself; a new life takes its place."""
+    """The drained worker has ended, or ends now; a new incarnation takes its place."""
     soak.finish_incarnation(name)
 
 
--- a/features/steps/assigning.py
+++ b/features/steps/assigning.py
@@ -1,4 +1,4 @@
-"""Steps for Assigning: rounds of the assigner over a leased job state, workers and runs in virtual time."""
+"""Steps for Assigning: scheduling rounds over a leased job state, workers and runs in virtual time."""
 
 import random
 from unittest import mock
@@ -45,7 +45,7 @@
 
 
 def by_chance(seed, workers, policy=policies.DEFAULT):
-    """A fleet that 60 seconds of work by chance have come to, and 30 seconds more have passed."""
+    """A fleet that got random work for 60 seconds and ran for 30 seconds more."""
     fleet, draw = Fleet(workers, policy=policy), random.Random(seed)
     for _ in range(120):
         kind = draw.random()
@@ -97,7 +97,7 @@
     assert not bad, f"seconds by seed: {bad}"
 
 
-# --- shares of the room ------------------------------------------------------------------
+# --- shares of the capacity ------------------------------------------------------------------
 @when(
     "for {seconds:d} seconds scans come that ask for {share:d} times the capacity, and inspections "
     "for a tenth of it"
--- a/features/steps/round_fleet.py
+++ b/features/steps/round_fleet.py
@@ -22,19 +22,21 @@
     3,
 )  # of both queues: a job is in time within its aim and so many times its length
 INSPECTION = 2.0  # seconds; of one task, where nothing else is said
-URGENCIES = {"scans": 1, "inspections": 2}  # queue -> urgency, 0 the most urgent
+URGENCIES = {"scans": 1, "inspections": 2}  # queue -> priority, 0 the most urgent
 
 
 class AssignmentsStandIn:
-    """What the assigner reads of a keeper. Invariant: nothing's stop is proposed but not agreed on."""
+    """What the assigner reads of the assignment manager. Invariant: no stop of a run is pending."""
 
     stopping = frozenset()
 
 
 class Fleet:
-    """A board whose runs take just as long as they are told to. Invariant: every run that is
-    placed starts at once, and its end is agreed on in the round after it. `maxima` says of each tenant by
-    name what it may have running, as a configuration has it."""
+    """Workers, queues and a leased job state in virtual time; each run takes the length given for its job.
+
+    Invariants: every run starts as soon as it is placed, and its end is applied before the next round.
+    `maxima` maps the name of a tenant to the most it may have running, as in a configuration.
+    """
 
     def __init__(
         self,
@@ -54,9 +56,9 @@
         self.ends_at = {}  # (minion, reference, run) -> when it ends
         self.stops_at = {}  # the same of runs that are being stopped
         self.workers = {f"w{place}": Worker(f"w{place}", self.now) for place in range(count)}
-        self.empty_since = {}  # worker -> since when it is empty while a waiting task would fit
+        self.empty_since = {}  # worker -> since when it runs nothing while a waiting task would fit
         self.longest_empty = 0.0  # seconds
-        self.idle_since = {}  # job -> since when it waits with nothing running beside ample room
+        self.idle_since = {}  # job -> since when it waits with nothing running beside ample free capacity
         self.longest_idle = 0.0  # seconds
         self.silent = set()  # workers
         self.came, self.done = {}, {}  # job -> when it came, when it was completed
@@ -73,7 +75,7 @@
             self._beat()
 
     def _configure(self, urgencies, tenants):
-        """Puts a queue into force for each name and urgency, all of one service, and tenants if any."""
+        """Configures a queue for each name and priority, all of one service, and the tenants if any."""
         routes = [
             {
                 "name": name,
@@ -94,7 +96,7 @@
         assert taken == ("configured", 1), taken
 
     def put(self, queue, count, accelerators, seconds, tenant=None, **more):
-        """Hands in a job of one step, of a tenant or none; each task takes `seconds`."""
+        """Submits a job of one step, of a tenant or none; each of its tasks takes `seconds`."""
         self.made += 1
         step = {"count": count, "gpu": accelerators, "est_ms": seconds * 1000, **TASK_REQUEST, **more}
         plain, faults = jobs.checked({"steps": [step]})
@@ -107,7 +109,7 @@
         return identity
 
     def in_use(self):
-        """The part of all accelerators that is taken."""
+        """The fraction of all accelerators that is in use."""
         taken = sum(WORKER_CAPACITY[2] - self.free(identity)[2] for identity in self.workers)
         return taken / (len(self.workers) * WORKER_CAPACITY[2])
 
@@ -121,7 +123,7 @@
             self._look()
 
     def _beat(self):
-        """Every worker that is not silent says what it runs."""
+        """Every worker that is not silent sends a heartbeat that lists its runs."""
         self.sequence += 1
         runs = collections.defaultdict(list)
         for worker_name, reference, run in (*self.ends_at, *self.stops_at):
@@ -137,7 +139,7 @@
             worker.take_heartbeat(heartbeat_arguments, self.now)
 
     def zone_of(self, identity):
-        """The zone that a worker stands in."""
+        """The zone of a worker."""
         return "north" if self.zone_size is None else f"zone-{int(identity[1:]) // self.zone_size}"
 
     def _end_runs(self):
@@ -181,7 +183,7 @@
         return [total - less for total, less in zip(WORKER_CAPACITY, taken, strict=True)]
 
     def _takes(self, identity, batch):
-        """How many tasks of a batch a worker has room for, by all that is placed there."""
+        """How many more tasks of a batch a worker has capacity for, beside all that is placed on it."""
         free, step = self.free(identity), batch.step
         fits = min(have // capacity for have, capacity in zip(free, step.resources, strict=True) if capacity)
         placed_here = self.leased_jobs.placements.get(identity, {}).values()
@@ -189,7 +191,7 @@
         return max(0, min(fits, step.apart - beside) if step.apart else fits)
 
     def _look(self):
-        """Notes how long room and work have been idle beside each other."""
+        """Records how long free capacity and waiting work that fits into it have existed side by side."""
         for placed_here in self.leased_jobs.placements.values():
             for one in placed_here.values():
                 queue = "scans" if one.priority == URGENCIES["scans"] else "inspections"
@@ -213,7 +215,7 @@
             self.longest_idle = max(self.longest_idle, self.now - since)
 
     def _note_tenants(self):
-        """Tenant -> what its runs have now, added up from the placements; notes the most accelerators."""
+        """Tenant -> the resources of its placements. Also records the most accelerators it ever had."""
         used = {}
         for placed_here in self.leased_jobs.placements.values():
             for one in placed_here.values():
@@ -224,7 +226,7 @@
         return used
 
     def _may_run(self, batch, used):
-        """Whether a batch's tenant may have running what of it must start together."""
+        """Whether the maximum of a batch's tenant admits the tasks of it that must start together."""
         maximum = self.maxima.get(batch.job.tenant) or {}
         count = len(batch.waiting) if batch.step.gang else 1
         has = used.get(batch.job.tenant, (0, 0, 0))
@@ -234,8 +236,9 @@
         )
 
     def _ample(self, batch):
-        """Whether nothing of a batch's job runs, all of it that must start together would fit twice, and
-        under half of the service's room is in use."""
+        """Whether nothing of a batch's job is placed, the tasks that must start together would fit twice, and
+        less than half of the service's capacity is in use.
+        """
         placed = {
             one.job for placed_here in self.leased_jobs.placements.values() for one in placed_here.values()
         }
