Soak: a request that a daemon read and then dropped in a planned stop is a violation

While a daemon ends after SIGTERM, callers go on using its open connections. A connection that closes over 0.2 s after a request was sent, without a complete answer, between SIGTERM and the end of the process counts as a cut request.

--- a/features/soak/soak.py
+++ b/features/soak/soak.py
@@ -35,6 +35,14 @@
     starts: int
 
 
+class PlannedStop(NamedTuple):
+    """The time from a daemon's SIGTERM until it had ended."""
+
+    host: str
+    begun: float  # seconds
+    ended: float
+
+
 class Soak:
     """One soak. Invariant: violations are judged by answers to clients, runs of workers and logs alone."""
 
@@ -59,9 +67,11 @@
                 gangs,
             )
         self.client_stand_in = StandInClient(seed)
+        self.cuts, self.planned_stops = [], []  # wire.Cut, and PlannedStop
         self.away, self.cut, self.answer_loss, self.wiped_at = set(), set(), 0.0, 0.0
         self.open = {}  # daemon or worker -> (name of its fault, when it ends)
         self.next_fault = 0.0
+        self.terminated = {}  # daemon -> when it was sent SIGTERM
         self.met, self.most_at_once, self.faults = [], 0, []
 
     def clock(self):
@@ -103,7 +113,9 @@
             self.calls.send(("call", tag), request)
 
     def _hear(self, now):
-        for purpose, status, document in self.calls.taken():
+        for purpose, status, document, cut in self.calls.taken():
+            if cut is not None:
+                self.cuts.append(cut)
             if purpose[0] == "change":
                 self._hear_change(purpose[1], status)
                 continue
@@ -146,6 +158,24 @@
         self.met.append((round(now - self.begun, 2), fault, name))
         self.most_at_once = max(self.most_at_once, len(self.open))
 
+    def restart(self, name):
+        """Waits until a daemon that was sent SIGTERM has ended, and starts it again."""
+        begun = self.terminated.pop(name)
+        in_time = self.processes.wait_stopped(name)
+        if not in_time:
+            self.faults.append(f"{name} did not end within its grace period after SIGTERM")
+        self.planned_stops.append(PlannedStop(self.processes.addresses[name], begun, self.clock()))
+        self.processes.start(name)
+
+    def _requests_cut(self):
+        """Requests that a daemon had read before or in a planned stop and that it ended without an answer."""
+        return [
+            f"{stop.host} cut a request {cut.at - stop.begun:.2f} s after SIGTERM"
+            for stop in self.planned_stops
+            for cut in self.cuts
+            if cut.address.startswith(f"{stop.host}:") and stop.begun <= cut.at <= stop.ended
+        ]
+
     # --- the run ---------------------------------------------------------------------------
     def _configuration(self, version):
         """The configuration under a version; versions differ in their latency target alone."""
@@ -253,6 +283,7 @@
         """The violations that the history checks of the simulated fleets find."""
         jobs = self.client_stand_in.jobs
         return [
+            *self._requests_cut(),
             *checks.never_twice(self.history),
             *checks.steps_kept(self.history, jobs),
             *checks.attempts_kept(self.history, jobs),
--- a/features/soak/troubles.py
+++ b/features/soak/troubles.py
@@ -38,13 +38,12 @@
 
 def _terminate(soak, name):
     """A planned stop: the daemon finishes what it has taken, while callers go on using its connections."""
+    soak.terminated[name] = soak.clock()
     soak.processes.signal(name, signal.SIGTERM)
 
 
 def _restart(soak, name):
-    if not soak.processes.wait_stopped(name):
-        soak.faults.append(f"{name} did not end within its grace period after SIGTERM")
-    soak.processes.start(name)
+    soak.restart(name)
 
 
 def _reread(soak, name):
--- a/features/soak/wire.py
+++ b/features/soak/wire.py
@@ -6,6 +6,7 @@
 import queue
 import sys
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
@@ -19,6 +20,7 @@
 
 CALLS_AT_ONCE = 64
 NO_ANSWER = 0  # the status of a call that was cut, timed out or reached nobody
+CUT_AFTER = 0.2  # seconds; a server that closes a connection later has read the request
 
 
 class Request(NamedTuple):
@@ -34,11 +36,19 @@
 
 
 class Answered(NamedTuple):
-    """A call's end: what it was sent for, its status or NO_ANSWER, and the document told."""
+    """A call's end: what it was sent for, its status or NO_ANSWER, and the document of the answer."""
 
     purpose: object
     status: int
     document: dict
+    cut: "Cut | None" = None
+
+
+class Cut(NamedTuple):
+    """A connection that its server closed without a complete answer, although it had read the request."""
+
+    address: str
+    at: float  # seconds, by time.time()
 
 
 class Connections:
@@ -49,19 +59,21 @@
         self.idle = collections.defaultdict(list)
 
     def exchange(self, request):
-        """(status, document) of one call on an open connection, or on a new one where none is idle."""
+        """(status, document, Cut or None) of one call on an open connection, or on a new one where none is
+        idle.
+        """
         with self.lock:
             idle = self.idle[request.address]
             connection = idle.pop() if idle else None
         if connection is None:
             connection = http.client.HTTPConnection(request.address)
-        status, document = exchange_on(connection, request)
+        status, document, cut = exchange_on(connection, request)
         if status == NO_ANSWER or connection.sock is None:
             connection.close()
         else:
             with self.lock:
                 self.idle[request.address].append(connection)
-        return status, document
+        return status, document, cut
 
     def close(self):
         for connections in self.idle.values():
@@ -96,14 +108,15 @@
     """(status, document) of one call on a connection of its own."""
     connection = http.client.HTTPConnection(request.address)
     try:
-        return exchange_on(connection, request)
+        return exchange_on(connection, request)[:2]
     finally:
         connection.close()
 
 
 def exchange_on(connection, request):
-    """(status, document) of one call on a connection, which http.client opens if it isn't open."""
+    """(status, document, Cut or None) of one call on a connection, which is opened if it isn't open."""
     connection.timeout = request.timeout
+    begun = time.time()
     try:
         if connection.sock is not None:
             connection.sock.settimeout(request.timeout)
@@ -117,9 +130,12 @@
         connection.request(request.method, request.path, body, headers)
         answer = connection.getresponse()
         content = json.loads(answer.read() or b"{}")
-        return answer.status, content if isinstance(content, dict) else {}
+        return answer.status, content if isinstance(content, dict) else {}, None
+    except (ConnectionResetError, http.client.RemoteDisconnected, http.client.IncompleteRead):
+        now = time.time()
+        return NO_ANSWER, {}, Cut(request.address, now) if now - begun > CUT_AFTER else None
     except (OSError, http.client.HTTPException, ValueError):
-        return NO_ANSWER, {}
+        return NO_ANSWER, {}, None
 
 
 def heartbeat_of(document):
