--- a/features/steps/assigning_tenants.py
+++ b/features/steps/assigning_tenants.py
@@ -1,4 +1,4 @@
-"""Steps for Assigning: rounds over the work of tenants that are limited in what they may have running."""
+"""Steps for Assigning: scheduling rounds over the work of tenants with maxima."""
 
 import random
 
@@ -115,7 +115,7 @@
 
 
 def by_chance(seed, workers):
-    """A fleet that 40 seconds of work by chance of four kinds of callers have come to."""
+    """A fleet that got random work of four kinds of callers for 40 seconds."""
     fleet, draw = Fleet(workers, maxima=MAXIMA), random.Random(seed)
     for _ in range(80):
         name, kind = draw.choice((*MAXIMA, None)), draw.random()
--- a/features/steps/assignments.py
+++ b/features/steps/assignments.py
@@ -1,4 +1,4 @@
-"""Steps for Assignments: a control daemon, a cluster of one, stepped by hand under its own clock."""
+"""Steps for Assignments: a cluster of one control daemon, stepped by the test with a clock of its own."""
 
 from unittest import mock
 
@@ -29,7 +29,7 @@
 
 
 class SimulatedWorker:
-    """What one life of a minion says of itself."""
+    """One incarnation of a worker, and what its heartbeats contain."""
 
     def __init__(self, identity, address):
         self.identity, self.address = identity, address
@@ -62,7 +62,7 @@
 
 
 class SimulatedCluster:
-    """One accord and its disk. Invariant: what is not saved is not told as saved."""
+    """One control daemon and its disk. Invariant: only what was saved is reported as saved."""
 
     def __init__(self):
         self.now, self.count = 1000.0, 0
@@ -109,7 +109,7 @@
             self.run(constants.TICK)
 
     def ask(self, call, *arguments):
-        """Sends a call; its token."""
+        """Sends a call and returns its token."""
         self.count += 1
         token = f"t{self.count}"
         consensus = self.accord.consensus
@@ -118,7 +118,7 @@
         return token
 
     def told(self, call, *arguments):
-        """(status, document) of a call that is agreed on."""
+        """(status, document) of a call whose operation is committed."""
         token = self.ask(call, *arguments)
         self.until(lambda: token in self.answers, 2)
         kind, answer, *_ = self.answers[token]
@@ -126,7 +126,7 @@
         return answer[:2]
 
     def placed(self):
-        """(minion, reference, run) of every run whose end is not proven."""
+        """(worker, reference, run) of every run whose end is not proven."""
         return [
             (worker, *key)
             for worker, placements_there in self.accord.cluster_state.leased_jobs.placements.items()
@@ -154,7 +154,7 @@
 
 
 def hear(context):
-    """Waits for the answer to the beat that was sent, and lets the minion remember it."""
+    """Waits for the answer to the heartbeat that was sent, and hands it to the worker."""
     cluster, worker = context.cluster, context.simulated_worker
     cluster.until(lambda: context.token in cluster.answers, 2)
     kind, *rest = cluster.answers[context.token]
@@ -414,7 +414,7 @@
 
 
 def both_notified(context, first, second):
-    """Beats of two minions in turn until both were told starts."""
+    """Sends heartbeats of two workers in turn until both got starts."""
     left = {first, second}
     for _ in range(200):
         for name in sorted(left):
@@ -560,7 +560,7 @@
 
 
 def span(context):
-    """What must pass after a beat that was answered with a hold."""
+    """The seconds that must pass after a heartbeat that was answered with a lease."""
     return context.cluster.accord.lease_duration * (1 + constants.CLOCK_DRIFT) + constants.LAPSE_MARGIN
 
 
--- a/features/steps/lease.py
+++ b/features/steps/lease.py
@@ -1,4 +1,4 @@
-"""Steps for Lease: one control daemon's consensus, stepped by hand."""
+"""Steps for Lease: the consensus of one control daemon, stepped by the test."""
 
 import time
 from unittest import mock
@@ -34,7 +34,7 @@
 
 
 def begun(identity, now):
-    """The same, once it has looked at its clock."""
+    """A restarted consensus after its first tick."""
     consensus = restored(identity)
     consensus.tick(now)
     return consensus
@@ -158,7 +158,7 @@
 
 
 class Listener:
-    """A decider that keeps the times it is told."""
+    """A decider that records the times it is given."""
 
     def __init__(self):
         self.told = []
--- a/features/steps/leased_jobs.py
+++ b/features/steps/leased_jobs.py
@@ -1,4 +1,4 @@
-"""Steps for Leased job state: operations by hand, and long random histories at several cluster states."""
+"""Steps for Leased job state: single operations, and long random histories on several cluster states."""
 
 import collections
 import random
@@ -304,7 +304,7 @@
 
 @when('the leased job state is read from an image in which "{part}" know no tenant')
 def step_read_old(context, part):
-    """The image as versions without tenants made it: the last field of each item is left out."""
+    """The image as versions without tenants make it, without the last field of each item."""
     image = list(cbor2.loads(cbor2.dumps(context.leased_jobs.image())))
     place = {"jobs": 0, "jobs that are over": 1, "placements": 2}[part]
     assert image[place], "nothing to read"
@@ -515,7 +515,7 @@
 
 
 class TenantChance(Chance):
-    """The same with jobs of three tenants, whose maxima change, and with jobs of none."""
+    """As above, with jobs of three tenants whose maxima change, and jobs without a tenant."""
 
     NAMES = ("small", "large", "free", "")
 
@@ -543,7 +543,7 @@
         return self.configure_whole(base, base + self.random.choice((1, 2, 5)))
 
     def configure_whole(self, base, version):
-        """A whole configuration in which each tenant may run more or less than before."""
+        """A whole configuration with new maxima for each tenant."""
         small = {"cpu": self.random.choice((0, 100, 300, 800)), "gpu": self.random.choice((0, 1, 3))}
         large = {"cpu": self.random.choice((600, 2000)), "mem_mb": self.random.choice((0, 120, 400))}
         tenants = [tenant("small", small), tenant("large", large), tenant("free", None)]
@@ -565,7 +565,7 @@
         self.faults, self.starts, self.at_maximum = [], 0, 0
 
     def look(self, records, operation, outcome):
-        """Compares the sums after an operation, and judges what it placed."""
+        """Compares the sums after an operation, and checks what it placed."""
         used = self._used(records[0].leased_jobs)
         for record in records:
             told = {name: list(amount) for name, amount in record.leased_jobs.used_by_tenant.items()}
@@ -607,7 +607,7 @@
 
 
 def may_start(leased_jobs):
-    """The batches that may start, counted anew from the tasks alone."""
+    """The batches that may start, determined from the tasks alone."""
     found = set()
     for job in leased_jobs.jobs.values():
         for key, batch in job.batches.items():
--- a/features/steps/progress.py
+++ b/features/steps/progress.py
@@ -1,4 +1,4 @@
-"""Steps for Progress of runs: workers that tell how far their runs are, in virtual time, without daemons."""
+"""Steps for Progress of runs: workers that report the progress of runs, in virtual time, without daemons."""
 
 import collections
 import random
@@ -24,7 +24,7 @@
 
 
 class Member:
-    """One task on a worker of its own. Invariant: it goes on only once all of its gang have come."""
+    """One task on a worker of its own. Invariant: it progresses only once all of its gang have started."""
 
     def __init__(self, length, speed, comes_at, heartbeat_interval):
         self.length, self.speed = length, speed
@@ -44,7 +44,7 @@
 
 
 def one_step(now, workers, gang, guess):
-    """(board, placements) of a job of one step; `workers`: whom each of its tasks is placed at."""
+    """(leased job state, placements) of a job of one step; `workers`: the worker of each of its tasks."""
     leased_jobs = LeasedJobState()
     route = {"name": "work", "host": "a", "prefix": "/w/", "service": SERVICE, "attempts": 3}
     document = {"version": 1, "services": [{"name": SERVICE}], "routes": [route]}
@@ -59,7 +59,7 @@
 
 
 class Runs:
-    """One step of a job, each task on a worker of its own, watched as a leader watches it."""
+    """One step of a job, each task on a worker of its own, under a leader's ProgressWatch."""
 
     def __init__(self, members, gang, guess):
         self.members, self.gang, self.now = members, gang, 100.0
@@ -71,7 +71,7 @@
         self.slow = []  # RunStop of runs stopped as slow
 
     def run(self, most):
-        """Until all is done, or `most` seconds have passed."""
+        """Runs until all tasks are done, or `most` seconds have passed."""
         begun = self.now
         while self.now < begun + most and any(one.done < one.length for one in self._going()):
             self.now += STEP
@@ -87,13 +87,13 @@
             self._look()
 
     def tell(self, place):
-        """One worker beats now, and is looked at."""
+        """One worker sends a heartbeat, and its progress is checked."""
         self.now += STEP
         self._beat(f"w{place}", place, self.members[place])
         self._look()
 
     def _going(self):
-        """The members that are not stopped; with one, a gang stops whole."""
+        """The members that are not stopped; a gang stops as a whole."""
         if self.gang and self.stops:
             return []
         return [one for place, one in enumerate(self.members) if f"w{place}" not in self.stops]
@@ -115,7 +115,7 @@
 
 
 def by_chance(seed, gang):
-    """Runs of one step, drawn by a seed."""
+    """Random runs of one step, by a seed."""
     draw = random.Random(seed)
     length = draw.choice((0.4, 1.0, 3.0, 8.0, 20.0, 60.0)) * draw.uniform(0.5, 2.0)
     members = [
@@ -152,7 +152,7 @@
 
 
 def patience(member):
-    """Seconds within which a hung run is to be found: its last progress is told a beat late."""
+    """Seconds within which a stalled run must be found; its last progress is reported a heartbeat late."""
     per_cent = 2 * member.length / min(SPEEDS) / 100
     return (
         constants.STALLED + constants.STALLED_STEPS * per_cent + 2 * member.heartbeat_interval + LOOK_MARGIN
@@ -213,7 +213,7 @@
 
 # --- slow workers and long tasks -----------------------------------------------------------
 class Restarts:
-    """Tasks of one step that start again elsewhere when they are stopped; a worker may run several."""
+    """Tasks of one step that start on another worker when they are stopped; a worker may run several."""
 
     def __init__(self, lengths, speeds, placed_at=None):
         """`lengths`: seconds of each task; `speeds`: of each worker, beside the usual 1; `placed_at`: the
--- a/features/steps/round_cost.py
+++ b/features/steps/round_cost.py
@@ -1,4 +1,4 @@
-"""Steps for Cost of rounds: instructions that the assigner executes in a round, by the size of the fleet."""
+"""Steps for Cost of rounds: the instructions that a scheduling round executes, by the size of the fleet."""
 
 import sys
 
@@ -19,13 +19,13 @@
 
 
 class SteadyFleet(Fleet):
-    """A fleet whose starvation is not looked for, which takes longest where it is large."""
+    """A fleet that does not look for starving work, which would take longest in a large fleet."""
 
     def _look(self):
-        """Notes nothing."""
+        """Records nothing."""
 
     def instructions_of_round(self):
-        """How many instructions one more round executes."""
+        """The number of instructions that one more round executes."""
         counted = 0
 
         def count(frame, event, _):
@@ -46,7 +46,7 @@
 
 
 def more_than_half_full(count):
-    """A fleet with a long task on each worker, of which the first racks then fall silent."""
+    """A fleet with a long task on each worker, whose first racks then become unresponsive."""
     fleet = SteadyFleet(count, rack_size=RACK_SIZE)
     fleet.put("scans", count, TAKEN, LONG)
     fleet.run(1.0)
