--- a/features/quota_trials.feature
+++ b/features/quota_trials.feature
@@ -43,4 +43,4 @@
       | twice-let-go           | workers-unresponsive | 2 to 3 |
       | cancelled-uncounted    | calm                 | 0 to 1 |
       | lowered-unheeded       | workers-unresponsive | 11 to 12 |
-      | counts-lost-on-restart | leader-restarts      | 0 to 1 |
+      | counts-lost-on-restart | leader-restarts      | 2 to 3 |
