--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,7 +15,10 @@
 RESTART_DELAY_S = 0.5
 FINISH_S = harness.BOUNDS["finish_s"]
 ASK_S = 15.0  # jobs and the configuration are asked for so long, again and again
-OTHERS = {"taskSpec": "work_ms=3000", "steps": [{"taskCount": 3, "cpuUnits": 2000, "taskMemoryMb": 64, "estimatedMs": 3000}]}
+OTHERS = {
+    "taskSpec": "work_ms=3000",
+    "steps": [{"taskCount": 3, "cpuUnits": 2000, "taskMemoryMb": 64, "estimatedMs": 3000}],
+}
 SMALL_STEP = {"taskCount": 2, "estimatedMs": 1000}  # "Values that are 0, false or empty are omitted."
 
 
@@ -39,7 +42,9 @@
         time.sleep(FINISH_S)  # the traffic has ended with these two jobs
         states, version = {}, None
         until = time.monotonic() + ASK_S
-        while time.monotonic() < until and (version is None or set(states.values()) != {"completed"} or len(states) < 2):
+        while time.monotonic() < until and (
+            version is None or set(states.values()) != {"completed"} or len(states) < 2
+        ):
             for name, client in clients.items():
                 state = client.state(jobs[name])
                 if state is not None:
@@ -49,8 +54,11 @@
     finally:
         stop.set()
         platform.join()
-    found = [f"LOST: the job of {name} was accepted, and is not answered {FINISH_S} s after the traffic, nor for {ASK_S:.0f} s more"
-             for name in clients if name not in states]
+    found = [
+        f"LOST: the job of {name} was accepted, and is not answered {FINISH_S} s after the traffic, nor for {ASK_S:.0f} s more"
+        for name in clients
+        if name not in states
+    ]
     if version is None:
         found.append("CONFIG: the configuration was acknowledged, and does not come when it is read back")
     often = [f"{name} {count} times" for name, count in fleet.own_ends.items() if count >= 3]
