--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,7 +12,9 @@
 MINIONS = 16  # one of them leaves: a share of 0.0625, the site's largest for planned leaving is 0.065
 TASKS = 700  # 28 of the 32 cores of one minion
 WORK_S = 3.0
-DRAIN_AFTER_S = 1.5  # the minion serves on for drainMs (2 s) from then on, so all its tasks end before it leaves
+DRAIN_AFTER_S = (
+    1.5  # the minion serves on for drainMs (2 s) from then on, so all its tasks end before it leaves
+)
 JOB = {
     "taskSpec": f"work_ms={int(WORK_S * 1000)}",
     "steps": [
--- a/review/harness.py
+++ b/review/harness.py
@@ -72,7 +72,11 @@
     def _free_ports(self, draw):
         for _ in range(200):
             first = draw.randrange(12_000, 28_000)
-            if all(_is_free(a, p) for a in self.addresses.values() for p in range(first, first + INTERNAL_PORTS + 3)):
+            if all(
+                _is_free(a, p)
+                for a in self.addresses.values()
+                for p in range(first, first + INTERNAL_PORTS + 3)
+            ):
                 return first
         raise OSError("no free ports")
 
@@ -215,12 +219,18 @@
         "name": SERVICE, "healthPath": "/health", "connectionCap": 64, "protocol": "h1", "tlsEnabled": False,
         "coldStartS": 0.0, "coldPerS": 0.0, "guards": guards,
     }  # fmt: skip
-    limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+    limits = {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 262144,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    }
     document = {"configVersion": version, "routes": [route], "services": [service], "limits": limits}
     if tenants:
         maximum = {"cpuUnits": 0, "taskMemoryMb": 0, "gpuCount": 0}
         document["tenants"] = [
-            {"name": name, "apiKeys": [f"key-of-{name}"], "weight": 10, "maximum": maximum} for name in tenants
+            {"name": name, "apiKeys": [f"key-of-{name}"], "weight": 10, "maximum": maximum}
+            for name in tenants
         ]
     return document
 
@@ -260,7 +270,9 @@
             self.turn += 1
             address = self.fleet.fronts()[self.turn % len(self.fleet.fronts())]
             status, body = call(address, "POST", f"/lote/{identity}", job, self.headers)
-            self.record.line(f"client: POST /lote/{identity} to {address}: {status or 'no answer'} {body[:80]}")
+            self.record.line(
+                f"client: POST /lote/{identity} to {address}: {status or 'no answer'} {body[:80]}"
+            )
             if status in (200, 400, 404):
                 return status
             time.sleep(0.3)
@@ -478,7 +490,9 @@
     for at, kind, task, run, how, minion in events:
         if kind == "start":
             if at_work.get(task):
-                found.append(f"{task}: run {run} started on {minion.identity} while {sorted(at_work[task])} runs")
+                found.append(
+                    f"{task}: run {run} started on {minion.identity} while {sorted(at_work[task])} runs"
+                )
             if task in done and (done[task][1].identity, task, done[task][2], "done") in noted:
                 ended, where, earlier = done[task]
                 if not any(ended <= lapse for lapse in where.lapses):
