Absence from a list of ends that is cut at its limit proves nothing about a run

Cause: a heartbeat lists at most 500 ends, the next ones come once these are acknowledged. A run that neither list names counted as never started wherever its start was forbidden meanwhile (draining, evacuated zone, ordered stop, cancelled job, gang placed in part, lowered maximum), and where nothing was forbidden its start was sent again.

Change: a worker knows whether its newest list of ends is whole (fewer than 500). Absence is asked in one place, Worker.lacks(), and an incomplete list answers no. Both conclusions drawn from absence use it: the end "never started" and the repeated start. Such a worker is asked for its next heartbeat after 0.05 s in place of up to 0.5 s, so that one that leaves can list 4,000 ends and more in drainMs instead of 2,000. Counted by the leader, not told by the sender: mixed versions need nothing.

--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -263,6 +263,9 @@
 IDLE_HEARTBEAT_DEFERRAL = 0.5
 # seconds; heartbeat delay of a worker without capacity: it sends one at once when a task ends
 HEARTBEAT_INTERVAL_FULL = 0.5
+# ends; the most that a worker lists in one heartbeat; the next ones follow once these are acknowledged
+MAX_LISTED_ENDS = 500
+HEARTBEAT_INTERVAL_MORE_ENDS = 0.05  # seconds; heartbeat delay of a worker that may have more ends to list
 HEARTBEAT_STALE = 0.9  # seconds; a heartbeat older than this proves nothing and gets no starts
 WORKER_TIMEOUT = 1.2  # seconds; an unresponsive worker gets no new work after this
 # seconds; a heartbeat is answered within this while agreement on what it reported is pending
--- a/src/pinepitch/scheduling/assignment_manager.py
+++ b/src/pinepitch/scheduling/assignment_manager.py
@@ -58,10 +58,10 @@
 
     Invariants: the state is empty unless the daemon leads. A start is sent only while the leader's lease is
     valid, in answer to a heartbeat that is not stale, for a committed placement that is still wanted and
-    whose end is not being proposed. A run that is absent from a heartbeat counts as never started only if
-    both conditions hold: the heartbeat is not stale, and no start sent by an earlier leader can still arrive.
-    The second holds if the placement has this leader's epoch, or once this leader has led for
-    REPORT_GATHERING seconds.
+    whose end is not being proposed. A run that is absent from a heartbeat counts as never started, and its
+    start is sent again, only if the heartbeat is not stale and lists all ends that the worker has to report.
+    It counts as never started only if also no start sent by an earlier leader can still arrive: if the
+    placement has this leader's epoch, or once this leader has led for REPORT_GATHERING seconds.
     """
 
     def __init__(self, core: Daemon, now: float, policy: policies.Policy = policies.DEFAULT) -> None:
@@ -132,14 +132,14 @@
         self.round_due = True
 
     def _propose_never_started(self, worker: Worker, now: float) -> None:
-        """Proposes the end of runs that never started: those that the worker lists neither as running nor as
-        ended in a heartbeat that is not stale, and that no earlier answer can start any more.
+        """Proposes the end of runs that never started: those that a heartbeat that is not stale shows to be
+        neither active nor ended, and that no earlier answer can start any more.
         """
         # A first heartbeat can't be recognized as stale: there is no earlier one to compare its clock with.
         if worker.stale or worker.heartbeats < 2:
             return
         for (reference, run), placement in self.leased_jobs.placements.get(worker.identity, {}).items():
-            if (reference, run) in worker.running or (reference, run) in worker.listed_ends:
+            if not worker.lacks((reference, run)):
                 continue
             if placement.epoch != self.core.epoch and now - self.leader_since < constants.REPORT_GATHERING:
                 continue
@@ -248,7 +248,7 @@
                     stop.append(key)
             elif (
                 may_start
-                and key not in worker.listed_ends
+                and worker.lacks(key)
                 and self._may_start(worker, placement)
                 and not worker.stale
                 and (worker.identity, *key) not in self.ends.proposed
@@ -269,7 +269,11 @@
         return (reference, run, batch.job.spec, task.saved)
 
     def _next_heartbeat_in(self, worker: Worker, placements: Placements, start: list[StartOrder]) -> float:
-        """Seconds until a worker's next heartbeat; longer for a worker that can take no more work."""
+        """Seconds until a worker's next heartbeat: short for one that may have more ends to list, and longer
+        for one that can take no more work.
+        """
+        if not worker.lists_all_ends:
+            return constants.HEARTBEAT_INTERVAL_MORE_ENDS
         used_cpu = sum(placement.resources[0] for placement in placements.values())
         has_capacity = worker.state == READY and used_cpu < worker.capacity[0]
         return self._heartbeat_interval() if has_capacity or start else constants.HEARTBEAT_INTERVAL_FULL
--- a/src/pinepitch/scheduling/worker.py
+++ b/src/pinepitch/scheduling/worker.py
@@ -64,6 +64,8 @@
         self.running: dict[RunKey, tuple[str, float]] = {}  # (reference, run) -> (saved progress, percent)
         # (reference, run) of the runs that its newest heartbeat lists as ended
         self.listed_ends: set[RunKey] = set()
+        # whether its newest heartbeat listed fewer ends than it may, so that no other end waits to be listed
+        self.lists_all_ends = True
         self.pending_ends: set[int] = set()
         # numbers of ends that wait until another end of the same run is committed
         self.blocked_ends: set[int] = set()
@@ -108,6 +110,7 @@
             (reference, run): (saved, percent) for reference, run, saved, percent in heartbeat["running"]
         }
         self.listed_ends = {(reference, run) for _, reference, run, _, _ in heartbeat["ended"]}
+        self.lists_all_ends = len(heartbeat["ended"]) < constants.MAX_LISTED_ENDS
         self.scheduling_state = (
             self.heartbeats >= 2,
             self.stale,
@@ -130,6 +133,13 @@
         for key in [key for key in self.progress if key not in self.running]:
             del self.progress[key]
 
+    def lacks(self, key: RunKey) -> bool:
+        """Whether its newest heartbeat shows that a run, given as (reference, run), is not active and has no
+        end that is yet to be acknowledged. A list of ends that is cut at its limit shows nothing of the kind
+        about a run that it does not name.
+        """
+        return self.lists_all_ends and key not in self.running and key not in self.listed_ends
+
     def acknowledged(self) -> int:
         """The number up to which all ends that the worker reported are committed."""
         uncommitted = self.pending_ends | self.blocked_ends
