--- a/features/leased_job_trials.feature
+++ b/features/leased_job_trials.feature
@@ -24,6 +24,7 @@
       | frames-replayed |
       | storm         |
       | tenants-leave-first |
+      | ends-beyond-list |
 
   Scenario Outline: <scenario> breaks no rule of jobs while the log is compacted all the time
     Given the condition frequent-snapshots
@@ -43,6 +44,7 @@
 
     Examples:
       | injected            | scenario      | fault                         | seeds    |
+      | every-list-is-whole | ends-beyond-list | had ended done, as noted   | 0 to 11  |
       | absence-at-once     | beats-stale   | had ended done, as noted      | 20 to 31 |
       | hold-not-waited-out | tenants-cut   | had ended done, as noted      | 20 to 31 |
       | lease-ignored       | leader-deaf   | had ended done, as noted      | 20 to 31 |
--- a/src/pinepitch/simulation/jobs/kinds.py
+++ b/src/pinepitch/simulation/jobs/kinds.py
@@ -1,14 +1,16 @@
 """The kinds of jobs that the stand-in client submits."""
 
+MEMORY = 256  # megabytes that a task asks for unless its step says otherwise
+
 
 def step_of(count, seconds, cpu, fail=0.0, **more):
     """Returns (step as it is submitted, its description in the spec)."""
-    step = {"count": count, "cpu": cpu, "mem_mb": 256, "est_ms": int(seconds * 1000), **more}
+    step = {"count": count, "cpu": cpu, "mem_mb": MEMORY, "est_ms": int(seconds * 1000), **more}
     description = {
         "seconds": seconds,
         "fail": fail,
         "gang": count if more.get("gang") else 0,
-        "room": [cpu, 256, more.get("gpu", 0)],
+        "room": [cpu, step["mem_mb"], more.get("gpu", 0)],
         "saves": bool(more.get("saves")),
         "lasts": bool(more.get("lasts")),
     }
--- a/src/pinepitch/simulation/jobs/stand_in_client.py
+++ b/src/pinepitch/simulation/jobs/stand_in_client.py
@@ -67,24 +67,35 @@
         identity = f"{self.random.randrange(16**16):016x}"
         steps = KINDS[kind][1]()
         queue = self.random.choice(("held", "bare"))
-        spec = json.dumps({"steps": [description for _, description in steps], "job": identity[:4]})
-        document = {"spec": spec, "steps": [step for step, _ in steps]}
+        times = {}
         if kind == "timed":
-            document.update(first_ms=(now + self.random.uniform(0.5, 3)) * 1000, every_ms=1200, times=3)
+            times = {"first_ms": (now + self.random.uniform(0.5, 3)) * 1000, "every_ms": 1200, "times": 3}
         cancels = kind == "lasting" or self.random.random() < 0.12
+        cancel_at = now + self.random.uniform(0.5, 12) if cancels else None
+        self._add(identity, kind, queue, steps, now, cancel_at, times)
+
+    def submit(self, kind, queue, steps, now):
+        """Submits one more job of steps as step_of returns them; returns its identity."""
+        identity = f"{self.random.randrange(16**16):016x}"
+        self._add(identity, kind, queue, steps, now, None, {})
+        return identity
+
+    def _add(self, identity, kind, queue, steps, now, cancel_at, times):
+        """Adds a job that is submitted with the next tick."""
+        spec = json.dumps({"steps": [description for _, description in steps], "job": identity[:4]})
         self.jobs[identity] = {
             "identity": identity,
             "kind": kind,
             "queue": queue,
             "path": f"/{queue}/{identity}",
-            "document": document,
+            "document": {"spec": spec, "steps": [step for step, _ in steps], **times},
             "sent": now,
             "unclear": False,
             "accepted": None,
             "refused": None,
             "final": None,
             "looks": 2,
-            "cancel_at": now + self.random.uniform(0.5, 12) if cancels else None,
+            "cancel_at": cancel_at,
             "cancel_sent": None,
             "cancelled": None,
             "out": False,
