Stand-in lease worker: names and comments in standard terms

No behaviour (same-shape: no statement differs). ANSWER_TIMEOUT was named after bytes, though it is in seconds; LEASE_MOST, ENDS_MOST, DRAIN_BEYOND, DRAIN_UNHEARD and SLOWEST get standard names.

--- a/src/pinepitch/simulation/stand_in_lease_worker.py
+++ b/src/pinepitch/simulation/stand_in_lease_worker.py
@@ -1,34 +1,35 @@
 """A stand-in for a worker whose tasks run under a lease: a decider that the simulator runs.
 
-It keeps a history of what it started, how that ended and what was taken note of, for checks
-after the fact. Effects: ("beat", address, number, identity, document), ("leave", address,
-identity). What its tasks do is told by their job's spec, a JSON text with one object a step.
+It keeps a history of its runs, of their ends and of which ends were acknowledged, for checks after the
+fact. Effects: ("beat", address, number, identity, document), ("leave", address, identity). The spec of a
+job, a JSON text with one object for each step, states what its tasks do.
 """
 
 import json
 import random
 
-MAX_ANSWER_BYTES = 1.0  # own seconds; an answer later than this is dropped, and silence this long moves it on
-LEASE_MOST = 5.0  # own seconds; a longer hold is cut back to this
-HEARTBEAT_PERIOD = 1.0  # seconds; between heartbeats where no answer says otherwise
+ANSWER_TIMEOUT = 1.0  # seconds by its clock; a later answer is dropped, and the next daemon is called
+MAX_LEASE = 5.0  # seconds by its clock; a longer lease is cut back to this
+HEARTBEAT_PERIOD = 1.0  # seconds; between heartbeats unless an answer asks for another period
 HEARTBEAT_SOON = 0.05  # seconds; a heartbeat follows an end, or a failed heartbeat, this soon
 GANG_WAIT = 3.0  # seconds; a gang's member waits for the others this long
 STOP_GRACE = 0.6  # seconds; a stop takes at most this
 SAVE_EVERY = 0.5  # seconds of work; between two checkpoints
-RESTORE = 0.1  # seconds; what going on from a checkpoint costs
+RESTORE = 0.1  # seconds; the delay of a run that resumes from a checkpoint
 DRAIN = 2.0  # seconds; it keeps serving this long once its draining was acknowledged
-DRAIN_BEYOND = 0.2  # seconds; and this much more
-DRAIN_UNHEARD = 4.0  # seconds; without an acknowledgement it ends after this
-ENDS_MOST = 500  # ends; told in one heartbeat
-SLOWEST = 0.02  # part; by which its own steady clock may run slow
+DRAIN_MARGIN = 0.2  # seconds; added to DRAIN
+DRAIN_TIMEOUT = 4.0  # seconds; it ends after this if its draining is not acknowledged
+MAX_LISTED_ENDS = 500  # ends; most in one heartbeat
+SLOWEST_CLOCK = 0.02  # fraction; by which its steady clock may run slow
 
 
 class StandInLeaseWorker:
-    """Invariants: running holds what it runs now, what is being stopped included; ended holds,
-    by number, every end that no answer has reached; at most one heartbeat is out; the history is only
-    added to; nothing runs past hold_until on its own clock; fence never falls in one incarnation.
+    """Invariants: `running` contains every active run, also one that is being stopped; `ended` contains, by
+    number, every end that no answer has acknowledged; at most one heartbeat is unanswered; the history is
+    append-only; no run outlasts `lease_until` by the worker's clock; `fence` never decreases within one
+    incarnation.
 
-    `gangs` is shared by all: (job, time, step, run) -> the gang's standing.
+    `gangs` is shared by all workers: (job, time, step, run) -> the state of the gang.
     """
 
     def __init__(
@@ -38,55 +39,57 @@
         self.labels, self.guards, self.service = list(labels), guards, service
         self.control_daemons, self.gangs, self.history, self.seed = control_daemons, gangs, history, seed
         self.random = random.Random(f"tenant-{name}-{seed}")
-        self.rate = 1.0 - self.random.choice((0.0, SLOWEST / 2, SLOWEST))
+        self.rate = 1.0 - self.random.choice((0.0, SLOWEST_CLOCK / 2, SLOWEST_CLOCK))
         self.clock_ahead = self.random.uniform(0, 1e5)
         self.births = 0
-        self.fail_rate = 0.0  # of runs, beside what their spec says
+        self.fail_rate = 0.0  # of runs, in addition to that in their spec
         self.slow = 1.0  # times the length of every task
         self.begin()
 
     def begin(self):
-        """A new incarnation: what ran is gone, and so is what it knew."""
+        """Starts a new incarnation, which has no runs and remembers nothing."""
         self.births += 1
         self.identity = f"i-{self.name}-{self.births}-{self.random.randrange(16**6):06x}"
-        self.running = {}  # (reference, run) -> its standing, a dict
-        self.had = set()  # (reference, run) that were ever present
+        self.running = {}  # (reference, run) -> its state, a dict
+        self.had = set()  # (reference, run) of all runs that were ever started or refused here
         self.barred = {}  # reference -> highest run that stopped or ended here
         self.ended = {}  # number -> (reference, run, how, saved)
         self.end_count = self.sequence = self.fence = 0
         self.home = None
         self.turn = self.random.randrange(len(self.control_daemons))
-        self.out = None  # (number, address, own clock when sent, state told) of the heartbeat that is out
+        self.out = None  # (number, address, own clock when sent, reported state) of the unanswered heartbeat
         self.next_at = -1e9
         self.urgent = False
         self.lease_until = None
         self.state, self.leaves_at, self.drained_at, self.over = "ready", None, None, False
         self.ticked = None
-        self.says_leave = False  # whether it is to say that it leaves, with no word of draining before
+        self.says_leave = False  # whether it is to report that it leaves without having reported draining
 
     def own(self, now):
-        """Its own steady clock."""
+        """The time by its steady clock, seconds."""
         return self.clock_ahead + now * self.rate
 
     def crash(self, now):
-        """Everything it runs stops; what nobody heard of is lost."""
+        """Ends all runs at once. Ends that were not reported yet are lost."""
         for key in list(self.running):
             self._leave_gang(key, "gone")
             self.history.append(("gone", now, self.name, self.identity, *key))
         self.running, self.ended, self.out = {}, {}, None
 
     def drain(self, now):
-        """A planned end is near."""
+        """Begins a planned end: the worker drains."""
         if self.state == "ready":
-            self.state, self.leaves_at, self.next_at = "draining", now + DRAIN_UNHEARD, now
+            self.state, self.leaves_at, self.next_at = "draining", now + DRAIN_TIMEOUT, now
 
     def leave_first(self, now):
-        """A planned end is near: it says that it leaves, never that it drains, and serves on for as long."""
+        """Begins a planned end in which the worker reports that it leaves without having drained. Its runs go
+        on for as long as those of one that drains.
+        """
         if self.state == "ready" and self.leaves_at is None:
-            self.says_leave, self.leaves_at = True, now + DRAIN + DRAIN_BEYOND
+            self.says_leave, self.leaves_at = True, now + DRAIN + DRAIN_MARGIN
 
     def step(self, message, now):
-        """Takes a message at a time in seconds of the simulator; returns effects."""
+        """Processes a message at a time in seconds of the simulator; returns effects."""
         kind, *rest = message
         return getattr(self, f"_on_{kind}")(*rest, now)
 
@@ -112,14 +115,14 @@
         if self.says_leave:
             self.says_leave = False
             return [("leave", self._target(), self.identity)]
-        if self.out is not None and own - self.out[2] > MAX_ANSWER_BYTES:
+        if self.out is not None and own - self.out[2] > ANSWER_TIMEOUT:
             self._move_on(now)
         if self.out is None and now >= self.next_at:
             return [self._heartbeat(now)]
         return []
 
     def _advance(self, key, passed, now):
-        """One run goes on for a while, and may end."""
+        """Advances one run by the seconds that passed; it may end."""
         one = self.running[key]
         if one["stop_at"] is not None:
             if now >= one["stop_at"]:
@@ -180,7 +183,7 @@
         )
 
     def _move_on(self, now):
-        """The heartbeat that was out failed: the next goes elsewhere."""
+        """Sends the next heartbeat to another daemon, because the unanswered one failed."""
         self.out, self.home = None, None
         self.turn += 1
         self.next_at = now + HEARTBEAT_SOON
@@ -192,7 +195,7 @@
         return ("beat", self._target(), self.sequence, self.identity, self.document(now))
 
     def document(self, now):
-        """What it says of itself."""
+        """The document of a heartbeat."""
         leaves = None
         if self.state == "draining":
             leaves = DRAIN if self.drained_at is None else max(0.0, self.drained_at + DRAIN - now)
@@ -207,7 +210,7 @@
             "labels": self.labels,
             "room": self.capacity,
             "running": [[*key, one["saved"], self._percent(one)] for key, one in self.running.items()],
-            "ended": [[number, *end] for number, end in list(self.ended.items())[:ENDS_MOST]],
+            "ended": [[number, *end] for number, end in list(self.ended.items())[:MAX_LISTED_ENDS]],
         }
 
     def _percent(self, one):
@@ -218,12 +221,12 @@
         if self.out is None or self.out[0] != number:
             return []
         _, _, sent, state = self.out
-        if status // 100 != 2 or self.own(now) - sent > MAX_ANSWER_BYTES:
+        if status // 100 != 2 or self.own(now) - sent > ANSWER_TIMEOUT:
             self._move_on(now)
             return []
         self.out = None
         if state == "draining" and self.drained_at is None:
-            self.drained_at, self.leaves_at = now, now + DRAIN + DRAIN_BEYOND
+            self.drained_at, self.leaves_at = now, now + DRAIN + DRAIN_MARGIN
             self.history.append(("drained", now, self.name, self.identity))
         self.next_at = now + document.get("again_ms", HEARTBEAT_PERIOD * 1000) / 1000
         fence = document.get("fence", 0)
@@ -235,14 +238,14 @@
         return []
 
     def _obey(self, document, sent, now):
-        """What an answer of the newest fence asks for."""
+        """Carries out an answer that has the newest fence."""
         self.home = document.get("home", self.home)
         seen = document.get("seen", 0)
         for number in [one for one in self.ended if one <= seen]:
             reference, run, how, _ = self.ended.pop(number)
             self.history.append(("noted", now, self.name, self.identity, reference, run, how))
         if "hold_ms" in document:
-            until = sent + min(document["hold_ms"] / 1000, LEASE_MOST)
+            until = sent + min(document["hold_ms"] / 1000, MAX_LEASE)
             self.lease_until = until if self.lease_until is None else max(self.lease_until, until)
         for reference, run in document.get("stop", ()):
             self._stop((reference, run), now)
@@ -292,7 +295,7 @@
         self.running[key] = self._begun(key, what, capacity, saved, now)
 
     def _begun(self, key, what, capacity, saved, now):
-        """The standing of a run that starts now."""
+        """The state of a run that starts now."""
         reference, run = key
         job, time, number, index = reference.split(".")
         gang, owner = None, reference
