Soak: wide jobs whose ends fill several lists, two workers and the busiest one leaving

Beside the troubles so far (kills, restarts, SIGTERM, SIGHUP, changes, pauses, cuts, lost disks and answers).

--- a/features/soak/troubles.py
+++ b/features/soak/troubles.py
@@ -3,6 +3,12 @@
 import signal
 from typing import NamedTuple
 
+from pinepitch.simulation.jobs.kinds import step_of
+
+WIDE_TASKS = (550, 1200)  # (fewest, most) tasks of a wide job; more than a heartbeat lists ends
+WIDE_TASK_CPU, WIDE_TASK_MEMORY = 5, 8  # thousandths of a core, megabytes
+WIDE_TASK_SECONDS = (0.8, 2.5)  # (shortest, longest)
+
 
 class SoakFault(NamedTuple):
     """begin(soak, name) and end(soak, name) for a daemon or worker of `kind`."""
@@ -87,6 +93,40 @@
     soak.finish_incarnation(name)
 
 
+def _drain_besides(soak, name):
+    """Drains a worker in addition to the one that a fault names, as by drain-worker."""
+    soak.open[name] = ("drain-worker", soak.clock() + FAULTS["drain-worker"].most)
+    _drain(soak, name)
+
+
+def _drain_two(soak, name):
+    """Two workers drain at the same time."""
+    _drain(soak, name)
+    others = [other for other in soak.workers if other not in soak.open]
+    if others:
+        _drain_besides(soak, soak.draw.choice(others))
+
+
+def _drain_busiest(soak, name):
+    """The worker with the most runs drains."""
+    busiest = max(soak.workers, key=lambda worker: len(soak.workers[worker].running))
+    if busiest not in soak.open:
+        _drain_besides(soak, busiest)
+
+
+def _submit_wide_job(soak, name):
+    """One job whose tasks end at about the same time on one or two workers."""
+    steps = [
+        step_of(
+            soak.draw.randint(*WIDE_TASKS),
+            soak.draw.uniform(*WIDE_TASK_SECONDS),
+            WIDE_TASK_CPU,
+            mem_mb=WIDE_TASK_MEMORY,
+        )
+    ]
+    soak.client_stand_in.submit("wide", soak.draw.choice(("held", "bare")), steps, soak.clock())
+
+
 def _lose_answers(soak, name):
     soak.answer_loss = 0.3
 
@@ -109,5 +149,8 @@
     "crash-worker": SoakFault("worker", _crash, _reborn, 0.5, 4.0),
     "cut-worker": SoakFault("worker", _partition, _join, 0.5, 7.0),
     "drain-worker": SoakFault("worker", _drain, _drained, 7.0, 9.0),
+    "drain-two-workers": SoakFault("worker", _drain_two, _drained, 7.0, 9.0),
+    "drain-busiest-worker": SoakFault("", _drain_busiest, _nothing, 0.2, 1.0),
+    "wide-job": SoakFault("", _submit_wide_job, _nothing, 0.5, 2.0),
     "lose-answers": SoakFault("", _lose_answers, _keep_answers, 1.0, 4.0),
 }
