--- a/features/same_bytes/golden.py
+++ b/features/same_bytes/golden.py
@@ -51,7 +51,7 @@
 
 
 def shape(value, depth=3):
-    """What an encoded value is made of, told without its contents."""
+    """The structure of an encoded value, without its contents."""
     if isinstance(value, (list, tuple)):
         if depth == 0 or not value:
             return "[...]" if value else "[]"
@@ -136,7 +136,7 @@
         self.answers.append([label, request, head, body])
 
     def sections(self):
-        """Everything recorded, by section, as JSON holds it."""
+        """Everything recorded, by section, as JSON represents it."""
         for (section, label), example in self.large.items():
             kept = getattr(self, section)[label]
             if not kept:
@@ -224,7 +224,7 @@
 
 
 def differences(golden, now):
-    """Where what is recorded now is not what the golden files hold, as lines."""
+    """The differences between what is recorded now and the golden files, as lines."""
     lines = []
     for section in SECTIONS:
         if section == "answers":
@@ -280,7 +280,7 @@
 
 
 def lacking(golden):
-    """What the registries know and the golden files hold no example of."""
+    """The registered kinds of which the golden files contain no example."""
     held = {section: list(golden[section]) for section in ("frames", "operations")}
     held["answers"] = [answer[0] for answer in golden["answers"]]
     return [
--- a/features/same_bytes/runs.py
+++ b/features/same_bytes/runs.py
@@ -1,4 +1,4 @@
-"""The deterministic runs that make an example of every kind, and what they are told to do."""
+"""The deterministic runs that produce an example of every kind, and their scripts."""
 
 import json
 
@@ -160,7 +160,7 @@
 
 # --- asking ---------------------------------------------------------------------------
 def _ask(simulator, recorder, way, method, target, document=None, headers=None, raw=None):
-    """One call of the product's API at the first verge; its answer is recorded under `way`."""
+    """One call of the product's API at the first front daemon; its answer is recorded under `way`."""
     body = raw if raw is not None else b"" if document is None else json.dumps(document).encode()
     node = simulator.nodes["verge0"]
     for _ in range(20):
@@ -311,7 +311,7 @@
 
 
 def tickets(recorder):
-    """Tickets on three accords, an operator's calls, the leader lost, a disk lost, an accord stopped."""
+    """Pushed jobs on three control daemons, an operator's calls, the leader, a disk and a daemon lost in turn."""
     simulator = Simulator(6)
     simulator.begin()
     simulator.caller("caller", pushed_job_trial.TRAFFIC, fail=0.1, cancels=0.08)
--- a/features/same_bytes/taps.py
+++ b/features/same_bytes/taps.py
@@ -81,7 +81,7 @@
 
 @contextlib.contextmanager
 def tapped(recorder):
-    """While it lasts, the recorder is told every frame, operation, file, answer and order."""
+    """While it lasts, the recorder gets every frame, operation, file, answer and order."""
     encode, apply, keep = framing.encode, ClusterState.apply, simulators.Disk.keep
     reply, post, rehearse = (simulators.EFFECTS[kind] for kind in (Reply, PostOrder, Rehearse))
 
@@ -135,7 +135,7 @@
 
 
 def message_of(frame):
-    """The message that a frame holds, as plain lists."""
+    """The message in a frame, as plain lists."""
     return cbor2.loads(frame[framing.LENGTH.size :])[2]
 
 
@@ -150,7 +150,7 @@
 
 
 def operation_again(data):
-    """An operation decoded, held as the log holds it, and encoded again."""
+    """An operation that is decoded, kept as in the log, and encoded again."""
     return packed_operations.dumps(
         packed_with_size(packed_operations.unpacked(packed_operations.Packed("", data)))[0]
     )
--- a/features/soak/soak.py
+++ b/features/soak/soak.py
@@ -214,7 +214,7 @@
         )
 
     def change_configuration(self):
-        """Sends the next version to one control daemon, once; what it says is heard later."""
+        """Sends the next version to one control daemon, once; its answer is processed later."""
         self.version_sent += 1
         address = self.draw.choice(self.processes.controls)
         self.calls.send(("change", self.version_sent), self._change_request(address, self.version_sent))
--- a/features/soak/wire.py
+++ b/features/soak/wire.py
@@ -1,4 +1,4 @@
-"""What the stand-ins of a soak say on the wire: HTTP over real sockets, in the platform's words."""
+"""The messages of a soak's stand-ins: HTTP over real sockets, in the platform's format."""
 
 import collections
 import http.client
@@ -139,7 +139,7 @@
 
 
 def heartbeat_of(document):
-    """A stand-in worker's beat in the platform's words."""
+    """A stand-in worker's heartbeat in the platform's format."""
     words = {ours: name for name, ours in vocabulary.HEARTBEAT.items()}
     content = {words[field]: document[field] for field in words}
     cpu, memory, accelerators = document["room"]
@@ -158,7 +158,7 @@
 
 
 def orders_of(content):
-    """The answer to a beat as the stand-in worker reads it."""
+    """The answer to a heartbeat as the stand-in worker reads it."""
     names = {
         "holdMs": "hold_ms",
         "lastSeen": "seen",
@@ -172,10 +172,10 @@
 
 
 def job_of(document):
-    """A job in the platform's words."""
+    """A job in the platform's format."""
     return vocabulary.to_platform(document, vocabulary.JOB)
 
 
 def configuration_of(document):
-    """A configuration in the platform's words."""
+    """A configuration in the platform's format."""
     return vocabulary.to_platform(document, vocabulary.CONFIGURATION)
--- a/features/steps/assignment_cluster.py
+++ b/features/steps/assignment_cluster.py
@@ -55,19 +55,19 @@
         self.now, self.count = 1000.0, 0
         self.saving, self.unsaved = True, []
         self.disk, self.answers, self.sent = [], {}, []
-        self.accord = None
+        self.daemon = None
         self.begin()
 
     def begin(self):
-        self.accord = ControlDaemon(
+        self.daemon = ControlDaemon(
             "one", ADDRESS, "north", (ADDRESS, "10.0.0.2:7000", "10.0.0.3:7000"), bootstrap_members=1, seed=7
         )
-        self.accord.lease_duration = 4.0
-        self.accord.restore(None, self.disk)
-        self.until(lambda: self.accord.epoch > 0 and self.accord.common_level() > 1, 15)
+        self.daemon.lease_duration = 4.0
+        self.daemon.restore(None, self.disk)
+        self.until(lambda: self.daemon.epoch > 0 and self.daemon.common_level() > 1, 15)
 
     def step(self, *message):
-        for effect in self.accord.step(message, self.now, 1.7e9 + self.now):
+        for effect in self.daemon.step(message, self.now, 1.7e9 + self.now):
             if isinstance(effect, SaveChange):
                 self.unsaved.append((effect.sequence, [["raft", effect.change]]))
             elif isinstance(effect, WriteNote):
@@ -99,7 +99,7 @@
         """Sends a call and returns its token."""
         self.count += 1
         token = f"t{self.count}"
-        consensus = self.accord.consensus
+        consensus = self.daemon.consensus
         end = (consensus.term, self.now + constants.CALL_PATIENCE) if consensus is not None else None
         self.step("ask", ADAPTER, token, call, arguments, 1, end)
         return token
@@ -116,6 +116,6 @@
         """(worker, reference, run) of every run whose end is not proven."""
         return [
             (worker, *key)
-            for worker, placements_there in self.accord.cluster_state.leased_jobs.placements.items()
+            for worker, placements_there in self.daemon.cluster_state.leased_jobs.placements.items()
             for key in placements_there
         ]
--- a/features/steps/assignments.py
+++ b/features/steps/assignments.py
@@ -30,7 +30,7 @@
     context.simulated_worker = context.simulated_workers["one"]
 
 
-# --- beats ---------------------------------------------------------------------------
+# --- heartbeats ----------------------------------------------------------------------
 def send(context, name):
     worker = context.simulated_worker = context.simulated_workers[name]
     context.beaten = context.cluster.now
@@ -212,13 +212,13 @@
 
 @when("worker one is in an emptied zone")
 def step_evacuated(context):
-    confirmed = context.cluster.accord.cluster_state.index
+    confirmed = context.cluster.daemon.cluster_state.index
     assert context.cluster.told("evacuate", "zone-one", True, confirmed)[0] == 200
 
 
 @when("the evacuation is taken back")
 def step_taken_back(context):
-    confirmed = context.cluster.accord.cluster_state.index
+    confirmed = context.cluster.daemon.cluster_state.index
     assert context.cluster.told("evacuate", "zone-one", False, confirmed)[0] == 200
 
 
@@ -381,7 +381,7 @@
 
 @when("the leader's lease runs out")
 def step_lease_out(context):
-    context.lease = mock.patch.object(context.cluster.accord.consensus, "leased", lambda now: False)
+    context.lease = mock.patch.object(context.cluster.daemon.consensus, "leased", lambda now: False)
     context.lease.start()
 
 
@@ -445,10 +445,10 @@
 
 def span(context):
     """The seconds that must pass after a heartbeat that was answered with a lease."""
-    return context.cluster.accord.lease_duration * (1 + constants.CLOCK_DRIFT) + constants.LAPSE_MARGIN
+    return context.cluster.daemon.lease_duration * (1 + constants.CLOCK_DRIFT) + constants.LAPSE_MARGIN
 
 
-# --- what is told --------------------------------------------------------------------
+# --- answers -------------------------------------------------------------------------
 @then("nothing was sent to any worker meanwhile")
 def step_nothing_sent(context):
     addresses = {worker.address for worker in context.simulated_workers.values()}
@@ -550,7 +550,7 @@
 
 @then("either no end is seen or the job is shown as completed")
 def step_either(context):
-    state = context.cluster.accord.cluster_state.leased_jobs.state(JOB)
+    state = context.cluster.daemon.cluster_state.leased_jobs.state(JOB)
     assert context.simulated_worker.told.get("seen", 0) == 0 or state == "completed", (
         context.simulated_worker.told,
         state,
--- a/features/steps/backlog.py
+++ b/features/steps/backlog.py
@@ -15,7 +15,7 @@
 
 
 class Restarted:
-    """Members that hold one log, none of it known to be committed; messages and saves take no time."""
+    """Members with equal logs, of which nothing is known to be committed; messages and saves take no time."""
 
     def __init__(self, count, size):
         self.now, self.queue = 10.0, collections.deque()
--- a/features/steps/command_line.py
+++ b/features/steps/command_line.py
@@ -127,14 +127,14 @@
 
 
 def told(errors):
-    """The one line on standard error that tells of earlier names."""
+    """The one line on standard error that mentions earlier names."""
     lines = [line for line in errors.splitlines() if "earlier names" in line]
     assert len(lines) == 1, errors
     return lines[0]
 
 
 def untold(errors):
-    """Standard error without what tells of earlier names."""
+    """Standard error without the lines about earlier names."""
     return [line for line in errors.splitlines() if "earlier names" not in line]
 
 
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -14,7 +14,7 @@
 
 
 class Core:
-    """As much of an accord as calls about the configuration ask of it."""
+    """The part of a control daemon that calls about the configuration use."""
 
     def __init__(self):
         self.cluster_state, self.index = ClusterState(), 0
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -164,7 +164,7 @@
 
 
 async def read_numbers(socket, count):
-    """The numbers that so many answers on a connection tell, in order."""
+    """The numbers in the given count of answers on a connection, in order."""
     data, numbers = b"", []
     while len(numbers) < count:
         data += await socket.recv(65536)
--- a/features/steps/contact.py
+++ b/features/steps/contact.py
@@ -109,7 +109,7 @@
     assert context.leader_clock.floor(11.0) == Reading(5, 2.0)
 
 
-# --- carried calls at the leader ---------------------------------------------------------
+# --- forwarded calls at the leader -------------------------------------------------------
 @given("a leader that serves")
 def step_leader(context):
     context.fleet = costs.Alone().begin()
@@ -117,7 +117,7 @@
 
 
 def forward(context, end):
-    """Carries one change to the leader; what it says of it."""
+    """Forwards one change to the leader and returns its answer."""
     fleet = context.fleet
     document = {**fleet.core.cluster_state.leased_jobs.configuration.document, "version": context.version + 1}
     fleet.sent.clear()
@@ -246,7 +246,7 @@
 
 
 class Recorder:
-    """A decider that keeps what it is stepped with, and of which pauses it is told."""
+    """A decider that records the messages it is stepped with and the pauses reported to it."""
 
     def __init__(self):
         self.messages, self.pauses = [], []
@@ -276,7 +276,7 @@
 
 
 def read(context, message):
-    """What the host's connection is told of a call that it has read."""
+    """The reply that the host's connection gets for a call that it has read."""
 
     async def serve():
         answers = curio.Queue()
--- a/features/steps/disk_task.py
+++ b/features/steps/disk_task.py
@@ -40,7 +40,7 @@
 
 
 def run(context, jobs, told):
-    """Gives a DiskTask jobs; what the decider was told, once that are `told` messages."""
+    """Gives a DiskTask jobs; returns the messages to the decider once there are `told` of them."""
 
     async def do():
         inbox = curio.Queue()
--- a/features/steps/end_lists.py
+++ b/features/steps/end_lists.py
@@ -133,13 +133,13 @@
 
 
 def evacuate(context):
-    confirmed = context.cluster.accord.cluster_state.index
+    confirmed = context.cluster.daemon.cluster_state.index
     assert context.cluster.told("evacuate", "zone-one", True, confirmed)[0] == 200
 
 
 def stop_runs(context):
     """Commits orders to stop every placed run, as preemption does."""
-    manager, cluster = context.cluster.accord.assignments, context.cluster
+    manager, cluster = context.cluster.daemon.assignments, context.cluster
     manager._propose_stops(tuple((*run, PREEMPTED) for run in cluster.placed()), cluster.now)
     cluster.run(0.1)
 
@@ -262,7 +262,7 @@
 
 # --- what came of it ------------------------------------------------------------------
 def batch_of(context):
-    job = context.cluster.accord.cluster_state.leased_jobs.jobs.get(JOB)
+    job = context.cluster.daemon.cluster_state.leased_jobs.jobs.get(JOB)
     return job.batches[(0, 0)] if job is not None else None
 
 
--- a/features/steps/events.py
+++ b/features/steps/events.py
@@ -26,7 +26,7 @@
 
 
 def _numbers_told(source):
-    """The numbers of events that the calls in a module's source tell."""
+    """The numbers of the events that the calls in a module's source log."""
     for call in ast.walk(ast.parse(source)):
         if not isinstance(call, ast.Call):
             continue
--- a/features/steps/forwarder.py
+++ b/features/steps/forwarder.py
@@ -129,7 +129,7 @@
     assert [one[:2] for one in context.replies] == [(2, 200), (1, 504)], context.replies
 
 
-# --- in a verge ----------------------------------------------------------------------
+# --- in a front daemon ---------------------------------------------------------------
 @given("a front daemon that knows no control daemon")
 def step_front(context):
     context.front, context.now = (
@@ -163,7 +163,7 @@
 
 
 def step(context, *message):
-    """Steps the verge; tells what it asks about the call."""
+    """Steps the front daemon; returns its requests about the call."""
     asks = []
     for effect in context.front.step(message, context.now, 1.7e9 + context.now):
         if isinstance(effect, Send) and effect.message[0] == "ask" and effect.message[3] == CALL[0]:
--- a/features/steps/images.py
+++ b/features/steps/images.py
@@ -43,7 +43,7 @@
 
 
 def told(simulator, number):
-    """Names of the nodes that told an event."""
+    """Names of the nodes that logged an event."""
     return [name for _, name, event, _ in simulator.trace if event == number]
 
 
@@ -227,7 +227,7 @@
 
 # --- the bound ---------------------------------------------------------------------------
 class Bounded(Alone):
-    """A cluster of one control daemon that encodes its images at once, and keeps what it tells."""
+    """A cluster of one control daemon that encodes its images at once. Its events are recorded."""
 
     def __init__(self):
         super().__init__()
--- a/features/steps/incarnations.py
+++ b/features/steps/incarnations.py
@@ -11,11 +11,11 @@
 
 ANSWER_TO_NOBODY, ANSWER_TO_ANOTHER_CALL = 144, 145
 PATIENCE = 2.0  # seconds
-WORKER_ONE, WORKER_TWO = 1, 2  # numbers of the requests of their beats
+WORKER_ONE, WORKER_TWO = 1, 2  # numbers of the requests of their heartbeats
 
 
 def heartbeat_of(identity):
-    """The arguments of a first beat."""
+    """The arguments of a first heartbeat."""
     return (
         identity,
         {
@@ -35,7 +35,7 @@
 
 
 class SimulatedCluster:
-    """Three simulated accords whose answers to carried calls are kept instead of delivered."""
+    """Three simulated control daemons whose answers to forwarded calls are kept instead of delivered."""
 
     def __init__(self):
         self.simulator = simulators.Simulator(7, workers=())
@@ -208,7 +208,7 @@
 
 # --- an index that is used again -------------------------------------------------------
 class PartitionedCluster(SimulatedCluster):
-    """Keeps what the first leader tells about one token."""
+    """Records the first leader's answers to one token."""
 
     def __init__(self):
         super().__init__()
--- a/features/steps/jobs_api.py
+++ b/features/steps/jobs_api.py
@@ -40,7 +40,7 @@
 
 
 def begin(simulator, name, arguments, front=0):
-    """Begins a call as a door hands it to a verge; the list that its answer will stand in."""
+    """Begins a call as a port passes it to a front daemon; returns the list that will contain its answer."""
     node = [node for node in simulator.nodes.values() if node.kind == "verge"][front]
     simulator.request_count += 1
     number, got = simulator.request_count, []
@@ -59,7 +59,7 @@
 
 
 class StandInWorker:
-    """A minion that starts and stops what its beats' answers say, and ends what it is told to."""
+    """A worker that starts and stops runs as its answers demand, and ends those that it is given."""
 
     def __init__(self, simulator, identity, zone):
         self.simulator, self.identity, self.zone = simulator, identity, zone
@@ -68,7 +68,7 @@
         self.running, self.ended, self.started = {}, [], []
 
     def send(self):
-        """Sends a beat; the list that its answer will stand in."""
+        """Sends a heartbeat; returns the list that will contain its answer."""
         self.sequence += 1
         heartbeat = {
             "service": "lamps",
@@ -105,7 +105,7 @@
 
 
 def send_heartbeats(context, rounds=1, but=()):
-    """All workers beat at once, some rounds long: the beat of an idle one stays open for a while."""
+    """All workers send heartbeats at once, for some rounds; that of an idle one stays open for a while."""
     for _ in range(rounds):
         sent = [(worker, worker.send()) for worker in context.workers if worker not in but]
         assert context.simulator.until(lambda sent=sent: all(got for _, got in sent), 8, 0.01) is not None
@@ -115,7 +115,7 @@
 
 
 def heartbeats_until(context, wanted):
-    """All workers beat in turn until something holds."""
+    """All workers send heartbeats in turn until a condition is true."""
     for _ in range(12):
         if wanted():
             return
--- a/features/steps/key_trials.py
+++ b/features/steps/key_trials.py
@@ -1,4 +1,4 @@
-"""Steps for Trials of keys of tenants: what the calls of a seeded trial were answered, and by whom."""
+"""Steps for Trials of keys of tenants: the answers to the calls of a seeded trial, and their senders."""
 
 from behave import then, when
 
--- a/features/steps/learners.py
+++ b/features/steps/learners.py
@@ -13,7 +13,7 @@
 
 
 def newcomer(simulator, name, zone):
-    """Starts an empty accord at a new address."""
+    """Starts an empty control daemon at a new address."""
     simulator.add(name, "accord", zone)
     simulator.start(name)
     return simulator.nodes[name]
--- a/features/steps/log.py
+++ b/features/steps/log.py
@@ -37,7 +37,7 @@
 
 
 class Item(NamedTuple):
-    """What an operation may hold."""
+    """The values that an operation may contain."""
 
     worker: str
     run: int
@@ -320,7 +320,7 @@
 
 
 async def nobody(sendings):
-    """Frames that carry no calls tell nobody that they went astray."""
+    """Nobody is notified of lost frames that contain no calls."""
 
 
 @given("a receiver that never reads a large frame")
--- a/features/steps/models.py
+++ b/features/steps/models.py
@@ -62,7 +62,7 @@
 
 
 def replaced_without_second(fleet):
-    """The leader's consensus after a replacement was begun, carried on by all but b."""
+    """The leader's consensus after a replacement was begun and replicated to all but b."""
     with conditions(fleet):
         state = started(fleet._replace(budget=Budget(heartbeats=10, changes=1)))
         state = script.act("change", "a", REPLACING)(state)
@@ -213,7 +213,7 @@
 
 
 def is_chunk(message):
-    """Whether a message carries a part of a snapshot."""
+    """Whether a message contains a part of a snapshot."""
     return isinstance(message, SnapshotChunk) and bool(message.chunk)
 
 
--- a/features/steps/moves.py
+++ b/features/steps/moves.py
@@ -23,7 +23,7 @@
 
 
 def runs(context, job):
-    """(start, end or None, minion) of each run of a ticket's tasks, in order."""
+    """(start, end or None, minion) of each run of a pushed job's tasks, in order."""
     starts, ends = checks.starts_and_ends(context.simulator.worker_history)
     started = []
     for ref, found in starts.items():
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -85,7 +85,7 @@
 
 
 class RecordCore:
-    """As much of an accord as calls about the configuration ask of it."""
+    """The part of a control daemon that calls about the configuration use."""
 
     def __init__(self):
         self.cluster_state, self.index = ClusterState(), 0
@@ -319,7 +319,7 @@
 
 
 def hold_back(fleet, delay, name):
-    """Holds a daemon back as a case says; what lets it go on."""
+    """Pauses a daemon as a case demands; returns the function that resumes it."""
     if "freezes" in delay:
         fleet.freeze(name)
         return lambda: fleet.thaw(name)
@@ -386,7 +386,7 @@
 
 
 def in_transit(core):
-    """Whether a daemon carries an evacuation that was confirmed to it."""
+    """Whether a daemon is forwarding an evacuation that was confirmed to it."""
     return any(call.call == "evacuate" for call in core.forwarder.calls.values())
 
 
@@ -545,7 +545,7 @@
         after=strategies.sampled_from([None, None, 0.0, 0.003, 0.03]),
     )
     def strike_forwarder(self, zone, kind, place, after):
-        """An order for a zone, and then trouble for the daemon that carries it."""
+        """An order for a zone, followed by a fault of the daemon that forwards it."""
         operator = self.zones[zone]
         if self.whole() and (operator.order == 0 or operator.standing is not None):
             operator.give(operator.standing is not True, self.fleet.names()[place])
@@ -787,7 +787,7 @@
 
 # --- levels ------------------------------------------------------------------------------------
 class LevelTwo(ControlDaemon):
-    """A daemon that tells level 2."""
+    """A daemon that reports level 2."""
 
     level = 2
 
--- a/features/steps/overloaded_fleet.py
+++ b/features/steps/overloaded_fleet.py
@@ -186,7 +186,7 @@
         return self.trouble[0] <= self.now - self.begun <= self.trouble[1]
 
     def _lose_workers(self):
-        """Workers fall silent when the trouble begins, and their runs lapse with their leases."""
+        """Workers become unresponsive when the fault begins, and their runs lapse with their leases."""
         since = self.now - self.begun - self.trouble[0]
         if since < 0 or not self.to_lose:
             return
--- a/features/steps/placing.py
+++ b/features/steps/placing.py
@@ -15,7 +15,7 @@
 
 
 class Yard(replay.Replay):
-    """A replay whose work takes just what it is told to. Invariant: as of Replay."""
+    """A replay whose tasks take exactly the given time. Invariant: that of Replay."""
 
     def __init__(self, workers, queues=None, capacity=8):
         super().__init__(
@@ -41,7 +41,7 @@
         urgency=-1,
         kind="batch",
     ):
-        """Hands in a ticket of `count` alike tasks; its identity, or None when refused."""
+        """Submits a pushed job of `count` equal tasks; returns its identity, or None if it is refused."""
         self.made += 1
         before = self.cluster_state.accepted_count
         self.arrive(
@@ -62,7 +62,7 @@
         return f"t{self.cluster_state.accepted_count}" if self.cluster_state.accepted_count > before else None
 
     def until(self, now, end, stream=()):
-        """Runs to `end`; `stream` holds (when, keywords of put) still to come."""
+        """Runs to `end`; `stream` contains the pending (time, keywords of put)."""
         for moment, what in stream:
             self.schedule(moment, "put", what)
         self.schedule_round(now)
@@ -76,7 +76,7 @@
         super().step(now, kind, *what)
 
     def begun(self, identity):
-        """When each task of a ticket first started, in order."""
+        """When each task of a pushed job first started, in order."""
         first = {}
         for moment, ref, *_ in self.starts:
             if ref.partition("/")[0] == identity:
--- a/features/steps/platform_adapters.py
+++ b/features/steps/platform_adapters.py
@@ -150,7 +150,7 @@
 
 
 class Core:
-    """As much of an accord as calls about the record ask of it."""
+    """The part of a control daemon that calls about the cluster state use."""
 
     def __init__(self):
         self.cluster_state, self.index = ClusterState(), 0
@@ -511,7 +511,7 @@
     assert control("POST", "/api/Evacuation.Finish/nave-norte")[:2] == ("evacuate", ("nave-norte", False))
 
 
-# --- beats and orders ----------------------------------------------------------------
+# --- heartbeats and orders -----------------------------------------------------------
 def heartbeat_with(form):
     heartbeat = copy.deepcopy(HEARTBEAT)
     changes = {
--- a/features/steps/round_fleet.py
+++ b/features/steps/round_fleet.py
@@ -123,7 +123,7 @@
             self._look()
 
     def _beat(self):
-        """Every worker that is not silent sends a heartbeat that lists its runs."""
+        """Every responsive worker sends a heartbeat that lists its runs."""
         self.sequence += 1
         runs = collections.defaultdict(list)
         for worker_name, reference, run in (*self.ends_at, *self.stops_at):
--- a/features/steps/rules.py
+++ b/features/steps/rules.py
@@ -1,4 +1,4 @@
-"""Steps for Rules: rules files, and what firing rules hold back."""
+"""Steps for Rules: rules files, and the changes that firing rules block."""
 
 import subprocess
 import sys
--- a/features/steps/same_histories.py
+++ b/features/steps/same_histories.py
@@ -103,7 +103,7 @@
 
 
 def _one_more_blank():
-    """The first document that is sent holds a blank more."""
+    """The first document that is sent contains one more blank."""
     dumps, done = json.dumps, []
 
     def changed(document, **how):
--- a/features/steps/snapshot_incarnations.py
+++ b/features/steps/snapshot_incarnations.py
@@ -18,7 +18,7 @@
 
 
 class Segments:
-    """As much of an archive as consensus asks of it. Invariant: holds all segments up to `sealed`."""
+    """The part of an archive that consensus uses. Invariant: contains all segments up to `sealed`."""
 
     def __init__(self, sealed):
         self.sealed = sealed
--- a/features/steps/stored_folders.py
+++ b/features/steps/stored_folders.py
@@ -50,7 +50,7 @@
 
 
 def plain(value):
-    """A value as JSON holds it."""
+    """A value as JSON represents it."""
     return json.loads(json.dumps(value))
 
 
@@ -82,7 +82,7 @@
         self._give(("tick",), now)
 
     def ask(self, token, call, arguments, now):
-        """Hands over a call as another daemon that carries it does."""
+        """Sends a call as a daemon that forwards it does."""
         if self.core.consensus is not None:
             end = Reading(self.core.consensus.term, now + PATIENCE)
             self._give(("ask", CALLER, token, call, arguments, 1, end), now)
@@ -116,7 +116,7 @@
                 waiting.append(("saved", saved))
 
     def place(self, references, now):
-        """Agrees on placements as the leader's placing does, on a worker of which nothing is heard."""
+        """Commits placements as the leader does, on a worker that sends no heartbeats."""
         record = self.core.cluster_state
         items = tuple(
             (one, "some-worker", "a", 64, "life", "some-verge", ((record.find(one)[0].queue, units),), "")
@@ -145,7 +145,7 @@
 
     # --- what is seen -----------------------------------------------------------------
     def shown(self):
-        """What the daemon holds right after it opened its folder, before it takes any message."""
+        """The state of the daemon right after it opened its folder, before it processes any message."""
         consensus = self.core.consensus
         entries = cbor2.loads(packed_operations.dumps(list(consensus.entries)))
         return plain(
@@ -248,7 +248,7 @@
         raise AssertionError(f"no answer to {call} within {seconds} s")
 
     def told(self, call, *arguments):
-        """The document of an answer that says yes."""
+        """The document of a successful answer."""
         status, document = self.ask(call, *arguments)
         assert status in (200, 201), (call, arguments, status, document)
         return document
@@ -282,7 +282,7 @@
 
 
 def ticket_document(units):
-    """A ticket of a chain of two tasks, checked already."""
+    """A pushed job of a chain of two tasks, checked already."""
     tasks = [
         {
             "name": name,
@@ -301,7 +301,7 @@
 
 
 class Worker:
-    """A worker that ends what it was started the next time it beats, unless told to keep it."""
+    """A worker that ends each run before its next heartbeat, unless the run is to be kept."""
 
     def __init__(self, cohort, identity):
         self.cohort, self.identity = cohort, identity
@@ -498,7 +498,7 @@
 
 
 def _pack(folder, path):
-    """A tar of a folder that holds the same bytes whenever the folder does."""
+    """A tar of a folder; equal folders give equal bytes."""
     with open(path, "wb") as raw, gzip.GzipFile("", "wb", mtime=0, fileobj=raw) as pressed:
         with tarfile.open(fileobj=pressed, mode="w") as file:
             for name in names_in(folder):
--- a/features/steps/tenant_keys.py
+++ b/features/steps/tenant_keys.py
@@ -219,7 +219,7 @@
 
 
 def amended(document, change):
-    """What a change by name makes of a configuration, as the users' page says."""
+    """A configuration after a change by name, as the users' page defines it."""
     changed = {**copy.deepcopy(document), "configVersion": change["configVersion"]}
     for part, items in change["upsertItems"].items():
         fresh = {item["name"]: item for item in items}
@@ -523,7 +523,7 @@
     assert taken > len(context.read) * 0.8, taken
 
 
-# --- keys are told to nobody ------------------------------------------------------------
+# --- keys are never disclosed -----------------------------------------------------------
 def keys_in(text):
     """The keys that stand in a text."""
     every = [*KEYS["a"], *KEYS["b"], UNKNOWN_KEY, ADDED_KEY]
@@ -580,7 +580,7 @@
 
 
 def product_answers(fleet):
-    """What the product's own API tells, its metrics among it, but for the configuration itself."""
+    """All answers of the product's own API, metrics included, except the configuration itself."""
     simulator = fleet.simulator
     targets = ["/v1/metrics", "/v1/health", f"/v1/jobs/{JOB_A}", f"/v1/jobs/{JOB_B}", "/v1/workers"]
     targets += ["/v1/cohort", "/v1/figures", "/v1/pending", "/v1/evacuations", "/v1/jobs/none"]
--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -36,7 +36,7 @@
 
 
 class NextControlDaemon(ControlDaemon):
-    """An accord of a next version: as leader it would remark every second."""
+    """A control daemon of a next version, which as leader proposes a remark every second."""
 
     level = constants.RECORD_LEVEL + 1
     cluster_state_class = NextRecord
@@ -71,7 +71,7 @@
 
 
 def remarks(context):
-    """Every remark that any accord holds in its log."""
+    """Every remark in the log of any control daemon."""
     return {
         index
         for node in control_daemons(context)
@@ -179,14 +179,14 @@
 
 
 class EarlierControlDaemon(ControlDaemon):
-    """An accord of level 3, which stops at any operation of tenants."""
+    """A control daemon of level 3, which stops at any operation of tenants."""
 
     level = TENANTS_LEVEL - 1
     cluster_state_class = EarlierRecord
 
 
 def control_daemon_of(identity, address, zone, *rest):
-    """An accord: in zone c one of level 3."""
+    """A control daemon, in zone c one of level 3."""
     return (EarlierControlDaemon if zone == "c" else ControlDaemon)(identity, address, zone, *rest)
 
 
@@ -219,7 +219,7 @@
 
 
 def agreed_kinds(context):
-    """The kinds of the operations that any accord holds in its log."""
+    """The kinds of the operations in the log of any control daemon."""
     return {
         kind_of(entry[2])
         for node in control_daemons(context)
@@ -254,7 +254,7 @@
 
 
 def tenants_of_jobs(context):
-    """What each accord holds of the newest jobs."""
+    """The newest jobs at each control daemon."""
     return [
         {job: node.core.cluster_state.leased_jobs.jobs[job].tenant for job in context.jobs}
         for node in control_daemons(context)
