--- a/features/same_bytes/runs.py
+++ b/features/same_bytes/runs.py
@@ -311,7 +311,7 @@
 
 
 def tickets(recorder):
-    """Pushed jobs on three control daemons, an operator's calls, the leader, a disk and a daemon lost in turn."""
+    """Pushed jobs on three control daemons, an operator's calls; the leader, a disk and a daemon are lost."""
     simulator = Simulator(6)
     simulator.begin()
     simulator.caller("caller", pushed_job_trial.TRAFFIC, fail=0.1, cancels=0.08)
