--- a/features/end_lists.feature
+++ b/features/end_lists.feature
@@ -35,6 +35,14 @@
       | 700   | failed | nothing else happens                                |
       | 1700  | done   | a new leader hears of it first                      |
 
+  Scenario: 700 tasks that end done are not run again when the maximum of their tenant is lowered
+    Given worker one runs all of a job of 700 tasks of a tenant
+    When all its runs end done while the tenant's maximum is lowered to 50 tasks
+    And both workers heartbeat until all ends of worker one are seen
+    Then no task was started after one of its runs had ended done
+    And no start was told twice
+    And the failures of each task are counted
+
   # Guards against the failure of a gang's last member that was lost, as its run counted as never started.
   Scenario: a gang whose failed member is listed last has that failure counted before it starts again
     Given worker one runs all of a gang of 700 tasks
--- a/features/steps/end_lists.py
+++ b/features/steps/end_lists.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from assignment_cluster import HOST, JOB, PREFIX, SimulatedWorker
+from assignment_cluster import CONFIGURATION, HOST, JOB, PREFIX, SimulatedWorker
 from behave import given, then, when
 
 from pinepitch.common import constants
@@ -10,6 +10,8 @@
 
 LISTED_ENDS = 500  # ends; the most that a worker lists in one heartbeat
 OTHER_JOB = "b" * 16
+TASK_CPU = 2  # thousandths of a core
+TENANT, KEY = "acme", "key-acme"
 ROUNDS = 200  # heartbeats of each worker; enough for every end to be seen
 
 
@@ -80,9 +82,18 @@
         heartbeat(context, name)
 
 
-def submit(context, identity, count, **step):
-    document = {"spec": "do it", "steps": [{"count": count, "cpu": 2, **step}]}
-    assert context.cluster.told("job", HOST, PREFIX + identity, document)[0] == 200
+def submit(context, identity, count, key=(), **step):
+    """Submits a job of `count` tasks; `key` contains the key of its tenant, if it has one."""
+    document = {"spec": "do it", "steps": [{"count": count, "cpu": TASK_CPU, **step}]}
+    assert context.cluster.told("job", HOST, PREFIX + identity, document, *key)[0] == 200
+
+
+def limit_tenant(context, version, tasks):
+    """Puts a configuration in force whose tenant may run so many tasks."""
+    tenant = {"name": TENANT, "keys": [KEY], "maximum": {"cpu": tasks * TASK_CPU}}
+    document = {**CONFIGURATION, "version": version, "tenants": [tenant]}
+    answer = context.cluster.told("configure", version - 1, document)
+    assert answer == (200, {"version": version}), answer
 
 
 def run_all(context, count, names):
@@ -109,6 +120,15 @@
     context.count = count
 
 
+@given("worker one runs all of a job of {count:d} tasks of a tenant")
+def step_run_tenant_job(context, count):
+    limit_tenant(context, 2, count)
+    prepare(context, "one", "two")
+    submit(context, JOB, count, (KEY,))
+    run_all(context, count, ("one",))
+    context.count = count
+
+
 @given("worker one runs all of a gang of {count:d} tasks")
 def step_run_gang(context, count):
     prepare(context, "one", "two")
@@ -185,6 +205,13 @@
     BESIDE[what](context)
 
 
+@when("all its runs end done while the tenant's maximum is lowered to {tasks:d} tasks")
+def step_lower_maximum(context, tasks):
+    context.how = "done"
+    end_all(context, "done")
+    limit_tenant(context, 3, tasks)
+
+
 @when("all its runs end done, one more job is placed on worker one, and worker one drains")
 def step_one_more(context):
     context.listing["two"].room = [0, 0, 0]
