Release placements whose tasks ask for nothing: no entry of them ends the daemons

Cause: LeasedJobState.used_by_tenant lost a tenant's entry once its sum was zero, although placements that add nothing were still counted under it; giving back the next one read the entry without a default. over_maximum read it alike.

Change: one rule for the three sums, declared in scheduling/resource_usage.py: a key has an entry exactly if its sum is not zero, and sums are read with a default (also in budgets.py and tenant_shares.py). A placement that asks for nothing touches no sum, so giving it back can't miss an entry; one that asks for something makes the sum of its key positive until it is given back, so its entry is there. Images hold no sums: data folders stay as they are.

--- /dev/null
+++ b/features/applying.feature
@@ -0,0 +1,36 @@
+Feature: Applying
+  Every committed entry that admission lets through is applied by every replica, whatever amounts it names; and what
+  can't be applied ends the replica with one line that tells the operator what to do.
+
+  # Guards against: a job whose tasks ask for nothing ends every control daemon, again after each restart (LOST).
+  Scenario Outline: the ends of tasks of a tenant that ask for nothing are applied: <tasks>, <read>
+    Given a leased job state in which tenant acme may run "<maximum>"
+    When the leased job state takes job A of tenant acme with steps "<steps>"
+    And the leased job state places "<tasks>" of A on one
+    And <read>
+    And the leased job state hears that run 1 of "<tasks>" of A ended done
+    Then the leased job state shows A as <state>
+    And no tenant uses anything
+
+    Examples:
+      | steps                                 | tasks             | maximum | state     | read                                          |
+      | 2 cpu=0                               | 0.0.0 0.0.1       | cpu=0   | completed | 1 seconds have passed on the leased job state |
+      | 2 cpu=0                               | 0.0.0 0.0.1       | cpu=100 | completed | 1 seconds have passed on the leased job state |
+      | 2 cpu=0                               | 0.0.0 0.0.1       | cpu=100 | completed | the leased job state is read from its image   |
+      | 1 cpu=0                               | 0.0.0             | gpu=1   | completed | the leased job state is read from its image   |
+      | 1 cpu=100; 1 cpu=0                    | 0.0.0 0.1.0       | cpu=100 | completed | 1 seconds have passed on the leased job state |
+      | 1 cpu=0; 1 cpu=100; 1 cpu=0           | 0.1.0 0.0.0 0.2.0 | cpu=100 | completed | 1 seconds have passed on the leased job state |
+      | 3 cpu=0 gang                          | 0.0.0 0.0.1 0.0.2 | cpu=100 | completed | 1 seconds have passed on the leased job state |
+      | 2 cpu=0 mem_mb=9007199254740992       | 0.0.0 0.0.1       | cpu=100 | completed | the leased job state is read from its image   |
+
+  # Guards against: any entry that admission lets through ends the replicas that apply it, or makes them differ.
+  Scenario Outline: replicas apply drawn histories of every kind of entry at the limits of amounts alike, seed <seed>
+    When <count> histories of <entries> entries are drawn with seed <seed>, with the limits of lists lowered
+    Then no entry and no scheduling round raised an error, and no replica differed from the others
+    And every kind of entry was applied, rounds placed tasks, and lists came to their limits
+
+    Examples:
+      | seed | count | entries |
+      | 1    | 12    | 150     |
+      | 2    | 12    | 150     |
+      | 3    | 4     | 400     |
--- a/features/steps/stored_data.py
+++ b/features/steps/stored_data.py
@@ -5,6 +5,7 @@
 import tempfile
 
 import stored_folders
+import unapplied_folders
 from behave import given, then, when
 
 FIRST = "first"  # the daemon whose folder is changed
@@ -150,3 +151,40 @@
 def step_otherwise(context, what):
     shown = stored_folders.shown_by(context.folder)[FIRST]
     assert shown[what] != context.expected["daemons"][FIRST][what], shown[what]
+
+
+# --- a committed entry that an earlier version could not apply -------------------------
+@given("a copy of the folder of a daemon that could not apply a committed entry")
+def step_copy_unapplied(context):
+    folder = tempfile.TemporaryDirectory(prefix="pinepitch-")
+    context.add_cleanup(folder.cleanup)
+    context.folder = folder.name
+    stored_folders.unpacked_copy(unapplied_folders.KIND, folder.name)
+
+
+@when("this version's daemon starts on it")
+def step_start_unapplied(context):
+    context.cohort = stored_folders.restarted(context.folder)
+
+
+@then("the jobs and the configuration that were acknowledged are there, and the entry is applied")
+def step_taken_up(context):
+    states = [
+        unapplied_folders.state_of(context.cohort, place)
+        for place in (unapplied_folders.OTHER_JOB, unapplied_folders.SMALL_JOB)
+    ]
+    assert states == ["completed", "completed"], states
+    assert context.cohort.told("configuration") == unapplied_folders.configuration(1)
+
+
+@then("the tenant of the entry has another such job completed, also after one more restart")
+def step_goes_on(context):
+    cohort = context.cohort
+    unapplied_folders.submit(cohort, unapplied_folders.NEXT_JOB, unapplied_folders.SMALL)
+    worker = unapplied_folders.Worker(cohort, "i-next")
+    for _ in range(12):
+        worker.beat("done")
+        cohort.run(0.2)
+    assert unapplied_folders.state_of(cohort, unapplied_folders.NEXT_JOB) == "completed"
+    cohort.restart()
+    assert unapplied_folders.state_of(cohort, unapplied_folders.NEXT_JOB) == "completed"
--- a/features/stored_data.feature
+++ b/features/stored_data.feature
@@ -51,3 +51,10 @@
       | lacks its newest step     | digest of the record with the log  |
       | holds another old job     | digest of the snapshot's record    |
       | holds another vote        | votes                              |
+
+  # Guards against: after an update that can apply the entry, the accepted jobs and the configuration stay lost (LOST).
+  Scenario: a folder whose committed entry ended the version that wrote it, again and again, is taken up
+    Given a copy of the folder of a daemon that could not apply a committed entry
+    When this version's daemon starts on it
+    Then the jobs and the configuration that were acknowledged are there, and the entry is applied
+    And the tenant of the entry has another such job completed, also after one more restart
--- a/src/pinepitch/scheduling/budgets.py
+++ b/src/pinepitch/scheduling/budgets.py
@@ -138,7 +138,7 @@
         for identity in leased_jobs.placements.keys() - candidate_ids:
             for placement in leased_jobs.placements[identity].values():
                 key = self.shares.priority_class_of(placement)
-                used[key] = subtract(used[key], placement.resources)
+                used[key] = subtract(used.get(key, NO_RESOURCES), placement.resources)
         return used
 
     def guaranteed(self, service: str) -> list[float]:
--- a/src/pinepitch/scheduling/leased_job_state.py
+++ b/src/pinepitch/scheduling/leased_job_state.py
@@ -16,7 +16,8 @@
 from .leased_job import DONE, PLACED, WAITING, LeasedJob, PlainJob, Task, TaskBatch, TaskBatchKey
 from .placement import RUN_DONE, RUN_FAILED, RUN_NEVER_STARTED, Placement, Placements, RunEndItem, RunKey
 from .plain_types import Document, Image, Outcome
-from .resources import NO_RESOURCES, Amount, PriorityClass, Resources, add, multiply, subtract
+from .resource_usage import ResourceUsage, release
+from .resources import NO_RESOURCES, PriorityClass, add, multiply, subtract
 from .run_stop import StopItem
 from .tenants import Tenants
 
@@ -77,11 +78,9 @@
         self.jobs: dict[str, LeasedJob] = {}
         self.final: dict[str, FinalJob] = {}  # identity of a job -> its record
         self.placements: dict[str, Placements] = {}  # worker -> {(reference, run): Placement}
-        # worker -> [thousandths of a core, megabytes, accelerators] of its placements
-        self.used_by_worker: dict[str, list[float]] = {}
-        # (service, priority) -> resources of all its placements
-        self.used_by_priority_class: dict[PriorityClass, list[float]] = {}
-        self.used_by_tenant: dict[str, Amount] = {}  # name of a tenant -> resources of its placements
+        self.used_by_worker: ResourceUsage[str] = {}
+        self.used_by_priority_class: ResourceUsage[PriorityClass] = {}
+        self.used_by_tenant: ResourceUsage[str] = {}
         self.configuration = Configuration()
         self.evacuations = Evacuations()
         self.ready: dict[TaskBatchKey, TaskBatch] = {}
@@ -142,19 +141,17 @@
 
     def _add_placement(self, placement: Placement) -> None:
         """Records the placement of a run and counts its resources as used."""
-        self.placements.setdefault(placement.worker_id, {})[(placement.reference(), placement.run)] = (
-            placement
-        )
-        worker_id, priority_class = placement.worker_id, (placement.service, placement.priority)
-        self.used_by_worker[worker_id] = list(
-            add(self.used_by_worker.get(worker_id, NO_RESOURCES), placement.resources)
-        )
-        self.used_by_priority_class[priority_class] = list(
-            add(self.used_by_priority_class.get(priority_class, NO_RESOURCES), placement.resources)
-        )
+        worker_id, resources = placement.worker_id, placement.resources
+        placements = self.placements.setdefault(worker_id, {})
+        placements[(placement.reference(), placement.run)] = placement
+        if not any(resources):
+            return
+        by_worker, by_class, by_tenant = self.used_by_worker, self.used_by_priority_class, self.used_by_tenant
+        by_worker[worker_id] = add(by_worker.get(worker_id, NO_RESOURCES), resources)
+        priority_class = (placement.service, placement.priority)
+        by_class[priority_class] = add(by_class.get(priority_class, NO_RESOURCES), resources)
         if placement.tenant:
-            used = self.used_by_tenant.get(placement.tenant, NO_RESOURCES)
-            self.used_by_tenant[placement.tenant] = add(used, placement.resources)
+            by_tenant[placement.tenant] = add(by_tenant.get(placement.tenant, NO_RESOURCES), resources)
 
     def _remove_placement(self, worker_id: str, key: RunKey) -> Placement | None:
         """Removes the placement of a run and counts its resources as free. Returns the placement, or None
@@ -164,28 +161,16 @@
         placement = placements.pop(key, None)
         if placement is None:
             return None
-        priority_class = (placement.service, placement.priority)
-        self.used_by_priority_class[priority_class] = list(
-            subtract(self.used_by_priority_class[priority_class], placement.resources)
-        )
-        if placement.tenant:
-            self._release_from_tenant(placement.tenant, placement.resources)
-        if placements:
-            self.used_by_worker[worker_id] = list(
-                subtract(self.used_by_worker[worker_id], placement.resources)
-            )
-        else:
-            del self.placements[worker_id], self.used_by_worker[worker_id]
+        if not placements:
+            del self.placements[worker_id]
+        resources = placement.resources
+        if any(resources):
+            release(self.used_by_worker, worker_id, resources)
+            release(self.used_by_priority_class, (placement.service, placement.priority), resources)
+            if placement.tenant:
+                release(self.used_by_tenant, placement.tenant, resources)
         return placement
 
-    def _release_from_tenant(self, tenant: str, resources: Resources) -> None:
-        """Subtracts resources from what a tenant uses. A tenant that uses nothing has no entry."""
-        still_used = subtract(self.used_by_tenant[tenant], resources)
-        if any(still_used):
-            self.used_by_tenant[tenant] = still_used
-        else:
-            del self.used_by_tenant[tenant]
-
     # --- queries ----------------------------------------------------------------------
     def may_access(self, tenant: str, identity: str, route: Document | None) -> bool:
         """Whether a tenant may read, cancel or submit again a job at a route; a caller without a tenant is
@@ -230,7 +215,8 @@
         tenant = self.tenants.limited(placement.tenant)
         if tenant is None:
             return False
-        others = subtract(self.used_by_tenant[tenant.name], placement.resources)
+        used = self.used_by_tenant.get(tenant.name, NO_RESOURCES)
+        others = subtract(used, placement.resources)
         return not tenant.admits_task(others, placement.resources)
 
     # --- operations -------------------------------------------------------------------
--- a/src/pinepitch/scheduling/tenant_shares.py
+++ b/src/pinepitch/scheduling/tenant_shares.py
@@ -94,7 +94,7 @@
             for placement in placements.values():
                 if placement.job in self.excess:
                     key = (placement.service, placement.priority)
-                    used[key] = subtract(used[key], placement.resources)
+                    used[key] = subtract(used.get(key, NO_RESOURCES), placement.resources)
                     excess_key = self.priority_class_of(placement)
                     used[excess_key] = add(used.get(excess_key, NO_RESOURCES), placement.resources)
         return used
--- a/src/pinepitch/simulation/jobs/quota_trial.py
+++ b/src/pinepitch/simulation/jobs/quota_trial.py
@@ -9,6 +9,7 @@
 import traceback
 from unittest import mock
 
+from ...scheduling import resource_usage
 from ...scheduling import tenants as tenant_rules
 from ...scheduling.assignment_manager import AssignmentManager
 from ...scheduling.leased_job_state import LeasedJobState
@@ -191,7 +192,7 @@
     for placements in self.placements.values():
         for placement in placements.values():
             if placement.job == job.identity and placement.tenant:
-                self._release_from_tenant(placement.tenant, placement.resources)
+                resource_usage.release(self.used_by_tenant, placement.tenant, placement.resources)
                 placement.tenant = ""
 
 
