Apply an order for a zone though every remembered zone is evacuated

What an operator would see: every control daemon ends with StopIteration, again after each restart, as an order for a zone is applied.

Cause: Evacuations._forget_oldest takes the first remembered zone that is not evacuated, once there are more than twice as many as may be evacuated, and relied on the limit of evacuated zones for there being one. Orders that a member of level 2 proposes (`evacuate`) know no limit. 2,001 zones evacuated by these, and then by orders of level 3, leave none to drop.

Change: nothing is dropped while all are evacuated. The new scenario ends with StopIteration on the code before.

--- a/features/applying.feature
+++ b/features/applying.feature
@@ -23,6 +23,15 @@
       | 3 cpu=0 gang                          | 0.0.0 0.0.1 0.0.2 | cpu=100 | completed | 1 seconds have passed on the leased job state |
       | 2 cpu=0 mem_mb=9007199254740992       | 0.0.0 0.0.1       | cpu=100 | completed | the leased job state is read from its image   |
 
+  # Guards against: an order for a zone ends the replicas once members that don't limit zones have evacuated many.
+  Scenario: orders for more zones than may be evacuated are applied, though a member of level 2 proposed them first
+    Given a cluster state whose leased job state holds a job, and a placing epoch followed by another
+    When orders of level 2 evacuate one zone more than twice as many as may be evacuated
+    And orders of level 3 begin the evacuation of the same zones
+    Then every zone is evacuated, also in a replica rebuilt from an image
+    When orders of level 3 finish the evacuation of the same zones
+    Then no zone is evacuated, and the orders that are remembered are twice as many as may be evacuated
+
   # Guards against: any entry that admission lets through ends the replicas that apply it, or makes them differ.
   Scenario Outline: replicas apply drawn histories of every kind of entry at the limits of amounts alike, seed <seed>
     When <count> histories of <entries> entries are drawn with seed <seed>, with the limits of lists lowered
--- a/features/steps/applying.py
+++ b/features/steps/applying.py
@@ -237,3 +237,38 @@
     assert sum(history.rounds for history in context.histories) > len(context.histories)
     at_limits = set().union(*(history.at_limits for history in context.histories))
     assert at_limits >= {"MAX_FINAL_JOBS", "MAX_EVACUATED_ZONES", "MARKS_KEPT", "MAX_DRAFTS"}, at_limits
+
+
+# --- orders for zones ------------------------------------------------------------------
+def order_zones(context, name, begun, with_index=False):
+    """Applies one order for each of the zones; from level 3 on it carries the index confirmed before it."""
+    state = context.cluster_state
+    for zone in context.zones:
+        index = state.index + 1
+        confirmed = (state.index,) if with_index else ()
+        outcome = state.apply(index, float(index), (name, zone, begun, *confirmed))
+        assert outcome == ("ok",), (zone, outcome)
+
+
+@when("orders of level 2 evacuate one zone more than twice as many as may be evacuated")
+def step_many_zones(context):
+    context.zones = [f"zone-{place}" for place in range(2 * constants.MAX_EVACUATED_ZONES + 1)]
+    order_zones(context, "evacuate", True)
+
+
+@when("orders of level 3 {word:w} the evacuation of the same zones")
+def step_same_zones(context, word):
+    order_zones(context, "evacuation", word == "begin", with_index=True)
+
+
+@then("every zone is evacuated, also in a replica rebuilt from an image")
+def step_all_evacuated(context):
+    for state in (context.cluster_state, _from_image(context.cluster_state)):
+        assert set(state.leased_jobs.evacuated) == set(context.zones), len(state.leased_jobs.evacuated)
+
+
+@then("no zone is evacuated, and the orders that are remembered are twice as many as may be evacuated")
+def step_none_evacuated(context):
+    evacuations = context.cluster_state.leased_jobs.evacuations
+    assert not evacuations.since, evacuations.since
+    assert len(evacuations.newest) == 2 * constants.MAX_EVACUATED_ZONES, len(evacuations.newest)
--- a/src/pinepitch/scheduling/evacuation.py
+++ b/src/pinepitch/scheduling/evacuation.py
@@ -72,10 +72,12 @@
             self.since.pop(zone, None)
 
     def _forget_oldest(self) -> None:
-        """Drops the oldest order for a zone that is not evacuated, once there are more than twice as many
-        orders as zones that may be evacuated.
+        """Drops the oldest order for a zone that is not evacuated, if there is one, once there are more than
+        twice as many orders as zones that may be evacuated. All of these may be evacuated, as unconfirmed
+        orders have no such limit.
         """
         if len(self.newest) <= 2 * constants.MAX_EVACUATED_ZONES:
             return
-        oldest = next(zone for zone in self.newest if zone not in self.since)
-        self.forgotten = max(self.forgotten, self.newest.pop(oldest).entry)
+        oldest = next((zone for zone in self.newest if zone not in self.since), None)
+        if oldest is not None:
+            self.forgotten = max(self.forgotten, self.newest.pop(oldest).entry)
