Refuse an entry that names a member of a gang of pushed tasks twice

An entry that places each member of a gang, one of them on two workers, was taken: the check compared sets of references. Units stayed reserved on the first worker for ever in the replica that went on, and not in one rebuilt from an image. A single task named twice was placed once already.

Change: the references are compared as lists, so the entry is refused as "gang not whole".

--- a/features/applying.feature
+++ b/features/applying.feature
@@ -32,6 +32,14 @@
     When orders of level 3 finish the evacuation of the same zones
     Then no zone is evacuated, and the orders that are remembered are twice as many as may be evacuated
 
+  # Guards against: units stay reserved for ever, or giving them back ends the replicas, if an entry names a task twice.
+  Scenario: an entry that places a member of a gang of pushed tasks twice places none of the gang
+    Given a cluster state with a pushed job of a gang of two
+    When an entry places the first member on two workers and the second on one
+    Then it is refused as "gang not whole", and nothing is reserved
+    When an entry places each member once, and both end
+    Then nothing is reserved, and the audit finds nothing
+
   # Guards against: any entry that admission lets through ends the replicas that apply it, or makes them differ.
   Scenario Outline: replicas apply drawn histories of every kind of entry at the limits of amounts alike, seed <seed>
     When <count> histories of <entries> entries are drawn with seed <seed>, with the limits of lists lowered
--- a/features/steps/applying.py
+++ b/features/steps/applying.py
@@ -7,12 +7,13 @@
 
 import cbor2
 import hypothesis
-from behave import then, when
+from behave import given, then, when
 from entry_histories import AMOUNTS, BOUNDED, LOWERED, EntryChance
 from hypothesis import strategies
 from leased_job_histories import WORKERS
 
 from pinepitch.common import constants
+from pinepitch.model import pushed_job
 from pinepitch.scheduling.assigner import Assigner
 from pinepitch.scheduling.leased_job_state import LeasedJobState
 from pinepitch.scheduling.progress import ProgressWatch
@@ -272,3 +273,55 @@
     evacuations = context.cluster_state.leased_jobs.evacuations
     assert not evacuations.since, evacuations.since
     assert len(evacuations.newest) == 2 * constants.MAX_EVACUATED_ZONES, len(evacuations.newest)
+
+
+# --- a gang of pushed tasks ------------------------------------------------------------
+@given("a cluster state with a pushed job of a gang of two")
+def step_gang(context):
+    context.cluster_state = ClusterState()
+    tasks = [{"name": name, "gang": "both"} for name in ("one", "two")]
+    document, faults = pushed_job.checked({"queue": "default", "tasks": tasks})
+    assert not faults, faults
+    assert append(context, ("duty", "placing", "daemon")) == ("epoch", 1)
+    assert append(context, ("ticket", "key", "digest", document)) == ("accepted", "t1")
+
+
+def append(context, operation):
+    """Applies the next entry."""
+    state = context.cluster_state
+    return state.apply(state.index + 1, state.time + 1.0, operation)
+
+
+def place(context, placements):
+    """Applies an entry that places tasks, given as (name, worker)."""
+    items = tuple(
+        (f"t1/{name}", worker, "north", 8, "incarnation", "front", (("default", 1),), "10.0.0.1:80")
+        for name, worker in placements
+    )
+    return append(context, ("place", 1, 1, items))
+
+
+@when("an entry places the first member on two workers and the second on one")
+def step_place_twice(context):
+    context.outcome = place(context, (("one", "m1"), ("one", "m2"), ("two", "m1")))
+
+
+@then('it is refused as "{reason}", and nothing is reserved')
+def step_gang_refused(context, reason):
+    kind, refusals = context.outcome
+    assert kind == "placed" and {why for _, why in refusals} == {reason}, context.outcome
+    assert not context.cluster_state.reserved, context.cluster_state.reserved
+
+
+@when("an entry places each member once, and both end")
+def step_place_once(context):
+    kind, refusals = place(context, (("one", "m1"), ("two", "m2")))
+    assert kind == "placed" and not any(why for _, why in refusals), refusals
+    ends = tuple((f"t1/{name}", 1, "done") for name in ("one", "two"))
+    assert append(context, ("ended", ends)) == ("ended", ("done", "done"))
+
+
+@then("nothing is reserved, and the audit finds nothing")
+def step_nothing_reserved(context):
+    assert not context.cluster_state.reserved, context.cluster_state.reserved
+    context.cluster_state.audit()
--- a/src/pinepitch/state/placing_operations.py
+++ b/src/pinepitch/state/placing_operations.py
@@ -86,8 +86,8 @@
     """Why a gang may not start, or ''."""
     if not task.gang:
         return ""
-    waiting = {reference(job.identity, name) for name in waiting_members(job, unit_of(task))}
-    return "" if waiting == {item.reference for item in group} else "gang not whole"
+    waiting = sorted(reference(job.identity, name) for name in waiting_members(job, unit_of(task)))
+    return "" if waiting == sorted(item.reference for item in group) else "gang not whole"
 
 
 class _GroupTotals:
