Stop at a committed entry that can't be applied with one event that says which and what to do

An unknown operation ended it with event 104, whose text was made for broken invariants.

Change: ClusterState.apply raises EntryNotAppliedError for both; the program logs event 109 (index, operation, fault, where, advice) and exits with 70. Soaks count event 109 as a fault.

The new scenario starts a real control daemon that fails to apply ends of runs on a stored folder, twice: one event 109 each, status 70; then this version takes the same folder up.

--- a/features/applying.feature
+++ b/features/applying.feature
@@ -40,6 +40,14 @@
     When an entry places each member once, and both end
     Then nothing is reserved, and the audit finds nothing
 
+  # Guards against: an operator can't tell which entry ends the daemons and what to do; an entry skipped in silence.
+  Scenario: a control daemon that fails to apply a committed entry ends with one line that says so, each time
+    Given a copy of the folder of a daemon that could not apply a committed entry
+    When a control daemon that fails to apply ends of runs is started on it 2 times
+    Then each ends with status 70 and one critical event 109, which names the entry, its index, the fault and the advice
+    When this version's daemon starts on it
+    Then the jobs and the configuration that were acknowledged are there, and the entry is applied
+
   # Guards against: any entry that admission lets through ends the replicas that apply it, or makes them differ.
   Scenario Outline: replicas apply drawn histories of every kind of entry at the limits of amounts alike, seed <seed>
     When <count> histories of <entries> entries are drawn with seed <seed>, with the limits of lists lowered
@@ -51,3 +59,12 @@
       | 1    | 12    | 150     |
       | 2    | 12    | 150     |
       | 3    | 4     | 400     |
+
+  Scenario Outline: histories that once ended replicas or made them differ don't any more, seed <seed>
+    When 4 histories of 200 entries are drawn with seed <seed>, with the limits of lists lowered
+    Then no entry and no scheduling round raised an error, and no replica differed from the others
+
+    Examples:
+      | seed | found                                         |
+      | 119  | an order for a zone when all are evacuated    |
+      | 325  | a member of a gang that is placed twice       |
--- a/features/soak/processes.py
+++ b/features/soak/processes.py
@@ -19,9 +19,9 @@
 GRACE = 6  # seconds; from SIGTERM to SIGKILL
 STOPPED = 108  # the event that reports that a daemon did not run, and for how many seconds
 OUTLASTED = re.compile(r"took longer than an enclosing timeout\. Badness delta=([0-9]+\.[0-9]+)")
-# Events that none of the injected faults can cause: broken invariants, answers to the wrong caller, a disk
-# that lost what was acknowledged, two machines under one name.
-FORBIDDEN_EVENTS = (104, 128, 145, 146, 158, 184)
+# Events that none of the injected faults can cause: broken invariants, an entry that can't be applied,
+# answers to the wrong caller, a disk that lost what was acknowledged, two machines under one name.
+FORBIDDEN_EVENTS = (104, 109, 128, 145, 146, 158, 184)
 
 
 class Ports:
--- a/features/steps/applying.py
+++ b/features/steps/applying.py
@@ -2,6 +2,11 @@
 
 import collections
 import contextlib
+import json
+import os
+import socket
+import subprocess
+import sys
 import traceback
 from unittest import mock
 
@@ -13,6 +18,7 @@
 from leased_job_histories import WORKERS
 
 from pinepitch.common import constants
+from pinepitch.common.entry_error import ADVICE
 from pinepitch.model import pushed_job
 from pinepitch.scheduling.assigner import Assigner
 from pinepitch.scheduling.leased_job_state import LeasedJobState
@@ -325,3 +331,50 @@
 def step_nothing_reserved(context):
     assert not context.cluster_state.reserved, context.cluster_state.reserved
     context.cluster_state.audit()
+
+
+# --- an entry that can't be applied ----------------------------------------------------
+FAILING_DAEMON = """
+import sys
+from pinepitch.control import program
+from pinepitch.state import registry
+
+def fail(state, operation):
+    raise KeyError("acme")
+
+registry.ACTIONS["job-ended"] = registry.ACTIONS["job-ended"]._replace(apply=fail)
+program.run(address=sys.argv[1], zone="a", data=sys.argv[2], bootstrap_size=1, seeds=sys.argv[3])
+"""
+ENDS_WITHIN = 30.0  # seconds; from the start until the log is applied
+
+
+def free_address():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return "{}:{}".format(*listener.getsockname())
+
+
+@when("a control daemon that fails to apply ends of runs is started on it {count:d} times")
+def step_start_failing(context, count):
+    folder = os.path.join(context.folder, "first")
+    context.ended = []
+    for _ in range(count):
+        address = free_address()
+        seeds = ",".join((address, free_address(), free_address()))
+        command = [sys.executable, "-c", FAILING_DAEMON, address, folder, seeds]
+        context.ended.append(subprocess.run(command, capture_output=True, text=True, timeout=ENDS_WITHIN))
+
+
+@then(
+    "each ends with status {status:d} and one critical event {number:d}, which names the entry, its index, "
+    "the fault and the advice"
+)
+def step_one_line(context, status, number):
+    for ended in context.ended:
+        assert ended.returncode == status, ended
+        events = [json.loads(line) for line in ended.stderr.splitlines()]
+        found = [event for event in events if event["number"] == number]
+        assert len(found) == 1, ended.stderr
+        event = found[0]
+        assert event["operation"] == "job-ended" and event["index"] > 1, event
+        assert event["fault"] == "KeyError('acme')" and event["where"].endswith("fail"), event
+        assert event["advice"] == ADVICE, event
--- a/src/pinepitch/common/events.py
+++ b/src/pinepitch/common/events.py
@@ -20,6 +20,7 @@
     106: ("disk refuses to write", "error"),
     107: ("disk writes again", "warning"),
     108: ("process was stopped", "warning"),
+    109: ("committed entry can't be applied, process stops", "critical"),
     110: ("cohort founded", "info"),
     111: ("consent to found persisted", "info"),
     112: ("founding held back: a cohort is known", "info"),
--- a/src/pinepitch/runtime/serving.py
+++ b/src/pinepitch/runtime/serving.py
@@ -7,6 +7,7 @@
 import curio
 
 from ..common import constants, daemon_settings, events
+from ..common.entry_error import EntryNotAppliedError
 from ..storage.store import Store
 from .host import Host
 from .http_port import Adapter
@@ -34,12 +35,15 @@
     stop_within: float = constants.STOP_WITHIN,
     watch: Any = None,
 ) -> None:
-    """Runs a daemon until a signal stops it. The process exits with status 70 if an invariant is broken, and
-    with 1 if a port can't be opened.
+    """Runs a daemon until a signal stops it. The process exits with status 70 if an invariant is broken or a
+    committed entry can't be applied, and with 1 if a port can't be opened.
     """
     host = Host(daemon, settings.address, log, store, settings.http, adapters, stop_within, watch)
     try:
         curio.run(host.run)
+    except EntryNotAppliedError as stopped:
+        events.emit(log, 109, **stopped.fields())
+        sys.exit(70)
     except AssertionError as broken:
         events.emit(log, 104, why=str(broken))
         sys.exit(70)
--- a/src/pinepitch/state/cluster_state.py
+++ b/src/pinepitch/state/cluster_state.py
@@ -12,6 +12,7 @@
 
 import immutables
 
+from ..common.entry_error import EntryNotAppliedError
 from ..model import queue_settings as queue_documents
 from ..model.pushed_job import PushedJob
 from ..model.queue_settings import QueueSettings
@@ -157,17 +158,19 @@
     def apply(self, index: int, time: float, operation: Sequence[Any]) -> Outcome:
         """Applies a committed operation, given as its name and its fields, and returns the outcome.
 
-        Raises AssertionError for an operation that this version does not know.
+        Raises EntryNotAppliedError if this version does not know the operation or fails to apply it. Such an
+        entry is never skipped, as this replica would differ from the rest of the cluster then.
         """
         self.index = index
         self.time = max(self.time, time)
         action = self.actions.get(operation[0])
         if action is None:
-            raise AssertionError(
-                f"entry {index} holds {operation[0]!r}, which this version does not know; "
-                "skipping it would make this replica differ from the rest of the cluster"
-            )
-        return action.apply(self, action.decode(*operation[1:]))
+            unknown = LookupError("this version does not know the operation")
+            raise EntryNotAppliedError(index, operation[0], unknown)
+        try:
+            return action.apply(self, action.decode(*operation[1:]))
+        except Exception as fault:
+            raise EntryNotAppliedError(index, operation[0], fault) from fault
 
     def put_job(self, job: PushedJob) -> None:
         """Stores a pushed job that is new or has changed."""
