Ask once a heartbeat, not for each run, which runs a worker's heartbeat shows as absent

Worker.lacking() answers for all runs of a worker at once, and is still the only place that answers it.

--- a/src/pinepitch/scheduling/assignment_manager.py
+++ b/src/pinepitch/scheduling/assignment_manager.py
@@ -138,9 +138,9 @@
         # A first heartbeat can't be recognized as stale: there is no earlier one to compare its clock with.
         if worker.stale or worker.heartbeats < 2:
             return
-        for (reference, run), placement in self.leased_jobs.placements.get(worker.identity, {}).items():
-            if not worker.lacks((reference, run)):
-                continue
+        placements = self.leased_jobs.placements.get(worker.identity, {})
+        for reference, run in worker.lacking(placements):
+            placement = placements[(reference, run)]
             if placement.epoch != self.core.epoch and now - self.leader_since < constants.REPORT_GATHERING:
                 continue
             if not self._may_start(worker, placement):
@@ -241,19 +241,18 @@
         self, worker: Worker, placements: Placements, may_start: bool, now: float
     ) -> tuple[list[StartOrder], list[RunKey]]:
         """The starts to send for a worker's placements, and the (reference, run) of those to stop."""
-        start, stop = [], []
-        for key, placement in placements.items():
-            if key in worker.running:
-                if not self.leased_jobs.should_run(placement):
-                    stop.append(key)
-            elif (
-                may_start
-                and worker.lacks(key)
-                and self._may_start(worker, placement)
-                and not worker.stale
-                and (worker.identity, *key) not in self.ends.proposed
-            ):
-                start.append(self._start_order(worker, key, placement, now))
+        stop = [
+            key
+            for key, placement in placements.items()
+            if key in worker.running and not self.leased_jobs.should_run(placement)
+        ]
+        if not may_start or worker.stale:
+            return [], stop
+        start = [
+            self._start_order(worker, key, placements[key], now)
+            for key in worker.lacking(placements)
+            if self._may_start(worker, placements[key]) and (worker.identity, *key) not in self.ends.proposed
+        ]
         return start, stop
 
     def _start_order(self, worker: Worker, key: RunKey, placement: Placement, now: float) -> StartOrder:
--- a/src/pinepitch/scheduling/worker.py
+++ b/src/pinepitch/scheduling/worker.py
@@ -1,6 +1,7 @@
 """A worker as the leader knows it from its heartbeats. It is not replicated: a new leader learns it again."""
 
 import math
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from ..common import constants
@@ -133,12 +134,15 @@
         for key in [key for key in self.progress if key not in self.running]:
             del self.progress[key]
 
-    def lacks(self, key: RunKey) -> bool:
-        """Whether its newest heartbeat shows that a run, given as (reference, run), is not active and has no
-        end that is yet to be acknowledged. A list of ends that is cut at its limit shows nothing of the kind
-        about a run that it does not name.
+    def lacking(self, keys: Iterable[RunKey]) -> list[RunKey]:
+        """Those of the runs, given as (reference, run), that its newest heartbeat shows to be neither active
+        nor ended with an end that is yet to be acknowledged. A list of ends that is cut at its limit shows
+        nothing of the kind about a run that it does not name.
         """
-        return self.lists_all_ends and key not in self.running and key not in self.listed_ends
+        if not self.lists_all_ends:
+            return []
+        running, listed_ends = self.running, self.listed_ends
+        return [key for key in keys if key not in running and key not in listed_ends]
 
     def acknowledged(self) -> int:
         """The number up to which all ends that the worker reported are committed."""
--- a/src/pinepitch/simulation/jobs/injected_faults.py
+++ b/src/pinepitch/simulation/jobs/injected_faults.py
@@ -36,9 +36,9 @@
                 self.ends.propose(worker.identity, reference, run, "unsent", "", False)
 
 
-def _lacks_by_any_list(self, key):
-    """Takes a run as neither active nor ended if a heartbeat does not name it, however many ends wait."""
-    return key not in self.running and key not in self.listed_ends
+def _lacking_by_any_list(self, keys):
+    """Takes runs as neither active nor ended if a heartbeat does not name them, however many ends wait."""
+    return [key for key in keys if key not in self.running and key not in self.listed_ends]
 
 
 def _send_proposed_starts(self, now):
@@ -125,7 +125,7 @@
         (AssignmentManager, "_propose_never_started", _unlisted_means_never_started),
         (ForwardedRequests, "_in_time", lambda self, end, now: True),
     ],
-    "every-list-is-whole": [(Worker, "lacks", _lacks_by_any_list)],
+    "every-list-is-whole": [(Worker, "lacking", _lacking_by_any_list)],
     "hold-not-waited-out": [(constants, "LAPSE_MARGIN", -3.5)],
     "lease-ignored": [
         (Consensus, "leased", lambda self, now: self.serving()),
