Give requests that still wait their final answer before a stopping process ends

Cause: Host._stop waited until no request waited, then until the daemon's voting membership was handed over, up to 3.6 s more. Requests that came in that second wait were passed on, and nobody looked at them again before the loop ended.

Change: after the handover the host waits for them within the same patience as before; then the daemon gives up what is left ("give-up"): 504 for what may have been taken, 503 with Retry-After for what was not, as at the end of a request's time. What the daemon never passed on, and what comes after that, is refused with 503 `stopping` at once.

Four new examples of forwarder.feature, and one of connections.feature for what comes last.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -55,7 +55,13 @@
     When a caller sends ten times the largest body before it reads
     Then it reads the status 413
 
-  Scenario: a request that was read is dropped when its process stops
+  # Guards against: a request that was read is dropped when its process stops (LOST).
+  Scenario: a request that was read has its final answer before its process ends after SIGTERM
     Given a daemon's port whose decider answers when it is told to
     When a request still waits while the process stops after SIGTERM
     Then its caller has read the status 503
+
+  Scenario: a request that comes as its process ends has its final answer too
+    Given a daemon's port whose decider answers when it is told to
+    When a request comes after those that waited were given up
+    Then its caller has read the status 503
--- a/features/forwarder.feature
+++ b/features/forwarder.feature
@@ -25,6 +25,21 @@
       | sent, in doubt, sent, refused                      | 504    | with no more             |
       | sent, refused, sent, in doubt, sent, refused       | 504    | with no more             |
 
+  # Guards against: a process that stops ends with calls unanswered that it has read (LOST).
+  Scenario Outline: when its process stops, a call that was <history> is given up at once with <status>
+    Given a call to be carried, with 2 seconds of patience
+    When its way is: <history>
+    And its process stops
+    Then it is replied with <status>, <again>
+    And nothing more is replied, whatever is told later
+
+    Examples:
+      | history        | status | again                    |
+      | sent to nobody | 503    | saying when to come back |
+      | sent, refused  | 503    | saying when to come back |
+      | sent           | 504    | with no more             |
+      | sent, in doubt | 504    | with no more             |
+
   Scenario Outline: an answer after <history> is the one reply
     Given a call to be carried, with 1 second of patience
     When its way is: <history>
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -363,6 +363,18 @@
     context.port.run(act)
 
 
+@when("a request comes after those that waited were given up")
+def step_comes_late(context):
+    async def act(port):
+        socket = await port.connect()
+        await port.host._step(("give-up",))
+        await socket.sendall(request_of("/late"))
+        context.read = await curio.ignore_after(GIVEN_UP_AFTER, socket.recv, 65536)
+        await socket.close()
+
+    context.port.run(act)
+
+
 @then("its caller has read the status {status:d}")
 def step_read(context, status):
     assert context.read is not None, "the process ended without an answer"
--- a/features/steps/forwarder.py
+++ b/features/steps/forwarder.py
@@ -50,6 +50,11 @@
     assert wait(context, context.until) == []
 
 
+@when("its process stops")
+def step_stops(context):
+    context.replies.extend(context.forwarder.give_up_all())
+
+
 @when("the longest patience is over")
 def step_longest(context):
     wait(context, context.now + constants.CALL_PATIENCE)
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -28,6 +28,12 @@
     assert not found, "\n".join(found[:10])
 
 
+@then("no request that a daemon had read was cut in its planned stop")
+def step_none_cut(context):
+    found = [f"seed {one.seed}: {cut}" for one in context.outcomes for cut in one.requests_cut]
+    assert not found, "\n".join(found[:10])
+
+
 @then("at least two troubles went on at the same time, and jobs ran")
 def step_met(context):
     for one in context.outcomes:
--- a/src/pinepitch/control/client_requests.py
+++ b/src/pinepitch/control/client_requests.py
@@ -53,6 +53,10 @@
             if token in self.daemon.forwarder.calls:
                 self._forward(token, now)
 
+    def on_give_up(self, now: float) -> None:
+        """Handles the end of a stopping process: what still waits gets its final answer."""
+        self.daemon.effects.extend(self.daemon.forwarder.give_up_all())
+
     def on_answer(self, token: str, answer: tuple[Any, ...], key: tuple[Any, ...], now: float) -> None:
         """Handles the leader's answer to a request."""
         if self.daemon.image_digests.take_answer(token, answer, key):
--- a/src/pinepitch/control/daemon.py
+++ b/src/pinepitch/control/daemon.py
@@ -320,6 +320,7 @@
             "seeds": self._on_seeds,
             "seat": self.shutdown.on_slot,
             "stop": self.shutdown.on_stop,
+            "give-up": self.client_requests.on_give_up,
         }
 
     def step(self, message: tuple[Any, ...], now: float, clock: float) -> list[Any]:
--- a/src/pinepitch/front/daemon.py
+++ b/src/pinepitch/front/daemon.py
@@ -382,6 +382,10 @@
         for control_daemon in self.control_daemons.known.values():
             self._send(control_daemon.address, ("leave", self.identity))
 
+    def _on_give_up(self, now: float) -> None:
+        """Handles the end of a stopping process: what still waits gets its final answer."""
+        self.effects.extend(self.forwarder.give_up_all())
+
     def may_end(self, now: float) -> bool:
         """Always true: a front daemon has no voting membership to transfer before it stops."""
         return True
@@ -404,4 +408,5 @@
     "seeds": FrontDaemon._on_seeds,
     "posted": FrontDaemon._on_posted,
     "stop": FrontDaemon._on_stop,
+    "give-up": FrontDaemon._on_give_up,
 }
--- a/src/pinepitch/runtime/host.py
+++ b/src/pinepitch/runtime/host.py
@@ -107,6 +107,8 @@
             await self.exchange.reply(Reply(message[1], *stall_detector.PAUSED))
             return
         await self._decide(message, now)
+        if message[0] == "give-up":
+            await self.exchange.close()
 
     async def _decide(self, message: Sequence[Any], now: float) -> None:
         """Steps the daemon with one message and executes the effects."""
@@ -182,20 +184,29 @@
             await self.inbox.put(("seeds", seeds))
 
     async def _stop(self) -> None:
-        """Passes "stop" to the daemon, waits for pending answers and disk writes, and ends the loop."""
+        """Passes "stop" to the daemon, waits for pending answers and disk writes, has the requests that still
+        wait given up, and ends the loop.
+        """
         self.exchange.stopping = True
         await self.inbox.put(("stop",))
         patience = self.stop_within * constants.STOP_PART
         deadline = time.monotonic() + patience
         if self.adapters:  # callers are turned away only after a while: they are served until then
             await curio.sleep(max(0.0, patience - constants.CALL_PATIENCE))
-        while time.monotonic() < deadline and (self.exchange.waiting or self.disk.busy()):
+        while time.monotonic() < deadline and self._is_busy():
             await curio.sleep(constants.TICK)
         while not self._may_end():  # the daemon bounds this wait
             await curio.sleep(constants.TICK)
+        while time.monotonic() < deadline and self._is_busy():  # requests that came meanwhile
+            await curio.sleep(constants.TICK)
+        await self.inbox.put(("give-up",))
         await curio.sleep(constants.TICK * 4)  # so that the last answers and `leave` messages are sent
         await self.inbox.put(("halt",))
 
+    def _is_busy(self) -> bool:
+        """Whether a request has no answer yet, or a write is in progress."""
+        return bool(self.exchange.waiting) or self.disk.busy()
+
     def _may_end(self) -> bool:
         """Whether the daemon lets a stopping process end, by the clock that it is stepped with."""
         may_end: bool = self.daemon.may_end(steady_clock())
--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -13,10 +13,18 @@
 from . import stall_detector
 from .clocks import steady_clock
 
+# The answer to a request that was not passed to any daemon, or that changes nothing, when the process ends.
+STOPPING: tuple[int, object, tuple[tuple[str, str], ...]] = (
+    503,
+    {"error": {"code": "stopping", "message": "this daemon stops; the call was not taken"}},
+    (("Retry-After", str(constants.RETRY_AFTER)),),
+)
+
 
 class Exchange:
     """Passes requests to the daemon, and its replies to the connections that wait for them. Invariants:
-    the number of a request is never reused; `waiting` contains the requests without a reply yet.
+    the number of a request is never reused; `waiting` contains the requests without a reply yet; it stays
+    empty once the exchange is closed.
     """
 
     def __init__(self, inbox: Any) -> None:
@@ -24,7 +32,8 @@
         self.waiting: dict[int, Any] = {}  # number of a request -> queue that its connection reads
         self.request_count = 0
         self.connections = 0
-        self.stopping = False
+        self.stopping = False  # whether the process was asked to stop
+        self.closed = False
 
     @contextlib.contextmanager
     def connection(self) -> Iterator[None]:
@@ -50,9 +59,14 @@
             await watch.cancel()
 
     async def _begin(self, answers: Any, kind: str, *fields: Any) -> int:
-        """Passes a request to the daemon and returns the number of the request."""
+        """Passes a request to the daemon and returns the number of the request. Once the exchange is closed,
+        it is refused instead.
+        """
         self.request_count += 1
         request = self.request_count
+        if self.closed:
+            await answers.put((STOPPING, None))
+            return request
         self.waiting[request] = answers
         await self.inbox.put((kind, request, *fields))
         return request
@@ -62,6 +76,15 @@
         await server.hung_up()
         await self.inbox.put(("hung-up", request))
 
+    async def close(self) -> None:
+        """Refuses the requests that still wait, and all further ones. The daemon has replied before to those
+        that may have been taken.
+        """
+        self.closed = True
+        while self.waiting:
+            _, answers = self.waiting.popitem()
+            await answers.put((STOPPING, None))
+
     async def reply(self, effect: Reply) -> None:
         """Passes a reply to the connection that waits for it, if there is one."""
         answers = self.waiting.pop(effect.request, None)
--- a/src/pinepitch/transport/forwarder.py
+++ b/src/pinepitch/transport/forwarder.py
@@ -109,6 +109,10 @@
         call = self.calls.pop(token)
         return (Reply(call.request, *self._given_up(call)),)
 
+    def give_up_all(self) -> list[Effect]:
+        """Gives all requests up; returns the effects that reply to them."""
+        return [effect for token in list(self.calls) for effect in self.give_up(token)]
+
     def _end(self, call: Call, leaderless_for: float) -> float:
         """When a request is given up. In an outage short enough to be a restart it waits its full time, as
         nothing else would serve its caller sooner. In a longer outage it ends soon if no daemon can have
