Keep an answer to a heartbeat within 4 MiB: starts that don't fit come with the next ones

Cause: the answer held every start of a worker, 4.8 MB here. The protocol lets a worker take 4 MiB at most, so it took none: it got neither starts nor a new lease, and every answer was the same again, while the leader counted each as a lease.

Change: starts are added up to 250,000 characters of their texts; a character takes 12 bytes in JSON at most, so answers stay under 4 MiB.

--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -265,6 +265,9 @@
 HEARTBEAT_INTERVAL_FULL = 0.5
 # ends; the most that a worker lists in one heartbeat; the next ones follow once these are acknowledged
 MAX_LISTED_ENDS = 500
+# characters; of the starts in one answer, as workers take 4 MiB and JSON needs up to 12 bytes for each
+MAX_STARTS_TEXT = 250_000
+START_OVERHEAD = 60  # characters; of a start beside its specification and saved progress
 HEARTBEAT_INTERVAL_MORE_ENDS = 0.05  # seconds; heartbeat delay of a worker that may have more ends to list
 HEARTBEAT_STALE = 0.9  # seconds; a heartbeat older than this proves nothing and gets no starts
 WORKER_TIMEOUT = 1.2  # seconds; an unresponsive worker gets no new work after this
--- a/src/pinepitch/scheduling/assignment_manager.py
+++ b/src/pinepitch/scheduling/assignment_manager.py
@@ -240,7 +240,9 @@
     def _starts_and_stops(
         self, worker: Worker, placements: Placements, may_start: bool, now: float
     ) -> tuple[list[StartOrder], list[RunKey]]:
-        """The starts to send for a worker's placements, and the (reference, run) of those to stop."""
+        """The starts to send for a worker's placements, and the (reference, run) of those to stop. Starts
+        whose texts are too long for one answer are left to the next ones.
+        """
         stop = [
             key
             for key, placement in placements.items()
@@ -248,11 +250,17 @@
         ]
         if not may_start or worker.stale:
             return [], stop
-        start = [
-            self._start_order(worker, key, placements[key], now)
-            for key in worker.lacking(placements)
-            if self._may_start(worker, placements[key]) and (worker.identity, *key) not in self.ends.proposed
-        ]
+        start: list[StartOrder] = []
+        text_length = 0  # characters
+        for key in worker.lacking(placements):
+            if text_length >= constants.MAX_STARTS_TEXT:
+                break
+            placement = placements[key]
+            if not self._may_start(worker, placement) or (worker.identity, *key) in self.ends.proposed:
+                continue
+            order = self._start_order(worker, key, placement, now)
+            start.append(order)
+            text_length += constants.START_OVERHEAD + len(order[2]) + len(order[3])
         return start, stop
 
     def _start_order(self, worker: Worker, key: RunKey, placement: Placement, now: float) -> StartOrder:
