--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -90,6 +90,8 @@
 BOOTSTRAP_STABLE_TIME = 1.0  # seconds; the list of daemons must stay the same this long before a bootstrap
 # seconds; a daemon that reported an existing cluster blocks a bootstrap for this long
 BOOTSTRAP_VETO_LASTS = 30.0
+# seconds; interval at which a daemon that may not found a cluster logs that it hears of none
+NO_CLUSTER_REPORT_EVERY = 5.0
 SEEDS = 3  # addresses; every daemon is configured with this many to find the others
 GREET_EVERY = 0.25  # seconds; interval at which a daemon renews its session by a handshake
 SESSION_LASTS = 1.5  # seconds; a session ends after this long without a handshake
--- a/src/pinepitch/common/events.py
+++ b/src/pinepitch/common/events.py
@@ -25,6 +25,7 @@
     111: ("consent to found persisted", "info"),
     112: ("founding held back: a cohort is known", "info"),
     113: ("asked to join", "info"),
+    114: ("no cohort is known, and this daemon may not found one", "warning"),
     120: ("pre-vote begun", "info"),
     121: ("candidate", "info"),
     122: ("leader", "info"),
--- a/src/pinepitch/control/cluster_entry.py
+++ b/src/pinepitch/control/cluster_entry.py
@@ -19,6 +19,8 @@
         self.daemon = daemon
         self.last_join_at = -1e9  # seconds; when it last asked to join
         self.last_deferral_event_at = -1e9  # seconds; when it last logged that it waits
+        # seconds; when it last logged that it hears of no cluster, or began to look for one
+        self.no_cluster_reported_at: float | None = None
 
     def seek_cluster(self, now: float) -> None:
         """Founds a cluster once that is allowed, or asks to join the one that was seen."""
@@ -29,6 +31,16 @@
             self.consent(cluster, members, now)
         elif self.daemon.bootstrap.veto(now):
             self.ask_to_join(now)
+        elif not can_found:
+            self._report_no_cluster(now)
+
+    def _report_no_cluster(self, now: float) -> None:
+        """Logs at intervals that this daemon hears of no cluster and may not found one."""
+        if self.no_cluster_reported_at is None:
+            self.no_cluster_reported_at = now
+        elif now - self.no_cluster_reported_at >= constants.NO_CLUSTER_REPORT_EVERY:
+            self.no_cluster_reported_at = now
+            self.daemon.event(114)
 
     def _may_found(self, address: str) -> bool:
         """Whether a daemon at that address may take part in the founding of a cluster."""
