--- a/src/pinepitch/scheduling/assignment_manager.py
+++ b/src/pinepitch/scheduling/assignment_manager.py
@@ -7,13 +7,15 @@
 
 import collections
 from collections.abc import Sequence
-from typing import Any, NamedTuple
+from typing import Any
 
 from ..common import constants, events
 from ..model.decisions import Answer
+from . import heartbeat_intervals
 from . import policy as policies
 from .assigner import Assigner
 from .daemon_interface import Daemon
+from .heartbeats import DeferredHeartbeat, IdleHeartbeat, StartOrder
 from .leased_job_state import LeasedJobState, TaskBatchAssignment
 from .leases import LeaseWatch
 from .placement import (
@@ -34,24 +36,6 @@
 from .run_stop import StopItem
 from .worker import READY, Worker
 
-# The order to start a run, as sent to a worker: (reference, run, spec of the job, saved progress).
-StartOrder = tuple[str, int, str, str]
-
-
-class DeferredHeartbeat(NamedTuple):
-    """The newest heartbeat of a worker, not answered yet."""
-
-    address: str  # of the daemon that forwarded it
-    token: Any  # identifies the request in the answer
-    received_at: float  # by the leader's clock, seconds
-
-
-class IdleHeartbeat(NamedTuple):
-    """A heartbeat of an idle worker, whose answer is deferred for IDLE_HEARTBEAT_DEFERRAL seconds."""
-
-    received_at: float  # by the leader's clock, seconds
-    identity: str  # of the worker
-
 
 class AssignmentManager:
     """Handles the heartbeats of all workers and the placements of leased jobs, while its daemon leads.
@@ -223,6 +207,7 @@
         for reference, run in unknown_runs:
             self.core.event(156, minion=worker.identity, task=reference, run=run)
         stop = (*unknown_runs, *unwanted)
+        again_in = heartbeat_intervals.next_in(worker, placements, bool(start), len(self.workers))
         # the worker's lease, of hold_ms, starts with its heartbeat
         worker.leased_from = received_at
         self.counts["starts"] += len(start)
@@ -234,7 +219,7 @@
             "start": tuple(start),
             "stop": stop,
             "home": self.core.address,
-            "again_ms": int(1000 * self._next_heartbeat_in(worker, placements, start)),
+            "again_ms": int(1000 * again_in),
         }
 
     def _starts_and_stops(
@@ -275,22 +260,9 @@
         )
         return (reference, run, batch.job.spec, task.saved)
 
-    def _next_heartbeat_in(self, worker: Worker, placements: Placements, start: list[StartOrder]) -> float:
-        """Seconds until a worker's next heartbeat: short for one that may have more ends to list, and longer
-        for one that can take no more work.
-        """
-        if not worker.lists_all_ends:
-            return constants.HEARTBEAT_INTERVAL_MORE_ENDS
-        used_cpu = sum(placement.resources[0] for placement in placements.values())
-        has_capacity = worker.state == READY and used_cpu < worker.capacity[0]
-        return self._heartbeat_interval() if has_capacity or start else constants.HEARTBEAT_INTERVAL_FULL
-
     def _heartbeat_interval(self) -> float:
-        """Seconds between two heartbeats of a worker with capacity; grows with the number of workers."""
-        return min(
-            constants.HEARTBEAT_INTERVAL_FULL,
-            max(constants.HEARTBEAT_INTERVAL, len(self.workers) * constants.HEARTBEAT_INTERVAL_PER_WORKER),
-        )
+        """Seconds between two heartbeats of a worker with capacity."""
+        return heartbeat_intervals.interval(len(self.workers))
 
     # --- time -------------------------------------------------------------------------
     def tick(self, now: float) -> None:
--- a/src/pinepitch/scheduling/explain.py
+++ b/src/pinepitch/scheduling/explain.py
@@ -8,8 +8,9 @@
 from ..model.decisions import Answer, problem
 from .assigner import REASON_TENANT_AT_MAXIMUM
 from .daemon_interface import Daemon
+from .job_outcomes import FinalJob
 from .leased_job import DONE, PLACED, WAITING, LeasedJob, TaskBatch
-from .leased_job_state import FinalJob, LeasedJobState
+from .leased_job_state import LeasedJobState
 from .placement import Placements
 from .plain_types import Arguments, Document
 from .resources import NO_RESOURCES, RESOURCE_KINDS, Amount, Resources, add, multiply, subtract
--- a/src/pinepitch/scheduling/leased_job.py
+++ b/src/pinepitch/scheduling/leased_job.py
@@ -233,6 +233,28 @@
         """Whether this is a gang of which some but not all unfinished members are placed."""
         return bool(self.step.gang and 0 < len(self.waiting) < self.open_tasks)
 
+    def store_saved_progress(self, task: Task, run: int, saved: str) -> None:
+        """Stores the progress that a run of a task saved, in a gang for every member. It is ignored if a
+        newer run may have saved more.
+        """
+        if not saved or task.state == DONE or run + 1 < task.run:
+            return
+        is_gang = self.step.gang
+        if is_gang and any(member.state == PLACED and member.run > run for member in self.tasks):
+            return
+        for member in self.tasks if is_gang else (task,):
+            member.saved = saved
+
+    def count_failure(self, task: Task, run: int) -> bool:
+        """Counts a failed run of a task. The failure of a gang's run counts once, however many members report
+        it. Returns whether the attempts that the job allows are used up.
+        """
+        if not self.step.gang:
+            task.failures += 1
+            return task.failures >= self.job.attempts
+        self.failed_runs.add(run)
+        return self.failures >= self.job.attempts
+
     def image(self) -> Image:
         """The stored fields as plain values, for a snapshot. LeasedJob.from_image reads them."""
         return (
--- a/src/pinepitch/scheduling/leased_job_state.py
+++ b/src/pinepitch/scheduling/leased_job_state.py
@@ -8,59 +8,39 @@
 
 import itertools
 from collections.abc import Sequence
-from typing import Any, NamedTuple, Self
+from typing import Any, Self
 
 from ..common import constants
 from .configuration import Configuration
 from .evacuation import Evacuations
+from .job_outcomes import (
+    END_COMPLETED,
+    END_DONE,
+    END_FAILED,
+    END_JOB_NOT_OPEN,
+    END_NO_SUCH_TASK,
+    END_REQUEUED,
+    END_STALE,
+    JOB_CANCELLED,
+    JOB_COMPLETED,
+    JOB_FAILED,
+    JOB_QUEUED,
+    JOB_RUNNING,
+    FinalJob,
+)
 from .leased_job import DONE, PLACED, WAITING, LeasedJob, PlainJob, Task, TaskBatch, TaskBatchKey
 from .placement import RUN_DONE, RUN_FAILED, RUN_NEVER_STARTED, Placement, Placements, RunEndItem, RunKey
 from .plain_types import Document, Image, Outcome
-from .resource_usage import ResourceUsage, release
-from .resources import NO_RESOURCES, PriorityClass, add, multiply, subtract
+from .resource_usage import PlacementUsage
+from .resources import NO_RESOURCES, multiply, subtract
 from .run_stop import StopItem
 from .tenants import Tenants
 
-# The states of a job, as they are reported to callers.
-JOB_QUEUED = "queued"  # no task was ever placed
-JOB_RUNNING = "running"
-JOB_COMPLETED = "completed"
-JOB_FAILED = "failed"  # a task or a gang has used up its attempts
-JOB_CANCELLED = "cancelled"
-
-# The consequences of a run's end. The outcome of the operation "job-ended" lists one for each of its items,
-# and event 155 logs it.
-END_DONE = "done"  # the task, or its whole gang, is done
-END_COMPLETED = "completed"  # the task or gang is done, and so is the whole job
-END_FAILED = "failed"  # it was the last attempt, so the job has failed
-END_REQUEUED = "again"  # the task waits for another run
-END_STALE = "stale"  # the end was known already, or changes nothing any more
-END_JOB_NOT_OPEN = "late"  # the job is over, or was never accepted
-END_NO_SUCH_TASK = "unknown"  # the job has no such task
-
 # An item of the operation "job-assign":
 # (job, index of the time, number of the step, ((index of a task, worker), ...)).
 TaskBatchAssignment = tuple[str, int, int, tuple[tuple[int, str], ...]]
 
 
-class FinalJob(NamedTuple):
-    """The record of a job that is over. It is dropped when a later job ends, once it is FINAL_LASTS seconds
-    old or there are more than MAX_FINAL_JOBS records.
-    """
-
-    state: str  # JOB_COMPLETED, JOB_FAILED or JOB_CANCELLED
-    ended: float  # time of the cluster state, seconds
-    queue: str
-    digest: str  # distinguishes two jobs with the same name
-    tenant: str = ""  # the name of its tenant, "" for a job without one
-
-    def image(self) -> Image:
-        """The fields as plain values, for a snapshot. As in LeasedJob.image, a job without a tenant has no
-        field for it.
-        """
-        return tuple(self) if self.tenant else tuple(self)[:-1]
-
-
 class LeasedJobState:
     """The state to which operations on leased jobs are applied.
 
@@ -78,9 +58,10 @@
         self.jobs: dict[str, LeasedJob] = {}
         self.final: dict[str, FinalJob] = {}  # identity of a job -> its record
         self.placements: dict[str, Placements] = {}  # worker -> {(reference, run): Placement}
-        self.used_by_worker: ResourceUsage[str] = {}
-        self.used_by_priority_class: ResourceUsage[PriorityClass] = {}
-        self.used_by_tenant: ResourceUsage[str] = {}
+        self._usage = PlacementUsage()
+        self.used_by_worker = self._usage.by_worker
+        self.used_by_priority_class = self._usage.by_priority_class
+        self.used_by_tenant = self._usage.by_tenant
         self.configuration = Configuration()
         self.evacuations = Evacuations()
         self.ready: dict[TaskBatchKey, TaskBatch] = {}
@@ -141,17 +122,9 @@
 
     def _add_placement(self, placement: Placement) -> None:
         """Records the placement of a run and counts its resources as used."""
-        worker_id, resources = placement.worker_id, placement.resources
-        placements = self.placements.setdefault(worker_id, {})
+        placements = self.placements.setdefault(placement.worker_id, {})
         placements[(placement.reference(), placement.run)] = placement
-        if not any(resources):
-            return
-        by_worker, by_class, by_tenant = self.used_by_worker, self.used_by_priority_class, self.used_by_tenant
-        by_worker[worker_id] = add(by_worker.get(worker_id, NO_RESOURCES), resources)
-        priority_class = (placement.service, placement.priority)
-        by_class[priority_class] = add(by_class.get(priority_class, NO_RESOURCES), resources)
-        if placement.tenant:
-            by_tenant[placement.tenant] = add(by_tenant.get(placement.tenant, NO_RESOURCES), resources)
+        self._usage.add(placement)
 
     def _remove_placement(self, worker_id: str, key: RunKey) -> Placement | None:
         """Removes the placement of a run and counts its resources as free. Returns the placement, or None
@@ -163,12 +136,7 @@
             return None
         if not placements:
             del self.placements[worker_id]
-        resources = placement.resources
-        if any(resources):
-            release(self.used_by_worker, worker_id, resources)
-            release(self.used_by_priority_class, (placement.service, placement.priority), resources)
-            if placement.tenant:
-                release(self.used_by_tenant, placement.tenant, resources)
+        self._usage.release(placement)
         return placement
 
     # --- queries ----------------------------------------------------------------------
@@ -397,40 +365,18 @@
             task.unreported_runs.discard(run)
         elif not reported and how != RUN_NEVER_STARTED:
             task.unreported_runs.add(run)
-        self._store_saved_progress(batch, task, run, saved)
+        batch.store_saved_progress(task, run, saved)
         if task.state == DONE:
             return END_STALE
         if how == RUN_DONE and not batch.step.lasts:
             return self._complete_task(now, job, batch, index)
-        if how == RUN_FAILED and not batch.step.lasts and self._count_failure(batch, task, run):
+        if how == RUN_FAILED and not batch.step.lasts and batch.count_failure(task, run):
             self._finish(now, job, JOB_FAILED)
             return END_FAILED
         if is_current:
             self._requeue_task(now, batch, index)
         return END_REQUEUED
 
-    def _store_saved_progress(self, batch: TaskBatch, task: Task, run: int, saved: str) -> None:
-        """Stores the progress that a run saved, in a gang for every member. It is ignored if a newer run may
-        have saved more.
-        """
-        if not saved or task.state == DONE or run + 1 < task.run:
-            return
-        is_gang = batch.step.gang
-        if is_gang and any(member.state == PLACED and member.run > run for member in batch.tasks):
-            return
-        for member in batch.tasks if is_gang else (task,):
-            member.saved = saved
-
-    def _count_failure(self, batch: TaskBatch, task: Task, run: int) -> bool:
-        """Counts a failed run. The failure of a gang's run counts once, however many members report it.
-        Returns whether the attempts that the job allows are used up.
-        """
-        if not batch.step.gang:
-            task.failures += 1
-            return task.failures >= batch.job.attempts
-        batch.failed_runs.add(run)
-        return batch.failures >= batch.job.attempts
-
     def _requeue_task(self, now: float, batch: TaskBatch, index: int) -> None:
         """Lets a task whose newest run has ended wait for another run."""
         task = batch.tasks[index]
