--- a/features/assigning.feature
+++ b/features/assigning.feature
@@ -1,7 +1,7 @@
 Feature: Assigning
   Work of jobs does not wait beside capacity that it could take.
 
-  Scenario: capacity that is kept for a wave is taken by it, whatever larger wave stands before it
+  Scenario: capacity that is kept for a batch is taken by it, whatever larger batch stands before it
     Given 7 workers of 8 accelerators
     And inspections of 3 seconds fill 3 workers
     And inspections of 30 seconds fill 4 workers
@@ -82,7 +82,7 @@
 
     Examples:
       | fault                                   | some | others | what                                              |
-      | a wave may not take what is kept for it | 3    | 4      | kept room is not taken by the wave it is kept for |
+      | a batch may not take what is kept for it | 3    | 4      | kept room is not taken by the wave it is kept for |
       | every budget is used up                 | 5    | 2      | a job waits beside ample idle room                |
 
   Scenario: each mechanism can be switched off by itself, and no rule depends on it
@@ -94,7 +94,7 @@
     When 1 scans of acme come, each of 3 tasks of 0 accelerators for 5 seconds
     Then all tasks that came last have started
 
-  Scenario: waves of one tenant in one round get together what is left to it, and what waits is told why
+  Scenario: batches of one tenant in one round get together what is left to it, and what waits is told why
     Given 3 workers of 8 accelerators, and tenant acme that may run 10 accelerators
     When 5 scans of acme come, each of 4 tasks of 1 accelerators for 5 seconds
     Then 10 accelerators of acme are in use, and no more ever were
@@ -123,15 +123,15 @@
     And 8 accelerators of acme are in use, and no more ever were
     And what waits is told that its tenant is at its maximum, and is short of nothing
 
-  Scenario Outline: no more runs are stopped for waves than their tenant may use, <waves> of <tasks> tasks
+  Scenario Outline: no more runs are stopped for batches than their tenant may use, <batches> of <tasks> tasks
     Given 6 workers of 8 accelerators, and tenant acme that may run 8 accelerators
     When 1 inspections of free that save come, each of 48 tasks of 1 accelerators for 60 seconds
-    And <waves> scans of acme come, each of <tasks> tasks of 8 accelerators for 5 seconds
+    And <batches> scans of acme come, each of <tasks> tasks of 8 accelerators for 5 seconds
     And 0.6 seconds of rounds pass
     Then 8 runs of free are being stopped
 
     Examples:
-      | waves | tasks |
+      | batches | tasks |
       | 1     | 12    |
       | 3     | 1     |
 
--- a/features/leased_jobs.feature
+++ b/features/leased_jobs.feature
@@ -273,7 +273,7 @@
   Scenario Outline: a control daemon that starts from an image goes on like one that never stopped, seed <seed>
     Given three cluster states that apply the same 800 random operations of seed <seed>
     Then all along their images are equal, whichever of them was taken from an image between
-    And the same waves are ready in each, namely those that may start
+    And the same batches are ready in each, namely those that may start
     And no run number was ever given twice, and no gang was ever placed in part
 
     Examples:
@@ -410,7 +410,7 @@
   Scenario Outline: no tenant has more placed than its maximum whatever comes, seed <seed>
     Given three cluster states that apply the same 800 random operations of tenants of seed <seed>
     Then all along their images are equal, whichever of them was taken from an image between
-    And the same waves are ready in each, namely those that may start
+    And the same batches are ready in each, namely those that may start
     And no tenant ever had more placed than its maximum, and the sums were those of its placements
 
     Examples:
--- a/features/progress.feature
+++ b/features/progress.feature
@@ -53,5 +53,5 @@
     Then both that run there are stopped, too, and all are done
 
   Scenario: what is known of lengths is bounded by the jobs that are open
-    When 20000 waves of jobs that end soon after are learnt, 50 of them open at a time
+    When 20000 batches of jobs that end soon after are learnt, 50 of them open at a time
     Then no more than 2100 of them are known at any time, and all that are open are
--- a/features/steps/assigning.py
+++ b/features/steps/assigning.py
@@ -269,7 +269,7 @@
 
 original_place_on = Assigner._place_on
 FAULTS = {
-    "a wave may not take what is kept for it": [(Assigner, "_place_on", _without_reserved)],
+    "a batch may not take what is kept for it": [(Assigner, "_place_on", _without_reserved)],
     "every budget is used up": [
         (CapacityBudgets, "allowance", lambda self, batch, wanted: 0),
         (CapacityBudgets, "reservable", lambda self, batch, reserved: 0),
--- a/features/steps/leased_job_histories.py
+++ b/features/steps/leased_job_histories.py
@@ -347,7 +347,7 @@
     )
 
 
-@then("the same waves are ready in each, namely those that may start")
+@then("the same batches are ready in each, namely those that may start")
 def step_same_ready(context):
     for index, sets in enumerate(context.ready, 1):
         assert all(one == sets[0] for one in sets), (index, sets)
--- a/features/steps/leased_jobs.py
+++ b/features/steps/leased_jobs.py
@@ -140,9 +140,11 @@
     assert context.leased_jobs.queued_counts.get(QUEUE, 0) == count, context.leased_jobs.queued_counts
 
 
-@then('the leased job state has "{waves}" ready')
-def step_ready(context, waves):
-    assert sorted(key[1:] for key in context.leased_jobs.ready) == tasks_of(waves), context.leased_jobs.ready
+@then('the leased job state has "{batches}" ready')
+def step_ready(context, batches):
+    assert sorted(key[1:] for key in context.leased_jobs.ready) == tasks_of(batches), (
+        context.leased_jobs.ready
+    )
 
 
 @then('the leased job state has "" ready')
--- a/features/steps/progress.py
+++ b/features/steps/progress.py
@@ -325,7 +325,7 @@
 
 
 # --- what is known of lengths --------------------------------------------------------------
-@when("{count:d} waves of jobs that end soon after are learnt, {most:d} of them open at a time")
+@when("{count:d} batches of jobs that end soon after are learnt, {most:d} of them open at a time")
 def step_learnt(context, count, most):
     estimator, leased_jobs = RunTimeEstimator(2.0), one_step(100.0, ["w0"], False, GUESS)[0]
     batch = leased_jobs.jobs[JOB].batches[(0, 0)]
