Soak: tasks at the limits of amounts, long texts, tenants, restarts in turn, signals to all

Every call of the soak's client carries the key of a tenant now. New troubles: jobs whose tasks ask for nothing (alone, in gangs, beside others, run twice); wide jobs with the longest specification, whose starts don't fit one answer (an answer over 4 MiB is dropped, as the protocol says); planned stops of all control or front daemons one after another; SIGHUP to all daemons beside changes of the configuration.

--- a/features/soak/soak.py
+++ b/features/soak/soak.py
@@ -24,6 +24,20 @@
 RUNNING_AFTER_CANCEL = limits.LEASE_LONGEST + 2.0  # seconds; a cancelled run on a worker that is cut off
 
 
+# Tenant -> the maximum of what its jobs run, more than all workers have, so that no job waits for ever.
+TENANTS = {"limited": {"cpu": 1_000_000, "gpu": 1_000}, "unlimited": None}
+
+
+def tenant_of(identity):
+    """The tenant that submits a job."""
+    return sorted(TENANTS)[int(identity, 16) % len(TENANTS)]
+
+
+def key_of(tenant):
+    """The key of a tenant."""
+    return f"key of {tenant}"
+
+
 class Outcome(NamedTuple):
     """What a soak found: violations in words, and counts of what was injected."""
 
@@ -73,6 +87,7 @@
         self.open = {}  # daemon or worker -> (name of its fault, when it ends)
         self.next_fault = 0.0
         self.terminated = {}  # daemon -> when it was sent SIGTERM
+        self.restart_next = []  # daemons that are still to be restarted one after another
         self.met, self.most_at_once, self.faults = [], 0, []
 
     def clock(self):
@@ -110,7 +125,8 @@
             method = {"job": "POST", "job-read": "GET", "job-cancel": "DELETE"}[call]
             document = wire.job_of(rest[0]) if rest else None
             address = self.processes.fronts[draw % len(self.processes.fronts)]
-            request = wire.Request(address, method, path, document, host, CALL_TIMEOUT)
+            key = key_of(tenant_of(tag[0]))
+            request = wire.Request(address, method, path, document, host, CALL_TIMEOUT, key=key)
             self.calls.send(("call", tag), request)
 
     def _hear(self, now):
@@ -195,7 +211,11 @@
             for name in ("held", "bare")
         ]
         services = [{"name": "held", "guards": True}, {"name": "bare", "guards": False}]
-        return wire.configuration_of({"version": version, "routes": routes, "services": services})
+        tenants = [
+            {"name": name, "keys": [key_of(name)], "maximum": maximum} for name, maximum in TENANTS.items()
+        ]
+        document = {"version": version, "routes": routes, "services": services, "tenants": tenants}
+        return wire.configuration_of(document)
 
     def _configure(self):
         until = time.monotonic() + READY_WITHIN
--- a/features/soak/troubles.py
+++ b/features/soak/troubles.py
@@ -8,6 +8,19 @@
 WIDE_TASKS = (550, 1200)  # (fewest, most) tasks of a wide job; more than a heartbeat lists ends
 WIDE_TASK_CPU, WIDE_TASK_MEMORY = 5, 8  # thousandths of a core, megabytes
 WIDE_TASK_SECONDS = (0.8, 2.5)  # (shortest, longest)
+SPEC_LENGTH = 4_000  # characters; the longest specification
+LONG_SPEC_TASKS = (300, 1300)  # (fewest, most) tasks of a job with the longest specification
+LONG_SPEC_CPU = 2  # thousandths of a core, so that one worker has room for all tasks
+# Steps at the limits of what a task may ask for: (number of tasks, thousandths of a core, further fields).
+LIMIT_STEPS = (
+    ((2, 0, {}),),
+    ((1, 100, {}), (1, 0, {})),
+    ((1, 0, {}), (2, 100, {"after": [0]}), (1, 0, {"after": [1]})),
+    ((3, 0, {"gang": True}),),
+    ((4, 0, {"twice": True}),),
+    ((2, 0, {"gpu": 1}),),
+)
+LIMIT_TASK_SECONDS = (0.0, 1.0)  # (shortest, longest)
 
 
 class SoakFault(NamedTuple):
@@ -60,6 +73,32 @@
     soak.change_configuration()
 
 
+def _restart_in_turn(soak, name):
+    """Planned stops of all daemons of a kind, one after another, this one first."""
+    kind = name.rstrip("0123456789")
+    soak.restart_next = [one for one in soak.processes.names(kind) if one != name]
+    _terminate(soak, name)
+
+
+def _restart_and_go_on(soak, name):
+    """Starts the daemon again, and stops the next one that nothing else has happened to."""
+    _restart(soak, name)
+    while soak.restart_next:
+        following = soak.restart_next.pop(0)
+        if following not in soak.open:
+            fault = "restart-cores" if following.startswith("core") else "restart-fronts"
+            soak.open[following] = (fault, soak.clock() + soak.draw.uniform(0.2, 1.0))
+            _terminate(soak, following)
+            return
+
+
+def _signal_all(soak, name):
+    """SIGHUP to every daemon that runs, and changes of the configuration at the same time."""
+    for running in sorted(soak.processes.running):
+        soak.processes.signal(running, signal.SIGHUP)
+        soak.change_configuration()
+
+
 def _nothing(soak, name):
     """What was begun ends by itself."""
 
@@ -127,6 +166,24 @@
     soak.client_stand_in.submit("wide", soak.draw.choice(("held", "bare")), steps, soak.clock())
 
 
+def _submit_limit_job(soak, name):
+    """A job whose tasks ask for nothing, or for as little as they may."""
+    seconds = soak.draw.uniform(*LIMIT_TASK_SECONDS)
+    steps = [
+        step_of(count, seconds, cpu, mem_mb=0, **fields)
+        for count, cpu, fields in soak.draw.choice(LIMIT_STEPS)
+    ]
+    soak.client_stand_in.submit("limit", soak.draw.choice(("held", "bare")), steps, soak.clock())
+
+
+def _submit_long_job(soak, name):
+    """A wide job with the longest specification: its starts on one worker don't fit one answer."""
+    steps = [step_of(soak.draw.randint(*LONG_SPEC_TASKS), 0.5, LONG_SPEC_CPU, mem_mb=0)]
+    identity = soak.client_stand_in.submit("long", "held", steps, soak.clock())
+    document = soak.client_stand_in.jobs[identity]["document"]
+    document["spec"] = document["spec"].ljust(SPEC_LENGTH)  # blanks after JSON change nothing
+
+
 def _lose_answers(soak, name):
     soak.answer_loss = 0.3
 
@@ -152,5 +209,10 @@
     "drain-two-workers": SoakFault("worker", _drain_two, _drained, 7.0, 9.0),
     "wide-job": SoakFault("", _submit_wide_job, _nothing, 0.5, 2.0),
     "wide-job-drained": SoakFault("", _submit_wide_job, _drain_busiest, 0.8, 2.5),
+    "limit-job": SoakFault("", _submit_limit_job, _nothing, 0.1, 0.5),
+    "long-job": SoakFault("", _submit_long_job, _nothing, 0.5, 2.0),
+    "restart-cores": SoakFault("core", _restart_in_turn, _restart_and_go_on, 0.2, 1.0),
+    "restart-fronts": SoakFault("front", _restart_in_turn, _restart_and_go_on, 0.2, 1.0),
+    "signal-all": SoakFault("", _signal_all, _nothing, 0.0, 0.5),
     "lose-answers": SoakFault("", _lose_answers, _keep_answers, 1.0, 4.0),
 }
--- a/features/soak/wire.py
+++ b/features/soak/wire.py
@@ -20,6 +20,7 @@
 
 CALLS_AT_ONCE = 64
 NO_ANSWER = 0  # the status of a call that was cut, timed out or reached nobody
+MAX_ANSWER_BYTES = 4 * 1024 * 1024  # a larger answer can't be taken, by the protocol
 CUT_AFTER = 0.2  # seconds; a server that closes a connection later has read the request
 
 
@@ -33,6 +34,7 @@
     host: str
     timeout: float  # seconds
     based_on: int = 0  # the version that a change of the configuration builds on
+    key: str = ""  # of a tenant, "" for none
 
 
 class Answered(NamedTuple):
@@ -124,12 +126,17 @@
         headers = {"Content-Type": "application/json"}
         if request.host:
             headers["Host"] = request.host
+        if request.key:
+            headers["Api-Key"] = request.key
         headers["X-Deadline-Remaining"] = str(int(request.timeout * 1000))
         if request.path == "/api/Configuration.Replace":
             headers["X-Based-On-Version"] = str(request.based_on)
         connection.request(request.method, request.path, body, headers)
         answer = connection.getresponse()
-        content = json.loads(answer.read() or b"{}")
+        body = answer.read()
+        if len(body) > MAX_ANSWER_BYTES:
+            return NO_ANSWER, {}, None
+        content = json.loads(body or b"{}")
         return answer.status, content if isinstance(content, dict) else {}, None
     except (ConnectionResetError, http.client.RemoteDisconnected, http.client.IncompleteRead):
         now = time.time()
