Don't pass a call on that was refused as its process ended

Found when the change was read once more: a request that came between "give-up" and its handling was told 503, which says that it never runs, and then passed on to the daemon, as it still stood in the inbox.

Change: once the exchange is closed, requests in the inbox are left. The new scenario failed before (the decider had the call) and passes; connections and forwarder: 51 scenarios.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -65,3 +65,9 @@
     Given a daemon's port whose decider answers when it is told to
     When a request comes after those that waited were given up
     Then its caller has read the status 503
+
+  # Guards against: a call is answered as not taken when the process ends, and passed on after that (TWICE).
+  Scenario: a call that is refused as its process ends is not passed on after that
+    Given a daemon's port whose decider answers when it is told to
+    When a call comes just before those that wait are given up
+    Then it is answered 503, and the decider never has it
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -379,3 +379,21 @@
 def step_read(context, status):
     assert context.read is not None, "the process ended without an answer"
     assert context.read.startswith(f"HTTP/1.1 {status} ".encode()), context.read
+
+
+@when("a call comes just before those that wait are given up")
+def step_comes_before(context):
+    async def act(port):
+        answers = curio.Queue()
+        await port.host.inbox.put(("give-up",))
+        await port.host.exchange._begin(answers, "call", "job", (), PATIENCE)
+        context.reply, _ = await answers.get()
+        await curio.sleep(GIVEN_UP_AFTER)
+
+    context.port.run(act)
+
+
+@then("it is answered 503, and the decider never has it")
+def step_never_had(context):
+    assert context.reply[0] == 503, context.reply
+    assert not context.port.decider.requests, context.port.decider.requests
--- a/src/pinepitch/runtime/host.py
+++ b/src/pinepitch/runtime/host.py
@@ -33,6 +33,7 @@
 from .http_port import Adapter, AdapterHandler, DirectHandler, Exchange, HttpPort
 from .links import Links
 
+REQUESTS = frozenset(("http", "call"))  # the kinds of messages that carry a caller's request
 STOP_SIGNALS = frozenset((signal.SIGTERM, signal.SIGINT))
 
 
@@ -97,6 +98,8 @@
             await self.tasks.spawn(curio.tcp_server, *split(address), port.serve)
 
     async def _step(self, message: Sequence[Any]) -> None:
+        if self.exchange.closed and message[0] in REQUESTS:
+            return  # its caller was told that it was not taken
         now = steady_clock()
         paused = self.stall_detector.turn(now)
         if paused > constants.STALL:
