Close the longest silent connection for a newcomer, within the settings' descriptors

What callers saw: while 2,000 connections were open that said nothing, every newcomer was closed without a word; on the port between daemons there was no limit at all, and limits.fileDescriptors was read nowhere, so a process ran out of descriptors. Cause: a constant per process (MAX_CONNECTIONS) on HTTP ports alone, in order of arrival. Change: one table of callers (transport/callers.py, no I/O) owns the connections of all ports of a process. Its limit comes from the memory and the descriptors of the settings; fronts read limits.memoryMb too. A connection without a whole request that has been silent longest is closed for a newcomer, then one that is idle; one whose request was read whole never is: then the newcomer reads 503 with Retry-After. runtime/listener.py accepts. Evidence: features/crowds.feature, 700 silent connections to each kind of port with 600 descriptors in the settings, of which 200 are for files. Why it works: a newcomer is the last to have been silent longest.

--- /dev/null
+++ b/features/crowds.feature
@@ -0,0 +1,17 @@
+Feature: Crowds
+  Clients that do not behave neither end a process nor make it hang: it stays within its settings' limits and serves.
+
+  # One crowd at a time, each against a deployment of its own with little memory and few descriptors.
+  Scenario Outline: <what> come to the <port> port of the <role> daemon
+    Given three control daemons and a front daemon with lowered limits
+    When a crowd comes to the <port> port of the <role> daemon with <what>
+    Then the process lives, within the memory and descriptors of its settings
+    And an ordinary request is answered beside the crowd, and another one after it
+
+    Examples: connections and answers
+      | role    | port      | what                                |
+      | front   | front     | connections that say nothing        |
+      | front   | readiness | connections that say nothing        |
+      | front   | frames    | connections that say nothing        |
+      | control | control   | connections that say nothing        |
+      | control | frames    | connections that say nothing        |
--- a/features/soak/processes.py
+++ b/features/soak/processes.py
@@ -54,8 +54,9 @@
     `paused`, with the time of the pause.
     """
 
-    def __init__(self, seed, folder, fronts=FRONTS):
+    def __init__(self, seed, folder, fronts=FRONTS, limits=()):
         self.folder = pathlib.Path(folder)
+        self.limits = {"limits.memoryMb": "256", **dict(limits)}  # field of the settings -> value
         draw = random.Random(f"soak-{seed}-{os.getpid()}")
         network = f"127.{draw.randrange(10, 250)}.{draw.randrange(250)}"
         self.addresses = {f"core{place}": f"{network}.{place + 1}" for place in range(CORES)}
@@ -96,7 +97,7 @@
             "bounds.catchUpS": "4",
             "bounds.farFactor": "2",
             "toleratedLosses.machines": "1",
-            "limits.memoryMb": "256",
+            **self.limits,
         }
         if core:
             lines["listenAddresses.control"] = f"{address}:{self.ports.control}"
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -12,6 +12,7 @@
 from pinepitch.runtime.host import Host
 from pinepitch.runtime.http_port import AdapterHandler, HttpPort
 from pinepitch.transport import http
+from pinepitch.transport.callers import lone_caller
 
 PATIENCE = 5.0  # seconds; a step that takes longer has failed
 GIVEN_UP_AFTER = 0.2  # seconds; a call whose answer has not come by then, once the server has read it
@@ -119,6 +120,7 @@
         self.decider = Decider()
         self.host = Host(self.decider, "127.0.0.1:1", None)
         self.http_port = self.host.http_port
+        self.connections = 0  # that are being served
         self.listener = sockets.create_server(("127.0.0.1", 0))
         self.address = self.listener.getsockname()
 
@@ -139,12 +141,14 @@
     async def _accept(self, tasks):
         server = curio.io.Socket(self.listener)
         while True:
-            client, address = await server.accept()
-            await tasks.spawn(self._serve, client, address)
+            client, _ = await server.accept()
+            await tasks.spawn(self._serve, client)
 
-    async def _serve(self, client, address):
+    async def _serve(self, client):
+        self.connections += 1
         async with client:
-            await self.http_port.serve(client, address)
+            await self.http_port.serve(client, lone_caller())
+        self.connections -= 1
 
     async def _decide(self):
         while True:
@@ -244,7 +248,7 @@
             while not port.decider.hung_up:
                 await curio.sleep(0)
         await port.reply(1)
-        while port.host.exchange.connections:
+        while port.connections:
             await curio.sleep(0)
 
     behind_adapter(context.port)
--- a/features/steps/frames.py
+++ b/features/steps/frames.py
@@ -10,6 +10,7 @@
 from pinepitch.common import constants
 from pinepitch.runtime.host import Host
 from pinepitch.transport import framing
+from pinepitch.transport.callers import lone_caller
 
 PATIENCE = 5.0  # seconds; a step that takes longer has failed
 SOURCE = "10.0.0.1:7000"
@@ -86,9 +87,9 @@
         server = curio.io.Socket(self.listener)
         for chunk in chunks:
             client = await curio.open_connection(*self.listener.getsockname())
-            accepted, address = await server.accept()
+            accepted, _ = await server.accept()
             await client.sendall(chunk)
-            serving = await curio.spawn(self.host.frame_port.serve, accepted, address)
+            serving = await curio.spawn(self.host.frame_port.serve, accepted, lone_caller())
             await self._until_read(accepted, serving)
             client.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, struct.pack("ii", 1, 0))
             await client.close()
--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -138,7 +138,19 @@
 MAX_DEPTH = 32  # levels; nesting of a JSON body, far below the limit of any of our parsers
 MAX_NUMBER = 2**53  # the largest integer that every JSON parser represents exactly
 MAX_HEAD_BYTES = 16_384  # bytes; request line and headers together
-MAX_CONNECTIONS = 2_000  # sockets; most per front daemon
+MAX_CONNECTIONS = 2_000  # sockets; most that callers have open, whatever the settings allow
+DESCRIPTORS = 4_096  # descriptors; what a daemon may open unless the settings say otherwise
+MIN_DESCRIPTORS = 256  # descriptors; the smallest limit that the settings accept
+FILE_DESCRIPTORS = 200  # descriptors; kept for what is neither a socket nor a data file
+# fraction of the other descriptors; for callers' connections, the rest for our own connections and data files
+CALLER_PART_OF_DESCRIPTORS = 0.75
+CONNECTION_PART_OF_MEMORY = 4  # divisor; open connections may use this fraction (1/4) of the memory
+IDLE_CONNECTION_BYTES = 16_384  # bytes; of a connection's task, parser and socket
+RECEIVE_BUFFER = 16_384  # bytes; requested of the kernel for what a caller sent and nobody has read yet
+# times RECEIVE_BUFFER; the most unread bytes that the kernel takes, as it rounds up
+RECEIVE_BUFFER_TIMES = 1.5
+LISTEN_BACKLOG = 100  # connections; most that wait to be accepted on one port
+ACCEPT_AGAIN = 0.1  # seconds; delay before connections are accepted again after the system refused one
 MAX_ANSWER_BYTES = 64_000_000  # bytes; most read of an answer, far above the largest page of a listing
 # seconds; from a request's first byte to its last, so that slow senders occupy nothing
 MAX_REQUEST_SECONDS = 20.0
--- a/src/pinepitch/common/daemon_settings.py
+++ b/src/pinepitch/common/daemon_settings.py
@@ -13,7 +13,7 @@
 
 class Settings(NamedTuple):
     """Checked settings. Invariant: every field has passed its check. `mode` is the quorum mode. A front
-    daemon uses none of `data`, `bootstrap_members`, `mode`, `rules`, `memory` and `disk`.
+    daemon uses none of `data`, `bootstrap_members`, `mode`, `rules` and `disk`.
     """
 
     address: str
@@ -27,6 +27,7 @@
     rules: str | None
     memory: int = constants.MEMORY  # bytes
     disk: int = constants.DISK  # bytes
+    descriptors: int = constants.DESCRIPTORS
 
 
 def address(text: object) -> str:
@@ -94,12 +95,20 @@
     return value * 1_000_000
 
 
+def _descriptors(value: object) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or value < constants.MIN_DESCRIPTORS:
+        raise voluptuous.Invalid(f"expected a whole number of at least {constants.MIN_DESCRIPTORS}")
+    return value
+
+
 LEVELS = ("debug", "info", "warning", "error", "critical")
 COMMON_FIELDS = {
     voluptuous.Required("address"): address,
     voluptuous.Required("area"): _text,
     voluptuous.Required("seeds"): _seeds,
     voluptuous.Optional("level", default="info"): voluptuous.In(LEVELS),
+    voluptuous.Optional("memory_mb", default=constants.MEMORY // 1_000_000): _megabytes,
+    voluptuous.Optional("descriptors", default=constants.DESCRIPTORS): _descriptors,
 }
 SCHEMAS = {
     "accord": voluptuous.Schema(
@@ -110,7 +119,6 @@
             voluptuous.Optional("mode", default="static"): voluptuous.In(("static", "dynamic", "single")),
             voluptuous.Optional("http"): address,
             voluptuous.Optional("rules"): _text,
-            voluptuous.Optional("memory_mb", default=constants.MEMORY // 1_000_000): _megabytes,
             voluptuous.Optional("disk_mb", default=constants.DISK // 1_000_000): _megabytes,
         }
     ),
@@ -144,6 +152,7 @@
         checked.get("mode", "static"),
         checked.get("http"),
         checked.get("rules"),
-        checked.get("memory_mb", constants.MEMORY),
+        checked["memory_mb"],
         checked.get("disk_mb", constants.DISK),
+        checked["descriptors"],
     ), ()
--- a/src/pinepitch/common/limits.py
+++ b/src/pinepitch/common/limits.py
@@ -1,4 +1,4 @@
-"""How much memory and disk a daemon may use, and the limits of its log that follow from them."""
+"""How much memory, disk and descriptors a daemon may use, and the limits that follow from them."""
 
 from typing import NamedTuple
 
@@ -51,3 +51,27 @@
 
 
 USUAL = Limits()  # the default, for daemons whose settings state no limits
+
+
+class CallerLimits(NamedTuple):
+    """What the callers of all ports of a process may use together, derived from the bytes of memory and the
+    descriptors of the process. Invariant: connections at rest use at
+    most a quarter of the memory.
+    """
+
+    memory: int = constants.MEMORY
+    descriptors: int = constants.DESCRIPTORS
+
+    @property
+    def connections(self) -> int:
+        """Most open connections."""
+        own = self.descriptors - constants.FILE_DESCRIPTORS
+        connection_bytes = int(
+            constants.IDLE_CONNECTION_BYTES + constants.RECEIVE_BUFFER * constants.RECEIVE_BUFFER_TIMES
+        )
+        by_memory = self.memory // constants.CONNECTION_PART_OF_MEMORY // connection_bytes
+        by_descriptors = int(own * constants.CALLER_PART_OF_DESCRIPTORS)
+        return max(1, min(constants.MAX_CONNECTIONS, by_memory, by_descriptors))
+
+
+USUAL_CALLERS = CallerLimits()  # the default, for daemons whose settings state no limits
--- a/src/pinepitch/control/program.py
+++ b/src/pinepitch/control/program.py
@@ -84,6 +84,7 @@
     rules: Any = None,
     memory_mb: Any = None,
     disk_mb: Any = None,
+    descriptors: Any = None,
 ) -> None:
     """Runs a control daemon.
 
@@ -99,8 +100,9 @@
         mode: quorum mode of a new cluster: static (default), dynamic, or single (every member a group).
         http: own IP:PORT for health and metrics; none when left out.
         rules: a YAML file of alert rules; the same one at every control daemon.
-        memory_mb: megabytes of memory it may take (default 512); bounds the log.
+        memory_mb: megabytes of memory it may take (default 512); bounds the log and what callers hold.
         disk_mb: megabytes that its data folder may take (default 2000); bounds the log.
+        descriptors: descriptors it may open (default 4096); bounds the connections of callers.
 
     """
     flags = dict(locals())  # all arguments by name; fire has read each as a Python literal where it is one
--- a/src/pinepitch/front/program.py
+++ b/src/pinepitch/front/program.py
@@ -17,6 +17,8 @@
     seeds: Any = None,
     http: Any = None,
     level: Any = None,
+    memory_mb: Any = None,
+    descriptors: Any = None,
 ) -> None:
     """Runs a front daemon.
 
@@ -27,6 +29,8 @@
         zone: the zone of this machine.
         seeds: three IP:PORT of other daemons, separated by commas.
         level: log level: debug, info, warning, error, critical.
+        memory_mb: megabytes of memory it may take (default 512); bounds what callers hold.
+        descriptors: descriptors it may open (default 4096); bounds the connections of callers.
 
     """
     daemon_settings = checked_settings(
@@ -38,6 +42,8 @@
             "seeds": list(seeds) if isinstance(seeds, tuple) else seeds,
             "http": http,
             "level": level,
+            "memory_mb": memory_mb,
+            "descriptors": descriptors,
         },
     )
     identity = secrets.token_hex(6)
--- a/src/pinepitch/runtime/frame_port.py
+++ b/src/pinepitch/runtime/frame_port.py
@@ -1,5 +1,6 @@
 """The port that receives frames from other daemons."""
 
+import time
 from collections.abc import Sequence
 from typing import Any
 
@@ -9,6 +10,7 @@
 from ..common import events
 from ..model import contract
 from ..transport import framing
+from ..transport.callers import Caller
 
 
 class FramePort:
@@ -17,7 +19,7 @@
     def __init__(self, inbox: Any, log: Any) -> None:
         self.inbox, self.log = inbox, log
 
-    async def serve(self, socket: Any, peer: object) -> None:
+    async def serve(self, socket: Any, caller: Caller) -> None:
         """Serves one connection until it ends, breaks, or delivers an invalid frame."""
         socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
         stream = socket.as_stream()
@@ -25,12 +27,17 @@
             while True:
                 message = await _next_message(stream)
                 if isinstance(message, framing.InvalidFrame):
-                    events.emit(self.log, 105, why=message.reason, peer=str(peer))
+                    events.emit(self.log, 105, why=message.reason, peer=str(socket.getpeername()))
                     return
+                caller.rests(time.monotonic())
                 await self.inbox.put(message)
         except (OSError, EOFError, curio.CurioError):
             return
 
+    def refusal(self) -> bytes:
+        """What another daemon reads whose connection can't be served now: nothing."""
+        return b""
+
 
 async def _next_message(stream: Any) -> tuple[Any, ...] | framing.InvalidFrame:
     """The next message, or why the next frame is invalid."""
--- a/src/pinepitch/runtime/host.py
+++ b/src/pinepitch/runtime/host.py
@@ -27,11 +27,13 @@
 )
 from ..common.limits import USUAL
 from ..storage.store import Store
+from ..transport.callers import CallerTable
 from . import disk_task, order_post, stall_detector
 from .clocks import Pauser, steady_clock, wall_clock
 from .frame_port import FramePort
 from .http_port import Adapter, AdapterHandler, DirectHandler, Exchange, HttpPort
 from .links import Links
+from .listener import Listener
 
 REQUESTS = frozenset(("http", "call"))  # the kinds of messages that carry a caller's request
 STOP_SIGNALS = frozenset((signal.SIGTERM, signal.SIGINT))
@@ -52,6 +54,7 @@
         adapters: Iterable[tuple[str, Adapter]] = (),
         stop_within: float = constants.STOP_WITHIN,
         settings_watch: Any = None,
+        callers: CallerTable | None = None,
     ) -> None:
         self.daemon, self.address, self.log, self.store = daemon, address, log, store
         self.http_address = http_address
@@ -62,6 +65,7 @@
         self.tasks = curio.TaskGroup(wait=None)
         self.disk = disk_task.DiskTask(store, self.inbox, self._encoded)
         self.links = Links(address, self.inbox, self.tasks, getattr(daemon, "limits", USUAL))
+        self.callers = CallerTable() if callers is None else callers  # the connections of all ports
         self.exchange = Exchange(self.inbox)
         self.frame_port = FramePort(self.inbox, log)
         self.http_port = HttpPort(self.exchange, DirectHandler(self.exchange))
@@ -89,13 +93,15 @@
 
     async def _listen(self) -> None:
         """Opens the ports: for frames, for the product's own API, and for each adapter."""
-        ports: list[tuple[str, Any]] = [(self.address, self.frame_port)]
+        ports: list[tuple[str, HttpPort]] = []
         if self.http_address:
             ports.append((self.http_address, self.http_port))
         for address, adapter in self.adapters:
             ports.append((address, HttpPort(self.exchange, AdapterHandler(self.exchange, adapter))))
+        await self.tasks.spawn(Listener(self.callers, self.frame_port, None).run, *split(self.address))
         for address, port in ports:
-            await self.tasks.spawn(curio.tcp_server, *split(address), port.serve)
+            listener = Listener(self.callers, port, constants.RECEIVE_BUFFER)
+            await self.tasks.spawn(listener.run, *split(address))
 
     async def _step(self, message: Sequence[Any]) -> None:
         if self.exchange.closed and message[0] in REQUESTS:
--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -1,7 +1,6 @@
 """The ports that receive HTTP requests: that of the product's own API, and those behind an adapter."""
 
-import contextlib
-from collections.abc import Iterator
+import json
 from typing import Any, Protocol
 
 import curio
@@ -10,6 +9,7 @@
 from ..common import constants
 from ..common.effects import Reply
 from ..transport import http, indexed_forwarder
+from ..transport.callers import Caller
 from . import stall_detector
 from .clocks import steady_clock
 
@@ -31,19 +31,9 @@
         self.inbox = inbox
         self.waiting: dict[int, Any] = {}  # number of a request -> queue that its connection reads
         self.request_count = 0
-        self.connections = 0
         self.stopping = False  # whether the process was asked to stop
         self.closed = False
 
-    @contextlib.contextmanager
-    def connection(self) -> Iterator[None]:
-        """Counts a connection while it is open."""
-        self.connections += 1
-        try:
-            yield
-        finally:
-            self.connections -= 1
-
     async def ask(self, answers: Any, kind: str, *fields: Any) -> http.Response:
         """The daemon's reply to a request of the connection that reads the queue `answers`."""
         await self._begin(answers, kind, *fields)
@@ -157,23 +147,33 @@
 
 
 class HttpPort:
-    """Serves HTTP connections; at most MAX_CONNECTIONS at a time on all ports of an exchange together."""
+    """Serves HTTP connections."""
 
     def __init__(self, exchange: Exchange, handler: Handler) -> None:
         self.exchange, self.handler = exchange, handler
 
-    async def serve(self, socket: Any, peer: object) -> None:
+    async def serve(self, socket: Any, caller: Caller) -> None:
         """Serves one connection until it ends."""
-        if self.exchange.connections >= constants.MAX_CONNECTIONS:
-            return
-        with self.exchange.connection():
-            socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
-            server = http.Server(socket)
-            answers = curio.Queue()
-            while True:
-                request = await server.receive()
-                if isinstance(request, http.Fault):
-                    await server.refuse(request)
-                    return
-                if not await server.answer(await self.handler.response(request, answers, server)):
-                    return
+        socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
+        server = http.Server(socket, caller)
+        answers = curio.Queue()
+        while True:
+            request = await server.receive()
+            if isinstance(request, http.Fault):
+                await server.refuse(request)
+                return
+            if not await server.answer(await self.handler.response(request, answers, server)):
+                return
+
+    def refusal(self) -> bytes:
+        """What a caller reads whose connection can't be served now."""
+        response = http.busy()
+        body = json.dumps(response.document, sort_keys=True)
+        lines = (
+            f"HTTP/1.1 {response.status} Service Unavailable",
+            *(f"{name}: {value}" for name, value in response.headers),
+            "Content-Type: application/json",
+            f"Content-Length: {len(body)}",
+            "Connection: close",
+        )
+        return "".join(f"{line}\r\n" for line in (*lines, "")).encode() + body.encode()
--- a/src/pinepitch/runtime/serving.py
+++ b/src/pinepitch/runtime/serving.py
@@ -8,7 +8,9 @@
 
 from ..common import constants, daemon_settings, events
 from ..common.entry_error import EntryNotAppliedError
+from ..common.limits import CallerLimits
 from ..storage.store import Store
+from ..transport.callers import CallerTable
 from .host import Host
 from .http_port import Adapter
 
@@ -38,7 +40,8 @@
     """Runs a daemon until a signal stops it. The process exits with status 70 if an invariant is broken or a
     committed entry can't be applied, and with 1 if a port can't be opened.
     """
-    host = Host(daemon, settings.address, log, store, settings.http, adapters, stop_within, watch)
+    callers = CallerTable(CallerLimits(settings.memory, settings.descriptors))
+    host = Host(daemon, settings.address, log, store, settings.http, adapters, stop_within, watch, callers)
     try:
         curio.run(host.run)
     except EntryNotAppliedError as stopped:
--- a/src/pinepitch/transport/http.py
+++ b/src/pinepitch/transport/http.py
@@ -12,8 +12,10 @@
 import h11
 
 from ..common import constants
+from .callers import Caller, lone_caller
 
 RECEIVE_BYTES = 65_536  # bytes; limit of one read from a socket
+NO_ROOM = "this daemon has no room for the request; it was not taken"
 
 
 class Request(NamedTuple):
@@ -44,6 +46,14 @@
     code: str
 
 
+BUSY = Fault(503, "busy")  # there is no room for the request
+
+
+def busy() -> Response:
+    """The response to a request that this daemon has no room for."""
+    return error_response(503, "busy", NO_ROOM, constants.RETRY_AFTER)
+
+
 def error_response(
     status: int, code: str, message: str, retry: float | None = None, **more: object
 ) -> Response:
@@ -74,8 +84,9 @@
 class Server:
     """One accepted connection. Invariant: it processes one request at a time."""
 
-    def __init__(self, socket: Any) -> None:
+    def __init__(self, socket: Any, caller: Caller | None = None) -> None:
         self.socket = socket
+        self.caller = caller or lone_caller()
         self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=constants.MAX_HEAD_BYTES)
 
     async def receive(self) -> Request | Fault:
@@ -90,9 +101,10 @@
                 event = self.connection.next_event()
                 if event is h11.NEED_DATA:
                     data = await self._read(begun)
-                    if data is None:
-                        return Fault(0, "idle") if begun is None else Fault(408, "slow")
+                    if data is None or self.caller.evicted:
+                        return self._unread(begun)
                     begun = begun or time.monotonic()
+                    self.caller.receives(time.monotonic())
                     self.connection.receive_data(data)
                     continue
             except h11.RemoteProtocolError as fault:
@@ -105,10 +117,16 @@
                 if not body.add(event):
                     return Fault(413, "too_large")
             elif isinstance(event, h11.EndOfMessage):
-                return _request_of(head, body)
+                return _request_of(head, body) if self.caller.waits() else BUSY
             elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 return Fault(0, "closed")
 
+    def _unread(self, begun: float | None) -> Fault:
+        """Why no bytes are to be read any more."""
+        if self.caller.evicted:
+            return Fault(0, "closed") if begun is None else BUSY
+        return Fault(0, "idle") if begun is None else Fault(408, "slow")
+
     async def _read(self, begun: float | None) -> bytes | None:
         """The next bytes, or None if none arrive in time: within MAX_CONNECTION_IDLE before a request has
         begun, within the remainder of MAX_REQUEST_SECONDS afterwards.
@@ -156,6 +174,7 @@
             if self.connection.our_state is h11.MUST_CLOSE:
                 return False
             self.connection.start_next_cycle()
+            self.caller.rests(time.monotonic())
             return True
         except (OSError, h11.LocalProtocolError):
             return False
@@ -166,7 +185,9 @@
         """
         if not fault.status:
             return
-        await self.answer(error_response(fault.status, fault.code, "the request can't be read"))
+        retry = constants.RETRY_AFTER if fault == BUSY else None
+        message = NO_ROOM if fault == BUSY else "the request can't be read"
+        await self.answer(error_response(fault.status, fault.code, message, retry))
         try:
             await self.socket.shutdown(socket.SHUT_WR)
             async with curio.ignore_after(constants.LINGER):
