Bound the bytes of bodies that callers send in part, for the whole process

What callers saw: 80 clients that announced 1.9 MB, sent 1.85 MB and fell silent took a process of 128 MB to 181 to 189 MB on each of the five HTTP ports, with GET too; 600 bodies of an allowed size to 223 and 234 MB; bodies announced without end to 184 and 210 MB. Cause: the only bound was one connection's, an announced size was looked at after it was read, and nothing came from the settings' memory. Change: what requests hold is counted in the table of callers, at most a quarter of the memory in all, of which the last quarter is for small ones. A body over the limit is refused by its head. If there is no room, incomplete requests are given up with 503 and Retry-After, those that have been silent longest first, and their bytes are dropped at once. A body is no longer kept by its idle connection until the next request comes, which held 80 texts of 1.8 MB (178 MB). Why it works: bytes are counted as they come, so announcements hold nothing, and an ordinary request is never the one that has been silent longest.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -8,6 +8,20 @@
     Then the process lives, within the memory and descriptors of its settings
     And an ordinary request is answered beside the crowd, and another one after it
 
+    Examples: bodies that never end
+      | role    | port      | what                                           |
+      | front   | front     | bodies that stop short of their announced end  |
+      | front   | readiness | bodies that stop short of their announced end  |
+      | front   | product   | bodies that stop short of their announced end  |
+      | control | control   | bodies that stop short of their announced end  |
+      | control | product   | bodies that stop short of their announced end  |
+      | front   | front     | such bodies with GET                           |
+      | control | control   | such bodies with GET                           |
+      | front   | front     | bodies of an allowed size that stop short      |
+      | control | control   | bodies of an allowed size that stop short      |
+      | front   | front     | bodies announced without bound                 |
+      | control | control   | bodies announced without bound                 |
+
     Examples: connections and answers
       | role    | port      | what                                |
       | front   | front     | connections that say nothing        |
--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -144,11 +144,16 @@
 FILE_DESCRIPTORS = 200  # descriptors; kept for what is neither a socket nor a data file
 # fraction of the other descriptors; for callers' connections, the rest for our own connections and data files
 CALLER_PART_OF_DESCRIPTORS = 0.75
+CALLER_PART_OF_MEMORY = 4  # divisor; what callers have sent and wait for may use this fraction of the memory
 CONNECTION_PART_OF_MEMORY = 4  # divisor; open connections may use this fraction (1/4) of the memory
 IDLE_CONNECTION_BYTES = 16_384  # bytes; of a connection's task, parser and socket
 RECEIVE_BUFFER = 16_384  # bytes; requested of the kernel for what a caller sent and nobody has read yet
 # times RECEIVE_BUFFER; the most unread bytes that the kernel takes, as it rounds up
 RECEIVE_BUFFER_TIMES = 1.5
+# bytes; what needs no more may use all of the callers' memory, anything larger only LARGE_PART of it
+SMALL_REQUEST_BYTES = 65_536
+LARGE_PART = 0.75  # fraction of the callers' memory
+REQUEST_BYTES = 4_096  # bytes; of a request that waits, beside its body
 LISTEN_BACKLOG = 100  # connections; most that wait to be accepted on one port
 ACCEPT_AGAIN = 0.1  # seconds; delay before connections are accepted again after the system refused one
 MAX_ANSWER_BYTES = 64_000_000  # bytes; most read of an answer, far above the largest page of a listing
--- a/src/pinepitch/common/limits.py
+++ b/src/pinepitch/common/limits.py
@@ -55,13 +55,23 @@
 
 class CallerLimits(NamedTuple):
     """What the callers of all ports of a process may use together, derived from the bytes of memory and the
-    descriptors of the process. Invariant: connections at rest use at
-    most a quarter of the memory.
+    descriptors of the process. Invariants: `large` < `held`; connections at rest and `held`
+    together are at most half of the memory.
     """
 
     memory: int = constants.MEMORY
     descriptors: int = constants.DESCRIPTORS
 
+    @property
+    def held(self) -> int:
+        """Most bytes held for requests: received in part, decoded, waiting, and answers not yet taken."""
+        return self.memory // constants.CALLER_PART_OF_MEMORY
+
+    @property
+    def large(self) -> int:
+        """Most bytes held in all when a request over SMALL_REQUEST_BYTES is taken."""
+        return int(self.held * constants.LARGE_PART)
+
     @property
     def connections(self) -> int:
         """Most open connections."""
--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -151,18 +151,21 @@
 
     def __init__(self, exchange: Exchange, handler: Handler) -> None:
         self.exchange, self.handler = exchange, handler
+        self.limits = http.usual_limits()
 
     async def serve(self, socket: Any, caller: Caller) -> None:
         """Serves one connection until it ends."""
         socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
-        server = http.Server(socket, caller)
+        server = http.Server(socket, caller, self.limits)
         answers = curio.Queue()
         while True:
             request = await server.receive()
             if isinstance(request, http.Fault):
                 await server.refuse(request)
                 return
-            if not await server.answer(await self.handler.response(request, answers, server)):
+            response = await self.handler.response(request, answers, server)
+            del request  # it isn't held until the next one
+            if not await server.answer(response):
                 return
 
     def refusal(self) -> bytes:
--- a/src/pinepitch/transport/callers.py
+++ b/src/pinepitch/transport/callers.py
@@ -1,13 +1,15 @@
-"""The one owner of the connections that callers have open.
+"""The one owner of what a process holds for its callers: their connections, and the bytes of their requests.
 
-While there is no room for another connection, one that holds up others is closed, the one that has been
-silent longest first. One whose request was read whole is never among them.
+While there is no room for another connection or for more bytes,
+connections that hold up others are closed, the ones that have been silent longest first. A request that was
+read whole is never among them.
 """
 
 import collections
 import enum
 from typing import Protocol
 
+from ..common import constants
 from ..common.limits import USUAL_CALLERS, CallerLimits
 
 
@@ -28,50 +30,66 @@
 
 
 class Caller:
-    """One open connection. Invariants: once it is `evicted` the table doesn't count it."""
+    """One open connection. Invariants: `held` is what the table counts for it, in bytes; once it is
+    `evicted` the table counts nothing for it.
+    """
 
-    __slots__ = ("active_at", "connection", "evicted", "state", "table")
+    __slots__ = ("active_at", "connection", "evicted", "held", "received", "state", "table")
 
     def __init__(self, table: "CallerTable", connection: Connection, now: float) -> None:
         self.table, self.connection = table, connection
         self.state = State.NEW
+        self.held = 0
+        self.received = bytearray()  # of a request or frame that isn't complete
         self.active_at = now  # when its newest bytes came, seconds of the steady clock
         self.evicted = False
 
-    def receives(self, now: float) -> None:
-        """Records that bytes of a request came."""
+    def receives(self, size: int, now: float) -> bool:
+        """Records that bytes came and that `size` of an incomplete request are held now. False: there is no
+        room for them, and the request must be refused.
+        """
+        if self.evicted:
+            return False
         self.active_at = now
         self.table.move(self, State.RECEIVING)
+        return self.table.hold(self, size)
 
-    def waits(self) -> bool:
-        """Records that a request was read whole. False: its connection was closed to make room."""
+    def waits(self, size: int) -> bool:
+        """Records that a request was read whole and needs `size` bytes until it is answered. False: there
+        is no room for them, and the request must be refused.
+        """
+        if self.evicted:
+            return False
         self.table.move(self, State.WAITING)
-        return not self.evicted
+        return self.table.hold(self, size)
 
     def rests(self, now: float) -> None:
         """Records that the answer was sent whole."""
         self.active_at = now
         self.table.move(self, State.IDLE)
+        self.table.hold(self, 0)
 
     def evict(self) -> None:
         """Ends reading from the connection, so that whoever serves it stops."""
         self.table.remove(self)
+        self.received = bytearray()
         self.connection.end_reading()
 
 
 class CallerTable:
     """All connections of callers. Invariants: a connection is in exactly one of the mappings, that of its
-    state, in the order of `active_at`;
+    state, in the order of `active_at`; `held` is the sum of what they hold, and never over `limits.held`;
     there are never more of them than `limits.connections`.
     """
 
     def __init__(self, limits: CallerLimits = USUAL_CALLERS) -> None:
         self.limits = limits
+        self.held = 0  # bytes
         self.callers: dict[State, collections.OrderedDict[Caller, None]] = {
             state: collections.OrderedDict() for state in State
         }
         self.evictions = 0  # connections that were closed to make room for others
-        self.refusals = 0  # connections that were refused for want of room
+        self.refusals = 0  # requests and connections that were refused for want of room
 
     def connections(self) -> int:
         """How many are open."""
@@ -111,10 +129,43 @@
         caller.state = state
         self.callers[state][caller] = None
 
+    def hold(self, caller: Caller, size: int) -> bool:
+        """Sets what is held for a connection. If there is no room, requests that are not complete are given
+        up, the ones that have been silent longest first. False: there is still no room; nothing changes.
+        """
+        if caller.evicted:
+            return size == 0
+        most = self.limits.held if size <= constants.SMALL_REQUEST_BYTES else self.limits.large
+        if size > caller.held and self.held - caller.held + size > most:
+            self._free(self.held - caller.held + size - most, caller)
+            if self.held - caller.held + size > most:
+                self.refusals += 1
+                return False
+        self.held += size - caller.held
+        caller.held = size
+        return True
+
+    def _free(self, size: int, asking: Caller) -> None:
+        """Gives up incomplete requests until `size` bytes are free or none is left, but not that of the
+        connection that asks.
+        """
+        given_up = []
+        for caller in self.callers[State.RECEIVING]:
+            if size <= 0:
+                break
+            if caller is not asking and caller.held:
+                size -= caller.held
+                given_up.append(caller)
+        for caller in given_up:
+            self.evictions += 1
+            caller.evict()
+
     def remove(self, caller: Caller) -> None:
         """Removes a connection that has ended."""
         if not caller.evicted:
             del self.callers[caller.state][caller]
+            self.held -= caller.held
+            caller.held = 0
             caller.evicted = True
 
 
--- a/src/pinepitch/transport/http.py
+++ b/src/pinepitch/transport/http.py
@@ -15,9 +15,31 @@
 from .callers import Caller, lone_caller
 
 RECEIVE_BYTES = 65_536  # bytes; limit of one read from a socket
+NOT_READ = "the request can't be read"  # the message of a refusal
 NO_ROOM = "this daemon has no room for the request; it was not taken"
 
 
+class RequestLimits(NamedTuple):
+    """What one request may be. Sizes are in bytes, times in seconds."""
+
+    head: int  # of the request line and the headers
+    body: int
+    head_seconds: float  # from the first byte of a request to the end of its head
+    request_seconds: float  # from the first byte of a request to its last one
+    idle_seconds: float  # from one request to the next one on a connection
+
+
+def usual_limits() -> RequestLimits:
+    """The limits of requests that no configuration limits further."""
+    return RequestLimits(
+        constants.MAX_HEAD_BYTES,
+        constants.MAX_BODY_BYTES,
+        constants.MAX_REQUEST_SECONDS,
+        constants.MAX_REQUEST_SECONDS,
+        constants.MAX_CONNECTION_IDLE,
+    )
+
+
 class Request(NamedTuple):
     """A request as received. Invariant: body has at most MAX_BODY_BYTES bytes; names of headers are in lower
     case.
@@ -46,14 +68,6 @@
     code: str
 
 
-BUSY = Fault(503, "busy")  # there is no room for the request
-
-
-def busy() -> Response:
-    """The response to a request that this daemon has no room for."""
-    return error_response(503, "busy", NO_ROOM, constants.RETRY_AFTER)
-
-
 def error_response(
     status: int, code: str, message: str, retry: float | None = None, **more: object
 ) -> Response:
@@ -62,94 +76,131 @@
     return Response(status, {"error": {"code": code, "message": message, **more}}, headers)
 
 
-class _Body:
-    """The body of a message while it is received. Invariant: size is the sum of the sizes of the parts."""
+def busy() -> Response:
+    """The response to a request that this daemon has no room for."""
+    return error_response(503, "busy", NO_ROOM, constants.RETRY_AFTER)
 
-    def __init__(self, max_bytes: int) -> None:
-        self.parts: list[bytes] = []
-        self.size = 0
-        self.max_bytes = max_bytes
 
-    def add(self, event: h11.Data) -> bool:
-        """Adds a part; returns whether the body is still within its limit."""
-        self.parts.append(bytes(event.data))
-        self.size += len(event.data)
-        return self.size <= self.max_bytes
+class _Incoming:
+    """A request while it is received; the bytes of its body are the caller's. Invariant: `begun` is None
+    until its first bytes were read.
+    """
 
-    def complete(self) -> bytes:
-        """The whole body."""
-        return b"".join(self.parts)
+    def __init__(self, limits: RequestLimits, caller: Caller) -> None:
+        self.limits, self.caller = limits, caller
+        self.head: h11.Request | None = None
+        self.head_bytes = 0  # read before the head was complete
+        self.begun: float | None = None  # monotonic clock, seconds
+
+    @property
+    def held(self) -> int:
+        """Bytes that are held for it."""
+        return self.head_bytes + len(self.caller.received)
+
+    def remaining(self) -> float:
+        """Seconds for which its next bytes may be waited for."""
+        if self.begun is None:
+            return self.limits.idle_seconds
+        most = self.limits.request_seconds if self.head else self.limits.head_seconds
+        return self.begun + most - time.monotonic()
+
+    def take_head(self, head: h11.Request) -> Fault | None:
+        """Takes the head; a Fault if it announces a body over the limit."""
+        self.head = head
+        length = next((value for name, value in head.headers if name == b"content-length"), b"0")
+        return Fault(413, "too_large") if int(length) > self.limits.body else None
+
+    def take_part(self, part: h11.Data) -> Fault | None:
+        """Takes a part of the body; a Fault if the body is over the limit now."""
+        self.caller.received += part.data
+        return Fault(413, "too_large") if len(self.caller.received) > self.limits.body else None
+
+    def take_body(self) -> bytes:
+        """The whole body, which is no longer the caller's."""
+        body = bytes(self.caller.received)
+        self.caller.received = bytearray()
+        return body
 
 
 class Server:
-    """One accepted connection. Invariant: it processes one request at a time."""
+    """One accepted connection. Invariants: it processes one request at a time; what it holds of a request is
+    recorded with `caller`.
+    """
 
-    def __init__(self, socket: Any, caller: Caller | None = None) -> None:
+    def __init__(
+        self,
+        socket: Any,
+        caller: Caller | None = None,
+        limits: RequestLimits | None = None,
+    ) -> None:
         self.socket = socket
         self.caller = caller or lone_caller()
-        self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=constants.MAX_HEAD_BYTES)
+        self.limits = limits or usual_limits()
+        self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head)
 
     async def receive(self) -> Request | Fault:
         """The next Request, or a Fault."""
-        head: h11.Request | None = None
-        body = _Body(constants.MAX_BODY_BYTES)
-        begun: float | None = None  # when the first bytes were read (monotonic clock, s)
+        incoming = _Incoming(self.limits, self.caller)
         while True:
-            if begun is not None and time.monotonic() - begun > constants.MAX_REQUEST_SECONDS:
+            if incoming.begun is not None and incoming.remaining() < 0:
                 return Fault(408, "slow")
             try:
                 event = self.connection.next_event()
                 if event is h11.NEED_DATA:
-                    data = await self._read(begun)
-                    if data is None or self.caller.evicted:
-                        return self._unread(begun)
-                    begun = begun or time.monotonic()
-                    self.caller.receives(time.monotonic())
-                    self.connection.receive_data(data)
+                    fault = await self._read(incoming)
+                    if fault is not None:
+                        return fault
                     continue
-            except h11.RemoteProtocolError as fault:
-                return Fault(fault.error_status_hint or 400, "malformed")
+            except h11.RemoteProtocolError as error:
+                return Fault(error.error_status_hint or 400, "malformed")
             except OSError:
                 return Fault(0, "broken")
+            if isinstance(event, h11.EndOfMessage):
+                return self._whole(incoming)
+            if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+                return Fault(0, "closed")
+            fault = None
             if isinstance(event, h11.Request):
-                head = event
+                fault = incoming.take_head(event)
             elif isinstance(event, h11.Data):
-                if not body.add(event):
-                    return Fault(413, "too_large")
-            elif isinstance(event, h11.EndOfMessage):
-                return _request_of(head, body) if self.caller.waits() else BUSY
-            elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
-                return Fault(0, "closed")
+                fault = incoming.take_part(event)
+            if fault is not None:
+                return fault
 
-    def _unread(self, begun: float | None) -> Fault:
-        """Why no bytes are to be read any more."""
-        if self.caller.evicted:
-            return Fault(0, "closed") if begun is None else BUSY
-        return Fault(0, "idle") if begun is None else Fault(408, "slow")
-
-    async def _read(self, begun: float | None) -> bytes | None:
-        """The next bytes, or None if none arrive in time: within MAX_CONNECTION_IDLE before a request has
-        begun, within the remainder of MAX_REQUEST_SECONDS afterwards.
-        """
+    async def _read(self, incoming: _Incoming) -> Fault | None:
+        """Reads the next bytes; a Fault if none arrive in time or there is no room for them."""
         if self.connection.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             await self.socket.sendall(self.connection.send(continue_response))
-        if begun is None:
-            patience = constants.MAX_CONNECTION_IDLE
-        else:
-            patience = begun + constants.MAX_REQUEST_SECONDS - time.monotonic()
-        data: bytes | None = await curio.ignore_after(max(0.0, patience), self.socket.recv(RECEIVE_BYTES))
-        return data
+        data: bytes | None = await curio.ignore_after(
+            max(0.0, incoming.remaining()), self.socket.recv(RECEIVE_BYTES)
+        )
+        if self.caller.evicted:
+            return Fault(0, "closed") if incoming.begun is None else Fault(503, "busy")
+        if data is None:
+            return Fault(0, "idle") if incoming.begun is None else Fault(408, "slow")
+        now = time.monotonic()
+        incoming.begun = incoming.begun or now
+        if incoming.head is None:
+            incoming.head_bytes += len(data)
+        self.connection.receive_data(data)
+        return None if self.caller.receives(incoming.held, now) else Fault(503, "busy")
+
+    def _whole(self, incoming: _Incoming) -> Request | Fault:
+        """The Request that was received, or a Fault if there is no room for it."""
+        request = _request_of(incoming.head, incoming.take_body())
+        size = constants.REQUEST_BYTES + len(self.connection.trailing_data[0]) + len(request.body)
+        return request if self.caller.waits(size) else Fault(503, "busy")
 
     async def hung_up(self) -> None:
         """Returns once the caller closes its connection while its request is processed. Bytes received
-        meanwhile are stored for the next request; after RECEIVE_BYTES of them this no longer watches for
+        meanwhile are stored for the next request; after REQUEST_BYTES of them this no longer watches for
         the end.
         """
         unread_bytes = 0
-        while unread_bytes < RECEIVE_BYTES:
+        while unread_bytes < constants.REQUEST_BYTES:
             try:
-                data: bytes = await self.socket.recv(RECEIVE_BYTES)
+                data: bytes = await self.socket.recv(constants.REQUEST_BYTES)
             except OSError:
                 data = b""
             self.connection.receive_data(data)
@@ -160,16 +211,26 @@
 
     async def answer(self, response: Response) -> bool:
         """Sends one Response, with sorted JSON keys; returns whether another request may follow."""
-        if isinstance(response.document, str):
-            body, content_type = response.document.encode(), "text/plain; charset=utf-8"
-        else:
-            body = json.dumps(response.document, sort_keys=True).encode()
-            content_type = "application/json"
-        headers = [("Content-Type", content_type), ("Content-Length", str(len(body))), *response.headers]
+        body, content_type = _encoded_document(response.document)
+        data = self._encoded(response.status, response.headers, content_type, body)
+        return data is not None and await self._sent(data)
+
+    def _encoded(
+        self, status: int, headers: tuple[tuple[str, str], ...], content_type: str, body: bytes
+    ) -> bytes | None:
+        """The bytes of a response, or None if the connection can't carry it."""
+        fields = [("Content-Type", content_type), ("Content-Length", str(len(body))), *headers]
         try:
-            data = self.connection.send(h11.Response(status_code=response.status, headers=headers)) or b""
+            data: bytes = self.connection.send(h11.Response(status_code=status, headers=fields)) or b""
             data += self.connection.send(h11.Data(data=body)) or b""
             data += self.connection.send(h11.EndOfMessage()) or b""
+            return data
+        except h11.LocalProtocolError:
+            return None
+
+    async def _sent(self, data: bytes) -> bool:
+        """Sends an encoded answer; returns whether another request may follow."""
+        try:
             await self.socket.sendall(data)
             if self.connection.our_state is h11.MUST_CLOSE:
                 return False
@@ -185,23 +246,32 @@
         """
         if not fault.status:
             return
-        retry = constants.RETRY_AFTER if fault == BUSY else None
-        message = NO_ROOM if fault == BUSY else "the request can't be read"
-        await self.answer(error_response(fault.status, fault.code, message, retry))
+        response = busy() if fault.status == 503 else error_response(fault.status, fault.code, NOT_READ)
+        body, content_type = _encoded_document(response.document)
+        data = self._encoded(response.status, response.headers, content_type, body)
         try:
+            if data is not None:
+                await curio.timeout_after(constants.LINGER, self.socket.sendall(data))
             await self.socket.shutdown(socket.SHUT_WR)
             async with curio.ignore_after(constants.LINGER):
                 while await self.socket.recv(RECEIVE_BYTES):
                     pass
-        except OSError:
-            pass  # the caller has closed the connection
+        except (OSError, curio.TaskTimeout):
+            pass  # the caller has closed the connection, or takes nothing
+
+
+def _encoded_document(document: Any) -> tuple[bytes, str]:
+    """The body and the content type of a response's document."""
+    if isinstance(document, str):
+        return document.encode(), "text/plain; charset=utf-8"
+    return json.dumps(document, sort_keys=True).encode(), "application/json"
 
 
-def _request_of(head: h11.Request | None, body: _Body) -> Request:
+def _request_of(head: h11.Request | None, body: bytes) -> Request:
     """The Request made of a complete message."""
     assert head is not None, "h11 ended a message that had no head"
     headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
-    return Request(head.method.decode(), head.target.decode("latin-1"), headers, body.complete())
+    return Request(head.method.decode(), head.target.decode("latin-1"), headers, body)
 
 
 class Client:
@@ -274,7 +344,7 @@
     async def _response(self) -> Response | Fault:
         """Reads the answer to the request that was sent; afterwards the socket is ready again or closed."""
         head: h11.Response | None = None
-        body = _Body(constants.MAX_ANSWER_BYTES)
+        body = bytearray()
         while True:
             event = self.connection.next_event()
             if event is h11.NEED_DATA:
@@ -282,7 +352,8 @@
             elif isinstance(event, h11.Response):
                 head = event
             elif isinstance(event, h11.Data):
-                if not body.add(event):
+                body += event.data
+                if len(body) > constants.MAX_ANSWER_BYTES:
                     await self.abort()
                     return Fault(0, "too_large")
             elif isinstance(event, h11.EndOfMessage):
@@ -309,11 +380,11 @@
             await open_socket.close()
 
 
-def _response_of(head: h11.Response | None, body: _Body) -> Response | Fault:
+def _response_of(head: h11.Response | None, body: bytearray) -> Response | Fault:
     """The Response made of a complete message, or a Fault if its JSON can't be read."""
     assert head is not None, "h11 ended a message that had no head"
     headers = tuple((name.decode(), value.decode()) for name, value in head.headers)
-    text = body.complete().decode("utf-8", "replace")
+    text = body.decode("utf-8", "replace")
     if not dict(headers).get("content-type", "").startswith("application/json"):
         return Response(head.status_code, text, headers)
     try:
