Count the values of a body before it is decoded, and decode large ones in turn

What callers saw: 40 whole bodies of 1.7 MB of many small values took a front daemon and a control daemon of 128 MB to 2,164 and 2,165 MB; 120 of an allowed size (250 KB) to 828 and 964 MB; nobody else was answered meanwhile, as one after the other held the only loop. 80 whole bodies of one text of 1.8 MB took 350 (front), 182 (its product port), 327 MB (control). Cause: a decoded body takes up to 64 bytes for each comma, colon and bracket (measured), the check and the translation as much again, and nothing counted that or set it against memory. Change: text and values are counted by byte searches before decoding; the request holds 128 bytes for each until it is answered. One that needs over an eighth of the memory alone is refused with 413, one for which there is no room now with 503 and Retry-After. Bodies of over 20,000 values are decoded one at a time, with rests as long as the work. Why it works: memory is taken before it is used, and the loop is free half of the time.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -22,6 +22,16 @@
       | front   | front     | bodies announced without bound                 |
       | control | control   | bodies announced without bound                 |
 
+    Examples: whole bodies
+      | role    | port    | what                                                 |
+      | front   | front   | whole bodies of one long text                        |
+      | front   | product | whole bodies of one long text                        |
+      | control | control | whole bodies of one long text                        |
+      | front   | front   | whole bodies of many small values                    |
+      | control | control | whole bodies of many small values                    |
+      | front   | front   | whole bodies of an allowed size of many small values |
+      | control | control | whole bodies of an allowed size of many small values |
+
     Examples: connections and answers
       | role    | port      | what                                |
       | front   | front     | connections that say nothing        |
--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -153,6 +153,15 @@
 # bytes; what needs no more may use all of the callers' memory, anything larger only LARGE_PART of it
 SMALL_REQUEST_BYTES = 65_536
 LARGE_PART = 0.75  # fraction of the callers' memory
+# fraction of the callers' memory; a request that alone needs more is refused for good
+REQUEST_PART = 0.5
+# bytes; memory for each value or member of a JSON or CBOR body, decoded, checked and translated
+DECODED_VALUE_BYTES = 128
+WIDE_CHARACTER_BYTES = 4  # bytes; of each character of a decoded text that isn't ASCII
+# values; decoding a body of more takes so long that such bodies take turns
+MANY_VALUES = 20_000
+TURN_WITHIN = 1.0  # seconds; a request that can't have its turn by then is refused
+VALUE_SECONDS = 1e-6  # seconds; decoding and checking one value of a body
 REQUEST_BYTES = 4_096  # bytes; of a request that waits, beside its body
 LISTEN_BACKLOG = 100  # connections; most that wait to be accepted on one port
 ACCEPT_AGAIN = 0.1  # seconds; delay before connections are accepted again after the system refused one
--- a/src/pinepitch/common/limits.py
+++ b/src/pinepitch/common/limits.py
@@ -55,7 +55,7 @@
 
 class CallerLimits(NamedTuple):
     """What the callers of all ports of a process may use together, derived from the bytes of memory and the
-    descriptors of the process. Invariants: `large` < `held`; connections at rest and `held`
+    descriptors of the process. Invariants: `request` < `large` < `held`; connections at rest and `held`
     together are at most half of the memory.
     """
 
@@ -72,6 +72,11 @@
         """Most bytes held in all when a request over SMALL_REQUEST_BYTES is taken."""
         return int(self.held * constants.LARGE_PART)
 
+    @property
+    def request(self) -> int:
+        """Most bytes held for one request."""
+        return int(self.held * constants.REQUEST_PART)
+
     @property
     def connections(self) -> int:
         """Most open connections."""
--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -9,7 +9,8 @@
 from ..common import constants
 from ..common.effects import Reply
 from ..transport import http, indexed_forwarder
-from ..transport.callers import Caller
+from ..transport.callers import Caller, value_count
+from ..transport.pacing import Pacer
 from . import stall_detector
 from .clocks import steady_clock
 
@@ -31,6 +32,7 @@
         self.inbox = inbox
         self.waiting: dict[int, Any] = {}  # number of a request -> queue that its connection reads
         self.request_count = 0
+        self.pacer = Pacer()  # of requests that take long to read
         self.stopping = False  # whether the process was asked to stop
         self.closed = False
 
@@ -116,6 +118,13 @@
 
     async def response(self, request: http.Request, answers: Any, server: http.Server) -> http.Response:
         """The daemon's reply."""
+        values = value_count(request.body)
+        if values > constants.MANY_VALUES:
+            try:  # the daemon decodes the body right after this
+                async with curio.timeout_after(constants.TURN_WITHIN):
+                    await self.exchange.pacer.rest(values * constants.VALUE_SECONDS)
+            except curio.TaskTimeout:
+                return http.busy()
         return await self.exchange.ask(
             answers, "http", request.method, request.target, request.headers, request.body
         )
@@ -131,7 +140,7 @@
 
     async def response(self, request: http.Request, answers: Any, server: http.Server) -> http.Response:
         """The daemon's reply, translated, or the adapter's own response to what it can't read."""
-        translated = self.adapter.read(request)
+        translated = await self._read(request)
         if isinstance(translated, http.Response):
             response = translated
         elif translated[0] in indexed_forwarder.INDEXED_CALLS:
@@ -145,6 +154,16 @@
             response = response._replace(headers=(*response.headers, ("Connection", "close")))
         return response
 
+    async def _read(self, request: http.Request) -> http.Response | tuple[str, tuple[Any, ...], float]:
+        """The adapter's reading of a request. Bodies of many values are read in turn."""
+        if value_count(request.body) <= constants.MANY_VALUES:
+            return self.adapter.read(request)
+        try:
+            async with curio.timeout_after(constants.TURN_WITHIN), self.exchange.pacer.turn():
+                return self.adapter.read(request)
+        except curio.TaskTimeout:
+            return self.adapter.write("", http.busy())
+
 
 class HttpPort:
     """Serves HTTP connections."""
--- a/src/pinepitch/transport/callers.py
+++ b/src/pinepitch/transport/callers.py
@@ -181,3 +181,14 @@
     caller = CallerTable().admit(_NoConnection(), 0.0)
     assert caller is not None, "an empty table takes a connection"
     return caller
+
+
+def decoded_bytes(body: bytes) -> int:
+    """An upper bound of the memory that a JSON body needs, in bytes: as it is, decoded and translated."""
+    width = 1 if body.isascii() else constants.WIDE_CHARACTER_BYTES
+    return len(body) * (1 + width) + value_count(body) * constants.DECODED_VALUE_BYTES
+
+
+def value_count(body: bytes) -> int:
+    """An upper bound of the number of values and names in a JSON body."""
+    return 1 + body.count(b",") + body.count(b":") + body.count(b"[") + body.count(b"{")
--- a/src/pinepitch/transport/http.py
+++ b/src/pinepitch/transport/http.py
@@ -12,7 +12,7 @@
 import h11
 
 from ..common import constants
-from .callers import Caller, lone_caller
+from .callers import Caller, decoded_bytes, lone_caller
 
 RECEIVE_BYTES = 65_536  # bytes; limit of one read from a socket
 NOT_READ = "the request can't be read"  # the message of a refusal
@@ -187,9 +187,11 @@
         return None if self.caller.receives(incoming.held, now) else Fault(503, "busy")
 
     def _whole(self, incoming: _Incoming) -> Request | Fault:
-        """The Request that was received, or a Fault if there is no room for it."""
+        """The Request that was received, or a Fault if there is no room for what it is decoded into."""
         request = _request_of(incoming.head, incoming.take_body())
-        size = constants.REQUEST_BYTES + len(self.connection.trailing_data[0]) + len(request.body)
+        size = constants.REQUEST_BYTES + len(self.connection.trailing_data[0]) + decoded_bytes(request.body)
+        if size > self.caller.table.limits.request:
+            return Fault(413, "too_many_values")
         return request if self.caller.waits(size) else Fault(503, "busy")
 
     async def hung_up(self) -> None:
