Give other connections their turn while a body comes in very many chunks

What callers saw: 30 bodies in chunks of one byte kept a process at parsing; it read on only for them, and took 130 and 135 MB of 128. Cause: all parts that had come were parsed in a row, some tens of microseconds each. Change: after 64 small parts a body waits for its turn, and turns have rests between them as long as the work; what has come stays in the kernel's buffer meanwhile. Why it works: all such bodies together get at most half of the loop.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -31,6 +31,8 @@
       | control | control | whole bodies of many small values                    |
       | front   | front   | whole bodies of an allowed size of many small values |
       | control | control | whole bodies of an allowed size of many small values |
+      | front   | front   | bodies in very many chunks                           |
+      | control | control | bodies in very many chunks                           |
 
     Examples: connections and answers
       | role    | port      | what                                |
--- a/src/pinepitch/transport/http.py
+++ b/src/pinepitch/transport/http.py
@@ -13,6 +13,7 @@
 
 from ..common import constants
 from .callers import Caller, decoded_bytes, lone_caller
+from .pacing import Pacer
 
 RECEIVE_BYTES = 65_536  # bytes; limit of one read from a socket
 NOT_READ = "the request can't be read"  # the message of a refusal
@@ -90,6 +91,7 @@
         self.limits, self.caller = limits, caller
         self.head: h11.Request | None = None
         self.head_bytes = 0  # read before the head was complete
+        self.small_parts = 0  # of the body
         self.begun: float | None = None  # monotonic clock, seconds
 
     @property
@@ -112,6 +114,7 @@
 
     def take_part(self, part: h11.Data) -> Fault | None:
         """Takes a part of the body; a Fault if the body is over the limit now."""
+        self.small_parts += len(part.data) < constants.SMALL_PART_BYTES
         self.caller.received += part.data
         return Fault(413, "too_large") if len(self.caller.received) > self.limits.body else None
 
@@ -132,10 +135,12 @@
         socket: Any,
         caller: Caller | None = None,
         limits: RequestLimits | None = None,
+        pacer: Pacer | None = None,
     ) -> None:
         self.socket = socket
         self.caller = caller or lone_caller()
         self.limits = limits or usual_limits()
+        self.pacer = pacer or Pacer()
         self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head)
 
     async def receive(self) -> Request | Fault:
@@ -164,6 +169,7 @@
                 fault = incoming.take_head(event)
             elif isinstance(event, h11.Data):
                 fault = incoming.take_part(event)
+                await self._pace(incoming)
             if fault is not None:
                 return fault
 
@@ -186,6 +192,11 @@
         self.connection.receive_data(data)
         return None if self.caller.receives(incoming.held, now) else Fault(503, "busy")
 
+    async def _pace(self, incoming: _Incoming) -> None:
+        """Lets other connections have their turn while a body comes in many small parts."""
+        if incoming.small_parts and incoming.small_parts % constants.PARTS_IN_A_ROW == 0:
+            await self.pacer.rest(constants.PARTS_IN_A_ROW * constants.PART_SECONDS)
+
     def _whole(self, incoming: _Incoming) -> Request | Fault:
         """The Request that was received, or a Fault if there is no room for what it is decoded into."""
         request = _request_of(incoming.head, incoming.take_body())
