Count answers that callers do not take, and cut off who takes nothing for 5 s

But the answer, and the document it was made of, were held for as long as the caller liked, by a connection that could never be closed. Change: an answer is held in the table of callers; one of over 4 KiB that there is no room for is replaced, by 503 for GET and by 504 for a call that may have been taken. What it was made of is dropped before it is sent. A caller that takes nothing for 5 s is reset. Evidence: a crowd of 300 that read nothing, in features/crowds.feature. It passes before and after: it guards the bound, it didn't show a fault.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -41,3 +41,4 @@
       | front   | frames    | connections that say nothing        |
       | control | control   | connections that say nothing        |
       | control | frames    | connections that say nothing        |
+      | control | control   | requests whose answers nobody reads |
--- a/src/pinepitch/runtime/host.py
+++ b/src/pinepitch/runtime/host.py
@@ -162,6 +162,7 @@
         """Puts ticks into the inbox, never more than one at a time."""
         while True:
             await curio.sleep(constants.TICK)
+            self.callers.abort_stalled(time.monotonic())
             if not self.ticking:
                 self.ticking = True
                 await self.inbox.put(("tick",))
--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -183,7 +183,7 @@
                 await server.refuse(request)
                 return
             response = await self.handler.response(request, answers, server)
-            del request  # it isn't held until the next one
+            del request  # it isn't held while the caller takes the answer
             if not await server.answer(response):
                 return
 
--- a/src/pinepitch/runtime/listener.py
+++ b/src/pinepitch/runtime/listener.py
@@ -67,8 +67,15 @@
 
     def end_reading(self) -> None:
         """Makes whoever reads from it read its end, while an answer may still be sent."""
+        self._shut_down(sockets.SHUT_RD)
+
+    def abort(self) -> None:
+        """Makes whoever reads from it or writes to it fail."""
+        self._shut_down(sockets.SHUT_RDWR)
+
+    def _shut_down(self, ways: int) -> None:
         try:
-            self.socket._socket.shutdown(sockets.SHUT_RD)
+            self.socket._socket.shutdown(ways)
         except OSError:
             pass  # it has ended already
 
--- a/src/pinepitch/transport/callers.py
+++ b/src/pinepitch/transport/callers.py
@@ -18,7 +18,8 @@
 
     NEW = "new"  # has not sent anything
     RECEIVING = "receiving"  # has sent a part of a request
-    WAITING = "waiting"  # its request was read whole and is not answered to its end
+    WAITING = "waiting"  # its request was read whole and has no answer yet
+    ANSWERING = "answering"  # is sent its answer
     IDLE = "idle"  # its last request was answered
 
 
@@ -28,6 +29,9 @@
     def end_reading(self) -> None:
         """Makes whoever reads from it read its end, while an answer may still be sent."""
 
+    def abort(self) -> None:
+        """Makes whoever reads from it or writes to it fail."""
+
 
 class Caller:
     """One open connection. Invariants: `held` is what the table counts for it, in bytes; once it is
@@ -41,7 +45,7 @@
         self.state = State.NEW
         self.held = 0
         self.received = bytearray()  # of a request or frame that isn't complete
-        self.active_at = now  # when its newest bytes came, seconds of the steady clock
+        self.active_at = now  # when its newest bytes came or were taken, seconds of the steady clock
         self.evicted = False
 
     def receives(self, size: int, now: float) -> bool:
@@ -63,6 +67,19 @@
         self.table.move(self, State.WAITING)
         return self.table.hold(self, size)
 
+    def answers(self, size: int, now: float) -> bool:
+        """Records that of a request only its answer of `size` bytes is still held. False: there is no room
+        for an answer of that size.
+        """
+        self.active_at = now
+        self.table.move(self, State.ANSWERING)
+        return self.table.hold(self, size)
+
+    def took(self, now: float) -> None:
+        """Records that a part of the answer was taken."""
+        self.active_at = now
+        self.table.move(self, State.ANSWERING)
+
     def rests(self, now: float) -> None:
         """Records that the answer was sent whole."""
         self.active_at = now
@@ -121,6 +138,17 @@
             return min(unserved, key=lambda caller: caller.active_at)
         return next(iter(self.callers[State.IDLE]), None)
 
+    def abort_stalled(self, now: float) -> None:
+        """Ends the connections that have taken nothing of their answers for ANSWER_STALLED seconds."""
+        answering = self.callers[State.ANSWERING]
+        while answering:
+            caller = next(iter(answering))
+            if now - caller.active_at < constants.ANSWER_STALLED:
+                return
+            self.evictions += 1
+            self.remove(caller)
+            caller.connection.abort()
+
     def move(self, caller: Caller, state: State) -> None:
         """Puts a connection last among those of a state."""
         if caller.evicted:
@@ -175,6 +203,9 @@
     def end_reading(self) -> None:
         """Does nothing."""
 
+    def abort(self) -> None:
+        """Does nothing."""
+
 
 def lone_caller() -> Caller:
     """A connection that shares its limits with no other one."""
--- a/src/pinepitch/transport/http.py
+++ b/src/pinepitch/transport/http.py
@@ -141,6 +141,7 @@
         self.caller = caller or lone_caller()
         self.limits = limits or usual_limits()
         self.pacer = pacer or Pacer()
+        self.method = ""  # of the newest request
         self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head)
 
     async def receive(self) -> Request | Fault:
@@ -203,6 +204,7 @@
         size = constants.REQUEST_BYTES + len(self.connection.trailing_data[0]) + decoded_bytes(request.body)
         if size > self.caller.table.limits.request:
             return Fault(413, "too_many_values")
+        self.method = request.method
         return request if self.caller.waits(size) else Fault(503, "busy")
 
     async def hung_up(self) -> None:
@@ -223,11 +225,23 @@
         await curio.Event().wait()  # never set: waits until this task is cancelled
 
     async def answer(self, response: Response) -> bool:
-        """Sends one Response, with sorted JSON keys; returns whether another request may follow."""
+        """Sends one Response, with sorted JSON keys; returns whether another request may follow. An answer
+        that there is no room for is replaced by an error.
+        """
         body, content_type = _encoded_document(response.document)
+        if not self.caller.answers(len(body), time.monotonic()) and len(body) > constants.REQUEST_BYTES:
+            response = self._no_room()
+            body, content_type = _encoded_document(response.document)
         data = self._encoded(response.status, response.headers, content_type, body)
+        del response, body  # neither is held while the caller takes the answer
         return data is not None and await self._sent(data)
 
+    def _no_room(self) -> Response:
+        """The answer in place of one that there is no room for."""
+        if self.method == "GET":
+            return busy()
+        return error_response(504, "busy", "there is no room for the answer; the call may have been taken")
+
     def _encoded(
         self, status: int, headers: tuple[tuple[str, str], ...], content_type: str, body: bytes
     ) -> bytes | None:
@@ -244,7 +258,9 @@
     async def _sent(self, data: bytes) -> bool:
         """Sends an encoded answer; returns whether another request may follow."""
         try:
-            await self.socket.sendall(data)
+            for place in range(0, len(data), constants.ANSWER_SLICE):
+                await self.socket.sendall(memoryview(data)[place : place + constants.ANSWER_SLICE])
+                self.caller.took(time.monotonic())
             if self.connection.our_state is h11.MUST_CLOSE:
                 return False
             self.connection.start_next_cycle()
