Bound the frames of strangers on the port between daemons

What callers saw: 20 connections that announced a frame of 16 MB and sent 15.7 MB took a front daemon of 128 MB to 597 MB and a control daemon to 666 MB; with the first bytes of a frame of ours 631 MB and more; whole frames of 4 million empty arrays further still. Cause: each connection's buffer was its own, up to 16 MB, and decoding had no bound. Change: a frame that does not begin like one is refused by its first byte. What has come of a frame counts as a caller's request does, with the same rule who goes first. Why it works: daemons send frames at once, so theirs are not the ones silent longest.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -42,3 +42,12 @@
       | control | control   | connections that say nothing        |
       | control | frames    | connections that say nothing        |
       | control | control   | requests whose answers nobody reads |
+
+    Examples: strangers on the port between daemons
+      | role    | port   | what                                          |
+      | front   | frames | frames that stop short of their announced end |
+      | control | frames | frames that stop short of their announced end |
+      | front   | frames | frames like ours that stop short              |
+      | control | frames | frames like ours that stop short              |
+      | front   | frames | whole frames of many small values             |
+      | control | frames | whole frames of many small values             |
--- a/src/pinepitch/runtime/frame_port.py
+++ b/src/pinepitch/runtime/frame_port.py
@@ -1,6 +1,5 @@
 """The port that receives frames from other daemons."""
 
-import time
 from collections.abc import Sequence
 from typing import Any
 
@@ -22,14 +21,13 @@
     async def serve(self, socket: Any, caller: Caller) -> None:
         """Serves one connection until it ends, breaks, or delivers an invalid frame."""
         socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
-        stream = socket.as_stream()
+        reader = framing.FrameReader(socket, caller)
         try:
             while True:
-                message = await _next_message(stream)
+                message = await _next_message(reader)
                 if isinstance(message, framing.InvalidFrame):
                     events.emit(self.log, 105, why=message.reason, peer=str(socket.getpeername()))
                     return
-                caller.rests(time.monotonic())
                 await self.inbox.put(message)
         except (OSError, EOFError, curio.CurioError):
             return
@@ -39,9 +37,9 @@
         return b""
 
 
-async def _next_message(stream: Any) -> tuple[Any, ...] | framing.InvalidFrame:
+async def _next_message(reader: framing.FrameReader) -> tuple[Any, ...] | framing.InvalidFrame:
     """The next message, or why the next frame is invalid."""
-    body = await framing.read_frame(stream)
+    body = await reader.read()
     frame = body if isinstance(body, framing.InvalidFrame) else framing.decode(body)
     if isinstance(frame, framing.InvalidFrame):
         return frame
--- a/src/pinepitch/transport/framing.py
+++ b/src/pinepitch/transport/framing.py
@@ -1,14 +1,17 @@
 """Frames between the daemons: a length of 4 bytes (big endian), then (version, source, message) as CBOR."""
 
 import struct
+import time
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 import cbor2
 
 from ..common import constants, packed_operations
+from .callers import Caller
 
 LENGTH = struct.Struct(">I")
+FRAME_BEGIN = bytes([0x83])  # CBOR for an array of three values
 
 
 class InvalidFrame(NamedTuple):
@@ -39,13 +42,58 @@
     return source, message
 
 
-async def read_frame(stream: Any) -> bytes | InvalidFrame:
-    """The body of the next frame of a curio stream, or InvalidFrame if it is larger than MAX_FRAME_BYTES.
-    Raises EOFError or OSError if the stream ends before the frame is complete.
-    """
-    head: bytes = await stream.read_exactly(LENGTH.size)
-    (length,) = LENGTH.unpack(head)
-    if length > constants.MAX_FRAME_BYTES:
-        return InvalidFrame(f"frame of {length} bytes")
-    body: bytes = await stream.read_exactly(length)
-    return body
+class FrameReader:
+    """Reads the frames of one connection. Invariant: what it holds of a frame is recorded with `caller`."""
+
+    def __init__(self, socket: Any, caller: Caller) -> None:
+        self.socket, self.caller = socket, caller
+
+    async def read(self) -> bytes | InvalidFrame:
+        """The body of the next frame, or InvalidFrame if it is too large, doesn't begin like a frame or has
+        too many values. Raises EOFError or OSError if the connection ends before the frame is complete, or
+        must end as there is no room for the frame.
+        """
+        await self._receive(LENGTH.size)
+        (length,) = LENGTH.unpack_from(self.caller.received)
+        if length > constants.MAX_FRAME_BYTES:
+            return InvalidFrame(f"frame of {length} bytes")
+        await self._receive(min(LENGTH.size + length, LENGTH.size + len(FRAME_BEGIN)))
+        if length and not self.caller.received.startswith(FRAME_BEGIN[:length], LENGTH.size):
+            return InvalidFrame("not a frame")
+        await self._receive(LENGTH.size + length)
+        body = bytes(memoryview(self.caller.received)[LENGTH.size : LENGTH.size + length])
+        del self.caller.received[: LENGTH.size + length]
+        return await self._whole(body)
+
+    async def _receive(self, size: int) -> None:
+        """Receives until `size` bytes are there."""
+        while len(self.caller.received) < size:
+            data: bytes = await self.socket.recv(constants.ANSWER_SLICE)
+            if not data:
+                raise EOFError
+            self.caller.received += data
+            if not self.caller.receives(len(self.caller.received), time.monotonic()):
+                raise EOFError
+
+    async def _whole(self, body: bytes) -> bytes | InvalidFrame:
+        """A frame's body, once the values of a large one are counted."""
+        most = self.caller.table.limits.request // constants.DECODED_VALUE_BYTES
+        if len(body) > constants.LARGE_FRAME_BYTES and has_more_values(body, most):
+            return InvalidFrame(f"more than {most} values")
+        self.caller.rests(time.monotonic())
+        return body
+
+
+def has_more_values(body: bytes, most: int) -> bool:
+    """Whether a CBOR text has more than `most` values (RFC 8949, section 3), or is cut short."""
+    place = 0
+    for _ in range(most + 1):
+        if place >= len(body):
+            return False
+        major, detail = body[place] >> 5, body[place] & 31
+        place += 1
+        length = 1 << (detail - 24) if 24 <= detail < 28 else 0  # of the argument, bytes
+        if major in (2, 3) and detail < 28:  # texts and byte strings
+            place += detail if detail < 24 else int.from_bytes(body[place : place + length])
+        place += length
+    return True
