Put the configuration's limits of requests into force at the front port

What callers saw: maxHeaderBytes, maxBodyBytes, headerTimeoutMs and idleTimeoutMs were kept with the configuration and in force nowhere: 262,145 bytes were waited for. Change: the leader's updates to front daemons carry the limits as the operator wrote them; the port's adapter reads them (platform/ knows their names), and the next request and the next connection are held to them. A job of exactly the largest size and a configuration of 2,000,000 bytes are served in calm, before and after.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -51,3 +51,19 @@
       | control | frames | frames like ours that stop short              |
       | front   | frames | whole frames of many small values             |
       | control | frames | whole frames of many small values             |
+
+  # Guards against: the limits of the configuration are kept and in force nowhere.
+  Scenario: a body over the configuration's limit is refused by its head
+    Given three control daemons and a front daemon with lowered limits
+    When a client of the front daemon announces one byte more than the configuration allows, and sends none of it
+    Then the answer has the status 413
+
+  Scenario: the largest job that the configuration allows is served in calm
+    Given three control daemons and a front daemon with lowered limits
+    When a client of the front daemon submits a job of exactly the largest size
+    Then the answer has the status 200
+
+  Scenario: the largest configuration is taken in calm
+    Given three control daemons and a front daemon with the limits of an ordinary machine
+    When the operator replaces the configuration by one of the largest size
+    Then the answer has the status 200
--- a/src/pinepitch/common/effects.py
+++ b/src/pinepitch/common/effects.py
@@ -94,3 +94,11 @@
     address: str  # host:port of the worker
     path: str
     document: dict[str, Any]
+
+
+class LimitRequests(NamedTuple):
+    """The limits of clients' requests that the configuration in force states, in the terms of whoever wrote
+    it; the adapter of a port reads them.
+    """
+
+    document: dict[str, Any]
--- a/src/pinepitch/control/front_updates.py
+++ b/src/pinepitch/control/front_updates.py
@@ -118,13 +118,18 @@
     def _active_state(self) -> dict[str, Any]:
         """The part of the cluster state that front daemons know."""
         state = self.daemon.cluster_state
-        return {
+        configuration = state.leased_jobs.configuration
+        active_state = {
             "setup_version": state.version,
-            "configuration": state.leased_jobs.configuration.version,
+            "configuration": configuration.version,
             "drained": sorted(state.drained),
             "emptied": sorted(state.emptied),
             "withdrawn": sorted(state.withdrawn),
         }
+        limits = (configuration.document or {}).get("limits")
+        if isinstance(limits, dict):
+            active_state["request_limits"] = limits
+        return active_state
 
     def _due_orders(self, front: str, now: float) -> tuple[Order, ...]:
         """Orders that a front daemon has not taken yet. Orders that were called off since are dropped."""
--- a/src/pinepitch/front/daemon.py
+++ b/src/pinepitch/front/daemon.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from ..common import constants
-from ..common.effects import Event, PostOrder, Reply, Send
+from ..common.effects import Event, LimitRequests, PostOrder, Reply, Send
 from ..consensus.leader_clock import LeaderClock
 from ..transport.forwarder import Forwarder
 from ..transport.indexed_forwarder import IndexedForwarder
@@ -51,6 +51,7 @@
         self.indexed_forwarder = IndexedForwarder(self.forwarder)
         self.leader_clock = LeaderClock()
         self.configured = False  # whether any update has contained an active configuration
+        self.request_limits: dict[str, Any] = {}  # as the newest configuration states them
         self.event_counts: dict[int, int] = {}
         self.counts = {"calls": 0, "carried": 0, "answered": 0, "unanswered": 0, "orders": 0, "shed": 0}
         self.product_requests = ProductRequests(
@@ -357,12 +358,19 @@
         if body is not None:
             self.version, self.body = version, body
             self.configured = self.configured or bool(body["configuration"])
+            self._limit_requests(body.get("request_limits", {}))
         requested_at = self.cluster_time.sent_at.get(token)
         if requested_at is not None:  # updates are at most this old, however long they stayed unread here
             previous = requested_at if self.updated_at is None else self.updated_at
             self.updated_at = max(requested_at + deferred_for, previous)
         self.cluster_time.answer_received(token, time, deferred_for, now)
 
+    def _limit_requests(self, document: dict[str, Any]) -> None:
+        """Has the limits of requests that the configuration states come into force if they have changed."""
+        if document != self.request_limits:
+            self.request_limits = document
+            self.effects.append(LimitRequests(document))
+
     def _send_waiting(self, now: float) -> None:
         """Sends each order that is due."""
         earliest, latest = self.cluster_time.earliest(now), self.cluster_time.latest(now)
--- a/src/pinepitch/runtime/host.py
+++ b/src/pinepitch/runtime/host.py
@@ -16,6 +16,7 @@
 from ..common.effects import (
     EncodeSnapshot,
     Event,
+    LimitRequests,
     PostOrder,
     Rehearse,
     Reply,
@@ -69,6 +70,7 @@
         self.exchange = Exchange(self.inbox)
         self.frame_port = FramePort(self.inbox, log)
         self.http_port = HttpPort(self.exchange, DirectHandler(self.exchange))
+        self.adapter_ports: list[tuple[HttpPort, Adapter]] = []
         self.ticking = False  # whether there is a tick in the inbox
         self.stall_detector = stall_detector.StallDetector()
 
@@ -97,7 +99,9 @@
         if self.http_address:
             ports.append((self.http_address, self.http_port))
         for address, adapter in self.adapters:
-            ports.append((address, HttpPort(self.exchange, AdapterHandler(self.exchange, adapter))))
+            port = HttpPort(self.exchange, AdapterHandler(self.exchange, adapter))
+            self.adapter_ports.append((port, adapter))
+            ports.append((address, port))
         await self.tasks.spawn(Listener(self.callers, self.frame_port, None).run, *split(self.address))
         for address, port in ports:
             listener = Listener(self.callers, port, constants.RECEIVE_BUFFER)
@@ -157,6 +161,10 @@
     async def _post(self, effect: PostOrder) -> None:
         await curio.spawn(order_post.post, self.inbox, *effect, daemon=True)
 
+    async def _limit_requests(self, effect: LimitRequests) -> None:
+        for port, adapter in self.adapter_ports:
+            port.limits = adapter.limits(effect.document)
+
     # --- tasks ------------------------------------------------------------------------
     async def _clock(self) -> None:
         """Puts ticks into the inbox, never more than one at a time."""
@@ -235,4 +243,5 @@
     Rehearse: Host._rehearse,
     Reply: Host._reply,
     PostOrder: Host._post,
+    LimitRequests: Host._limit_requests,
 }
--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -102,6 +102,9 @@
     def write(self, call: str, response: http.Response) -> http.Response:
         """The response in the format of the port's API."""
 
+    def limits(self, document: dict[str, Any]) -> http.RequestLimits:
+        """The limits of requests at the port, from what the configuration states."""
+
 
 class Handler(Protocol):
     """Produces the response to a request of a port."""
--- a/src/pinepitch/simulation/simulator.py
+++ b/src/pinepitch/simulation/simulator.py
@@ -16,6 +16,7 @@
 from ..common.effects import (
     EncodeSnapshot,
     Event,
+    LimitRequests,
     PostOrder,
     Rehearse,
     Reply,
@@ -705,4 +706,5 @@
     Event: lambda simulator, *rest: simulator._event(*rest),
     Reply: Simulator._reply,
     PostOrder: Simulator._post,
+    LimitRequests: lambda simulator, *rest: None,  # about bytes of HTTP, of which there are none here
 }
