--- a/features/crowds/deployment.py
+++ b/features/crowds/deployment.py
@@ -24,7 +24,8 @@
 SAMPLE_EVERY = 0.02  # seconds
 STAYS = 3.0  # seconds; a crowd stays at least this long
 SETTLES_WITHIN = 15.0  # seconds; a crowd that has not sent everything by then is taken as it is
-PADDING = 200  # bytes; of each route's name, which makes the configuration large
+ROUTES = 400  # of the configuration
+PADDING = 200  # bytes; of a text in each route
 
 
 class Deployment:
@@ -74,32 +75,7 @@
         return f"{self.processes.addresses[name]}:{number}"
 
     def _configured(self):
-        document = {
-            "configVersion": 1,
-            "routes": [
-                {
-                    "name": f"held{place}-{'x' * PADDING if place else ''}"[:100],
-                    "hostName": HTTP_HOST,
-                    "pathPrefix": f"/held{place or ''}/",
-                    "routeKind": "unsafe",
-                    "timeoutMs": 3000,
-                    "targetLatencyMs": 2000,
-                    "priority": 1,
-                    "serviceName": "held",
-                    "maxAttempts": 2,
-                    "stretch": 2.2,
-                    "comment": "x" * PADDING,
-                }
-                for place in range(400)
-            ],
-            "services": [{"name": "held", "guards": True}],
-            "limits": {
-                "maxHeaderBytes": 16384,
-                "maxBodyBytes": ALLOWED_BODY,
-                "headerTimeoutMs": 3000,
-                "idleTimeoutMs": 15000,
-            },
-        }
+        document = configuration_of(1, ROUTES)
         return any(
             wire.exchange(
                 wire.Request(address, "POST", "/api/Configuration.Replace", document, "", CALL_TIMEOUT)
@@ -142,6 +118,36 @@
         return self.processes.running[self.target].poll() is None
 
 
+def configuration_of(version, routes):
+    """A configuration with so many routes."""
+    return {
+        "configVersion": version,
+        "routes": [
+            {
+                "name": f"held{place}",
+                "hostName": HTTP_HOST,
+                "pathPrefix": f"/held{place or ''}/",
+                "routeKind": "unsafe",
+                "timeoutMs": 3000,
+                "targetLatencyMs": 2000,
+                "priority": 1,
+                "serviceName": "held",
+                "maxAttempts": 2,
+                "stretch": 2.2,
+                "comment": "x" * PADDING,
+            }
+            for place in range(routes)
+        ],
+        "services": [{"name": "held", "guards": True}],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": ALLOWED_BODY,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+
+
 def play(deployment, port, behaviour):
     """Plays a crowd at a port of the target; returns a Played."""
     target = deployment.target
--- a/features/crowds/messages.py
+++ b/features/crowds/messages.py
@@ -12,6 +12,8 @@
 LARGE_PART = 1_850_000  # bytes; what is sent of a body that stops short
 ALLOWED_BODY = 262_144  # bytes; maxBodyBytes of the deployment's configuration
 ALLOWED_PART = 250_000
+LARGEST_BODY = 2_000_000  # bytes; the largest body of any port
+ROUTE_BYTES = 440  # bytes; about, of a route of the deployment's configuration
 ENDLESS_BODY = 1_000_000_000  # bytes; announced, and sent until the caller is refused
 LARGE_FRAME = 16_000_000  # bytes
 LARGE_FRAME_PART = 15_700_000
@@ -71,6 +73,11 @@
     return b'{"taskSpec":"' + b"x" * size + b'","steps":[{"taskCount":1}]}'
 
 
+def padded(body: bytes, size: int) -> bytes:
+    """A JSON body with white space up to a size."""
+    return body + b" " * (size - len(body))
+
+
 def dense_body(size: int) -> bytes:
     """A JSON object of about `size` bytes that decodes into very many small values."""
     item = b'{"a":[]},'
--- a/src/pinepitch/common/events.py
+++ b/src/pinepitch/common/events.py
@@ -77,6 +77,7 @@
     188: ("run placed", "debug"),
     189: ("start told", "debug"),
     190: ("job's final state shown", "debug"),
+    191: ("callers turned away for want of room", "warning"),
 }
 
 
--- a/src/pinepitch/control/daemon.py
+++ b/src/pinepitch/control/daemon.py
@@ -17,6 +17,7 @@
 from ..model.push_worker import PushWorker, Report
 from ..scheduling.assignment_manager import AssignmentManager
 from ..state.cluster_state import ClusterState
+from ..transport.callers import CallerTable
 from ..transport.forwarder import Forwarder
 from ..transport.indexed_forwarder import IndexedForwarder
 from . import membership, rehearsal
@@ -91,6 +92,7 @@
         self.voters = constants.BOOTSTRAP_MEMBERS  # target in single mode, where each is a group
         self.may_bootstrap = True  # False after a loss of the disk: the daemon may then only join
         self.limits = limits.USUAL
+        self.callers = CallerTable()  # connections and requests, for the metrics
         self.catch_up = constants.CATCH_UP  # seconds; within which a lost voter must be replaced
         self.leave_within = constants.LEAVE_WITHIN  # seconds; from SIGTERM to the voter slot's handover
         self.begun_at: float | None = None  # when this process locked its data folder, if known
--- a/src/pinepitch/control/metrics_text.py
+++ b/src/pinepitch/control/metrics_text.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..common import metrics
+from ..transport.callers import metrics_of
 from . import leased_job_metrics
 from .metric_family import Family, by_label, by_queue, single
 
@@ -161,5 +162,6 @@
     families: list[metrics.Metric] = []
     for collect in COLLECTORS:
         families.extend(collect(daemon, now))
+    families.extend(metrics_of(daemon.callers))
     families.append(metrics.event_metric(daemon.event_counts))
     return metrics.text(families)
--- a/src/pinepitch/front/daemon.py
+++ b/src/pinepitch/front/daemon.py
@@ -10,6 +10,7 @@
 from ..common import constants
 from ..common.effects import Event, LimitRequests, PostOrder, Reply, Send
 from ..consensus.leader_clock import LeaderClock
+from ..transport.callers import CallerTable
 from ..transport.forwarder import Forwarder
 from ..transport.indexed_forwarder import IndexedForwarder
 from .cluster_time import ClusterTime
@@ -51,6 +52,7 @@
         self.indexed_forwarder = IndexedForwarder(self.forwarder)
         self.leader_clock = LeaderClock()
         self.configured = False  # whether any update has contained an active configuration
+        self.callers = CallerTable()  # connections and requests, for the metrics
         self.request_limits: dict[str, Any] = {}  # as the newest configuration states them
         self.event_counts: dict[int, int] = {}
         self.counts = {"calls": 0, "carried": 0, "answered": 0, "unanswered": 0, "orders": 0, "shed": 0}
--- a/src/pinepitch/front/own_state_handlers.py
+++ b/src/pinepitch/front/own_state_handlers.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from ..common import constants, metrics
+from ..transport.callers import metrics_of
 from .http_request import Answer, HttpRequest
 
 # (key of FrontDaemon.counts and part of the metric's name, help)
@@ -48,7 +49,8 @@
         ("gauge", f"verge_{name}", help_text, (), [((), value)])
         for name, help_text, value in _gauges(front, now)
     ]
-    return Answer(200, metrics.text([*counters, *gauges, metrics.event_metric(front.event_counts)]))
+    families = [*counters, *gauges, *metrics_of(front.callers), metrics.event_metric(front.event_counts)]
+    return Answer(200, metrics.text(families))
 
 
 def _gauges(front: Any, now: float) -> tuple[tuple[str, str, float], ...]:
--- a/src/pinepitch/runtime/host.py
+++ b/src/pinepitch/runtime/host.py
@@ -28,7 +28,7 @@
 )
 from ..common.limits import USUAL
 from ..storage.store import Store
-from ..transport.callers import CallerTable
+from ..transport.callers import CallersReport, CallerTable
 from . import disk_task, order_post, stall_detector
 from .clocks import Pauser, steady_clock, wall_clock
 from .frame_port import FramePort
@@ -67,6 +67,7 @@
         self.disk = disk_task.DiskTask(store, self.inbox, self._encoded)
         self.links = Links(address, self.inbox, self.tasks, getattr(daemon, "limits", USUAL))
         self.callers = CallerTable() if callers is None else callers  # the connections of all ports
+        self.callers_report = CallersReport(self.callers)
         self.exchange = Exchange(self.inbox)
         self.frame_port = FramePort(self.inbox, log)
         self.http_port = HttpPort(self.exchange, DirectHandler(self.exchange))
@@ -170,11 +171,18 @@
         """Puts ticks into the inbox, never more than one at a time."""
         while True:
             await curio.sleep(constants.TICK)
-            self.callers.abort_stalled(time.monotonic())
+            self._watch_callers(time.monotonic())
             if not self.ticking:
                 self.ticking = True
                 await self.inbox.put(("tick",))
 
+    def _watch_callers(self, now: float) -> None:
+        """Ends connections whose callers take nothing, and logs when callers were turned away."""
+        self.callers.abort_stalled(now)
+        turned_away = self.callers_report.due(now)
+        if turned_away is not None:
+            events.emit(self.log, 191, **turned_away._asdict())
+
     async def _signals(self) -> None:
         """Stops at SIGTERM or SIGINT, and rereads the settings periodically and at SIGHUP.
 
--- a/src/pinepitch/runtime/serving.py
+++ b/src/pinepitch/runtime/serving.py
@@ -40,7 +40,7 @@
     """Runs a daemon until a signal stops it. The process exits with status 70 if an invariant is broken or a
     committed entry can't be applied, and with 1 if a port can't be opened.
     """
-    callers = CallerTable(CallerLimits(settings.memory, settings.descriptors))
+    callers = daemon.callers = CallerTable(CallerLimits(settings.memory, settings.descriptors))
     host = Host(daemon, settings.address, log, store, settings.http, adapters, stop_within, watch, callers)
     try:
         curio.run(host.run)
--- a/src/pinepitch/transport/callers.py
+++ b/src/pinepitch/transport/callers.py
@@ -7,10 +7,11 @@
 
 import collections
 import enum
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from ..common import constants
 from ..common.limits import USUAL_CALLERS, CallerLimits
+from ..common.metrics import Metric
 
 
 class State(enum.Enum):
@@ -207,6 +208,49 @@
         """Does nothing."""
 
 
+class TurnedAway(NamedTuple):
+    """What was done for want of room since the last report."""
+
+    evictions: int
+    refusals: int
+    connections: int  # open now
+    held: int  # bytes now
+
+
+class CallersReport:
+    """Says from time to time that callers were turned away. Invariant: two reports are at least
+    CALLERS_REPORT_EVERY apart.
+    """
+
+    def __init__(self, table: CallerTable) -> None:
+        self.table = table
+        self.evictions = self.refusals = 0  # at the last report
+        self.next_at = 0.0  # seconds of the steady clock
+
+    def due(self, now: float) -> TurnedAway | None:
+        """The next report, or None if nothing happened or it isn't time yet."""
+        evictions = self.table.evictions - self.evictions
+        refusals = self.table.refusals - self.refusals
+        if now < self.next_at or not evictions + refusals:
+            return None
+        self.next_at = now + constants.CALLERS_REPORT_EVERY
+        self.evictions, self.refusals = self.table.evictions, self.table.refusals
+        return TurnedAway(evictions, refusals, self.table.connections(), self.table.held)
+
+
+def metrics_of(table: CallerTable) -> list[Metric]:
+    """The metrics of a table, alike for every kind of daemon."""
+    evictions = "Connections closed to make room for others."
+    refusals = "Requests and connections refused for want of room."
+    return [
+        ("gauge", "caller_connections", "Open connections of callers.", (), [((), table.connections())]),
+        ("gauge", "caller_bytes", "Bytes held for requests and answers.", (), [((), table.held)]),
+        ("gauge", "caller_bytes_most", "Bytes that may be held for them.", (), [((), table.limits.held)]),
+        ("counter", "caller_evictions", evictions, (), [((), table.evictions)]),
+        ("counter", "caller_refusals", refusals, (), [((), table.refusals)]),
+    ]
+
+
 def lone_caller() -> Caller:
     """A connection that shares its limits with no other one."""
     caller = CallerTable().admit(_NoConnection(), 0.0)
