--- a/features/crowds/deployment.py
+++ b/features/crowds/deployment.py
@@ -57,23 +57,12 @@
 
     def leader(self):
         """The name of the control daemon that leads."""
-        with urllib.request.urlopen(f"http://{self.address('front0', 'product')}/v1/health") as answer:
+        with urllib.request.urlopen(
+            f"http://{self.processes.address('front0', 'product')}/v1/health"
+        ) as answer:
             host = json.load(answer)["leader"].rpartition(":")[0]
         return next(name for name, address in self.processes.addresses.items() if address == host)
 
-    def address(self, name, port):
-        """The address of one of a process's ports: front, readiness, control, product or frames."""
-        ports = self.processes.ports
-        first = ports.first + (2 if name.startswith("front") else 0)
-        number = {
-            "front": ports.front,
-            "readiness": ports.readiness,
-            "control": ports.control,
-            "frames": first,
-            "product": first + 1,
-        }[port]
-        return f"{self.processes.addresses[name]}:{number}"
-
     def _configured(self):
         document = configuration_of(1, ROUTES)
         return any(
@@ -92,7 +81,7 @@
 
     def _ordinary(self, port):
         """Whether one ordinary request at a port of the target is answered with success."""
-        address = self.address(self.target, port)
+        address = self.processes.address(self.target, port)
         if port == "front":
             return self._submitted(address)
         path = {
@@ -152,7 +141,7 @@
     """Plays a crowd at a port of the target; returns a Played."""
     target = deployment.target
     peaks = Peaks(deployment.processes.running[target], deployment.processes.addresses[target])
-    crowd = Crowd(deployment.address(target, port), behaviour)
+    crowd = Crowd(deployment.processes.address(target, port), behaviour)
     crowd.come()
     _wait_until_settled(crowd)
     beside = deployment.answered(port)
--- a/features/soak/processes.py
+++ b/features/soak/processes.py
@@ -78,6 +78,28 @@
             for place in range(len(self.names("front")))
         ]
 
+    def address(self, name, port):
+        """The address of one of a daemon's ports: front, readiness, control, product or frames."""
+        first = self.ports.first + (2 if name.startswith("front") else 0)
+        number = {
+            "front": self.ports.front,
+            "readiness": self.ports.readiness,
+            "control": self.ports.control,
+            "frames": first,
+            "product": first + 1,
+        }[port]
+        return f"{self.addresses[name]}:{number}"
+
+    @property
+    def memory_limit(self):
+        """Bytes of memory that the settings allow a daemon."""
+        return int(self.limits["limits.memoryMb"]) * 1_000_000
+
+    def memory_peak(self, name):
+        """The most bytes of memory that a daemon's process has used."""
+        lines = pathlib.Path(f"/proc/{self.running[name].pid}/status").read_text().splitlines()
+        return next(int(line.split()[1]) * 1024 for line in lines if line.startswith("VmHWM:"))
+
     def names(self, kind):
         """The daemons of a kind, "core" or "front"."""
         return [name for name in self.addresses if name.startswith(kind)]
--- a/features/soak/soak.py
+++ b/features/soak/soak.py
@@ -84,6 +84,7 @@
         self.client_stand_in = StandInClient(seed)
         self.cuts, self.planned_stops = [], []  # wire.Cut, and PlannedStop
         self.away, self.cut, self.answer_loss, self.wiped_at = set(), set(), 0.0, 0.0
+        self.crowds = {}  # daemon -> (what its crowd does, the crowd)
         self.open = {}  # daemon or worker -> (name of its fault, when it ends)
         self.next_fault = 0.0
         self.terminated = {}  # daemon -> when it was sent SIGTERM
--- a/features/soak/troubles.py
+++ b/features/soak/troubles.py
@@ -3,6 +3,9 @@
 import signal
 from typing import NamedTuple
 
+from features.crowds.behaviours import behaviour
+from features.crowds.crowd import Crowd
+
 from pinepitch.simulation.jobs.kinds import step_of
 
 WIDE_TASKS = (550, 1200)  # (fewest, most) tasks of a wide job; more than a heartbeat lists ends
@@ -20,6 +23,28 @@
     ((4, 0, {"twice": True}),),
     ((2, 0, {"gpu": 1}),),
 )
+CROWD_MEMBERS = (10, 40)  # (fewest, most) connections of a crowd
+# What a crowd does: (kind of daemon, port, name of the behaviour).
+CROWDS = tuple(
+    (kind, port, what)
+    for kind, port in (("front", "front"), ("core", "control"))
+    for what in (
+        "bodies that stop short of their announced end",
+        "bodies of an allowed size that stop short",
+        "bodies in very many chunks",
+        "bodies announced without bound",
+        "whole bodies of an allowed size of many small values",
+        "connections that say nothing",
+    )
+) + tuple(
+    (kind, "frames", what)
+    for kind in ("front", "core")
+    for what in (
+        "connections that say nothing",
+        "frames like ours that stop short",
+        "whole frames of many small values",
+    )
+)
 LIMIT_TASK_SECONDS = (0.0, 1.0)  # (shortest, longest)
 
 
@@ -184,6 +209,27 @@
     document["spec"] = document["spec"].ljust(SPEC_LENGTH)  # blanks after JSON change nothing
 
 
+def _crowd_comes(soak, name):
+    """Clients that do not behave come to one port of a daemon."""
+    kind = name.rstrip("0123456789")
+    _, port, what = soak.draw.choice([crowd for crowd in CROWDS if crowd[0] == kind])
+    members = soak.draw.randint(*CROWD_MEMBERS)
+    crowd = Crowd(soak.processes.address(name, port), behaviour(what, port)._replace(members=members))
+    soak.crowds[name] = (what, crowd)
+    crowd.come()
+
+
+def _crowd_leaves(soak, name):
+    """The crowd goes; the daemon must have lived within its memory."""
+    what, crowd = soak.crowds.pop(name)
+    crowd.leave()
+    if soak.processes.running[name].poll() is not None:
+        soak.faults.append(f"{name} ended beside a crowd with {what}")
+    elif soak.processes.memory_peak(name) > soak.processes.memory_limit:
+        peak = soak.processes.memory_peak(name) / 1e6
+        soak.faults.append(f"{name} took {peak:.0f} MB beside a crowd with {what}")
+
+
 def _lose_answers(soak, name):
     soak.answer_loss = 0.3
 
@@ -213,6 +259,8 @@
     "long-job": SoakFault("", _submit_long_job, _nothing, 0.5, 2.0),
     "restart-cores": SoakFault("core", _restart_in_turn, _restart_and_go_on, 0.2, 1.0),
     "restart-fronts": SoakFault("front", _restart_in_turn, _restart_and_go_on, 0.2, 1.0),
+    "crowd-front": SoakFault("front", _crowd_comes, _crowd_leaves, 0.5, 4.0),
+    "crowd-core": SoakFault("core", _crowd_comes, _crowd_leaves, 0.5, 4.0),
     "signal-all": SoakFault("", _signal_all, _nothing, 0.0, 0.5),
     "lose-answers": SoakFault("", _lose_answers, _keep_answers, 1.0, 4.0),
 }
--- a/features/steps/crowds.py
+++ b/features/steps/crowds.py
@@ -65,7 +65,7 @@
 )
 def step_announce(context):
     head = messages.request_head("POST", messages.JOB_PATH, messages.ALLOWED_BODY + 1)
-    context.status = _status(context.deployment.address("front0", "front"), head)
+    context.status = _status(context.deployment.processes.address("front0", "front"), head)
 
 
 @when("a client of the front daemon submits a job of exactly the largest size")
@@ -74,7 +74,7 @@
         b'{"taskSpec":"large","steps":[{"taskCount":1,"cpuUnits":100}]}', messages.ALLOWED_BODY
     )
     request = messages.request_head("POST", messages.JOB_PATH, len(body)) + body
-    context.status = _status(context.deployment.address("front0", "front"), request)
+    context.status = _status(context.deployment.processes.address("front0", "front"), request)
 
 
 @when("the operator replaces the configuration by one of the largest size")
@@ -83,7 +83,7 @@
     body = messages.padded(json.dumps(deployment.configuration_of(2, routes)).encode(), messages.LARGEST_BODY)
     request = messages.request_head("POST", messages.CHANGE_PATH, len(body)) + body
     leader = context.deployment.leader()
-    context.status = _status(context.deployment.address(leader, "control"), request)
+    context.status = _status(context.deployment.processes.address(leader, "control"), request)
 
 
 def _status(address, request):
