--- /dev/null
+++ b/features/callers.feature
@@ -0,0 +1,54 @@
+Feature: Callers
+  The table of callers keeps its bounds whatever comes, and closes nobody whose request was read whole.
+
+  Scenario: random histories keep the bounds
+    When 300 random histories of a small table are played
+    Then its sums and its order are right after each step, and no bound is passed
+    And no connection was closed while its request waited or was being answered
+
+  Scenario Outline: <newcomer> comes to a table full of <others>
+    Given a table of 4 connections, all of them <others>
+    When one more connection comes
+    Then <outcome>
+
+    Examples:
+      | newcomer | others                              | outcome                                      |
+      | a caller | silent                              | the one that has been silent longest is closed |
+      | a caller | stopped within a request            | the one that has been silent longest is closed |
+      | a caller | idle after an answer                | the one that has been silent longest is closed |
+      | a caller | waiting for their answers           | the newcomer is refused and nobody is closed |
+      | a caller | taking their answers                | the newcomer is refused and nobody is closed |
+
+  Scenario: an idle caller that was served outlasts those that only hold a place
+    Given a table of 4 connections, the oldest idle after an answer and the others silent
+    When three more connections come
+    Then the one that was served is still open
+
+  Scenario: a small request finds room beside large ones that fill their part
+    Given a table whose large requests have taken all that they may
+    When another large request and a small one are read whole
+    Then the large one is refused and the small one is taken
+
+  Scenario: parts that have come make room for a whole request, the ones silent longest first
+    Given a table that is full of requests that came in part
+    When a small request is read whole
+    Then it is taken, and only the part that was silent longest is given up
+
+  Scenario: a caller that takes nothing of its answer is cut off, one that takes some of it isn't
+    Given a table of 4 connections, all of them taking their answers
+    When one of them takes a part each second for ten seconds
+    Then just the others are cut off
+
+  Scenario Outline: <values> values in CBOR are <told> by a limit of <limit>
+    When CBOR texts with <values> values of all kinds are scanned with a limit of <limit>
+    Then each scan says that it is <told>
+
+    Examples:
+      | values | limit | told  |
+      | 1      | 1     | taken |
+      | 1000   | 1000  | taken |
+      | 1000   | 999   | refused |
+
+  Scenario: the estimate of a decoded body is no less than what decoding takes
+    When dense bodies of every kind are decoded, checked and translated
+    Then none takes more memory than was estimated
