Crowds: the harness waits until the front daemon knows the leader

Cause: the test harness read the leader from the front daemon's health once. The page on health promises 503 while the front daemon has no recent updates, and right after a start it may say so for a moment; the step then ended with HTTPError. Change: the leader is asked for until the answer is 200 and names one, for READY_WITHIN. Crowd, bounds and judgements are unchanged.

--- a/features/crowds/deployment.py
+++ b/features/crowds/deployment.py
@@ -1,12 +1,10 @@
 """A small deployment of real processes with lowered limits, and one of them that a crowd comes to."""
 
-import json
 import pathlib
 import shutil
 import tempfile
 import threading
 import time
-import urllib.request
 from typing import NamedTuple
 
 from features.soak import wire
@@ -56,12 +54,21 @@
         shutil.rmtree(self.folder)
 
     def leader(self):
-        """The name of the control daemon that leads."""
-        with urllib.request.urlopen(
-            f"http://{self.processes.address('front0', 'product')}/v1/health"
-        ) as answer:
-            host = json.load(answer)["leader"].rpartition(":")[0]
-        return next(name for name, address in self.processes.addresses.items() if address == host)
+        """The name of the control daemon that leads, once the front daemon knows it."""
+        until = time.monotonic() + READY_WITHIN
+        while (name := self._known_leader()) is None:
+            assert time.monotonic() < until, f"no leader is known within {READY_WITHIN:.0f} s"
+            time.sleep(0.1)
+        return name
+
+    def _known_leader(self):
+        """The name of the leader by the front daemon's health, or None while it is not ready."""
+        address = self.processes.address("front0", "product")
+        status, health = wire.exchange(wire.Request(address, "GET", "/v1/health", None, "", CALL_TIMEOUT))
+        if status != 200 or not health["leader"]:
+            return None
+        host = health["leader"].rpartition(":")[0]
+        return next(name for name, own in self.processes.addresses.items() if own == host)
 
     def _configured(self):
         document = configuration_of(1, ROUTES)
