An answer's decoded document is dropped before its caller takes the answer

What callers did: asked for the configuration and took the answer slowly or not at all. Cause: Server.answer() drops the document and the body once they are encoded, but HttpPort.serve() kept the response in a variable of its own, so the translated document of every answer under way stayed: about twice the memory of the encoded bytes, and nobody counted it. Evidence: the new scenario of connections.feature (an answer of 16 MB of which one byte is taken) fails before: a document of 256 items is held; passes after. Change: the response is passed on without a name.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -71,3 +71,9 @@
     Given a daemon's port whose decider answers when it is told to
     When a call comes just before those that wait are given up
     Then it is answered 503, and the decider never has it
+
+  # Guards against: the decoded document of each answer stays while its caller takes nothing (memory).
+  Scenario: the document of an answer is not held while its caller takes the answer
+    Given a daemon's port whose decider answers when it is told to
+    When a caller has taken the first byte of an answer that is larger than any buffer
+    Then nothing holds the document of the answer any more
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -3,6 +3,7 @@
 import json
 import socket as sockets
 import struct
+import weakref
 
 import curio
 from behave import given, then, when
@@ -401,3 +402,34 @@
 def step_never_had(context):
     assert context.reply[0] == 503, context.reply
     assert not context.port.decider.requests, context.port.decider.requests
+
+
+# --- memory of answers --------------------------------------------------------------------
+LARGE_ITEMS, LARGE_ITEM = 256, "x" * 65_536  # 16 MB as JSON, one item in memory
+
+
+class Document(list):
+    """A document that can be watched."""
+
+
+@when("a caller has taken the first byte of an answer that is larger than any buffer")
+def step_large_answer(context):
+    async def act(port):
+        socket = await port.connect()
+        await socket.sendall(request_of("/job"))
+        await port.requested(1)
+        document = Document([LARGE_ITEM] * LARGE_ITEMS)
+        context.watched = weakref.ref(document)
+        await port.host.inbox.put(("replies", [Reply(1, 200, document)]))
+        del document
+        await socket.recv(1)
+        context.held = context.watched()
+        await reset(socket)
+
+    behind_adapter(context.port)
+    context.port.run(act)
+
+
+@then("nothing holds the document of the answer any more")
+def step_not_held(context):
+    assert context.held is None, f"a document of {len(context.held)} items is held"
--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -185,9 +185,9 @@
             if isinstance(request, http.Fault):
                 await server.refuse(request)
                 return
-            response = await self.handler.response(request, answers, server)
-            del request  # it isn't held while the caller takes the answer
-            if not await server.answer(response):
+            response = self.handler.response(request, answers, server)
+            del request  # neither it nor the response's document is held while the caller takes the answer
+            if not await server.answer(await response):
                 return
 
     def refusal(self) -> bytes:
