HTTP ports: bounded send buffers, so that answers nobody takes are not made by the dozen

Cause: the kernel's send buffer grows to 4 MB, so each such connection took 2,990,080 bytes, about fifteen whole answers of the configuration, before it stood still. The making of them, 300 times fifteen, filled the loop, and as the callers 'took' something all the while, ANSWER_STALLED didn't come for them: all places were held by whole requests. Change: 64 KiB are requested for the send buffer of a connection of an HTTP port (100,352 bytes taken). Then one answer is made, the caller stalls, and after 5 s its place is free. The crowd and its bounds are unchanged.

--- a/src/pinepitch/runtime/host.py
+++ b/src/pinepitch/runtime/host.py
@@ -34,10 +34,11 @@
 from .frame_port import FramePort
 from .http_port import Adapter, AdapterHandler, DirectHandler, Exchange, HttpPort
 from .links import Links
-from .listener import Listener
+from .listener import Listener, SocketBuffers
 
 REQUESTS = frozenset(("http", "call"))  # the kinds of messages that carry a caller's request
 STOP_SIGNALS = frozenset((signal.SIGTERM, signal.SIGINT))
+HTTP_BUFFERS = SocketBuffers(constants.RECEIVE_BUFFER, constants.SEND_BUFFER)
 
 
 class Host:
@@ -105,7 +106,7 @@
             ports.append((address, port))
         await self.tasks.spawn(Listener(self.callers, self.frame_port, None).run, *split(self.address))
         for address, port in ports:
-            listener = Listener(self.callers, port, constants.RECEIVE_BUFFER)
+            listener = Listener(self.callers, port, HTTP_BUFFERS)
             await self.tasks.spawn(listener.run, *split(address))
 
     async def _step(self, message: Sequence[Any]) -> None:
--- a/src/pinepitch/runtime/listener.py
+++ b/src/pinepitch/runtime/listener.py
@@ -2,7 +2,7 @@
 
 import socket as sockets
 import time
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 import curio
 import curio.socket
@@ -21,18 +21,26 @@
         """What a caller reads that can't be served now."""
 
 
+class SocketBuffers(NamedTuple):
+    """Bytes that are requested of the kernel for each connection, as it rounds them up."""
+
+    receive: int  # for what the caller sent and nobody has read yet
+    send: int  # for answers that the caller has not taken yet
+
+
 class Listener:
     """One port. Invariant: each open connection is in the table of callers."""
 
-    def __init__(self, callers: CallerTable, port: Port, receive_buffer: int | None) -> None:
+    def __init__(self, callers: CallerTable, port: Port, buffers: SocketBuffers | None) -> None:
         self.callers, self.port = callers, port
-        self.receive_buffer = receive_buffer  # of each connection, bytes; None for the system's default
+        self.buffers = buffers  # None for the system's defaults
 
     async def run(self, host: str, number: int) -> None:
         """Accepts connections until it is cancelled. OSError: the port can't be opened."""
         listening = curio.tcp_server_socket(host, number, backlog=constants.LISTEN_BACKLOG)
-        if self.receive_buffer is not None:  # connections inherit it
-            listening.setsockopt(sockets.SOL_SOCKET, sockets.SO_RCVBUF, self.receive_buffer)
+        if self.buffers is not None:  # connections inherit them
+            listening.setsockopt(sockets.SOL_SOCKET, sockets.SO_RCVBUF, self.buffers.receive)
+            listening.setsockopt(sockets.SOL_SOCKET, sockets.SO_SNDBUF, self.buffers.send)
         async with listening:
             while True:
                 try:
