Callers: one that is answered gives up its place to a newcomer that was refused

What callers saw: while 300 callers sent 200 requests each behind each other to the front port and read nothing, no ordinary job was taken for 40 s. Cause: a connection with requests behind each other goes from its answer straight to the next request, so it is never idle and never closed for another one; 300 of them held all 300 places until 60,000 requests were served. Change: a refused newcomer wants a place; the next answers are sent with Connection: close, one for each, until a newcomer finds a free place. New scenarios for the table.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -19,6 +19,16 @@
       | a caller | waiting for their answers           | the newcomer is refused and nobody is closed |
       | a caller | taking their answers                | the newcomer is refused and nobody is closed |
 
+  Scenario: a newcomer that was refused finds the place of the next one that is answered
+    Given a table of 4 connections, all of them waiting for their answers
+    When one more connection comes and is refused, and two of those that wait are answered
+    Then just the first of the two is closed behind its answer, and another newcomer finds its place
+
+  Scenario: no place is given up once a newcomer has found one free
+    Given a table of 4 connections, all of them waiting for their answers
+    When one more connection comes and is refused, one that waits ends and another newcomer takes its place
+    Then no connection is closed behind its answer
+
   Scenario: an idle caller that was served outlasts those that only hold a place
     Given a table of 4 connections, the oldest idle after an answer and the others silent
     When three more connections come
--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -42,6 +42,10 @@
       | control | control   | connections that say nothing        |
       | control | frames    | connections that say nothing        |
       | control | control   | requests whose answers nobody reads |
+      | control | product   | requests whose answers nobody reads |
+      | front   | front     | requests whose answers nobody reads |
+      | front   | readiness | requests whose answers nobody reads |
+      | front   | product   | requests whose answers nobody reads |
 
     Examples: strangers on the port between daemons
       | role    | port   | what                                          |
--- a/features/crowds/behaviours.py
+++ b/features/crowds/behaviours.py
@@ -10,6 +10,12 @@
     "product": "/v1/tickets",
     "frames": "",
 }
+READ_PATHS = {
+    "front": messages.JOB_PATH,
+    "readiness": "/api/readiness",
+    "control": "/api/Configuration.Read",
+    "product": "/v1/metrics",
+}
 
 
 def behaviour(name: str, port: str) -> Behaviour:
@@ -42,7 +48,7 @@
         ),
         "connections that say nothing": lambda: Behaviour(700, messages.silence()),
         "requests whose answers nobody reads": lambda: Behaviour(
-            300, messages.reads_without_end("/api/Configuration.Read"), reads=False
+            300, messages.reads_without_end(READ_PATHS[port]), reads=False
         ),
         "frames that stop short of their announced end": lambda: Behaviour(20, messages.frame_cut_short()),
         "frames like ours that stop short": lambda: Behaviour(20, messages.plausible_frame_cut_short()),
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -120,6 +120,8 @@
         yield f"held {table.held} is not the sum"
     if table.held > table.limits.held:
         yield f"held {table.held} of {table.limits.held}"
+    if table.wanted > table.limits.connections:
+        yield f"{table.wanted} places wanted of {table.limits.connections}"
     if len(listed) > table.limits.connections:
         yield f"{len(listed)} connections of {table.limits.connections}"
     for state in (State.NEW, State.RECEIVING, State.ANSWERING, State.IDLE):
@@ -173,6 +175,33 @@
     assert context.caller_table.refusals == 1
 
 
+@when("one more connection comes and is refused, and two of those that wait are answered")
+def step_two_answered(context):
+    table = context.caller_table
+    assert connect(table, 5.0) is None
+    context.closing = [table.take_place() for _ in range(2)]
+
+
+@then("just the first of the two is closed behind its answer, and another newcomer finds its place")
+def step_first_closed(context):
+    assert context.closing == [True, False], context.closing
+    context.caller_table.remove(context.connections[0].caller)
+    assert connect(context.caller_table, 6.0) is not None
+
+
+@when("one more connection comes and is refused, one that waits ends and another newcomer takes its place")
+def step_one_ends(context):
+    table = context.caller_table
+    assert connect(table, 5.0) is None
+    table.remove(context.connections[0].caller)
+    assert connect(table, 6.0) is not None
+
+
+@then("no connection is closed behind its answer")
+def step_none_gives_up(context):
+    assert not context.caller_table.take_place()
+
+
 @given("a table of 4 connections, the oldest idle after an answer and the others silent")
 def step_served_and_silent(context):
     context.caller_table = table_of(4)
--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -150,8 +150,8 @@
 RECEIVE_BUFFER = 16_384  # bytes; requested of the kernel for what a caller sent and nobody has read yet
 # times RECEIVE_BUFFER; the most unread bytes that the kernel takes, as it rounds up
 RECEIVE_BUFFER_TIMES = 1.5
-# bytes; requested of the kernel for answers that a caller has not taken yet; less than a segment of the loopback
-# device (64 KiB) would make large answers wait for delayed acknowledgements
+# bytes; requested of the kernel for answers that a caller has not taken yet; with less than a segment of the
+# loopback device (64 KiB) large answers would wait for delayed acknowledgements
 SEND_BUFFER = 65_536
 # bytes; what needs no more may use all of the callers' memory, anything larger only LARGE_PART of it
 SMALL_REQUEST_BYTES = 65_536
--- a/src/pinepitch/transport/callers.py
+++ b/src/pinepitch/transport/callers.py
@@ -97,7 +97,7 @@
 class CallerTable:
     """All connections of callers. Invariants: a connection is in exactly one of the mappings, that of its
     state, in the order of `active_at`; `held` is the sum of what they hold, and never over `limits.held`;
-    there are never more of them than `limits.connections`.
+    there are never more of them than `limits.connections`, nor are more places `wanted`.
     """
 
     def __init__(self, limits: CallerLimits = USUAL_CALLERS) -> None:
@@ -106,6 +106,7 @@
         self.callers: dict[State, collections.OrderedDict[Caller, None]] = {
             state: collections.OrderedDict() for state in State
         }
+        self.wanted = 0  # places that served connections are to give up, for newcomers that were refused
         self.evictions = 0  # connections that were closed to make room for others
         self.refusals = 0  # requests and connections that were refused for want of room
 
@@ -115,12 +116,15 @@
 
     def admit(self, connection: Connection, now: float) -> Caller | None:
         """A new connection, for which another one is closed if there are too many. None: all of them wait
-        for answers, and the new one must be refused.
+        for answers, and the new one must be refused; one of those gives up its place once it is answered.
         """
+        if self.connections() < self.limits.connections:
+            self.wanted = 0
         while self.connections() >= self.limits.connections:
             dispensable = self._least_active()
             if dispensable is None:
                 self.refusals += 1
+                self.wanted = min(self.wanted + 1, self.limits.connections)
                 return None
             self.evictions += 1
             dispensable.evict()
@@ -139,6 +143,16 @@
             return min(unserved, key=lambda caller: caller.active_at)
         return next(iter(self.callers[State.IDLE]), None)
 
+    def take_place(self) -> bool:
+        """Whether the connection that is being answered now is to be closed behind its answer, as a newcomer
+        was refused for want of a place.
+        """
+        if not self.wanted:
+            return False
+        self.wanted -= 1
+        self.evictions += 1
+        return True
+
     def abort_stalled(self, now: float) -> None:
         """Ends the connections that have taken nothing of their answers for ANSWER_STALLED seconds."""
         answering = self.callers[State.ANSWERING]
--- a/src/pinepitch/transport/http.py
+++ b/src/pinepitch/transport/http.py
@@ -232,7 +232,10 @@
         if not self.caller.answers(len(body), time.monotonic()) and len(body) > constants.REQUEST_BYTES:
             response = self._no_room()
             body, content_type = _encoded_document(response.document)
-        data = self._encoded(response.status, response.headers, content_type, body)
+        headers = response.headers
+        if self.caller.table.take_place():
+            headers = (*headers, ("Connection", "close"))
+        data = self._encoded(response.status, headers, content_type, body)
         del response, body  # neither is held while the caller takes the answer
         return data is not None and await self._sent(data)
 
