HTTP: the refusal of a newcomer is encoded as every other answer

HttpPort.refusal() wrote by hand what http.Server encodes. One function encodes both; the bytes differ only in the order of the headers and the reason phrase, which is empty as in all other answers. Linter, types, callers, connections, input and the crowds of silent connections pass.

--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -1,6 +1,5 @@
 """The ports that receive HTTP requests: that of the product's own API, and those behind an adapter."""
 
-import json
 from typing import Any, Protocol
 
 import curio
@@ -192,13 +191,4 @@
 
     def refusal(self) -> bytes:
         """What a caller reads whose connection can't be served now."""
-        response = http.busy()
-        body = json.dumps(response.document, sort_keys=True)
-        lines = (
-            f"HTTP/1.1 {response.status} Service Unavailable",
-            *(f"{name}: {value}" for name, value in response.headers),
-            "Content-Type: application/json",
-            f"Content-Length: {len(body)}",
-            "Connection: close",
-        )
-        return "".join(f"{line}\r\n" for line in (*lines, "")).encode() + body.encode()
+        return http.closing_bytes(http.busy())
--- a/src/pinepitch/transport/http.py
+++ b/src/pinepitch/transport/http.py
@@ -235,7 +235,7 @@
         headers = response.headers
         if self.caller.table.take_place():
             headers = (*headers, ("Connection", "close"))
-        data = self._encoded(response.status, headers, content_type, body)
+        data = _encoded(self.connection, response.status, headers, content_type, body)
         del response, body  # neither is held while the caller takes the answer
         return data is not None and await self._sent(data)
 
@@ -245,19 +245,6 @@
             return busy()
         return error_response(504, "busy", "there is no room for the answer; the call may have been taken")
 
-    def _encoded(
-        self, status: int, headers: tuple[tuple[str, str], ...], content_type: str, body: bytes
-    ) -> bytes | None:
-        """The bytes of a response, or None if the connection can't carry it."""
-        fields = [("Content-Type", content_type), ("Content-Length", str(len(body))), *headers]
-        try:
-            data: bytes = self.connection.send(h11.Response(status_code=status, headers=fields)) or b""
-            data += self.connection.send(h11.Data(data=body)) or b""
-            data += self.connection.send(h11.EndOfMessage()) or b""
-            return data
-        except h11.LocalProtocolError:
-            return None
-
     async def _sent(self, data: bytes) -> bool:
         """Sends an encoded answer; returns whether another request may follow."""
         try:
@@ -280,7 +267,7 @@
             return
         response = busy() if fault.status == 503 else error_response(fault.status, fault.code, NOT_READ)
         body, content_type = _encoded_document(response.document)
-        data = self._encoded(response.status, response.headers, content_type, body)
+        data = _encoded(self.connection, response.status, response.headers, content_type, body)
         try:
             if data is not None:
                 await curio.timeout_after(constants.LINGER, self.socket.sendall(data))
@@ -292,6 +279,33 @@
             pass  # the caller has closed the connection, or takes nothing
 
 
+def _encoded(
+    connection: h11.Connection,
+    status: int,
+    headers: tuple[tuple[str, str], ...],
+    content_type: str,
+    body: bytes,
+) -> bytes | None:
+    """The bytes of a response, or None if the connection can't carry it."""
+    fields = [("Content-Type", content_type), ("Content-Length", str(len(body))), *headers]
+    try:
+        data: bytes = connection.send(h11.Response(status_code=status, headers=fields)) or b""
+        data += connection.send(h11.Data(data=body)) or b""
+        data += connection.send(h11.EndOfMessage()) or b""
+        return data
+    except h11.LocalProtocolError:
+        return None
+
+
+def closing_bytes(response: Response) -> bytes:
+    """The bytes of a response to a caller whose request isn't read, and whose connection is closed."""
+    body, content_type = _encoded_document(response.document)
+    headers = (*response.headers, ("Connection", "close"))
+    data = _encoded(h11.Connection(h11.SERVER), response.status, headers, content_type, body)
+    assert data is not None, "a connection that was not used carries any response"
+    return data
+
+
 def _encoded_document(document: Any) -> tuple[bytes, str]:
     """The body and the content type of a response's document."""
     if isinstance(document, str):
