--- a/features/same_histories.py
+++ b/features/same_histories.py
@@ -25,7 +25,7 @@
 
 from pinepitch.common import constants, packed_operations
 from pinepitch.consensus import messages
-from pinepitch.simulation import daemon_calls, leased_job_trial, pushed_job_trial
+from pinepitch.simulation import client_calls, daemon_calls, leased_job_trial, pushed_job_trial
 from pinepitch.simulation import simulator as simulators
 from pinepitch.simulation.agreement import plain_image
 from pinepitch.simulation.jobs import fleet as job_fleets
@@ -148,6 +148,7 @@
         mock.patch.object(simulators.Disk, "keep", tapped_keep),
         mock.patch.object(framing, "encode", tapped_encode),
         mock.patch.object(simulators, "json", documents),
+        mock.patch.object(client_calls, "json", documents),
         mock.patch.object(job_fleets, "json", documents),
         mock.patch.object(daemon_calls, "json", documents),
         contextlib.suppress(Ended),
--- a/src/pinepitch/simulation/machines.py
+++ b/src/pinepitch/simulation/machines.py
@@ -7,6 +7,8 @@
 
 from ..runtime import stall_detector
 
+START = 1_000_000.0  # virtual seconds; any wall clock will do
+
 
 class Disk:
     """A control daemon's data folder. Invariants: base and steps are what survives; jobs are not
--- a/src/pinepitch/simulation/simulator.py
+++ b/src/pinepitch/simulation/simulator.py
@@ -12,7 +12,7 @@
 
 import cbor2
 
-from ..common import constants, packed_operations
+from ..common import constants
 from ..common.effects import (
     EncodeSnapshot,
     Event,
@@ -32,19 +32,18 @@
 from ..runtime import stall_detector
 from ..runtime.links import call_attempt
 from ..transport import framing
-from . import stand_in_client as callers
 from .agreement import agreement_faults
-from .machines import Disk, Node
+from .client_calls import ClientCalls
+from .machines import START, Disk, Node
+from .simulated_disk import SimulatedDisks
 from .stand_in_worker import StandInWorker
 
 OF_THE_MACHINE = ("encoded", "rehearsed")  # what a daemon is given by its own machine, by no connection
 LAGGED = ("give", "tick", "synced", "based")  # events of one machine, which a slow one handles late
-START = 1_000_000.0  # virtual seconds; any wall clock will do
 OFFSET = 1000.0  # seconds; from the simulator's time to the one that deciders are given
 GRACE = 6.0  # seconds; from SIGTERM to SIGKILL
 LOSS = 0.002  # of messages while there are no faults; links are TCP but break
 REFUSED_AFTER = 0.002  # seconds; a machine whose process is down refuses a connection so soon
-ANSWER_TIMEOUT = 5.0  # seconds a stand-in caller waits
 
 
 QUEUE_CONFIGURATION = {
@@ -63,7 +62,7 @@
 }
 
 
-class Simulator:
+class Simulator(ClientCalls, SimulatedDisks):
     """Invariants: events are handled in order of (time, number); now never falls; every
     draw is from self.draw.
     """
@@ -386,14 +385,6 @@
         if self.double and self.draw.random() < self.double:
             self.at(self.latency() * 5, "give", target.name, target.incarnation, tuple(plain))
 
-    def _save(self, node, sequence, change):
-        node.disk.jobs.append(("save", sequence, ["raft", change]))
-        self._disk_next(node)
-
-    def _base(self, node, sequence, payload):
-        node.disk.jobs.append(("base", sequence, payload))
-        self._disk_next(node)
-
     def _segment(self, node, number, data):
         """Segments become durable before any base that names them, whatever else does."""
         node.disk.syncs += 1
@@ -418,71 +409,6 @@
             ("rehearsed", epoch, draft, asked, node.core.measure(*rest)),
         )
 
-    def _note(self, node, payload):
-        node.disk.keep(("step", cbor2.dumps([["note", payload]])))
-
-    def _disk_next(self, node):
-        disk = node.disk
-        if disk.in_progress is not None or not disk.jobs:
-            return
-        kind, tag, payload = disk.jobs[0]
-        if kind == "base":
-            if disk.beside is not None:
-                return
-            disk.jobs.popleft()
-            disk.beside, disk.covers = (("base", packed_operations.dumps(payload)), tag), len(disk.steps)
-            if tag is not None:
-                disk.in_progress = disk.beside  # nothing may follow before it is durable
-            self.at((0.005 + self.draw.random() * 0.3) * disk.slow, "based", node.name, node.incarnation)
-            self._disk_next(node)
-            return
-        batch = []
-        while disk.jobs and disk.jobs[0][0] == "save":
-            _, tag, payload = disk.jobs.popleft()
-            batch.append(payload)
-        disk.in_progress = (("step", packed_operations.dumps(batch)), tag)
-        self.at((0.001 + self.draw.random() * 0.004) * disk.slow, "synced", node.name, node.incarnation)
-
-    def _durable(self, node, what, job, incarnation):
-        """Whether a job became durable; else it is tried again, as the daemons do."""
-        disk = node.disk
-        if disk.stalled or node.frozen:
-            self.at(0.05, what, node.name, incarnation)
-            return False
-        if disk.full:
-            if not disk.failed:
-                disk.failed = True
-                self.give(node, ("disk", "no space"))
-            self.at(constants.DISK_AGAIN, what, node.name, incarnation)
-            return False
-        disk.keep(job)
-        if disk.failed:
-            disk.failed = False
-            self.give(node, ("disk", None))
-        return True
-
-    def _synced(self, name, incarnation):
-        node = self.nodes[name]
-        if node.incarnation != incarnation or node.disk.in_progress is None:
-            return
-        job, tag = node.disk.in_progress
-        if self._durable(node, "synced", job, incarnation):
-            node.disk.in_progress = None
-            self.give(node, ("saved", tag))
-            self._disk_next(node)
-
-    def _based(self, name, incarnation):
-        node = self.nodes[name]
-        if node.incarnation != incarnation or node.disk.beside is None:
-            return
-        job, tag = node.disk.beside
-        if self._durable(node, "based", job, incarnation):
-            node.disk.beside, node.disk.covers = None, 0
-            if tag is not None:
-                node.disk.in_progress = None
-                self.give(node, ("saved", tag))
-            self._disk_next(node)
-
     def _event(self, node, number, fields):
         self.trace.append((round(self.now, 3), node.name, number, fields))
         if number == 122:
@@ -535,87 +461,6 @@
             _, front, incarnation, key, _ = waiting
             self._give(front, incarnation, ("posted", key, outcome))
 
-    def call(
-        self, source, incarnation, draw, method, target, document, tag, timeout=ANSWER_TIMEOUT, headers=None
-    ):
-        """An HTTP call at some front daemon; its answer goes back by tag."""
-        fronts = [node for node in self.nodes.values() if node.kind == "verge"]
-        node = fronts[draw % len(fronts)]
-        self.request_count += 1
-        number = self.request_count
-        self.requests[number] = ("call", source, incarnation, tag, node.name)
-        if node.core is None or self.lost(source, node.name):
-            self.at(0.05, "answer", number, 0, "null")
-            return
-        body = b"" if document is None else json.dumps(document).encode()
-        self.at(
-            self.latency(),
-            "give",
-            node.name,
-            node.incarnation,
-            ("http", number, method, target, headers or {}, body),
-        )
-        self.at(timeout, "answer", number, 0, "null")
-
-    def _answer(self, request, status, text):
-        waiting = self.requests.pop(request, None)
-        if waiting is None:
-            return
-        _, source, incarnation, tag, front = waiting
-        if status and (front, source) in self.partitions:
-            status, text = 0, "null"
-        document = json.loads(text)
-        kind = tag[0]
-        if kind == "report":
-            node = self.nodes[source]
-            if node.incarnation == incarnation:
-                self.give(node, ("reported", status, document))
-        elif kind == "caller":
-            _, name, call = tag
-            self._send_client_calls(
-                name, self.callers[name].step(("answered", call, status, document), START + self.now)
-            )
-        elif kind == "told":
-            tag[1](status, document)
-        else:
-            tag[1].append((START + self.now, status, document))
-
-    def _expire(self, request):
-        if request in self.requests:
-            self._posted(request, "unknown")
-
-    def caller(self, name, traffic, rate=1.0, fail=0.03, cancels=0.0):
-        """Adds a stand-in caller that begins now."""
-        self.callers[name] = callers.StandInClient(name, traffic, self.seed, rate, fail, cancels=cancels)
-        self.at(0.0, "caller", name)
-
-    def _caller(self, name):
-        one = self.callers[name]
-        self._send_client_calls(name, one.step(("tick",), START + self.now))
-        self.at(0.05, "caller", name)
-
-    def _send_client_calls(self, name, effects):
-        for _, call, draw, method, target, document in effects:
-            self.call(name, 0, draw, method, target, document, ("caller", name, call))
-
-    def ask(self, method, target, document=None, headers=None, front=0, seconds=8.0):
-        """An operator's call, run to its answer: (status, document)."""
-        got = []
-        self.call("operator", 0, front, method, target, document, ("plain", got), headers=headers)
-        self.until(lambda: got, seconds, 0.02)
-        return got[0][1:] if got else (0, None)
-
-    def persist(self, method, target, document=None, headers=None, seconds=30.0):
-        """An operator who tries again, at other front daemons, until answered other than 0 or 503."""
-        begun, front = self.now, 0
-        while self.now - begun < seconds:
-            status, answer = self.ask(method, target, document, headers, front)
-            if status not in (0, 429, 503):
-                return status, answer
-            front += 1
-            self.run(0.2)
-        return 0, None
-
     # --- what is true now -------------------------------------------------------------
     def leader(self):
         """The control daemon that leads the newest term, or None."""
