--- a/features/crowds/deployment.py
+++ b/features/crowds/deployment.py
@@ -49,8 +49,9 @@
             time.sleep(0.1)
 
     def stop(self):
-        """Ends all processes and removes their folder."""
-        self.processes.stop()
+        """Ends all processes at once and removes their folder."""
+        for name in list(self.processes.running):
+            self.processes.kill(name)
         shutil.rmtree(self.folder)
 
     def leader(self):
