Crowds: the harness waits until the front daemon has the configuration

Cause: a front daemon passes a job on to the leader before it knows the configuration itself, so the accepted job with which the harness ended its wait proved nothing about the limits of requests at the front daemon. A client that came in that gap was served by the default limits: 2 MB allowed, 408 after 20 s. Change: the harness also waits for the readiness port. Crowds, bounds and the check are unchanged.

--- a/features/crowds/deployment.py
+++ b/features/crowds/deployment.py
@@ -41,10 +41,14 @@
         self.jobs = 0
 
     def start(self):
-        """Starts all processes and waits until they serve a configuration."""
+        """Starts all processes and waits until they serve a configuration, whose limits of requests are in
+        force at the front daemon.
+        """
         self.processes.start_all()
         until = time.monotonic() + READY_WITHIN
-        while not self._configured() or not self._submitted(self.processes.fronts[0]):
+        while (
+            not self._configured() or not self._submitted(self.processes.fronts[0]) or not self._front_ready()
+        ):
             assert time.monotonic() < until, f"the deployment isn't ready within {READY_WITHIN:.0f} s"
             time.sleep(0.1)
 
@@ -81,6 +85,11 @@
             for address in self.processes.controls
         )
 
+    def _front_ready(self):
+        """Whether the front daemon knows the configuration. Before that it passes jobs on to the leader."""
+        address = self.processes.address("front0", "readiness")
+        return wire.exchange(wire.Request(address, "GET", "/api/readiness", None, "", CALL_TIMEOUT))[0] == 200
+
     def _submitted(self, address):
         self.jobs += 1
         document = {"taskSpec": "ordinary", "steps": [{"taskCount": 1, "cpuUnits": 100}]}
