Inbox: callers' requests and the cluster's messages are taken in turn; costly reads have turns

What callers saw: 300 callers that send valid reads without a pause to one HTTP port of the leading control daemon (/v1/metrics, /api/Configuration.Read) deposed it; at the product's port no ordinary request was answered within 40 s (1 of 1 play on, 128 MB, 600 descriptors). Evidence on: a trial of 20 s beside each crowd: term 1 to 2 both times, event 123 "leadership given up" (leader heard; commit quorum not heard). One such read takes 6 ms. Cause: frames of other daemons, ticks and ends of writes stood in one queue behind every request, and the loop decided all of it before any task could read the next frame. 300 requests of 6 ms are three times the election timeout. Change: the inbox has two queues that are taken in turn; the loop lets other tasks have their turn after 5 ms; a read that took over 2 ms of processor time twice in a row waits for a turn, and is refused with 503 and Retry-After if that does not begin within 1 s. The end of all requests keeps its place among them: connections.feature found that a call could overtake it. Tests: features/inbox.feature; 7 of its first 9 scenarios fail with one queue, no turns of the loop and none of reads. Six new rows of crowds.feature, of which control product failed before.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -47,6 +47,16 @@
       | front   | readiness | requests whose answers nobody reads |
       | front   | product   | requests whose answers nobody reads |
 
+    # Guards against: callers that ask without a pause keep all others, and the leader's heartbeats, waiting.
+    Examples: requests inside the limits, as many as are taken
+      | role    | port      | what                           |
+      | front   | front     | valid requests without a pause |
+      | front   | front     | valid jobs without a pause     |
+      | front   | readiness | valid requests without a pause |
+      | front   | product   | valid requests without a pause |
+      | control | control   | valid requests without a pause |
+      | control | product   | valid requests without a pause |
+
     Examples: strangers on the port between daemons
       | role    | port   | what                                          |
       | front   | frames | frames that stop short of their announced end |
--- a/features/crowds/behaviours.py
+++ b/features/crowds/behaviours.py
@@ -50,6 +50,13 @@
         "requests whose answers nobody reads": lambda: Behaviour(
             300, messages.reads_without_end(READ_PATHS[port]), reads=False
         ),
+        "valid requests without a pause": lambda: Behaviour(
+            300, messages.valid_requests_without_pause("GET", READ_PATHS[port])
+        ),
+        "valid jobs without a pause": lambda: Behaviour(
+            300,
+            messages.valid_requests_without_pause("POST", path, messages.text_body(messages.SMALL_TEXT)),
+        ),
         "frames that stop short of their announced end": lambda: Behaviour(20, messages.frame_cut_short()),
         "frames like ours that stop short": lambda: Behaviour(20, messages.plausible_frame_cut_short()),
         "whole frames of many small values": lambda: Behaviour(20, messages.dense_frame()),
--- a/features/crowds/messages.py
+++ b/features/crowds/messages.py
@@ -18,6 +18,7 @@
 LARGE_FRAME = 16_000_000  # bytes
 LARGE_FRAME_PART = 15_700_000
 DENSE_FRAME_VALUES = 4_000_000  # empty arrays of one byte each
+SMALL_TEXT = 200  # bytes; of the text in a small body
 PIECE = 65_536  # bytes; of the filler that long streams repeat
 
 
@@ -122,6 +123,12 @@
     return Stream(b"")
 
 
+def valid_requests_without_pause(method: str, path: str, body: bytes = b"") -> Stream:
+    """Whole valid requests, one right behind the other, sent as fast as they are taken."""
+    request = request_head(method, path, len(body)) + body
+    return Stream(request, request * (PIECE // len(request)), ENDLESS_BODY)
+
+
 def reads_without_end(path: str) -> Stream:
     """Many requests in a row, whose answers nobody reads."""
     request = request_head("GET", path, 0)
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -7,15 +7,13 @@
 
 import curio
 from behave import given, then, when
+from daemon_port import PATIENCE, Port, read_numbers, request_of
 
 from pinepitch.common import constants
 from pinepitch.common.effects import Reply
-from pinepitch.runtime.host import Host
 from pinepitch.runtime.http_port import AdapterHandler, HttpPort
 from pinepitch.transport import http
-from pinepitch.transport.callers import lone_caller
 
-PATIENCE = 5.0  # seconds; a step that takes longer has failed
 GIVEN_UP_AFTER = 0.2  # seconds; a call whose answer has not come by then, once the server has read it
 ACCEPTED_WITHIN = 1.0  # seconds; a client that opens a new connection has done so by then
 
@@ -88,22 +86,6 @@
 
 
 # --- the server's side ----------------------------------------------------------------
-class Decider:
-    """Keeps the requests that come, and replies with what the steps put into its messages."""
-
-    def __init__(self):
-        self.requests = []
-        self.hung_up = []  # numbers of requests whose callers have gone
-
-    def step(self, message, now, clock):
-        if message[0] == "hung-up":
-            self.hung_up.append(message[1])
-        if message[0] in ("http", "call"):
-            self.requests.append(message[1:])
-            return []
-        return message[1] if message[0] == "replies" else []
-
-
 class Translator:
     """An adapter that takes the path of a request for the name of the call."""
 
@@ -114,73 +96,6 @@
         return response
 
 
-class Port:
-    """A host's HTTP port on a free port of this machine, its decider in the steps' hands."""
-
-    def __init__(self):
-        self.decider = Decider()
-        self.host = Host(self.decider, "127.0.0.1:1", None)
-        self.http_port = self.host.http_port
-        self.connections = 0  # that are being served
-        self.listener = sockets.create_server(("127.0.0.1", 0))
-        self.address = self.listener.getsockname()
-
-    def run(self, act):
-        """Runs act(self) while the port serves."""
-
-        async def both():
-            async with curio.TaskGroup(wait=None) as tasks:
-                await tasks.spawn(self._accept, tasks)
-                await tasks.spawn(self._decide)
-                try:
-                    await curio.timeout_after(PATIENCE, act, self)
-                finally:
-                    await tasks.cancel_remaining()
-
-        curio.run(both)
-
-    async def _accept(self, tasks):
-        server = curio.io.Socket(self.listener)
-        while True:
-            client, _ = await server.accept()
-            await tasks.spawn(self._serve, client)
-
-    async def _serve(self, client):
-        self.connections += 1
-        async with client:
-            await self.http_port.serve(client, lone_caller())
-        self.connections -= 1
-
-    async def _decide(self):
-        while True:
-            await self.host._step(await self.host.inbox.get())
-
-    async def requested(self, count):
-        """Waits until so many requests have come."""
-        while len(self.decider.requests) < count:
-            await curio.sleep(0)
-
-    async def reply(self, *numbers):
-        """The decider replies to requests, each with its own number."""
-        await self.host.inbox.put(("replies", [Reply(number, 200, {"number": number}) for number in numbers]))
-
-    async def connect(self):
-        return await curio.open_connection(*self.address)
-
-
-async def read_numbers(socket, count):
-    """The numbers in the given count of answers on a connection, in order."""
-    data, numbers = b"", []
-    while len(numbers) < count:
-        data += await socket.recv(65536)
-        numbers = [json.loads(part.split(b"}")[0] + b"}")["number"] for part in data.split(b"\r\n\r\n")[1:]]
-    return numbers
-
-
-def request_of(target):
-    return f"POST {target} HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{{}}".encode()
-
-
 @given("a daemon's port whose decider answers when it is told to")
 def step_port(context):
     context.port = Port()
@@ -392,7 +307,7 @@
         answers = curio.Queue()
         await port.host.inbox.put(("give-up",))
         await port.host.exchange._begin(answers, "call", "job", (), PATIENCE)
-        context.reply, _ = await answers.get()
+        context.reply = (await answers.get()).reply
         await curio.sleep(GIVEN_UP_AFTER)
 
     context.port.run(act)
--- /dev/null
+++ b/features/steps/inbox.py
@@ -0,0 +1,232 @@
+"""Steps for Inbox: the order in which a daemon takes its messages, and turns for reads that take long."""
+
+import time
+
+import curio
+from behave import given, then, when
+from daemon_port import Port, read_numbers
+
+from pinepitch.common.effects import Reply
+from pinepitch.runtime.host import Host
+from pinepitch.runtime.inbox import Inbox
+from pinepitch.runtime.read_costs import ReadCosts
+
+PATIENCE = 20.0  # seconds; a step that takes longer has failed
+STEP_SECONDS = 0.01  # that a decider spends on a request that takes long
+MESSAGES = {
+    "a frame of another daemon": ("append", 1),
+    "a tick": ("tick",),
+    "the end of a write": ("saved", 1),
+}
+REQUEST_COUNT = 50  # of requests that wait
+READERS = 40  # callers that read again and again
+
+
+def spend(seconds):
+    """Holds the loop for so many seconds of processor time."""
+    until = time.thread_time() + seconds
+    while time.thread_time() < until:
+        pass
+
+
+async def _filled(messages):
+    inbox = Inbox()
+    for message in messages:
+        await inbox.put(message)
+    return inbox
+
+
+async def _taken(inbox, count):
+    return [await inbox.get() for _ in range(count)]
+
+
+@given("an inbox with {count:d} requests of callers that wait")
+def step_requests(context, count):
+    context.messages = [("call", number, "job", (), 3.0) for number in range(count)]
+
+
+@given("an inbox with {count:d} frames of other daemons that wait")
+def step_frames(context, count):
+    context.messages = [("append", number) for number in range(count)]
+
+
+@when("{message} comes, and two messages are taken")
+def step_two(context, message):
+    context.awaited = MESSAGES.get(message, ("call", 0, "job", (), 3.0))
+
+    async def act():
+        inbox = await _filled([*context.messages, context.awaited])
+        context.taken = await _taken(inbox, 2)
+
+    curio.run(act)
+
+
+@then("{message} is one of the two")
+def step_one_of_two(context, message):
+    assert context.awaited in context.taken, context.taken
+
+
+@when("{count:d} frames of other daemons come, and all messages are taken")
+def step_all(context, count):
+    context.frames = [("append", number) for number in range(count)]
+
+    async def act():
+        inbox = await _filled([*context.messages, *context.frames])
+        context.taken = await _taken(inbox, len(context.messages) + count)
+        context.empty = inbox.empty()
+
+    curio.run(act)
+
+
+@then("the requests and the frames are each taken in the order in which they came")
+def step_order(context):
+    assert context.empty
+    assert [one for one in context.taken if one[0] == "call"] == context.messages
+    assert [one for one in context.taken if one[0] == "append"] == context.frames
+
+
+@when("{end} comes, then another request, and all messages are taken")
+def step_end(context, end):
+    context.end = (end.removeprefix("the "),)
+    messages = [*context.messages, context.end, ("call", len(context.messages), "job", (), 3.0)]
+
+    async def act():
+        inbox = await _filled([*messages, ("append", 1)])
+        context.taken = await _taken(inbox, len(messages) + 1)
+
+    curio.run(act)
+
+
+@then("{end} is taken behind the first 300 requests and before the last one")
+def step_place(context, end):
+    taken = [message for message in context.taken if message[0] != "append"]
+    assert taken.index(context.end) == len(context.messages) == len(taken) - 2, taken.index(context.end)
+
+
+class SlowDecider:
+    """Decides requests slowly. Invariant: `decided` lists the messages in the order in which they came."""
+
+    def __init__(self):
+        self.decided = []
+
+    def step(self, message, now, clock):
+        self.decided.append(message)
+        if message[0] == "call":
+            spend(STEP_SECONDS)
+        return []
+
+
+@given("a daemon's loop whose requests each take 10 ms to decide")
+def step_slow(context):
+    context.decider = SlowDecider()
+    context.host = Host(context.decider, "127.0.0.1:1", None)
+
+
+@when("{count:d} requests wait, and another task puts a frame into the inbox as soon as it has its turn")
+def step_other_task(context, count):
+    host = context.host
+
+    async def put_frame():
+        await host.inbox.put(("append", 1))
+        await host.inbox.put(("halt",))
+
+    async def act():
+        for number in range(count):
+            await host.inbox.put(("call", number, "job", (), 3.0))
+        other = await curio.spawn(put_frame)
+        await curio.timeout_after(PATIENCE, host.decide_all)
+        await other.join()
+
+    curio.run(act)
+
+
+@then("the frame is decided before the fifth request")
+def step_before_fifth(context):
+    decided = [message[0] for message in context.decider.decided]
+    assert "append" in decided, decided
+    assert decided.index("append") < 5, decided
+
+
+class SlowReads:
+    """Answers each request; those of /slow after a while. Invariant: `decided` lists their paths."""
+
+    def __init__(self):
+        self.decided = []
+
+    def step(self, message, now, clock):
+        if message[0] != "http":
+            return []
+        self.decided.append(message[3])
+        if message[3] == "/slow":
+            spend(STEP_SECONDS)
+        return [Reply(message[1], 200, {"number": message[1]})]
+
+
+@given("a daemon's port whose reads of one path each take 10 ms to decide")
+def step_slow_reads(context):
+    context.port = Port(SlowReads(), PATIENCE)
+    context.add_cleanup(context.port.listener.close)
+
+
+def _read_of(path):
+    return f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+
+
+@when("{count:d} callers read that path again and again, and another one reads another path")
+def step_readers(context, count):
+    async def reader(port):
+        socket = await port.connect()
+        while True:
+            await socket.sendall(_read_of("/slow"))
+            await socket.recv(65536)
+
+    async def act(port):
+        async with curio.TaskGroup(wait=None) as readers:
+            for _ in range(count):
+                await readers.spawn(reader, port)
+            while len(port.decider.decided) < 3 * count:  # their cost is known by now
+                await curio.sleep(0.01)
+            before = len(port.decider.decided)
+            other = await port.connect()
+            await other.sendall(_read_of("/other"))
+            await read_numbers(other, 1)
+            context.decided_meanwhile = len(port.decider.decided) - before
+            await readers.cancel_remaining()
+
+    context.port.run(act)
+
+
+@then("the other one is answered before {count:d} further reads of that path were decided")
+def step_passed(context, count):
+    assert context.decided_meanwhile < count, context.decided_meanwhile
+
+
+@given("the costs of reads at a port")
+def step_costs(context):
+    context.costs = ReadCosts()
+
+
+@when("one read of a path takes long, and those before and after it don't")
+def step_by_chance(context):
+    context.expected = []
+    for seconds in (0.0001, 0.05, 0.0001):
+        context.costs.record("/path", seconds)
+        context.expected.append(context.costs.expected("/path"))
+
+
+@then("no read of that path waits for a turn")
+def step_no_turn(context):
+    assert context.expected == [0.0, 0.0, 0.0], context.expected
+
+
+@when("{count:d} paths are read that each take long twice")
+def step_many_paths(context, count):
+    for number in range(count):
+        context.costs.record(f"/{number}", 0.05)
+        context.costs.record(f"/{number}", 0.05)
+    assert context.costs.expected(f"/{count - 1}") > 0
+
+
+@then("the costs of at most {count:d} paths are kept")
+def step_few(context, count):
+    assert len(context.costs.costs) <= count, len(context.costs.costs)
--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -164,6 +164,11 @@
 # values; decoding a body of more takes so long that such bodies take turns
 MANY_VALUES = 20_000
 TURN_WITHIN = 1.0  # seconds; a request that can't have its turn by then is refused
+# seconds; of processor time, of a read; reads that take longer take turns
+COSTLY_READ = 0.002
+MAX_COSTLY_PATHS = 64  # paths; most whose reads are known to take long
+# seconds; after which a loop that decides requests lets other tasks have their turn
+LOOP_TURN = 0.005
 VALUE_SECONDS = 1e-6  # seconds; decoding and checking one value of a body
 SMALL_PART_BYTES = 1_024  # bytes; a smaller part of a body costs more to parse than to receive
 PARTS_IN_A_ROW = 64  # small parts of a body, parsed before other connections have their turn
--- a/src/pinepitch/runtime/host.py
+++ b/src/pinepitch/runtime/host.py
@@ -1,7 +1,7 @@
 """The I/O around a daemon's state machine: curio tasks that own sockets, disk, clocks and signals.
 
 All tasks put messages into one inbox. A single loop passes them to the daemon's step() and dispatches the
-effects that it returns to the tasks that perform the I/O.
+effects that it returns to the tasks that perform the I/O, which have their turn every few milliseconds.
 """
 
 import signal
@@ -33,6 +33,7 @@
 from .clocks import Pauser, steady_clock, wall_clock
 from .frame_port import FramePort
 from .http_port import Adapter, AdapterHandler, DirectHandler, Exchange, HttpPort
+from .inbox import Inbox
 from .links import Links
 from .listener import Listener, SocketBuffers
 
@@ -63,7 +64,7 @@
         self.adapters = tuple(adapters)  # (address, adapter) of the ports behind an adapter
         self.stop_within = stop_within  # seconds from SIGTERM to the exit, unless the daemon needs longer
         self.settings_watch = settings_watch  # changed() returns the new seeds, or None if unchanged
-        self.inbox = curio.Queue()
+        self.inbox = Inbox()
         self.tasks = curio.TaskGroup(wait=None)
         self.disk = disk_task.DiskTask(store, self.inbox, self._encoded)
         self.links = Links(address, self.inbox, self.tasks, getattr(daemon, "limits", USUAL))
@@ -86,15 +87,26 @@
             await self.tasks.spawn(self._clock)
             await self.tasks.spawn(self._signals)
             events.emit(self.log, 100, address=self.address, http=self.http_address)
-            while True:
-                message = await self.inbox.get()
-                if message[0] == "halt":
-                    break
-                if message[0] == "tick":
-                    self.ticking = False
-                await self._step(message)
+            await self.decide_all()
             await self.tasks.cancel_remaining()
 
+    async def decide_all(self) -> None:
+        """Passes the messages of the inbox to the daemon until "halt" comes."""
+        turn_began = time.monotonic()
+        while True:
+            if self.inbox.empty():
+                await self.inbox.wait()
+                turn_began = time.monotonic()
+            message = await self.inbox.get()
+            if message[0] == "halt":
+                return
+            if message[0] == "tick":
+                self.ticking = False
+            await self._step(message)
+            if time.monotonic() - turn_began >= constants.LOOP_TURN:
+                await curio.sleep(0)
+                turn_began = time.monotonic()
+
     async def _listen(self) -> None:
         """Opens the ports: for frames, for the product's own API, and for each adapter."""
         ports: list[tuple[str, HttpPort]] = []
@@ -127,9 +139,19 @@
 
     async def _decide(self, message: Sequence[Any], now: float) -> None:
         """Steps the daemon with one message and executes the effects."""
-        for effect in self.daemon.step(message, now, wall_clock()):
+        for effect in self._effects_of(message, now):
             await EFFECTS[type(effect)](self, effect)
 
+    def _effects_of(self, message: Sequence[Any], now: float) -> Iterable[Any]:
+        """The daemon's effects of a message. What a read of the product's own API costs is recorded."""
+        if message[0] != "http" or message[2] != "GET":
+            effects: Iterable[Any] = self.daemon.step(message, now, wall_clock())
+            return effects
+        begun = time.thread_time()
+        effects = self.daemon.step(message, now, wall_clock())
+        self.exchange.decided_read(message[1], time.thread_time() - begun)
+        return effects
+
     # --- effects ----------------------------------------------------------------------
     async def _send(self, effect: Send) -> None:
         await self.links.send(effect.address, effect.message)
--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -1,6 +1,7 @@
 """The ports that receive HTTP requests: that of the product's own API, and those behind an adapter."""
 
-from typing import Any, Protocol
+import time
+from typing import Any, NamedTuple, Protocol
 
 import curio
 import curio.socket
@@ -12,6 +13,7 @@
 from ..transport.pacing import Pacer
 from . import stall_detector
 from .clocks import steady_clock
+from .read_costs import ReadCosts
 
 # The answer to a request that was not passed to any daemon, or that changes nothing, when the process ends.
 STOPPING: tuple[int, object, tuple[tuple[str, str], ...]] = (
@@ -21,6 +23,23 @@
 )
 
 
+class Decided(NamedTuple):
+    """A daemon's reply to a request, until when it may be told (steady clock, s; None: at any time), and the
+    seconds of processor time that deciding it took, 0.0 if that was not measured.
+    """
+
+    reply: tuple[int, object, tuple[tuple[str, str], ...]]
+    until: float | None = None
+    seconds: float = 0.0
+
+
+class ReadDecision(NamedTuple):
+    """The number of a read, and the seconds of processor time that deciding it took."""
+
+    request: int
+    seconds: float
+
+
 class Exchange:
     """Passes requests to the daemon, and its replies to the connections that wait for them. Invariants:
     the number of a request is never reused; `waiting` contains the requests without a reply yet; it stays
@@ -31,21 +50,30 @@
         self.inbox = inbox
         self.waiting: dict[int, Any] = {}  # number of a request -> queue that its connection reads
         self.request_count = 0
-        self.pacer = Pacer()  # of requests that take long to read
+        self.pacer = Pacer()  # of requests that hold the loop for long
+        self.read_costs = ReadCosts()
+        self.read_decision = ReadDecision(0, 0.0)  # the newest one
         self.stopping = False  # whether the process was asked to stop
         self.closed = False
 
     async def ask(self, answers: Any, kind: str, *fields: Any) -> http.Response:
         """The daemon's reply to a request of the connection that reads the queue `answers`."""
         await self._begin(answers, kind, *fields)
-        return await timely_response(answers)
+        return timely_response(await answers.get())
+
+    async def ask_timed(self, server: http.Server, answers: Any, kind: str, *fields: Any) -> http.Response:
+        """Like ask(), but also records with the connection what deciding the request took."""
+        await self._begin(answers, kind, *fields)
+        decided = await answers.get()
+        server.seconds += decided.seconds
+        return timely_response(decided)
 
     async def ask_watched(self, server: http.Server, answers: Any, kind: str, *fields: Any) -> http.Response:
         """Like ask(), but also notifies the daemon if the caller closes its connection meanwhile."""
         request = await self._begin(answers, kind, *fields)
         watch = await curio.spawn(self._report_hung_up, server, request, daemon=True)
         try:
-            return await timely_response(answers)
+            return timely_response(await answers.get())
         finally:
             await watch.cancel()
 
@@ -56,7 +84,7 @@
         self.request_count += 1
         request = self.request_count
         if self.closed:
-            await answers.put((STOPPING, None))
+            await answers.put(Decided(STOPPING))
             return request
         self.waiting[request] = answers
         await self.inbox.put((kind, request, *fields))
@@ -74,22 +102,26 @@
         self.closed = True
         while self.waiting:
             _, answers = self.waiting.popitem()
-            await answers.put((STOPPING, None))
+            await answers.put(Decided(STOPPING))
+
+    def decided_read(self, request: int, seconds: float) -> None:
+        """Records the processor time that the daemon has just spent on a read."""
+        self.read_decision = ReadDecision(request, seconds)
 
     async def reply(self, effect: Reply) -> None:
         """Passes a reply to the connection that waits for it, if there is one."""
         answers = self.waiting.pop(effect.request, None)
         if answers is not None:
             reply = (effect.status, effect.document, tuple(effect.headers))
-            await answers.put((reply, effect.until))
+            request, seconds = self.read_decision
+            await answers.put(Decided(reply, effect.until, seconds if request == effect.request else 0.0))
 
 
-async def timely_response(answers: Any) -> http.Response:
-    """The Response to a request, once there is a reply. The clock is read just before the response is
-    written, as the process may have been paused since the daemon made the reply.
+def timely_response(decided: Decided) -> http.Response:
+    """The Response to a request. The clock is read just before the response is written, as the process may
+    have been paused since the daemon made the reply.
     """
-    reply, until = await answers.get()
-    return http.Response(*stall_detector.timely(reply, until, steady_clock()))
+    return http.Response(*stall_detector.timely(decided.reply, decided.until, steady_clock()))
 
 
 class Adapter(Protocol):
@@ -111,6 +143,9 @@
     async def response(self, request: http.Request, answers: Any, server: http.Server) -> http.Response:
         """The Response to a request of the connection of `server`, which reads the queue `answers`."""
 
+    def busy(self) -> http.Response:
+        """The response to a request that can't have its turn in time."""
+
 
 class DirectHandler:
     """Passes requests to the daemon unchanged; for the product's own API."""
@@ -121,16 +156,18 @@
     async def response(self, request: http.Request, answers: Any, server: http.Server) -> http.Response:
         """The daemon's reply."""
         values = value_count(request.body)
-        if values > constants.MANY_VALUES:
-            try:  # the daemon decodes the body right after this
-                async with curio.timeout_after(constants.TURN_WITHIN):
-                    await self.exchange.pacer.rest(values * constants.VALUE_SECONDS)
-            except curio.TaskTimeout:
-                return http.busy()
-        return await self.exchange.ask(
-            answers, "http", request.method, request.target, request.headers, request.body
+        if values > constants.MANY_VALUES and not await self.exchange.pacer.turn(
+            values * constants.VALUE_SECONDS, constants.TURN_WITHIN
+        ):
+            return self.busy()
+        return await self.exchange.ask_timed(
+            server, answers, "http", request.method, request.target, request.headers, request.body
         )
 
+    def busy(self) -> http.Response:
+        """The response to a request that can't have its turn in time."""
+        return http.busy()
+
 
 class AdapterHandler:
     """Passes requests to the daemon as the calls that an adapter translates them to. While the process is
@@ -148,6 +185,11 @@
         elif translated[0] in indexed_forwarder.INDEXED_CALLS:
             reply = await self.exchange.ask_watched(server, answers, "call", *translated)
             response = self.adapter.write(translated[0], reply)
+        elif request.method == "GET":
+            reply = await self.exchange.ask(answers, "call", *translated)
+            begun = time.thread_time()
+            response = self.adapter.write(translated[0], reply)
+            server.seconds += time.thread_time() - begun
         else:
             response = self.adapter.write(
                 translated[0], await self.exchange.ask(answers, "call", *translated)
@@ -158,13 +200,20 @@
 
     async def _read(self, request: http.Request) -> http.Response | tuple[str, tuple[Any, ...], float]:
         """The adapter's reading of a request. Bodies of many values are read in turn."""
-        if value_count(request.body) <= constants.MANY_VALUES:
+        values = value_count(request.body)
+        if values <= constants.MANY_VALUES:
             return self.adapter.read(request)
-        try:
-            async with curio.timeout_after(constants.TURN_WITHIN), self.exchange.pacer.turn():
-                return self.adapter.read(request)
-        except curio.TaskTimeout:
-            return self.adapter.write("", http.busy())
+        expected = values * constants.VALUE_SECONDS
+        if not await self.exchange.pacer.turn(expected, constants.TURN_WITHIN):
+            return self.busy()
+        begun = time.monotonic()
+        reading = self.adapter.read(request)
+        self.exchange.pacer.exceeded(time.monotonic() - begun - expected)
+        return reading
+
+    def busy(self) -> http.Response:
+        """The response to a request that can't have its turn in time, in the format of the port's API."""
+        return self.adapter.write("", http.busy())
 
 
 class HttpPort:
@@ -184,11 +233,26 @@
             if isinstance(request, http.Fault):
                 await server.refuse(request)
                 return
-            response = self.handler.response(request, answers, server)
+            path = request.target.partition("?")[0] if request.method == "GET" else None
+            response = self._paced_response(request, path, answers, server)
             del request  # neither it nor the response's document is held while the caller takes the answer
-            if not await server.answer(await response):
+            another_may_follow = await server.answer(await response)
+            if path is not None:
+                self.exchange.read_costs.record(path, server.seconds)
+            if not another_may_follow:
                 return
 
+    async def _paced_response(
+        self, request: http.Request, path: str | None, answers: Any, server: http.Server
+    ) -> http.Response:
+        """The response to a request. Reads of a `path` that take long have turns."""
+        server.seconds = 0.0
+        expected = self.exchange.read_costs.expected(path) if path is not None else 0.0
+        if expected and not await self.exchange.pacer.turn(expected, constants.TURN_WITHIN):
+            server.seconds = expected  # the cost that is known stays
+            return self.handler.busy()
+        return await self.handler.response(request, answers, server)
+
     def refusal(self) -> bytes:
         """What a caller reads whose connection can't be served now."""
         return http.closing_bytes(http.busy())
--- a/src/pinepitch/transport/http.py
+++ b/src/pinepitch/transport/http.py
@@ -142,6 +142,7 @@
         self.limits = limits or usual_limits()
         self.pacer = pacer or Pacer()
         self.method = ""  # of the newest request
+        self.seconds = 0.0  # of processor time, that the newest request took if it is a read
         self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head)
 
     async def receive(self) -> Request | Fault:
@@ -196,7 +197,7 @@
     async def _pace(self, incoming: _Incoming) -> None:
         """Lets other connections have their turn while a body comes in many small parts."""
         if incoming.small_parts and incoming.small_parts % constants.PARTS_IN_A_ROW == 0:
-            await self.pacer.rest(constants.PARTS_IN_A_ROW * constants.PART_SECONDS)
+            await self.pacer.turn(constants.PARTS_IN_A_ROW * constants.PART_SECONDS)
 
     def _whole(self, incoming: _Incoming) -> Request | Fault:
         """The Request that was received, or a Fault if there is no room for what it is decoded into."""
@@ -228,7 +229,10 @@
         """Sends one Response, with sorted JSON keys; returns whether another request may follow. An answer
         that there is no room for is replaced by an error.
         """
+        begun = time.thread_time() if self.method == "GET" else 0.0
         body, content_type = _encoded_document(response.document)
+        if self.method == "GET":
+            self.seconds += time.thread_time() - begun
         if not self.caller.answers(len(body), time.monotonic()) and len(body) > constants.REQUEST_BYTES:
             response = self._no_room()
             body, content_type = _encoded_document(response.document)
--- a/src/pinepitch/transport/pacing.py
+++ b/src/pinepitch/transport/pacing.py
@@ -1,35 +1,33 @@
-"""Turns for work that holds the loop for long: one at a time, and at most half of the time."""
+"""Turns for work that holds the loop for long: in order of arrival, and at most half of the time."""
 
-import contextlib
+import math
 import time
-from collections.abc import AsyncIterator
 
 import curio
 
 
 class Pacer:
-    """Gives turns in the order in which they were asked for. Invariant: after a turn the loop is free for as
-    long as the turn took.
+    """Gives turns in the order in which they were asked for. Invariant: a turn begins no earlier than the end
+    of the previous one, after which the loop is free for as long as that turn was expected to take.
     """
 
     def __init__(self) -> None:
-        self.lock = curio.Lock()
-        self.free_until = 0.0  # monotonic clock, seconds; no turn begins before
+        self.free_at = 0.0  # monotonic clock, seconds; the earliest that the next turn begins
 
-    @contextlib.asynccontextmanager
-    async def turn(self) -> AsyncIterator[None]:
-        """Waits for a turn, which lasts as long as the context."""
-        async with self.lock:
-            await curio.sleep(max(0.0, self.free_until - time.monotonic()))
-            begun = time.monotonic()
-            try:
-                yield
-            finally:
-                ended = time.monotonic()
-                self.free_until = ended + (ended - begun)
+    async def turn(self, seconds: float, within: float = math.inf) -> bool:
+        """Waits for a turn, for work of so many seconds that follows. False, after `within` seconds: its turn
+        would not have begun by then, and the work is not to be done.
+        """
+        now = time.monotonic()
+        begins = max(now, self.free_at)
+        if begins - now > within:
+            await curio.sleep(within)
+            return False
+        self.free_at = begins + 2 * seconds
+        if begins > now:
+            await curio.sleep(begins - now)
+        return True
 
-    async def rest(self, seconds: float) -> None:
-        """Waits for a turn, for work of so many seconds that was just done."""
-        async with self.lock:
-            await curio.sleep(max(0.0, self.free_until - time.monotonic()))
-            self.free_until = time.monotonic() + seconds
+    def exceeded(self, seconds: float) -> None:
+        """Records that the work of a turn has just taken so many seconds more than expected."""
+        self.free_at = max(self.free_at, time.monotonic()) + 2 * max(0.0, seconds)
