HTTP ports: a request meets the limits that are in force when it begins, whole heads too

What callers saw: a connection kept the limits that were in force when it was accepted for as long as it lived, so that a crowd on open connections met none of a newer configuration; one accepted before the first configuration was never limited by any. A head over maxHeaderBytes was refused only if it came in several reads: one of up to 64 KiB that came whole was taken. Cause: the limits were copied into the connection; and h11 looks at the size only of what is not a whole head yet. Change: the limits are looked up at the first byte of each request, and the size of a head is counted by us, whole or not, with what was read behind an earlier request.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -55,6 +55,33 @@
     When a caller sends ten times the largest body before it reads
     Then it reads the status 413
 
+  # Guards against: a connection keeps the limits that were in force when it was opened for as long as it lives.
+  Scenario Outline: a request on an open connection meets the limits that are in force by then, <before>
+    Given a daemon's port whose decider answers when it is told to
+    When a connection is opened <before>, the limits are lowered, and it announces a body over them
+    Then it reads the status 413
+
+    Examples:
+      | before                    |
+      | and says nothing          |
+      | and has had an answer     |
+
+  # Guards against: the limit of heads holds only for those that come in pieces.
+  Scenario Outline: a head over the limit is refused when it comes <how>
+    Given a daemon's port whose decider answers when it is told to
+    When the limit of heads is 1000 bytes and one of <size> bytes comes <how>
+    Then it reads the status <status>
+
+    Examples:
+      | how                          | size | status |
+      | at once                      | 1001 | 431    |
+      | at once                      | 1000 | 200    |
+      | in two pieces                | 1001 | 431    |
+      | in two pieces                | 1000 | 200    |
+      | at once with its body        | 1000 | 200    |
+      | right behind another request | 1001 | 431    |
+      | right behind another request | 1000 | 200    |
+
   # Guards against: a request that was read is dropped when its process stops (LOST).
   Scenario: a request that was read has its final answer before its process ends after SIGTERM
     Given a daemon's port whose decider answers when it is told to
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -15,6 +15,7 @@
 from pinepitch.transport import http
 
 GIVEN_UP_AFTER = 0.2  # seconds; a call whose answer has not come by then, once the server has read it
+LOWERED_LIMIT = 1_000  # bytes; of a body
 ACCEPTED_WITHIN = 1.0  # seconds; a client that opens a new connection has done so by then
 
 
@@ -264,9 +265,78 @@
     context.port.run(act)
 
 
-@then("it reads the status 413")
-def step_too_large(context):
-    assert isinstance(context.answer, http.Response) and context.answer.status == 413, context.answer
+@then("it reads the status {status:d}")
+def step_reads_status(context, status):
+    assert isinstance(context.answer, http.Response) and context.answer.status == status, context.answer
+
+
+async def _status_of(socket, count=1):
+    """The last of so many answers that are read on a connection, as a response with its status."""
+    data = b""
+    while data.count(b"HTTP/1.1 ") < count:
+        data += await socket.recv(65536)
+    return http.Response(int(data.split(b"HTTP/1.1 ")[count][:3]), None)
+
+
+@when("a connection is opened {before}, the limits are lowered, and it announces a body over them")
+def step_limits_lowered(context, before):
+    async def act(port):
+        socket = await port.connect()
+        if before == "and has had an answer":
+            await socket.sendall(request_of("/first"))
+            await port.requested(1)
+            await port.reply(1)
+            await read_numbers(socket, 1)
+        while not port.connections:
+            await curio.sleep(0)
+        port.http_port.limits = http.usual_limits()._replace(body=LOWERED_LIMIT)
+        head = f"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: {LOWERED_LIMIT + 1}\r\n\r\n"
+        await socket.sendall(head.encode())
+        context.answer = await curio.ignore_after(GIVEN_UP_AFTER, _status_of, socket)
+        await socket.close()
+
+    context.port.run(act)
+
+
+def _head_of(size, body):
+    """A request whose head has so many bytes."""
+    lines = f"POST /head HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\nX: "
+    return (lines + "x" * (size - len(lines) - 4) + "\r\n\r\n").encode() + body
+
+
+# how a head comes: how many bytes of the request come first, and the request's body and what stands before it
+HEADS = {
+    "at once": (None, b"", b""),
+    "in two pieces": (500, b"", b""),
+    "at once with its body": (None, b"b" * 3000, b""),
+    "right behind another request": (None, b"", request_of("/first")),
+}
+
+
+@when("the limit of heads is {limit:d} bytes and one of {size:d} bytes comes {how}")
+def step_head(context, limit, size, how):
+    first_piece, body, before = HEADS[how]
+    request = _head_of(size, body)
+
+    async def answer_all(port):
+        for number in (1, 2):
+            await port.requested(number)
+            await port.reply(number)
+
+    async def act(port):
+        port.http_port.limits = http.usual_limits()._replace(head=limit)
+        socket = await port.connect()
+        answering = await curio.spawn(answer_all, port, daemon=True)
+        await socket.sendall(before + request[:first_piece])
+        if first_piece:
+            while port.newest_caller is None or not port.newest_caller.held:
+                await curio.sleep(0)
+            await socket.sendall(request[first_piece:])
+        context.answer = await curio.ignore_after(1.0, _status_of, socket, 2 if before else 1)
+        await socket.close()
+        await answering.cancel()
+
+    context.port.run(act)
 
 
 @when("a request still waits while the process stops after SIGTERM")
--- a/features/steps/daemon_port.py
+++ b/features/steps/daemon_port.py
@@ -36,6 +36,7 @@
         self.host = Host(self.decider, "127.0.0.1:1", None)
         self.http_port = self.host.http_port
         self.connections = 0  # that are being served
+        self.newest_caller = None  # of the newest connection
         self.listener = sockets.create_server(("127.0.0.1", 0))
         self.address = self.listener.getsockname()
 
@@ -62,7 +63,8 @@
     async def _serve(self, client):
         self.connections += 1
         async with client:
-            await self.http_port.serve(client, lone_caller())
+            self.newest_caller = lone_caller()
+            await self.http_port.serve(client, self.newest_caller)
         self.connections -= 1
 
     async def _decide(self):
--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -226,7 +226,7 @@
     async def serve(self, socket: Any, caller: Caller) -> None:
         """Serves one connection until it ends."""
         socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
-        server = http.Server(socket, caller, self.limits, self.exchange.pacer)
+        server = http.Server(socket, caller, lambda: self.limits, self.exchange.pacer)
         answers = curio.Queue()
         while True:
             request = await server.receive()
--- a/src/pinepitch/transport/http.py
+++ b/src/pinepitch/transport/http.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 import curio
@@ -83,14 +83,14 @@
 
 
 class _Incoming:
-    """A request while it is received; the bytes of its body are the caller's. Invariant: `begun` is None
-    until its first bytes were read.
+    """A request while it is received; the bytes of its body are the caller's. Invariants: `begun` is None
+    until its first bytes were read; `limits` are those that were in force then.
     """
 
-    def __init__(self, limits: RequestLimits, caller: Caller) -> None:
+    def __init__(self, limits: RequestLimits, caller: Caller, buffered: int) -> None:
         self.limits, self.caller = limits, caller
         self.head: h11.Request | None = None
-        self.head_bytes = 0  # read before the head was complete
+        self.head_bytes = buffered  # read before the head was complete, and what came with its end
         self.small_parts = 0  # of the body
         self.begun: float | None = None  # monotonic clock, seconds
 
@@ -106,9 +106,13 @@
         most = self.limits.request_seconds if self.head else self.limits.head_seconds
         return self.begun + most - time.monotonic()
 
-    def take_head(self, head: h11.Request) -> Fault | None:
-        """Takes the head; a Fault if it announces a body over the limit."""
+    def take_head(self, head: h11.Request, buffered: int) -> Fault | None:
+        """Takes the head, behind which so many bytes have come; a Fault if it is over the limit, or announces
+        a body that is.
+        """
         self.head = head
+        if self.head_bytes - buffered > self.limits.head:
+            return Fault(431, "head_too_large")
         length = next((value for name, value in head.headers if name == b"content-length"), b"0")
         return Fault(413, "too_large") if int(length) > self.limits.body else None
 
@@ -134,20 +138,20 @@
         self,
         socket: Any,
         caller: Caller | None = None,
-        limits: RequestLimits | None = None,
+        limits: Callable[[], RequestLimits] | None = None,
         pacer: Pacer | None = None,
     ) -> None:
         self.socket = socket
         self.caller = caller or lone_caller()
-        self.limits = limits or usual_limits()
+        self.limits = limits or usual_limits  # the ones that are in force now
         self.pacer = pacer or Pacer()
         self.method = ""  # of the newest request
         self.seconds = 0.0  # of processor time, that the newest request took if it is a read
-        self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head)
+        self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=constants.MAX_HEAD_BYTES)
 
     async def receive(self) -> Request | Fault:
         """The next Request, or a Fault."""
-        incoming = _Incoming(self.limits, self.caller)
+        incoming = _Incoming(self.limits(), self.caller, self._buffered())
         while True:
             if incoming.begun is not None and incoming.remaining() < 0:
                 return Fault(408, "slow")
@@ -168,15 +172,23 @@
                 return Fault(0, "closed")
             fault = None
             if isinstance(event, h11.Request):
-                fault = incoming.take_head(event)
+                fault = incoming.take_head(event, self._buffered())
             elif isinstance(event, h11.Data):
                 fault = incoming.take_part(event)
                 await self._pace(incoming)
             if fault is not None:
                 return fault
 
+    def _buffered(self) -> int:
+        """Bytes that were read and are not part of any event yet."""
+        return len(self.connection.trailing_data[0])
+
     async def _read(self, incoming: _Incoming) -> Fault | None:
-        """Reads the next bytes; a Fault if none arrive in time or there is no room for them."""
+        """Reads the next bytes; a Fault if none arrive in time, or there is no room for them, or they are the
+        beginning of a head over the limit.
+        """
+        if incoming.head is None and incoming.head_bytes > incoming.limits.head:
+            return Fault(431, "head_too_large")
         if self.connection.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             await self.socket.sendall(self.connection.send(continue_response))
@@ -188,7 +200,9 @@
         if data is None:
             return Fault(0, "idle") if incoming.begun is None else Fault(408, "slow")
         now = time.monotonic()
-        incoming.begun = incoming.begun or now
+        if incoming.begun is None:
+            incoming.begun = now
+            incoming.limits = self.limits()
         if incoming.head is None:
             incoming.head_bytes += len(data)
         self.connection.receive_data(data)
@@ -202,7 +216,7 @@
     def _whole(self, incoming: _Incoming) -> Request | Fault:
         """The Request that was received, or a Fault if there is no room for what it is decoded into."""
         request = _request_of(incoming.head, incoming.take_body())
-        size = constants.REQUEST_BYTES + len(self.connection.trailing_data[0]) + decoded_bytes(request.body)
+        size = constants.REQUEST_BYTES + self._buffered() + decoded_bytes(request.body)
         if size > self.caller.table.limits.request:
             return Fault(413, "too_many_values")
         self.method = request.method
