HTTP ports: what was read behind a request is counted and timed as the next one's beginning

What callers saw: bytes read behind a request (up to 64 KiB a connection) stayed in the parser while its answer was sent and after that, and the table of callers counted none of them; the beginning of a next request among them was timed as idle (15 to 30 s) in place of headerTimeoutMs, and its connection stood among the idle ones. Cause: a request began, for the table and the clock, with the first read after the one before it. Change: what is in the parser when a request begins is held as received, from that moment on, and is counted while the answer before it is sent. The steps of receive() and the end of a refused connection are methods of their own.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -82,6 +82,13 @@
       | right behind another request | 1001 | 431    |
       | right behind another request | 1000 | 200    |
 
+  # Guards against: bytes behind a request are held in the parser, and nobody counts or times them.
+  Scenario: what was read behind a request is held as the beginning of the next one
+    Given a daemon's port whose decider answers when it is told to
+    When a request comes with half of the head of another one, and is answered
+    Then the table of callers counts that half, as of a request that comes in part
+    And the second request is given up with the status 408 when its head doesn't end in time
+
   # Guards against: a request that was read is dropped when its process stops (LOST).
   Scenario: a request that was read has its final answer before its process ends after SIGTERM
     Given a daemon's port whose decider answers when it is told to
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -1,5 +1,6 @@
 """Steps for Connections: both sides of ground/http.py over real sockets."""
 
+import contextlib
 import json
 import socket as sockets
 import struct
@@ -13,6 +14,7 @@
 from pinepitch.common.effects import Reply
 from pinepitch.runtime.http_port import AdapterHandler, HttpPort
 from pinepitch.transport import http
+from pinepitch.transport.callers import State
 
 GIVEN_UP_AFTER = 0.2  # seconds; a call whose answer has not come by then, once the server has read it
 LOWERED_LIMIT = 1_000  # bytes; of a body
@@ -339,6 +341,84 @@
     context.port.run(act)
 
 
+# --- what stands behind a request -------------------------------------------------------------
+HALF_HEAD = b"POST /second HTTP/1.1\r\nHost: x\r\n"
+HEAD_SECONDS = 0.2  # that a head may take, where it is to run out
+
+
+@when("a request comes with half of the head of another one, and is answered")
+def step_half(context):
+    async def act(port):
+        port.http_port.limits = http.usual_limits()._replace(head_seconds=HEAD_SECONDS)
+        socket = await port.connect()
+        await socket.sendall(request_of("/first") + HALF_HEAD)
+        await port.requested(1)
+        await port.reply(1)
+        await read_numbers(socket, 1)
+        caller = port.newest_caller
+        while caller.state is State.ANSWERING:
+            await curio.sleep(0)
+        context.counted = (caller.state, caller.held)
+        context.answer = await curio.ignore_after(PATIENCE / 2, _status_of, socket)
+        await socket.close()
+
+    context.port.run(act)
+
+
+@then("the table of callers counts that half, as of a request that comes in part")
+def step_half_counted(context):
+    assert context.counted == (State.RECEIVING, len(HALF_HEAD)), context.counted
+
+
+@then("the second request is given up with the status {status:d} when its head doesn't end in time")
+def step_half_given_up(context, status):
+    assert context.answer is not None and context.answer.status == status, context.answer
+
+
+FURTHER_REQUESTS = 2_000  # more than is read of a connection at once
+LARGE_TEXT = "x" * 90_000  # more than a slow reader's kernel takes at once, less than the daemon's
+SLOW_READER_BUFFER = 4_096  # bytes
+
+
+@when(
+    "a caller sends many requests and reads slowly, and its connection is closed behind a large answer {why}"
+)
+def step_closed_behind(context, why):
+    async def act(port):
+        socket = await _slow_reader(port)
+        await socket.sendall(request_of("/job") * FURTHER_REQUESTS)
+        await port.requested(1)
+        if why == "for a newcomer":
+            port.newest_caller.table.wanted = 1
+        else:
+            port.host.exchange.stopping = True
+        await port.host.inbox.put(("replies", [Reply(1, 200, {"text": LARGE_TEXT})]))
+        await port.answered()
+        context.read = b""
+        with contextlib.suppress(ConnectionError):
+            while data := await socket.recv(65536):
+                context.read += data
+        await socket.close()
+
+    behind_adapter(context.port)
+    context.port.run(act)
+
+
+async def _slow_reader(port):
+    """A connection to a port whose kernel takes little until it is read."""
+    connection = sockets.socket()
+    connection.setsockopt(sockets.SOL_SOCKET, sockets.SO_RCVBUF, SLOW_READER_BUFFER)
+    connection.connect(port.address)
+    return curio.io.Socket(connection)
+
+
+@then("the caller has read that answer whole")
+def step_read_whole(context):
+    head, _, body = context.read.partition(b"\r\n\r\n")
+    assert b"connection: close" in head.lower(), head
+    assert body == json.dumps({"text": LARGE_TEXT}).encode(), f"{len(body)} bytes of {len(LARGE_TEXT)}"
+
+
 @when("a request still waits while the process stops after SIGTERM")
 def step_stops(context):
     async def act(port):
--- a/features/steps/daemon_port.py
+++ b/features/steps/daemon_port.py
@@ -7,7 +7,7 @@
 
 from pinepitch.common.effects import Reply
 from pinepitch.runtime.host import Host
-from pinepitch.transport.callers import lone_caller
+from pinepitch.transport.callers import State, lone_caller
 
 PATIENCE = 5.0  # seconds; a step that takes longer has failed
 
@@ -76,6 +76,11 @@
         while len(self.decider.requests) < count:
             await curio.sleep(0)
 
+    async def answered(self):
+        """Waits until the kernel has the newest connection's answer, or the connection has ended."""
+        while self.connections and self.newest_caller.state in (State.WAITING, State.ANSWERING):
+            await curio.sleep(0)
+
     async def reply(self, *numbers):
         """The decider replies to requests, each with its own number."""
         await self.host.inbox.put(("replies", [Reply(number, 200, {"number": number}) for number in numbers]))
--- a/src/pinepitch/transport/http.py
+++ b/src/pinepitch/transport/http.py
@@ -99,6 +99,11 @@
         """Bytes that are held for it."""
         return self.head_bytes + len(self.caller.received)
 
+    def begin(self, now: float) -> bool:
+        """Records that its first bytes are there. False: there is no room for them."""
+        self.begun = now
+        return self.caller.receives(self.held, now)
+
     def remaining(self) -> float:
         """Seconds for which its next bytes may be waited for."""
         if self.begun is None:
@@ -152,20 +157,14 @@
     async def receive(self) -> Request | Fault:
         """The next Request, or a Fault."""
         incoming = _Incoming(self.limits(), self.caller, self._buffered())
+        if incoming.held and not incoming.begin(time.monotonic()):
+            return Fault(503, "busy")
         while True:
             if incoming.begun is not None and incoming.remaining() < 0:
                 return Fault(408, "slow")
-            try:
-                event = self.connection.next_event()
-                if event is h11.NEED_DATA:
-                    fault = await self._read(incoming)
-                    if fault is not None:
-                        return fault
-                    continue
-            except h11.RemoteProtocolError as error:
-                return Fault(error.error_status_hint or 400, "malformed")
-            except OSError:
-                return Fault(0, "broken")
+            event = await self._next_event(incoming)
+            if isinstance(event, Fault):
+                return event
             if isinstance(event, h11.EndOfMessage):
                 return self._whole(incoming)
             if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
@@ -179,6 +178,18 @@
             if fault is not None:
                 return fault
 
+    async def _next_event(self, incoming: _Incoming) -> Any:
+        """The next event of h11, NEED_DATA once more bytes were read for it, or a Fault."""
+        try:
+            event = self.connection.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            return await self._read(incoming) or h11.NEED_DATA
+        except h11.RemoteProtocolError as error:
+            return Fault(error.error_status_hint or 400, "malformed")
+        except OSError:
+            return Fault(0, "broken")
+
     def _buffered(self) -> int:
         """Bytes that were read and are not part of any event yet."""
         return len(self.connection.trailing_data[0])
@@ -247,7 +258,10 @@
         body, content_type = _encoded_document(response.document)
         if self.method == "GET":
             self.seconds += time.thread_time() - begun
-        if not self.caller.answers(len(body), time.monotonic()) and len(body) > constants.REQUEST_BYTES:
+        if (
+            not self.caller.answers(len(body) + self._buffered(), time.monotonic())
+            and len(body) > constants.REQUEST_BYTES
+        ):
             response = self._no_room()
             body, content_type = _encoded_document(response.document)
         headers = response.headers
@@ -277,10 +291,17 @@
         except (OSError, h11.LocalProtocolError):
             return False
 
-    async def refuse(self, fault: Fault) -> None:
-        """Answers a request that can't be read, and then reads and drops what the caller still sends, for
-        at most LINGER: closing a connection with unread bytes resets it, which may lose the answer.
+    async def _linger(self) -> None:
+        """Ends sending, and then reads and drops what the caller still sends, for at most LINGER: closing a
+        connection with unread bytes resets it, which may lose the answer. OSError: the caller has gone.
         """
+        await self.socket.shutdown(socket.SHUT_WR)
+        async with curio.ignore_after(constants.LINGER):
+            while await self.socket.recv(RECEIVE_BYTES):
+                pass
+
+    async def refuse(self, fault: Fault) -> None:
+        """Answers a request that can't be read, and closes the connection."""
         if not fault.status:
             return
         response = busy() if fault.status == 503 else error_response(fault.status, fault.code, NOT_READ)
@@ -289,10 +310,7 @@
         try:
             if data is not None:
                 await curio.timeout_after(constants.LINGER, self.socket.sendall(data))
-            await self.socket.shutdown(socket.SHUT_WR)
-            async with curio.ignore_after(constants.LINGER):
-                while await self.socket.recv(RECEIVE_BYTES):
-                    pass
+            await self._linger()
         except (OSError, curio.TaskTimeout):
             pass  # the caller has closed the connection, or takes nothing
 
