HTTP ports: an answer behind which the connection is closed reaches its caller whole

What callers saw: a caller that sends requests behind each other and reads slowly lost the rest of an answer with Connection: close (for a newcomer when the table is full, and when the process stops): 4,005 of 90,000 bytes came, then a reset. Cause: closing a socket with unread bytes resets the connection and drops what the kernel still has to send. Only refusals lingered. Change: such an answer is followed by the same end: sending is shut down, and what still comes is read and dropped for at most a second, in which the connection counts as idle, so that a newcomer may take its place.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -89,6 +89,17 @@
     Then the table of callers counts that half, as of a request that comes in part
     And the second request is given up with the status 408 when its head doesn't end in time
 
+  # Guards against: an answer is lost since its connection is closed with requests that nobody read.
+  Scenario Outline: an answer behind which its connection is closed is read whole, <why>
+    Given a daemon's port whose decider answers when it is told to
+    When a caller sends many requests and reads slowly, and its connection is closed behind a large answer <why>
+    Then the caller has read that answer whole
+
+    Examples:
+      | why                             |
+      | for a newcomer                  |
+      | as the process stops            |
+
   # Guards against: a request that was read is dropped when its process stops (LOST).
   Scenario: a request that was read has its final answer before its process ends after SIGTERM
     Given a daemon's port whose decider answers when it is told to
--- a/src/pinepitch/transport/http.py
+++ b/src/pinepitch/transport/http.py
@@ -283,10 +283,11 @@
             for place in range(0, len(data), constants.ANSWER_SLICE):
                 await self.socket.sendall(memoryview(data)[place : place + constants.ANSWER_SLICE])
                 self.caller.took(time.monotonic())
+            self.caller.rests(time.monotonic())
             if self.connection.our_state is h11.MUST_CLOSE:
+                await self._linger()
                 return False
             self.connection.start_next_cycle()
-            self.caller.rests(time.monotonic())
             return True
         except (OSError, h11.LocalProtocolError):
             return False
