HTTP ports: fewer steps for each accepted request

Change: a request that comes in one read is never counted as one in part; values are counted once a request; states are small integers (the hash of an Enum is a call in Python); bounds of the table are worked out once; what stands behind a request is measured once; headers are decoded once; a task is woken only when it waits for the inbox; an answer of one slice is not followed as it is taken.

--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -88,7 +88,7 @@
         for gone in [one for one in open_connections if one.closed]:
             how, state = gone.closed
             if how == "closed" and state in BUSY:
-                faults.append(f"closed while {state.value}")
+                faults.append(f"closed while {state.name}")
         open_connections = [one for one in open_connections if not one.caller.evicted]
         faults.extend(_faults_of(table, open_connections))
     return faults
@@ -127,7 +127,7 @@
     for state in (State.NEW, State.RECEIVING, State.ANSWERING, State.IDLE):
         times = [caller.active_at for caller in table.callers[state]]
         if times != sorted(times):
-            yield f"{state.value} connections out of order"
+            yield f"{state.name} connections out of order"
 
 
 @then("its sums and its order are right after each step, and no bound is passed")
@@ -332,7 +332,7 @@
         _, peak = tracemalloc.get_traced_memory()
         tracemalloc.stop()
         assert error is None and json.loads(body) == translated
-        context.needed[item] = (len(body) + peak, callers.decoded_bytes(body))
+        context.needed[item] = (len(body) + peak, callers.decoded_bytes(body, callers.value_count(body)))
 
 
 @then("none takes more memory than was estimated")
--- a/src/pinepitch/runtime/host.py
+++ b/src/pinepitch/runtime/host.py
@@ -97,13 +97,13 @@
             if self.inbox.empty():
                 await self.inbox.wait()
                 turn_began = time.monotonic()
-            message = await self.inbox.get()
+            message = self.inbox.take()
             if message[0] == "halt":
                 return
             if message[0] == "tick":
                 self.ticking = False
             await self._step(message)
-            if time.monotonic() - turn_began >= constants.LOOP_TURN:
+            if not self.inbox.empty() and time.monotonic() - turn_began >= constants.LOOP_TURN:
                 await curio.sleep(0)
                 turn_began = time.monotonic()
 
@@ -138,19 +138,16 @@
             await self.exchange.close()
 
     async def _decide(self, message: Sequence[Any], now: float) -> None:
-        """Steps the daemon with one message and executes the effects."""
-        for effect in self._effects_of(message, now):
-            await EFFECTS[type(effect)](self, effect)
-
-    def _effects_of(self, message: Sequence[Any], now: float) -> Iterable[Any]:
-        """The daemon's effects of a message. What a read of the product's own API costs is recorded."""
-        if message[0] != "http" or message[2] != "GET":
-            effects: Iterable[Any] = self.daemon.step(message, now, wall_clock())
-            return effects
-        begun = time.thread_time()
+        """Steps the daemon with one message and executes the effects. What a read of the product's own API
+        costs is recorded.
+        """
+        is_read = message[0] == "http" and message[2] == "GET"
+        begun = time.thread_time() if is_read else 0.0
         effects = self.daemon.step(message, now, wall_clock())
-        self.exchange.decided_read(message[1], time.thread_time() - begun)
-        return effects
+        if is_read:
+            self.exchange.decided_read(message[1], time.thread_time() - begun)
+        for effect in effects:
+            await EFFECTS[type(effect)](self, effect)
 
     # --- effects ----------------------------------------------------------------------
     async def _send(self, effect: Send) -> None:
--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -9,7 +9,7 @@
 from ..common import constants
 from ..common.effects import Reply
 from ..transport import http, indexed_forwarder
-from ..transport.callers import Caller, value_count
+from ..transport.callers import Caller
 from ..transport.pacing import Pacer
 from . import stall_detector
 from .clocks import steady_clock
@@ -155,9 +155,8 @@
 
     async def response(self, request: http.Request, answers: Any, server: http.Server) -> http.Response:
         """The daemon's reply."""
-        values = value_count(request.body)
-        if values > constants.MANY_VALUES and not await self.exchange.pacer.turn(
-            values * constants.VALUE_SECONDS, constants.TURN_WITHIN
+        if server.value_count > constants.MANY_VALUES and not await self.exchange.pacer.turn(
+            server.value_count * constants.VALUE_SECONDS, constants.TURN_WITHIN
         ):
             return self.busy()
         return await self.exchange.ask_timed(
@@ -179,7 +178,7 @@
 
     async def response(self, request: http.Request, answers: Any, server: http.Server) -> http.Response:
         """The daemon's reply, translated, or the adapter's own response to what it can't read."""
-        translated = await self._read(request)
+        translated = await self._read(request, server.value_count)
         if isinstance(translated, http.Response):
             response = translated
         elif translated[0] in indexed_forwarder.INDEXED_CALLS:
@@ -198,9 +197,10 @@
             response = response._replace(headers=(*response.headers, ("Connection", "close")))
         return response
 
-    async def _read(self, request: http.Request) -> http.Response | tuple[str, tuple[Any, ...], float]:
-        """The adapter's reading of a request. Bodies of many values are read in turn."""
-        values = value_count(request.body)
+    async def _read(
+        self, request: http.Request, values: int
+    ) -> http.Response | tuple[str, tuple[Any, ...], float]:
+        """The adapter's reading of a request whose body has so many values; many are read in turn."""
         if values <= constants.MANY_VALUES:
             return self.adapter.read(request)
         expected = values * constants.VALUE_SECONDS
@@ -234,7 +234,10 @@
                 await server.refuse(request)
                 return
             path = request.target.partition("?")[0] if request.method == "GET" else None
-            response = self._paced_response(request, path, answers, server)
+            if path is None:
+                response = self.handler.response(request, answers, server)
+            else:
+                response = self._read_response(request, path, answers, server)
             del request  # neither it nor the response's document is held while the caller takes the answer
             another_may_follow = await server.answer(await response)
             if path is not None:
@@ -242,12 +245,12 @@
             if not another_may_follow:
                 return
 
-    async def _paced_response(
-        self, request: http.Request, path: str | None, answers: Any, server: http.Server
+    async def _read_response(
+        self, request: http.Request, path: str, answers: Any, server: http.Server
     ) -> http.Response:
-        """The response to a request. Reads of a `path` that take long have turns."""
+        """The response to a read. Those of a path that take long have turns."""
         server.seconds = 0.0
-        expected = self.exchange.read_costs.expected(path) if path is not None else 0.0
+        expected = self.exchange.read_costs.expected(path)
         if expected and not await self.exchange.pacer.turn(expected, constants.TURN_WITHIN):
             server.seconds = expected  # the cost that is known stays
             return self.handler.busy()
--- a/src/pinepitch/runtime/inbox.py
+++ b/src/pinepitch/runtime/inbox.py
@@ -25,8 +25,9 @@
         self.others: collections.deque[Message] = collections.deque()
         self.request_taken = False  # whether the newest message that was taken is a request
 
-    def __len__(self) -> int:
-        return len(self.requests) + len(self.others)
+    def empty(self) -> bool:
+        """Whether there is no message."""
+        return not (self.requests or self.others)
 
     def append(self, message: Message) -> None:
         """Adds a message behind those of its queue."""
@@ -40,27 +41,37 @@
 
 
 class Inbox:
-    """The messages for the one loop that takes them; any task may put messages in."""
+    """The messages for the one loop that takes them; any task may put messages in. Invariant: `awaited` is
+    whether that loop waits for `arrived`.
+    """
 
     def __init__(self) -> None:
         self.messages = MessageQueues()
         self.arrived = curio.Event()
+        self.awaited = False
 
     def empty(self) -> bool:
         """Whether no message waits."""
-        return not len(self.messages)
+        return self.messages.empty()
 
     async def put(self, message: Message) -> None:
         """Adds a message."""
         self.messages.append(message)
-        await self.arrived.set()
+        if self.awaited:
+            self.awaited = False
+            await self.arrived.set()
 
     async def wait(self) -> None:
         """Returns once a message waits."""
         while self.empty():
             self.arrived.clear()
+            self.awaited = True
             await self.arrived.wait()
 
+    def take(self) -> Message:
+        """Removes and returns the next message. IndexError: there is none."""
+        return self.messages.take()
+
     async def get(self) -> Message:
         """The next message, once there is one."""
         await self.wait()
--- a/src/pinepitch/transport/callers.py
+++ b/src/pinepitch/transport/callers.py
@@ -14,14 +14,14 @@
 from ..common.metrics import Metric
 
 
-class State(enum.Enum):
+class State(enum.IntEnum):
     """What a caller's connection is doing."""
 
-    NEW = "new"  # has not sent anything
-    RECEIVING = "receiving"  # has sent a part of a request
-    WAITING = "waiting"  # its request was read whole and has no answer yet
-    ANSWERING = "answering"  # is sent its answer
-    IDLE = "idle"  # its last request was answered
+    NEW = 0  # has not sent anything
+    RECEIVING = 1  # has sent a part of a request
+    WAITING = 2  # its request was read whole and has no answer yet
+    ANSWERING = 3  # is sent its answer
+    IDLE = 4  # its last request was answered
 
 
 class Connection(Protocol):
@@ -102,6 +102,8 @@
 
     def __init__(self, limits: CallerLimits = USUAL_CALLERS) -> None:
         self.limits = limits
+        self.most_held = limits.held  # bytes, for small requests
+        self.most_large = limits.large  # bytes, for any others
         self.held = 0  # bytes
         self.callers: dict[State, collections.OrderedDict[Caller, None]] = {
             state: collections.OrderedDict() for state in State
@@ -168,7 +170,7 @@
         """Puts a connection last among those of a state."""
         if caller.evicted:
             return
-        self.callers[caller.state].pop(caller)
+        del self.callers[caller.state][caller]
         caller.state = state
         self.callers[state][caller] = None
 
@@ -178,7 +180,7 @@
         """
         if caller.evicted:
             return size == 0
-        most = self.limits.held if size <= constants.SMALL_REQUEST_BYTES else self.limits.large
+        most = self.most_held if size <= constants.SMALL_REQUEST_BYTES else self.most_large
         if size > caller.held and self.held - caller.held + size > most:
             self._free(self.held - caller.held + size - most, caller)
             if self.held - caller.held + size > most:
@@ -272,10 +274,12 @@
     return caller
 
 
-def decoded_bytes(body: bytes) -> int:
-    """An upper bound of the memory that a JSON body needs, in bytes: as it is, decoded and translated."""
+def decoded_bytes(body: bytes, values: int) -> int:
+    """An upper bound of the memory that a JSON body of so many values needs, in bytes: as it is, decoded and
+    translated.
+    """
     width = 1 if body.isascii() else constants.WIDE_CHARACTER_BYTES
-    return len(body) * (1 + width) + value_count(body) * constants.DECODED_VALUE_BYTES
+    return len(body) * (1 + width) + values * constants.DECODED_VALUE_BYTES
 
 
 def value_count(body: bytes) -> int:
--- a/src/pinepitch/transport/http.py
+++ b/src/pinepitch/transport/http.py
@@ -12,7 +12,7 @@
 import h11
 
 from ..common import constants
-from .callers import Caller, decoded_bytes, lone_caller
+from .callers import Caller, decoded_bytes, lone_caller, value_count
 from .pacing import Pacer
 
 RECEIVE_BYTES = 65_536  # bytes; limit of one read from a socket
@@ -90,6 +90,7 @@
     def __init__(self, limits: RequestLimits, caller: Caller, buffered: int) -> None:
         self.limits, self.caller = limits, caller
         self.head: h11.Request | None = None
+        self.headers: dict[str, str] = {}  # names in lower case
         self.head_bytes = buffered  # read before the head was complete, and what came with its end
         self.small_parts = 0  # of the body
         self.begun: float | None = None  # monotonic clock, seconds
@@ -99,11 +100,6 @@
         """Bytes that are held for it."""
         return self.head_bytes + len(self.caller.received)
 
-    def begin(self, now: float) -> bool:
-        """Records that its first bytes are there. False: there is no room for them."""
-        self.begun = now
-        return self.caller.receives(self.held, now)
-
     def remaining(self) -> float:
         """Seconds for which its next bytes may be waited for."""
         if self.begun is None:
@@ -111,15 +107,13 @@
         most = self.limits.request_seconds if self.head else self.limits.head_seconds
         return self.begun + most - time.monotonic()
 
-    def take_head(self, head: h11.Request, buffered: int) -> Fault | None:
-        """Takes the head, behind which so many bytes have come; a Fault if it is over the limit, or announces
-        a body that is.
-        """
+    def take_head(self, head: h11.Request) -> Fault | None:
+        """Takes the head; a Fault if it announces a body over the limit."""
         self.head = head
-        if self.head_bytes - buffered > self.limits.head:
-            return Fault(431, "head_too_large")
-        length = next((value for name, value in head.headers if name == b"content-length"), b"0")
-        return Fault(413, "too_large") if int(length) > self.limits.body else None
+        for name, value in head.headers:
+            self.headers[name.decode("latin-1")] = value.decode("latin-1")
+        length = int(self.headers.get("content-length", "0"))
+        return Fault(413, "too_large") if length > self.limits.body else None
 
     def take_part(self, part: h11.Data) -> Fault | None:
         """Takes a part of the body; a Fault if the body is over the limit now."""
@@ -151,55 +145,63 @@
         self.limits = limits or usual_limits  # the ones that are in force now
         self.pacer = pacer or Pacer()
         self.method = ""  # of the newest request
+        self.buffered = 0  # bytes that were read behind the newest request
+        self.value_count = 0  # of the values in the newest request's body, at most
         self.seconds = 0.0  # of processor time, that the newest request took if it is a read
         self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=constants.MAX_HEAD_BYTES)
 
     async def receive(self) -> Request | Fault:
         """The next Request, or a Fault."""
-        incoming = _Incoming(self.limits(), self.caller, self._buffered())
-        if incoming.held and not incoming.begin(time.monotonic()):
-            return Fault(503, "busy")
+        incoming = _Incoming(self.limits(), self.caller, self.buffered)
+        if incoming.held:
+            incoming.begun = time.monotonic()
+        try:
+            return await self._receive(incoming)
+        except h11.RemoteProtocolError as error:
+            return Fault(error.error_status_hint or 400, "malformed")
+        except OSError:
+            return Fault(0, "broken")
+
+    async def _receive(self, incoming: _Incoming) -> Request | Fault:
+        """The Request, once it was received, or a Fault. h11.RemoteProtocolError, OSError: it broke."""
         while True:
             if incoming.begun is not None and incoming.remaining() < 0:
                 return Fault(408, "slow")
-            event = await self._next_event(incoming)
-            if isinstance(event, Fault):
-                return event
-            if isinstance(event, h11.EndOfMessage):
+            event = self.connection.next_event()
+            if event is h11.NEED_DATA:
+                fault = await self._read(incoming)
+            elif isinstance(event, h11.EndOfMessage):
                 return self._whole(incoming)
-            if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+            elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 return Fault(0, "closed")
-            fault = None
-            if isinstance(event, h11.Request):
-                fault = incoming.take_head(event, self._buffered())
             elif isinstance(event, h11.Data):
                 fault = incoming.take_part(event)
                 await self._pace(incoming)
+            else:
+                assert isinstance(event, h11.Request), f"h11 does not read {event} as a server"
+                fault = self._head_fault(incoming) or incoming.take_head(event)
             if fault is not None:
                 return fault
 
-    async def _next_event(self, incoming: _Incoming) -> Any:
-        """The next event of h11, NEED_DATA once more bytes were read for it, or a Fault."""
-        try:
-            event = self.connection.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            return await self._read(incoming) or h11.NEED_DATA
-        except h11.RemoteProtocolError as error:
-            return Fault(error.error_status_hint or 400, "malformed")
-        except OSError:
-            return Fault(0, "broken")
-
     def _buffered(self) -> int:
         """Bytes that were read and are not part of any event yet."""
         return len(self.connection.trailing_data[0])
 
+    def _head_fault(self, incoming: _Incoming) -> Fault | None:
+        """A Fault if a head that has just ended is over the limit."""
+        if incoming.head_bytes <= incoming.limits.head:
+            return None
+        head_size = incoming.head_bytes - self._buffered()
+        return Fault(431, "head_too_large") if head_size > incoming.limits.head else None
+
     async def _read(self, incoming: _Incoming) -> Fault | None:
         """Reads the next bytes; a Fault if none arrive in time, or there is no room for them, or they are the
         beginning of a head over the limit.
         """
         if incoming.head is None and incoming.head_bytes > incoming.limits.head:
             return Fault(431, "head_too_large")
+        if incoming.begun is not None and not self.caller.receives(incoming.held, time.monotonic()):
+            return Fault(503, "busy")
         if self.connection.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             await self.socket.sendall(self.connection.send(continue_response))
@@ -210,14 +212,13 @@
             return Fault(0, "closed") if incoming.begun is None else Fault(503, "busy")
         if data is None:
             return Fault(0, "idle") if incoming.begun is None else Fault(408, "slow")
-        now = time.monotonic()
         if incoming.begun is None:
-            incoming.begun = now
+            incoming.begun = time.monotonic()
             incoming.limits = self.limits()
         if incoming.head is None:
             incoming.head_bytes += len(data)
         self.connection.receive_data(data)
-        return None if self.caller.receives(incoming.held, now) else Fault(503, "busy")
+        return None
 
     async def _pace(self, incoming: _Incoming) -> None:
         """Lets other connections have their turn while a body comes in many small parts."""
@@ -226,8 +227,11 @@
 
     def _whole(self, incoming: _Incoming) -> Request | Fault:
         """The Request that was received, or a Fault if there is no room for what it is decoded into."""
-        request = _request_of(incoming.head, incoming.take_body())
-        size = constants.REQUEST_BYTES + self._buffered() + decoded_bytes(request.body)
+        request = _request_of(incoming)
+        self.buffered = self._buffered()
+        self.value_count = value_count(request.body)
+        decoded = decoded_bytes(request.body, self.value_count)
+        size = constants.REQUEST_BYTES + self.buffered + decoded
         if size > self.caller.table.limits.request:
             return Fault(413, "too_many_values")
         self.method = request.method
@@ -245,6 +249,7 @@
             except OSError:
                 data = b""
             self.connection.receive_data(data)
+            self.buffered += len(data)
             if not data:
                 return
             unread_bytes += len(data)
@@ -259,7 +264,7 @@
         if self.method == "GET":
             self.seconds += time.thread_time() - begun
         if (
-            not self.caller.answers(len(body) + self._buffered(), time.monotonic())
+            not self.caller.answers(len(body) + self.buffered, time.monotonic())
             and len(body) > constants.REQUEST_BYTES
         ):
             response = self._no_room()
@@ -280,9 +285,12 @@
     async def _sent(self, data: bytes) -> bool:
         """Sends an encoded answer; returns whether another request may follow."""
         try:
-            for place in range(0, len(data), constants.ANSWER_SLICE):
-                await self.socket.sendall(memoryview(data)[place : place + constants.ANSWER_SLICE])
+            rest = memoryview(data)
+            while len(rest) > constants.ANSWER_SLICE:
+                await self.socket.sendall(rest[: constants.ANSWER_SLICE])
                 self.caller.took(time.monotonic())
+                rest = rest[constants.ANSWER_SLICE :]
+            await self.socket.sendall(rest)
             self.caller.rests(time.monotonic())
             if self.connection.our_state is h11.MUST_CLOSE:
                 await self._linger()
@@ -350,11 +358,12 @@
     return json.dumps(document, sort_keys=True).encode(), "application/json"
 
 
-def _request_of(head: h11.Request | None, body: bytes) -> Request:
+def _request_of(incoming: _Incoming) -> Request:
     """The Request made of a complete message."""
+    head = incoming.head
     assert head is not None, "h11 ended a message that had no head"
-    headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
-    return Request(head.method.decode(), head.target.decode("latin-1"), headers, body)
+    target = head.target.decode("latin-1")
+    return Request(head.method.decode(), target, incoming.headers, incoming.take_body())
 
 
 class Client:
