HTTP ports: reads, bodies of many values and bodies in many parts have turns of their own

Cause: they shared one order of turns (the last commits), so that a crowd of one kind would have had all of them, and ordinary reads that take long would have been refused beside it. Change: a pacer for each kind; each keeps half of the loop free. Evidence: with one pacer for reads and bodies, the new scenario of inbox.feature fails (503); with pacers of their own both pass.

--- a/features/inbox.feature
+++ b/features/inbox.feature
@@ -45,6 +45,17 @@
     When 40 callers read that path again and again, and another one reads another path
     Then the other one is answered before 10 further reads of that path were decided
 
+  # Guards against: one kind of crowd has all turns, and ordinary reads are refused beside it.
+  Scenario Outline: reads that take long have their turns beside <others>
+    Given a daemon's port whose reads of one path each take 10 ms to decide
+    When all turns of the next minute are given to <others>, and a caller reads that path 4 times
+    Then each of its reads is answered with the status 200
+
+    Examples:
+      | others                       |
+      | bodies of many values        |
+      | bodies in very many parts    |
+
   Scenario: one read that took long by chance is not held back
     Given the costs of reads at a port
     When one read of a path takes long, and those before and after it don't
--- a/features/steps/inbox.py
+++ b/features/steps/inbox.py
@@ -10,6 +10,7 @@
 from pinepitch.runtime.host import Host
 from pinepitch.runtime.inbox import Inbox
 from pinepitch.runtime.read_costs import ReadCosts
+from pinepitch.transport import http
 
 PATIENCE = 20.0  # seconds; a step that takes longer has failed
 STEP_SECONDS = 0.01  # that a decider spends on a request that takes long
@@ -201,6 +202,25 @@
     assert context.decided_meanwhile < count, context.decided_meanwhile
 
 
+PACERS = {"bodies of many values": "body_pacer", "bodies in very many parts": "part_pacer"}
+
+
+@when("all turns of the next minute are given to {others}, and a caller reads that path {count:d} times")
+def step_turns_given(context, others, count):
+    async def act(port):
+        await getattr(port.host.exchange, PACERS[others]).turn(60.0)
+        client = http.Client(*port.address)
+        context.statuses = [(await client.call("GET", "/slow")).status for _ in range(count)]
+        await client.close()
+
+    context.port.run(act)
+
+
+@then("each of its reads is answered with the status {status:d}")
+def step_statuses(context, status):
+    assert set(context.statuses) == {status}, context.statuses
+
+
 @given("the costs of reads at a port")
 def step_costs(context):
     context.costs = ReadCosts()
--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -50,7 +50,9 @@
         self.inbox = inbox
         self.waiting: dict[int, Any] = {}  # number of a request -> queue that its connection reads
         self.request_count = 0
-        self.pacer = Pacer()  # of requests that hold the loop for long
+        self.body_pacer = Pacer()  # of bodies of many values
+        self.part_pacer = Pacer()  # of bodies in very many parts
+        self.read_pacer = Pacer()  # of reads that take long
         self.read_costs = ReadCosts()
         self.read_decision = ReadDecision(0, 0.0)  # the newest one
         self.stopping = False  # whether the process was asked to stop
@@ -155,7 +157,7 @@
 
     async def response(self, request: http.Request, answers: Any, server: http.Server) -> http.Response:
         """The daemon's reply."""
-        if server.value_count > constants.MANY_VALUES and not await self.exchange.pacer.turn(
+        if server.value_count > constants.MANY_VALUES and not await self.exchange.body_pacer.turn(
             server.value_count * constants.VALUE_SECONDS, constants.TURN_WITHIN
         ):
             return self.busy()
@@ -204,11 +206,11 @@
         if values <= constants.MANY_VALUES:
             return self.adapter.read(request)
         expected = values * constants.VALUE_SECONDS
-        if not await self.exchange.pacer.turn(expected, constants.TURN_WITHIN):
+        if not await self.exchange.body_pacer.turn(expected, constants.TURN_WITHIN):
             return self.busy()
         begun = time.monotonic()
         reading = self.adapter.read(request)
-        self.exchange.pacer.exceeded(time.monotonic() - begun - expected)
+        self.exchange.body_pacer.exceeded(time.monotonic() - begun - expected)
         return reading
 
     def busy(self) -> http.Response:
@@ -226,7 +228,7 @@
     async def serve(self, socket: Any, caller: Caller) -> None:
         """Serves one connection until it ends."""
         socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
-        server = http.Server(socket, caller, lambda: self.limits, self.exchange.pacer)
+        server = http.Server(socket, caller, lambda: self.limits, self.exchange.part_pacer)
         answers = curio.Queue()
         while True:
             request = await server.receive()
@@ -251,7 +253,7 @@
         """The response to a read. Those of a path that take long have turns."""
         server.seconds = 0.0
         expected = self.exchange.read_costs.expected(path)
-        if expected and not await self.exchange.pacer.turn(expected, constants.TURN_WITHIN):
+        if expected and not await self.exchange.read_pacer.turn(expected, constants.TURN_WITHIN):
             server.seconds = expected  # the cost that is known stays
             return self.handler.busy()
         return await self.handler.response(request, answers, server)
