--- a/features/same_bytes/taps.py
+++ b/features/same_bytes/taps.py
@@ -26,7 +26,7 @@
 from pinepitch.state.cluster_state import ClusterState
 from pinepitch.state.registry import ACTIONS
 from pinepitch.storage.store import Damaged, Store
-from pinepitch.transport import framing, http
+from pinepitch.transport import framing, http, http_server
 
 PLATFORM = os.path.join(
     os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))), "platform"
@@ -263,7 +263,7 @@
 def answer_bytes(status, document, headers):
     """The whole answer as a daemon writes it to a connection."""
     socket = _Socket()
-    server = http.Server(socket)
+    server = http_server.Server(socket)
     server.connection.receive_data(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
     server.connection.next_event(), server.connection.next_event()
     try:
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -13,7 +13,7 @@
 from pinepitch.common import constants
 from pinepitch.common.effects import Reply
 from pinepitch.runtime.http_port import AdapterHandler, HttpPort
-from pinepitch.transport import http
+from pinepitch.transport import http, http_client
 from pinepitch.transport.callers import State
 
 GIVEN_UP_AFTER = 0.2  # seconds; a call whose answer has not come by then, once the server has read it
@@ -48,7 +48,7 @@
 async def _two_calls(listener, at_once, later, closes):
     """Both answers of a client, None for one given up, the server's first connection being a script. The
     first call is given up only once the server has read it: a busy machine may take longer to connect."""
-    client = http.Client("127.0.0.1", listener.getsockname()[1])
+    client = http_client.Client("127.0.0.1", listener.getsockname()[1])
     server = curio.io.Socket(listener)
     first_call = await curio.spawn(client.call, "GET", "/")
     first, _ = await server.accept()
@@ -260,7 +260,7 @@
     size = 10 * constants.MAX_BODY_BYTES
 
     async def act(port):
-        client = http.Client(*port.address)
+        client = http_client.Client(*port.address)
         context.answer = await client.call("POST", "/large", "x" * size)
         await client.close()
 
--- a/features/steps/inbox.py
+++ b/features/steps/inbox.py
@@ -10,7 +10,7 @@
 from pinepitch.runtime.host import Host
 from pinepitch.runtime.inbox import Inbox
 from pinepitch.runtime.read_costs import ReadCosts
-from pinepitch.transport import http
+from pinepitch.transport import http_client
 
 PATIENCE = 20.0  # seconds; a step that takes longer has failed
 STEP_SECONDS = 0.01  # that a decider spends on a request that takes long
@@ -209,7 +209,7 @@
 def step_turns_given(context, others, count):
     async def act(port):
         await getattr(port.host.exchange, PACERS[others]).turn(60.0)
-        client = http.Client(*port.address)
+        client = http_client.Client(*port.address)
         context.statuses = [(await client.call("GET", "/slow")).status for _ in range(count)]
         await client.close()
 
--- a/features/steps/input.py
+++ b/features/steps/input.py
@@ -25,7 +25,7 @@
 from pinepitch.simulation.fleet.processes import Fleet
 from pinepitch.simulation.simulator import Simulator
 from pinepitch.state.cluster_state import ClusterState
-from pinepitch.transport import framing, http
+from pinepitch.transport import framing, http, http_server
 
 GOOD = {
     "control": {
@@ -420,8 +420,8 @@
         ours, theirs = curio.socket.socketpair()
         prompt, asker = curio.socket.socketpair()
         await asker.sendall(b"GET /v1/health HTTP/1.1\r\nHost: x\r\n\r\n")
-        dripping = await curio.spawn(http.Server(ours).receive)
-        context.prompt = await http.Server(prompt).receive()
+        dripping = await curio.spawn(http_server.Server(ours).receive)
+        context.prompt = await http_server.Server(prompt).receive()
         for byte in b"GET / HTTP/1.1\r\n" + b"X: " + b"y" * 10_000:
             if dripping.terminated:
                 break
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -27,7 +27,8 @@
 from pinepitch.simulation.daemon_calls import send_call
 from pinepitch.simulation.jobs import injected_faults
 from pinepitch.state.cluster_state import ClusterState
-from pinepitch.transport.http import Request, Response, Server
+from pinepitch.transport.http import Request, Response
+from pinepitch.transport.http_server import Server
 
 FOLDER = os.path.join(
     os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))), "platform"
--- a/features/steps/tenant_keys.py
+++ b/features/steps/tenant_keys.py
@@ -11,7 +11,7 @@
 
 from pinepitch.common.effects import Event, Reply, Send
 from pinepitch.simulation import simulator as simulators
-from pinepitch.transport import http
+from pinepitch.transport import http, http_server
 
 FOLDER = os.path.join(
     os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))), "platform"
@@ -69,7 +69,7 @@
     """The Request that a daemon reads of these bytes on a connection."""
     lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in headers)]
     lines += [f"Content-Length: {len(body)}", "", ""]
-    server = http.Server(None)
+    server = http_server.Server(None)
     server.connection.receive_data("\r\n".join(lines).encode() + body)
     try:
         server.receive().send(None)
@@ -91,9 +91,9 @@
 def answer_bytes(response):
     """The whole answer as a daemon writes it to a connection."""
     socket = _Socket()
-    server = http.Server(socket)
+    server = http_server.Server(socket)
     server.connection.receive_data(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-    while not isinstance(server.connection.next_event(), http.h11.EndOfMessage):
+    while not isinstance(server.connection.next_event(), http_server.h11.EndOfMessage):
         pass
     try:
         server.answer(response).send(None)
--- a/src/pinepitch/cli/front_commands.py
+++ b/src/pinepitch/cli/front_commands.py
@@ -10,7 +10,7 @@
 from fire.decorators import SetParseFn
 
 from ..common import daemon_settings
-from ..transport import http
+from ..transport import http, http_client
 from . import earlier_names
 from .exit_codes import ExitCode, leave, of_status
 from .text_tables import flat
@@ -35,7 +35,7 @@
     """The http.Response of a front daemon; the process exits with NO_ANSWER if there is none."""
 
     async def call() -> Any:
-        client = http.Client(*daemon_settings.split(front))
+        client = http_client.Client(*daemon_settings.split(front))
         try:
             return await curio.ignore_after(ANSWER_WITHIN, client.call(method, target, document, headers))
         finally:
--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -8,7 +8,7 @@
 
 from ..common import constants
 from ..common.effects import Reply
-from ..transport import http, indexed_forwarder
+from ..transport import http, http_server, indexed_forwarder
 from ..transport.callers import Caller
 from ..transport.pacing import Pacer
 from . import stall_detector
@@ -63,14 +63,18 @@
         await self._begin(answers, kind, *fields)
         return timely_response(await answers.get())
 
-    async def ask_timed(self, server: http.Server, answers: Any, kind: str, *fields: Any) -> http.Response:
+    async def ask_timed(
+        self, server: http_server.Server, answers: Any, kind: str, *fields: Any
+    ) -> http.Response:
         """Like ask(), but also records with the connection what deciding the request took."""
         await self._begin(answers, kind, *fields)
         decided = await answers.get()
         server.seconds += decided.seconds
         return timely_response(decided)
 
-    async def ask_watched(self, server: http.Server, answers: Any, kind: str, *fields: Any) -> http.Response:
+    async def ask_watched(
+        self, server: http_server.Server, answers: Any, kind: str, *fields: Any
+    ) -> http.Response:
         """Like ask(), but also notifies the daemon if the caller closes its connection meanwhile."""
         request = await self._begin(answers, kind, *fields)
         watch = await curio.spawn(self._report_hung_up, server, request, daemon=True)
@@ -92,7 +96,7 @@
         await self.inbox.put((kind, request, *fields))
         return request
 
-    async def _report_hung_up(self, server: http.Server, request: int) -> None:
+    async def _report_hung_up(self, server: http_server.Server, request: int) -> None:
         """Notifies the daemon once the caller of a request has closed its connection."""
         await server.hung_up()
         await self.inbox.put(("hung-up", request))
@@ -142,7 +146,9 @@
 class Handler(Protocol):
     """Produces the response to a request of a port."""
 
-    async def response(self, request: http.Request, answers: Any, server: http.Server) -> http.Response:
+    async def response(
+        self, request: http.Request, answers: Any, server: http_server.Server
+    ) -> http.Response:
         """The Response to a request of the connection of `server`, which reads the queue `answers`."""
 
     def busy(self) -> http.Response:
@@ -155,7 +161,9 @@
     def __init__(self, exchange: Exchange) -> None:
         self.exchange = exchange
 
-    async def response(self, request: http.Request, answers: Any, server: http.Server) -> http.Response:
+    async def response(
+        self, request: http.Request, answers: Any, server: http_server.Server
+    ) -> http.Response:
         """The daemon's reply."""
         if server.value_count > constants.MANY_VALUES and not await self.exchange.body_pacer.turn(
             server.value_count * constants.VALUE_SECONDS, constants.TURN_WITHIN
@@ -178,7 +186,9 @@
     def __init__(self, exchange: Exchange, adapter: Adapter) -> None:
         self.exchange, self.adapter = exchange, adapter
 
-    async def response(self, request: http.Request, answers: Any, server: http.Server) -> http.Response:
+    async def response(
+        self, request: http.Request, answers: Any, server: http_server.Server
+    ) -> http.Response:
         """The daemon's reply, translated, or the adapter's own response to what it can't read."""
         translated = await self._read(request, server.value_count)
         if isinstance(translated, http.Response):
@@ -228,7 +238,7 @@
     async def serve(self, socket: Any, caller: Caller) -> None:
         """Serves one connection until it ends."""
         socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
-        server = http.Server(socket, caller, lambda: self.limits, self.exchange.part_pacer)
+        server = http_server.Server(socket, caller, lambda: self.limits, self.exchange.part_pacer)
         answers = curio.Queue()
         while True:
             request = await server.receive()
@@ -248,7 +258,7 @@
                 return
 
     async def _read_response(
-        self, request: http.Request, path: str, answers: Any, server: http.Server
+        self, request: http.Request, path: str, answers: Any, server: http_server.Server
     ) -> http.Response:
         """The response to a read. Those of a path that take long have turns."""
         server.seconds = 0.0
@@ -260,4 +270,4 @@
 
     def refusal(self) -> bytes:
         """What a caller reads whose connection can't be served now."""
-        return http.closing_bytes(http.busy())
+        return http_server.closing_bytes(http.busy())
--- a/src/pinepitch/simulation/fleet/client_traffic.py
+++ b/src/pinepitch/simulation/fleet/client_traffic.py
@@ -7,7 +7,7 @@
 
 from ...common import constants
 from ...common.daemon_settings import split
-from ...transport import http
+from ...transport import http, http_client
 from .. import stand_in_client
 from .plans import PLANS, Plan
 
@@ -28,7 +28,7 @@
         self.caller = stand_in_client.StandInClient(
             name, fleet.plan.traffic, seed, rate, fail, cancels=cancels
         )
-        self.idle: dict[str, list[http.Client]] = {}  # address -> clients that wait for no answer
+        self.idle: dict[str, list[http_client.Client]] = {}  # address -> clients that wait for no answer
 
     async def run(self, seconds: float) -> list[Any]:
         """Sends for some seconds, then waits until every job but feeds is final."""
@@ -59,7 +59,7 @@
     async def _call(self, call: int, draw: int, method: str, target: str, document: Any) -> None:
         web = self.fleet.fronts[draw % len(self.fleet.fronts)][2]
         clients = self.idle.setdefault(web, [])
-        client = clients.pop() if clients else http.Client(*split(web))
+        client = clients.pop() if clients else http_client.Client(*split(web))
         answer = await curio.ignore_after(5, client.call(method, target, document))
         if isinstance(answer, http.Response):
             clients.append(client)
--- a/src/pinepitch/simulation/fleet/processes.py
+++ b/src/pinepitch/simulation/fleet/processes.py
@@ -14,7 +14,7 @@
 
 from ...common import constants
 from ...common.daemon_settings import split
-from ...transport import http
+from ...transport import http, http_client
 from .fleet_operator import FleetOperator
 from .plans import Headers, Plan
 
@@ -188,7 +188,7 @@
         self, method: str, target: str, document: Any = None, headers: Headers = (), front: int = 0
     ) -> Any:
         """One HTTP call to a front daemon; its answer, or None after 5 s."""
-        client = http.Client(*split(self.fronts[front % len(self.fronts)][2]))
+        client = http_client.Client(*split(self.fronts[front % len(self.fronts)][2]))
         answer = await curio.ignore_after(5, client.call(method, target, document, headers))
         await client.close()
         return answer
--- a/src/pinepitch/simulation/scale/counted_fleet.py
+++ b/src/pinepitch/simulation/scale/counted_fleet.py
@@ -6,7 +6,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from ...common.daemon_settings import split
-from ...transport import http
+from ...transport import http_client
 from ..fleet.processes import Fleet
 
 TICKS = os.sysconf("SC_CLK_TCK")
@@ -86,7 +86,7 @@
 
     async def metrics(self, place):
         """A control daemon's own counters and gauges by name."""
-        client = http.Client(*split(self.own[place]))
+        client = http_client.Client(*split(self.own[place]))
         text = (await client.call("GET", "/v1/metrics")).document
         await client.close()
         return {
--- a/src/pinepitch/simulation/worker_program.py
+++ b/src/pinepitch/simulation/worker_program.py
@@ -8,7 +8,7 @@
 
 from ..common import constants
 from ..common.daemon_settings import split
-from ..transport import http
+from ..transport import http, http_client, http_server
 from .stand_in_worker import StandInWorker
 
 
@@ -32,7 +32,7 @@
 
     async def _server(self, host, port, worker):
         async def serve(socket, address):
-            server = http.Server(socket)
+            server = http_server.Server(socket)
             while True:
                 request = await server.receive()
                 if isinstance(request, http.Fault):
@@ -63,7 +63,7 @@
             for _, document in effects:
                 if client is None:
                     self.turn += 1
-                    client = http.Client(*split(self.fronts[self.turn % len(self.fronts)]))
+                    client = http_client.Client(*split(self.fronts[self.turn % len(self.fronts)]))
                 answer = await curio.ignore_after(
                     constants.FORWARD_TIMEOUT + 0.5, client.call("POST", "/v1/reports", document)
                 )
