HTTP ports: parsing without a coroutine for each event, one update of the table for each state

Change: events of one read are parsed in one call; state and bytes of a caller are set together; small answers are sent as they are; the time that is left is looked at when there is something to read.

--- a/src/pinepitch/transport/callers.py
+++ b/src/pinepitch/transport/callers.py
@@ -53,39 +53,31 @@
         """Records that bytes came and that `size` of an incomplete request are held now. False: there is no
         room for them, and the request must be refused.
         """
-        if self.evicted:
-            return False
         self.active_at = now
-        self.table.move(self, State.RECEIVING)
-        return self.table.hold(self, size)
+        return self.table.update(self, State.RECEIVING, size) and not self.evicted
 
     def waits(self, size: int) -> bool:
         """Records that a request was read whole and needs `size` bytes until it is answered. False: there
         is no room for them, and the request must be refused.
         """
-        if self.evicted:
-            return False
-        self.table.move(self, State.WAITING)
-        return self.table.hold(self, size)
+        return self.table.update(self, State.WAITING, size) and not self.evicted
 
     def answers(self, size: int, now: float) -> bool:
         """Records that of a request only its answer of `size` bytes is still held. False: there is no room
         for an answer of that size.
         """
         self.active_at = now
-        self.table.move(self, State.ANSWERING)
-        return self.table.hold(self, size)
+        return self.table.update(self, State.ANSWERING, size)
 
     def took(self, now: float) -> None:
         """Records that a part of the answer was taken."""
         self.active_at = now
-        self.table.move(self, State.ANSWERING)
+        self.table.update(self, State.ANSWERING, self.held)
 
     def rests(self, now: float) -> None:
         """Records that the answer was sent whole."""
         self.active_at = now
-        self.table.move(self, State.IDLE)
-        self.table.hold(self, 0)
+        self.table.update(self, State.IDLE, 0)
 
     def evict(self) -> None:
         """Ends reading from the connection, so that whoever serves it stops."""
@@ -166,27 +158,24 @@
             self.remove(caller)
             caller.connection.abort()
 
-    def move(self, caller: Caller, state: State) -> None:
-        """Puts a connection last among those of a state."""
+    def update(self, caller: Caller, state: State, size: int) -> bool:
+        """Puts a connection last among those of a state, and sets what is held for it. If there is no room,
+        requests that are not complete are given up, the ones that have been silent longest first. False:
+        there is still no room, and what is held stays as it was.
+        """
         if caller.evicted:
-            return
+            return size == 0
         del self.callers[caller.state][caller]
         caller.state = state
         self.callers[state][caller] = None
-
-    def hold(self, caller: Caller, size: int) -> bool:
-        """Sets what is held for a connection. If there is no room, requests that are not complete are given
-        up, the ones that have been silent longest first. False: there is still no room; nothing changes.
-        """
-        if caller.evicted:
-            return size == 0
+        growth = size - caller.held
         most = self.most_held if size <= constants.SMALL_REQUEST_BYTES else self.most_large
-        if size > caller.held and self.held - caller.held + size > most:
-            self._free(self.held - caller.held + size - most, caller)
-            if self.held - caller.held + size > most:
+        if growth > 0 and self.held + growth > most:
+            self._free(self.held + growth - most, caller)
+            if self.held + growth > most:
                 self.refusals += 1
                 return False
-        self.held += size - caller.held
+        self.held += growth
         caller.held = size
         return True
 
--- a/src/pinepitch/transport/http_server.py
+++ b/src/pinepitch/transport/http_server.py
@@ -35,7 +35,7 @@
         self.head: h11.Request | None = None
         self.headers: dict[str, str] = {}  # names in lower case
         self.head_bytes = buffered  # read before the head was complete, and what came with its end
-        self.small_parts = 0  # of the body
+        self.small_parts = 0  # of the body, since its last turn
         self.begun: float | None = None  # monotonic clock, seconds
 
     @property
@@ -64,6 +64,10 @@
         self.caller.received += part.data
         return Fault(413, "too_large") if len(self.caller.received) > self.limits.body else None
 
+    def is_turn_due(self) -> bool:
+        """Whether other connections are to have their turn, as its body comes in many small parts."""
+        return self.small_parts >= constants.PARTS_IN_A_ROW
+
     def take_body(self) -> bytes:
         """The whole body, which is no longer the caller's."""
         body = bytes(self.caller.received)
@@ -99,30 +103,38 @@
         if incoming.held:
             incoming.begun = time.monotonic()
         try:
-            return await self._receive(incoming)
+            while True:
+                parsed = self._parse(incoming)
+                if parsed is None and incoming.is_turn_due():
+                    incoming.small_parts = 0
+                    await self.pacer.turn(constants.PARTS_IN_A_ROW * constants.PART_SECONDS)
+                elif parsed is None:
+                    parsed = await self._read(incoming)
+                if parsed is not None:
+                    return parsed
         except h11.RemoteProtocolError as error:
             return Fault(error.error_status_hint or 400, "malformed")
         except OSError:
             return Fault(0, "broken")
 
-    async def _receive(self, incoming: _Incoming) -> Request | Fault:
-        """The Request, once it was received, or a Fault. h11.RemoteProtocolError, OSError: it broke."""
+    def _parse(self, incoming: _Incoming) -> Request | Fault | None:
+        """The Request, if it was received, or a Fault. None: more must be read, or a turn is due before more
+        is parsed. h11.RemoteProtocolError: it can't be read.
+        """
         while True:
-            if incoming.begun is not None and incoming.remaining() < 0:
-                return Fault(408, "slow")
             event = self.connection.next_event()
             if event is h11.NEED_DATA:
-                fault = await self._read(incoming)
-            elif isinstance(event, h11.EndOfMessage):
+                return None
+            if isinstance(event, h11.EndOfMessage):
                 return self._whole(incoming)
-            elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
-                return Fault(0, "closed")
-            elif isinstance(event, h11.Data):
+            if isinstance(event, h11.Data):
                 fault = incoming.take_part(event)
-                await self._pace(incoming)
-            else:
-                assert isinstance(event, h11.Request), f"h11 does not read {event} as a server"
+                if fault is None and incoming.is_turn_due():
+                    return None
+            elif isinstance(event, h11.Request):
                 fault = self._head_fault(incoming) or incoming.take_head(event)
+            else:
+                return Fault(0, "closed")
             if fault is not None:
                 return fault
 
@@ -148,9 +160,10 @@
         if self.connection.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             await self.socket.sendall(self.connection.send(continue_response))
-        data: bytes | None = await curio.ignore_after(
-            max(0.0, incoming.remaining()), self.socket.recv(RECEIVE_BYTES)
-        )
+        remaining = incoming.remaining()
+        if remaining < 0:
+            return Fault(408, "slow")
+        data: bytes | None = await curio.ignore_after(remaining, self.socket.recv(RECEIVE_BYTES))
         if self.caller.evicted:
             return Fault(0, "closed") if incoming.begun is None else Fault(503, "busy")
         if data is None:
@@ -163,11 +176,6 @@
         self.connection.receive_data(data)
         return None
 
-    async def _pace(self, incoming: _Incoming) -> None:
-        """Lets other connections have their turn while a body comes in many small parts."""
-        if incoming.small_parts and incoming.small_parts % constants.PARTS_IN_A_ROW == 0:
-            await self.pacer.turn(constants.PARTS_IN_A_ROW * constants.PART_SECONDS)
-
     def _whole(self, incoming: _Incoming) -> Request | Fault:
         """The Request that was received, or a Fault if there is no room for what it is decoded into."""
         request = _request_of(incoming)
@@ -227,8 +235,8 @@
 
     async def _sent(self, data: bytes) -> bool:
         """Sends an encoded answer; returns whether another request may follow."""
+        rest: bytes | memoryview = data if len(data) <= constants.ANSWER_SLICE else memoryview(data)
         try:
-            rest = memoryview(data)
             while len(rest) > constants.ANSWER_SLICE:
                 await self.socket.sendall(rest[: constants.ANSWER_SLICE])
                 self.caller.took(time.monotonic())
