HTTP ports: reads that are known to be costly have turns from the first one on

Change: a port names the reads that are taken for costly until one of them took little: the configuration and the metrics. Any other path must have taken long twice, so that no caller can have all turns by paths of its own invention.

--- a/features/inbox.feature
+++ b/features/inbox.feature
@@ -62,6 +62,12 @@
     When one read of a path takes long, and those before and after it don't
     Then no read of that path waits for a turn
 
+  # Guards against: a first burst of reads holds the loop for longer than a lease, before their cost is known.
+  Scenario: reads that a port names as costly wait for turns until one of them took little
+    Given the costs of reads at a port
+    When a path is presumed to be costly, and a read of it takes little
+    Then reads of it wait for turns until then
+
   Scenario: the costs of reads stay few
     Given the costs of reads at a port
     When 10000 paths are read that each take long twice
--- a/features/steps/inbox.py
+++ b/features/steps/inbox.py
@@ -244,6 +244,20 @@
     assert context.expected == [0.0, 0.0, 0.0], context.expected
 
 
+@when("a path is presumed to be costly, and a read of it takes little")
+def step_presumed(context):
+    context.costs.presume("/path")
+    context.expected = [context.costs.expected("/path")]
+    context.costs.record("/path", 0.0001)
+    context.expected.append(context.costs.expected("/path"))
+
+
+@then("reads of it wait for turns until then")
+def step_until_known(context):
+    assert context.expected[0] > 0, context.expected
+    assert context.expected[-1] == 0, context.expected
+
+
 @when("{count:d} paths are read that each take long twice")
 def step_many_paths(context, count):
     for number in range(count):
--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -142,6 +142,9 @@
     def limits(self, document: dict[str, Any]) -> http.RequestLimits:
         """The limits of requests at the port, from what the configuration states."""
 
+    def costly_reads(self) -> tuple[str, ...]:
+        """The paths whose reads are taken for costly until one of them took little."""
+
 
 class Handler(Protocol):
     """Produces the response to a request of a port."""
@@ -158,6 +161,8 @@
 class DirectHandler:
     """Passes requests to the daemon unchanged; for the product's own API."""
 
+    COSTLY_READS = ("/v1/metrics", "/v1/configuration")
+
     def __init__(self, exchange: Exchange) -> None:
         self.exchange = exchange
 
--- a/src/pinepitch/runtime/read_costs.py
+++ b/src/pinepitch/runtime/read_costs.py
@@ -20,6 +20,10 @@
     def __init__(self) -> None:
         self.costs: dict[str, ReadCost] = {}
 
+    def presume(self, path: str) -> None:
+        """Has reads of a path be taken for costly until one of them took little."""
+        self.costs[path] = ReadCost(constants.PRESUMED_READ, constants.PRESUMED_READ)
+
     def record(self, path: str, seconds: float) -> None:
         """Records what a read took."""
         earlier = self.costs.pop(path, None)
