--- a/features/steps/contact.py
+++ b/features/steps/contact.py
@@ -282,7 +282,7 @@
         answers = curio.Queue()
         context.host.exchange.waiting[message[1]] = answers
         await context.host._step(message)
-        return await timely_response(answers)
+        return timely_response(await answers.get())
 
     return curio.run(serve)
 
@@ -345,7 +345,7 @@
         context.host.exchange.waiting[1] = answers
         await context.host._reply(Reply(1, 200, {"version": 3}, (), until))
         context.clock.now += 5.0
-        return await timely_response(answers)
+        return timely_response(await answers.get())
 
     context.responses = [curio.run(write, context.clock.now + most) for most in (4.9, 5.1)]
 
