Listener: a new connection costs no turn of the loop unless another one was closed for it

Cause: the listener gave up its turn after each accepted connection, so that those which were closed for it end first; nothing is closed for most of them, and each turn is a whole cycle of the loop. Change: it does so only when one was closed.

--- a/src/pinepitch/runtime/listener.py
+++ b/src/pinepitch/runtime/listener.py
@@ -52,12 +52,14 @@
 
     async def _admit(self, socket: Any) -> None:
         """Serves a connection if the table has room for it."""
+        evictions = self.callers.evictions
         caller = self.callers.admit(SocketEnds(socket), time.monotonic())
         if caller is None:
             await _refuse(socket, self.port.refusal())
             return
         await curio.spawn(self._serve, socket, caller, daemon=True)
-        await curio.sleep(0)  # connections that were closed for this one end first
+        if self.callers.evictions > evictions:
+            await curio.sleep(0)  # connections that were closed for this one end first
 
     async def _serve(self, socket: Any, caller: Caller) -> None:
         try:
