Tests: reads that take long are given their processor time, in place of burning it

Cause: turns are spaced by processor time, and the test's decider burned that in a starved process, so that several turns were due at once: it measured the machine. Change: the host is told the processor time by a clock of the test; crowd and bound are unchanged.

--- a/features/steps/inbox.py
+++ b/features/steps/inbox.py
@@ -1,6 +1,7 @@
 """Steps for Inbox: the order in which a daemon takes its messages, and turns for reads that take long."""
 
 import time
+from unittest import mock
 
 import curio
 from behave import given, then, when
@@ -154,24 +155,31 @@
 
 
 class SlowReads:
-    """Answers each request; those of /slow after a while. Invariant: `decided` lists their paths."""
+    """Answers each request; those of /slow take STEP_SECONDS of `spent`, the processor time that the host is
+    told. Invariant: `decided` lists their paths.
+    """
 
     def __init__(self):
         self.decided = []
+        self.spent = 0.0
 
     def step(self, message, now, clock):
         if message[0] != "http":
             return []
         self.decided.append(message[3])
         if message[3] == "/slow":
-            spend(STEP_SECONDS)
+            self.spent += STEP_SECONDS
         return [Reply(message[1], 200, {"number": message[1]})]
 
 
 @given("a daemon's port whose reads of one path each take 10 ms to decide")
 def step_slow_reads(context):
-    context.port = Port(SlowReads(), PATIENCE)
+    decider = SlowReads()
+    context.port = Port(decider, PATIENCE)
     context.add_cleanup(context.port.listener.close)
+    patched = mock.patch.object(time, "thread_time", lambda: decider.spent)
+    patched.start()
+    context.add_cleanup(patched.stop)
 
 
 def _read_of(path):
