Crowds: the largest configuration gets in beside a crowd

Three scenarios send it beside bodies that stop short, silent connections and reads without a pause, again after each 503, 504 or closed connection, for at most the 40 s of the other crowds.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -81,3 +81,15 @@
     Given three control daemons and a front daemon with the limits of an ordinary machine
     When the operator replaces the configuration by one of the largest size
     Then the answer has the status 200
+
+  # Guards against: the bound on what callers hold refuses the operator's largest configuration while others fill it.
+  Scenario Outline: the largest configuration gets in beside <what>
+    Given three control daemons and a front daemon with the limits of an ordinary machine
+    When the operator replaces the configuration by one of the largest size beside <what>
+    Then the answer has the status 200
+
+    Examples:
+      | what                                          |
+      | bodies that stop short of their announced end |
+      | connections that say nothing                  |
+      | valid requests without a pause                |
--- a/features/crowds/deployment.py
+++ b/features/crowds/deployment.py
@@ -160,7 +160,7 @@
     peaks = Peaks(deployment.processes.running[target], deployment.processes.addresses[target])
     crowd = Crowd(deployment.processes.address(target, port), behaviour)
     crowd.come()
-    _wait_until_settled(crowd)
+    wait_until_settled(crowd)
     beside = deployment.answered(port)
     crowd.leave()
     afterwards = deployment.answered(port)
@@ -168,7 +168,8 @@
     return Played(deployment.lives(), peaks.memory, peaks.descriptors, beside, afterwards)
 
 
-def _wait_until_settled(crowd):
+def wait_until_settled(crowd):
+    """Returns once a crowd has sent what it will, but not before STAYS."""
     begun = time.monotonic()
     while time.monotonic() < begun + STAYS or (
         not crowd.settled() and time.monotonic() < begun + SETTLES_WITHIN
--- a/features/steps/crowds.py
+++ b/features/steps/crowds.py
@@ -5,6 +5,7 @@
 import os
 import socket
 import sys
+import time
 
 from behave import given, then, when
 
@@ -13,6 +14,7 @@
 try:
     from features.crowds import deployment, messages
     from features.crowds.behaviours import behaviour
+    from features.crowds.crowd import Crowd
 finally:
     sys.path.remove(FEATURES)
 
@@ -79,11 +81,39 @@
 
 @when("the operator replaces the configuration by one of the largest size")
 def step_largest_configuration(context):
+    leader = context.deployment.leader()
+    address = context.deployment.processes.address(leader, "control")
+    context.status = _status(address, _largest_configuration())
+
+
+@when("the operator replaces the configuration by one of the largest size beside {what}")
+def step_largest_configuration_beside(context, what):
+    leader = context.deployment.leader()
+    address = context.deployment.processes.address(leader, "control")
+    crowd = Crowd(address, behaviour(what, "control"))
+    crowd.come()
+    deployment.wait_until_settled(crowd)
+    context.status = _status_in_the_end(address, _largest_configuration())
+    crowd.leave()
+
+
+def _largest_configuration():
+    """The request of an operator for a configuration of the largest size."""
     routes = LARGEST_CONFIGURATION // messages.ROUTE_BYTES
     body = messages.padded(json.dumps(deployment.configuration_of(2, routes)).encode(), messages.LARGEST_BODY)
-    request = messages.request_head("POST", messages.CHANGE_PATH, len(body)) + body
-    leader = context.deployment.leader()
-    context.status = _status(context.deployment.processes.address(leader, "control"), request)
+    return messages.request_head("POST", messages.CHANGE_PATH, len(body)) + body
+
+
+def _status_in_the_end(address, request):
+    """The status of the answer to a request that is sent again after each refusal for want of room."""
+    until = time.monotonic() + deployment.ANSWERED_WITHIN
+    status = None
+    while status in (None, 503, 504) and time.monotonic() < until:
+        try:
+            status = _status(address, request)
+        except (OSError, http.client.HTTPException):
+            status = None  # the connection was closed for another one
+    return status
 
 
 def _status(address, request):
