Inbox on curio's queue; callers are watched twice a second, not at each tick

Read again: the inbox built what curio.Queue has (an event, a flag whether it is awaited) and wrapped each message; and each tick (25 ms) looked for callers that take nothing for 5 s. Change: arrivals stand in a curio.Queue; only messages of the cluster are listed beside it, with the time when they came. The order of messages and its tests are the same. A task of its own watches the callers every 0.5 s.

--- a/features/steps/inbox.py
+++ b/features/steps/inbox.py
@@ -9,7 +9,7 @@
 
 from pinepitch.common.effects import Reply
 from pinepitch.runtime.host import Host
-from pinepitch.runtime.inbox import MessageQueues
+from pinepitch.runtime.inbox import Inbox
 from pinepitch.runtime.read_costs import ReadCosts
 from pinepitch.transport import http_client
 
@@ -31,15 +31,18 @@
 
 
 def taken_after(messages, seconds):
-    """The messages that are taken so long after they all came to an inbox, until there is none."""
-    now, taken = 0.0, []
-    queues = MessageQueues(lambda: now)
-    for message in messages:
-        queues.append(message)
-    now = seconds
-    while not queues.empty():
-        taken.append(queues.take())
-    return taken
+    """The messages that are taken so long after they all came to an inbox."""
+    now = 0.0
+
+    async def act():
+        nonlocal now
+        inbox = Inbox(lambda: now)
+        for message in messages:
+            await inbox.put(message)
+        now = seconds
+        return [await inbox.get() for _ in messages]
+
+    return curio.run(act)
 
 
 def frames(count):
--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -182,6 +182,7 @@
 ANSWER_SLICE = 65_536  # bytes; of an answer that are passed to a socket at once
 LISTEN_BACKLOG = 100  # connections; most that wait to be accepted on one port
 ACCEPT_AGAIN = 0.1  # seconds; delay before connections are accepted again after the system refused one
+CALLERS_WATCH_EVERY = 0.5  # seconds; interval at which a daemon looks for callers that take nothing
 CALLERS_REPORT_EVERY = 10.0  # seconds; interval at which a daemon logs that it turned callers away
 LARGE_FRAME_BYTES = 262_144  # bytes; the values in a larger frame are counted before it is decoded
 MAX_ANSWER_BYTES = 64_000_000  # bytes; most read of an answer, far above the largest page of a listing
--- a/src/pinepitch/runtime/host.py
+++ b/src/pinepitch/runtime/host.py
@@ -85,6 +85,7 @@
                 await self.tasks.spawn(self.disk.run)
                 await self.tasks.spawn(self.disk.run_background)
             await self.tasks.spawn(self._clock)
+            await self.tasks.spawn(self._watch_callers)
             await self.tasks.spawn(self._signals)
             events.emit(self.log, 100, address=self.address, http=self.http_address)
             await self.decide_all()
@@ -95,9 +96,10 @@
         turn_began = time.monotonic()
         while True:
             if self.inbox.empty():
-                await self.inbox.wait()
+                message = await self.inbox.get()
                 turn_began = time.monotonic()
-            message = self.inbox.take()
+            else:
+                message = await self.inbox.get()
             if message[0] == "halt":
                 return
             if message[0] == "tick":
@@ -195,17 +197,19 @@
         """Puts ticks into the inbox, never more than one at a time."""
         while True:
             await curio.sleep(constants.TICK)
-            self._watch_callers(time.monotonic())
             if not self.ticking:
                 self.ticking = True
                 await self.inbox.put(("tick",))
 
-    def _watch_callers(self, now: float) -> None:
+    async def _watch_callers(self) -> None:
         """Ends connections whose callers take nothing, and logs when callers were turned away."""
-        self.callers.abort_stalled(now)
-        turned_away = self.callers_report.due(now)
-        if turned_away is not None:
-            events.emit(self.log, 191, **turned_away._asdict())
+        while True:
+            await curio.sleep(constants.CALLERS_WATCH_EVERY)
+            now = time.monotonic()
+            self.callers.abort_stalled(now)
+            turned_away = self.callers_report.due(now)
+            if turned_away is not None:
+                events.emit(self.log, 191, **turned_away._asdict())
 
     async def _signals(self) -> None:
         """Stops at SIGTERM or SIGINT, and rereads the settings periodically and at SIGHUP.
