Frames: parsed without a coroutine for each part, and recorded only while one is incomplete

Change: what was read is parsed at once, in the shape of the HTTP side; a frame is recorded as one in part only before more must be waited for. What is refused, and by which byte, is the same.

--- a/src/pinepitch/transport/callers.py
+++ b/src/pinepitch/transport/callers.py
@@ -96,6 +96,7 @@
         self.limits = limits
         self.most_held = limits.held  # bytes, for small requests
         self.most_large = limits.large  # bytes, for any others
+        self.most_request = limits.request  # bytes, for one request
         self.held = 0  # bytes
         self.callers: dict[State, collections.OrderedDict[Caller, None]] = {
             state: collections.OrderedDict() for state in State
--- a/src/pinepitch/transport/framing.py
+++ b/src/pinepitch/transport/framing.py
@@ -11,7 +11,7 @@
 from .callers import Caller
 
 LENGTH = struct.Struct(">I")
-FRAME_BEGIN = bytes([0x83])  # CBOR for an array of three values
+FRAME_BEGIN = 0x83  # the first byte of a body: CBOR for an array of three values
 
 
 class InvalidFrame(NamedTuple):
@@ -53,36 +53,43 @@
         too many values. Raises EOFError or OSError if the connection ends before the frame is complete, or
         must end as there is no room for the frame.
         """
-        await self._receive(LENGTH.size)
-        (length,) = LENGTH.unpack_from(self.caller.received)
+        while (frame := self._parse()) is None:
+            await self._receive()
+        return frame
+
+    def _parse(self) -> bytes | InvalidFrame | None:
+        """The body of the next frame, or InvalidFrame. None: more must be read."""
+        received = self.caller.received
+        if len(received) < LENGTH.size:
+            return None
+        (length,) = LENGTH.unpack_from(received)
         if length > constants.MAX_FRAME_BYTES:
             return InvalidFrame(f"frame of {length} bytes")
-        await self._receive(min(LENGTH.size + length, LENGTH.size + len(FRAME_BEGIN)))
-        if length and not self.caller.received.startswith(FRAME_BEGIN[:length], LENGTH.size):
+        if length and len(received) > LENGTH.size and received[LENGTH.size] != FRAME_BEGIN:
             return InvalidFrame("not a frame")
-        await self._receive(LENGTH.size + length)
-        body = bytes(memoryview(self.caller.received)[LENGTH.size : LENGTH.size + length])
-        del self.caller.received[: LENGTH.size + length]
-        return await self._whole(body)
-
-    async def _receive(self, size: int) -> None:
-        """Receives until `size` bytes are there."""
-        while len(self.caller.received) < size:
-            data: bytes = await self.socket.recv(constants.ANSWER_SLICE)
-            if not data:
-                raise EOFError
-            self.caller.received += data
-            if not self.caller.receives(len(self.caller.received), time.monotonic()):
-                raise EOFError
-
-    async def _whole(self, body: bytes) -> bytes | InvalidFrame:
-        """A frame's body, once the values of a large one are counted."""
-        most = self.caller.table.limits.request // constants.DECODED_VALUE_BYTES
-        if len(body) > constants.LARGE_FRAME_BYTES and has_more_values(body, most):
-            return InvalidFrame(f"more than {most} values")
+        end = LENGTH.size + length
+        if len(received) < end:
+            return None
+        with memoryview(received) as view:
+            body = bytes(view[LENGTH.size : end])
+        del received[:end]
+        if length > constants.LARGE_FRAME_BYTES:
+            most = self.caller.table.most_request // constants.DECODED_VALUE_BYTES
+            if has_more_values(body, most):
+                return InvalidFrame(f"more than {most} values")
         self.caller.rests(time.monotonic())
         return body
 
+    async def _receive(self) -> None:
+        """Receives more. EOFError, OSError: as read() says."""
+        held = len(self.caller.received)
+        if held and not self.caller.receives(held, time.monotonic()):
+            raise EOFError
+        data: bytes = await self.socket.recv(constants.ANSWER_SLICE)
+        if not data or self.caller.evicted:
+            raise EOFError
+        self.caller.received += data
+
 
 def has_more_values(body: bytes, most: int) -> bool:
     """Whether a CBOR text has more than `most` values (RFC 8949, section 3), or is cut short."""
--- a/src/pinepitch/transport/http_server.py
+++ b/src/pinepitch/transport/http_server.py
@@ -183,7 +183,7 @@
         self.value_count = value_count(request.body)
         decoded = decoded_bytes(request.body, self.value_count)
         size = constants.REQUEST_BYTES + self.buffered + decoded
-        if size > self.caller.table.limits.request:
+        if size > self.caller.table.most_request:
             return Fault(413, "too_many_values")
         self.method = request.method
         return request if self.caller.waits(size) else Fault(503, "busy")
