Adapters only translate the limits; the product clamps them and names its costly reads

Read again: platform/adapters.py decided which stated limit counts and that none goes beyond our own sizes, and which read is costly; three adapters repeated the same defaults; every read of a client was timed, though only the product's paths and the configuration ever take turns. Change: http.stated_limits() decides; adapters hand over the four fields and inherit what they don't translate; costly reads are named by call in the product. Reads of jobs are neither timed nor paced. Behaviour of the stated limits and of the paced reads is the same.

--- a/features/steps/inbox.py
+++ b/features/steps/inbox.py
@@ -257,7 +257,7 @@
 
 @when("a path is presumed to be costly, and a read of it takes little")
 def step_presumed(context):
-    context.costs.presume("/path")
+    context.costs = ReadCosts(("/path",))
     context.expected = [context.costs.expected("/path")]
     context.costs.record("/path", 0.0001)
     context.expected.append(context.costs.expected("/path"))
--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -170,7 +170,7 @@
 # seconds; of processor time, of a read; reads that take longer take turns
 COSTLY_READ = 0.002
 PRESUMED_READ = 0.005  # seconds; of processor time, of a read that is costly as far as is known
-MAX_COSTLY_PATHS = 64  # paths; most whose reads are known to take long
+MAX_COSTLY_READS = 64  # kinds of reads; most that are known to take long
 # seconds; after which a loop that decides requests lets other tasks have their turn
 LOOP_TURN = 0.05
 # seconds; a message of the cluster that has waited for so long goes before callers' requests; a small part of
--- a/src/pinepitch/runtime/host.py
+++ b/src/pinepitch/runtime/host.py
@@ -112,16 +112,12 @@
     async def _listen(self) -> None:
         """Opens the ports: for frames, for the product's own API, and for each adapter."""
         ports: list[tuple[str, HttpPort]] = []
-        costly_reads = list(DirectHandler.COSTLY_READS)
         if self.http_address:
             ports.append((self.http_address, self.http_port))
         for address, adapter in self.adapters:
             port = HttpPort(self.exchange, AdapterHandler(self.exchange, adapter))
             self.adapter_ports.append((port, adapter))
             ports.append((address, port))
-            costly_reads.extend(adapter.costly_reads())
-        for path in costly_reads:
-            self.exchange.read_costs.presume(path)
         await self.tasks.spawn(Listener(self.callers, self.frame_port, None).run, *split(self.address))
         for address, port in ports:
             listener = Listener(self.callers, port, HTTP_BUFFERS)
--- a/src/pinepitch/runtime/http_port.py
+++ b/src/pinepitch/runtime/http_port.py
@@ -23,6 +23,12 @@
 )
 
 
+# Reads that are taken for costly until one of them took little: by the path of the product's own API, or by
+# the call behind an adapter. Of the calls behind adapters no others are measured.
+COSTLY_PATHS = ("/v1/metrics", "/v1/configuration")
+COSTLY_CALLS = ("configuration",)
+
+
 class Decided(NamedTuple):
     """A daemon's reply to a request, until when it may be told (steady clock, s; None: at any time), and the
     seconds of processor time that deciding it took, 0.0 if that was not measured.
@@ -53,7 +59,7 @@
         self.body_pacer = Pacer()  # of bodies of many values
         self.part_pacer = Pacer()  # of bodies in very many parts
         self.read_pacer = Pacer()  # of reads that take long
-        self.read_costs = ReadCosts()
+        self.read_costs = ReadCosts((*COSTLY_PATHS, *COSTLY_CALLS))
         self.read_decision = ReadDecision(0, 0.0)  # the newest one
         self.stopping = False  # whether the process was asked to stop
         self.closed = False
@@ -110,6 +116,14 @@
             _, answers = self.waiting.popitem()
             await answers.put(Decided(STOPPING))
 
+    async def turn_of_read(self, server: http_server.Server, kind: str) -> bool:
+        """Waits for the turn of a read, if its kind takes long. False: it would not come in time."""
+        expected = self.read_costs.expected(kind)
+        if expected and not await self.read_pacer.turn(expected, constants.TURN_WITHIN):
+            return False
+        server.begin_read(kind)
+        return True
+
     def decided_read(self, request: int, seconds: float) -> None:
         """Records the processor time that the daemon has just spent on a read."""
         self.read_decision = ReadDecision(request, seconds)
@@ -131,7 +145,9 @@
 
 
 class Adapter(Protocol):
-    """Translates between the API of a port and the daemon's calls, and makes no decisions."""
+    """Translates between the API of a port and the daemon's calls, and makes no decisions. Adapters inherit
+    from it what they don't translate.
+    """
 
     def read(self, request: http.Request) -> http.Response | tuple[str, tuple[Any, ...], float]:
         """The (call, arguments, patience in seconds) of a request, or the answer if it can't be read."""
@@ -140,10 +156,10 @@
         """The response in the format of the port's API."""
 
     def limits(self, document: dict[str, Any]) -> http.RequestLimits:
-        """The limits of requests at the port, from what the configuration states."""
-
-    def costly_reads(self) -> tuple[str, ...]:
-        """The paths whose reads are taken for costly until one of them took little."""
+        """The limits of requests at the port: what the configuration states is about clients, and holds at
+        their port alone.
+        """
+        return http.usual_limits()
 
 
 class Handler(Protocol):
@@ -154,15 +170,10 @@
     ) -> http.Response:
         """The Response to a request of the connection of `server`, which reads the queue `answers`."""
 
-    def busy(self) -> http.Response:
-        """The response to a request that can't have its turn in time."""
-
 
 class DirectHandler:
     """Passes requests to the daemon unchanged; for the product's own API."""
 
-    COSTLY_READS = ("/v1/metrics", "/v1/configuration")
-
     def __init__(self, exchange: Exchange) -> None:
         self.exchange = exchange
 
@@ -174,6 +185,10 @@
             server.value_count * constants.VALUE_SECONDS, constants.TURN_WITHIN
         ):
             return self.busy()
+        if request.method == "GET":
+            path = request.target.partition("?")[0]
+            if not await self.exchange.turn_of_read(server, path):
+                return self.busy()
         return await self.exchange.ask_timed(
             server, answers, "http", request.method, request.target, request.headers, request.body
         )
@@ -201,11 +216,8 @@
         elif translated[0] in indexed_forwarder.INDEXED_CALLS:
             reply = await self.exchange.ask_watched(server, answers, "call", *translated)
             response = self.adapter.write(translated[0], reply)
-        elif request.method == "GET":
-            reply = await self.exchange.ask(answers, "call", *translated)
-            begun = time.thread_time()
-            response = self.adapter.write(translated[0], reply)
-            server.seconds += time.thread_time() - begun
+        elif translated[0] in COSTLY_CALLS:
+            response = await self._costly_response(translated, answers, server)
         else:
             response = self.adapter.write(
                 translated[0], await self.exchange.ask(answers, "call", *translated)
@@ -214,6 +226,18 @@
             response = response._replace(headers=(*response.headers, ("Connection", "close")))
         return response
 
+    async def _costly_response(
+        self, translated: tuple[str, tuple[Any, ...], float], answers: Any, server: http_server.Server
+    ) -> http.Response:
+        """The response to a call that takes long, once it has its turn."""
+        if not await self.exchange.turn_of_read(server, translated[0]):
+            return self.busy()
+        reply = await self.exchange.ask(answers, "call", *translated)
+        begun = time.thread_time()
+        response = self.adapter.write(translated[0], reply)
+        server.seconds += time.thread_time() - begun
+        return response
+
     async def _read(
         self, request: http.Request, values: int
     ) -> http.Response | tuple[str, tuple[Any, ...], float]:
@@ -250,29 +274,14 @@
             if isinstance(request, http.Fault):
                 await server.refuse(request)
                 return
-            path = request.target.partition("?")[0] if request.method == "GET" else None
-            if path is None:
-                response = self.handler.response(request, answers, server)
-            else:
-                response = self._read_response(request, path, answers, server)
+            response = self.handler.response(request, answers, server)
             del request  # neither it nor the response's document is held while the caller takes the answer
             another_may_follow = await server.answer(await response)
-            if path is not None:
-                self.exchange.read_costs.record(path, server.seconds)
+            if server.read_kind is not None:
+                self.exchange.read_costs.record(server.read_kind, server.seconds)
             if not another_may_follow:
                 return
 
-    async def _read_response(
-        self, request: http.Request, path: str, answers: Any, server: http_server.Server
-    ) -> http.Response:
-        """The response to a read. Those of a path that take long have turns."""
-        server.seconds = 0.0
-        expected = self.exchange.read_costs.expected(path)
-        if expected and not await self.exchange.read_pacer.turn(expected, constants.TURN_WITHIN):
-            server.seconds = expected  # the cost that is known stays
-            return self.handler.busy()
-        return await self.handler.response(request, answers, server)
-
     def refusal(self) -> bytes:
         """What a caller reads whose connection can't be served now."""
         return http_server.closing_bytes(http.busy())
--- a/src/pinepitch/transport/http.py
+++ b/src/pinepitch/transport/http.py
@@ -30,6 +30,26 @@
     )
 
 
+def stated_limits(head: Any, body: Any, head_ms: Any, idle_ms: Any) -> RequestLimits:
+    """The limits that a configuration states, in bytes and milliseconds, but no sizes beyond our own. What is
+    no number above 0 counts as not stated.
+    """
+    usual = usual_limits()
+    return RequestLimits(
+        head=min(usual.head, int(_positive(head, usual.head))),
+        body=min(usual.body, int(_positive(body, usual.body))),
+        head_seconds=_positive(head_ms, usual.head_seconds * 1000) / 1000,
+        request_seconds=usual.request_seconds,
+        idle_seconds=_positive(idle_ms, usual.idle_seconds * 1000) / 1000,
+    )
+
+
+def _positive(value: Any, otherwise: float) -> float:
+    """A number above 0, or another one if the value is none."""
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    return value if is_number and value > 0 else otherwise
+
+
 class Request(NamedTuple):
     """A request as received. Invariant: body has at most MAX_BODY_BYTES bytes; names of headers are in lower
     case.
--- a/src/pinepitch/transport/http_server.py
+++ b/src/pinepitch/transport/http_server.py
@@ -94,11 +94,13 @@
         self.method = ""  # of the newest request
         self.buffered = 0  # bytes that were read behind the newest request
         self.value_count = 0  # of the values in the newest request's body, at most
-        self.seconds = 0.0  # of processor time, that the newest request took if it is a read
+        self.read_kind: str | None = None  # of the newest request, if it is a read whose cost is measured
+        self.seconds = 0.0  # of processor time, that this read took
         self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=constants.MAX_HEAD_BYTES)
 
     async def receive(self) -> Request | Fault:
         """The next Request, or a Fault."""
+        self.read_kind = None
         incoming = _Incoming(self.limits(), self.caller, self.buffered)
         if incoming.held:
             incoming.begun = time.monotonic()
@@ -191,6 +193,10 @@
         self.method = request.method
         return request if self.caller.waits(size) else Fault(503, "busy")
 
+    def begin_read(self, kind: str) -> None:
+        """Begins to sum up the processor time of the newest request, a read of a kind."""
+        self.read_kind, self.seconds = kind, 0.0
+
     async def hung_up(self) -> None:
         """Returns once the caller closes its connection while its request is processed. Bytes received
         meanwhile are stored for the next request; after REQUEST_BYTES of them this no longer watches for
@@ -213,9 +219,9 @@
         """Sends one Response, with sorted JSON keys; returns whether another request may follow. An answer
         that there is no room for is replaced by an error.
         """
-        begun = time.thread_time() if self.method == "GET" else 0.0
+        begun = time.thread_time() if self.read_kind is not None else 0.0
         body, content_type = _encoded_document(response.document)
-        if self.method == "GET":
+        if self.read_kind is not None:
             self.seconds += time.thread_time() - begun
         if (
             not self.caller.answers(len(body) + self.buffered, time.monotonic())
