--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -349,7 +349,7 @@
         self.running, self.ended, self.barred = {}, {}, {}
         self.sequence = self.end_count = self.fence = 0
         self.hold_until, self.address, self.state = None, None, state
-        self.starts, self.failures = [], set()
+        self.starts, self.failing_jobs = [], set()  # failing: names of jobs that can never be done
         self.soon = asyncio.Event()
         self.over = False
         self.task = None
@@ -433,7 +433,7 @@
         self.running[(task, run)] = (time.monotonic(), length)
         self.starts.append((time.monotonic(), task, run))
         self.record(f"worker {self.identity}: started {task} run {run}")
-        how = "failed" if task in self.failures else "done"
+        how = "failed" if task.split(".")[0] in self.failing_jobs else "done"
         asyncio.get_running_loop().call_later(length, self.end, (task, run), how)
 
     def end(self, key, how):
