--- a/review/tools3/deployment.py
+++ b/review/tools3/deployment.py
@@ -13,8 +13,10 @@
 import socket
 import subprocess
 import tempfile
+import sys
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ("osu-hall", "tema-hall", "madina-hall")
@@ -321,3 +323,14 @@
 
 
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+
+
+def exit_with(case, record_path):
+    """Runs a case and exits with what it returns, or with 2 if the case itself failed."""
+    record = Record(record_path)
+    try:
+        status = asyncio.run(asyncio.wait_for(case(record), 115))
+    except BaseException:
+        record("the case couldn't run:", traceback.format_exc())
+        status = 2
+    sys.exit(status)
