Review: a hopeless job beside a feed keeps every minion from work for good

Cause: failures that are the job's own fault count against minions; one over the limit gets no work beside a placement, and a lasting task is a placement that never ends. Done: a case with two hopeless jobs of 36 tasks among 63 jobs, on six minions that each run a task of a feed. Measured: run.sh ended with 1; none of 30 small jobs handed in afterwards was started in up to 22 s, with 76 of 96 cores free. With TROUBLE=0 it ended with 0.

--- a/review/tools3/clients.py
+++ b/review/tools3/clients.py
@@ -63,6 +63,6 @@
         return answer.get("waiting") if status == 200 else None
 
 
-def spec(milliseconds, cpu):
-    """The taskSpec of a job whose tasks take so long."""
-    return json.dumps({"ms": milliseconds, "cpu": cpu})
+def spec(milliseconds, cpu, how="done"):
+    """The taskSpec of a job whose tasks take so long (0: they last) and end so."""
+    return json.dumps({"ms": milliseconds, "cpu": cpu, "how": how})
--- a/review/tools3/minion.py
+++ b/review/tools3/minion.py
@@ -1,6 +1,7 @@
 """A stand-in minion that follows PROTOCOL.md: heartbeats, holds, starts, stops, ends, draining and leaving.
 
-The taskSpec of a job is JSON: {"ms": length of a task, "cpu": thousandths of a core}.
+The taskSpec of a job is JSON: {"ms": length of a task, "cpu": thousandths of a core, "how": how its runs end}; a length
+of 0 means that the task lasts.
 """
 
 import asyncio
@@ -26,7 +27,7 @@
         self.turn = random.randrange(len(self.controls))
         self.home = None
         self.sequence = self.fence = self.end_number = 0
-        self.running = {}  # (task, run) -> [begun, milliseconds, stop at or None, cpu]
+        self.running = {}  # (task, run) -> [begun, milliseconds, stop at or None, cpu, how]
         self.ended = {}  # number -> [task, run, how, saved]
         self.barred = {}  # task -> highest run that stopped or ended here
         self.hold_until = None
@@ -66,7 +67,8 @@
             "clockMs": int(now * 1000),
             "callSequence": self.sequence,
             "running": [
-                [*key, "", min(99, int(100 * (now - run[0]) * 1000 / run[1]))] for key, run in self.running.items()
+                [*key, "", min(99, int(100 * (now - run[0]) * 1000 / run[1])) if run[1] else 0]
+                for key, run in self.running.items()
             ],
             "endedAt": [[number, *end] for number, end in list(self.ended.items())[:500]],
         }
@@ -144,7 +146,7 @@
         if run <= self.barred.get(task, 0) or used + what["cpu"] > self.cpu:
             self._list_end(key, "refused")
             return
-        self.running[key] = [time.monotonic(), what["ms"], None, what["cpu"]]
+        self.running[key] = [time.monotonic(), what["ms"], None, what["cpu"], what.get("how", "done")]
         self.history.append((self.record.now(), "start", self.name, task, run))
         self.record("minion", self.name, "starts", task, "run", run)
 
@@ -167,9 +169,9 @@
                 self.hold_until = None
                 for key in list(self.running):
                     self._end(key, "lapsed")
-            for key, (begun, milliseconds, stop_at, _) in list(self.running.items()):
+            for key, (begun, milliseconds, stop_at, _, how) in list(self.running.items()):
                 if stop_at is not None and now >= stop_at:
                     self._end(key, "stopped")
-                elif (now - begun) * 1000 >= milliseconds:
-                    self._end(key, "done")
+                elif milliseconds and (now - begun) * 1000 >= milliseconds:
+                    self._end(key, how)
             await asyncio.sleep(0.01)
