--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -490,6 +490,12 @@
                     if one["done_s"] >= one["needs_s"]:
                         self._end(key, "done")
 
+    def fail_one(self, job):
+        """Fails one run of a job by the task's own fault; returns the task."""
+        key = next(key for key in self.running if key[0].startswith(job))
+        self._end(key, "failed")
+        return key[0]
+
     # --- ends of the minion --------------------------------------------------------------------------
     def crash(self):
         """Ends at once; all that runs on it dies, and it says nothing."""
