--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,63 +1,95 @@
-"""A minion is lost for good; a less urgent job that waits for its label claims room, and a more urgent gang never starts."""
+"""The leader is killed; clients that hand in jobs leave early and cancel them at another daemon. The cancel is acknowledged (410),
+and a try to hand the job in that was still under way is taken after it: the cancelled job runs."""
 
 import asyncio
+import contextlib
 import pathlib
+import secrets
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 import fleet3
 from fleet3 import CannotRun, Minion
 
-HOST, URGENT, PLANS = "nony24.example", "/lohu930/", "/pule252/"
-SERVICE = "pole-imaging"
-WAIT_S = 40.0
-ROOM = (32000, 65536, 8)
+HOST, PREFIX, SERVICE = "nony24.example", "/lohu930/", "lamp-control"
+CLIENTS, LEAVE = 90, 30  # a third of the clients leave before their deadline
+DOWN_S = 3.5
+LEAVES_AFTER_S = 0.3  # of its 3 s a client waits so long for the answer to its job
+DUE_S = 10.0
+CANCEL_S = fleet3.BOUNDS["cancel_ms"] / 1000
 
 
 async def case(fleet, record):
     await fleet.configure(fleet3.configuration(
-        1,
-        [("r-urgent", HOST, URGENT, SERVICE, 1, 4, 2000, 2.2), ("r-plans", HOST, PLANS, SERVICE, 2, 3, 4000, 3.2)],
-        [(SERVICE, True)],
+        1, [("r-a", HOST, PREFIX, SERVICE, 2, 3, 5000, 3.2)], [(SERVICE, True)]
     ))
     minions = [
-        Minion(fleet, SERVICE, fleet3.ZONES[place % 3], ROOM, ("ab"[place % 2], f"r2-{place // 3}")) for place in range(7)
+        Minion(fleet, SERVICE, fleet3.ZONES[place % 3], (16000, 65536, 0), ("ab"[place % 2], f"r1-{place // 5}"))
+        for place in range(7)
     ]
-    await asyncio.sleep(1.5)
-    # Standing feeds: one task on each of two minions of kind b, and one on a minion of kind a.
-    await fleet.submit(HOST, URGENT, fleet3.job(2, 24000, 1000, lasts=True, labels="b", extra={"apartFrom": 1}))
-    await fleet.submit(HOST, URGENT, fleet3.job(1, 24000, 1000, lasts=True, labels="a"))
-    for _ in range(100):
-        if sum(len(minion.running) for minion in minions) == 3:
-            break
-        await asyncio.sleep(0.1)
-    else:
-        raise CannotRun("the feeds did not start")
-    await asyncio.sleep(1.0)
-    lost = next(minion for minion in minions if "b" in minion.labels and not minion.running)
+    await asyncio.sleep(3.0)
     if fleet3.TROUBLE:
-        lost.crash()
-        await asyncio.sleep(2.0)
-    # A plan of less urgent work that needs kind b: it fits on a minion of that kind without a feed.
-    await fleet.submit(HOST, PLANS, fleet3.job(4, 25000, 1500, labels="b"))
-    await asyncio.sleep(8.0)
-    # An urgent gang: 48 cores.
-    name = await fleet.submit(HOST, URGENT, fleet3.job(6, 8000, 2000, gang=True))
-    accepted = record.now()
-    while record.now() - accepted < WAIT_S:
-        await asyncio.sleep(1.0)
-        _, document = await fleet.ask(HOST, URGENT + name)
-        if document and document["state"] == "completed":
-            return ""
-    if any(what == "start" and task.startswith(name) for minion in minions for _, what, task, _ in minion.history):
-        return ""
-    sound = [minion for minion in minions if minion.up]
-    used = [sum(one["room"][0] for one in minion.running.values()) for minion in sound]
-    fit = sum((ROOM[0] - cores) // 8000 for cores in used)
-    record("script", f"cores in use by minion: {used}; {fit} members of the gang fit, it has 6")
-    if sum(used) * 2 >= ROOM[0] * len(sound) or fit < 12:
-        raise CannotRun("the fleet is fuller than meant")
-    return f"LOST: for {WAIT_S} s nothing of {name} runs, with room for {fit} of its 6 tasks and {sum(used) / ROOM[0] / len(sound):.2f} in use"
+        leader = await leading(fleet)
+        fleet.kill(leader)
+        asyncio.get_running_loop().call_later(DOWN_S, fleet.start_again, leader)
+    acknowledged = {}
+    clients = [
+        client(fleet, record, acknowledged, place * 0.005, place % (CLIENTS // LEAVE) == 0) for place in range(CLIENTS)
+    ]
+    await asyncio.gather(*clients)
+    await asyncio.sleep(DUE_S + 4.0)
+    late = []
+    for minion in minions:
+        for at, what, task, run in minion.history:
+            cancelled_at = acknowledged.get(task.partition(".")[0])
+            if what == "start" and cancelled_at is not None and at - cancelled_at > CANCEL_S:
+                late.append((at - cancelled_at, task, run, minion.identity))
+    if late:
+        after, task, run, minion = max(late)
+        return (
+            f"UNASKED: {len(late)} starts of cancelled jobs; {minion} starts {task} run {run} {after:.1f} s after its job's cancel was"
+            f" acknowledged (bound {CANCEL_S} s)"
+        )
+    return ""
+
+
+async def leading(fleet):
+    """The core machine that says that it leads (`pinepitch health` asks for the same)."""
+    for core, host in enumerate(fleet.cores):
+        _, health, _ = await fleet3.call(f"{host}:{fleet.first_port + 1}", "GET", "/v1/health")
+        if health["role"] == "leader":
+            return core
+    raise CannotRun("no core machine leads")
+
+
+async def client(fleet, record, acknowledged, delay, leaves):
+    """Hands in a timed job at one front daemon. If it `leaves`, it does so before it has an answer, and cancels the job at
+    another daemon.
+    """
+    await asyncio.sleep(delay)
+    name = secrets.token_hex(8)
+    job = fleet3.job(1, 1000, 800)
+    job |= {"firstRunMs": int((time.time() + DUE_S) * 1000), "intervalMs": 1000, "repeatTimes": 1}
+    if not leaves:
+        await fleet.submit(HOST, PREFIX, job, name)
+        return
+    headers = (("Host", HOST), ("X-Deadline-Remaining", "3000"))
+    try:
+        status, _, _ = await fleet3.call(fleet.fronts[0], "POST", PREFIX + name, job, headers, timeout=LEAVES_AFTER_S)
+    except (OSError, TimeoutError):
+        status = "leaves without an answer"
+    record("client", f"POST {PREFIX}{name} at {fleet.fronts[0]}: {status}")
+    for turn in range(4):
+        status = None
+        with contextlib.suppress(OSError, TimeoutError):
+            address = fleet.fronts[(turn + 1) % len(fleet.fronts)]
+            status, _, _ = await fleet3.call(address, "DELETE", PREFIX + name, None, headers, timeout=3.0)
+        record("client", f"DELETE {PREFIX}{name} at {address}: {status}")
+        if status in (200, 410):
+            acknowledged[name] = record.now()
+            return
+        await asyncio.sleep(0.2)
 
 
 fleet3.run_case(pathlib.Path(__file__).parent, case)
--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -159,14 +159,14 @@
     def fronts(self):
         return [f"{host}:{self.first_port + 17}" for host in self.front_hosts]
 
-    def _settings(self, kind, place, host):
+    def _settings(self, kind, place, host, first):
         zone = ZONES[place % len(ZONES)]
         fields = {
             "nodeName": f"{kind}-{zone}-{place}", "role": kind, "machineClass": kind,
             "serves": "control" if kind == "core" else "front", "ipAddress": host, "zone": zone, "region": REGION,
             **{f"zones.{name}": REGION for name in ZONES},
             "internalPortRange": f"{self.first_port},{self.first_port + 15}",
-            "seedAddresses": ",".join(self.controls[:3]), "firstStart": "true",
+            "seedAddresses": ",".join(self.controls[:3]), "firstStart": "true" if first else "false",
             "lossCounted": "true" if kind == "core" else "false", "limits.cpuShare": "0.717", "limits.cpuCores": "3",
             "limits.memoryMb": "296" if kind == "core" else "300", "limits.fileDescriptors": "4096",
             "limits.linkMbps": "1000.0", "limits.diskMb": "128" if kind == "core" else "0",
@@ -192,18 +192,33 @@
             raise CannotRun("target/deps is missing: run the build of the deploy file first")
         for kind, hosts in (("core", self.cores), ("front", self.front_hosts)):
             for place, host in enumerate(hosts):
-                environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
-                environment |= {
-                    "PYTHONPATH": str(ROOT / "target/deps"), "PYTHONDONTWRITEBYTECODE": "1",
-                    "PINEPITCH_SETTINGS": str(self._settings(kind, place, host)),
-                }
-                log = open(self.folder / f"{kind}-{place}.log", "wb")
-                self.processes[f"{kind}-{place}"] = subprocess.Popen(
-                    shlex.split(self.deploy[kind]["run"]), cwd=ROOT, env=environment, stdout=log, stderr=log,
-                    stdin=subprocess.DEVNULL,
-                )
+                self._start_one(kind, place, host, True)
         self.record("platform", f"started {', '.join(self.processes)}")
 
+    def _start_one(self, kind, place, host, first):
+        environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
+        environment |= {
+            "PYTHONPATH": str(ROOT / "target/deps"), "PYTHONDONTWRITEBYTECODE": "1",
+            "PINEPITCH_SETTINGS": str(self._settings(kind, place, host, first)),
+        }
+        with open(self.folder / f"{kind}-{place}.log", "ab") as log:
+            self.processes[f"{kind}-{place}"] = subprocess.Popen(
+                shlex.split(self.deploy[kind]["run"]), cwd=ROOT, env=environment, stdout=log, stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def kill(self, core):
+        """Kills the processes of a core machine; its disk stays."""
+        process = self.processes[f"core-{core}"]
+        process.kill()
+        process.wait()
+        self.record("platform", f"core-{core} is killed")
+
+    def start_again(self, core):
+        """Starts a killed core machine."""
+        self._start_one("core", core, self.cores[core], False)
+        self.record("platform", f"core-{core} is started again")
+
     def stop(self):
         for name, process in self.processes.items():
             if process.poll() is not None:
