Let a cancel hold against copies of the submission that are still on their way

Cause: the cancel of a job that the leader had not applied was answered from the applied state and left nothing behind, so that any copy of the submission (in a forwarder, in a socket, appended and not committed) was accepted after it. Ruled out: the front daemon's going on alone, as a body that ends late does the same with nobody gone; a lost cancel.

Change: such a cancel is an entry of the log (job-cancel-unknown, level 5). It cancels the job if it is there by then, else it leaves a tombstone for 60 s, which the submission finds when it is applied; it is then stored as cancelled and answered so. Bounds: 10,000 tombstones, 5,000 of a tenant, in the account of memory; one entry in 50 ms; 503 with Retry-After beyond that.

Tests that changed: versions.feature's earlier member knows nothing above level 3, not only no tenants; drawn histories (applying.feature) have the new entry, with tombstones at their limit.

--- a/features/leased_job_trials.feature
+++ b/features/leased_job_trials.feature
@@ -25,6 +25,7 @@
       | storm         |
       | tenants-leave-first |
       | ends-beyond-list |
+      | cancelled-early |
 
   Scenario Outline: <scenario> breaks no rule of jobs while the log is compacted all the time
     Given the condition frequent-snapshots
@@ -61,6 +62,8 @@
       | failures-forgotten  | calm          | failures                      | 20 to 31 |
       | room-given-early    | calm          | beyond its room               | 20 to 31 |
       | cancel-in-word      | calm          | was cancelled, then           | 20 to 31 |
+      | tombstones-unheeded | cancelled-early | after its cancel            | 0 to 5   |
+      | tombstones-not-stored | cancelled-early | after its cancel          | 0 to 5   |
       | stops-forgotten     | calm          | ran on after its cancel       | 20 to 31 |
       | order-unheeded      | calm          | was done                      | 20 to 31 |
       | answers-unchecked   | frames-replayed | started, though its job was refused | 44 to 55 |
--- a/features/same_histories.py
+++ b/features/same_histories.py
@@ -44,7 +44,7 @@
 SEARCH_BOUNDS = model_fleets.Bounds(4, 200)  # depth and states of each search of a model
 SEARCH_WALKS = 2  # random schedules after each search
 # Scenarios that came later stand behind all others, so that those keep their seeds.
-LATER_JOB_SCENARIOS = ("tenants-leave-first", "ends-beyond-list")
+LATER_JOB_SCENARIOS = ("tenants-leave-first", "ends-beyond-list", "cancelled-early")
 JOB_SCENARIOS = [
     *(
         name
--- a/features/steps/applying.py
+++ b/features/steps/applying.py
@@ -197,6 +197,7 @@
             "MAX_LEASED_JOBS": len(state.leased_jobs.jobs),
             "MAX_FINAL_JOBS": len(state.leased_jobs.final),
             "CONFIGURATIONS_KEPT": len(state.leased_jobs.configuration.digests_by_version),
+            "MAX_TOMBSTONES": len(state.leased_jobs.tombstones),
             "MAX_EVACUATED_ZONES": len(state.leased_jobs.evacuated),
             "MARKS_KEPT": len(state.change_watermarks.outcomes),
             "MAX_DRAFTS": len(state.drafts),
@@ -248,7 +249,8 @@
         assert outcomes[kind], (kind, outcomes)
     assert sum(history.rounds for history in context.histories) > len(context.histories)
     at_limits = set().union(*(history.at_limits for history in context.histories))
-    assert at_limits >= {"MAX_FINAL_JOBS", "MAX_EVACUATED_ZONES", "MARKS_KEPT", "MAX_DRAFTS"}, at_limits
+    expected = {"MAX_FINAL_JOBS", "MAX_TOMBSTONES", "MAX_EVACUATED_ZONES", "MARKS_KEPT", "MAX_DRAFTS"}
+    assert at_limits >= expected, at_limits
 
 
 # --- orders for zones ------------------------------------------------------------------
--- a/features/steps/entry_histories.py
+++ b/features/steps/entry_histories.py
@@ -17,6 +17,8 @@
 LOWERED = {
     "MAX_LEASED_JOBS": 12,
     "MAX_FINAL_JOBS": 4,
+    "MAX_TOMBSTONES": 3,
+    "MAX_TENANT_TOMBSTONES": 2,
     "CONFIGURATIONS_KEPT": 3,
     "MAX_EVACUATED_ZONES": 1,
     "MARKS_KEPT": 3,
@@ -52,6 +54,7 @@
         "late": 2,
         "again": 1,
         "cancel": 1,
+        "cancel_unknown": 1.5,
         "stop": 1,
         "configure": 1.5,
         "amend": 1,
@@ -95,7 +98,9 @@
 
     # --- leased jobs --------------------------------------------------------------------
     def take(self, leased_jobs, record):
-        if leased_jobs.jobs and self.random.random() < 0.1:
+        if leased_jobs.tombstones and self.random.random() < 0.2:
+            identity = self.random.choice(list(leased_jobs.tombstones.left_at)).identity
+        elif leased_jobs.jobs and self.random.random() < 0.1:
             identity = self.random.choice(list(leased_jobs.jobs))
         else:
             self.count += 1
@@ -115,6 +120,15 @@
             return ("job", identity, queue, plain)
         return ("tenant-job", identity, queue, plain, name)
 
+    def cancel_unknown(self, leased_jobs, record):
+        items = []
+        for _ in range(self.random.randint(1, 3)):
+            known = [*leased_jobs.jobs, *leased_jobs.final]
+            coming = f"{self.count + self.random.randint(1, 3):016x}"
+            identity = self.random.choice(known) if known and not self.often() else coming
+            items.append((identity, self.random.choice(self.NAMES), self.one_of("", QUEUE)))
+        return ("job-cancel-unknown", tuple(items))
+
     def _step(self, place):
         return {
             "count": self.one_of(1, 1, 2, 3),
--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -173,9 +173,13 @@
 
 
 class EarlierRecord(ClusterState):
-    """A record that knows no operation of tenants."""
+    """A record that knows no operation of tenants, and none that came later."""
 
-    actions = {name: one for name, one in ClusterState.actions.items() if name not in TENANT_OPERATIONS}
+    actions = {
+        name: one
+        for name, one in ClusterState.actions.items()
+        if ClusterState.levels.get(name, 1) < TENANTS_LEVEL
+    }
 
 
 class EarlierControlDaemon(ControlDaemon):
@@ -236,7 +240,8 @@
     context.simulator.run(3)
     context.version = 0
     levels = [node.core.level for node in control_daemons(context)]
-    assert levels == [TENANTS_LEVEL, TENANTS_LEVEL, TENANTS_LEVEL - 1], levels
+    assert levels == [constants.RECORD_LEVEL, constants.RECORD_LEVEL, TENANTS_LEVEL - 1], levels
+    assert not TENANT_OPERATIONS & EarlierRecord.actions.keys()
 
 
 @when("a configuration in which two tenants share a key is sent, and jobs with their keys")
--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -295,8 +295,8 @@
 # watermarks.
 FILE_VERSION = 4
 # Level of operations; a cluster proposes only operations known at the lowest level that a member reports.
-# 3: evacuation. 4: jobs of tenants, configurations whose tenants are checked.
-RECORD_LEVEL = 4
+# 3: evacuation. 4: jobs of tenants, configurations whose tenants are checked. 5: tombstones.
+RECORD_LEVEL = 5
 
 # --- leased jobs ---------------------------------------------------------------------
 MAX_SPEC_LENGTH = 4_000  # characters; the specification that a job passes to its tasks
@@ -320,6 +320,16 @@
 FINAL_LASTS = 240.0
 MAX_FINAL_JOBS = 60_000  # jobs; the most final ones that stay readable
 FINAL_SWEEP = 20  # jobs; examined for removal each time one becomes final
+# seconds; a copy of a submission may be on its way this long: MAX_REQUEST_SECONDS until it is read,
+# CALL_PATIENCE until it is accepted, and as much again for a daemon that did not run or a link that was cut
+SUBMISSION_LASTS = 45.0
+TOMBSTONE_RENEWED_AFTER = 15.0  # seconds; a repeated cancellation renews an older tombstone
+TOMBSTONE_LASTS = SUBMISSION_LASTS + TOMBSTONE_RENEWED_AFTER  # seconds
+MAX_TOMBSTONES = 10_000  # tombstones; cancellations of unknown jobs beyond it are refused
+MAX_TENANT_TOMBSTONES = 5_000  # tombstones; most of one tenant, and of all callers without a tenant
+TOMBSTONE_BYTES = 600  # bytes; memory of a tombstone
+TOMBSTONES_EVERY = 0.05  # seconds; interval between two entries with tombstones
+MAX_ENTRY_TOMBSTONES = 500  # tombstones; most in one entry
 MAX_PREFIX_LENGTH = 512  # characters; longest prefix of a route
 MAX_KEY_LENGTH = 512  # characters; longest key of a tenant
 # Raise this only with a new level, because a full list shows that older versions were forgotten.
--- a/src/pinepitch/control/applied_entries.py
+++ b/src/pinepitch/control/applied_entries.py
@@ -5,6 +5,7 @@
 
 from ..common import metrics
 from ..model.reliability import Outcome
+from . import early_cancellations
 
 if TYPE_CHECKING:
     from .daemon import ControlDaemon
@@ -96,6 +97,13 @@
             self.daemon.event(181, version=outcome[1])
             self._active_state_changed(now)
 
+    def _unknown_jobs_cancelled(
+        self, operation: tuple[Any, ...], outcome: tuple[Any, ...], now: float
+    ) -> None:
+        """Handles cancellations of jobs that were not known when they were asked for."""
+        self.daemon.early_cancellations.on_applied()
+        self.daemon.assignments.round_due = True
+
     def _queues_or_workers_changed(
         self, operation: tuple[Any, ...], outcome: tuple[Any, ...], now: float
     ) -> None:
@@ -138,6 +146,7 @@
     "ended": AppliedEntries._attempts_ended,
     "job-assign": AppliedEntries._leased_job_assigned,
     "job-ended": AppliedEntries._leased_job_ended,
+    early_cancellations.OPERATION: AppliedEntries._unknown_jobs_cancelled,
     **dict.fromkeys(
         (
             "job",
--- a/src/pinepitch/control/daemon.py
+++ b/src/pinepitch/control/daemon.py
@@ -26,6 +26,7 @@
 from .client_requests import ClientRequests
 from .cluster_entry import ClusterEntry
 from .consensus_driver import ConsensusDriver
+from .early_cancellations import EarlyCancellations
 from .forwarded_requests import ForwardedRequests
 from .front_updates import FrontUpdates
 from .handshakes import Handshakes
@@ -126,6 +127,7 @@
         self.front_updates = FrontUpdates(self)
         self.worker_reports = WorkerReports(self)
         self.proposals = Proposals(self)
+        self.early_cancellations = EarlyCancellations(self)
         self.applied_entries = AppliedEntries(self)
         self.leadership = Leadership(self)
         self.shutdown = Shutdown(self)
@@ -135,6 +137,7 @@
         self.assignments = AssignmentManager(self, now)
         self.worker_reports.clear()
         self.proposals.clear()
+        self.early_cancellations.clear()
         self.forwarded_requests.clear()
         self.front_updates.clear()
         self.leadership.clear()
@@ -353,6 +356,7 @@
             if now - self.assignments.ticked_at >= constants.HEARTBEAT_BATCH_DELAY:
                 self.assignments.tick(now)
             self.assignments.flush(now)
+            self.early_cancellations.propose_due(now)
 
     def _tick(self, now: float) -> None:
         """Handles a tick of the clock."""
--- a/src/pinepitch/control/forwarded_requests.py
+++ b/src/pinepitch/control/forwarded_requests.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from ..consensus.leader_clock import Reading
-from ..model.decisions import Answer, DeferHeartbeat, ProposeEnds, problem
+from ..model.decisions import Answer, DeferHeartbeat, ProposeEnds, ProposeTombstone, problem
 from ..scheduling import requests as job_calls
 from ..transport.request_key import subject_of
 from .proposals import OutcomeListener
@@ -65,6 +65,7 @@
             self.refuse_pending(read.address, read.token, None, now)
         for address, token, _ in self.daemon.assignments.deferred_heartbeats.values():
             self.refuse_pending(address, token, None, now)
+        self.daemon.early_cancellations.refuse_all(now)
 
     def on_request(
         self,
@@ -129,6 +130,8 @@
                 self.answer(address, token, decision, self.daemon.consensus.lease_end(now))
             else:  # the state here may be out of date
                 self.refuse_pending(address, token, None, now)
+        elif isinstance(decision, ProposeTombstone):
+            self.daemon.early_cancellations.gather(address, token, decision)
         elif isinstance(decision, ProposeEnds):
             listener = OutcomeListener(address, token, "report", decision.context)
             self.daemon.worker_reports.gather_ends(decision.ends, listener, now)
--- a/src/pinepitch/control/proposals.py
+++ b/src/pinepitch/control/proposals.py
@@ -1,5 +1,6 @@
 """Proposals of operations for the log: which may be proposed, and who is sent their outcome."""
 
+from collections.abc import Sequence
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from ..common import constants
@@ -62,26 +63,39 @@
         """Proposes one operation for the log; `listener` is sent the outcome. An operation that some member
         does not know yet is not proposed, and its request is refused.
         """
+        self.propose_together(operation, () if listener is None else (listener,), now)
+
+    def propose_together(
+        self, operation: tuple[Any, ...], listeners: Sequence[OutcomeListener], now: float
+    ) -> bool:
+        """As propose(), for one operation that several requests asked for. Returns whether it was
+        proposed.
+        """
         if self.daemon.cluster_state.levels.get(operation[0], 1) > self.common_level():
             self.daemon.event(133, operation=operation[0], level=self.common_level())
-            if listener is not None:
-                self.daemon.forwarded_requests.refuse_pending(listener.address, listener.token, None, now)
-            return
+            self._refuse(listeners, now)
+            return False
         cost = memory_cost(operation)
-        if listener is not None and operation[0] in GROWING and self._is_full(cost):
-            self._refuse_growth(operation, listener)
-            return
-        if listener is not None and self.daemon.consensus.log.size > self.daemon.limits.log:
+        if listeners and operation[0] in GROWING and self._is_full(cost):
+            self._refuse_growth(operation, listeners)
+            return False
+        if listeners and self.daemon.consensus.log.size > self.daemon.limits.log:
             self.daemon.event(134, operation=operation[0], bytes=self.daemon.consensus.log.size)
-            self.daemon.forwarded_requests.refuse_pending(listener.address, listener.token, None, now)
-            return
+            self._refuse(listeners, now)
+            return False
         index = self.daemon.consensus.last_index() + 1
-        if listener is not None:
-            self.listeners.setdefault(index, []).append(listener)
+        if listeners:
+            self.listeners.setdefault(index, []).extend(listeners)
         if cost:
             self._unapplied_bytes[index] = cost
         result = self.daemon.consensus.propose([operation], self.daemon.cluster_time(now), now)
         self.daemon.consensus_driver.execute(result[1], now)
+        return True
+
+    def _refuse(self, listeners: Sequence[OutcomeListener], now: float) -> None:
+        """Refuses the requests for an operation that was not proposed."""
+        for listener in listeners:
+            self.daemon.forwarded_requests.refuse_pending(listener.address, listener.token, None, now)
 
     def on_applied(self, index: int) -> None:
         """Handles an entry that was applied: the cluster state accounts for its memory from now on."""
@@ -98,8 +112,8 @@
             return True
         return cost > 0 and self.state_bytes() + cost > self.daemon.limits.state_with(cost)
 
-    def _refuse_growth(self, operation: tuple[Any, ...], listener: OutcomeListener) -> None:
-        """Refuses at once a request that would enlarge a cluster state that is full."""
+    def _refuse_growth(self, operation: tuple[Any, ...], listeners: Sequence[OutcomeListener]) -> None:
+        """Refuses at once requests that would enlarge a cluster state that is full."""
         self.daemon.event(
             136,
             operation=operation[0],
@@ -108,4 +122,5 @@
         )
         message = "the cluster state is as large as it may be; nothing was taken"
         refusal = problem(429, "state_full", message, constants.RETRY_AFTER)
-        self.daemon.forwarded_requests.answer(listener.address, listener.token, refusal)
+        for listener in listeners:
+            self.daemon.forwarded_requests.answer(listener.address, listener.token, refusal)
--- a/src/pinepitch/model/decisions.py
+++ b/src/pinepitch/model/decisions.py
@@ -34,6 +34,14 @@
     context: Any
 
 
+class ProposeTombstone(NamedTuple):
+    """The cancellation of a job that the leader does not know. It is proposed in one log entry with those of
+    other requests; the answer is made from its outcome once the entry is applied.
+    """
+
+    tombstone: tuple[str, ...]  # the fields of a scheduling.tombstones.Tombstone
+
+
 class DeferHeartbeat(NamedTuple):
     """A worker's heartbeat, which is a long poll that the assignment manager answers now or later."""
 
@@ -41,7 +49,7 @@
     document: dict[str, Any]
 
 
-Decision = Answer | Propose | ProposeEnds | DeferHeartbeat
+Decision = Answer | Propose | ProposeEnds | ProposeTombstone | DeferHeartbeat
 
 
 def problem(status: int, code: str, message: str, retry_after: int | None = None, **details: Any) -> Answer:
--- a/src/pinepitch/scheduling/leased_job_state.py
+++ b/src/pinepitch/scheduling/leased_job_state.py
@@ -14,7 +14,7 @@
 from ..model.reliability import WorkKey
 from .configuration import Configuration
 from .evacuation import Evacuations
-from .job_document import PlainJob
+from .job_document import PlainJob, digest_of
 from .job_outcomes import (
     END_COMPLETED,
     END_DONE,
@@ -37,6 +37,7 @@
 from .resources import NO_RESOURCES, multiply, subtract
 from .run_stop import StopItem
 from .tenants import Tenants
+from .tombstones import Tombstone, Tombstones
 from .upcoming_batches import UpcomingBatches
 
 # An item of the operation "job-assign":
@@ -74,6 +75,7 @@
         self.used_by_tenant = self._usage.by_tenant
         self.configuration = Configuration()
         self.evacuations = Evacuations()
+        self.tombstones = Tombstones()
         self.ready: dict[TaskBatchKey, TaskBatch] = {}
         self.ready_counts: dict[WorkKey, int] = {}
         self.upcoming = UpcomingBatches()
@@ -83,9 +85,10 @@
     # --- image ------------------------------------------------------------------------
     def image(self, expanded: bool = True) -> Image:
         """The state as plain values, for a snapshot. from_image() rebuilds the state from them. `expanded` is
-        described at LeasedJob.image.
+        described at LeasedJob.image. Without tombstones there is no field for them, so that the image is the
+        same as in versions that do not know them.
         """
-        return (
+        image: Image = (
             tuple(job.image(expanded) for job in self.jobs.values()),
             tuple((identity, *final.image()) for identity, final in self.final.items()),
             tuple(
@@ -96,14 +99,16 @@
             self.configuration.image(),
             self.evacuations.image(),
         )
+        return (*image, self.tombstones.image()) if self.tombstones else image
 
     @classmethod
     def from_image(cls, image: Image) -> Self:
         """Rebuilds the state from the values that image() returned."""
         leased_jobs = cls()
-        jobs, final, placements, configuration, evacuations = image
+        jobs, final, placements, configuration, evacuations, *tombstones = image
         leased_jobs.configuration = Configuration(*configuration)
         leased_jobs.evacuations = Evacuations(*evacuations)
+        leased_jobs.tombstones = Tombstones(*tombstones)
         leased_jobs.final = {identity: FinalJob(*fields) for identity, *fields in final}
         for placement_image in placements:
             placement = Placement(*placement_image)
@@ -230,6 +235,7 @@
             self.job_bytes
             + constants.PLACEMENT_BYTES * self.placement_count
             + constants.FINAL_JOB_BYTES * len(self.final)
+            + constants.TOMBSTONE_BYTES * len(self.tombstones)
         )
 
     # --- queries ----------------------------------------------------------------------
@@ -285,8 +291,8 @@
         self, now: float, identity: str, queue: str, plain: PlainJob, tenant: str | None = None
     ) -> Outcome:
         """Accepts a job that was submitted at a queue. Outcomes: ("accepted", identity); ("known", identity)
-        for a job that is stored already; ("missing", queue) if no such route is in force; ("full", queue) at
-        MAX_LEASED_JOBS.
+        for a job that is stored already, or that was cancelled before, which is stored as cancelled now;
+        ("missing", queue) if no such route is in force; ("full", queue) at MAX_LEASED_JOBS.
 
         `tenant` is the name of the tenant that submits the job, "" for a caller without one, and None in
         operations that do not check tenants. If it is given, the outcome may also be ("foreign", identity)
@@ -301,6 +307,11 @@
             return ("unknown_tenant", tenant)
         if route is None:
             return ("missing", queue)
+        if self.tombstones.stops(now, identity, queue, tenant or ""):
+            self._add_final(
+                now, identity, FinalJob(JOB_CANCELLED, now, queue, digest_of(plain), tenant or "")
+            )
+            return ("known", identity)
         if len(self.jobs) >= constants.MAX_LEASED_JOBS:
             return ("full", queue)
         route_settings = (
@@ -328,8 +339,26 @@
         self._finish(now, job, JOB_CANCELLED)
         return ("cancelled", identity)
 
+    def cancel_unknown(self, now: float, items: Sequence[Sequence[str]]) -> Outcome:
+        """Cancels jobs that the leader did not know when it was asked to. Each item has the fields of the
+        tombstone that is left if the job is still not there. The outcome is ("cancelled-unknown", one
+        outcome for each item): those of cancel(), where "missing" leaves a tombstone; ("foreign", identity)
+        for a job that the caller may not cancel; ("full", identity) if there is no room for a tombstone.
+        """
+        outcomes = tuple(self._cancel_unknown(now, Tombstone(*item)) for item in items)
+        return ("cancelled-unknown", outcomes)
+
+    def _cancel_unknown(self, now: float, tombstone: Tombstone) -> Outcome:
+        """Applies one item of cancel_unknown()."""
+        identity = tombstone.identity
+        job = self.jobs.get(identity) or self.final.get(identity)
+        if job is not None:
+            may_cancel = tombstone.covers(job.queue, job.tenant)
+            return self.cancel(now, identity) if may_cancel else ("foreign", identity)
+        return ("missing" if self.tombstones.leave(now, tombstone) else "full", identity)
+
     def _finish(self, now: float, job: LeasedJob, state: str) -> None:
-        """Replaces a job by its final record, and drops final records that are too old or too many."""
+        """Replaces a job by its final record."""
         del self.jobs[job.identity]
         self.job_bytes -= job.cost
         self.lasting_jobs -= job.lasts
@@ -339,11 +368,15 @@
             self._remove_ready(batch)
         for number in job.next_times:
             self.upcoming.drop((job.identity, number))
-        self.final[job.identity] = FinalJob(state, now, job.queue, job.digest, job.tenant)
-        for identity, final in list(itertools.islice(self.final.items(), constants.FINAL_SWEEP)):
+        self._add_final(now, job.identity, FinalJob(state, now, job.queue, job.digest, job.tenant))
+
+    def _add_final(self, now: float, identity: str, record: FinalJob) -> None:
+        """Adds the record of a job that is over, and drops records that are too old or too many."""
+        self.final[identity] = record
+        for older, final in list(itertools.islice(self.final.items(), constants.FINAL_SWEEP)):
             if final.ended + constants.FINAL_LASTS > now and len(self.final) <= constants.MAX_FINAL_JOBS:
                 break
-            del self.final[identity]
+            del self.final[older]
 
     def assign(self, now: float, epoch: int, items: Sequence[TaskBatchAssignment]) -> tuple[Placement, ...]:
         """Places waiting tasks on workers and returns their placements. Each item is (job, time, number,
--- a/src/pinepitch/scheduling/requests.py
+++ b/src/pinepitch/scheduling/requests.py
@@ -7,13 +7,14 @@
 from typing import Any
 
 from ..common import constants
-from ..model.decisions import Answer, Decision, DeferHeartbeat, Propose, faulty, problem
+from ..model.decisions import Answer, Decision, DeferHeartbeat, Propose, ProposeTombstone, faulty, problem
 from . import configuration, explain, tenant_calls
 from . import job_document as jobs
 from . import worker as workers
 from .daemon_interface import Daemon
 from .leased_job_state import LeasedJobState
 from .plain_types import Arguments, Document
+from .tombstones import Tombstone
 
 OPEN_STATES = ("queued", "running")  # the states of a job that is not over
 
@@ -90,10 +91,14 @@
 ) -> tuple[Any, ...]:
     """The operation that accepts a job. It names the job's tenant once all members know "tenant-job"."""
     operation: tuple[Any, ...] = ("job", identity, route["name"], plain)
-    leased_jobs = core.cluster_state.leased_jobs
-    if not leased_jobs.tenants.keys_required or not _all_members_know(core, "tenant-job"):
+    if not _jobs_have_tenants(core):
         return operation
-    return ("tenant-job", *operation[1:], _calling_tenant(leased_jobs, route, key))
+    return ("tenant-job", *operation[1:], _calling_tenant(core.cluster_state.leased_jobs, route, key))
+
+
+def _jobs_have_tenants(core: Daemon) -> bool:
+    """Whether a job that is submitted now belongs to the tenant that calls."""
+    return core.cluster_state.leased_jobs.tenants.keys_required and _all_members_know(core, "tenant-job")
 
 
 def _all_members_know(core: Daemon, operation: str) -> bool:
@@ -131,7 +136,7 @@
         return Answer(200, {"waiting": leased_jobs.queued_counts.get(route["name"], 0)})
     state = leased_jobs.state(identity)
     if state is None:
-        return problem(410, "no_job", "no such job")
+        return _no_job()
     if state not in OPEN_STATES:
         core.trace(190, job=identity, state=state)
     return Answer(200, {"state": state})
@@ -143,22 +148,60 @@
     authorized = _authorized_route(core, host, path, key)
     if isinstance(authorized, Answer):
         return authorized
-    identity = authorized[1]
+    route, identity = authorized
     state = core.cluster_state.leased_jobs.state(identity)
     if state is None:
-        return problem(410, "no_job", "no such job")
+        return _cancel_unknown(core, route, identity, key, now)
     if state not in OPEN_STATES:
         return Answer(200, {"state": state})
     return Propose(("job-cancel", identity), "job-cancel")
 
 
+def _cancel_unknown(core: Daemon, route: Document, identity: str, key: Sequence[str], now: float) -> Decision:
+    """Cancels a job that is not known. Its submission may still be on its way, so that the cancellation is
+    acknowledged only once a tombstone stops that.
+    """
+    if not is_job_name(identity) or not _all_members_know(core, "job-cancel-unknown"):
+        return _no_job()
+    leased_jobs = core.cluster_state.leased_jobs
+    tenant = _calling_tenant(leased_jobs, route, key) if _jobs_have_tenants(core) else ""
+    tombstone = Tombstone(identity, tenant or "", route["name"] if route.get("public", False) else "")
+    time = core.cluster_time(now)
+    if leased_jobs.tombstones.is_fresh(time, tombstone):
+        return _no_job()
+    if not leased_jobs.tombstones.has_room(time, tombstone):
+        return _too_many_tombstones()
+    return ProposeTombstone(tuple(tombstone))
+
+
+def _no_job() -> Answer:
+    return problem(410, "no_job", "no such job")
+
+
+def _too_many_tombstones() -> Answer:
+    message = "too many unknown jobs were cancelled; this cancellation was not taken"
+    return problem(503, "full", message, constants.RETRY_AFTER)
+
+
 def answer_cancelled(core: Daemon, outcome: tuple[Any, ...], extra: Any, now: float) -> Answer:
     """The answer to a cancellation, from the outcome of LeasedJobState.cancel."""
     if outcome[0] == "missing":
-        return problem(410, "no_job", "no such job")
+        return _no_job()
     return Answer(200, {"state": "cancelled" if outcome[0] == "cancelled" else outcome[1]})
 
 
+def answer_cancelled_unknown(core: Daemon, outcome: tuple[Any, ...], place: int, now: float) -> Answer:
+    """The answer to the cancellation at one place of an operation, from the outcome of
+    LeasedJobState.cancel_unknown.
+    """
+    own_outcome = outcome[1][place]
+    if own_outcome[0] == "foreign":
+        return _foreign_job()
+    if own_outcome[0] == "full":
+        return _too_many_tombstones()
+    return answer_cancelled(core, own_outcome, None, now)
+
+
 def heartbeat(core: Daemon, token: Any, arguments: Arguments, now: float) -> Decision:
     """Validates a worker's heartbeat. The assignment manager processes it and answers it, possibly later."""
     identity, document = arguments
@@ -250,6 +293,7 @@
 OUTCOME_ANSWERS = {
     "job": answer_submitted,
     "job-cancel": answer_cancelled,
+    "job-cancel-unknown": answer_cancelled_unknown,
     "configured": answer_configured,
     "evacuated": answer_evacuated,
 }
--- a/src/pinepitch/simulation/jobs/injected_faults.py
+++ b/src/pinepitch/simulation/jobs/injected_faults.py
@@ -14,6 +14,7 @@
 from ...scheduling import assigner
 from ...scheduling.assignment_manager import AssignmentManager
 from ...scheduling.leased_job_state import LeasedJobState
+from ...scheduling.tombstones import Tombstones
 from ...scheduling.worker import Worker
 from ...transport.forwarder import Forwarder
 from .. import order_injected_faults
@@ -149,6 +150,8 @@
     "failures-forgotten": [(LeasedJobState, "_apply_end", _failures_as_stops)],
     "room-given-early": [(assigner, "candidate_workers", _capacity_twice)],
     "cancel-in-word": [(LeasedJobState, "cancel", _acknowledge_cancel_only)],
+    "tombstones-unheeded": [(Tombstones, "stops", lambda self, *submission: False)],
+    "tombstones-not-stored": [(Tombstones, "leave", lambda self, now, tombstone: True)],
     "stops-forgotten": [(LeasedJobState, "should_run", lambda self, placement: True)],
     "leaves-are-ends": [(Worker, "leave", lambda self: True)],
     "drain-unseen": [(Worker, "take_heartbeat", _always_ready)],
--- a/src/pinepitch/simulation/jobs/scenarios.py
+++ b/src/pinepitch/simulation/jobs/scenarios.py
@@ -5,6 +5,7 @@
 import functools
 
 from ..simulator import GRACE, START
+from .early_cancels import cancelled_early
 from .long_lists import more_ends_than_listed
 from .plans import tolerated_losses
 from .replays import frames_replayed
@@ -371,4 +372,5 @@
     "storm": storm,
     "tenants-leave-first": workers_leave_first,
     "ends-beyond-list": more_ends_than_listed,
+    "cancelled-early": cancelled_early,
 }
--- a/src/pinepitch/state/leased_job_operations.py
+++ b/src/pinepitch/state/leased_job_operations.py
@@ -7,6 +7,7 @@
     AmendRoutes,
     AssignRuns,
     CancelLeasedJob,
+    CancelUnknownJobs,
     ConfigureRoutes,
     EndRuns,
     EvacuateZone,
@@ -28,6 +29,11 @@
     return state.leased_jobs.cancel(state.time, operation.identity)
 
 
+def cancel_unknown_jobs(state: "ClusterState", operation: CancelUnknownJobs) -> Outcome:
+    """Cancels leased jobs that may not have been accepted yet."""
+    return state.leased_jobs.cancel_unknown(state.time, operation.items)
+
+
 def assign_runs(state: "ClusterState", operation: AssignRuns) -> Outcome:
     """Assigns runs, unless the proposer has lost the placing role."""
     if operation.epoch != state.epoch("placing"):
--- a/src/pinepitch/state/operations.py
+++ b/src/pinepitch/state/operations.py
@@ -186,6 +186,12 @@
     identity: str
 
 
+class CancelUnknownJobs(NamedTuple):
+    """Clients cancel jobs that the leader does not know; added in level 5."""
+
+    items: Sequence[Any]  # the fields of a scheduling.tombstones.Tombstone each
+
+
 class AssignRuns(NamedTuple):
     """The leader assigns runs of leased jobs to workers."""
 
--- a/src/pinepitch/state/registry.py
+++ b/src/pinepitch/state/registry.py
@@ -67,6 +67,7 @@
     "tenant-job": Action(operations.AcceptLeasedJob, leased_job_operations.accept_leased_job),
     "configure-tenants": Action(operations.ConfigureRoutes, leased_job_operations.configure_routes),
     "amend-tenants": Action(operations.AmendRoutes, leased_job_operations.amend_routes),
+    "job-cancel-unknown": Action(operations.CancelUnknownJobs, leased_job_operations.cancel_unknown_jobs),
 }
 # Operation -> the level that introduced it; operations that are not listed are of level 1.
 LEVELS = {
@@ -83,6 +84,7 @@
     "tenant-job": 4,
     "configure-tenants": 4,
     "amend-tenants": 4,
+    "job-cancel-unknown": 5,
 }
 # Operations requested by callers that enlarge the image for a long time; they are refused once the image is
 # full. Operations that end, cancel or replace something are never refused for this reason.
