Keep final records of jobs whose copies may be on their way

What callers would see: a job that was shown as completed or cancelled runs again, when a copy of its submission arrives after a crowd of 60,000 newer jobs pushed its final record out.

Cause: final records were dropped by their number alone, however young. Change: a new job is refused (429 state_full) while the record that it would push out, if all open jobs ended, is younger than a copy may be on its way (45 s). The check costs nothing below 60,000 open and final jobs.

No run with 60,000 real jobs was made.

--- a/features/early_cancellations.feature
+++ b/features/early_cancellations.feature
@@ -112,3 +112,12 @@
     When job A is cancelled before it arrives
     Then that is answered 410
     And at most 0 entries were appended for them
+
+  # Guards against: records of jobs that are over are dropped early, so that a copy that is on its way runs the job again.
+  Scenario: a crowd of short jobs does not push out the records of jobs whose copies may be on their way
+    Given a control daemon whose workers take work, and which keeps 20 records of jobs that are over
+    When jobs are handed in and cancelled until one is refused
+    Then it is refused with 429, state_full, after 20 jobs
+    And every one of them that arrives again is answered cancelled
+    When the time of tombstones passes
+    Then a job that nobody cancelled is accepted
--- a/features/steps/early_cancellations.py
+++ b/features/steps/early_cancellations.py
@@ -56,6 +56,12 @@
     context.cluster.daemon.cluster_state.level = level
 
 
+@given("a control daemon whose workers take work, and which keeps {most:d} records of jobs that are over")
+def step_few_records(context, most):
+    lowered(context, "MAX_FINAL_JOBS", most)
+    step_daemon(context)
+
+
 @when("job {job_letter:w} is cancelled before it arrives")
 def step_cancelled(context, job_letter):
     context.answer = context.cluster.told("job-cancel", HOST, path_of(job_letter))
@@ -287,6 +293,33 @@
     assert size < MEGABYTE, size
 
 
+@when("jobs are handed in and cancelled until one is refused")
+def step_short_jobs(context):
+    context.taken = []
+    for _ in range(2 * constants.MAX_FINAL_JOBS):
+        name = f"{context.cluster.draw.randrange(16**16):016x}"
+        context.answer = context.cluster.told("job", HOST, f"/checks/{name}", DOCUMENT)
+        if context.answer[0] != 200:
+            return
+        context.taken.append(name)
+        told = context.cluster.told("job-cancel", HOST, f"/checks/{name}")
+        assert told == (200, {"state": "cancelled"}), told
+
+
+@then("it is refused with 429, state_full, after {count:d} jobs")
+def step_refused(context, count):
+    status, document = context.answer
+    assert (status, len(context.taken)) == (429, count), (status, len(context.taken))
+    assert document["error"]["code"] == "state_full", document
+
+
+@then("every one of them that arrives again is answered cancelled")
+def step_all_known(context):
+    for name in context.taken:
+        told = context.cluster.told("job", HOST, f"/checks/{name}", DOCUMENT)
+        assert told == (200, {"state": "cancelled"}), told
+
+
 # --- tenants -----------------------------------------------------------------------------
 @given("a leased job state with a public and a private queue, and tenants a and b")
 def step_tenants(context):
--- a/src/pinepitch/control/proposals.py
+++ b/src/pinepitch/control/proposals.py
@@ -76,7 +76,7 @@
             self._refuse(listeners, now)
             return False
         cost = memory_cost(operation)
-        if listeners and operation[0] in GROWING and self._is_full(cost):
+        if listeners and operation[0] in GROWING and self._is_full(cost, now):
             self._refuse_growth(operation, listeners)
             return False
         if listeners and self.daemon.consensus.log.size > self.daemon.limits.log:
@@ -106,11 +106,19 @@
         applied: int = self.daemon.cluster_state.leased_jobs.memory_bytes()
         return applied + sum(self._unapplied_bytes.values())
 
-    def _is_full(self, cost: int) -> bool:
-        """Whether the cluster state has no room for an operation that takes `cost` bytes of memory."""
+    def _is_full(self, cost: int, now: float) -> bool:
+        """Whether the cluster state has no room for an operation that takes `cost` bytes of memory, or for
+        the record of the job that it accepts.
+        """
         if self.daemon.consensus_driver.is_full():
             return True
-        return cost > 0 and self.state_bytes() + cost > self.daemon.limits.state_with(cost)
+        if not cost:
+            return False
+        if self.state_bytes() + cost > self.daemon.limits.state_with(cost):
+            return True
+        leased_jobs = self.daemon.cluster_state.leased_jobs
+        coming = len(self._unapplied_bytes) + 1
+        return not leased_jobs.keeps_final_records(self.daemon.cluster_time(now), coming)
 
     def _refuse_growth(self, operation: tuple[Any, ...], listeners: Sequence[OutcomeListener]) -> None:
         """Refuses at once requests that would enlarge a cluster state that is full."""
--- a/src/pinepitch/scheduling/leased_job_state.py
+++ b/src/pinepitch/scheduling/leased_job_state.py
@@ -238,6 +238,16 @@
             + constants.TOMBSTONE_BYTES * len(self.tombstones)
         )
 
+    def keeps_final_records(self, now: float, coming: int) -> bool:
+        """Whether no record of a job that is over would be dropped while a copy of that job's submission may
+        be on its way, if `coming` jobs were accepted now and all open ones ended.
+        """
+        surplus = len(self.final) + len(self.jobs) + coming - constants.MAX_FINAL_JOBS
+        if surplus <= 0:
+            return True
+        newest_dropped = next(itertools.islice(self.final.values(), surplus - 1, None), None)
+        return newest_dropped is not None and now - newest_dropped.ended >= constants.SUBMISSION_LASTS
+
     # --- queries ----------------------------------------------------------------------
     def may_access(self, tenant: str, identity: str, route: Document | None) -> bool:
         """Whether a tenant may read, cancel or submit again a job at a route; a caller without a tenant is
