--- a/features/soak.feature
+++ b/features/soak.feature
@@ -6,6 +6,7 @@
     Then no history check, no log and no invariant of the code shows a fault
     And no request that a daemon had read was cut in its planned stop
     And at least two troubles went on at the same time, and jobs ran
+    And clients that left before their job was answered had cancels acknowledged
 
   # guards against jobs of an allowed size that end control daemons or depose leaders (review/4, review/5)
   Scenario: jobs that nobody can run, up to every limit, end no daemon and make no leader stand still
--- a/features/soak/soak.py
+++ b/features/soak/soak.py
@@ -10,7 +10,7 @@
 from pinepitch.simulation.jobs.stand_in_client import StandInClient
 from pinepitch.simulation.stand_in_lease_worker import StandInLeaseWorker
 
-from . import wire
+from . import leaving_clients, wire
 from .processes import FRONTS, ZONES, Processes
 from .troubles import FAULTS
 
@@ -45,9 +45,10 @@
     faults: list
     fault_log: list  # (seconds, name of the fault, the daemon or worker)
     most_at_once: int
-    jobs: int
+    jobs: int  # of clients that stay
     starts: int
     requests_cut: list  # requests that a daemon had read and that got no answer, in words
+    early_cancels: int  # acknowledged cancels of clients that left before their job was answered
 
 
 class PlannedStop(NamedTuple):
@@ -82,6 +83,13 @@
                 gangs,
             )
         self.client_stand_in = StandInClient(seed)
+        self.leaving = leaving_clients.LeavingClients(
+            self.client_stand_in,
+            self.calls,
+            self.processes.fronts,
+            random.Random(f"leaving-{seed}"),
+            lambda identity: key_of(tenant_of(identity)),
+        )
         self.cuts, self.planned_stops = [], []  # wire.Cut, and PlannedStop
         self.away, self.cut, self.answer_loss, self.wiped_at = set(), set(), 0.0, 0.0
         self.crowds = {}  # daemon -> (what its crowd does, the crowd)
@@ -137,6 +145,9 @@
             if purpose[0] == "change":
                 self._hear_change(purpose[1], status)
                 continue
+            if purpose[0] == "leaving":
+                self.leaving.hear(*purpose[1:], status, document, now)
+                continue
             if self.draw.random() < self.answer_loss:
                 status, document = wire.NO_ANSWER, {}
             if purpose[0] == "call":
@@ -266,6 +277,7 @@
         self._step_faults(now, going)
         self._step_workers(now)
         self._step_client(now)
+        self.leaving.step(now, going)
         time.sleep(STEP)
 
     def run(self, seconds):
@@ -290,9 +302,10 @@
         self.faults += self.processes.forbidden_events()
         self.faults += self._judged()
         starts = sum(event[0] == "start" for event in self.history)
-        jobs = len(self.client_stand_in.jobs)
+        jobs = sum(job["kind"] != leaving_clients.KIND for job in self.client_stand_in.jobs.values())
         cut = self._requests_cut()
-        return Outcome(self.seed, self.faults, self.met, self.most_at_once, jobs, starts, cut)
+        early_cancels = self.leaving.acknowledged
+        return Outcome(self.seed, self.faults, self.met, self.most_at_once, jobs, starts, cut, early_cancels)
 
     def _unended(self):
         return [
--- a/features/soak/wire.py
+++ b/features/soak/wire.py
@@ -35,6 +35,7 @@
     timeout: float  # seconds
     based_on: int = 0  # the version that a change of the configuration builds on
     key: str = ""  # of a tenant, "" for none
+    leaves_after: float | None = None  # seconds; the caller doesn't wait for as long as it says
 
 
 class Answered(NamedTuple):
@@ -117,11 +118,12 @@
 
 def exchange_on(connection, request):
     """(status, document, Cut or None) of one call on a connection, which is opened if it isn't open."""
-    connection.timeout = request.timeout
+    patience = request.timeout if request.leaves_after is None else request.leaves_after
+    connection.timeout = patience
     begun = time.time()
     try:
         if connection.sock is not None:
-            connection.sock.settimeout(request.timeout)
+            connection.sock.settimeout(patience)
         body = None if request.document is None else json.dumps(request.document)
         headers = {"Content-Type": "application/json"}
         if request.host:
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -41,6 +41,12 @@
         assert one.most_at_once >= 2 and one.starts > one.jobs > 0, one
 
 
+@then("clients that left before their job was answered had cancels acknowledged")
+def step_left(context):
+    for one in context.outcomes:
+        assert one.early_cancels > 10, one
+
+
 @when("a soak of {seconds:d} seconds beside such jobs runs with seed {seed:d}")
 def step_hostile(context, seconds, seed):
     outcome, context.accepted, _ = hostile_soak(seed, seconds)
