Count connections that are closed for others until their sockets end

Cause: a connection that is evicted leaves the table at once, and its socket ends some turns of the loop later, so that newcomers were accepted into descriptors that were still taken. Its number had no bound. Ruled out: the kernel's backlog of unaccepted connections, which holds no descriptors of the process.

Change: the table keeps evicted connections until their sockets are closed. Beyond a tenth of the process's own descriptors nobody is accepted, and the one that has been closing longest is reset. Other callers' bounds stay as they are.

The scenario of callers.feature can't be stated on the code before, which has no such bound; the new row of crowds.feature is the crowd of 3,000.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -34,6 +34,14 @@
     When three more connections come
     Then the one that was served is still open
 
+  # Guards against: sockets of evicted connections, which end a little later, take descriptors beyond the settings.
+  Scenario: connections that were closed for others count until their sockets are closed
+    Given a table of 40 connections, all of them stopped within a request
+    When newcomers come as long as they may be accepted, and no closed connection ends
+    Then as many were closed as the descriptors allow beside the open ones, and the oldest of them is aborted
+    When that one ends
+    Then just one more newcomer may be accepted
+
   Scenario: a small request finds room beside large ones that fill their part
     Given a table whose large requests have taken all that they may
     When another large request and a small one are read whole
--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -19,6 +19,7 @@
       | control | control   | such bodies with GET                           |
       | front   | front     | bodies of an allowed size that stop short      |
       | control | control   | bodies of an allowed size that stop short      |
+      | control | control   | thousands of such bodies of an allowed size    |
       | front   | front     | bodies announced without bound                 |
       | control | control   | bodies announced without bound                 |
 
--- a/features/crowds/behaviours.py
+++ b/features/crowds/behaviours.py
@@ -31,6 +31,9 @@
         "bodies of an allowed size that stop short": lambda: Behaviour(
             600, messages.body_cut_short("POST", path, messages.ALLOWED_BODY, messages.ALLOWED_PART)
         ),
+        "thousands of such bodies of an allowed size": lambda: Behaviour(
+            3000, messages.body_cut_short("POST", path, messages.ALLOWED_BODY, messages.ALLOWED_PART)
+        ),
         "whole bodies of one long text": lambda: Behaviour(
             80, messages.whole_body(path, messages.text_body(1_800_000))
         ),
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -152,10 +152,10 @@
 }
 
 
-@given("a table of 4 connections, all of them {others}")
-def step_full(context, others):
-    context.caller_table = table_of(4)
-    context.connections = [connect(context.caller_table, float(place)) for place in range(4)]
+@given("a table of {count:d} connections, all of them {others}")
+def step_full(context, count, others):
+    context.caller_table = table_of(count)
+    context.connections = [connect(context.caller_table, float(place)) for place in range(count)]
     for place, connection in enumerate(context.connections):
         bring_to(connection, STATES[others], float(place))
 
@@ -223,6 +223,40 @@
 
 
 # --- bytes ------------------------------------------------------------------------------
+@when("newcomers come as long as they may be accepted, and no closed connection ends")
+def step_newcomers(context):
+    context.newcomers = _newcomers(context)
+
+
+def _newcomers(context):
+    """How many newcomers come until the table accepts none."""
+    count = 0
+    while context.caller_table.may_accept():
+        count += 1
+        assert count < 10 * context.caller_table.limits.connections, "it accepts any number"
+        assert connect(context.caller_table, 100.0 + count) is not None
+    return count
+
+
+@then("as many were closed as the descriptors allow beside the open ones, and the oldest of them is aborted")
+def step_closing(context):
+    table = context.caller_table
+    assert context.newcomers == len(table.closing) == table.limits.closing > 1, len(table.closing)
+    assert table.connections() == table.limits.connections
+    how = [one.closed[0] for one in context.connections if one.closed]
+    assert how == ["aborted", *["closed"] * (len(how) - 1)], how
+
+
+@when("that one ends")
+def step_one_closed(context):
+    context.caller_table.remove(next(iter(context.caller_table.closing)))
+
+
+@then("just one more newcomer may be accepted")
+def step_one_newcomer(context):
+    assert _newcomers(context) == 1
+
+
 @given("a table whose large requests have taken all that they may")
 def step_large(context):
     context.caller_table = table_of(16)
--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -155,6 +155,8 @@
 FILE_DESCRIPTORS = 200  # descriptors; kept for what is neither a socket nor a data file
 # fraction of the other descriptors; for callers' connections, the rest for our own connections and data files
 CALLER_PART_OF_DESCRIPTORS = 0.75
+# fraction of the other descriptors; for callers' connections that are being closed to make room
+CLOSING_PART_OF_DESCRIPTORS = 0.1
 CALLER_PART_OF_MEMORY = 4  # divisor; what callers have sent and wait for may use this fraction of the memory
 CONNECTION_PART_OF_MEMORY = 4  # divisor; open connections may use this fraction (1/4) of the memory
 IDLE_CONNECTION_BYTES = 16_384  # bytes; of a connection's task, parser and socket
@@ -195,6 +197,7 @@
 ANSWER_STALLED = 5.0  # seconds; a caller that takes nothing of its answer for this long is cut off
 ANSWER_SLICE = 65_536  # bytes; of an answer that are passed to a socket at once
 LISTEN_BACKLOG = 100  # connections; most that wait to be accepted on one port
+CLOSING_WAIT = 0.01  # seconds; delay before a port with too many closing connections looks again
 ACCEPT_AGAIN = 0.1  # seconds; delay before connections are accepted again after the system refused one
 CALLERS_WATCH_EVERY = 0.5  # seconds; interval at which a daemon looks for callers that take nothing
 CALLERS_REPORT_EVERY = 10.0  # seconds; interval at which a daemon logs that it turned callers away
--- a/src/pinepitch/common/limits.py
+++ b/src/pinepitch/common/limits.py
@@ -96,13 +96,22 @@
     @property
     def connections(self) -> int:
         """Most open connections."""
-        own = self.descriptors - constants.FILE_DESCRIPTORS
         connection_bytes = int(
             constants.IDLE_CONNECTION_BYTES + constants.RECEIVE_BUFFER * constants.RECEIVE_BUFFER_TIMES
         )
         by_memory = self.memory // constants.CONNECTION_PART_OF_MEMORY // connection_bytes
-        by_descriptors = int(own * constants.CALLER_PART_OF_DESCRIPTORS)
+        by_descriptors = int(self._own_descriptors * constants.CALLER_PART_OF_DESCRIPTORS)
         return max(1, min(constants.MAX_CONNECTIONS, by_memory, by_descriptors))
 
+    @property
+    def closing(self) -> int:
+        """Most connections that are being closed for others, beside those that are open."""
+        return max(1, int(self._own_descriptors * constants.CLOSING_PART_OF_DESCRIPTORS))
+
+    @property
+    def _own_descriptors(self) -> int:
+        """Descriptors for sockets and data files."""
+        return self.descriptors - constants.FILE_DESCRIPTORS
+
 
 USUAL_CALLERS = CallerLimits()  # the default, for daemons whose settings state no limits
--- a/src/pinepitch/runtime/listener.py
+++ b/src/pinepitch/runtime/listener.py
@@ -43,6 +43,8 @@
             listening.setsockopt(sockets.SOL_SOCKET, sockets.SO_SNDBUF, self.buffers.send)
         async with listening:
             while True:
+                while not self.callers.may_accept():
+                    await curio.sleep(constants.CLOSING_WAIT)
                 try:
                     socket, _ = await listening.accept()
                 except OSError:  # out of descriptors, or the connection has ended already
--- a/src/pinepitch/transport/callers.py
+++ b/src/pinepitch/transport/callers.py
@@ -81,7 +81,7 @@
 
     def evict(self) -> None:
         """Ends reading from the connection, so that whoever serves it stops."""
-        self.table.remove(self)
+        self.table.closes(self)
         self.received = bytearray()
         self.connection.end_reading()
 
@@ -89,7 +89,8 @@
 class CallerTable:
     """All connections of callers. Invariants: a connection is in exactly one of the mappings, that of its
     state, in the order of `active_at`; `held` is the sum of what they hold, and never over `limits.held`;
-    there are never more of them than `limits.connections`, nor are more places `wanted`.
+    there are never more of them than `limits.connections`, nor are more places `wanted`. Connections that
+    were evicted or aborted stand in `closing`, oldest first, until their sockets are closed.
     """
 
     def __init__(self, limits: CallerLimits = USUAL_CALLERS) -> None:
@@ -102,6 +103,7 @@
         self.callers: dict[State, collections.OrderedDict[Caller, None]] = {
             state: collections.OrderedDict() for state in State
         }
+        self.closing: collections.OrderedDict[Caller, None] = collections.OrderedDict()
         self.wanted = 0  # places that served connections are to give up, for newcomers that were refused
         self.evictions = 0  # connections that were closed to make room for others
         self.refusals = 0  # requests and connections that were refused for want of room
@@ -110,6 +112,15 @@
         """How many are open."""
         return sum(len(callers) for callers in self.callers.values())
 
+    def may_accept(self) -> bool:
+        """Whether the descriptors allow another connection to be accepted now. If not, the connection that
+        has been closing longest is aborted, and the port asks again.
+        """
+        if self.connections() + len(self.closing) < self.limits.connections + self.limits.closing:
+            return True
+        next(iter(self.closing)).connection.abort()
+        return False
+
     def admit(self, connection: Connection, now: float) -> Caller | None:
         """A new connection, for which another one is closed if there are too many. None: all of them wait
         for answers, and the new one must be refused; one of those gives up its place once it is answered.
@@ -157,7 +168,7 @@
             if now - caller.active_at < constants.ANSWER_STALLED:
                 return
             self.evictions += 1
-            self.remove(caller)
+            self.closes(caller)
             caller.connection.abort()
 
     def update(self, caller: Caller, state: State, size: int) -> bool:
@@ -200,8 +211,18 @@
             self.evictions += 1
             caller.evict()
 
+    def closes(self, caller: Caller) -> None:
+        """Records that a connection is evicted or aborted; its socket is still open."""
+        self._forget(caller)
+        self.closing[caller] = None
+
     def remove(self, caller: Caller) -> None:
-        """Removes a connection that has ended."""
+        """Removes a connection whose socket is closed."""
+        self._forget(caller)
+        self.closing.pop(caller, None)
+
+    def _forget(self, caller: Caller) -> None:
+        """Counts nothing for a connection any more."""
         if not caller.evicted:
             del self.callers[caller.state][caller]
             self.held -= caller.held
