--- a/features/key_trials.feature
+++ b/features/key_trials.feature
@@ -31,7 +31,7 @@
       | keys-one-version-late | keys-calm        | was refused, though its key                | 0 to 0 |
       | owner-unheeded        | keys-calm        | of another tenant                          | 0 to 0 |
       | lease-ignored         | keys-leader-deaf | was refused, though its key                | 2 to 2 |
-      | lease-ignored         | keys-leader-deaf | that was taken away before                 | 25 to 25 |
+      | lease-ignored         | keys-leader-deaf | that was taken away before                 | 23 to 23 |
 
   Scenario: calls of a tenant, and those that are to be refused, are all seen by the checks
     When jobs under leases meet the fault scenario keys-calm once with seed 1
