Cost of rounds: a failing test of what one more worker costs a round (71)

A round that places one small job executes 511 instructions for each worker of the fleet, whatever changed.

--- a/features/round_cost.feature
+++ b/features/round_cost.feature
@@ -52,3 +52,9 @@
     Then a round of the second costs at most 1.3 times what it costs in the first
     And a scan that comes then starts in the next round
     And after 10 more rounds each of the jobs was found short of capacity
+
+  # guards against a leader that has no processor time left in a large fleet: SHORT on tlq-mezcla-large, issue 71
+  Scenario: a round that starts a small job costs little for each worker of the fleet
+    Given fleets of 150 and of 750 workers, 20 in a rack, of which a fifth were lost and the others are more than half full
+    When a job of 5 tasks that run at once comes to each
+    Then one more worker costs the next round at most 255 instructions
--- a/features/steps/round_cost.py
+++ b/features/steps/round_cost.py
@@ -25,15 +25,18 @@
     def _look(self):
         """Records nothing."""
 
-    def instructions_of_round(self):
-        """The number of instructions that one more round executes."""
+    def instructions_of_round(self, check=lambda items: None):
+        """The number of instructions that one more round executes; `check` gets what it assigns."""
         self.now += ROUND_EVERY
         self._beat()
-        return instructions_of(
-            lambda: self.assigner.run_round(
-                self.leased_jobs, self.workers, self.assignments, self.now, self.now
+        results = []
+        cost = instructions_of(
+            lambda: results.append(
+                self.assigner.run_round(self.leased_jobs, self.workers, self.assignments, self.now, self.now)
             )
         )
+        check(results[0][0])
+        return cost
 
 
 def instructions_of(act):
@@ -98,6 +101,26 @@
     assert cost["large"] <= most * max(1, cost["small"]), f"instructions: {cost}"
 
 
+@when("a job of {count:d} tasks that run at once comes to each")
+def step_small_job(context, count):
+    context.cost = {}
+    for fleet in context.fleets.values():
+        job = fleet.put("scans", count, 1, LONG)
+        context.cost[len(fleet.workers)] = fleet.instructions_of_round(lambda items: started(items, job))
+
+
+def started(items, job):
+    """Checks that a round placed a job."""
+    assert [item[0] for item in items] == [job], items
+
+
+@then("one more worker costs the next round at most {most:d} instructions")
+def step_worker_cost(context, most):
+    (few, of_few), (many, of_many) = sorted(context.cost.items())
+    each = (of_many - of_few) / (many - few)
+    assert each <= most, f"{each:.0f} instructions for each worker: {context.cost}"
+
+
 # --- jobs that recur -----------------------------------------------------------------------
 SMALL_TASK = {"count": 1, "cpu": 1000, "mem_mb": 1000, "gpu": 1, "est_ms": 5000}
 RECURRING = {  # what comes -> one step
