Rounds look at each worker of the fleet once, in one loop (71, 51)

What callers saw: on a large fleet work starts late and is SHORT, as the leader has no processor time left.

Cause: each round asked for every worker what all tasks of a request could use (to learn that one fits), made an object for what is known of a worker about whom nothing is known, ranked it by six calls, and filtered the whole fleet for each step it placed.

Change: the capacity for a request is counted only as far as an answer needs; trust is read without a record; ranks are made in one loop and sorted without their candidates; candidates with room are taken one by one; the look for idle capacity is left out while nothing is short.

--- a/features/steps/round_cost.py
+++ b/features/steps/round_cost.py
@@ -25,8 +25,10 @@
     def _look(self):
         """Records nothing."""
 
-    def instructions_of_round(self, check=lambda items: None):
-        """The number of instructions that one more round executes; `check` gets what it assigns."""
+    def instructions_of_round(self, job=None):
+        """The number of instructions that one more round executes; it must place `job` alone, if one is
+        named.
+        """
         self.now += ROUND_EVERY
         self._beat()
         results = []
@@ -35,7 +37,8 @@
                 self.assigner.run_round(self.leased_jobs, self.workers, self.assignments, self.now, self.now)
             )
         )
-        check(results[0][0])
+        placed = [item[0] for item in results[0][0]]
+        assert job is None or placed == [job], placed
         return cost
 
 
@@ -106,12 +109,7 @@
     context.cost = {}
     for fleet in context.fleets.values():
         job = fleet.put("scans", count, 1, LONG)
-        context.cost[len(fleet.workers)] = fleet.instructions_of_round(lambda items: started(items, job))
-
-
-def started(items, job):
-    """Checks that a round placed a job."""
-    assert [item[0] for item in items] == [job], items
+        context.cost[len(fleet.workers)] = fleet.instructions_of_round(job)
 
 
 @then("one more worker costs the next round at most {most:d} instructions")
--- a/src/pinepitch/model/reliability.py
+++ b/src/pinepitch/model/reliability.py
@@ -112,6 +112,11 @@
         """What is known of a worker."""
         return self._workers.setdefault(worker_id, Reliability())
 
+    def trust_of(self, worker_id: str, now: float) -> Trust:
+        """How a worker is treated now."""
+        reliability = self._workers.get(worker_id)
+        return Trust.RELIABLE if reliability is None else reliability.trust(now)
+
     def forget(self, worker_id: str) -> None:
         """Drops what is known of a worker that is gone."""
         self._workers.pop(worker_id, None)
--- a/src/pinepitch/scheduling/assigner.py
+++ b/src/pinepitch/scheduling/assigner.py
@@ -12,7 +12,7 @@
 from . import timeliness
 from .budgets import CapacityBudgets
 from .candidate_order import CandidateIndex, Rank, fill
-from .candidate_workers import CandidateWorker, candidate_workers
+from .candidate_workers import CandidateWorker, PotentialCapacity, candidate_workers
 from .idle_capacity import IdleCapacityCheck, Violation
 from .leased_job import TaskBatch, TaskBatchKey
 from .leased_job_state import LeasedJobState, TaskBatchAssignment
@@ -124,7 +124,7 @@
             reservations.reserve(batches, self.short_since, now) if self.policy.reserve_for_waiting else ()
         )
         self.indices = {
-            service: CandidateIndex(service_candidates, self._suitability, self.shares.priority)
+            service: CandidateIndex(service_candidates, self._general_suitability, self.shares.priority)
             for service, service_candidates in candidates.items()
         }
         items, complete = self._place_batches(batches, candidates, reservations, now, time)
@@ -158,19 +158,13 @@
         short of capacity, and the round need not look at them any further.
         """
         runnable = []
-        members: dict[tuple[Any, ...], int] = {}  # request -> tasks that all candidates could run together
+        capacities = {
+            service: PotentialCapacity(service_candidates)
+            for service, service_candidates in candidates.items()
+        }
         for batch in batches:
-            step, service_candidates = batch.step, candidates.get(batch.job.service, ())
-            if not service_candidates or not any(step.resources):
-                runnable.append(batch)
-                continue
-            apart = batch.work() if step.apart else None
-            request = (batch.job.service, step.resources, step.needs, apart)
-            if request not in members:
-                members[request] = sum(
-                    candidate.potential_members(batch, NO_RESOURCES) for candidate in service_candidates
-                )
-            if members[request] >= (len(batch.waiting) if step.gang else 1):
+            capacity, wanted = capacities.get(batch.job.service), len(batch.waiting) if batch.step.gang else 1
+            if capacity is None or not any(batch.step.resources) or capacity.reaches(batch, wanted):
                 runnable.append(batch)
             else:
                 self.waiting_reasons[batch.key()] = REASON_NO_CAPACITY
@@ -324,12 +318,11 @@
             self.rack_demand[rack] *= decay
         self.highest_demand = max((1, *self.rack_demand.values()))
 
-    def _suitability(self, candidate: CandidateWorker, batch: TaskBatch | None = None) -> Rank:
-        """How well a candidate suits a task of `batch`; lower is better. Without `batch`, the rank for tasks
-        that prefer no rack, have no capacity reserved and may run on trial. After reliability, reservations,
+    def _suitability(self, candidate: CandidateWorker, batch: TaskBatch) -> Rank:
+        """How well a candidate suits a task of `batch`; lower is better. After reliability, reservations,
         data locality, demand for the rack and speed, the candidate with the least free capacity is preferred.
         """
-        near = batch.step.near if batch is not None else ""
+        near = batch.step.near
         return (
             self._trust(candidate, batch),
             candidate.reserved_for is not None and candidate.reserved_for is not batch,
@@ -341,12 +334,29 @@
             candidate.identity,
         )
 
-    def _trust(self, candidate: CandidateWorker, batch: TaskBatch | None) -> Trust:
+    def _general_suitability(self, candidates: Iterable[CandidateWorker]) -> list[Rank]:
+        """The suitability of candidates for all tasks that prefer no rack, have no capacity reserved and may
+        run on trial. As each round computes it for the whole fleet, it is one loop without further calls.
+        """
+        demand_steps = {rack: self._demand_step_of(rack) for rack in self.rack_demand}
+        speed_steps = constants.SPEED_STEPS if self.policy.prefer_fast_workers else 0
+        return [
+            (
+                candidate.trust,
+                candidate.reserved_for is not None,
+                demand_steps.get(candidate.rack, 0),
+                round(candidate.worker.speed * speed_steps),
+                candidate.free[2],
+                candidate.free[0],
+                candidate.identity,
+            )
+            for candidate in candidates
+        ]
+
+    def _trust(self, candidate: CandidateWorker, batch: TaskBatch) -> Trust:
         """How far a candidate is trusted with a task of `batch`: not if the same step has failed on it, nor
         if it is on trial and the batch can't spare an attempt.
         """
-        if batch is None:
-            return candidate.trust
         if candidate.identity in self.evidence.workers_failed_on(batch.work()):
             return Trust.UNRELIABLE
         if candidate.trust is Trust.ON_TRIAL and not self._may_run_on_trial(batch):
--- a/src/pinepitch/scheduling/budgets.py
+++ b/src/pinepitch/scheduling/budgets.py
@@ -7,7 +7,7 @@
 
 from ..common import constants
 from . import policy as policies
-from .candidate_workers import CandidateWorker
+from .candidate_workers import CandidateWorker, total_capacity
 from .leased_job import TaskBatch
 from .leased_job_state import LeasedJobState
 from .plain_types import Document
@@ -101,10 +101,7 @@
         tenants may still be given, and the time of the cluster state in seconds.
         """
         self.total_capacity = {
-            service: [
-                sum(candidate.worker.capacity[kind] for candidate in service_candidates)
-                for kind in RESOURCE_KINDS
-            ]
+            service: list(total_capacity(service_candidates))
             for service, service_candidates in candidates.items()
         }
         self.used = self._used_on(leased_jobs, candidates)
--- a/src/pinepitch/scheduling/candidate_order.py
+++ b/src/pinepitch/scheduling/candidate_order.py
@@ -5,7 +5,7 @@
 
 import bisect
 import math
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Any
 
 from .candidate_workers import CandidateWorker
@@ -14,6 +14,8 @@
 
 # How well a candidate suits a task; lower is better. Ends with the candidate's identity, so no two are equal.
 Rank = tuple[Any, ...]
+# Returns the ranks of candidates, in their order.
+RanksOf = Callable[[Sequence[CandidateWorker]], list[Rank]]
 
 
 def fill(
@@ -37,32 +39,36 @@
 
 class CandidateOrder:
     """The candidates of one service by rank, for tasks that prefer no rack and have no capacity reserved: for
-    all of them the ranks are the same. Invariant: sorted by `rank`, provided that `update` is called for each
-    candidate on which a task was placed.
+    all of them the ranks are the same. Invariant: sorted by `ranks_of`, provided that `update` is called for
+    each candidate on which a task was placed.
     """
 
-    def __init__(
-        self, candidates: Iterable[CandidateWorker], rank: Callable[[CandidateWorker], Rank]
-    ) -> None:
-        self._rank = rank
-        self._ranks = {candidate.identity: rank(candidate) for candidate in candidates}
-        self._sorted = sorted((self._ranks[candidate.identity], candidate) for candidate in candidates)
+    def __init__(self, candidates: Sequence[CandidateWorker], ranks_of: RanksOf) -> None:
+        self._ranks_of = ranks_of
+        self._by_identity = {candidate.identity: candidate for candidate in candidates}
+        self._sorted = ranks_of(candidates)
+        self._ranks = {rank[-1]: rank for rank in self._sorted}
+        self._sorted.sort()
 
-    def with_free_capacity(self, task: Resources) -> list[CandidateWorker]:
-        """The candidates with free capacity for a task that needs these resources, best first."""
+    def with_free_capacity(self, task: Resources) -> Iterator[CandidateWorker]:
+        """The candidates with free capacity for a task that needs these resources, best first. No candidate
+        may be updated before the last one was taken.
+        """
         cpu, memory, accelerators = task
-        return [
-            candidate
-            for _, candidate in self._sorted
-            if cpu <= candidate.free[0] and memory <= candidate.free[1] and accelerators <= candidate.free[2]
-        ]
+        by_identity = self._by_identity
+        for rank in self._sorted:
+            candidate = by_identity[rank[-1]]
+            free = candidate.free
+            if cpu <= free[0] and memory <= free[1] and accelerators <= free[2]:
+                yield candidate
 
     def update(self, candidate: CandidateWorker) -> None:
         """Moves a candidate to its new position after its free capacity has changed."""
         earlier_rank = self._ranks[candidate.identity]
-        rank = self._ranks[candidate.identity] = self._rank(candidate)
-        del self._sorted[bisect.bisect_left(self._sorted, (earlier_rank,))]
-        bisect.insort(self._sorted, (rank, candidate))
+        (rank,) = self._ranks_of([candidate])
+        self._ranks[candidate.identity] = rank
+        del self._sorted[bisect.bisect_left(self._sorted, earlier_rank)]
+        bisect.insort(self._sorted, rank)
 
 
 class RackIndex:
@@ -150,10 +156,10 @@
     def __init__(
         self,
         candidates: Sequence[CandidateWorker],
-        rank: Callable[[CandidateWorker], Rank],
+        ranks_of: RanksOf,
         priority_of: Callable[[LeasedJob], int],
     ) -> None:
-        self._candidates, self._rank, self._priority_of = candidates, rank, priority_of
+        self._candidates, self._ranks_of, self._priority_of = candidates, ranks_of, priority_of
         self._order: CandidateOrder | None = None
         self._racks: RackIndex | None = None
 
@@ -161,7 +167,7 @@
     def order(self) -> CandidateOrder:
         """The candidates by rank."""
         if self._order is None:
-            self._order = CandidateOrder(self._candidates, self._rank)
+            self._order = CandidateOrder(self._candidates, self._ranks_of)
         return self._order
 
     @property
--- a/src/pinepitch/scheduling/candidate_workers.py
+++ b/src/pinepitch/scheduling/candidate_workers.py
@@ -2,13 +2,14 @@
 
 from collections import Counter
 from collections.abc import Sequence
+from typing import Any
 
 from ..model.reliability import FailureEvidence, Trust
 from .job_document import Step
 from .leased_job import TaskBatch
 from .leased_job_state import LeasedJobState
 from .placement import Placements
-from .resources import NO_RESOURCES, RESOURCE_KINDS, Amount, Resources, fitting_tasks, subtract
+from .resources import NO_RESOURCES, RESOURCE_KINDS, Amount, Resources, fitting_tasks, subtract, total
 from .worker import READY, Worker
 
 # Identifies a step regardless of its time: (identity of the job, number of the step).
@@ -133,14 +134,38 @@
         return least
 
 
+class PotentialCapacity:
+    """Counts the tasks of a request that the candidates of a service could run if nothing else ran there.
+
+    Invariant: it looks at each candidate once for each request, and at no more of them than it was asked for.
+    """
+
+    def __init__(self, candidates: Sequence[CandidateWorker]) -> None:
+        self._candidates = candidates
+        # request -> (tasks that the first candidates could run, number of these candidates)
+        self._counted: dict[tuple[Any, ...], tuple[int, int]] = {}
+
+    def reaches(self, batch: TaskBatch, wanted: int) -> bool:
+        """Whether the candidates could run so many tasks of a batch together."""
+        step = batch.step
+        request = (step.resources, step.needs, batch.work() if step.apart else None)
+        members, counted = self._counted.get(request, (0, 0))
+        while members < wanted and counted < len(self._candidates):
+            members += self._candidates[counted].potential_members(batch, NO_RESOURCES)
+            counted += 1
+        self._counted[request] = (members, counted)
+        return members >= wanted
+
+
+def total_capacity(candidates: Sequence[CandidateWorker]) -> Amount:
+    """The capacity of all candidates together, whatever runs on them."""
+    return total([candidate.worker.capacity for candidate in candidates])
+
+
 def used_fraction(candidates: Sequence[CandidateWorker]) -> float:
     """The fraction, 0 to 1, of the candidates' total capacity that is in use, of the resource used most."""
-    most = 0.0
-    for kind in RESOURCE_KINDS:
-        total = sum(candidate.worker.capacity[kind] for candidate in candidates)
-        if total:
-            most = max(most, 1 - sum(candidate.free[kind] for candidate in candidates) / total)
-    return most
+    capacity, free = total_capacity(candidates), total([candidate.free for candidate in candidates])
+    return max(0.0, *(1 - free[kind] / capacity[kind] if capacity[kind] else 0.0 for kind in RESOURCE_KINDS))
 
 
 def candidate_workers(
@@ -152,33 +177,35 @@
     """
     candidates: dict[str, list[CandidateWorker]] = {}
     busy: dict[str, list[CandidateWorker]] = {}  # service -> distrusted workers with a run to judge them by
-    for worker in workers.values():
-        placements = leased_jobs.placements.get(worker.identity, NO_PLACEMENTS)
+    placements_of, used_by_worker = leased_jobs.placements.get, leased_jobs.used_by_worker.get
+    evacuated, trust_of = leased_jobs.evacuated, evidence.trust_of
+    for identity, worker in workers.items():
+        placements = placements_of(identity, NO_PLACEMENTS)
         if (
             worker.heartbeats < 2
             or worker.state != READY
-            or worker.unresponsive(now)
             or worker.stale
-            or worker.zone in leased_jobs.evacuated
+            or worker.zone in evacuated
             or now < worker.avoided_until
-            or not worker.running.keys() <= placements.keys()
+            or worker.unresponsive(now)
+            or (worker.running and not worker.running.keys() <= placements.keys())
         ):
             continue
-        trust = evidence.of(worker.identity).trust(now)
-        free = subtract(worker.capacity, leased_jobs.used_by_worker.get(worker.identity, NO_RESOURCES))
+        trust = trust_of(identity, now)
+        free = subtract(worker.capacity, used_by_worker(identity, NO_RESOURCES))
         candidate = CandidateWorker(worker, free, placements, trust)
-        by_service = busy if is_judged_by_run(leased_jobs, placements, trust) else candidates
-        by_service.setdefault(worker.service, []).append(candidate)
+        if trust is not Trust.RELIABLE and is_judged_by_run(leased_jobs, placements):
+            busy.setdefault(worker.service, []).append(candidate)
+        else:
+            candidates.setdefault(worker.service, []).append(candidate)
     _use_distrusted(candidates, busy)
     return candidates
 
 
-def is_judged_by_run(leased_jobs: LeasedJobState, placements: Placements, trust: Trust) -> bool:
-    """Whether a worker with these placements is distrusted and has a run whose end will show whether it still
-    fails. A long-running task shows nothing, as it does not end.
+def is_judged_by_run(leased_jobs: LeasedJobState, placements: Placements) -> bool:
+    """Whether a distrusted worker with these placements has a run whose end will show whether it still fails.
+    A long-running task shows nothing, as it does not end.
     """
-    if trust is Trust.RELIABLE:
-        return False
     for placement in placements.values():
         batch_and_task = leased_jobs.current_task(placement)
         if batch_and_task is None or not batch_and_task[0].step.lasts:
--- a/src/pinepitch/scheduling/explain.py
+++ b/src/pinepitch/scheduling/explain.py
@@ -6,6 +6,7 @@
 
 from ..common import constants
 from ..model.decisions import Answer, problem
+from ..model.reliability import Trust
 from .assigner import REASON_TENANT_AT_MAXIMUM
 from .candidate_workers import is_judged_by_run
 from .daemon_interface import Daemon
@@ -191,8 +192,8 @@
         return "no room"
     if step.apart and of_step >= step.apart:
         return f"has {of_step} of the step, apart {step.apart}"
-    trust = core.assignments.evidence.of(worker.identity).trust(now)
-    if is_judged_by_run(leased_jobs, placements, trust):
+    trust = core.assignments.evidence.trust_of(worker.identity, now)
+    if trust is not Trust.RELIABLE and is_judged_by_run(leased_jobs, placements):
         return "on trial"
     return "open"
 
--- a/src/pinepitch/scheduling/idle_capacity.py
+++ b/src/pinepitch/scheduling/idle_capacity.py
@@ -74,7 +74,7 @@
         idle_services = [
             service
             for service, service_candidates in candidates.items()
-            if used_fraction(service_candidates) < constants.RESERVE_BUSY
+            if short_since and used_fraction(service_candidates) < constants.RESERVE_BUSY
         ]
         waiting = {}
         # request of a batch -> whether there is ample capacity for it
--- a/src/pinepitch/scheduling/resources.py
+++ b/src/pinepitch/scheduling/resources.py
@@ -1,6 +1,6 @@
 """Arithmetic on amounts of resources: capacity of workers, requests of tasks, usage of services."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 # Thousandths of a core, megabytes and accelerators, in this order.
 Resources = Sequence[float]
@@ -27,6 +27,16 @@
     return (resources[0] * count, resources[1] * count, resources[2] * count)
 
 
+def total(amounts: Iterable[Resources]) -> Amount:
+    """The sum of any number of amounts."""
+    cpu, memory, accelerators = NO_RESOURCES
+    for more_cpu, more_memory, more_accelerators in amounts:
+        cpu += more_cpu
+        memory += more_memory
+        accelerators += more_accelerators
+    return cpu, memory, accelerators
+
+
 def fitting_tasks(resources: Resources, task: Resources) -> int | None:
     """How many tasks that need `task` each fit into `resources`, 0 or more; None if a task needs nothing, so
     that any number fits.
