Mark heartbeats as late at the port where they arrive, whoever leads

Cause: a new leader takes a worker's second heartbeat for fresh if it is less late than the first. With two that the network held back for 6 and 4.5 s around a change of leader it took a run that they didn't list for one that never started, though the worker had done it, and started the task again.

Change: each control daemon remembers the sequence and the clock of the workers whose heartbeats arrive at its port, and marks those that it knows to be late; a marked one proves nothing at the leader. A daemon that knows no better marks nothing, as before. The judgement by the worker's clock moves from Worker to WorkerClock.

Tests: heartbeat_arrivals.feature.

--- /dev/null
+++ b/features/heartbeat_arrivals.feature
@@ -0,0 +1,35 @@
+Feature: Arrivals of heartbeats
+  The daemon at whose port a heartbeat arrives says that it is late if it knows so, whoever leads by then.
+
+  Background:
+    Given a control daemon at whose port a worker's heartbeats arrive
+
+  Scenario: heartbeats in order and in time are forwarded as they are
+    When heartbeat 1 that was sent at 10.0 seconds arrives at 10.1
+    And heartbeat 2 that was sent at 10.5 seconds arrives at 10.7
+    Then no heartbeat was marked as late
+
+  Scenario Outline: <what> is marked as late
+    When heartbeat 5 that was sent at 10.0 seconds arrives at 10.1
+    And heartbeat <number> that was sent at <sent> seconds arrives at <arrived>
+    Then heartbeat <number> was marked as late
+
+    Examples:
+      | what                                             | number | sent | arrived |
+      | a heartbeat older than one that arrived before   | 4      | 9.5  | 10.2    |
+      | a heartbeat that arrives a second time           | 5      | 10.0 | 10.2    |
+      | a newer heartbeat that took much longer to arrive | 6      | 10.5 | 11.7    |
+
+  Scenario: what is not valid is left to the leader
+    When a heartbeat without a sequence arrives
+    Then no heartbeat was marked as late
+
+  Scenario: only the workers heard last are remembered
+    When heartbeats of 4200 other workers arrive
+    Then 4000 workers are remembered
+
+  Scenario: a heartbeat that is known to be late proves nothing to a new leader
+    When a leader first hears heartbeat 1, marked as late, and then heartbeat 2, marked as late
+    Then the worker counts as heard 0 times, and its newest heartbeat as late
+    When the leader hears heartbeat 3, which is not marked
+    Then the worker counts as heard 1 time, and its newest heartbeat as fresh
--- a/src/pinepitch/control/client_requests.py
+++ b/src/pinepitch/control/client_requests.py
@@ -6,6 +6,7 @@
 from ..common.effects import Reply
 from ..consensus.leader_clock import Reading
 from . import metrics_text
+from .heartbeat_arrivals import HeartbeatArrivals
 
 if TYPE_CHECKING:
     from .daemon import ControlDaemon
@@ -16,6 +17,7 @@
 
     def __init__(self, daemon: "ControlDaemon") -> None:
         self.daemon = daemon
+        self.heartbeat_arrivals = HeartbeatArrivals()
         self.hinted_at: dict[str, float] = {}  # worker -> when it was last sent the leader's address
 
     def on_request(
@@ -25,6 +27,9 @@
         if call == "ready":
             self.daemon.effects.append(Reply(request, 200 if self.daemon.consensus is not None else 503, {}))
             return
+        if call == "beat":
+            identity, heartbeat = arguments
+            arguments = (identity, self.heartbeat_arrivals.marked(identity, heartbeat, now))
         token = self.daemon.indexed_forwarder.begin(request, call, arguments, now, timeout)
         self._forward(token, now)
 
--- /dev/null
+++ b/src/pinepitch/control/heartbeat_arrivals.py
@@ -0,0 +1,47 @@
+"""What a control daemon knows of the heartbeats that arrive at its own port, whoever leads.
+
+A new leader hears of each worker for the first time, and can't tell that its first heartbeats are late if
+each is less late than the one before. The daemon at whose port they arrive has often received newer ones.
+"""
+
+import collections
+from typing import Any, NamedTuple
+
+from ..common import constants
+from ..scheduling.worker import LATE_FIELD, is_valid_heartbeat
+from ..scheduling.worker_clock import WorkerClock
+
+
+class Arrival(NamedTuple):
+    """The newest heartbeat of a worker by its sequence, and the worker's clock as all of them show it."""
+
+    sequence: int
+    clock: WorkerClock
+
+
+class HeartbeatArrivals:
+    """Marks heartbeats that are known to be late. Invariants: a heartbeat that is not marked is newer than
+    all others of its worker that arrived here, as far as these are remembered; at most ARRIVALS_KEPT workers
+    are, those heard last.
+    """
+
+    def __init__(self) -> None:
+        self._arrivals: collections.OrderedDict[str, Arrival] = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        """How many workers are remembered."""
+        return len(self._arrivals)
+
+    def marked(self, identity: str, heartbeat: Any, now: float) -> Any:
+        """The heartbeat as it is to be forwarded, with LATE_FIELD if it is known to be late. One that is not
+        valid is left to the leader to refuse.
+        """
+        if not is_valid_heartbeat(heartbeat):
+            return heartbeat
+        sequence: int = heartbeat["sequence"]
+        known = self._arrivals.pop(identity, None) or Arrival(sequence - 1, WorkerClock(now))
+        is_late = known.clock.is_late(heartbeat["clock_ms"], now) or sequence <= known.sequence
+        self._arrivals[identity] = Arrival(max(sequence, known.sequence), known.clock)
+        if len(self._arrivals) > constants.ARRIVALS_KEPT:
+            self._arrivals.popitem(last=False)
+        return {**heartbeat, LATE_FIELD: True} if is_late else heartbeat
--- a/src/pinepitch/scheduling/worker.py
+++ b/src/pinepitch/scheduling/worker.py
@@ -7,9 +7,11 @@
 from ..common import constants
 from .placement import RunKey
 from .plain_types import Document
+from .worker_clock import WorkerClock
 
 READY = "ready"  # the state of a worker that accepts new work; in any other state it accepts none
 DRAINING = "draining"
+LATE_FIELD = "late"  # of a heartbeat: whether the daemon that received it knows that it was late
 
 
 class Progress(NamedTuple):
@@ -42,15 +44,13 @@
     def __init__(self, identity: str, now: float) -> None:
         self.identity = identity
         self.sequence = -1
-        # Number of accepted heartbeats. The first may be a delayed one, of an incarnation that is over.
+        # Number of accepted heartbeats that the daemon which received them did not know to be late. The first
+        # may be a delayed one, of an incarnation that is over.
         self.heartbeats = 0
         self.heard_at = now
         self.leased_from: float | None = None
-        # The minimum of the leader's time minus the worker's clock, milliseconds. It grows over time by the
-        # clock drift that is allowed for.
-        self.clock_offset: float | None = None
-        self.clock_offset_at = now
-        # whether the newest heartbeat took over HEARTBEAT_STALE seconds longer to arrive than the fastest one
+        self.clock = WorkerClock(now)
+        # whether the newest heartbeat arrived late, at this leader or at the daemon that received it
         self.stale = False
         self.scheduling_state: SchedulingState | None = None  # by the newest heartbeat
         self.previous_scheduling_state: SchedulingState | None = None  # by the one before
@@ -92,13 +92,9 @@
             return False
         self.previous_scheduling_state = self.scheduling_state
         self.sequence, self.heard_at = heartbeat["sequence"], now
-        self.heartbeats += 1
-        offset = now * 1000 - heartbeat["clock_ms"]
-        if self.clock_offset is None:
-            self.clock_offset = offset
-        drift = (now - self.clock_offset_at) * constants.CLOCK_DRIFT * 1000
-        self.clock_offset, self.clock_offset_at = min(self.clock_offset + drift, offset), now
-        self.stale = offset - self.clock_offset > constants.HEARTBEAT_STALE * 1000
+        was_late = heartbeat.get(LATE_FIELD, False) is True
+        self.heartbeats += not was_late
+        self.stale = self.clock.is_late(heartbeat["clock_ms"], now) or was_late
         self.service, self.address, self.zone = heartbeat["service"], heartbeat["address"], heartbeat["zone"]
         self.state = DRAINING if self.left_undrained else heartbeat["state"]
         self.labels = frozenset(heartbeat["labels"])
