--- a/features/leased_job_trials.feature
+++ b/features/leased_job_trials.feature
@@ -27,6 +27,29 @@
       | ends-beyond-list |
       | cancelled-early |
 
+  Scenario Outline: <scenario> breaks no rule of jobs while followers receive the heartbeats
+    Given the condition large-fleet
+    When jobs under leases meet the fault scenario <scenario> with seeds 10 to 12
+    Then no history check finds a fault
+
+    Examples:
+      | scenario      |
+      | calm          |
+      | leader-killed |
+      | leader-frozen |
+      | leader-deaf   |
+      | all-killed    |
+      | tenants-cut   |
+      | answers-late  |
+      | beats-stale   |
+      | storm         |
+
+  # guards against a new leader that takes the second of two late heartbeats for a fresh one
+  Scenario: late heartbeats that followers forward to a new leader break no rule of jobs
+    Given the condition large-fleet
+    When jobs under leases meet the fault scenario beats-stale with seeds 108 to 109
+    Then no history check finds a fault
+
   Scenario Outline: <scenario> breaks no rule of jobs while the log is compacted all the time
     Given the condition frequent-snapshots
     When jobs under leases meet the fault scenario <scenario> with seeds 6 to 9
--- a/src/pinepitch/control/daemon.py
+++ b/src/pinepitch/control/daemon.py
@@ -16,6 +16,7 @@
 from ..model.decisions import Answer
 from ..model.push_worker import PushWorker, Report
 from ..scheduling.assignment_manager import AssignmentManager
+from ..scheduling.heartbeat_addresses import Follower
 from ..state.cluster_state import ClusterState
 from ..transport.callers import CallerTable
 from ..transport.forwarder import Forwarder
@@ -36,7 +37,7 @@
 from .placement import Placer
 from .proposals import OutcomeListener, Proposals
 from .rehearsal_role import RehearsalRole
-from .sessions import Sessions
+from .sessions import CONTROL_DAEMON, Sessions
 from .shutdown import Shutdown
 from .worker_reports import WorkerReports
 
@@ -238,6 +239,15 @@
             return self.address
         return self.sessions.address(self.consensus.current_leader)
 
+    def live_followers(self) -> list[Follower]:
+        """The members of the cluster that this daemon hears, without itself."""
+        members = self.consensus.membership.members() if self.consensus is not None else ()
+        return [
+            Follower(session.zone, session.address)
+            for session in self.sessions.live(CONTROL_DAEMON)
+            if session.identity in members and session.identity != self.identity
+        ]
+
     def leader_reading(self, now: float) -> Reading | None:
         """A Reading that the leader's steady clock has passed, as far as this daemon knows."""
         if self.consensus is not None and self.consensus.role == "leader":
--- a/src/pinepitch/scheduling/assignment_manager.py
+++ b/src/pinepitch/scheduling/assignment_manager.py
@@ -16,6 +16,7 @@
 from . import policy as policies
 from .assigner import Assigner
 from .daemon_interface import Daemon
+from .heartbeat_addresses import HeartbeatAddresses
 from .heartbeats import DeferredHeartbeat, IdleHeartbeat, StartOrder
 from .leased_job_state import LeasedJobState, TaskBatchAssignment
 from .leases import LeaseWatch
@@ -60,6 +61,7 @@
         self.answers_to_check: dict[str, bool] = {}
         # oldest first
         self.idle_heartbeats: collections.deque[IdleHeartbeat] = collections.deque()
+        self.heartbeat_addresses = HeartbeatAddresses(core)
         self.estimator = RunTimeEstimator(core.far)
         self.ends = RunEndCollector(core, self.estimator)
         self.leases = LeaseWatch(core, now)
@@ -155,6 +157,7 @@
         """Removes a worker whose incarnation is over, and proposes the end of all its runs."""
         worker = self.workers.pop(identity, None)
         self.evidence.forget(identity)
+        self.heartbeat_addresses.forget(identity)
         self._answer_deferred(identity)
         for reference, run in self.leased_jobs.placements.get(identity, {}):
             saved = worker.running.get((reference, run), ("", 0))[0] if worker else ""
@@ -187,7 +190,8 @@
                 self.idle_heartbeats.append(IdleHeartbeat(received_at, identity))
                 continue
             del self.deferred_heartbeats[identity]
-            self.core.answer(address, token, Answer(200, self._heartbeat_answer(worker, received_at, now)))
+            document = self._heartbeat_answer(worker, address, received_at, now)
+            self.core.answer(address, token, Answer(200, document))
 
     def _is_idle(self, worker: Worker) -> bool:
         """Whether a worker runs nothing and its answer would contain no starts or stops. In large
@@ -196,7 +200,7 @@
         """
         return (
             self.policy.defer_idle_heartbeats
-            and self._heartbeat_interval() > constants.HEARTBEAT_INTERVAL
+            and heartbeat_intervals.is_large_fleet(len(self.workers))
             and worker.state == READY
             and not worker.running
             and not worker.listed_ends
@@ -204,9 +208,9 @@
             and worker.identity not in self.leased_jobs.placements
         )
 
-    def _heartbeat_answer(self, worker: Worker, received_at: float, now: float) -> Document:
-        """The answer to a worker's newest heartbeat, received at `received_at`. Its keys are those of the
-        user documentation on workers.
+    def _heartbeat_answer(self, worker: Worker, received_by: str, received_at: float, now: float) -> Document:
+        """The answer to a worker's newest heartbeat, which the daemon at the address `received_by` received
+        at `received_at`. Its keys are those of the user documentation on workers.
         """
         placements = self.leased_jobs.placements.get(worker.identity, {})
         # A worker that runs something without a placement gets no starts until that has stopped.
@@ -226,7 +230,7 @@
             "fence": self.core.epoch,
             "start": tuple(start),
             "stop": stop,
-            "home": self.core.address,
+            "home": self.heartbeat_addresses.address_for(worker, received_by, len(self.workers), now),
             "again_ms": int(1000 * again_in),
         }
 
@@ -332,6 +336,7 @@
         ]:
             del self.workers[identity]
             self.evidence.forget(identity)
+            self.heartbeat_addresses.forget(identity)
 
     def _check_progress(self, now: float) -> None:
         """Stops stalled and slow runs. As progress arrives only with heartbeats, this check runs once per
--- a/src/pinepitch/scheduling/daemon_interface.py
+++ b/src/pinepitch/scheduling/daemon_interface.py
@@ -2,7 +2,7 @@
 it; a test may use another implementation.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING, Any, Protocol
 
 from ..common.limits import Limits
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from .assignment_manager import AssignmentManager
+    from .heartbeat_addresses import Follower
 
 
 class ClusterStateView(Protocol):
@@ -51,6 +52,9 @@
     def epoch(self) -> int:
         """The epoch of this daemon's claim to place tasks, 0 without one; it fences off older epochs."""
 
+    def live_followers(self) -> "Sequence[Follower]":
+        """The members of the cluster that this daemon hears, without itself."""
+
     def cluster_time(self, now: float) -> float:
         """The cluster's time, seconds: the median of the members' clocks, never behind the state's."""
 
--- a/src/pinepitch/scheduling/heartbeat_intervals.py
+++ b/src/pinepitch/scheduling/heartbeat_intervals.py
@@ -13,6 +13,11 @@
     )
 
 
+def is_large_fleet(worker_count: int) -> bool:
+    """Whether heartbeats are so many that workers send them less often than a small fleet's do."""
+    return interval(worker_count) > constants.HEARTBEAT_INTERVAL
+
+
 def next_in(worker: Worker, placements: Placements, has_starts: bool, worker_count: int) -> float:
     """Seconds until a worker's next heartbeat: short for one that may have more ends to list, and longer for
     one that can take no more work. `has_starts`: whether the answer starts runs.
--- a/src/pinepitch/simulation/jobs/injected_faults.py
+++ b/src/pinepitch/simulation/jobs/injected_faults.py
@@ -166,6 +166,8 @@
         (constants, "SNAPSHOT_TAIL", 10),
         (constants, "SNAPSHOT_CHUNK", 5_000),
     ],
+    # Another such condition: the few workers count as a large fleet, whose heartbeats followers receive.
+    "large-fleet": [(constants, "HEARTBEAT_INTERVAL_PER_WORKER", 0.06)],
     **order_injected_faults.INJECTED_FAULTS,
 }
 
