--- a/src/pinepitch/model/contract.py
+++ b/src/pinepitch/model/contract.py
@@ -4,9 +4,12 @@
 (an array of any length), Maybe(pattern), OneOf(patterns), Pairs(key, value) for a map, or ANY.
 """
 
+import functools
+import operator
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from ..common import daemon_settings
+from ..common import constants, daemon_settings
 
 
 class Maybe(NamedTuple):
@@ -43,33 +46,90 @@
     """A list that begins with the operation's name."""
 
 
-def fits(value: Any, pattern: Any) -> bool:
-    """Whether a decoded value fits a pattern."""
+Check = Callable[[Any], bool]  # whether a decoded value fits a pattern
+
+
+def check_of(pattern: Any) -> Check:
+    """The check for a pattern, made once: it runs for each value of each message."""
     if pattern is ANY:
-        return True
-    if pattern is Number:
-        return isinstance(value, (int, float)) and not isinstance(value, bool) and value == value
-    if pattern is Address:
-        return isinstance(value, str) and bool(daemon_settings.is_address(value))
-    if pattern is Operation:
-        return isinstance(value, (list, tuple)) and bool(value) and isinstance(value[0], str)
+        return SPECIAL_CHECKS[ANY]
+    if isinstance(pattern, type):
+        return SPECIAL_CHECKS.get(pattern) or _instance_of(pattern)
     if isinstance(pattern, OneOf):
-        return any(fits(value, alternative) for alternative in pattern.patterns)
+        return _one_of([check_of(alternative) for alternative in pattern.patterns])
     if isinstance(pattern, Maybe):
-        return value is None or fits(value, pattern.pattern)
+        return _maybe(check_of(pattern.pattern))
     if isinstance(pattern, Pairs):
-        return isinstance(value, dict) and all(
-            fits(key, pattern.key) and fits(item, pattern.value) for key, item in value.items()
-        )
+        return _pairs(check_of(pattern.key), check_of(pattern.value))
     if isinstance(pattern, list):
-        return isinstance(value, (list, tuple)) and all(fits(element, pattern[0]) for element in value)
+        return _list_of(check_of(pattern[0]))
     if isinstance(pattern, tuple):
-        return (
-            isinstance(value, (list, tuple)) and len(value) == len(pattern) and all(map(fits, value, pattern))
+        return _array([check_of(element) for element in pattern])
+    raise TypeError(f"not a pattern: {pattern!r}")
+
+
+def _is_number(value: Any) -> bool:
+    return isinstance(value, (int, float)) and not isinstance(value, bool) and value == value
+
+
+def _is_integer(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+@functools.lru_cache(maxsize=constants.KNOWN_ADDRESSES)
+def _is_known_address(text: str) -> bool:
+    return daemon_settings.is_address(text)
+
+
+def _is_address(value: Any) -> bool:
+    return isinstance(value, str) and _is_known_address(value)
+
+
+def _is_operation(value: Any) -> bool:
+    return isinstance(value, (list, tuple)) and bool(value) and isinstance(value[0], str)
+
+
+def _instance_of(kind: type) -> Check:
+    return lambda value: isinstance(value, kind)
+
+
+def _one_of(checks: list[Check]) -> Check:
+    return lambda value: any(check(value) for check in checks)
+
+
+def _maybe(check: Check) -> Check:
+    return lambda value: value is None or check(value)
+
+
+def _pairs(key_check: Check, value_check: Check) -> Check:
+    def check(value: Any) -> bool:
+        return isinstance(value, dict) and all(
+            key_check(key) and value_check(item) for key, item in value.items()
         )
-    return isinstance(value, pattern) and not (pattern is int and isinstance(value, bool))
 
+    return check
 
+
+def _list_of(element_check: Check) -> Check:
+    return lambda value: isinstance(value, (list, tuple)) and all(map(element_check, value))
+
+
+def _array(checks: list[Check]) -> Check:
+    return lambda value: (
+        isinstance(value, (list, tuple))
+        and len(value) == len(checks)
+        and all(map(operator.call, checks, value))
+    )
+
+
+# The checks of patterns that are not made up of others.
+SPECIAL_CHECKS: dict[Any, Check] = {
+    ANY: lambda value: True,
+    Number: _is_number,
+    Address: _is_address,
+    Operation: _is_operation,
+    int: _is_integer,
+}
 CONTROL_DAEMON = (str, str, Address)  # (identity, zone, address)
 HISTORY = Pairs(int, str)
 MEMBERSHIP = [(Pairs(str, str), str)]
@@ -163,19 +223,25 @@
 }
 
 
+_CONTRACT_CHECKS = {kind: check_of(pattern) for kind, pattern in CONTRACTS.items()}
+_RAFT_CHECKS = {kind: check_of(pattern) for kind, pattern in RAFT.items()}
+_ARGUMENT_CHECKS = {call: check_of(pattern) for call, pattern in ARGUMENTS.items()}
+_NO_ARGUMENTS = check_of(())  # of a call that is not known here
+
+
 def fits_contract(message: Any) -> bool:
     """Whether a message from another process has the form that its contract requires."""
     kind, *fields = message
-    if not isinstance(kind, str) or kind not in CONTRACTS or not fits(fields, CONTRACTS[kind]):
+    if not isinstance(kind, str) or kind not in _CONTRACT_CHECKS or not _CONTRACT_CHECKS[kind](fields):
         return False
     if kind == "raft":
         consensus_message = fields[3]
         return (
             bool(consensus_message)
             and isinstance(consensus_message[0], str)
-            and consensus_message[0] in RAFT
-            and fits(consensus_message[1:], RAFT[consensus_message[0]])
+            and consensus_message[0] in _RAFT_CHECKS
+            and _RAFT_CHECKS[consensus_message[0]](consensus_message[1:])
         )
     if kind == "ask":
-        return fits(fields[3], ARGUMENTS.get(fields[2], ()))
+        return _ARGUMENT_CHECKS.get(fields[2], _NO_ARGUMENTS)(fields[3])
     return True
