--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -200,6 +200,8 @@
 CLOSING_WAIT = 0.01  # seconds; delay before a port with too many closing connections looks again
 ACCEPT_AGAIN = 0.1  # seconds; delay before connections are accepted again after the system refused one
 CALLERS_WATCH_EVERY = 0.5  # seconds; interval at which a daemon looks for callers that take nothing
+# containers; made and not freed since the search for reference cycles that comes before the next one
+OBJECTS_BETWEEN_COLLECTIONS = 10_000
 CALLERS_REPORT_EVERY = 10.0  # seconds; interval at which a daemon logs that it turned callers away
 LARGE_FRAME_BYTES = 262_144  # bytes; the values in a larger frame are counted before it is decoded
 MAX_ANSWER_BYTES = 64_000_000  # bytes; most read of an answer, far above the largest page of a listing
--- a/src/pinepitch/runtime/serving.py
+++ b/src/pinepitch/runtime/serving.py
@@ -1,5 +1,6 @@
 """Common code of the daemon programs: reads settings, runs the host, and exits with a status on errors."""
 
+import gc
 import sys
 from collections.abc import Iterable, Mapping
 from typing import Any
@@ -27,6 +28,14 @@
     return settings
 
 
+def _collect_rarely() -> None:
+    """Makes the search for reference cycles rare, and excludes from it what was made until now. Reference
+    counts free nearly all that a daemon makes, so the search mostly finds nothing.
+    """
+    gc.set_threshold(constants.OBJECTS_BETWEEN_COLLECTIONS)
+    gc.freeze()
+
+
 def serve(
     program: str,
     daemon: Any,
@@ -40,6 +49,7 @@
     """Runs a daemon until a signal stops it. The process exits with status 70 if an invariant is broken or a
     committed entry can't be applied, and with 1 if a port can't be opened.
     """
+    _collect_rarely()
     callers = daemon.callers = CallerTable(CallerLimits(settings.memory, settings.descriptors))
     host = Host(daemon, settings.address, log, store, settings.http, adapters, stop_within, watch, callers)
     try:
