--- a/src/pinepitch/simulation/jobs/injected_faults.py
+++ b/src/pinepitch/simulation/jobs/injected_faults.py
@@ -67,8 +67,8 @@
     self.unapplied_runs.clear()
 
 
-def _answer_with_early_starts(self, worker, received_at, now):
-    answer = original_answer(self, worker, received_at, now)
+def _answer_with_early_starts(self, worker, received_by, received_at, now):
+    answer = original_answer(self, worker, received_by, received_at, now)
     early_starts = self.__dict__.get("early_starts", {}).pop(worker.identity, ())
     return {
         **answer,
