Addresses in messages take no memory once the messages are checked

Cause: is_address remembered its last 1,024 texts whatever their length, and the check of messages that is made once remembered another 4,096 of its own: a stranger at the port between daemons could have megabytes kept by each.

Change: texts of more than 256 characters aren't remembered; the second memory, which did what is_address did already, is gone.

--- a/features/input.feature
+++ b/features/input.feature
@@ -110,3 +110,8 @@
       | pushed job    | tasks    | 5000 faulty            | at most 32    |
       | configuration | routes   | 50000 faulty           | at most 32    |
       | configuration | services | 50000 faulty           | at most 32    |
+
+  # Guards against: strangers that fill a daemon's memory with addresses which the check of messages remembers.
+  Scenario: addresses in messages take no memory once the messages are checked, however long they are
+    When 2000 messages whose addresses have 10000 characters are checked
+    Then less than 1 MB more is held than before
--- a/features/steps/input.py
+++ b/features/steps/input.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import tempfile
+import tracemalloc
 from unittest import mock
 
 import cbor2
@@ -521,3 +522,19 @@
 def step_few_asked(context, asked):
     assert 0 < len(context.faults) <= constants.MAX_ITEM_FAULTS == 32, len(context.faults)
     assert context.items.asked <= (0 if asked == "none" else 32), context.items.asked
+
+
+@when("{count:d} messages whose addresses have {length:d} characters are checked")
+def step_long_addresses(context, count, length):
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    for number in range(count):
+        message = ("join", "identity", "zone", f"{number:0{length}}:7000")
+        assert not contract.fits_contract(message)
+    context.held_more = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+
+
+@then("less than {most:d} MB more is held than before")
+def step_held(context, most):
+    assert context.held_more < most * 1_000_000, context.held_more
--- a/src/pinepitch/common/constants.py
+++ b/src/pinepitch/common/constants.py
@@ -359,7 +359,8 @@
 START_OVERHEAD = 60  # characters; of a start beside its specification and saved progress
 HEARTBEAT_INTERVAL_MORE_ENDS = 0.05  # seconds; heartbeat delay of a worker that may have more ends to list
 HEARTBEAT_STALE = 0.9  # seconds; a heartbeat older than this proves nothing and gets no starts
-KNOWN_ADDRESSES = 4_096  # addresses of daemons; that were found valid or not and needn't be parsed again
+# characters; longer texts from outside aren't remembered, so that what is remembered stays small
+MAX_REMEMBERED_LENGTH = 256
 ARRIVALS_KEPT = 4_000  # workers; whose newest heartbeat a daemon remembers, whoever leads
 WORKER_TIMEOUT = 1.2  # seconds; an unresponsive worker gets no new work after this
 # seconds; a heartbeat is answered within this while agreement on what it reported is pending
--- a/src/pinepitch/common/daemon_settings.py
+++ b/src/pinepitch/common/daemon_settings.py
@@ -46,9 +46,19 @@
     return text
 
 
-@functools.lru_cache(maxsize=1024)
 def is_address(text: str) -> bool:
-    """Whether a text is a valid address to connect to."""
+    """Whether a text is a valid address to connect to. Short texts are remembered, as the same ones come
+    with most messages.
+    """
+    return _is_address(text) if len(text) > constants.MAX_REMEMBERED_LENGTH else _is_known_address(text)
+
+
+@functools.lru_cache(maxsize=1024)
+def _is_known_address(text: str) -> bool:
+    return _is_address(text)
+
+
+def _is_address(text: str) -> bool:
     try:
         address(text)
     except voluptuous.Invalid:
--- a/src/pinepitch/model/contract.py
+++ b/src/pinepitch/model/contract.py
@@ -4,12 +4,11 @@
 (an array of any length), Maybe(pattern), OneOf(patterns), Pairs(key, value) for a map, or ANY.
 """
 
-import functools
 import operator
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from ..common import constants, daemon_settings
+from ..common import daemon_settings
 
 
 class Maybe(NamedTuple):
@@ -76,13 +75,8 @@
     return isinstance(value, int) and not isinstance(value, bool)
 
 
-@functools.lru_cache(maxsize=constants.KNOWN_ADDRESSES)
-def _is_known_address(text: str) -> bool:
-    return daemon_settings.is_address(text)
-
-
 def _is_address(value: Any) -> bool:
-    return isinstance(value, str) and _is_known_address(value)
+    return isinstance(value, str) and daemon_settings.is_address(value)
 
 
 def _is_operation(value: Any) -> bool:
