Check a heartbeat whole only at the leader, and remember no long names of workers

Cause: the daemon at whose port a heartbeat arrives checked all of it to read two fields, which the leader does again; in a small fleet both are the same process. Names of any length were remembered, 4,000 of them.

Change: it checks the sequence and the clock only; workers with names over 256 characters aren't remembered.

Test: heartbeat_arrivals.feature, "a worker with a name of 10000 characters is not remembered".

--- a/features/heartbeat_arrivals.feature
+++ b/features/heartbeat_arrivals.feature
@@ -28,6 +28,11 @@
     When heartbeats of 4200 other workers arrive
     Then 4000 workers are remembered
 
+  # guards against callers that fill a daemon's memory with names
+  Scenario: a worker with a name of 10000 characters is not remembered
+    When a heartbeat of a worker with a name of 10000 characters arrives
+    Then 0 workers are remembered
+
   Scenario: a heartbeat that is known to be late proves nothing to a new leader
     When a leader first hears heartbeat 1, marked as late, and then heartbeat 2, marked as late
     Then the worker counts as heard 0 times, and its newest heartbeat as late
--- a/features/steps/heartbeat_arrivals.py
+++ b/features/steps/heartbeat_arrivals.py
@@ -40,6 +40,11 @@
         arrives(context, f"i-{place}", document(1, 10.0), 10.0)
 
 
+@when("a heartbeat of a worker with a name of {count:d} characters arrives")
+def step_long_name(context, count):
+    arrives(context, "i" * count, document(1, 10.0), 10.0)
+
+
 @then("{count:d} workers are remembered")
 def step_remembered(context, count):
     assert len(context.arrivals) == count, len(context.arrivals)
--- a/src/pinepitch/control/heartbeat_arrivals.py
+++ b/src/pinepitch/control/heartbeat_arrivals.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple
 
 from ..common import constants
-from ..scheduling.worker import LATE_FIELD, is_valid_heartbeat
+from ..scheduling.worker import LATE_FIELD, has_valid_sequence
 from ..scheduling.worker_clock import WorkerClock
 
 
@@ -33,10 +33,10 @@
         return len(self._arrivals)
 
     def marked(self, identity: str, heartbeat: Any, now: float) -> Any:
-        """The heartbeat as it is to be forwarded, with LATE_FIELD if it is known to be late. One that is not
-        valid is left to the leader to refuse.
+        """The heartbeat as it is to be forwarded, with LATE_FIELD if it is known to be late. What else is
+        wrong with it is left to the leader, which checks all of it.
         """
-        if not is_valid_heartbeat(heartbeat):
+        if len(identity) > constants.MAX_REMEMBERED_LENGTH or not has_valid_sequence(heartbeat):
             return heartbeat
         sequence: int = heartbeat["sequence"]
         known = self._arrivals.pop(identity, None) or Arrival(sequence - 1, WorkerClock(now))
--- a/src/pinepitch/scheduling/worker.py
+++ b/src/pinepitch/scheduling/worker.py
@@ -154,13 +154,20 @@
         self.speed += (ratio - self.speed) * weight
 
 
+def has_valid_sequence(heartbeat: Any) -> bool:
+    """Whether a received heartbeat has a sequence and the worker's clock."""
+    try:
+        return _is_integer(heartbeat["sequence"]) and _is_number(heartbeat["clock_ms"])
+    except (KeyError, TypeError):
+        return False
+
+
 def is_valid_heartbeat(heartbeat: Any) -> bool:
     """Whether a received heartbeat has the form that Worker.take_heartbeat expects."""
     try:
         return (
             all(isinstance(heartbeat[field], str) for field in ("service", "address", "zone", "state"))
-            and _is_integer(heartbeat["sequence"])
-            and _is_number(heartbeat["clock_ms"])
+            and has_valid_sequence(heartbeat)
             and (heartbeat["leaves_ms"] is None or _is_number(heartbeat["leaves_ms"]))
             and all(isinstance(label, str) for label in heartbeat["labels"])
             and len(heartbeat["room"]) == 3
