--- a/features/scale.feature
+++ b/features/scale.feature
@@ -22,3 +22,10 @@
   Scenario: one heartbeat of a worker costs alike in herds of two sizes
     When 50 and 200 workers heartbeat in this process
     Then one heartbeat among 200 costs less than 3 times one among 50
+
+  # guards against a leader that has no processor time left in a large fleet: SHORT on tlq-mezcla-large, issue 71
+  Scenario: what a leader computes beside a busy fleet grows by no more than the fleet, and counts repeat
+    When a leader of 100 and one of 750 busy workers decide for 2 seconds in this process
+    Then a heartbeat among 750 makes at most 1.5 times the calls of one among 100
+    And a round among 750 makes at most 5.4 calls for each worker
+    And the counts are the same when the first is played again
--- a/features/steps/scale.py
+++ b/features/steps/scale.py
@@ -2,7 +2,7 @@
 
 from behave import then, when
 
-from pinepitch.simulation.scale import costs, load, measuring, statistics, sweep
+from pinepitch.simulation.scale import costs, leader_acts, load, measuring, statistics, sweep
 
 SEED, SECONDS = 1, 3.0
 
@@ -93,3 +93,35 @@
 @then("one heartbeat among {many:d} costs less than {times:d} times one among {few:d}")
 def step_alike(context, many, times, few):
     assert context.costs[1] < times * context.costs[0], context.costs
+
+
+def play_acts(workers, seconds):
+    """{kind: (acts, calls for each)} of a leader beside so many busy workers."""
+    acts = leader_acts.BusyFleet(workers).run(seconds)
+    return {kind: (act.count, act.calls) for kind, act in acts.items()}
+
+
+@when("a leader of {few:d} and one of {many:d} busy workers decide for {seconds:g} seconds in this process")
+def step_acts(context, few, many, seconds):
+    context.seconds = seconds
+    context.acts = {workers: play_acts(workers, seconds) for workers in (few, many)}
+    for acts in context.acts.values():
+        assert set(acts) == {"heartbeat", "job", "round", "tick"}, acts
+
+
+@then("a heartbeat among {many:d} makes at most {times:g} times the calls of one among {few:d}")
+def step_heartbeat_calls(context, many, times, few):
+    calls = [context.acts[workers]["heartbeat"][1] for workers in (few, many)]
+    assert calls[1] <= times * calls[0], calls
+
+
+@then("a round among {many:d} makes at most {most:g} calls for each worker")
+def step_round_calls(context, many, most):
+    calls = context.acts[many]["round"][1]
+    assert calls <= most * many, calls
+
+
+@then("the counts are the same when the first is played again")
+def step_acts_repeat(context):
+    few = min(context.acts)
+    assert play_acts(few, context.seconds) == context.acts[few]
--- a/src/pinepitch/simulation/scale/sweep.py
+++ b/src/pinepitch/simulation/scale/sweep.py
@@ -3,10 +3,12 @@
 import json
 
 from .costs import costs
+from .leader_acts import leader_acts
 from .load import SWEEPS
 from .measuring import measure
 from .statistics import fit
 
+SINGLE_PROCESS = {"costs": costs, "acts": leader_acts}  # sweeps without daemons
 SATURATED = 0.85  # of a core; a daemon that spends more is no point of a line
 
 
@@ -51,7 +53,8 @@
 
     Args:
         sweep: a name of SWEEPS or several, parted by commas: workers, running, starts, waiting, changes,
-            kept, calls, accords, verges, site; or costs, for what single acts of a leader take here.
+            kept, calls, accords, verges, site; or costs, for what single acts of a leader take here; or acts,
+            for what each kind of act takes beside busy fleets, in calls of functions and microseconds.
         seconds: how long each size is measured.
         most: leaves larger sizes out.
         out: a file for all points.
@@ -59,8 +62,8 @@
     """
     kept = {}
     for name in sweep if isinstance(sweep, (tuple, list)) else str(sweep).split(","):
-        if name == "costs":
-            kept[name] = costs()
+        if name in SINGLE_PROCESS:
+            kept[name] = SINGLE_PROCESS[name]()
             continue
         field, sizes, load = SWEEPS[name]
         points = []
