Remember with a worker's arrivals when it was sent an address, not in a memory of its own

Change: the time stands with the arrivals, of which 4,000 are kept at most. A worker that isn't remembered may be sent an address at once.

--- a/features/heartbeat_arrivals.feature
+++ b/features/heartbeat_arrivals.feature
@@ -28,6 +28,12 @@
     When heartbeats of 4200 other workers arrive
     Then 4000 workers are remembered
 
+  Scenario: a worker is sent an address for its heartbeats once in 10 seconds
+    When heartbeat 1 that was sent at 10.0 seconds arrives at 10.1
+    Then at 10.1 seconds its worker may be sent an address
+    And at 20.0 seconds its worker may not be sent an address
+    And at 20.2 seconds its worker may be sent an address
+
   # guards against callers that fill a daemon's memory with names
   Scenario: a worker with a name of 10000 characters is not remembered
     When a heartbeat of a worker with a name of 10000 characters arrives
--- a/features/steps/heartbeat_arrivals.py
+++ b/features/steps/heartbeat_arrivals.py
@@ -40,6 +40,16 @@
         arrives(context, f"i-{place}", document(1, 10.0), 10.0)
 
 
+@then("at {now:g} seconds its worker may be sent an address")
+def step_may_hint(context, now):
+    assert context.arrivals.may_hint("i-one", now)
+
+
+@then("at {now:g} seconds its worker may not be sent an address")
+def step_may_not_hint(context, now):
+    assert not context.arrivals.may_hint("i-one", now)
+
+
 @when("a heartbeat of a worker with a name of {count:d} characters arrives")
 def step_long_name(context, count):
     arrives(context, "i" * count, document(1, 10.0), 10.0)
--- a/src/pinepitch/control/client_requests.py
+++ b/src/pinepitch/control/client_requests.py
@@ -2,7 +2,6 @@
 
 from typing import TYPE_CHECKING, Any
 
-from ..common import constants
 from ..common.effects import Reply
 from ..consensus.leader_clock import Reading
 from . import metrics_text
@@ -18,7 +17,6 @@
     def __init__(self, daemon: "ControlDaemon") -> None:
         self.daemon = daemon
         self.heartbeat_arrivals = HeartbeatArrivals()
-        self.hinted_at: dict[str, float] = {}  # worker -> when it was last sent the leader's address
 
     def on_request(
         self, request: Any, call: str, arguments: tuple[Any, ...], timeout: float, now: float
@@ -69,13 +67,10 @@
         call = self.daemon.forwarder.waiting(token, key)
         if call is None:
             return
-        if call.call == "beat" and "home" in answer[1]:
-            # the leader's address is sent only at intervals: a worker that can't reach it comes back here
-            worker = call.arguments[0]
-            if now - self.hinted_at.get(worker, -1e9) < constants.HINT_EVERY:
-                del answer[1]["home"]
-            else:
-                self.hinted_at[worker] = now
+        names_address = call.call == "beat" and "home" in answer[1]
+        # an address is sent only at intervals: a worker that can't reach it comes back here
+        if names_address and not self.heartbeat_arrivals.may_hint(call.arguments[0], now):
+            del answer[1]["home"]
         self.daemon.effects.extend(self.daemon.indexed_forwarder.answered(token, answer, key, now))
 
     def on_refused(
--- a/src/pinepitch/control/heartbeat_arrivals.py
+++ b/src/pinepitch/control/heartbeat_arrivals.py
@@ -5,18 +5,24 @@
 """
 
 import collections
-from typing import Any, NamedTuple
+from typing import Any
 
 from ..common import constants
 from ..scheduling.worker import LATE_FIELD, has_valid_sequence
 from ..scheduling.worker_clock import WorkerClock
 
 
-class Arrival(NamedTuple):
-    """The newest heartbeat of a worker by its sequence, and the worker's clock as all of them show it."""
+class Arrival:
+    """What is remembered of a worker: the highest sequence of its heartbeats, its clock as all of them show
+    it, and when it was last sent an address for its next ones (seconds).
+    """
+
+    __slots__ = ("clock", "hinted_at", "sequence")
 
-    sequence: int
-    clock: WorkerClock
+    def __init__(self, now: float) -> None:
+        self.sequence = -1
+        self.clock = WorkerClock(now)
+        self.hinted_at = -1e9
 
 
 class HeartbeatArrivals:
@@ -39,9 +45,22 @@
         if len(identity) > constants.MAX_REMEMBERED_LENGTH or not has_valid_sequence(heartbeat):
             return heartbeat
         sequence: int = heartbeat["sequence"]
-        known = self._arrivals.pop(identity, None) or Arrival(sequence - 1, WorkerClock(now))
+        known = self._arrivals.pop(identity, None) or Arrival(now)
         is_late = known.clock.is_late(heartbeat["clock_ms"], now) or sequence <= known.sequence
-        self._arrivals[identity] = Arrival(max(sequence, known.sequence), known.clock)
+        known.sequence = max(sequence, known.sequence)
+        self._arrivals[identity] = known
         if len(self._arrivals) > constants.ARRIVALS_KEPT:
             self._arrivals.popitem(last=False)
         return {**heartbeat, LATE_FIELD: True} if is_late else heartbeat
+
+    def may_hint(self, identity: str, now: float) -> bool:
+        """Whether a worker may be sent an address for its next heartbeats, once in HINT_EVERY; if so, that is
+        recorded.
+        """
+        known = self._arrivals.get(identity)
+        if known is None:
+            return True
+        if now - known.hinted_at < constants.HINT_EVERY:
+            return False
+        known.hinted_at = now
+        return True
