A leader counts no heartbeats that a faster one shows to be late

Cause, at its root: a leader trusts a worker from the second heartbeat on, and judged the second by the first alone. A second one that is less late than the first was taken for fresh, and what it doesn't list for never started. The marks of the daemon at whose port heartbeats arrive help only where that daemon heard the worker before.

Change: when a heartbeat is faster by more than HEARTBEAT_STALE (0.9 s) than all before it, those before it were late, and the count begins with it. What is left: two first heartbeats that are late by nearly as much.

Test: heartbeat_arrivals.feature, "heartbeats that a faster one shows to be late prove nothing"; failed before.

--- a/features/heartbeat_arrivals.feature
+++ b/features/heartbeat_arrivals.feature
@@ -44,3 +44,12 @@
     Then the worker counts as heard 0 times, and its newest heartbeat as late
     When the leader hears heartbeat 3, which is not marked
     Then the worker counts as heard 1 time, and its newest heartbeat as fresh
+
+  # guards against a new leader that takes the second of two late heartbeats for a fresh one
+  Scenario: heartbeats that a faster one shows to be late prove nothing
+    When a leader hears heartbeat 1 that is 6 seconds late, and then heartbeat 2 that is 4.5 seconds late
+    Then the worker counts as heard 1 time, and its newest heartbeat as fresh
+    When the leader hears heartbeat 3 that is 0 seconds late
+    Then the worker counts as heard 1 time, and its newest heartbeat as fresh
+    When the leader hears heartbeat 4 that is 0.2 seconds late
+    Then the worker counts as heard 2 times, and its newest heartbeat as fresh
--- a/features/steps/heartbeat_arrivals.py
+++ b/features/steps/heartbeat_arrivals.py
@@ -89,6 +89,26 @@
     hears(context, number, marked=False)
 
 
+def hears_late(context, number, lateness):
+    """The leader hears a heartbeat sent at `number` seconds by its clock that took `lateness` to arrive."""
+    context.worker.take_heartbeat(document(number, float(number)), 50.0 + number + lateness)
+
+
+@when(
+    "a leader hears heartbeat {first:d} that is {one:g} seconds late, "
+    "and then heartbeat {second:d} that is {other:g} seconds late"
+)
+def step_hears_late(context, first, one, second, other):
+    context.worker = Worker("i-one", 50.0)
+    hears_late(context, first, one)
+    hears_late(context, second, other)
+
+
+@when("the leader hears heartbeat {number:d} that is {lateness:g} seconds late")
+def step_hears_one(context, number, lateness):
+    hears_late(context, number, lateness)
+
+
 @then("the worker counts as heard {count:d} {times}, and its newest heartbeat as {age}")
 def step_heard(context, count, times, age):
     assert context.worker.heartbeats == count, context.worker.heartbeats
--- a/src/pinepitch/scheduling/worker.py
+++ b/src/pinepitch/scheduling/worker.py
@@ -44,8 +44,8 @@
     def __init__(self, identity: str, now: float) -> None:
         self.identity = identity
         self.sequence = -1
-        # Number of accepted heartbeats that the daemon which received them did not know to be late. The first
-        # may be a delayed one, of an incarnation that is over.
+        # Number of accepted heartbeats that neither the daemon which received them nor a later heartbeat has
+        # shown to be late. The first may be a delayed one, of an incarnation that is over.
         self.heartbeats = 0
         self.heard_at = now
         self.leased_from: float | None = None
@@ -93,8 +93,10 @@
         self.previous_scheduling_state = self.scheduling_state
         self.sequence, self.heard_at = heartbeat["sequence"], now
         was_late = heartbeat.get(LATE_FIELD, False) is True
-        self.heartbeats += not was_late
         self.stale = self.clock.is_late(heartbeat["clock_ms"], now) or was_late
+        if self.clock.earlier_were_late:
+            self.heartbeats = 0
+        self.heartbeats += not was_late
         self.service, self.address, self.zone = heartbeat["service"], heartbeat["address"], heartbeat["zone"]
         self.state = DRAINING if self.left_undrained else heartbeat["state"]
         self.labels = frozenset(heartbeat["labels"])
